--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# One word a job. Each target installs what it needs, so that it works on a
+# fresh Debian 12 machine.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+KEEP ?= 0
+
+.PHONY: deps build test demo format lint capacity clean
+
+deps:
+	scripts/install-packages
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	scripts/test-embed $(BUILD)
+	ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	KEEP=$(KEEP) scripts/demo $(BUILD)
+
+format: deps
+	scripts/format --check
+
+lint: build
+	scripts/lint $(BUILD)
+
+capacity: build
+	scripts/capacity $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/dragonflyglade/caller/caller_server.cc
@@ -0,0 +1,200 @@
+#include "dragonflyglade/caller/caller_server.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cmath>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "dragonflyglade/caller/sse.h"
+#include "dragonflyglade/net/http_server.h"
+#include "dragonflyglade/net/log.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr absl::Duration kStreamCommentEvery = absl::Seconds(2);
+constexpr const char* kJson = "application/json";
+
+CallerRequest RequestOf(const httplib::Request& wire) {
+  CallerRequest request;
+  request.method = wire.method;
+  request.path = wire.path;
+  const std::size_t question = wire.target.find('?');
+  if (question != std::string::npos) {
+    request.query = wire.target.substr(question + 1);
+  }
+  request.authorization = wire.get_header_value("Authorization");
+  request.idempotency_key = wire.get_header_value("Idempotency-Key");
+  request.request_class = wire.get_header_value("X-Request-Class");
+  request.content_type = wire.get_header_value("Content-Type");
+  request.accept = wire.get_header_value("Accept");
+  request.body = wire.body;
+  return request;
+}
+
+void WriteRefusal(const Refusal& refusal, const std::string& request_id,
+                  httplib::Response& response) {
+  const RefusalRule& rule = RuleOf(refusal.code);
+  response.status = rule.http_status;
+  response.set_content(RefusalBody(refusal, request_id), kJson);
+  if (!rule.retry_later) return;
+  const double seconds =
+      std::ceil(absl::ToDoubleSeconds(refusal.retry_after));
+  response.set_header("Retry-After",
+                      std::to_string(std::max(1, static_cast<int>(seconds))));
+}
+
+// Writes one part of a stream. False when the stream is over.
+bool WritePart(EventStream& stream, const std::string& request_id,
+               httplib::DataSink& sink) {
+  const StreamPart part = stream.Next(kStreamCommentEvery);
+  const auto write = [&sink](const std::string& text) {
+    return sink.write(text.data(), text.size());
+  };
+  if (const auto* data = std::get_if<StreamData>(&part)) {
+    return write(SseEvent(data->text));
+  }
+  // A comment now and then shows both ends that the connection lives.
+  if (std::holds_alternative<StreamQuiet>(part)) return write(": wait\n\n");
+  if (const auto* refusal = std::get_if<Refusal>(&part)) {
+    write(SseErrorEvent(RefusalBody(*refusal, request_id)));
+  }
+  sink.done();
+  return true;
+}
+
+}  // namespace
+
+struct CallerServer::Impl {
+  Impl(Endpoint listen, RequestHandler& handler, const Metrics& metrics,
+       int threads)
+      : handler(handler), metrics(metrics), server(std::move(listen), threads) {}
+
+  void Route();
+  void Answer(const httplib::Request& wire, httplib::Response& response);
+  void AnswerStream(const std::shared_ptr<EventStream>& stream,
+                    const std::string& request_id,
+                    httplib::Response& response);
+
+  RequestHandler& handler;
+  const Metrics& metrics;
+  HttpServer server;
+  std::atomic<int> active{0};
+  std::atomic<bool> closing{false};
+};
+
+void CallerServer::Impl::AnswerStream(
+    const std::shared_ptr<EventStream>& stream, const std::string& request_id,
+    httplib::Response& response) {
+  ++this->active;
+  response.set_header("Cache-Control", "no-store");
+  response.set_chunked_content_provider(
+      "text/event-stream",
+      [stream, request_id](std::size_t, httplib::DataSink& sink) {
+        return WritePart(*stream, request_id, sink);
+      },
+      [stream, this](bool) {
+        // Whether the caller read to the end or went away: nobody reads on.
+        stream->Cancel();
+        --this->active;
+      });
+}
+
+void CallerServer::Impl::Answer(const httplib::Request& wire,
+                                httplib::Response& response) {
+  ++this->active;
+  const CallerReply reply = this->handler.Handle(RequestOf(wire));
+  response.set_header("X-Request-Id", reply.request_id);
+  if (this->closing) response.set_header("Connection", "close");
+  if (const auto* refusal = std::get_if<Refusal>(&reply.answer)) {
+    WriteRefusal(*refusal, reply.request_id, response);
+  } else if (const auto* stream = std::get_if<StreamAnswer>(&reply.answer)) {
+    this->AnswerStream(stream->stream, reply.request_id, response);
+  } else {
+    const auto& whole = std::get<WholeAnswer>(reply.answer);
+    response.status = whole.status;
+    response.set_content(whole.body, whole.content_type);
+  }
+  --this->active;
+}
+
+void CallerServer::Impl::Route() {
+  httplib::Server& http = this->server.Library();
+  http.set_payload_max_length(this->handler.Limits().max_body);
+  http.Get("/healthz", [](const httplib::Request&, httplib::Response& r) {
+    r.set_content("{\"status\":\"ok\"}", kJson);
+  });
+  http.Get("/readyz", [this](const httplib::Request&, httplib::Response& r) {
+    const auto readiness = this->handler.Readiness();
+    if (const auto* refusal = std::get_if<Refusal>(&readiness)) {
+      WriteRefusal(*refusal, "", r);
+      return;
+    }
+    if (std::get<ServingState>(readiness) == ServingState::kDraining) {
+      WriteRefusal(Refusal{RefusalCode::kDraining, "leaving"}, "", r);
+      return;
+    }
+    r.set_content("{\"status\":\"ready\"}", kJson);
+  });
+  http.Get("/metrics", [this](const httplib::Request&, httplib::Response& r) {
+    r.set_content(this->metrics.Text(), "text/plain; version=0.0.4");
+  });
+  const auto answer = [this](const httplib::Request& wire,
+                             httplib::Response& response) {
+    this->Answer(wire, response);
+  };
+  http.Get(".*", answer);
+  http.Post(".*", answer);
+  http.Put(".*", answer);
+  http.Patch(".*", answer);
+  http.Delete(".*", answer);
+  // The library answers what it cannot parse without a body.
+  http.set_error_handler(
+      [](const httplib::Request&, httplib::Response& response) {
+        if (!response.body.empty()) return;
+        const bool too_large = response.status == 413;
+        const bool is_server_fault = response.status >= 500;
+        const RefusalCode code = too_large         ? RefusalCode::kBodyTooLarge
+                                 : is_server_fault ? RefusalCode::kInternal
+                                                   : RefusalCode::kBadRequest;
+        const int status = response.status;
+        WriteRefusal(Refusal{code, "the request could not be read"}, "",
+                     response);
+        response.status = status;
+      });
+  http.set_exception_handler([](const httplib::Request&,
+                                httplib::Response& response,
+                                std::exception_ptr problem) {
+    try {
+      std::rethrow_exception(std::move(problem));
+    } catch (const std::exception& error) {
+      LogFor(LogPart::kCaller).error("Request failed: {}.", error.what());
+    }
+    WriteRefusal(Refusal{RefusalCode::kInternal, "the request failed here"},
+                 "", response);
+  });
+}
+
+CallerServer::CallerServer(Endpoint listen, RequestHandler& handler,
+                           const Metrics& metrics, int threads)
+    : impl(std::make_unique<Impl>(std::move(listen), handler, metrics,
+                                  threads)) {
+  this->impl->Route();
+}
+
+CallerServer::~CallerServer() { this->Stop(); }
+
+Result<int> CallerServer::Start() {
+  return this->impl->server.Start("listen for callers");
+}
+
+void CallerServer::CloseIdle() { this->impl->closing = true; }
+
+void CallerServer::Stop() { this->impl->server.Stop(); }
+
+int CallerServer::Active() const { return this->impl->active; }
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/caller/completion_runner.h
@@ -0,0 +1,74 @@
+#ifndef DRAGONFLYGLADE_CALLER_COMPLETION_RUNNER_H_
+#define DRAGONFLYGLADE_CALLER_COMPLETION_RUNNER_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dragonflyglade/caller/call_context.h"
+#include "dragonflyglade/caller/caller_request.h"
+#include "dragonflyglade/caller/completion_request.h"
+#include "dragonflyglade/caller/stream_registry.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/retry_budget.h"
+#include "dragonflyglade/net/task_group.h"
+#include "dragonflyglade/operator/metrics.h"
+#include "dragonflyglade/peer/admission_gate.h"
+#include "dragonflyglade/target/dispatcher.h"
+#include "dragonflyglade/target/engine_client.h"
+
+namespace dragonflyglade {
+
+/// Runs completions at model engines, whole or as streams.
+///
+/// A completion changes nothing at the engine, so it may be tried again as
+/// long as the caller has seen none of it; after that a broken stream is
+/// taken up where it stopped, or ended with an explicit error event.
+class CompletionRunner {
+ public:
+  CompletionRunner(AdmissionGate& gate, Dispatcher& dispatcher,
+                   TargetBook& targets, StreamRegistry& registry,
+                   const CatalogHolder& catalog, RetryBudget& retries, Metrics& metrics,
+                   CallerLimits limits, TargetCallOptions call_options,
+                   std::string_view zone, Clock clock);
+
+  /// Answers a completion request whose key is good.
+  CallerAnswer Run(const CallContext& context, const CallerRequest& request);
+
+  /// Streams and calls under way.
+  int Running() const { return this->tasks.Running(); }
+
+ private:
+  struct Job;
+  struct Attempt;
+
+  void Produce(Job& job);
+  void TryTargets(Job& job);
+  bool AttemptOnce(Job& job, const TargetPlace& place);
+  void ReadFrom(Job& job, Attempt& attempt, const HttpRequest& request);
+  bool Resume(Job& job, Attempt& attempt);
+  PlaceOutcome Judge(Job& job, const Attempt& attempt);
+  bool MayRetry(const Job& job, const Attempt& attempt);
+  std::variant<TargetPlace, Refusal> FindPlace(Job& job);
+  CallerAnswer Collect(Job& job);
+
+  AdmissionGate& gate;
+  Dispatcher& dispatcher;
+  TargetBook& targets;
+  StreamRegistry& registry;
+  const CatalogHolder& catalog;
+  RetryBudget& retries;
+  Metrics& metrics;
+  const CallerLimits limits;
+  const TargetCallOptions call_options;
+  const std::string zone;
+  const Clock clock;
+  TaskGroup tasks;
+};
+
+/// The refusal for a place that could not be had.
+Refusal RefusalFor(NoPlace reason, std::string_view what);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_CALLER_COMPLETION_RUNNER_H_
--- /dev/null
+++ b/dragonflyglade/decision/allotment.cc
@@ -0,0 +1,162 @@
+#include "dragonflyglade/decision/allotment.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflyglade {
+namespace {
+
+std::int64_t Assumed(const HolderShare& holder) {
+  return std::max(holder.share, holder.held);
+}
+
+// Failure: a holder is judged dead although it only pauses, its share goes to
+// others, and on waking it spends the same share again. Neither silence nor
+// time can tell the two apart. The platform's list names an instance until it
+// is gone, and a new incarnation at the same address can only start when the
+// old process has ended, so these two are the only proofs accepted here. A
+// list older than the grant proves nothing: it may not have the instance yet.
+bool IsGone(const HolderShare& holder, const AllotmentView& view) {
+  const auto answering = view.answering.find(holder.instance);
+  if (answering != view.answering.end() &&
+      answering->second > holder.incarnation) {
+    return true;
+  }
+  return view.list_version > holder.listed_at &&
+         view.listed.count(holder.instance) == 0;
+}
+
+bool HasConfirmed(const HolderShare& holder, std::int64_t epoch,
+                  const AllotmentView& view) {
+  const auto confirmed = view.confirmed.find(holder.instance);
+  if (confirmed == view.confirmed.end() || confirmed->second < epoch) {
+    return false;
+  }
+  const auto answering = view.answering.find(holder.instance);
+  return answering != view.answering.end() &&
+         answering->second == holder.incarnation;
+}
+
+std::vector<HolderShare> SurvivingHolders(const Allotment& current,
+                                          const AllotmentView& view) {
+  std::vector<HolderShare> holders;
+  for (HolderShare holder : current.holders) {
+    if (IsGone(holder, view)) continue;
+    if (HasConfirmed(holder, current.epoch, view)) holder.held = holder.share;
+    holders.push_back(holder);
+  }
+  return holders;
+}
+
+HolderShare* Find(std::vector<HolderShare>& holders,
+                  const HolderCandidate& candidate) {
+  for (HolderShare& holder : holders) {
+    if (holder.instance == candidate.instance &&
+        holder.incarnation == candidate.incarnation) {
+      return &holder;
+    }
+  }
+  return nullptr;
+}
+
+// What each wanted candidate should have in the end: equal parts, the
+// remainder on the first by name, so that every planner computes the same.
+std::map<std::string, std::int64_t> DesiredShares(
+    std::vector<HolderCandidate> wanted) {
+  std::map<std::string, std::int64_t> desired;
+  if (wanted.empty()) return desired;
+  std::sort(wanted.begin(), wanted.end(),
+            [](const HolderCandidate& a, const HolderCandidate& b) {
+              return a.instance < b.instance;
+            });
+  const auto count = static_cast<std::int64_t>(wanted.size());
+  std::int64_t remainder = kWholeShare % count;
+  for (const HolderCandidate& candidate : wanted) {
+    desired[candidate.instance] = kWholeShare / count + remainder;
+    remainder = 0;
+  }
+  return desired;
+}
+
+void Shrink(std::vector<HolderShare>& holders,
+            const std::map<std::string, std::int64_t>& desired) {
+  for (HolderShare& holder : holders) {
+    const auto want = desired.find(holder.instance);
+    const std::int64_t target = want == desired.end() ? 0 : want->second;
+    if (target >= holder.share) continue;
+    holder.held = Assumed(holder);
+    holder.share = target;
+  }
+}
+
+void Grow(std::vector<HolderShare>& holders, const AllotmentView& view,
+          const std::map<std::string, std::int64_t>& desired) {
+  std::int64_t free = kWholeShare;
+  for (const HolderShare& holder : holders) free -= Assumed(holder);
+  for (const HolderCandidate& candidate : view.wanted) {
+    HolderShare* holder = Find(holders, candidate);
+    if (holder == nullptr) {
+      holders.push_back(HolderShare{candidate.instance, candidate.incarnation,
+                                    0, 0, view.list_version});
+      holder = &holders.back();
+    }
+    const std::int64_t missing =
+        desired.at(candidate.instance) - Assumed(*holder);
+    const std::int64_t added = std::clamp<std::int64_t>(missing, 0, free);
+    if (added == 0) continue;
+    holder->share = Assumed(*holder) + added;
+    holder->held = holder->share;
+    free -= added;
+  }
+}
+
+void DropEmpty(std::vector<HolderShare>& holders) {
+  holders.erase(std::remove_if(
+                    holders.begin(), holders.end(),
+                    [](const HolderShare& h) { return Assumed(h) == 0; }),
+                holders.end());
+}
+
+}  // namespace
+
+bool HolderShare::operator==(const HolderShare& other) const {
+  return std::tie(this->instance, this->incarnation, this->share, this->held) ==
+         std::tie(other.instance, other.incarnation, other.share, other.held);
+}
+
+bool Allotment::operator==(const Allotment& other) const {
+  return this->workspace == other.workspace && this->epoch == other.epoch &&
+         this->holders == other.holders;
+}
+
+std::optional<Allotment> NextAllotment(const Allotment& current,
+                                       const AllotmentView& view) {
+  Allotment next = current;
+  next.holders = SurvivingHolders(current, view);
+  const std::map<std::string, std::int64_t> desired =
+      DesiredShares(view.wanted);
+  Shrink(next.holders, desired);
+  Grow(next.holders, view, desired);
+  DropEmpty(next.holders);
+  if (next.holders == current.holders) return std::nullopt;
+  next.epoch = current.epoch + 1;
+  return next;
+}
+
+std::int64_t ShareOf(const Allotment& allotment, std::string_view instance,
+                     std::int64_t incarnation) {
+  for (const HolderShare& holder : allotment.holders) {
+    if (holder.instance == instance && holder.incarnation == incarnation) {
+      return holder.share;
+    }
+  }
+  return 0;
+}
+
+std::int64_t AssumedTotal(const Allotment& allotment) {
+  std::int64_t total = 0;
+  for (const HolderShare& holder : allotment.holders) total += Assumed(holder);
+  return total;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/decision/membership.cc
@@ -0,0 +1,280 @@
+#include "dragonflyglade/decision/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace dragonflyglade {
+namespace {
+
+bool IsNewer(const MemberStatement& a, const MemberStatement& b) {
+  return std::tie(a.incarnation, a.sequence, a.state) >
+         std::tie(b.incarnation, b.sequence, b.state);
+}
+
+}  // namespace
+
+Membership::Membership(MemberStatement self, MembershipOptions options,
+                       Clock clock, std::uint64_t seed)
+    : options(options), clock(clock), self(std::move(self)), random(seed) {}
+
+void Membership::TakeList(const InstanceList& list) {
+  absl::MutexLock lock(&this->mutex);
+  if (list.version < this->list.version) return;
+  this->list = list;
+  for (const ListedInstance& listed : list.instances) {
+    if (listed.info.name == this->self.info.name) continue;
+    const auto found = this->members.find(listed.info.name);
+    if (found == this->members.end()) {
+      // Nothing was heard of it yet: incarnation 0 yields to any heartbeat.
+      MemberStatement statement;
+      statement.info = listed.info;
+      statement.leaving = listed.leaving;
+      this->members.emplace(listed.info.name,
+                            Member{statement, this->clock.Now()});
+    } else if (listed.leaving) {
+      found->second.statement.leaving = true;
+    }
+  }
+}
+
+std::optional<MemberStatement> Membership::NextToProbe() {
+  absl::MutexLock lock(&this->mutex);
+  // A shuffled round visits everybody before anybody twice, which bounds the
+  // time until a failure is noticed.
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!this->round.empty()) {
+      const std::string name = std::move(this->round.back());
+      this->round.pop_back();
+      const auto found = this->members.find(name);
+      if (found == this->members.end()) continue;
+      const MemberStatement& statement = found->second.statement;
+      // The dead are still asked while the list names them: a false death
+      // ends when they answer.
+      if (statement.state != MemberState::kDead || this->IsListed(name)) {
+        return statement;
+      }
+    }
+    for (const auto& [name, member] : this->members) {
+      this->round.push_back(name);
+    }
+    std::shuffle(this->round.begin(), this->round.end(), this->random);
+  }
+  return std::nullopt;
+}
+
+std::vector<MemberStatement> Membership::RandomLive(std::size_t count,
+                                                    std::string_view except) {
+  absl::MutexLock lock(&this->mutex);
+  std::vector<MemberStatement> live;
+  for (const auto& [name, member] : this->members) {
+    if (name == except) continue;
+    if (member.statement.state == MemberState::kAlive) {
+      live.push_back(member.statement);
+    }
+  }
+  std::shuffle(live.begin(), live.end(), this->random);
+  if (live.size() > count) live.resize(count);
+  return live;
+}
+
+std::vector<MemberStatement> Membership::Updates(std::string_view to) {
+  absl::MutexLock lock(&this->mutex);
+  std::vector<MemberStatement> updates;
+  const std::size_t rounds = this->pending.size();
+  for (std::size_t i = 0; i < rounds; ++i) {
+    if (updates.size() == this->options.updates_per_message) break;
+    Pending next = std::move(this->pending.front());
+    this->pending.pop_front();
+    const auto found = this->members.find(next.name);
+    if (found == this->members.end()) continue;
+    updates.push_back(found->second.statement);
+    if (--next.times_left > 0) this->pending.push_back(std::move(next));
+  }
+  // Whoever is judged suspect or dead is told so, and can refute.
+  const auto receiver = this->members.find(to);
+  if (receiver != this->members.end() &&
+      receiver->second.statement.state != MemberState::kAlive) {
+    updates.push_back(receiver->second.statement);
+  }
+  return updates;
+}
+
+void Membership::Receive(const MemberStatement& sender,
+                         absl::Span<const MemberStatement> updates) {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->members.find(sender.info.name);
+  const bool was_current =
+      found != this->members.end() &&
+      std::tie(found->second.statement.incarnation,
+               found->second.statement.sequence) ==
+          std::tie(sender.incarnation, sender.sequence);
+  if (!this->TakeStatement(sender) && was_current) {
+    // Heard directly: it lives, whatever was suspected, and its load is new.
+    Member& member = found->second;
+    member.statement.load_permille = sender.load_permille;
+    if (member.statement.state != MemberState::kAlive) {
+      this->Judge(member, MemberState::kAlive);
+    }
+  }
+  for (const MemberStatement& update : updates) this->TakeStatement(update);
+}
+
+bool Membership::TakeStatement(const MemberStatement& statement) {
+  if (statement.info.name.empty()) return false;
+  if (statement.info.name == this->self.info.name) {
+    this->Refute(statement);
+    return false;
+  }
+  const auto found = this->members.find(statement.info.name);
+  if (found == this->members.end()) {
+    if (statement.state == MemberState::kDead) return false;
+    this->members.emplace(statement.info.name,
+                          Member{statement, this->clock.Now()});
+    this->Queue(statement.info.name);
+    return true;
+  }
+  Member& member = found->second;
+  if (!IsNewer(statement, member.statement)) return false;
+  if (statement.state != member.statement.state) {
+    member.since = this->clock.Now();
+  }
+  member.statement = statement;
+  this->Queue(statement.info.name);
+  return true;
+}
+
+// Failure: a few lost datagrams make others suspect a healthy instance, and
+// callers are steered away from it. A statement with a higher sequence can
+// only come from the instance itself, so it overrules every suspicion.
+void Membership::Refute(const MemberStatement& statement) {
+  if (statement.incarnation != this->self.incarnation) return;
+  if (statement.state == MemberState::kAlive) return;
+  if (statement.sequence < this->self.sequence) return;
+  this->self.sequence = statement.sequence + 1;
+}
+
+void Membership::Missed(std::string_view name) {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->members.find(name);
+  if (found == this->members.end()) return;
+  if (found->second.statement.state != MemberState::kAlive) return;
+  this->Judge(found->second, MemberState::kSuspect);
+}
+
+void Membership::Tick() {
+  absl::MutexLock lock(&this->mutex);
+  const Instant now = this->clock.Now();
+  for (auto it = this->members.begin(); it != this->members.end();) {
+    Member& member = it->second;
+    const absl::Duration lasted = now - member.since;
+    if (member.statement.state == MemberState::kSuspect &&
+        lasted >= this->options.suspicion) {
+      this->Judge(member, MemberState::kDead);
+    }
+    const bool forgotten = member.statement.state == MemberState::kDead &&
+                           lasted >= this->options.forget_after &&
+                           !this->IsListed(it->first);
+    it = forgotten ? this->members.erase(it) : std::next(it);
+  }
+}
+
+void Membership::Leave() {
+  absl::MutexLock lock(&this->mutex);
+  if (this->self.leaving) return;
+  this->self.leaving = true;
+  ++this->self.sequence;
+}
+
+void Membership::SetPorts(int peer_port, int caller_port) {
+  absl::MutexLock lock(&this->mutex);
+  this->self.info.peer_port = peer_port;
+  this->self.info.caller_port = caller_port;
+}
+
+void Membership::SetLoad(int load_permille) {
+  absl::MutexLock lock(&this->mutex);
+  this->self.load_permille = load_permille;
+}
+
+MemberStatement Membership::Self() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->self;
+}
+
+std::vector<MemberStatement> Membership::All() const {
+  absl::MutexLock lock(&this->mutex);
+  std::vector<MemberStatement> all = {this->self};
+  for (const auto& [name, member] : this->members) {
+    all.push_back(member.statement);
+  }
+  return all;
+}
+
+std::vector<std::string> Membership::Active() const {
+  std::vector<std::string> names;
+  for (const MemberStatement& statement : this->All()) {
+    if (statement.state == MemberState::kDead || statement.leaving) continue;
+    // Listed but never heard of: it cannot be counted on yet.
+    if (statement.incarnation == 0) continue;
+    names.push_back(statement.info.name);
+  }
+  return names;
+}
+
+std::optional<MemberStatement> Membership::Find(std::string_view name) const {
+  absl::MutexLock lock(&this->mutex);
+  if (name == this->self.info.name) return this->self;
+  const auto found = this->members.find(name);
+  if (found == this->members.end()) return std::nullopt;
+  return found->second.statement;
+}
+
+InstanceList Membership::List() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->list;
+}
+
+std::pair<int, int> Membership::ListedAndAlive() const {
+  absl::MutexLock lock(&this->mutex);
+  int listed = 0;
+  int alive = 0;
+  for (const ListedInstance& entry : this->list.instances) {
+    if (entry.info.name == this->self.info.name || entry.leaving) continue;
+    const auto found = this->members.find(entry.info.name);
+    const bool known = found != this->members.end();
+    if (known && found->second.statement.leaving) continue;
+    ++listed;
+    if (known && found->second.statement.incarnation != 0 &&
+        found->second.statement.state == MemberState::kAlive) {
+      ++alive;
+    }
+  }
+  return {listed, alive};
+}
+
+void Membership::Queue(std::string_view name) {
+  for (const Pending& waiting : this->pending) {
+    if (waiting.name == name) return;
+  }
+  const double fleet = static_cast<double>(this->members.size() + 1);
+  const int rounds = static_cast<int>(std::ceil(std::log2(fleet + 1)));
+  this->pending.push_back(
+      Pending{std::string(name), this->options.spread_factor * rounds});
+}
+
+void Membership::Judge(Member& member, MemberState state) {
+  member.statement.state = state;
+  member.since = this->clock.Now();
+  this->Queue(member.statement.info.name);
+}
+
+bool Membership::IsListed(std::string_view name) const {
+  return std::any_of(this->list.instances.begin(), this->list.instances.end(),
+                     [name](const ListedInstance& listed) {
+                       return listed.info.name == name;
+                     });
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/decision/retry_budget.cc
@@ -0,0 +1,22 @@
+#include "dragonflyglade/decision/retry_budget.h"
+
+#include <algorithm>
+
+namespace dragonflyglade {
+
+RetryBudget::RetryBudget(double share, double reserve)
+    : share(share), reserve(reserve), left(reserve) {}
+
+void RetryBudget::RequestMade() {
+  absl::MutexLock lock(&this->mutex);
+  this->left = std::min(this->reserve, this->left + this->share);
+}
+
+bool RetryBudget::TakeRetry() {
+  absl::MutexLock lock(&this->mutex);
+  if (this->left < 1) return false;
+  this->left -= 1;
+  return true;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/instance/allotment_keeper.cc
@@ -0,0 +1,168 @@
+#include "dragonflyglade/instance/allotment_keeper.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "dragonflyglade/decision/rendezvous.h"
+#include "dragonflyglade/net/log.h"
+#include "dragonflyglade/operator/records.h"
+#include "dragonflyglade/peer/heartbeat.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr const char* kKeeperRole = "allotment keeper";
+constexpr std::size_t kSmallFleet = 8;
+constexpr std::size_t kHoldersInLargeFleet = 4;
+
+}  // namespace
+
+std::vector<HolderCandidate> WantedHolders(
+    std::string_view workspace, const std::vector<HolderCandidate>& able) {
+  if (able.size() <= kSmallFleet) return able;
+  std::vector<std::string> names;
+  names.reserve(able.size());
+  for (const HolderCandidate& candidate : able) {
+    names.push_back(candidate.instance);
+  }
+  const std::vector<std::string> owners =
+      RendezvousOwners(workspace, names, kHoldersInLargeFleet);
+  std::vector<HolderCandidate> wanted;
+  for (const HolderCandidate& candidate : able) {
+    const bool owns = std::find(owners.begin(), owners.end(),
+                                candidate.instance) != owners.end();
+    if (owns) wanted.push_back(candidate);
+  }
+  return wanted;
+}
+
+AllotmentKeeper::AllotmentKeeper(const KvClient& kv, PeerClient& peers,
+                                 Membership& membership, ShareBook& shares,
+                                 const CatalogHolder& catalog,
+                                 AuditTrail& audit, absl::Duration period)
+    : kv(kv),
+      peers(peers),
+      membership(membership),
+      shares(shares),
+      catalog(catalog),
+      audit(audit),
+      period(period),
+      worker([this] { return this->Round(); }) {}
+
+AllotmentKeeper::~AllotmentKeeper() { this->Stop(); }
+
+void AllotmentKeeper::Start() { this->worker.Start(); }
+
+void AllotmentKeeper::Stop() { this->worker.Stop(); }
+
+bool AllotmentKeeper::IsKeeper() const {
+  return IsRendezvousOwner(kKeeperRole, this->membership.Self().info.name,
+                           this->membership.Active(), 1);
+}
+
+AllotmentView AllotmentKeeper::CommonView() const {
+  AllotmentView view;
+  const InstanceList list = this->membership.List();
+  view.list_version = list.version;
+  for (const ListedInstance& listed : list.instances) {
+    view.listed.insert(listed.info.name);
+  }
+  for (const MemberStatement& member : this->membership.All()) {
+    if (member.incarnation == 0) continue;
+    view.answering[member.info.name] = member.incarnation;
+    const bool able = !member.leaving && member.state == MemberState::kAlive &&
+                      view.listed.count(member.info.name) > 0;
+    if (able) {
+      view.wanted.push_back(
+          HolderCandidate{member.info.name, member.incarnation});
+    }
+  }
+  return view;
+}
+
+// Asks each holder that should shrink which epochs it follows.
+void AllotmentKeeper::Confirm(const std::map<std::string, Stored>& stored,
+                              std::map<std::string, AllotmentView>& views) {
+  std::map<std::string, std::vector<std::string>> questions;
+  for (const auto& [workspace, entry] : stored) {
+    for (const HolderShare& holder : entry.allotment.holders) {
+      if (holder.held > holder.share) {
+        questions[holder.instance].push_back(workspace);
+      }
+    }
+  }
+  const std::string self = this->membership.Self().info.name;
+  for (const auto& [instance, workspaces] : questions) {
+    if (instance == self) {
+      for (const std::string& workspace : workspaces) {
+        views[workspace].confirmed[instance] =
+            this->shares.FollowedEpoch(workspace);
+      }
+      continue;
+    }
+    const std::optional<MemberStatement> member =
+        this->membership.Find(instance);
+    if (!member.has_value() || member->state == MemberState::kDead) continue;
+    const Result<wire::EpochConfirmation> answer =
+        this->peers.ConfirmEpochs(PeerEndpoint(*member), workspaces);
+    if (!answer.Ok()) continue;
+    for (const auto& [workspace, epoch] : answer.Value().epochs) {
+      views[workspace].confirmed[instance] = epoch;
+      views[workspace].answering[instance] = answer.Value().incarnation;
+    }
+  }
+}
+
+void AllotmentKeeper::Improve(const std::string& workspace,
+                              const Stored& stored,
+                              const AllotmentView& view) {
+  const std::optional<Allotment> next = NextAllotment(stored.allotment, view);
+  if (!next.has_value()) return;
+  const std::string key = AllotmentKey(workspace);
+  const Result<KvTxnReply> reply =
+      this->kv.Txn({KvExpect{key, stored.mod_revision}},
+                   {KvWrite{key, EncodeAllotment(*next), 0, false}});
+  if (!reply.Ok() || !reply.Value().succeeded) return;
+  LogFor(LogPart::kInstance)
+      .info("Allotment of {} is at epoch {}.", workspace, next->epoch);
+  this->audit.Add("allotment", workspace,
+                  {{"epoch", next->epoch},
+                   {"holders", next->holders.size()},
+                   {"assumed", AssumedTotal(*next)}});
+}
+
+absl::Duration AllotmentKeeper::Round() {
+  if (!this->IsKeeper()) return this->period;
+  KvQuery query;
+  query.key = AllotmentKey("");
+  query.prefix = true;
+  const Result<KvRange> range = this->kv.Range(query);
+  if (!range.Ok()) return this->period;
+  std::map<std::string, Stored> stored;
+  for (const KvEntry& entry : range.Value().entries) {
+    const Result<RecordKey> key = ParseRecordKey(entry.key);
+    if (!key.Ok()) continue;
+    const Result<Record> record = ParseRecord(key.Value(), entry.value);
+    if (!record.Ok()) continue;
+    stored[key.Value().name] =
+        Stored{std::get<Allotment>(record.Value()), entry.mod_revision};
+  }
+  const AllotmentView common = this->CommonView();
+  std::map<std::string, AllotmentView> views;
+  const std::shared_ptr<const Catalog> catalog = this->catalog.Get();
+  for (const auto& [workspace, rate] : catalog->rates) {
+    stored[workspace].allotment.workspace = workspace;
+    views[workspace] = common;
+    views[workspace].wanted = WantedHolders(workspace, common.wanted);
+  }
+  this->Confirm(stored, views);
+  for (const auto& [workspace, entry] : stored) {
+    // A workspace without a rate record keeps its allotment as it is.
+    if (catalog->rates.count(workspace) == 0) continue;
+    this->Improve(workspace, entry, views[workspace]);
+  }
+  return this->period;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/instance/allotment_keeper.h
@@ -0,0 +1,67 @@
+#ifndef DRAGONFLYGLADE_INSTANCE_ALLOTMENT_KEEPER_H_
+#define DRAGONFLYGLADE_INSTANCE_ALLOTMENT_KEEPER_H_
+
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/decision/allotment.h"
+#include "dragonflyglade/decision/membership.h"
+#include "dragonflyglade/decision/share_book.h"
+#include "dragonflyglade/net/worker.h"
+#include "dragonflyglade/operator/audit_trail.h"
+#include "dragonflyglade/operator/catalog.h"
+#include "dragonflyglade/peer/peer_client.h"
+#include "dragonflyglade/platform/kv_client.h"
+
+namespace dragonflyglade {
+
+/// Keeps the workspaces' allotments fitting to the instances there are.
+///
+/// One instance, by rendezvous, does this at a time; should two do it for a
+/// moment, compare-and-swap lets one of them through, and each step is safe
+/// whoever takes it, since it rests on facts that stay true.
+class AllotmentKeeper {
+ public:
+  AllotmentKeeper(const KvClient& kv, PeerClient& peers,
+                  Membership& membership, ShareBook& shares,
+                  const CatalogHolder& catalog, AuditTrail& audit,
+                  absl::Duration period);
+  ~AllotmentKeeper();
+
+  void Start();
+  void Stop();
+
+ private:
+  /// A stored allotment and the revision to compare with.
+  struct Stored {
+    Allotment allotment;
+    std::int64_t mod_revision = 0;
+  };
+
+  absl::Duration Round();
+  bool IsKeeper() const;
+  AllotmentView CommonView() const;
+  void Confirm(const std::map<std::string, Stored>& stored,
+               std::map<std::string, AllotmentView>& views);
+  void Improve(const std::string& workspace, const Stored& stored,
+               const AllotmentView& view);
+
+  const KvClient& kv;
+  PeerClient& peers;
+  Membership& membership;
+  ShareBook& shares;
+  const CatalogHolder& catalog;
+  AuditTrail& audit;
+  const absl::Duration period;
+  Worker worker;
+};
+
+/// Which instances should hold shares of a workspace's rate: all of a small
+/// fleet, a few of a large one, since a burst cut into hundreds of parts
+/// serves no request.
+std::vector<HolderCandidate> WantedHolders(
+    std::string_view workspace, const std::vector<HolderCandidate>& able);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_INSTANCE_ALLOTMENT_KEEPER_H_
--- /dev/null
+++ b/dragonflyglade/instance/instance_status.cc
@@ -0,0 +1,131 @@
+#include "dragonflyglade/instance/instance_status.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+std::int64_t Milliseconds(absl::Duration duration) {
+  if (duration == absl::InfiniteDuration()) return -1;
+  return absl::ToInt64Milliseconds(duration);
+}
+
+const char* NameOf(AdmissionRight right) {
+  switch (right) {
+    case AdmissionRight::kFresh:
+      return "fresh";
+    case AdmissionRight::kOutage:
+      return "key-value service out; serving the last configuration";
+    case AdmissionRight::kCutOff:
+      return "cut off; refusing new work";
+    case AdmissionRight::kNeverReady:
+      return "not complete yet";
+  }
+  return "";
+}
+
+std::string StateOf(const MemberStatement& member) {
+  std::string state;
+  switch (member.state) {
+    case MemberState::kAlive:
+      state = member.incarnation == 0 ? "unheard" : "alive";
+      break;
+    case MemberState::kSuspect:
+      state = "suspect";
+      break;
+    case MemberState::kDead:
+      state = "dead";
+      break;
+  }
+  return member.leaving ? state + ", leaving" : state;
+}
+
+json ConfigurationOf(const StatusSources& sources) {
+  json rejected = json::array();
+  for (const Rejection& rejection : sources.records.Rejected()) {
+    rejected.push_back({{"key", rejection.key},
+                        {"revision", rejection.revision},
+                        {"reason", rejection.reason}});
+  }
+  const auto [listed, alive] = sources.membership.ListedAndAlive();
+  return {{"revision", sources.records.CompleteRevision()},
+          {"age_ms", Milliseconds(sources.freshness.Age())},
+          {"right", NameOf(sources.freshness.Right(Reach{listed, alive}))},
+          {"relay", sources.is_relay},
+          {"schemas", sources.catalog.Get()->schema_in_use},
+          {"rejected", rejected}};
+}
+
+json MembersOf(const StatusSources& sources) {
+  json members = json::array();
+  for (const MemberStatement& member : sources.membership.All()) {
+    members.push_back({{"name", member.info.name},
+                       {"state", StateOf(member)},
+                       {"address", member.info.address},
+                       {"peer_port", member.info.peer_port},
+                       {"caller_port", member.info.caller_port},
+                       {"availability_zone", member.info.zone},
+                       {"incarnation", member.incarnation},
+                       {"load_permille", member.load_permille}});
+  }
+  return members;
+}
+
+json TargetsOf(const StatusSources& sources) {
+  json targets = json::array();
+  for (const TargetStatus& target : sources.targets.Status()) {
+    const char* state = target.leaving   ? "leaving"
+                        : target.ejected ? "ejected"
+                                         : "in use";
+    targets.push_back({{"name", target.listed.name},
+                       {"pool", target.listed.pool},
+                       {"availability_zone", target.listed.zone},
+                       {"state", state},
+                       {"in_flight", target.in_flight},
+                       {"outstanding_tokens", target.outstanding_tokens},
+                       {"report_age_ms", Milliseconds(target.report_age)},
+                       {"boot_id", target.boot_id},
+                       {"resident", target.resident}});
+  }
+  return targets;
+}
+
+json WorkspacesOf(const StatusSources& sources) {
+  json workspaces = json::array();
+  const std::shared_ptr<const Catalog> catalog = sources.catalog.Get();
+  for (const auto& [name, rate] : catalog->rates) {
+    json holders = json::object();
+    const auto followed = sources.shares.Followed(name);
+    if (followed.has_value()) {
+      for (const HolderShare& holder : followed->holders) {
+        holders[holder.instance] = {{"share", holder.share},
+                                    {"held", holder.held}};
+      }
+    }
+    workspaces.push_back(
+        {{"name", name},
+         {"tokens_per_second", rate.limit.tokens_per_second},
+         {"burst_tokens", rate.limit.burst_tokens},
+         {"epoch", followed.has_value() ? followed->epoch : 0},
+         {"holders", holders}});
+  }
+  return workspaces;
+}
+
+}  // namespace
+
+json InstanceStatus(const StatusSources& sources) {
+  const MemberStatement self = sources.membership.Self();
+  return {{"instance", self.info.name},
+          {"incarnation", self.incarnation},
+          {"state", self.leaving ? "leaving" : "serving"},
+          {"configuration", ConfigurationOf(sources)},
+          {"members", MembersOf(sources)},
+          {"targets", TargetsOf(sources)},
+          {"workspaces", WorkspacesOf(sources)},
+          {"waiting", sources.waiting},
+          {"refusals",
+           sources.metrics.Counters("dragonflyglade_refusals_total")}};
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/instance/instance_status.h
@@ -0,0 +1,34 @@
+#ifndef DRAGONFLYGLADE_INSTANCE_INSTANCE_STATUS_H_
+#define DRAGONFLYGLADE_INSTANCE_INSTANCE_STATUS_H_
+
+#include <nlohmann/json.hpp>
+
+#include "dragonflyglade/decision/freshness.h"
+#include "dragonflyglade/decision/membership.h"
+#include "dragonflyglade/decision/record_store.h"
+#include "dragonflyglade/decision/share_book.h"
+#include "dragonflyglade/decision/target_book.h"
+#include "dragonflyglade/operator/catalog.h"
+#include "dragonflyglade/operator/metrics.h"
+
+namespace dragonflyglade {
+
+/// What an instance's status is put together from.
+struct StatusSources {
+  const Membership& membership;
+  const RecordStore& records;
+  const Freshness& freshness;
+  const TargetBook& targets;
+  const ShareBook& shares;
+  const CatalogHolder& catalog;
+  const Metrics& metrics;
+  bool is_relay = false;
+  std::size_t waiting = 0;
+};
+
+/// An instance's status as JSON. It holds no secrets.
+nlohmann::json InstanceStatus(const StatusSources& sources);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_INSTANCE_INSTANCE_STATUS_H_
--- /dev/null
+++ b/dragonflyglade/instance/serve_command.h
@@ -0,0 +1,18 @@
+#ifndef DRAGONFLYGLADE_INSTANCE_SERVE_COMMAND_H_
+#define DRAGONFLYGLADE_INSTANCE_SERVE_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/operator/commands.h"
+
+namespace dragonflyglade {
+
+/// Runs one instance until SIGTERM or SIGINT, which drain it.
+/// @return an exit code
+int RunServeCommand(const std::vector<std::string>& arguments,
+                    const CommandOutput& output);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_INSTANCE_SERVE_COMMAND_H_
--- /dev/null
+++ b/dragonflyglade/instance/settings.cc
@@ -0,0 +1,177 @@
+#include "dragonflyglade/instance/settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "dragonflyglade/instance/settings_schema.h"
+#include "dragonflyglade/operator/schema_check.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPeer = "settings";
+
+Failure Invalid(std::string_view why) {
+  return MakeFailure(Errc::kInvalidSettings, "read settings", kPeer, why);
+}
+
+void Read(const json& object, const char* field, absl::Duration unit,
+          absl::Duration& value) {
+  if (object.contains(field)) {
+    value = object.at(field).get<std::int64_t>() * unit;
+  }
+}
+
+template <typename T>
+void Read(const json& object, const char* field, T& value) {
+  if (object.contains(field)) value = object.at(field).get<T>();
+}
+
+// Collects the addresses that are not IP numbers.
+class Addresses {
+ public:
+  Endpoint Listen(const json& listen, const std::string& path) {
+    Endpoint endpoint{listen.at("address"), listen.at("port")};
+    if (!IsIpNumber(endpoint.address)) {
+      this->Complain(path + ".address", endpoint.address);
+    }
+    return endpoint;
+  }
+
+  Endpoint Parse(const std::string& text, const std::string& path) {
+    const Result<Endpoint> endpoint = ParseEndpoint(text);
+    if (endpoint.Ok()) return endpoint.Value();
+    this->Complain(path, text);
+    return {};
+  }
+
+  const std::string& Problems() const { return this->problems; }
+
+ private:
+  void Complain(const std::string& path, const std::string& found) {
+    if (!this->problems.empty()) this->problems += "; ";
+    this->problems +=
+        fmt::format("{}: expected an IP number; found \"{}\"", path, found);
+  }
+
+  std::string problems;
+};
+
+void ReadClass(const json& limits, const char* name, ClassLimits& waits) {
+  if (!limits.contains(name)) return;
+  const absl::Duration unit = absl::Milliseconds(1);
+  Read(limits.at(name), "token_wait_ms", unit, waits.token_wait);
+  Read(limits.at(name), "place_wait_ms", unit, waits.place_wait);
+}
+
+void ReadLimits(const json& limits, Settings& settings) {
+  Read(limits, "max_body_bytes", settings.limits.max_body);
+  Read(limits, "max_path_bytes", settings.limits.max_path);
+  Read(limits, "threads", settings.threads);
+  Read(limits, "queue", settings.dispatch.queue_limit);
+  Read(limits, "in_flight_per_target", settings.targets.max_in_flight);
+  ReadClass(limits, "urgent", settings.limits.urgent);
+  ReadClass(limits, "chat", settings.limits.chat);
+  ReadClass(limits, "batch", settings.limits.batch);
+}
+
+void ReadTimeouts(const json& timeouts, Settings& settings) {
+  const absl::Duration ms = absl::Milliseconds(1);
+  const absl::Duration s = absl::Seconds(1);
+  Read(timeouts, "kv_ms", ms, settings.kv.call_timeout);
+  Read(timeouts, "kv_watch_silence_ms", ms, settings.kv.watch_silence);
+  Read(timeouts, "peer_ms", ms, settings.peers.call_timeout);
+  Read(timeouts, "borrow_ms", ms, settings.peers.borrow_timeout);
+  Read(timeouts, "hold_ms", ms, settings.shares.hold_limit);
+  Read(timeouts, "target_connect_ms", ms,
+       settings.target_calls.connect_timeout);
+  Read(timeouts, "target_read_ms", ms, settings.target_calls.read_timeout);
+  Read(timeouts, "order_ms", ms, settings.target_calls.order_timeout);
+  Read(timeouts, "suspicion_ms", ms, settings.membership.suspicion);
+  Read(timeouts, "config_fresh_ms", ms, settings.fresh_bound);
+  Read(timeouts, "ejection_ms", ms, settings.targets.ejection);
+  Read(timeouts, "slow_return_ms", ms, settings.targets.slow_return);
+  Read(timeouts, "claim_keep_s", s, settings.claim_keep);
+  Read(timeouts, "answer_keep_s", s, settings.keep);
+  Read(timeouts, "drain_s", s, settings.drain_limit);
+}
+
+void ReadPeriods(const json& periods, Periods& out) {
+  const absl::Duration ms = absl::Milliseconds(1);
+  Read(periods, "heartbeat_ms", ms, out.heartbeat);
+  Read(periods, "config_reread_ms", ms, out.config_reread);
+  Read(periods, "lists_ms", ms, out.lists);
+  Read(periods, "reports_ms", ms, out.reports);
+  Read(periods, "allotments_ms", ms, out.allotments);
+  Read(periods, "placement_ms", ms, out.placement);
+}
+
+Result<Settings> FromDocument(const json& document) {
+  Settings settings;
+  Addresses addresses;
+  settings.name = document.at("name");
+  settings.zone = document.at("availability_zone");
+  const json& listen = document.at("listen");
+  settings.caller_listen = addresses.Listen(listen.at("caller"),
+                                            "listen.caller");
+  settings.peer_listen = addresses.Listen(listen.at("peer"), "listen.peer");
+  settings.operator_listen =
+      addresses.Listen(listen.at("operator"), "listen.operator");
+  for (const json& endpoint : document.at("kv").at("endpoints")) {
+    settings.kv.endpoints.push_back(
+        addresses.Parse(endpoint.get<std::string>(), "kv.endpoints"));
+  }
+  settings.lists = addresses.Parse(
+      document.at("lists").at("endpoint").get<std::string>(),
+      "lists.endpoint");
+  if (!addresses.Problems().empty()) return Invalid(addresses.Problems());
+  ReadLimits(document.value("limits", json::object()), settings);
+  ReadTimeouts(document.value("timeouts", json::object()), settings);
+  ReadPeriods(document.value("periods", json::object()), settings.periods);
+  Read(document, "config_relays", settings.config_relays);
+  const json routing = document.value("routing", json::object());
+  Read(routing, "zone_penalty_tokens", settings.targets.zone_penalty_tokens);
+  Read(routing, "missing_adapter_tokens",
+       settings.targets.missing_adapter_tokens);
+  Read(routing, "prefix_bonus_tokens", settings.targets.prefix_bonus_tokens);
+  const json log = document.value("log", json::object());
+  settings.log.level =
+      spdlog::level::from_str(log.value("level", std::string("info")));
+  settings.log.json_lines = log.value("json", false);
+  return settings;
+}
+
+}  // namespace
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file || !text) {
+    return MakeFailure(Errc::kUnknownRecord, "read file", path,
+                       "it cannot be read");
+  }
+  return text.str();
+}
+
+Result<Settings> ParseSettings(std::string_view text) {
+  const json document = json::parse(text, nullptr, false);
+  if (document.is_discarded()) return Invalid("expected JSON");
+  const std::vector<SchemaProblem> problems =
+      CheckSchema(SettingsSchema(), document);
+  if (!problems.empty()) return Invalid(Describe(problems));
+  return FromDocument(document);
+}
+
+Result<Settings> ReadSettings(const std::string& path) {
+  const Result<std::string> text = ReadFile(path);
+  if (!text.Ok()) return text.Error();
+  return ParseSettings(text.Value());
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/instance/settings_schema.h
@@ -0,0 +1,13 @@
+#ifndef DRAGONFLYGLADE_INSTANCE_SETTINGS_SCHEMA_H_
+#define DRAGONFLYGLADE_INSTANCE_SETTINGS_SCHEMA_H_
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyglade {
+
+/// The JSON schema of the settings.
+nlohmann::json SettingsSchema();
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_INSTANCE_SETTINGS_SCHEMA_H_
--- /dev/null
+++ b/dragonflyglade/net/log.cc
@@ -0,0 +1,76 @@
+#include "dragonflyglade/net/log.h"
+
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <array>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace dragonflyglade {
+namespace {
+
+constexpr std::array<const char*, 7> kPrefixes = {
+    "caller",   "target", "platform", "operator",
+    "peer", "placement", "instance"};
+
+// Escapes the message, so that each line stays one JSON object whatever the
+// message holds.
+class JsonMessage : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, const std::tm&,
+              spdlog::memory_buf_t& out) override {
+    using nlohmann::json;
+    const std::string text(message.payload.data(), message.payload.size());
+    const std::string quoted =
+        json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+    out.append(quoted.data(), quoted.data() + quoted.size());
+  }
+
+  std::unique_ptr<spdlog::custom_flag_formatter> clone() const override {
+    return std::make_unique<JsonMessage>();
+  }
+};
+
+std::shared_ptr<spdlog::sinks::stderr_sink_mt>& Sink() {
+  static auto& kSink = *new std::shared_ptr<spdlog::sinks::stderr_sink_mt>(
+      std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  return kSink;
+}
+
+using Loggers = std::array<std::shared_ptr<spdlog::logger>, kPrefixes.size()>;
+
+Loggers& AllLoggers() {
+  static Loggers& loggers = *[] {
+    auto* made = new Loggers;
+    for (std::size_t i = 0; i < kPrefixes.size(); ++i) {
+      (*made)[i] = std::make_shared<spdlog::logger>(kPrefixes[i], Sink());
+      (*made)[i]->set_level(spdlog::level::warn);
+    }
+    return made;
+  }();
+  return loggers;
+}
+
+}  // namespace
+
+void SetUpLog(const LogOptions& options) {
+  auto formatter = std::make_unique<spdlog::pattern_formatter>(
+      spdlog::pattern_time_type::utc);
+  if (options.json_lines) {
+    formatter->add_flag<JsonMessage>('*').set_pattern(
+        R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","part":"%n",)"
+        R"("message":%*})");
+  } else {
+    formatter->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l [%n] %v");
+  }
+  Sink()->set_formatter(std::move(formatter));
+  for (auto& logger : AllLoggers()) logger->set_level(options.level);
+}
+
+spdlog::logger& LogFor(LogPart part) {
+  return *AllLoggers().at(static_cast<std::size_t>(part));
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/net/task_group.cc
@@ -0,0 +1,36 @@
+#include "dragonflyglade/net/task_group.h"
+
+#include <thread>
+#include <utility>
+
+namespace dragonflyglade {
+
+TaskGroup::~TaskGroup() {
+  absl::MutexLock lock(&this->mutex);
+  const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(mutex) {
+    return this->running == 0;
+  };
+  this->mutex.Await(absl::Condition(&idle));
+}
+
+void TaskGroup::Run(std::function<void()> task) {
+  {
+    absl::MutexLock lock(&this->mutex);
+    ++this->running;
+  }
+  std::thread([this, task = std::move(task)]() mutable {
+    task();
+    // What the task holds is released before it counts as done, because the
+    // group's owner may go as soon as nothing runs.
+    task = nullptr;
+    absl::MutexLock lock(&this->mutex);
+    --this->running;
+  }).detach();
+}
+
+int TaskGroup::Running() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->running;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/operator/audit_trail.cc
@@ -0,0 +1,127 @@
+#include "dragonflyglade/operator/audit_trail.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "absl/time/clock.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kSegmentEntries = 200;
+constexpr std::size_t kSegmentBytes = 128u << 10;
+constexpr std::int64_t kSegmentsKept = 16;
+constexpr std::size_t kMostPending = 10'000;
+
+}  // namespace
+
+json EncodeAuditEntry(const AuditEntry& entry) {
+  return {{"time", entry.time},
+          {"actor", entry.actor},
+          {"action", entry.action},
+          {"subject", entry.subject},
+          {"detail", entry.detail}};
+}
+
+AuditEntry DecodeAuditEntry(const json& object) {
+  return AuditEntry{object.at("time"), object.at("actor"), object.at("action"),
+                    object.at("subject"), object.at("detail")};
+}
+
+Result<std::vector<AuditEntry>> ReadAuditTrail(const KvClient& kv) {
+  KvQuery query;
+  query.key = std::string(kAuditPrefix);
+  query.prefix = true;
+  const Result<KvRange> range = kv.Range(query);
+  if (!range.Ok()) return range.Error();
+  std::vector<AuditEntry> entries;
+  try {
+    for (const KvEntry& segment : range.Value().entries) {
+      for (const json& item : json::parse(segment.value)) {
+        entries.push_back(DecodeAuditEntry(item));
+      }
+    }
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kBadAnswer, "read audit trail", "kv",
+                       error.what());
+  }
+  std::stable_sort(entries.begin(), entries.end(),
+                   [](const AuditEntry& a, const AuditEntry& b) {
+                     return a.time < b.time;
+                   });
+  return entries;
+}
+
+// Segments are numbered by the writer's start, so a restarted writer goes on
+// after its former ones without reading them.
+AuditTrail::AuditTrail(const KvClient& kv, std::string_view writer)
+    : kv(kv),
+      writer(writer),
+      number(absl::ToUnixMicros(absl::Now())),
+      first_kept(number) {}
+
+std::string AuditTrail::SegmentKey(std::int64_t number) const {
+  return fmt::format("{}{}/{:020}", kAuditPrefix, this->writer, number);
+}
+
+void AuditTrail::Add(std::string_view action, std::string_view subject,
+                     json detail) {
+  AuditEntry entry;
+  entry.time = absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(),
+                                absl::UTCTimeZone());
+  entry.actor = this->writer;
+  entry.action = std::string(action);
+  entry.subject = std::string(subject);
+  entry.detail = std::move(detail);
+  absl::MutexLock lock(&this->mutex);
+  // A long outage must not take the memory of the instance.
+  if (this->pending.size() >= kMostPending) return;
+  this->pending.push_back(std::move(entry));
+}
+
+std::size_t AuditTrail::Pending() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->pending.size();
+}
+
+Status AuditTrail::Flush() {
+  absl::MutexLock flush_lock(&this->flush_mutex);
+  std::vector<AuditEntry> batch;
+  {
+    absl::MutexLock lock(&this->mutex);
+    const std::size_t count = std::min(this->pending.size(), kSegmentEntries);
+    batch.assign(this->pending.begin(),
+                 this->pending.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  if (batch.empty()) return Done{};
+  const bool is_full = this->segment.size() + batch.size() > kSegmentEntries ||
+                       this->segment.dump().size() > kSegmentBytes;
+  if (is_full) {
+    this->segment = json::array();
+    ++this->number;
+  }
+  json next = this->segment;
+  for (const AuditEntry& entry : batch) {
+    next.push_back(EncodeAuditEntry(entry));
+  }
+  std::vector<KvWrite> writes = {
+      {this->SegmentKey(this->number), next.dump(), 0, false}};
+  const bool drops = this->number - this->first_kept >= kSegmentsKept;
+  if (drops) writes.push_back({this->SegmentKey(this->first_kept), "", 0, true});
+  // The whole segment is written again, so a write whose answer was lost is
+  // simply repeated.
+  const Result<KvTxnReply> reply = this->kv.Txn({}, writes);
+  if (!reply.Ok()) return reply.Error();
+  this->segment = std::move(next);
+  if (drops) ++this->first_kept;
+  absl::MutexLock lock(&this->mutex);
+  this->pending.erase(
+      this->pending.begin(),
+      this->pending.begin() + static_cast<std::ptrdiff_t>(batch.size()));
+  return Done{};
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/peer/admission_gate.cc
@@ -0,0 +1,67 @@
+#include "dragonflyglade/peer/admission_gate.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "dragonflyglade/peer/heartbeat.h"
+#include "dragonflyglade/peer/peer_codec.h"
+
+namespace dragonflyglade {
+
+AdmissionGate::AdmissionGate(ShareBook& shares, Membership& membership,
+                             PeerClient& peers)
+    : shares(shares), membership(membership), peers(peers) {}
+
+void AdmissionGate::Borrow(Admission& admission, const BorrowFrom& step) {
+  ++this->borrows;
+  std::optional<Loan> loan;
+  const std::optional<MemberStatement> lender =
+      this->membership.Find(step.peer);
+  if (lender.has_value() && lender->state != MemberState::kDead) {
+    const Result<wire::LoanReply> reply = this->peers.Borrow(
+        PeerEndpoint(*lender), admission.workspace, step.tokens,
+        this->membership.Self().info.name);
+    if (reply.Ok()) loan = FromWire(reply.Value());
+  }
+  this->shares.FinishLoan(admission, step.peer, loan);
+}
+
+std::variant<Admission, Refusal> AdmissionGate::Admit(
+    std::string_view workspace, double cost, absl::Duration max_wait) {
+  Admission admission = this->shares.Begin(workspace, cost, max_wait);
+  while (true) {
+    const AdmissionStep step = this->shares.Next(admission);
+    if (std::holds_alternative<Admitted>(step)) return admission;
+    if (const auto* borrow = std::get_if<BorrowFrom>(&step)) {
+      this->Borrow(admission, *borrow);
+    } else if (const auto* wait = std::get_if<WaitFor>(&step)) {
+      absl::SleepFor(wait->delay);
+    } else if (const auto* over = std::get_if<OverRate>(&step)) {
+      return Refusal{RefusalCode::kOverRate,
+                     fmt::format("workspace {} is over its rate", workspace),
+                     over->retry_after};
+    } else if (const auto* above = std::get_if<CostAboveBurst>(&step)) {
+      return Refusal{
+          RefusalCode::kCostAboveBurst,
+          fmt::format("the request may use {:.0f} tokens; the workspace's "
+                      "burst allows {:.0f}",
+                      cost, above->limit)};
+    } else if (std::holds_alternative<NoRate>(step)) {
+      return Refusal{RefusalCode::kNoRate,
+                     fmt::format("workspace {} has no rate", workspace)};
+    } else {
+      return Refusal{
+          RefusalCode::kNoShare,
+          fmt::format("no instance holds a share of workspace {} yet",
+                      workspace)};
+    }
+  }
+}
+
+void AdmissionGate::Settle(const Admission& admission, double used) {
+  this->shares.Settle(admission, used);
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/peer/heartbeat.cc
@@ -0,0 +1,88 @@
+#include "dragonflyglade/peer/heartbeat.h"
+
+#include <utility>
+
+#include "dragonflyglade/peer/peer_codec.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr std::size_t kBalancesPerMessage = 16;
+constexpr std::int64_t kNeverConfirmed = -1;
+
+}  // namespace
+
+Endpoint PeerEndpoint(const MemberStatement& member) {
+  return Endpoint{member.info.address, member.info.peer_port};
+}
+
+HeartbeatExchange::HeartbeatExchange(Membership& membership, ShareBook& shares,
+                                     RecordStore& records,
+                                     Freshness& freshness, TargetBook& targets,
+                                     OnNewer on_newer, Clock clock)
+    : membership(membership),
+      shares(shares),
+      records(records),
+      freshness(freshness),
+      targets(targets),
+      on_newer(std::move(on_newer)),
+      clock(clock) {}
+
+wire::Heartbeat HeartbeatExchange::Make(std::string_view to) {
+  wire::Heartbeat heartbeat;
+  heartbeat.sender = ToWire(this->membership.Self());
+  for (const MemberStatement& update : this->membership.Updates(to)) {
+    heartbeat.updates.push_back(ToWire(update));
+  }
+  // The age is read before the revision: a record that arrives in between
+  // makes the statement older than it is, never newer.
+  const absl::Duration age = this->freshness.Age();
+  heartbeat.config_age_ms = age == absl::InfiniteDuration()
+                                ? kNeverConfirmed
+                                : absl::ToInt64Milliseconds(age) + 1;
+  heartbeat.config_revision = this->records.CompleteRevision();
+  for (const WorkspaceBalance& balance :
+       this->shares.Balances(kBalancesPerMessage)) {
+    heartbeat.balances.push_back(ToWire(balance));
+  }
+  for (const auto& [target, mark_age] : this->targets.LeavingMarks()) {
+    wire::TargetMark mark;
+    mark.target = target;
+    mark.age_ms = static_cast<std::int32_t>(
+        absl::ToInt64Milliseconds(mark_age));
+    heartbeat.leaving_targets.push_back(mark);
+  }
+  return heartbeat;
+}
+
+void HeartbeatExchange::Take(const wire::Heartbeat& heartbeat,
+                             std::optional<Instant> asked_at) {
+  const MemberStatement sender = FromWire(heartbeat.sender);
+  std::vector<MemberStatement> updates;
+  updates.reserve(heartbeat.updates.size());
+  for (const wire::MemberUpdate& update : heartbeat.updates) {
+    updates.push_back(FromWire(update));
+  }
+  this->membership.Receive(sender, updates);
+  for (const wire::Balance& balance : heartbeat.balances) {
+    this->shares.Learn(sender.info.name, FromWire(balance));
+  }
+  for (const wire::TargetMark& mark : heartbeat.leaving_targets) {
+    this->targets.MarkLeaving(mark.target,
+                              absl::Milliseconds(mark.age_ms));
+  }
+  const std::int64_t own = this->records.CompleteRevision();
+  if (heartbeat.config_revision > own) {
+    this->on_newer(sender);
+    return;
+  }
+  // Failure: a heartbeat lies in a paused process's socket buffer and is read
+  // minutes later; taken at its word it would make an old configuration look
+  // fresh. Only the answer to a question is used, dated by the asking.
+  if (!asked_at.has_value()) return;
+  if (heartbeat.config_age_ms == kNeverConfirmed) return;
+  this->freshness.ConfirmedAt(*asked_at -
+                              absl::Milliseconds(heartbeat.config_age_ms));
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/peer/peer_client.cc
@@ -0,0 +1,181 @@
+#include "dragonflyglade/peer/peer_client.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <utility>
+
+#include "dragonflyglade/net/socket_options.h"
+#include "dragonflyglade/peer/generated/PeerService.h"
+
+namespace dragonflyglade {
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+using apache::thrift::transport::TTransportException;
+
+Errc CodeOf(const TTransportException& error) {
+  switch (error.getType()) {
+    case TTransportException::TIMED_OUT:
+      return Errc::kTimeout;
+    case TTransportException::CORRUPTED_DATA:
+      return Errc::kBadAnswer;
+    default:
+      return Errc::kConnectionLost;
+  }
+}
+
+}  // namespace
+
+struct PeerClient::Connection {
+  explicit Connection(const Endpoint& peer)
+      : socket(std::make_shared<TSocket>(peer.address, peer.port)),
+        transport(std::make_shared<TFramedTransport>(socket)),
+        client(std::make_shared<TCompactProtocol>(transport)) {}
+
+  std::shared_ptr<TSocket> socket;
+  std::shared_ptr<TFramedTransport> transport;
+  wire::PeerServiceClient client;
+  Instant idle_since;
+};
+
+PeerClient::PeerClient(PeerOptions options, Clock clock)
+    : options(options), clock(clock) {}
+
+PeerClient::~PeerClient() = default;
+
+Result<std::unique_ptr<PeerClient::Connection>> PeerClient::Open(
+    const Endpoint& peer, std::string_view step) {
+  auto connection = std::make_unique<Connection>(peer);
+  connection->socket->setConnTimeout(static_cast<int>(
+      absl::ToInt64Milliseconds(this->options.connect_timeout)));
+  connection->socket->setNoDelay(true);
+  try {
+    connection->transport->open();
+  } catch (const TException& error) {
+    return MakeFailure(Errc::kConnectFailed, step, "peer " + peer.ToString(),
+                       error.what());
+  }
+  WatchForSilence(static_cast<int>(connection->socket->getSocketFD()));
+  return connection;
+}
+
+std::unique_ptr<PeerClient::Connection> PeerClient::TakeIdle(
+    const std::string& peer) {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->idle.find(peer);
+  if (found == this->idle.end()) return nullptr;
+  const Instant oldest = this->clock.Now() - this->options.idle_limit;
+  while (!found->second.empty()) {
+    std::unique_ptr<Connection> connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (connection->idle_since >= oldest) return connection;
+  }
+  this->idle.erase(found);
+  return nullptr;
+}
+
+void PeerClient::PutIdle(const std::string& peer,
+                         std::unique_ptr<Connection> connection) {
+  absl::MutexLock lock(&this->mutex);
+  std::vector<std::unique_ptr<Connection>>& kept = this->idle[peer];
+  if (kept.size() >= this->options.idle_per_peer) return;
+  connection->idle_since = this->clock.Now();
+  kept.push_back(std::move(connection));
+}
+
+// Failure: a connection goes silent for good while new ones work, and a live
+// instance is judged dead by it. A repeatable call that fails on an idle
+// connection is made once more on a new one before the failure is reported.
+Status PeerClient::Call(const Endpoint& peer, std::string_view step,
+                        absl::Duration timeout, bool repeatable,
+                        const Job& job) {
+  const std::string name = peer.ToString();
+  std::unique_ptr<Connection> connection = this->TakeIdle(name);
+  while (true) {
+    const bool was_idle = connection != nullptr;
+    if (!was_idle) {
+      Result<std::unique_ptr<Connection>> opened = this->Open(peer, step);
+      if (!opened.Ok()) return opened.Error();
+      connection = std::move(opened.Value());
+    }
+    const int milliseconds =
+        static_cast<int>(absl::ToInt64Milliseconds(timeout));
+    connection->socket->setRecvTimeout(milliseconds);
+    connection->socket->setSendTimeout(milliseconds);
+    ++this->calls;
+    try {
+      job(*connection);
+      this->PutIdle(name, std::move(connection));
+      return Done{};
+    } catch (const TTransportException& error) {
+      connection.reset();
+      if (was_idle && repeatable) continue;
+      return MakeFailure(CodeOf(error), step, "peer " + name, error.what());
+    } catch (const TException& error) {
+      return MakeFailure(Errc::kBadAnswer, step, "peer " + name, error.what());
+    }
+  }
+}
+
+Result<wire::Heartbeat> PeerClient::Exchange(const Endpoint& peer,
+                                             const wire::Heartbeat& own) {
+  wire::Heartbeat reply;
+  const Status status =
+      this->Call(peer, "exchange", this->options.call_timeout, true,
+                 [&](Connection& c) { c.client.exchange(reply, own); });
+  if (!status.Ok()) return status.Error();
+  return reply;
+}
+
+Result<bool> PeerClient::Probe(const Endpoint& peer, std::string_view name) {
+  bool alive = false;
+  const Status status = this->Call(
+      peer, "probe", 2 * this->options.call_timeout, true,
+      [&](Connection& c) { alive = c.client.probe(std::string(name)); });
+  if (!status.Ok()) return status.Error();
+  return alive;
+}
+
+Result<wire::ConfigPage> PeerClient::PullConfig(const Endpoint& peer,
+                                                std::int64_t after_revision) {
+  wire::ConfigPage page;
+  const Status status = this->Call(
+      peer, "pull config", 4 * this->options.call_timeout, true,
+      [&](Connection& c) { c.client.pullConfig(page, after_revision); });
+  if (!status.Ok()) return status.Error();
+  return page;
+}
+
+Result<wire::LoanReply> PeerClient::Borrow(const Endpoint& peer,
+                                           std::string_view workspace,
+                                           std::int64_t tokens,
+                                           std::string_view borrower) {
+  wire::LoanReply reply;
+  const Status status =
+      this->Call(peer, "borrow", this->options.borrow_timeout, false,
+                 [&](Connection& c) {
+                   c.client.borrow(reply, std::string(workspace), tokens,
+                                   std::string(borrower));
+                 });
+  if (!status.Ok()) return status.Error();
+  return reply;
+}
+
+Result<wire::EpochConfirmation> PeerClient::ConfirmEpochs(
+    const Endpoint& peer, const std::vector<std::string>& workspaces) {
+  wire::EpochConfirmation confirmation;
+  const Status status =
+      this->Call(peer, "confirm epochs", this->options.call_timeout, true,
+                 [&](Connection& c) {
+                   c.client.confirmEpochs(confirmation, workspaces);
+                 });
+  if (!status.Ok()) return status.Error();
+  return confirmation;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/peer/peer_client.h
@@ -0,0 +1,78 @@
+#ifndef DRAGONFLYGLADE_PEER_PEER_CLIENT_H_
+#define DRAGONFLYGLADE_PEER_PEER_CLIENT_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/failure.h"
+#include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/peer/generated/peer_types.h"
+
+namespace dragonflyglade {
+
+/// Limits of calls between instances.
+struct PeerOptions {
+  absl::Duration connect_timeout = absl::Milliseconds(150);
+  absl::Duration call_timeout = absl::Milliseconds(300);
+  absl::Duration borrow_timeout = absl::Milliseconds(50);
+  /// Connections idle for longer are not used again.
+  absl::Duration idle_limit = absl::Seconds(5);
+  std::size_t idle_per_peer = 4;
+};
+
+/// Calls to other instances, by Thrift's compact protocol in frames.
+///
+/// Thread-safe. Errors: kConnectFailed, kTimeout, kConnectionLost,
+/// kBadAnswer.
+class PeerClient {
+ public:
+  PeerClient(PeerOptions options, Clock clock);
+  ~PeerClient();
+
+  Result<wire::Heartbeat> Exchange(const Endpoint& peer,
+                                   const wire::Heartbeat& own);
+  Result<bool> Probe(const Endpoint& peer, std::string_view name);
+  Result<wire::ConfigPage> PullConfig(const Endpoint& peer,
+                                      std::int64_t after_revision);
+  /// Not repeated on a lost answer: the lender may have debited.
+  Result<wire::LoanReply> Borrow(const Endpoint& peer,
+                                 std::string_view workspace,
+                                 std::int64_t tokens,
+                                 std::string_view borrower);
+  Result<wire::EpochConfirmation> ConfirmEpochs(
+      const Endpoint& peer, const std::vector<std::string>& workspaces);
+
+  /// Calls made since the start.
+  std::int64_t Calls() const { return this->calls; }
+
+ private:
+  struct Connection;
+  using Job = std::function<void(Connection&)>;
+
+  Status Call(const Endpoint& peer, std::string_view step,
+              absl::Duration timeout, bool repeatable, const Job& job);
+  Result<std::unique_ptr<Connection>> Open(const Endpoint& peer,
+                                           std::string_view step);
+  std::unique_ptr<Connection> TakeIdle(const std::string& peer);
+  void PutIdle(const std::string& peer, std::unique_ptr<Connection> connection);
+
+  const PeerOptions options;
+  const Clock clock;
+  std::atomic<std::int64_t> calls{0};
+  absl::Mutex mutex;
+  std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle
+      ABSL_GUARDED_BY(mutex);
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_PEER_PEER_CLIENT_H_
--- /dev/null
+++ b/dragonflyglade/peer/peer_codec.cc
@@ -0,0 +1,74 @@
+#include "dragonflyglade/peer/peer_codec.h"
+
+#include <algorithm>
+
+namespace dragonflyglade {
+
+wire::MemberUpdate ToWire(const MemberStatement& statement) {
+  wire::MemberUpdate update;
+  update.name = statement.info.name;
+  update.address = statement.info.address;
+  update.peer_port = statement.info.peer_port;
+  update.caller_port = statement.info.caller_port;
+  update.zone = statement.info.zone;
+  update.incarnation = statement.incarnation;
+  update.sequence = statement.sequence;
+  update.state = static_cast<std::int32_t>(statement.state);
+  update.leaving = statement.leaving;
+  update.load_permille = statement.load_permille;
+  return update;
+}
+
+MemberStatement FromWire(const wire::MemberUpdate& update) {
+  MemberStatement statement;
+  statement.info =
+      MemberInfo{update.name, update.address, update.peer_port,
+                 update.caller_port, update.zone};
+  statement.incarnation = update.incarnation;
+  statement.sequence = update.sequence;
+  statement.state =
+      static_cast<MemberState>(std::clamp<std::int32_t>(update.state, 0, 2));
+  statement.leaving = update.leaving;
+  statement.load_permille = update.load_permille;
+  return statement;
+}
+
+wire::ConfigRecord ToWire(const RecordVersion& version) {
+  wire::ConfigRecord record;
+  record.key = version.key;
+  record.revision = version.revision;
+  record.value = version.value;
+  record.deleted = version.deleted;
+  return record;
+}
+
+RecordVersion FromWire(const wire::ConfigRecord& record) {
+  return RecordVersion{record.key, record.revision, record.value,
+                       record.deleted};
+}
+
+wire::Balance ToWire(const WorkspaceBalance& balance) {
+  wire::Balance out;
+  out.workspace = balance.workspace;
+  out.level = balance.level;
+  out.cap = balance.cap;
+  return out;
+}
+
+WorkspaceBalance FromWire(const wire::Balance& balance) {
+  return WorkspaceBalance{balance.workspace, balance.level, balance.cap};
+}
+
+wire::LoanReply ToWire(const Loan& loan) {
+  wire::LoanReply reply;
+  reply.granted = loan.granted;
+  reply.level = loan.level;
+  reply.cap = loan.cap;
+  return reply;
+}
+
+Loan FromWire(const wire::LoanReply& reply) {
+  return Loan{reply.granted, reply.level, reply.cap};
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/peer/peer_codec.h
@@ -0,0 +1,23 @@
+#ifndef DRAGONFLYGLADE_PEER_PEER_CODEC_H_
+#define DRAGONFLYGLADE_PEER_PEER_CODEC_H_
+
+#include "dragonflyglade/decision/membership.h"
+#include "dragonflyglade/decision/record_store.h"
+#include "dragonflyglade/decision/share_book.h"
+#include "dragonflyglade/peer/generated/peer_types.h"
+
+namespace dragonflyglade {
+
+/// Between the decisions' types and the wire's.
+wire::MemberUpdate ToWire(const MemberStatement& statement);
+MemberStatement FromWire(const wire::MemberUpdate& update);
+wire::ConfigRecord ToWire(const RecordVersion& version);
+RecordVersion FromWire(const wire::ConfigRecord& record);
+wire::Balance ToWire(const WorkspaceBalance& balance);
+WorkspaceBalance FromWire(const wire::Balance& balance);
+wire::LoanReply ToWire(const Loan& loan);
+Loan FromWire(const wire::LoanReply& reply);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_PEER_PEER_CODEC_H_
--- /dev/null
+++ b/dragonflyglade/peer/peer_server.cc
@@ -0,0 +1,150 @@
+#include "dragonflyglade/peer/peer_server.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <thread>
+#include <utility>
+
+#include "absl/synchronization/notification.h"
+#include "dragonflyglade/net/log.h"
+#include "dragonflyglade/peer/generated/PeerService.h"
+#include "dragonflyglade/peer/peer_codec.h"
+
+namespace dragonflyglade {
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolFactory;
+using apache::thrift::server::TThreadedServer;
+using apache::thrift::transport::TFramedTransportFactory;
+using apache::thrift::transport::TServerSocket;
+
+constexpr int kIdleConnectionMilliseconds = 15'000;
+
+class Handler : public wire::PeerServiceIf {
+ public:
+  Handler(HeartbeatExchange& heartbeats, Membership& membership,
+          ShareBook& shares, RecordStore& records, Freshness& freshness,
+          PeerServer::Prober prober)
+      : heartbeats(heartbeats),
+        membership(membership),
+        shares(shares),
+        records(records),
+        freshness(freshness),
+        prober(std::move(prober)) {}
+
+  void exchange(wire::Heartbeat& reply, const wire::Heartbeat& own) override {
+    this->heartbeats.Take(own, std::nullopt);
+    reply = this->heartbeats.Make(own.sender.name);
+  }
+
+  bool probe(const std::string& name) override { return this->prober(name); }
+
+  void pullConfig(wire::ConfigPage& page,
+                  const std::int64_t after_revision) override {
+    const absl::Duration age = this->freshness.Age();
+    // The revision is read first: the page may hold more than it promises.
+    page.revision = this->records.CompleteRevision();
+    for (const RecordVersion& version : this->records.Since(after_revision)) {
+      page.records.push_back(ToWire(version));
+    }
+    page.age_ms = age == absl::InfiniteDuration()
+                      ? -1
+                      : absl::ToInt64Milliseconds(age) + 1;
+  }
+
+  void borrow(wire::LoanReply& reply, const std::string& workspace,
+              const std::int64_t tokens, const std::string&) override {
+    reply = ToWire(this->shares.Lend(workspace, tokens));
+  }
+
+  void confirmEpochs(wire::EpochConfirmation& confirmation,
+                     const std::vector<std::string>& workspaces) override {
+    confirmation.incarnation = this->membership.Self().incarnation;
+    for (const std::string& workspace : workspaces) {
+      confirmation.epochs[workspace] = this->shares.FollowedEpoch(workspace);
+    }
+  }
+
+ private:
+  HeartbeatExchange& heartbeats;
+  Membership& membership;
+  ShareBook& shares;
+  RecordStore& records;
+  Freshness& freshness;
+  const PeerServer::Prober prober;
+};
+
+// The server binds inside serve(), so this is where its port is known.
+class BoundSignal : public apache::thrift::server::TServerEventHandler {
+ public:
+  void preServe() override { this->bound.Notify(); }
+
+  absl::Notification bound;
+};
+
+}  // namespace
+
+struct PeerServer::Impl {
+  Endpoint listen;
+  std::shared_ptr<Handler> handler;
+  std::shared_ptr<TServerSocket> socket;
+  std::unique_ptr<TThreadedServer> server;
+  std::thread thread;
+};
+
+PeerServer::PeerServer(Endpoint listen, HeartbeatExchange& heartbeats,
+                       Membership& membership, ShareBook& shares,
+                       RecordStore& records, Freshness& freshness,
+                       Prober prober)
+    : impl(std::make_unique<Impl>()) {
+  this->impl->listen = std::move(listen);
+  this->impl->handler =
+      std::make_shared<Handler>(heartbeats, membership, shares, records,
+                                freshness, std::move(prober));
+}
+
+PeerServer::~PeerServer() { this->Stop(); }
+
+Result<int> PeerServer::Start() {
+  Impl& state = *this->impl;
+  state.socket =
+      std::make_shared<TServerSocket>(state.listen.address, state.listen.port);
+  state.socket->setRecvTimeout(kIdleConnectionMilliseconds);
+  state.server = std::make_unique<TThreadedServer>(
+      std::make_shared<wire::PeerServiceProcessor>(state.handler),
+      state.socket, std::make_shared<TFramedTransportFactory>(),
+      std::make_shared<TCompactProtocolFactory>());
+  auto signal = std::make_shared<BoundSignal>();
+  state.server->setServerEventHandler(signal);
+  std::string problem;
+  state.thread = std::thread([&state, &problem, signal] {
+    try {
+      state.server->serve();
+    } catch (const TException& error) {
+      if (signal->bound.HasBeenNotified()) {
+        LogFor(LogPart::kPeer).error("Server ended: {}.", error.what());
+        return;
+      }
+      problem = error.what();
+      signal->bound.Notify();
+    }
+  });
+  signal->bound.WaitForNotification();
+  if (problem.empty()) return state.socket->getPort();
+  state.thread.join();
+  return MakeFailure(Errc::kUnavailable, "listen for peers",
+                     state.listen.ToString(), problem);
+}
+
+void PeerServer::Stop() {
+  Impl& state = *this->impl;
+  if (!state.thread.joinable()) return;
+  state.server->stop();
+  state.thread.join();
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/platform/claim_store.h
@@ -0,0 +1,74 @@
+#ifndef DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
+#define DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/claim.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/net/worker.h"
+#include "dragonflyglade/platform/kv_client.h"
+
+namespace dragonflyglade {
+
+/// Keeps claims in the key-value service.
+///
+/// Claims hang on a lease that all claims of an hour share, so they go away
+/// by themselves without a call each. Thread-safe.
+class ClaimStore {
+ public:
+  /// @param keep how long a claim is remembered at least
+  ClaimStore(const KvClient& kv, absl::Duration keep, Clock clock);
+  ~ClaimStore();
+
+  /// "claim/<workspace>/<hash of the idempotency key>".
+  static std::string KeyFor(std::string_view workspace,
+                            std::string_view idempotency_key);
+
+  /// Tries once to create a claim.
+  ClaimWrite Create(const std::string& key, const Claim& claim);
+
+  /// Writes how a claimed call ended; goes on trying in the background.
+  void Finish(const std::string& key, std::int64_t revision,
+              const Claim& claim);
+
+  /// Removes a claim whose call was certainly never sent; goes on trying in
+  /// the background.
+  void Release(const std::string& key, std::int64_t revision);
+
+  /// Endings that wait to be written.
+  std::size_t Pending() const;
+
+  /// Writes what waits, for at most the given time.
+  void Flush(absl::Duration limit);
+
+ private:
+  struct Ending {
+    KvExpect expect;
+    KvWrite write;
+  };
+
+  Result<std::int64_t> Lease();
+  absl::Duration WritePending();
+  bool WriteOne(const Ending& ending);
+  void Enqueue(Ending ending);
+
+  const KvClient& kv;
+  const absl::Duration keep;
+  const Clock clock;
+  absl::Mutex lease_mutex;
+  std::int64_t lease ABSL_GUARDED_BY(lease_mutex) = 0;
+  Instant lease_until ABSL_GUARDED_BY(lease_mutex) =
+      -absl::InfiniteDuration();
+  mutable absl::Mutex mutex;
+  std::deque<Ending> endings ABSL_GUARDED_BY(mutex);
+  Worker worker;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
--- /dev/null
+++ b/dragonflyglade/platform/list_client.cc
@@ -0,0 +1,96 @@
+#include "dragonflyglade/platform/list_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "dragonflyglade/net/http_call.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPeer = "platform list";
+constexpr int kHttpOk = 200;
+constexpr const char* kLeaving = "leaving";
+
+ListedInstance DecodeInstance(const json& item) {
+  ListedInstance listed;
+  listed.info.name = item.at("name").get<std::string>();
+  listed.info.address = item.at("address").get<std::string>();
+  listed.info.peer_port = item.at("peer_port").get<int>();
+  listed.info.caller_port = item.at("caller_port").get<int>();
+  listed.info.zone = item.at("zone").get<std::string>();
+  listed.leaving = item.value("state", std::string()) == kLeaving;
+  return listed;
+}
+
+ListedTarget DecodeTarget(const json& item) {
+  ListedTarget listed;
+  listed.name = item.at("name").get<std::string>();
+  listed.address = item.at("address").get<std::string>();
+  listed.port = item.at("port").get<int>();
+  listed.zone = item.at("zone").get<std::string>();
+  listed.pool = item.at("pool").get<std::string>();
+  listed.leaving = item.value("state", std::string()) == kLeaving;
+  return listed;
+}
+
+}  // namespace
+
+ListClient::ListClient(Endpoint endpoint, absl::Duration timeout)
+    : endpoint(std::move(endpoint)), timeout(timeout) {}
+
+Result<std::string> ListClient::Get(const std::string& path) const {
+  HttpOptions options;
+  options.connect_timeout = this->timeout;
+  options.read_timeout = this->timeout;
+  HttpCall call(this->endpoint, options, kPeer);
+  HttpRequest request;
+  request.path = path;
+  Result<HttpReply> reply = call.Run(request);
+  if (!reply.Ok()) {
+    return MakeFailure(Errc::kUnavailable, "read " + path, kPeer,
+                       reply.Error().ToString());
+  }
+  if (reply.Value().head.status != kHttpOk) {
+    return MakeFailure(Errc::kUnavailable, "read " + path, kPeer,
+                       std::to_string(reply.Value().head.status));
+  }
+  return std::move(reply.Value().body);
+}
+
+Result<InstanceList> ListClient::Instances() const {
+  const Result<std::string> text = this->Get("/instances");
+  if (!text.Ok()) return text.Error();
+  try {
+    const json document = json::parse(text.Value());
+    InstanceList list;
+    list.version = document.at("version").get<std::int64_t>();
+    for (const json& item : document.at("instances")) {
+      list.instances.push_back(DecodeInstance(item));
+    }
+    return list;
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kBadAnswer, "read instances", kPeer,
+                       error.what());
+  }
+}
+
+Result<TargetList> ListClient::Targets() const {
+  const Result<std::string> text = this->Get("/targets");
+  if (!text.Ok()) return text.Error();
+  try {
+    const json document = json::parse(text.Value());
+    TargetList list;
+    list.version = document.at("version").get<std::int64_t>();
+    for (const json& item : document.at("targets")) {
+      list.targets.push_back(DecodeTarget(item));
+    }
+    return list;
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kBadAnswer, "read targets", kPeer, error.what());
+  }
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/platform/list_client.h
@@ -0,0 +1,43 @@
+#ifndef DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
+#define DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/failure.h"
+#include "dragonflyglade/decision/membership.h"
+#include "dragonflyglade/decision/target_book.h"
+#include "dragonflyglade/net/endpoint.h"
+
+namespace dragonflyglade {
+
+/// The platform's list of targets at one version.
+struct TargetList {
+  std::int64_t version = 0;
+  std::vector<ListedTarget> targets;
+};
+
+/// The platform's lists of live and leaving instances and targets.
+///
+/// Both are JSON over HTTP: {"version": N, "instances": [...]} and
+/// {"version": N, "targets": [...]}; versions only grow.
+/// Errors: kUnavailable, kBadAnswer.
+class ListClient {
+ public:
+  ListClient(Endpoint endpoint, absl::Duration timeout);
+
+  Result<InstanceList> Instances() const;
+  Result<TargetList> Targets() const;
+
+ private:
+  Result<std::string> Get(const std::string& path) const;
+
+  const Endpoint endpoint;
+  const absl::Duration timeout;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
--- /dev/null
+++ b/dragonflyglade/target/dispatcher.cc
@@ -0,0 +1,80 @@
+#include "dragonflyglade/target/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflyglade {
+
+Dispatcher::Dispatcher(TargetBook& targets, DispatchOptions options,
+                       Clock clock)
+    : targets(targets), options(options), clock(clock) {}
+
+Dispatcher::PoolQueue& Dispatcher::QueueOf(std::string_view pool) {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->pools.find(pool);
+  if (found != this->pools.end()) return *found->second;
+  auto made = std::make_unique<PoolQueue>(this->options);
+  return *this->pools.emplace(std::string(pool), std::move(made))
+              .first->second;
+}
+
+void Dispatcher::Serve(PoolQueue& pool) {
+  const auto try_place = [&pool, this](const QueueEntry& entry)
+                             ABSL_EXCLUSIVE_LOCKS_REQUIRED(pool.mutex) {
+    Waiter& waiter = *pool.waiters.at(entry.id);
+    waiter.result = this->targets.Take(*waiter.need);
+    waiter.granted = std::holds_alternative<TargetPlace>(waiter.result);
+    return waiter.granted;
+  };
+  while (pool.queue.PopFirst(this->clock.Now(), try_place).has_value()) {
+  }
+}
+
+std::variant<TargetPlace, NoPlace, QueueIsFull> Dispatcher::Acquire(
+    const TargetNeed& need, std::string_view workspace,
+    RequestClass request_class, Instant deadline) {
+  PoolQueue& pool = this->QueueOf(need.pool);
+  absl::MutexLock lock(&pool.mutex);
+  if (pool.queue.Size() >= this->options.queue_limit) return QueueIsFull{};
+  Waiter waiter;
+  waiter.need = &need;
+  const std::uint64_t id = pool.next_id++;
+  pool.waiters.emplace(id, &waiter);
+  pool.queue.Push(QueueEntry{id, std::string(workspace), request_class,
+                             std::max(1.0, need.tokens), need.model,
+                             this->clock.Now()});
+  while (true) {
+    this->Serve(pool);
+    if (waiter.granted) break;
+    const absl::Duration left = deadline - this->clock.Now();
+    if (left <= absl::ZeroDuration()) break;
+    pool.mutex.AwaitWithTimeout(absl::Condition(&waiter.granted),
+                                std::min(left, this->options.recheck));
+    if (waiter.granted) break;
+  }
+  pool.waiters.erase(id);
+  if (!waiter.granted) pool.queue.Remove(id);
+  if (const auto* place = std::get_if<TargetPlace>(&waiter.result)) {
+    return *place;
+  }
+  return std::get<NoPlace>(waiter.result);
+}
+
+void Dispatcher::Release(const TargetPlace& place, PlaceOutcome outcome) {
+  this->targets.Finish(place, outcome);
+  PoolQueue& pool = this->QueueOf(place.pool);
+  absl::MutexLock lock(&pool.mutex);
+  this->Serve(pool);
+}
+
+std::size_t Dispatcher::Waiting() const {
+  absl::MutexLock lock(&this->mutex);
+  std::size_t waiting = 0;
+  for (const auto& [name, pool] : this->pools) {
+    absl::MutexLock pool_lock(&pool->mutex);
+    waiting += pool->queue.Size();
+  }
+  return waiting;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/target/engine_client.cc
@@ -0,0 +1,165 @@
+#include "dragonflyglade/target/engine_client.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+
+// Engines take the lower number first, as vLLM's priority scheduling does.
+int PriorityOf(RequestClass request_class) {
+  return static_cast<int>(request_class);
+}
+
+const char* OrderPath(OrderKind kind) {
+  switch (kind) {
+    case OrderKind::kLoadModel:
+      return "/v1/load_model";
+    case OrderKind::kUnloadModel:
+      return "/v1/unload_model";
+    case OrderKind::kLoadAdapter:
+      return "/v1/load_lora_adapter";
+    case OrderKind::kUnloadAdapter:
+      return "/v1/unload_lora_adapter";
+  }
+  return "";
+}
+
+bool IsAdapterOrder(OrderKind kind) {
+  return kind == OrderKind::kLoadAdapter || kind == OrderKind::kUnloadAdapter;
+}
+
+json OrderBody(const EngineOrder& order) {
+  if (IsAdapterOrder(order.kind)) {
+    return {{"lora_name", order.name},
+            {"lora_path", order.name},
+            {"bytes", order.bytes}};
+  }
+  return {{"model", order.name},
+          {"version", order.version},
+          {"bytes", order.bytes}};
+}
+
+EngineReport DecodeReport(const json& document) {
+  EngineReport report;
+  report.load.queued_tokens = document.at("queued_tokens").get<double>();
+  report.load.running = document.at("running").get<int>();
+  report.load.boot_id = document.at("boot_id").get<std::string>();
+  report.load.resident = document.at("resident").get<std::set<std::string>>();
+  report.load.lag = absl::Milliseconds(document.value("age_ms", 0));
+  report.leaving = document.value("leaving", false);
+  return report;
+}
+
+}  // namespace
+
+EngineClient::EngineClient(Endpoint endpoint, std::string_view name,
+                           TargetCallOptions options)
+    : endpoint(std::move(endpoint)),
+      peer("target " + std::string(name)),
+      options(options) {}
+
+std::shared_ptr<HttpCall> EngineClient::NewCall() const {
+  HttpOptions http;
+  http.connect_timeout = this->options.connect_timeout;
+  http.read_timeout = this->options.read_timeout;
+  http.max_body = this->options.max_body;
+  return std::make_shared<HttpCall>(this->endpoint, http, this->peer);
+}
+
+HttpRequest EngineClient::RequestFor(const EngineRequest& request) {
+  HttpRequest http;
+  http.method = "POST";
+  http.path = request.path;
+  http.body = request.body;
+  http.headers = {
+      {"X-Request-Id", request.request_id},
+      {"X-Priority", std::to_string(PriorityOf(request.request_class))}};
+  return http;
+}
+
+HttpRequest EngineClient::ResumeFor(std::string_view request_id,
+                                    int after_events) {
+  HttpRequest http;
+  http.path = fmt::format("/v1/streams/{}?after={}", request_id, after_events);
+  http.headers = {{"X-Request-Id", std::string(request_id)}};
+  return http;
+}
+
+Result<HttpReply> EngineClient::Run(const HttpRequest& request,
+                                    absl::Duration timeout) const {
+  HttpOptions http;
+  http.connect_timeout = this->options.connect_timeout;
+  http.read_timeout = timeout;
+  http.max_body = this->options.max_body;
+  HttpCall call(this->endpoint, http, this->peer);
+  return call.Run(request);
+}
+
+Result<EngineReport> EngineClient::Report() const {
+  HttpRequest request;
+  request.path = "/load";
+  const Result<HttpReply> reply =
+      this->Run(request, this->options.report_timeout);
+  if (!reply.Ok()) return reply.Error();
+  try {
+    return DecodeReport(json::parse(reply.Value().body));
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kBadAnswer, "read load report", this->peer,
+                       error.what());
+  }
+}
+
+Result<std::vector<CacheEvent>> EngineClient::CacheEvents(
+    std::int64_t after) const {
+  HttpRequest request;
+  request.path = fmt::format("/cache_events?after={}", after);
+  const Result<HttpReply> reply =
+      this->Run(request, this->options.report_timeout);
+  if (!reply.Ok()) return reply.Error();
+  try {
+    std::vector<CacheEvent> events;
+    for (const json& item : json::parse(reply.Value().body).at("events")) {
+      events.push_back(CacheEvent{item.at("sequence"), item.at("prefix"),
+                                  item.value("stored", true)});
+    }
+    return events;
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kBadAnswer, "read cache events", this->peer,
+                       error.what());
+  }
+}
+
+Result<OrderReply> EngineClient::Order(const EngineOrder& order) const {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = OrderPath(order.kind);
+  request.body = OrderBody(order).dump();
+  request.headers = {{"X-Order-Id", order.id},
+                     {"X-Fence", std::to_string(order.fence)}};
+  const Result<HttpReply> reply =
+      this->Run(request, this->options.order_timeout);
+  if (!reply.Ok()) {
+    if (reply.Error().code == Errc::kConnectFailed) return reply.Error();
+    return MakeFailure(Errc::kOutcomeUnknown, "order", this->peer,
+                       reply.Error().ToString());
+  }
+  const json document = json::parse(reply.Value().body, nullptr, false);
+  if (!document.is_object()) {
+    return MakeFailure(Errc::kOutcomeUnknown, "order", this->peer,
+                       "malformed answer");
+  }
+  OrderReply result;
+  result.done = reply.Value().head.status == kHttpOk;
+  result.boot_id = document.value("boot_id", std::string());
+  result.explanation = document.value("error", std::string());
+  return result;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/target/target_poller.cc
@@ -0,0 +1,109 @@
+#include "dragonflyglade/target/target_poller.h"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "dragonflyglade/net/log.h"
+
+namespace dragonflyglade {
+namespace {
+
+// One slow engine must not make the reports of all others old.
+constexpr std::size_t kPollThreads = 4;
+
+}  // namespace
+
+TargetPoller::TargetPoller(const ListClient& lists, TargetBook& targets,
+                           const CatalogHolder& catalog,
+                           TargetCallOptions options,
+                           absl::Duration list_period,
+                           absl::Duration report_period)
+    : lists(lists),
+      targets(targets),
+      catalog(catalog),
+      options(options),
+      list_period(list_period),
+      report_period(report_period),
+      list_worker([this] { return this->ListRound(); }),
+      report_worker([this] { return this->ReportRound(); }) {}
+
+TargetPoller::~TargetPoller() { this->Stop(); }
+
+void TargetPoller::Start() {
+  this->list_worker.Start();
+  this->report_worker.Start();
+}
+
+void TargetPoller::Stop() {
+  this->list_worker.Stop();
+  this->report_worker.Stop();
+}
+
+absl::Duration TargetPoller::ListRound() {
+  const Result<TargetList> list = this->lists.Targets();
+  if (list.Ok()) {
+    this->targets.TakeList(list.Value().version, list.Value().targets);
+    this->report_worker.Wake();
+  } else {
+    LogFor(LogPart::kPlatform).debug("{}.", list.Error().ToString());
+  }
+  return this->list_period;
+}
+
+void TargetPoller::PollEngine(const ListedTarget& target) {
+  const EngineClient engine(Endpoint{target.address, target.port}, target.name,
+                            this->options);
+  const Result<EngineReport> report = engine.Report();
+  if (!report.Ok()) return;
+  if (report.Value().leaving) this->targets.MarkLeaving(target.name);
+  this->targets.TakeReport(target.pool, target.name, report.Value().load);
+  this->PollCacheEvents(engine, target);
+}
+
+void TargetPoller::PollCacheEvents(const EngineClient& engine,
+                                   const ListedTarget& target) {
+  std::int64_t after = 0;
+  {
+    absl::MutexLock lock(&this->mutex);
+    after = this->cache_sequence[target.name];
+  }
+  const Result<std::vector<CacheEvent>> events = engine.CacheEvents(after);
+  if (!events.Ok()) return;
+  for (const CacheEvent& event : events.Value()) {
+    if (event.stored) {
+      this->targets.NotePrefix(target.pool, target.name, event.prefix);
+    } else {
+      this->targets.DropPrefix(target.pool, target.name, event.prefix);
+    }
+    after = std::max(after, event.sequence);
+  }
+  absl::MutexLock lock(&this->mutex);
+  this->cache_sequence[target.name] = after;
+}
+
+absl::Duration TargetPoller::ReportRound() {
+  std::vector<ListedTarget> engines;
+  const std::shared_ptr<const Catalog> catalog = this->catalog.Get();
+  for (const TargetStatus& status : this->targets.Status()) {
+    const PoolRecord* pool = FindRecord(catalog->pools, status.listed.pool);
+    const bool is_engine = pool != nullptr && pool->kind == PoolKind::kEngine;
+    if (is_engine) engines.push_back(status.listed);
+  }
+  std::atomic<std::size_t> next{0};
+  const auto poll = [&] {
+    for (std::size_t i = next++; i < engines.size(); i = next++) {
+      if (this->report_worker.Stopping()) return;
+      this->PollEngine(engines[i]);
+    }
+  };
+  std::vector<std::thread> threads;
+  const std::size_t count = std::min(kPollThreads, engines.size());
+  threads.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) threads.emplace_back(poll);
+  for (std::thread& thread : threads) thread.join();
+  return this->report_period;
+}
+
+}  // namespace dragonflyglade
