--- /dev/null
+++ b/tests/standins/faulty_answer.cc
@@ -0,0 +1,18 @@
+#include "tests/standins/faulty_answer.h"
+
+#include <httplib.h>
+
+namespace dragonflyglade {
+namespace {
+
+constexpr std::size_t kPromisedBytes = 1000;
+
+}  // namespace
+
+void LoseAnswer(httplib::Response& response) {
+  response.set_content_provider(
+      kPromisedBytes, "application/json",
+      [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/standins/kv_stand_in.h
@@ -0,0 +1,93 @@
+#ifndef DRAGONFLYGLADE_TESTS_STANDINS_KV_STAND_IN_H_
+#define DRAGONFLYGLADE_TESTS_STANDINS_KV_STAND_IN_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/net/http_server.h"
+#include "dragonflyglade/platform/kv_client.h"
+
+namespace dragonflyglade {
+
+/// A key-value service that speaks etcd's JSON gateway and fails on command.
+class KvStandIn {
+ public:
+  KvStandIn();
+  ~KvStandIn();
+
+  /// @return where it answers
+  Endpoint Start();
+
+  /// While out, nothing is carried out and no answer is whole.
+  void SetOut(bool out);
+  /// Each answer waits this long.
+  void SetDelay(absl::Duration delay);
+  /// The next answers to transactions are lost after they took effect.
+  void LoseAnswers(int count);
+  /// Watches open now deliver nothing more, but stay open.
+  void SilenceWatches();
+  /// Ends a lease, as if its time had run out.
+  void LapseLeases();
+
+  /// Writes directly, as an operator may.
+  std::int64_t Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  std::string Value(const std::string& key) const;
+  std::vector<KvEntry> Entries(const std::string& prefix) const;
+  std::int64_t Writes() const;
+  std::int64_t Reads() const;
+  int OpenWatches() const;
+
+ private:
+  struct Version {
+    KvEntry entry;
+    bool deleted = false;
+  };
+  struct WatchState {
+    std::string from;
+    std::string to;
+    std::int64_t next_revision = 0;
+    std::int64_t generation = 0;
+  };
+
+  std::string Handle(const std::string& path, const nlohmann::json& request);
+  nlohmann::json Range(const nlohmann::json& request)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  nlohmann::json Txn(const nlohmann::json& request)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  nlohmann::json Header() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void PutLocked(const std::string& key, const std::string& value,
+                 std::int64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void RemoveLocked(const std::string& key)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void ExpireLeases() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  bool NextWatchLine(WatchState& watch, std::string& line);
+
+  HttpServer server;
+  mutable absl::Mutex mutex;
+  bool out ABSL_GUARDED_BY(mutex) = false;
+  bool stopping ABSL_GUARDED_BY(mutex) = false;
+  absl::Duration delay ABSL_GUARDED_BY(mutex);
+  int lose_answers ABSL_GUARDED_BY(mutex) = 0;
+  std::int64_t silent_generation ABSL_GUARDED_BY(mutex) = 0;
+  std::int64_t revision ABSL_GUARDED_BY(mutex) = 1;
+  std::int64_t writes ABSL_GUARDED_BY(mutex) = 0;
+  std::int64_t reads ABSL_GUARDED_BY(mutex) = 0;
+  std::int64_t next_lease ABSL_GUARDED_BY(mutex) = 1000;
+  std::int64_t next_watch ABSL_GUARDED_BY(mutex) = 1;
+  int open_watches ABSL_GUARDED_BY(mutex) = 0;
+  std::map<std::int64_t, absl::Time> leases ABSL_GUARDED_BY(mutex);
+  std::map<std::int64_t, absl::Duration> lease_ttls ABSL_GUARDED_BY(mutex);
+  std::map<std::string, std::vector<Version>> keys ABSL_GUARDED_BY(mutex);
+  std::vector<Version> log ABSL_GUARDED_BY(mutex);
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_STANDINS_KV_STAND_IN_H_
--- /dev/null
+++ b/tests/standins/main.cc
@@ -0,0 +1,111 @@
+// Runs one of each stand-in for the demo, and takes commands over HTTP.
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <pthread.h>
+#include <signal.h>
+
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "tests/standins/engine_stand_in.h"
+#include "tests/standins/kv_stand_in.h"
+#include "tests/standins/ledger_stand_in.h"
+#include "tests/standins/list_stand_in.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kEngines = 2;
+constexpr const char* kEnginePool = "drafting";
+constexpr const char* kServicePool = "ledger";
+constexpr absl::Duration kTokenDelay = absl::Milliseconds(10);
+
+ListedTarget TargetAt(const std::string& name, const Endpoint& endpoint,
+                      const std::string& pool) {
+  return ListedTarget{name, endpoint.address, endpoint.port, "zone-a", pool,
+                      false};
+}
+
+ListedInstance InstanceOf(const json& item) {
+  ListedInstance instance;
+  instance.info =
+      MemberInfo{item.at("name"), item.at("address"), item.at("peer_port"),
+                 item.at("caller_port"), item.at("zone")};
+  return instance;
+}
+
+class StandIns {
+ public:
+  StandIns() : control(Endpoint{"127.0.0.1", 0}, 8) {
+    EngineBehaviour behaviour;
+    behaviour.token_delay = kTokenDelay;
+    for (int i = 0; i < kEngines; ++i) {
+      this->engines.push_back(std::make_unique<EngineStandIn>(behaviour));
+      this->engines.back()->Preload("letters-sw", 300000);
+    }
+  }
+
+  void Run() {
+    const Endpoint kv_at = this->kv.Start();
+    const Endpoint list_at = this->list.Start();
+    const Endpoint ledger_at = this->ledger.Start();
+    this->list.PutTarget(TargetAt("ledger-1", ledger_at, kServicePool));
+    for (int i = 0; i < kEngines; ++i) {
+      this->list.PutTarget(TargetAt(fmt::format("engine-{}", i + 1),
+                                    this->engines[i]->Start(), kEnginePool));
+    }
+    this->control.Library().Post(
+        "/instances",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          this->list.PutInstance(InstanceOf(json::parse(request.body)));
+          response.set_content("{}", "application/json");
+        });
+    this->control.Library().Get(
+        "/received",
+        [this](const httplib::Request&, httplib::Response& response) {
+          response.set_content(this->Received(), "text/plain");
+        });
+    const int port = this->control.Start("listen").Value();
+    fmt::print("kv={} lists={} control=127.0.0.1:{}\n", kv_at.ToString(),
+               list_at.ToString(), port);
+    std::fflush(stdout);
+  }
+
+ private:
+  std::string Received() const {
+    std::string all = this->ledger.Received();
+    for (const auto& engine : this->engines) all += engine->Received();
+    for (const KvEntry& entry : this->kv.Entries("")) {
+      all += entry.key + "\n" + entry.value + "\n";
+    }
+    return all;
+  }
+
+  KvStandIn kv;
+  ListStandIn list;
+  LedgerStandIn ledger;
+  std::vector<std::unique_ptr<EngineStandIn>> engines;
+  HttpServer control;
+};
+
+}  // namespace
+}  // namespace dragonflyglade
+
+int main() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  dragonflyglade::StandIns stand_ins;
+  stand_ins.Run();
+  int received = 0;
+  sigwait(&signals, &received);
+  return 0;
+}
