--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -94,6 +94,7 @@
                                    TargetBook& targets,
                                    StreamRegistry& registry,
                                    const CatalogHolder& catalog,
+                                   DemandBook& demand,
                                    RetryBudget& retries, Metrics& metrics,
                                    CallerLimits limits,
                                    TargetCallOptions call_options,
@@ -103,6 +104,7 @@
       targets(targets),
       registry(registry),
       catalog(catalog),
+      demand(demand),
       retries(retries),
       metrics(metrics),
       limits(limits),
@@ -144,6 +146,7 @@
     this->gate.Settle(job->admission, 0);
     return Refusal{RefusalCode::kKeyWithdrawn, "the key was withdrawn"};
   }
+  this->demand.Add(job->request.model, job->request.Cost());
   this->retries.RequestMade();
   this->tasks.Run([this, job] { this->Produce(*job); });
   if (!job->request.stream) return this->Collect(*job);
--- a/dragonflyglade/caller/completion_runner.h
+++ b/dragonflyglade/caller/completion_runner.h
@@ -10,6 +10,7 @@
 #include "dragonflyglade/caller/completion_request.h"
 #include "dragonflyglade/caller/stream_registry.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/demand_book.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/net/task_group.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -28,7 +29,8 @@
  public:
   CompletionRunner(AdmissionGate& gate, Dispatcher& dispatcher,
                    TargetBook& targets, StreamRegistry& registry,
-                   const CatalogHolder& catalog, RetryBudget& retries, Metrics& metrics,
+                   const CatalogHolder& catalog, DemandBook& demand,
+                   RetryBudget& retries, Metrics& metrics,
                    CallerLimits limits, TargetCallOptions call_options,
                    std::string_view zone, Clock clock);
 
@@ -57,6 +59,7 @@
   TargetBook& targets;
   StreamRegistry& registry;
   const CatalogHolder& catalog;
+  DemandBook& demand;
   RetryBudget& retries;
   Metrics& metrics;
   const CallerLimits limits;
--- a/dragonflyglade/decision/target_book.cc
+++ b/dragonflyglade/decision/target_book.cc
@@ -8,6 +8,16 @@
 #include "dragonflyglade/decision/rendezvous.h"
 
 namespace dragonflyglade {
+namespace {
+
+bool IsResident(const LoadReport& report, const TargetNeed& need) {
+  const auto has = [&report](const std::string& name) {
+    return name.empty() || report.resident.count(name) > 0;
+  };
+  return has(need.model) && has(need.adapter);
+}
+
+}  // namespace
 
 TargetBook::TargetBook(TargetOptions options, Clock clock, std::uint64_t seed)
     : options(options), clock(clock) {
@@ -132,10 +142,6 @@
   if (target.listed.zone != need.zone) {
     cost += this->options.zone_penalty_tokens;
   }
-  if (!need.adapter.empty() &&
-      target.report.resident.count(need.adapter) == 0) {
-    cost += this->options.missing_adapter_tokens;
-  }
   if (need.prefix != 0 && target.prefixes.count(need.prefix) > 0) {
     cost -= this->options.prefix_bonus_tokens;
   }
@@ -155,10 +161,7 @@
   Target* best = nullptr;
   double best_cost = 0;
   for (auto& [name, target] : targets->second) {
-    if (!need.model.empty() &&
-        target.report.resident.count(need.model) == 0) {
-      continue;
-    }
+    if (!IsResident(target.report, need)) continue;
     resident = true;
     if (target.listed.leaving || this->IsMarkedLeaving(name)) continue;
     if (this->IsEjected(target, now) || need.avoid.count(name) > 0) continue;
--- a/dragonflyglade/decision/target_book.h
+++ b/dragonflyglade/decision/target_book.h
@@ -47,7 +47,6 @@
   absl::Duration slow_return = absl::Seconds(10);
   absl::Duration leaving_memory = absl::Seconds(60);
   double zone_penalty_tokens = 200;
-  double missing_adapter_tokens = 100;
   double prefix_bonus_tokens = 300;
 };
 
--- a/dragonflyglade/instance/instance.cc
+++ b/dragonflyglade/instance/instance.cc
@@ -11,6 +11,7 @@
 #include "dragonflyglade/instance/allotment_keeper.h"
 #include "dragonflyglade/instance/config_follower.h"
 #include "dragonflyglade/instance/instance_status.h"
+#include "dragonflyglade/instance/placement_runner.h"
 #include "dragonflyglade/operator/audit_trail.h"
 #include "dragonflyglade/operator/status_server.h"
 #include "dragonflyglade/peer/heartbeat_loop.h"
@@ -22,6 +23,7 @@
 namespace {
 
 constexpr absl::Duration kAuditPeriod = absl::Seconds(1);
+constexpr absl::Duration kDemandMemory = absl::Seconds(15);
 constexpr absl::Duration kLoadPeriod = absl::Milliseconds(500);
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(20);
 constexpr absl::Duration kClaimFlushLimit = absl::Seconds(5);
@@ -57,6 +59,7 @@
         records(WhyInvalid),
         freshness(settings.fresh_bound, clock),
         targets(settings.targets, clock, seed),
+        demand(kDemandMemory, clock),
         audit(kv, settings.name),
         peers(settings.peers, clock),
         heartbeats(membership, shares, records, freshness, targets,
@@ -70,8 +73,8 @@
         dispatcher(targets, settings.dispatch, clock),
         retries(kRetryShare, kRetryReserve),
         claims(kv, settings.claim_keep, clock),
-        completions(gate, dispatcher, targets, registry, catalog, retries,
-                    metrics, settings.limits, settings.target_calls,
+        completions(gate, dispatcher, targets, registry, catalog, demand,
+                    retries, metrics, settings.limits, settings.target_calls,
                     settings.zone, clock),
         services(gate, dispatcher, claims, retries, metrics, settings.limits,
                  settings.target_calls, settings.zone, clock),
@@ -88,10 +91,12 @@
                  clock),
         keeper(kv, peers, membership, shares, catalog, audit,
                settings.periods.allotments),
+        placement(kv, peers, membership, targets, catalog, demand, audit,
+                  settings.target_calls, settings.placement, clock),
         poller(lists, targets, catalog, settings.target_calls,
                settings.periods.lists, settings.periods.reports),
         peer_server(settings.peer_listen, heartbeats, membership, shares,
-                    records, freshness,
+                    records, freshness, demand,
                     [this](std::string_view name) {
                       const auto member = this->membership.Find(name);
                       return member.has_value() &&
@@ -136,6 +141,7 @@
   TargetBook targets;
   CatalogHolder catalog;
   StreamRegistry registry;
+  DemandBook demand;
   AuditTrail audit;
   PeerClient peers;
   HeartbeatExchange heartbeats;
@@ -150,6 +156,7 @@
   CallerServer callers;
   ConfigFollower follower;
   AllotmentKeeper keeper;
+  PlacementRunner placement;
   TargetPoller poller;
   PeerServer peer_server;
   StatusServer operators;
@@ -258,6 +265,7 @@
   p.heartbeat_loop.Start();
   p.follower.Start();
   p.keeper.Start();
+  p.placement.Start();
   p.poller.Start();
   p.audit_worker.Start();
   p.load_worker.Start();
@@ -277,6 +285,7 @@
   LogFor(LogPart::kInstance).info("Draining.");
   p.audit.Add("instance drain", p.settings.name, nlohmann::json::object());
   p.membership.Leave();
+  p.placement.Stop();
   p.heartbeat_loop.SpreadNews();
   p.callers.CloseIdle();
   const Instant start = p.clock.Now();
@@ -308,6 +317,7 @@
   }
   p.callers.Stop();
   p.keeper.Stop();
+  p.placement.Stop();
   p.poller.Stop();
   p.follower.Stop();
   p.heartbeat_loop.Stop();
--- /dev/null
+++ b/dragonflyglade/instance/placement_runner.h
@@ -0,0 +1,116 @@
+#ifndef DRAGONFLYGLADE_INSTANCE_PLACEMENT_RUNNER_H_
+#define DRAGONFLYGLADE_INSTANCE_PLACEMENT_RUNNER_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "dragonflyglade/decision/demand_book.h"
+#include "dragonflyglade/decision/membership.h"
+#include "dragonflyglade/decision/placement_planner.h"
+#include "dragonflyglade/decision/target_book.h"
+#include "dragonflyglade/instance/placement_options.h"
+#include "dragonflyglade/net/task_group.h"
+#include "dragonflyglade/net/worker.h"
+#include "dragonflyglade/operator/audit_trail.h"
+#include "dragonflyglade/operator/catalog.h"
+#include "dragonflyglade/peer/peer_client.h"
+#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/platform/role_lease.h"
+#include "dragonflyglade/target/engine_client.h"
+
+namespace dragonflyglade {
+
+/// Carries out placement for the engine pools whose role this instance holds.
+///
+/// A ledger is changed by compare-and-swap before an order is sent, and again
+/// when the order's fate is known.
+class PlacementRunner {
+ public:
+  PlacementRunner(const KvClient& kv, PeerClient& peers,
+                  Membership& membership, TargetBook& targets,
+                  const CatalogHolder& catalog, DemandBook& demand,
+                  AuditTrail& audit, TargetCallOptions call_options,
+                  PlacementOptions options, Clock clock);
+  ~PlacementRunner();
+
+  void Start();
+  void Stop();
+
+ private:
+  /// A ledger as it is stored.
+  struct Stored {
+    TargetLedger ledger;
+    std::int64_t mod_revision = 0;
+  };
+  /// One pool that this instance may plan.
+  struct Pool {
+    std::unique_ptr<RoleLease> role;
+    std::unique_ptr<PlacementPlanner> planner;
+    /// For each target: how many orders its ledger counts, and when this
+    /// instance first saw that many.
+    std::map<std::string, std::pair<std::int64_t, Instant>> orders_seen;
+  };
+  /// What an order needs to be sent after its ledger was written.
+  struct Order {
+    std::string pool;
+    ListedTarget target;
+    EngineOrder order;
+    bool fenced = false;
+    bool is_load = false;
+    bool is_adapter = false;
+  };
+
+  /// What one round for one pool works on.
+  struct PoolRound {
+    const std::string& name;
+    const PoolRecord& record;
+    Pool& pool;
+    std::int64_t fence = 0;
+    std::map<std::string, Stored> ledgers;
+    std::map<std::string, TargetStatus> statuses;
+  };
+
+  absl::Duration Round();
+  void PlanPool(PoolRound& round);
+  bool ReadLedgers(PoolRound& round);
+  void TakeReports(PoolRound& round);
+  bool ReportIsAfter(const PoolRound& round, const TargetStatus& status,
+                     absl::Duration settle) const;
+  PlanInput InputFor(const PoolRound& round);
+  std::map<std::string, double> FleetDemand();
+  void CarryOut(PoolRound& round, const PlanLoad& step);
+  void CarryOut(PoolRound& round, const PlanReload& step);
+  void CarryOut(PoolRound& round, const PlanUnload& step);
+  bool Store(const PoolRound& round, Stored& stored,
+             const std::vector<KvExpect>& also);
+  void SendLoad(PoolRound& round, const Stored& stored, const CopySpec& spec);
+  void Send(Order order);
+  void Settle(const Order& order, const OrderReply& reply);
+
+  const KvClient& kv;
+  PeerClient& peers;
+  Membership& membership;
+  TargetBook& targets;
+  const CatalogHolder& catalog;
+  DemandBook& demand;
+  AuditTrail& audit;
+  const TargetCallOptions call_options;
+  const PlacementOptions options;
+  const Clock clock;
+  std::map<std::string, Pool> pools;
+  std::atomic<int> model_loads_open{0};
+  std::atomic<int> adapter_loads_open{0};
+  TaskGroup orders;
+  Worker worker;
+};
+
+/// Where a target's ledger is kept.
+std::string LedgerKey(std::string_view pool, std::string_view target);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_INSTANCE_PLACEMENT_RUNNER_H_
--- a/dragonflyglade/instance/settings.cc
+++ b/dragonflyglade/instance/settings.cc
@@ -101,6 +101,20 @@
   Read(timeouts, "drain_s", s, settings.drain_limit);
 }
 
+void ReadPlacement(const json& placement, PlacementOptions& out) {
+  const absl::Duration ms = absl::Milliseconds(1);
+  Read(placement, "period_ms", ms, out.period);
+  Read(placement, "lease_ms", ms, out.lease);
+  Read(placement, "settle_ms", ms, out.settle);
+  Read(placement, "drop_after_ms", ms, out.plan.drop_after);
+  Read(placement, "copy_tokens_per_second", out.plan.copy_tokens_per_second);
+  Read(placement, "add_above", out.plan.add_above);
+  Read(placement, "drop_below", out.plan.drop_below);
+  Read(placement, "loads_per_second", out.plan.loads_per_second);
+  Read(placement, "loads_at_once", out.plan.loads_at_once);
+  Read(placement, "adapter_loads_at_once", out.plan.adapter_loads_at_once);
+}
+
 void ReadPeriods(const json& periods, Periods& out) {
   const absl::Duration ms = absl::Milliseconds(1);
   Read(periods, "heartbeat_ms", ms, out.heartbeat);
@@ -108,7 +122,6 @@
   Read(periods, "lists_ms", ms, out.lists);
   Read(periods, "reports_ms", ms, out.reports);
   Read(periods, "allotments_ms", ms, out.allotments);
-  Read(periods, "placement_ms", ms, out.placement);
 }
 
 Result<Settings> FromDocument(const json& document) {
@@ -133,11 +146,11 @@
   ReadLimits(document.value("limits", json::object()), settings);
   ReadTimeouts(document.value("timeouts", json::object()), settings);
   ReadPeriods(document.value("periods", json::object()), settings.periods);
+  ReadPlacement(document.value("placement", json::object()),
+                settings.placement);
   Read(document, "config_relays", settings.config_relays);
   const json routing = document.value("routing", json::object());
   Read(routing, "zone_penalty_tokens", settings.targets.zone_penalty_tokens);
-  Read(routing, "missing_adapter_tokens",
-       settings.targets.missing_adapter_tokens);
   Read(routing, "prefix_bonus_tokens", settings.targets.prefix_bonus_tokens);
   const json log = document.value("log", json::object());
   settings.log.level =
--- a/dragonflyglade/instance/settings.h
+++ b/dragonflyglade/instance/settings.h
@@ -10,6 +10,7 @@
 #include "dragonflyglade/decision/membership.h"
 #include "dragonflyglade/decision/share_book.h"
 #include "dragonflyglade/decision/target_book.h"
+#include "dragonflyglade/instance/placement_options.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/net/log.h"
 #include "dragonflyglade/peer/peer_client.h"
@@ -26,7 +27,6 @@
   absl::Duration lists = absl::Seconds(1);
   absl::Duration reports = absl::Milliseconds(500);
   absl::Duration allotments = absl::Milliseconds(500);
-  absl::Duration placement = absl::Seconds(1);
 };
 
 /// One instance's settings, read from JSON.
@@ -45,6 +45,7 @@
   ShareOptions shares;
   MembershipOptions membership;
   CallerLimits limits;
+  PlacementOptions placement;
   Periods periods;
   LogOptions log;
   int threads = 128;
--- a/dragonflyglade/instance/settings_schema.cc
+++ b/dragonflyglade/instance/settings_schema.cc
@@ -75,8 +75,20 @@
                  {"config_reread_ms", Whole(1)},
                  {"lists_ms", Whole(1)},
                  {"reports_ms", Whole(1)},
-                 {"allotments_ms", Whole(1)},
-                 {"placement_ms", Whole(1)}});
+                 {"allotments_ms", Whole(1)}});
+}
+
+json Placement() {
+  return Object({{"period_ms", Whole(1)},
+                 {"lease_ms", Whole(1000)},
+                 {"settle_ms", Whole(0)},
+                 {"drop_after_ms", Whole(0)},
+                 {"copy_tokens_per_second", Number(1)},
+                 {"add_above", Number(0)},
+                 {"drop_below", Number(0)},
+                 {"loads_per_second", Number(0)},
+                 {"loads_at_once", Whole(1)},
+                 {"adapter_loads_at_once", Whole(1)}});
 }
 
 }  // namespace
@@ -97,9 +109,9 @@
        {"limits", Limits()},
        {"timeouts", Timeouts()},
        {"periods", PeriodsSchema()},
+       {"placement", Placement()},
        {"config_relays", Whole(1)},
        {"routing", Object({{"zone_penalty_tokens", Number(0)},
-                           {"missing_adapter_tokens", Number(0)},
                            {"prefix_bonus_tokens", Number(0)}})},
        {"log", Object({{"level",
                         {{"type", "string"},
--- a/dragonflyglade/peer/peer.thrift
+++ b/dragonflyglade/peer/peer.thrift
@@ -60,6 +60,11 @@
   2: map<string, i64> epochs
 }
 
+/** Tokens a second that callers of one instance ask of each model. */
+struct DemandReport {
+  1: map<string, double> rates
+}
+
 service PeerService {
   Heartbeat exchange(1: Heartbeat own),
   /** Asks the receiver to probe a third instance. */
@@ -68,4 +73,5 @@
   LoanReply borrow(1: string workspace, 2: i64 tokens, 3: string borrower),
   /** The allotment epochs that the receiver follows. */
   EpochConfirmation confirmEpochs(1: list<string> workspaces),
+  DemandReport demand(),
 }
--- a/dragonflyglade/peer/peer_client.cc
+++ b/dragonflyglade/peer/peer_client.cc
@@ -178,4 +178,13 @@
   return confirmation;
 }
 
+Result<wire::DemandReport> PeerClient::Demand(const Endpoint& peer) {
+  wire::DemandReport report;
+  const Status status =
+      this->Call(peer, "demand", this->options.call_timeout, true,
+                 [&](Connection& c) { c.client.demand(report); });
+  if (!status.Ok()) return status.Error();
+  return report;
+}
+
 }  // namespace dragonflyglade
--- a/dragonflyglade/peer/peer_client.h
+++ b/dragonflyglade/peer/peer_client.h
@@ -51,6 +51,8 @@
   Result<wire::EpochConfirmation> ConfirmEpochs(
       const Endpoint& peer, const std::vector<std::string>& workspaces);
 
+  Result<wire::DemandReport> Demand(const Endpoint& peer);
+
   /// Calls made since the start.
   std::int64_t Calls() const { return this->calls; }
 
--- a/dragonflyglade/peer/peer_server.cc
+++ b/dragonflyglade/peer/peer_server.cc
@@ -28,12 +28,13 @@
  public:
   Handler(HeartbeatExchange& heartbeats, Membership& membership,
           ShareBook& shares, RecordStore& records, Freshness& freshness,
-          PeerServer::Prober prober)
+          DemandBook& demand, PeerServer::Prober prober)
       : heartbeats(heartbeats),
         membership(membership),
         shares(shares),
         records(records),
         freshness(freshness),
+        rates(demand),
         prober(std::move(prober)) {}
 
   void exchange(wire::Heartbeat& reply, const wire::Heartbeat& own) override {
@@ -69,12 +70,17 @@
     }
   }
 
+  void demand(wire::DemandReport& report) override {
+    report.rates = this->rates.Rates();
+  }
+
  private:
   HeartbeatExchange& heartbeats;
   Membership& membership;
   ShareBook& shares;
   RecordStore& records;
   Freshness& freshness;
+  DemandBook& rates;
   const PeerServer::Prober prober;
 };
 
@@ -99,12 +105,12 @@
 PeerServer::PeerServer(Endpoint listen, HeartbeatExchange& heartbeats,
                        Membership& membership, ShareBook& shares,
                        RecordStore& records, Freshness& freshness,
-                       Prober prober)
+                       DemandBook& demand, Prober prober)
     : impl(std::make_unique<Impl>()) {
   this->impl->listen = std::move(listen);
   this->impl->handler =
       std::make_shared<Handler>(heartbeats, membership, shares, records,
-                                freshness, std::move(prober));
+                                freshness, demand, std::move(prober));
 }
 
 PeerServer::~PeerServer() { this->Stop(); }
--- a/dragonflyglade/peer/peer_server.h
+++ b/dragonflyglade/peer/peer_server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "dragonflyglade/decision/demand_book.h"
 #include "dragonflyglade/decision/membership.h"
 #include "dragonflyglade/decision/record_store.h"
 #include "dragonflyglade/decision/share_book.h"
@@ -23,7 +24,7 @@
 
   PeerServer(Endpoint listen, HeartbeatExchange& heartbeats,
              Membership& membership, ShareBook& shares, RecordStore& records,
-             Freshness& freshness, Prober prober);
+             Freshness& freshness, DemandBook& demand, Prober prober);
   ~PeerServer();
 
   /// Binds and begins to answer.
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -46,7 +46,6 @@
     behaviour.token_delay = kTokenDelay;
     for (int i = 0; i < kEngines; ++i) {
       this->engines.push_back(std::make_unique<EngineStandIn>(behaviour));
-      this->engines.back()->Preload("letters-sw", 300000);
     }
   }
 
