Promise tokens ahead instead of polling lenders

Cause: a burst cut into six shares leaves each bucket with less than a request's cost, so a borrower collected part of it, waited, and lost what it held at the end of the hold limit; lenders were polled again and again. Now a lender may promise what its share will accrue within the caller's patience: its level goes below zero, the borrower waits by itself, and no call is repeated. Reserved tokens count towards the lender's cap until their use-by time, so the burst need not be lowered any more. Shares that shrink wait until nothing is owed; shares that grow start in debt by the longest promise. Of several buckets the ones furthest from empty are drawn on, own and others alike: preferring the own bucket lets the others sit at their cap.

--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -8,8 +8,9 @@
 namespace dragonflyglade {
 namespace {
 
-constexpr absl::Duration kShortestWait = absl::Milliseconds(2);
-constexpr absl::Duration kLongestWait = absl::Milliseconds(25);
+// How long a peer that did not answer is not asked again.
+constexpr absl::Duration kSilence = absl::Seconds(1);
+constexpr int kMostAsks = 12;
 constexpr absl::Duration kShortestRetryAfter = absl::Milliseconds(100);
 
 double PartOf(std::int64_t share) {
@@ -47,34 +48,46 @@
       .first->second;
 }
 
-// A burst smaller than what accrues within the hold limit would leave nothing
-// to hold; half of it then bounds the time that a loan may be held.
-absl::Duration ShareBook::HoldLimit(const RateLimit& rate) const {
-  const absl::Duration half_burst =
-      TimeFor(rate.burst_tokens / 2, rate.tokens_per_second);
-  return std::min(this->options.hold_limit, half_burst);
-}
-
-// Failure: a loan on its way is in no bucket, so the lender's bucket accrues
-// under its cap as if the loan were spent. The workspace could then hold a
-// full burst and the loan besides. At most rate * hold limit accrues until
-// the loan is spent or lost, so lowering the burst by that keeps the bound.
-double ShareBook::EffectiveBurst(const RateLimit& rate) const {
-  const double held =
-      rate.tokens_per_second * absl::ToDoubleSeconds(this->HoldLimit(rate));
-  return std::max(0.0, rate.burst_tokens - held);
-}
-
-void ShareBook::Reconfigure(Book& book) const {
-  const Instant now = this->clock.Now();
+// Failure: a holder dies with promises that its borrowers still spend, its
+// share passes on at once, and the same seconds' tokens are spent twice. No
+// promise reaches further than the longest one, so a share that grows starts
+// in debt by what the added part accrues in that time.
+void ShareBook::Reconfigure(Book& book, Instant now) const {
   if (!book.rate.has_value() || !book.allotment.has_value()) {
     book.bucket.Configure(0, 0, now);
+    book.share = 0;
     return;
   }
-  const double part = PartOf(
-      ShareOf(*book.allotment, this->instance, this->incarnation));
-  book.bucket.Configure(part * book.rate->tokens_per_second,
-                        part * this->EffectiveBurst(*book.rate), now);
+  const std::int64_t share =
+      ShareOf(*book.allotment, this->instance, this->incarnation);
+  const double rate = book.rate->tokens_per_second;
+  const double part = PartOf(share);
+  book.bucket.Configure(part * rate, part * book.rate->burst_tokens,
+                        now);
+  if (share > book.share) {
+    const double promised =
+        rate * absl::ToDoubleSeconds(this->options.longest_promise +
+                                     this->options.hold_limit);
+    book.bucket.Charge(PartOf(share - book.share) * promised, now);
+  }
+  book.share = share;
+}
+
+// Failure: a holder shrinks while tokens that it lent or promised are yet to
+// be spent; others use the part that it gave up meanwhile, and the borrowers
+// spend it as well. It goes on under the old epoch, which the keeper counts as
+// held, until all of them are spent or void; it lends nothing in that time,
+// so this takes no longer than the longest promise and hold.
+void ShareBook::FollowPending(Book& book, Instant now) const {
+  if (!book.pending.has_value()) return;
+  const bool shrinks = ShareOf(*book.pending, this->instance,
+                               this->incarnation) < book.share;
+  const bool owes =
+      book.bucket.Level(now) < 0 || book.bucket.Reserved(now) > 0;
+  if (shrinks && owes) return;
+  book.allotment = std::move(book.pending);
+  book.pending.reset();
+  this->Reconfigure(book, now);
 }
 
 void ShareBook::SetRate(std::string_view workspace,
@@ -83,23 +96,31 @@
   absl::MutexLock lock(&shard.mutex);
   Book& book = this->BookOf(shard, workspace);
   book.rate = rate;
-  this->Reconfigure(book);
+  this->Reconfigure(book, this->clock.Now());
 }
 
 void ShareBook::Adopt(const Allotment& allotment) {
   Shard& shard = this->ShardOf(allotment.workspace);
   absl::MutexLock lock(&shard.mutex);
   Book& book = this->BookOf(shard, allotment.workspace);
-  if (book.allotment.has_value() && book.allotment->epoch >= allotment.epoch) {
-    return;
-  }
-  book.allotment = allotment;
-  this->Reconfigure(book);
+  const auto epoch_of = [](const std::optional<Allotment>& known) {
+    return known.has_value() ? known->epoch : 0;
+  };
+  const std::int64_t newest =
+      std::max(epoch_of(book.allotment), epoch_of(book.pending));
+  if (allotment.epoch <= newest) return;
+  book.pending = allotment;
+  this->FollowPending(book, this->clock.Now());
 }
 
-std::int64_t ShareBook::FollowedEpoch(std::string_view workspace) const {
-  const std::optional<Allotment> followed = this->Followed(workspace);
-  return followed.has_value() ? followed->epoch : 0;
+std::int64_t ShareBook::FollowedEpoch(std::string_view workspace) {
+  Shard& shard = this->ShardOf(workspace);
+  absl::MutexLock lock(&shard.mutex);
+  const auto found = shard.books.find(workspace);
+  if (found == shard.books.end()) return 0;
+  Book& book = found->second;
+  this->FollowPending(book, this->clock.Now());
+  return book.allotment.has_value() ? book.allotment->epoch : 0;
 }
 
 std::optional<Allotment> ShareBook::Followed(std::string_view workspace) const {
@@ -133,96 +154,171 @@
 AdmissionStep ShareBook::NextInBook(Book& book, Admission& admission,
                                     Instant now) const {
   if (!book.rate.has_value()) return NoRate{};
-  const double burst = this->EffectiveBurst(*book.rate);
+  const double burst = book.rate->burst_tokens;
   if (admission.cost > burst) return CostAboveBurst{burst};
+  this->FollowPending(book, now);
   if (!book.allotment.has_value()) return NoShare{};
-  this->DropExpired(book, admission, now);
-
-  const double deficit = std::max(0.0, admission.cost - admission.gathered);
-  const double own = book.bucket.Level(now);
-  const std::vector<Lender> lenders = this->Lenders(book, admission, now);
-  const double own_fullness =
-      book.bucket.Cap() > 0 ? own / book.bucket.Cap() : 0.0;
-  const bool peer_is_nearer_cap =
-      admission.gathered == 0 && !lenders.empty() &&
-      lenders.front().level >= deficit &&
-      lenders.front().fullness > own_fullness + this->options.own_preference;
-  if (own >= deficit && !peer_is_nearer_cap) {
-    book.bucket.Withdraw(deficit, now);
-    admission.charged = now;
-    admission.gathered = 0;
-    return Admitted{};
-  }
+  DropStale(admission, now);
+  double missing = admission.cost;
+  for (const TokensInHand& part : admission.in_hand) missing -= part.tokens;
+  if (missing <= 0) return Spend(admission, now);
+  return this->GatherMore(book, admission, missing, now);
+}
+
+// Failure: a borrower is paused with tokens in hand and spends them on
+// waking, when the lender has stopped counting them. Past their use-by time
+// they are lost, on the borrower's own clock from its own asking, which is no
+// later than the lender's debit.
+void ShareBook::DropStale(Admission& admission, Instant now) {
+  auto& parts = admission.in_hand;
+  parts.erase(std::remove_if(
+                  parts.begin(), parts.end(),
+                  [now](const TokensInHand& p) { return p.use_by <= now; }),
+              parts.end());
+}
 
-  double available = own + admission.gathered;
-  for (const Lender& lender : lenders) available += lender.level;
-  // Without enough in sight nobody is asked: a workspace far over its rate
-  // would otherwise cost a call to every holder for each refusal.
-  if (lenders.empty() || available < admission.cost) {
-    return this->WaitOrRefuse(book, admission, available, now);
+AdmissionStep ShareBook::Spend(Admission& admission, Instant now) {
+  Instant ready = now;
+  for (const TokensInHand& part : admission.in_hand) {
+    ready = std::max(ready, part.spend_from);
   }
-  if (admission.asked.empty()) admission.gathered_since = now;
-  return BorrowFrom{lenders.front().peer,
-                    static_cast<std::int64_t>(std::ceil(deficit))};
+  if (ready > now) return WaitFor{ready - now};
+  admission.charged = now;
+  admission.in_hand.clear();
+  return Admitted{};
 }
 
-std::vector<ShareBook::Lender> ShareBook::Lenders(const Book& book,
+std::vector<ShareBook::Source> ShareBook::Sources(const Book& book,
                                                   const Admission& admission,
                                                   Instant now) const {
-  std::vector<Lender> lenders;
-  const double burst = this->EffectiveBurst(*book.rate);
+  std::vector<Source> sources;
+  if (book.share > 0) {
+    sources.push_back(Source{"", book.bucket.Level(now), book.bucket.Rate(),
+                             book.bucket.Cap()});
+  }
+  const double burst = book.rate->burst_tokens;
   for (const HolderShare& holder : book.allotment->holders) {
     if (holder.instance == this->instance || holder.share == 0) continue;
-    if (admission.asked.count(holder.instance) > 0) continue;
+    if (admission.silent.count(holder.instance) > 0) continue;
     const double part = PartOf(holder.share);
-    const double cap = part * burst;
-    double level = cap;
+    Source source{holder.instance, part * burst,
+                  part * book.rate->tokens_per_second, part * burst};
     const auto hint = book.hints.find(holder.instance);
     if (hint != book.hints.end()) {
+      if (now < hint->second.silent_until) continue;
       const double seconds = absl::ToDoubleSeconds(now - hint->second.at);
-      level = std::min(cap, hint->second.level +
-                                part * book.rate->tokens_per_second * seconds);
+      source.level =
+          std::min(source.cap, hint->second.level + source.rate * seconds);
     }
-    if (level < 1) continue;
-    lenders.push_back(Lender{holder.instance, level, level / cap});
+    sources.push_back(source);
   }
-  std::sort(lenders.begin(), lenders.end(),
-            [](const Lender& a, const Lender& b) {
-              return a.fullness > b.fullness;
-            });
-  return lenders;
+  return sources;
 }
 
-// Failure: a borrower is paused with loans in hand and spends them on waking,
-// when the lenders' buckets are full again. Loans older than the hold limit
-// count as lost, measured on the borrower's own clock from its own asking,
-// which is no later than the lender's debit.
-void ShareBook::DropExpired(const Book& book, Admission& admission,
-                            Instant now) const {
-  if (admission.gathered == 0) return;
-  if (now - admission.gathered_since <= this->HoldLimit(*book.rate)) return;
-  admission.gathered = 0;
+// Draws on the fewest buckets that give the tokens soon. Of k buckets that
+// are left equally far from empty, all are ready after the same wait:
+//   wait = (tokens - sum of levels) / sum of rates.
+// More buckets mean a shorter wait and more messages; the ask price weighs
+// one against the other.
+std::optional<ShareBook::Draw> ShareBook::ChooseDraw(
+    std::vector<Source> sources, double tokens,
+    absl::Duration longest) const {
+  const auto time_to_empty = [this](const Source& source) {
+    const absl::Duration left = absl::Seconds(source.level / source.rate);
+    return source.peer.empty() ? left + this->options.own_preference : left;
+  };
+  std::sort(sources.begin(), sources.end(),
+            [&](const Source& a, const Source& b) {
+              return time_to_empty(a) > time_to_empty(b);
+            });
+  std::optional<Draw> best;
+  absl::Duration best_price = absl::InfiniteDuration();
+  double level = 0;
+  double rate = 0;
+  int asked = 0;
+  for (std::size_t k = 0; k < sources.size(); ++k) {
+    level += sources[k].level;
+    rate += sources[k].rate;
+    if (!sources[k].peer.empty()) ++asked;
+    const double wait = (tokens - level) / rate;
+    const absl::Duration delay = absl::Seconds(std::max(0.0, wait));
+    const absl::Duration price = delay + asked * this->options.ask_price;
+    if (delay > longest || price >= best_price) continue;
+    Draw draw;
+    draw.wait = delay;
+    bool possible = true;
+    for (std::size_t i = 0; i <= k; ++i) {
+      const double part = sources[i].level + sources[i].rate * wait;
+      possible = possible && part <= sources[i].cap;
+      if (part > 0) draw.parts.emplace_back(sources[i], part);
+    }
+    if (!possible || draw.parts.empty()) continue;
+    best = std::move(draw);
+    best_price = price;
+  }
+  return best;
 }
 
-void ShareBook::PutAway(Book& book, Admission& admission, Instant now) const {
-  if (book.rate.has_value()) this->DropExpired(book, admission, now);
-  book.bucket.Deposit(admission.gathered, now);
-  admission.gathered = 0;
+AdmissionStep ShareBook::GatherMore(Book& book, Admission& admission,
+                                    double missing, Instant now) const {
+  const std::vector<Source> sources = this->Sources(book, admission, now);
+  const absl::Duration patience =
+      admission.started + admission.max_wait - now;
+  const absl::Duration longest =
+      std::min(patience, this->options.longest_promise);
+  const std::optional<Draw> draw =
+      this->ChooseDraw(sources, missing, longest);
+  if (!draw.has_value()) {
+    double level = 0;
+    for (const Source& source : sources) level += source.level;
+    const absl::Duration wait =
+        TimeFor(missing - level, book.rate->tokens_per_second);
+    return this->GiveUp(book, admission, wait, now);
+  }
+  // Peers are asked first: what they say may change the plan, and the own
+  // bucket then gives the rest.
+  for (const auto& [source, tokens] : draw->parts) {
+    if (source.peer.empty()) continue;
+    // A peer that had less than was thought is asked for less the next time,
+    // but not for ever.
+    if (++admission.asks > kMostAsks) break;
+    admission.asked_at = now;
+    const double whole = std::min(std::ceil(tokens), std::floor(source.cap));
+    return BorrowFrom{source.peer, static_cast<std::int64_t>(whole), longest};
+  }
+  if (admission.asks > kMostAsks || book.pending.has_value()) {
+    if (book.bucket.Withdraw(missing, now)) {
+      admission.in_hand.push_back(TokensInHand{
+          "", missing, 0, now, now + this->options.hold_limit});
+      return Spend(admission, now);
+    }
+    return this->GiveUp(book, admission, draw->wait, now);
+  }
+  const std::optional<Reservation> reserved = book.bucket.Reserve(
+      missing, longest, this->options.hold_limit, now);
+  if (!reserved.has_value()) {
+    return this->GiveUp(book, admission, draw->wait, now);
+  }
+  admission.in_hand.push_back(TokensInHand{
+      "", missing, 0, now + reserved->wait, now + reserved->use_by});
+  return Spend(admission, now);
 }
 
-AdmissionStep ShareBook::WaitOrRefuse(Book& book, Admission& admission,
-                                      double available, Instant now) const {
-  this->PutAway(book, admission, now);
-  admission.asked.clear();
-  const absl::Duration missing =
-      TimeFor(admission.cost - available, book.rate->tokens_per_second);
-  const absl::Duration delay =
-      std::clamp(missing, kShortestWait, kLongestWait);
-  if (now + std::max(missing, delay) >
-      admission.started + admission.max_wait) {
-    return OverRate{std::max(missing, kShortestRetryAfter)};
+OverRate ShareBook::GiveUp(Book& book, Admission& admission,
+                           absl::Duration missing, Instant now) const {
+  OverRate over;
+  over.retry_after = std::max(missing, kShortestRetryAfter);
+  for (const TokensInHand& part : admission.in_hand) {
+    if (part.peer.empty()) {
+      book.bucket.Refund(part.tokens, admission.started, now);
+    } else {
+      over.returns.push_back(
+          LoanReturn{part.peer, static_cast<std::int64_t>(part.tokens),
+                     part.stamp});
+    }
   }
-  return WaitFor{delay};
+  admission.in_hand.clear();
+  return over;
 }
 
 void ShareBook::FinishLoan(Admission& admission, std::string_view peer,
@@ -231,25 +327,20 @@
   absl::MutexLock lock(&shard.mutex);
   Book& book = this->BookOf(shard, admission.workspace);
   const Instant now = this->clock.Now();
-  admission.asked.insert(std::string(peer));
   Hint& hint = book.hints[std::string(peer)];
   hint.at = now;
   if (!loan.has_value()) {
-    // Silence says nothing of its bucket; it counts as empty until it speaks
-    // again, so that the next requests do not wait for it too.
+    admission.silent.insert(std::string(peer));
+    // The next requests must not wait for a silent peer too.
     hint.level = 0;
+    hint.silent_until = now + kSilence;
     return;
   }
   hint.level = static_cast<double>(loan->level);
-  hint.cap = static_cast<double>(loan->cap);
-  admission.gathered += static_cast<double>(loan->granted);
-}
-
-void ShareBook::Abandon(Admission& admission) {
-  Shard& shard = this->ShardOf(admission.workspace);
-  absl::MutexLock lock(&shard.mutex);
-  this->PutAway(this->BookOf(shard, admission.workspace), admission,
-                this->clock.Now());
+  if (loan->granted == 0) return;
+  admission.in_hand.push_back(TokensInHand{
+      std::string(peer), static_cast<double>(loan->granted), loan->stamp,
+      now + loan->wait, admission.asked_at + loan->use_by});
 }
 
 void ShareBook::Settle(const Admission& admission, double used) {
@@ -261,23 +352,50 @@
   book.bucket.Refund(unused, *admission.charged, this->clock.Now());
 }
 
-Loan ShareBook::Lend(std::string_view workspace, std::int64_t tokens) {
+Loan ShareBook::Lend(std::string_view workspace, std::int64_t tokens,
+                     absl::Duration longest) {
   Shard& shard = this->ShardOf(workspace);
   absl::MutexLock lock(&shard.mutex);
   const auto found = shard.books.find(workspace);
   if (found == shard.books.end() || tokens <= 0) return Loan{};
-  TokenBucket& bucket = found->second.bucket;
+  Book& book = found->second;
   const Instant now = this->clock.Now();
-  found->second.last_demand = now;
-  const double whole =
-      std::floor(std::min(bucket.Level(now), static_cast<double>(tokens)));
+  book.last_demand = now;
+  this->FollowPending(book, now);
   Loan loan;
-  loan.granted = static_cast<std::int64_t>(bucket.WithdrawUpTo(whole, now));
-  loan.level = static_cast<std::int64_t>(bucket.Level(now));
-  loan.cap = static_cast<std::int64_t>(bucket.Cap());
+  std::optional<Reservation> reserved;
+  if (!book.pending.has_value()) {
+    reserved = book.bucket.Reserve(
+        static_cast<double>(tokens),
+        std::min(longest, this->options.longest_promise),
+        this->options.hold_limit, now);
+  }
+  if (reserved.has_value()) {
+    loan.granted = tokens;
+    loan.wait = reserved->wait;
+    loan.use_by = reserved->use_by;
+    loan.stamp = absl::ToInt64Nanoseconds(now);
+  }
+  loan.level = static_cast<std::int64_t>(book.bucket.Level(now));
+  loan.cap = static_cast<std::int64_t>(book.bucket.Cap());
   return loan;
 }
 
+// A return may come late, or from a process that thinks it is somebody else's
+// borrower; the bucket never takes more than it would hold by itself today.
+void ShareBook::TakeBack(std::string_view workspace, std::int64_t tokens,
+                         std::int64_t stamp) {
+  if (tokens <= 0) return;
+  Shard& shard = this->ShardOf(workspace);
+  absl::MutexLock lock(&shard.mutex);
+  const auto found = shard.books.find(workspace);
+  if (found == shard.books.end()) return;
+  const Instant now = this->clock.Now();
+  const Instant lent_at = absl::Nanoseconds(stamp);
+  if (lent_at > now) return;
+  found->second.bucket.Refund(static_cast<double>(tokens), lent_at, now);
+}
+
 std::vector<WorkspaceBalance> ShareBook::Balances(std::size_t limit) const {
   std::vector<WorkspaceBalance> balances;
   const Instant now = this->clock.Now();
@@ -302,7 +420,7 @@
   if (found == shard.books.end()) return;
   Hint& hint = found->second.hints[std::string(peer)];
   hint.level = static_cast<double>(balance.level);
-  hint.cap = static_cast<double>(balance.cap);
+  hint.silent_until = -absl::InfiniteDuration();
   hint.at = this->clock.Now();
 }
 
--- a/dragonflyglade/decision/share_book.h
+++ b/dragonflyglade/decision/share_book.h
@@ -26,25 +26,39 @@
 
 /// Limits on how tokens move between instances.
 struct ShareOptions {
-  /// Longest time from the first borrow of an admission until its tokens are
-  /// spent or put away. The burst is lowered by what accrues meanwhile.
+  /// How long tokens that could be spent may be held at least before they
+  /// count as lost.
   absl::Duration hold_limit = absl::Milliseconds(100);
-  /// How much nearer to its cap, as a part of the cap, a peer must be before
-  /// it is asked ahead of the own bucket.
-  double own_preference = 0.1;
+  /// Longest time ahead for which tokens are promised.
+  absl::Duration longest_promise = absl::Milliseconds(500);
+  /// What asking one more peer is worth in waiting time.
+  absl::Duration ask_price = absl::Milliseconds(10);
+  /// How much longer, in time to empty, a peer's bucket must last than the
+  /// own one to be asked although the own one has the tokens.
+  absl::Duration own_preference = absl::Milliseconds(0);
   /// Workspaces without demand for this long leave the balances.
   absl::Duration demand_memory = absl::Seconds(10);
 };
 
+/// Tokens taken for an admission, from a peer or from the own bucket.
+struct TokensInHand {
+  std::string peer;  ///< empty for the own bucket
+  double tokens = 0;
+  std::int64_t stamp = 0;  ///< the giver's; goes back with returned tokens
+  Instant spend_from;  ///< not before this
+  Instant use_by;      ///< and not after this
+};
+
 /// One request's way to its tokens. Made by ShareBook::Begin.
 struct Admission {
   std::string workspace;
   double cost = 0;
   Instant started;
   absl::Duration max_wait;
-  double gathered = 0;     ///< borrowed and not yet spent
-  Instant gathered_since;  ///< when the first loan was asked for
-  std::set<std::string> asked;
+  std::vector<TokensInHand> in_hand;
+  std::set<std::string> silent;    ///< peers that did not answer
+  int asks = 0;                    ///< loans asked for so far
+  Instant asked_at;                ///< of the loan under way
   std::optional<Instant> charged;  ///< when it was admitted
 };
 
@@ -54,14 +68,22 @@
 struct BorrowFrom {
   std::string peer;
   std::int64_t tokens = 0;
+  absl::Duration longest;  ///< the longest promise that is of use
 };
 /// Come back after this time.
 struct WaitFor {
   absl::Duration delay;
 };
+/// Tokens to give back to a lender.
+struct LoanReturn {
+  std::string peer;
+  std::int64_t tokens = 0;
+  std::int64_t stamp = 0;
+};
 /// The workspace is over its rate.
 struct OverRate {
   absl::Duration retry_after;
+  std::vector<LoanReturn> returns;  ///< loans that were of no use
 };
 /// The request alone costs more than the burst; it can never be admitted.
 struct CostAboveBurst {
@@ -77,7 +99,10 @@
 
 /// A lender's answer, with what is left in its bucket.
 struct Loan {
-  std::int64_t granted = 0;
+  std::int64_t granted = 0;  ///< all that was asked for, or nothing
+  absl::Duration wait;       ///< they may be spent after this
+  absl::Duration use_by;     ///< and not after this, from the asking on
+  std::int64_t stamp = 0;    ///< to be shown when they are returned
   std::int64_t level = 0;
   std::int64_t cap = 0;
 };
@@ -93,7 +118,8 @@
 ///
 /// Over any window of length t, all instances together admit at most
 /// burst + rate * t: shares sum to at most one, a lender debits before it
-/// answers, and tokens on their way are covered by a lowered burst.
+/// answers, what it promises ahead is what its own share will accrue, and
+/// tokens on their way count towards the lender's cap until they are void.
 /// Thread-safe; workspaces are spread over shards with a lock each.
 class ShareBook {
  public:
@@ -107,7 +133,7 @@
   void Adopt(const Allotment& allotment);
 
   /// The epoch followed for a workspace; 0 for none.
-  std::int64_t FollowedEpoch(std::string_view workspace) const;
+  std::int64_t FollowedEpoch(std::string_view workspace);
 
   /// The allotment followed for a workspace, if any.
   std::optional<Allotment> Followed(std::string_view workspace) const;
@@ -125,15 +151,19 @@
   void FinishLoan(Admission& admission, std::string_view peer,
                   const std::optional<Loan>& loan);
 
-  /// Puts borrowed tokens of an admission that is given up away.
-  void Abandon(Admission& admission);
-
   /// Gives back what an admitted request did not use.
   /// @param used tokens, at most the cost
   void Settle(const Admission& admission, double used);
 
-  /// Lends up to that many tokens to another instance.
-  Loan Lend(std::string_view workspace, std::int64_t tokens);
+  /// Lends tokens to another instance, all or none.
+  /// @param longest the longest wait that is of use to the borrower
+  Loan Lend(std::string_view workspace, std::int64_t tokens,
+            absl::Duration longest);
+
+  /// Takes back lent tokens that were not spent.
+  /// @param stamp of the loan
+  void TakeBack(std::string_view workspace, std::int64_t tokens,
+                std::int64_t stamp);
 
   /// Buckets of workspaces with recent demand, at most limit of them.
   std::vector<WorkspaceBalance> Balances(std::size_t limit) const;
@@ -144,14 +174,17 @@
  private:
   struct Hint {
     double level = 0;
-    double cap = 0;
     Instant at;
+    Instant silent_until = -absl::InfiniteDuration();
   };
   struct Book {
     explicit Book(Instant now) : bucket(now), last_demand(now) {}
     std::optional<RateLimit> rate;
     std::optional<Allotment> allotment;
+    /// A newer allotment, followed once the bucket's promises are kept.
+    std::optional<Allotment> pending;
     TokenBucket bucket;
+    std::int64_t share = 0;
     Instant last_demand;
     std::map<std::string, Hint, std::less<>> hints;
   };
@@ -159,10 +192,17 @@
     mutable absl::Mutex mutex;
     std::map<std::string, Book, std::less<>> books ABSL_GUARDED_BY(mutex);
   };
-  struct Lender {
-    std::string peer;
+  /// A bucket that tokens may come from.
+  struct Source {
+    std::string peer;  ///< empty for the own bucket
     double level = 0;
-    double fullness = 0;
+    double rate = 0;
+    double cap = 0;
+  };
+  /// Which sources to draw on, and how long that takes.
+  struct Draw {
+    std::vector<std::pair<Source, double>> parts;
+    absl::Duration wait;
   };
   static constexpr std::size_t kShards = 16;
 
@@ -170,15 +210,18 @@
   const Shard& ShardOf(std::string_view workspace) const;
   Book& BookOf(Shard& shard, std::string_view workspace) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(shard.mutex);
-  absl::Duration HoldLimit(const RateLimit& rate) const;
-  double EffectiveBurst(const RateLimit& rate) const;
-  void Reconfigure(Book& book) const;
-  std::vector<Lender> Lenders(const Book& book, const Admission& admission,
+  void Reconfigure(Book& book, Instant now) const;
+  void FollowPending(Book& book, Instant now) const;
+  std::vector<Source> Sources(const Book& book, const Admission& admission,
                               Instant now) const;
-  void DropExpired(const Book& book, Admission& admission, Instant now) const;
-  void PutAway(Book& book, Admission& admission, Instant now) const;
-  AdmissionStep WaitOrRefuse(Book& book, Admission& admission,
-                             double available, Instant now) const;
+  std::optional<Draw> ChooseDraw(std::vector<Source> sources, double tokens,
+                                 absl::Duration longest) const;
+  static void DropStale(Admission& admission, Instant now);
+  static AdmissionStep Spend(Admission& admission, Instant now);
+  AdmissionStep GatherMore(Book& book, Admission& admission, double missing,
+                           Instant now) const;
+  OverRate GiveUp(Book& book, Admission& admission, absl::Duration missing,
+                  Instant now) const;
   AdmissionStep NextInBook(Book& book, Admission& admission,
                            Instant now) const;
 
--- a/dragonflyglade/decision/token_bucket.h
+++ b/dragonflyglade/decision/token_bucket.h
@@ -3,12 +3,19 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
 
 namespace dragonflyglade {
 
+/// When reserved tokens may be spent, counted from the reservation.
+struct Reservation {
+  absl::Duration wait;    ///< not before this
+  absl::Duration use_by;  ///< and not after this
+};
+
 /// A bucket that accrues tokens up to a cap. Not synchronised.
 ///
 /// A late refund is bounded by what the bucket would hold today had the
@@ -31,8 +38,20 @@
   /// Takes tokens if all of them are there.
   bool Withdraw(double tokens, Instant now);
 
-  /// Takes as many of the tokens as are there, and returns how many.
-  double WithdrawUpTo(double tokens, Instant now);
+  /// Takes tokens that are there now or will have accrued soon, to be spent
+  /// elsewhere. The level may go below zero, which makes the next one wait
+  /// longer. Until the use-by time the tokens count towards the cap.
+  /// @param longest the longest wait that is of use
+  /// @param hold how long after the wait they can still be spent, at least
+  /// @return nothing if the wait is too long or the tokens are above the cap
+  std::optional<Reservation> Reserve(double tokens, absl::Duration longest,
+                                     absl::Duration hold, Instant now);
+
+  /// Tokens reserved whose use-by time is to come.
+  double Reserved(Instant now) const;
+
+  /// Takes tokens whether they are there or not.
+  void Charge(double tokens, Instant now);
 
   /// Puts tokens in, as far as the cap allows.
   /// @return how many were kept
@@ -52,13 +71,23 @@
   };
   static constexpr std::size_t kMaxRemembered = 64;
 
+  // Reserved tokens that count towards the cap until they expire.
+  struct Outstanding {
+    Instant expires;
+    double tokens;
+  };
+
   void Accrue(Instant now);
+  void Grow(Instant until);
+  double Room() const;
   void Remember();
 
   double rate = 0;
   double cap = 0;
   double level = 0;
   Instant updated;
+  double outstanding_total = 0;
+  std::deque<Outstanding> outstanding;  ///< by expiry
   std::deque<Headroom> headrooms;
 };
 
--- a/dragonflyglade/peer/admission_gate.cc
+++ b/dragonflyglade/peer/admission_gate.cc
@@ -22,12 +22,23 @@
   if (lender.has_value() && lender->state != MemberState::kDead) {
     const Result<wire::LoanReply> reply = this->peers.Borrow(
         PeerEndpoint(*lender), admission.workspace, step.tokens,
-        this->membership.Self().info.name);
+        step.longest);
     if (reply.Ok()) loan = FromWire(reply.Value());
   }
   this->shares.FinishLoan(admission, step.peer, loan);
 }
 
+void AdmissionGate::GiveBack(std::string_view workspace,
+                             absl::Span<const LoanReturn> returns) {
+  for (const LoanReturn& part : returns) {
+    const std::optional<MemberStatement> lender =
+        this->membership.Find(part.peer);
+    if (!lender.has_value()) continue;
+    this->peers.GiveBack(PeerEndpoint(*lender), workspace, part.tokens,
+                         part.stamp);
+  }
+}
+
 std::variant<Admission, Refusal> AdmissionGate::Admit(
     std::string_view workspace, double cost, absl::Duration max_wait) {
   Admission admission = this->shares.Begin(workspace, cost, max_wait);
@@ -39,6 +50,7 @@
     } else if (const auto* wait = std::get_if<WaitFor>(&step)) {
       absl::SleepFor(wait->delay);
     } else if (const auto* over = std::get_if<OverRate>(&step)) {
+      this->GiveBack(workspace, over->returns);
       return Refusal{RefusalCode::kOverRate,
                      fmt::format("workspace {} is over its rate", workspace),
                      over->retry_after};
--- a/dragonflyglade/peer/admission_gate.h
+++ b/dragonflyglade/peer/admission_gate.h
@@ -34,6 +34,8 @@
 
  private:
   void Borrow(Admission& admission, const BorrowFrom& step);
+  void GiveBack(std::string_view workspace,
+                absl::Span<const LoanReturn> returns);
 
   ShareBook& shares;
   Membership& membership;
--- a/dragonflyglade/peer/peer.thrift
+++ b/dragonflyglade/peer/peer.thrift
@@ -53,6 +53,12 @@
   1: i64 granted
   2: i64 level
   3: i64 cap
+  /** The tokens may be spent after this many microseconds. */
+  4: i64 wait_us
+  /** To be shown when the tokens are returned. */
+  5: i64 stamp
+  /** They are void this many microseconds after the asking. */
+  6: i64 use_by_us
 }
 
 struct EpochConfirmation {
@@ -70,7 +76,9 @@
   /** Asks the receiver to probe a third instance. */
   bool probe(1: string name),
   ConfigPage pullConfig(1: i64 after_revision),
-  LoanReply borrow(1: string workspace, 2: i64 tokens, 3: string borrower),
+  LoanReply borrow(1: string workspace, 2: i64 tokens, 3: i64 longest_wait_us),
+  /** Gives back lent tokens that were not spent. */
+  oneway void giveBack(1: string workspace, 2: i64 tokens, 3: i64 stamp),
   /** The allotment epochs that the receiver follows. */
   EpochConfirmation confirmEpochs(1: list<string> workspaces),
   DemandReport demand(),
--- a/dragonflyglade/peer/peer_client.cc
+++ b/dragonflyglade/peer/peer_client.cc
@@ -154,18 +154,26 @@
 Result<wire::LoanReply> PeerClient::Borrow(const Endpoint& peer,
                                            std::string_view workspace,
                                            std::int64_t tokens,
-                                           std::string_view borrower) {
+                                           absl::Duration longest_wait) {
   wire::LoanReply reply;
   const Status status =
       this->Call(peer, "borrow", this->options.borrow_timeout, false,
                  [&](Connection& c) {
                    c.client.borrow(reply, std::string(workspace), tokens,
-                                   std::string(borrower));
+                                   absl::ToInt64Microseconds(longest_wait));
                  });
   if (!status.Ok()) return status.Error();
   return reply;
 }
 
+void PeerClient::GiveBack(const Endpoint& peer, std::string_view workspace,
+                          std::int64_t tokens, std::int64_t stamp) {
+  this->Call(peer, "give back", this->options.borrow_timeout, false,
+             [&](Connection& c) {
+               c.client.giveBack(std::string(workspace), tokens, stamp);
+             });
+}
+
 Result<wire::EpochConfirmation> PeerClient::ConfirmEpochs(
     const Endpoint& peer, const std::vector<std::string>& workspaces) {
   wire::EpochConfirmation confirmation;
--- a/dragonflyglade/peer/peer_client.h
+++ b/dragonflyglade/peer/peer_client.h
@@ -47,7 +47,10 @@
   Result<wire::LoanReply> Borrow(const Endpoint& peer,
                                  std::string_view workspace,
                                  std::int64_t tokens,
-                                 std::string_view borrower);
+                                 absl::Duration longest_wait);
+  /// Without an answer; lost tokens are only lost.
+  void GiveBack(const Endpoint& peer, std::string_view workspace,
+                std::int64_t tokens, std::int64_t stamp);
   Result<wire::EpochConfirmation> ConfirmEpochs(
       const Endpoint& peer, const std::vector<std::string>& workspaces);
 
--- a/dragonflyglade/peer/peer_codec.cc
+++ b/dragonflyglade/peer/peer_codec.cc
@@ -64,11 +64,16 @@
   reply.granted = loan.granted;
   reply.level = loan.level;
   reply.cap = loan.cap;
+  reply.wait_us = absl::ToInt64Microseconds(loan.wait);
+  reply.stamp = loan.stamp;
+  reply.use_by_us = absl::ToInt64Microseconds(loan.use_by);
   return reply;
 }
 
 Loan FromWire(const wire::LoanReply& reply) {
-  return Loan{reply.granted, reply.level, reply.cap};
+  // Cut-off fractions of a microsecond must not make a promise earlier.
+  return Loan{reply.granted, absl::Microseconds(reply.wait_us + 1),
+              absl::Microseconds(reply.use_by_us), reply.stamp, reply.level, reply.cap};
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/peer/peer_server.cc
+++ b/dragonflyglade/peer/peer_server.cc
@@ -58,8 +58,15 @@
   }
 
   void borrow(wire::LoanReply& reply, const std::string& workspace,
-              const std::int64_t tokens, const std::string&) override {
-    reply = ToWire(this->shares.Lend(workspace, tokens));
+              const std::int64_t tokens,
+              const std::int64_t longest_wait_us) override {
+    reply = ToWire(this->shares.Lend(workspace, tokens,
+                                     absl::Microseconds(longest_wait_us)));
+  }
+
+  void giveBack(const std::string& workspace, const std::int64_t tokens,
+                const std::int64_t stamp) override {
+    this->shares.TakeBack(workspace, tokens, stamp);
   }
 
   void confirmEpochs(wire::EpochConfirmation& confirmation,
--- /dev/null
+++ b/tests/history/history.cc
@@ -0,0 +1,136 @@
+#include "tests/history/history.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace dragonflyglade {
+namespace {
+
+// Rounding of sums of doubles over a long history.
+constexpr double kTolerance = 1e-3;
+
+template <typename T>
+std::vector<T> Only(const std::vector<HistoryEvent>& events) {
+  std::vector<T> found;
+  for (const HistoryEvent& event : events) {
+    if (const auto* match = std::get_if<T>(&event)) found.push_back(*match);
+  }
+  return found;
+}
+
+}  // namespace
+
+void History::Add(HistoryEvent event) {
+  absl::MutexLock lock(&this->mutex);
+  this->events.push_back(std::move(event));
+}
+
+std::vector<HistoryEvent> History::Events() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->events;
+}
+
+// A window is worst when it begins and ends at admissions. With S(i) the sum
+// before the i-th and t(i) its time, a window from i to j is above the bound
+// by S(j+1) - S(i) - rate * (t(j) - t(i)) - burst, so one pass that keeps the
+// least of S(i) - rate * t(i) finds the largest.
+double LargestOvershoot(const std::vector<HistoryEvent>& events,
+                        const std::string& workspace, double rate,
+                        double burst) {
+  std::vector<std::pair<Instant, double>> charges;
+  for (const AdmittedEvent& event : Only<AdmittedEvent>(events)) {
+    if (event.workspace == workspace) {
+      charges.emplace_back(event.at, event.tokens);
+    }
+  }
+  for (const UnusedEvent& event : Only<UnusedEvent>(events)) {
+    if (event.workspace == workspace) {
+      charges.emplace_back(event.admitted_at, -event.tokens);
+    }
+  }
+  // At one instant the give-backs come first: they lessen that admission.
+  std::sort(charges.begin(), charges.end());
+  double largest = -burst;
+  double sum = 0;
+  double least_start = 0;
+  bool started = false;
+  for (std::size_t i = 0; i < charges.size();) {
+    const Instant at = charges[i].first;
+    const double seconds = absl::ToDoubleSeconds(at);
+    const double start = sum - rate * seconds;
+    if (!started || start < least_start) least_start = start;
+    started = true;
+    for (; i < charges.size() && charges[i].first == at; ++i) {
+      sum += charges[i].second;
+    }
+    largest = std::max(largest, sum - rate * seconds - least_start - burst);
+  }
+  return largest;
+}
+
+Violations CheckRateWindows(const std::vector<HistoryEvent>& events,
+                            const std::string& workspace, double rate,
+                            double burst) {
+  const double overshoot = LargestOvershoot(events, workspace, rate, burst);
+  if (overshoot <= kTolerance) return {};
+  return {fmt::format("{} got {} tokens above its rate and burst", workspace,
+                      overshoot)};
+}
+
+Violations CheckAtMostOnce(const std::vector<HistoryEvent>& events) {
+  std::map<std::string, int> runs;
+  for (const RanEvent& event : Only<RanEvent>(events)) ++runs[event.call];
+  Violations violations;
+  for (const auto& [call, count] : runs) {
+    if (count > 1) {
+      violations.push_back(fmt::format("{} ran {} times", call, count));
+    }
+  }
+  for (const ToldNotRunEvent& event : Only<ToldNotRunEvent>(events)) {
+    if (runs.count(event.call) == 0) continue;
+    violations.push_back(
+        fmt::format("{} ran although its caller was told not", event.call));
+  }
+  return violations;
+}
+
+Violations CheckConfigNeverBack(const std::vector<HistoryEvent>& events) {
+  std::map<std::pair<std::string, std::string>, std::int64_t> newest;
+  Violations violations;
+  for (const InForceEvent& event : Only<InForceEvent>(events)) {
+    std::int64_t& seen = newest[{event.instance, event.key}];
+    if (event.revision < seen) {
+      violations.push_back(fmt::format("{} went from {} back to {} at {}",
+                                       event.key, seen, event.revision,
+                                       event.instance));
+    }
+    seen = std::max(seen, event.revision);
+  }
+  return violations;
+}
+
+Violations CheckOwnAnswers(const std::vector<HistoryEvent>& events) {
+  Violations violations;
+  for (const AnswerEvent& event : Only<AnswerEvent>(events)) {
+    if (event.received == event.expected) continue;
+    violations.push_back(fmt::format("expected '{}', got '{}'",
+                                     event.expected, event.received));
+  }
+  return violations;
+}
+
+Violations CheckMemory(const std::vector<HistoryEvent>& events) {
+  Violations violations;
+  for (const MemoryEvent& event : Only<MemoryEvent>(events)) {
+    if (event.used <= event.capacity) continue;
+    violations.push_back(fmt::format("{} held {} of {} bytes", event.target,
+                                     event.used, event.capacity));
+  }
+  return violations;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/measure/topics.cc
@@ -0,0 +1,18 @@
+#include "tests/measure/topics.h"
+
+#include <fmt/format.h>
+
+namespace dragonflyglade {
+
+void PrintFigure(std::string_view name, double value, std::string_view unit) {
+  fmt::print("{} {:.6g} {}\n", name, value, unit);
+}
+
+const std::map<std::string, MeasureTopic>& MeasureTopics() {
+  static const auto& kTopics = *new std::map<std::string, MeasureTopic>{
+      {"limits", MeasureLimits},
+  };
+  return kTopics;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/measure/topics.h
@@ -0,0 +1,32 @@
+#ifndef DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
+#define DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dragonflyglade {
+
+/// What was asked for on the command line.
+struct MeasureOptions {
+  std::uint64_t seed = 1;
+  std::size_t instances = 0;
+  std::string skew;
+  std::string baseline;
+};
+
+/// Prints one figure as "name value unit".
+void PrintFigure(std::string_view name, double value, std::string_view unit);
+
+using MeasureTopic = std::function<void(const MeasureOptions&)>;
+
+/// All topics by name.
+const std::map<std::string, MeasureTopic>& MeasureTopics();
+
+void MeasureLimits(const MeasureOptions& options);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
--- /dev/null
+++ b/tests/model/limits_fleet.h
@@ -0,0 +1,127 @@
+#ifndef DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
+#define DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/decision/allotment.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/share_book.h"
+#include "tests/history/history.h"
+
+namespace dragonflyglade {
+
+/// Where requests arrive.
+enum class Arrival { kEven, kSkewed, kMoving };
+
+/// Which way of sharing is measured.
+enum class SharingWay {
+  kBorrowing,    ///< the real one
+  kStaticSplit,  ///< equal shares, no loans
+  kOneOwner,     ///< one holder lends to all others
+};
+
+/// Something that happens to an instance of the model.
+enum class FaultKind { kKill, kPause, kRestart, kCut };
+struct Fault {
+  FaultKind kind = FaultKind::kKill;
+  Instant at;
+  std::size_t instance = 0;
+  absl::Duration length;  ///< of a pause or cut
+};
+
+/// The instance that owns the workspace when there is one owner.
+std::size_t OwnerIndex(std::size_t instances);
+
+/// What a run is made of.
+struct LimitsRun {
+  std::size_t instances = 6;
+  Arrival arrival = Arrival::kEven;
+  SharingWay way = SharingWay::kBorrowing;
+  double rate = 20'000;
+  double burst = 40'000;
+  double cost = 1'200;
+  absl::Duration length = absl::Seconds(60);
+  absl::Duration max_wait = absl::Milliseconds(250);
+  std::vector<Fault> faults;
+  double message_loss = 0;
+  /// Part of each request's cost that turns out not to be used; given back
+  /// after up to two seconds.
+  double unused = 0;
+  /// Whether unused tokens are given back without looking at the past.
+  bool naive_refund = false;
+  /// Requests come faster than the rate by this factor.
+  double pressure = 1;
+  absl::Duration list_lag = absl::Seconds(10);
+  bool kv_out = false;
+  std::uint64_t seed = 1;
+};
+
+/// What a run showed.
+struct LimitsResult {
+  int offered = 0;  ///< requests inside the rate
+  int refused = 0;
+  double overshoot = 0;  ///< tokens above burst + rate * t; negative if none
+  std::int64_t messages = 0;
+  int dead_holder_refusals = 0;
+  std::vector<HistoryEvent> history;
+};
+
+/// A fleet of share books on a virtual clock, with a network that delays and
+/// loses messages, a list that lags, and an allotment that one keeper tends.
+class LimitsFleet {
+ public:
+  explicit LimitsFleet(const LimitsRun& run);
+
+  LimitsResult Run();
+
+ private:
+  struct Node {
+    std::int64_t incarnation = 1;
+    std::unique_ptr<ShareBook> book;
+    bool alive = true;
+    Instant paused_until;
+    Instant cut_until;
+  };
+
+  void At(Instant when, std::function<void()> action);
+  void Arrive();
+  void Step(std::size_t node, std::int64_t incarnation,
+            std::shared_ptr<Admission> admission);
+  void Borrow(std::size_t node, std::int64_t incarnation,
+              const std::shared_ptr<Admission>& admission,
+              const BorrowFrom& step);
+  void GiveBack(std::size_t node, const OverRate& over);
+  void Keep();
+  void Gossip();
+  void Apply(const Fault& fault);
+  void Restart(std::size_t node);
+  bool Reaches(std::size_t from, std::size_t to) const;
+  Instant Awake(std::size_t node) const;
+  std::size_t Choose();
+  absl::Duration Delay();
+  std::size_t IndexOf(const std::string& name) const;
+
+  const LimitsRun run;
+  ManualClock manual;
+  Clock clock;
+  std::mt19937_64 random;
+  std::multimap<Instant, std::function<void()>> queue;
+  std::vector<Node> nodes;
+  Allotment allotment;
+  std::vector<std::pair<Instant, std::set<std::string>>> lists;
+  TokenBucket ideal;
+  bool source_on = true;
+  std::size_t favourite = 0;
+  LimitsResult result;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
--- /dev/null
+++ b/tests/unit/unit-history.cc
@@ -0,0 +1,68 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+#include "tests/history/history.h"
+
+namespace dragonflyglade {
+namespace {
+
+AdmittedEvent At(double seconds, double tokens) {
+  return AdmittedEvent{absl::Seconds(seconds), "w", tokens};
+}
+
+struct RuleCase {
+  const char* name;
+  std::function<Violations(const std::vector<HistoryEvent>&)> rule;
+  std::vector<HistoryEvent> good;
+  std::vector<HistoryEvent> broken;
+};
+
+Violations Windows(const std::vector<HistoryEvent>& events) {
+  return CheckRateWindows(events, "w", 10, 100);
+}
+
+const std::vector<RuleCase>& Cases() {
+  static const auto& kCases = *new std::vector<RuleCase>{
+      {"a burst, then the rate", Windows, {At(0, 100), At(1, 10), At(3, 20)},
+       {At(0, 100), At(1, 11)}},
+      {"a window that begins late", Windows, {At(0, 1), At(50, 100)},
+       {At(0, 1), At(50, 60), At(50.5, 60)}},
+      {"unused tokens lessen their own window", Windows,
+       {At(0, 100), UnusedEvent{absl::Seconds(0), "w", 50}, At(0, 50)},
+       {At(0, 100), UnusedEvent{absl::Seconds(0), "w", 50}, At(20, 150)}},
+      {"at most once", CheckAtMostOnce, {RanEvent{"a"}, RanEvent{"b"}},
+       {RanEvent{"a"}, RanEvent{"a"}}},
+      {"true refusals", CheckAtMostOnce,
+       {RanEvent{"a"}, ToldNotRunEvent{"b"}},
+       {RanEvent{"a"}, ToldNotRunEvent{"a"}}},
+      {"configuration never back", CheckConfigNeverBack,
+       {InForceEvent{"i", "k", 3}, InForceEvent{"j", "k", 2},
+        InForceEvent{"i", "k", 4}},
+       {InForceEvent{"i", "k", 3}, InForceEvent{"i", "k", 2}}},
+      {"own and whole answers", CheckOwnAnswers, {AnswerEvent{"x", "x"}},
+       {AnswerEvent{"x", "y"}}},
+      {"memory never over", CheckMemory, {MemoryEvent{"t", 10, 10}},
+       {MemoryEvent{"t", 11, 10}}},
+  };
+  return kCases;
+}
+
+class HistoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HistoryTest);
+  CPPUNIT_TEST(EachRuleTellsGoodFromBroken);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EachRuleTellsGoodFromBroken() {
+    for (const RuleCase& item : Cases()) {
+      CPPUNIT_ASSERT_MESSAGE(item.name, item.rule(item.good).empty());
+      CPPUNIT_ASSERT_MESSAGE(item.name, !item.rule(item.broken).empty());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HistoryTest, "unit-history");
+
+}  // namespace
+}  // namespace dragonflyglade
