Refund what a smaller charge would have left, and prove the rate bound

Cause: the room remembered at the instant of the charge itself counted as overflow, so a request that took from a full bucket got nothing back. Before: a full bucket charged 100 and refunded 80 at once held 0; after: 80. Random schedules of kills, pauses, restarts, cuts, losses and late refunds find no window above burst + rate * t.

--- a/dragonflyglade/decision/rendezvous.cc
+++ b/dragonflyglade/decision/rendezvous.cc
@@ -1,5 +1,7 @@
 #include "dragonflyglade/decision/rendezvous.h"
 
+// Compiled in, so that the installed library needs no other to link with.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
--- a/dragonflyglade/decision/token_bucket.cc
+++ b/dragonflyglade/decision/token_bucket.cc
@@ -105,17 +105,18 @@
 // second burst follow the first at once, and the workspace gets more than
 // burst + rate * t in that window. The room that was there at every instant
 // since the charge is what a bucket charged the smaller amount would still
-// hold, so crediting no more than that keeps the window bound exact.
+// hold, so crediting no more than that keeps the window bound exact. The room
+// just before the charge itself does not count: it was full by right.
 double TokenBucket::Refund(double tokens, Instant since, Instant now) {
   this->Accrue(now);
   double room = this->Room();
   for (const Headroom& past : this->headrooms) {
-    if (past.at >= since) room = std::min(room, past.room);
+    if (past.at > since) room = std::min(room, past.room);
   }
   const double kept = std::clamp(tokens, 0.0, std::max(room, 0.0));
   this->level += kept;
   for (Headroom& past : this->headrooms) {
-    if (past.at >= since) past.room -= kept;
+    if (past.at > since) past.room -= kept;
   }
   return kept;
 }
--- a/tests/model/limits_fleet.cc
+++ b/tests/model/limits_fleet.cc
@@ -17,10 +17,13 @@
 constexpr absl::Duration kBorrowTimeout = absl::Milliseconds(50);
 constexpr absl::Duration kGossipEvery = absl::Milliseconds(300);
 constexpr absl::Duration kKeepEvery = absl::Milliseconds(500);
-constexpr absl::Duration kSourcePhase = absl::Seconds(4);
 constexpr absl::Duration kMoveEvery = absl::Seconds(10);
 constexpr std::size_t kSmallFleet = 8;
 constexpr std::size_t kHoldersInLargeFleet = 4;
+// Three phases with requests, then one without.
+constexpr int kPhases = 4;
+constexpr int kLastPhase = 2;
+constexpr int kPausePhase = 3;
 // Time before the first request, in which shares are given out and filled.
 constexpr absl::Duration kWarmUp = absl::Seconds(6);
 
@@ -104,6 +107,11 @@
   return 0;
 }
 
+int LimitsFleet::Phase() const {
+  const double phases = absl::FDivDuration(this->manual.Now(), this->run.phase);
+  return static_cast<int>(static_cast<std::int64_t>(phases) % kPhases);
+}
+
 void LimitsFleet::Arrive() {
   const Instant now = this->manual.Now();
   const double mean = this->run.cost / (2 * this->run.rate *
@@ -111,9 +119,7 @@
   this->At(now + absl::Seconds(absl::Exponential(this->random, 1 / mean)),
            [this] { this->Arrive(); });
   // On and off, so that bursts come after silence as well.
-  const auto phase = static_cast<std::int64_t>(
-      absl::FDivDuration(now, kSourcePhase));
-  if (phase % 4 == 3) return;
+  if (this->Phase() == kPausePhase) return;
   if (!this->ideal.Withdraw(this->run.cost, now)) return;
   ++this->result.offered;
   const std::size_t node = this->Choose();
@@ -138,7 +144,9 @@
     const Instant now = this->manual.Now();
     this->result.history.emplace_back(
         AdmittedEvent{now, kWorkspace, this->run.cost});
-    if (this->run.unused == 0) return;
+    // What comes before a pause is hardly used, what comes after it wholly:
+    // the worst order for late refunds.
+    if (this->run.unused == 0 || this->Phase() != kLastPhase) return;
     const double unused = this->run.unused * this->run.cost;
     const absl::Duration after =
         absl::Uniform(this->random, 0.0, 2.0) * absl::Seconds(1);
--- a/tests/model/limits_fleet.h
+++ b/tests/model/limits_fleet.h
@@ -51,11 +51,13 @@
   absl::Duration max_wait = absl::Milliseconds(250);
   std::vector<Fault> faults;
   double message_loss = 0;
-  /// Part of each request's cost that turns out not to be used; given back
-  /// after up to two seconds.
+  /// Part of the cost that turns out not to be used by requests of the last
+  /// phase before a pause; given back after up to two seconds.
   double unused = 0;
   /// Whether unused tokens are given back without looking at the past.
   bool naive_refund = false;
+  /// Requests come in three of every four phases.
+  absl::Duration phase = absl::Seconds(4);
   /// Requests come faster than the rate by this factor.
   double pressure = 1;
   absl::Duration list_lag = absl::Seconds(10);
@@ -91,6 +93,7 @@
   };
 
   void At(Instant when, std::function<void()> action);
+  int Phase() const;
   void Arrive();
   void Step(std::size_t node, std::int64_t incarnation,
             std::shared_ptr<Admission> admission);
