Prove that accelerator memory is never overcommitted

Random schedules of racing and pausing planners, lost, late and doubled orders, restarts and an outage of the key-value service, at targets that check fences and at targets that do not: no run holds more than a target's memory. A ledger that gives bytes back while a load order is open is caught by the same check.

--- /dev/null
+++ b/tests/model/placement_fleet.h
@@ -0,0 +1,128 @@
+#ifndef DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
+#define DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/placement_planner.h"
+#include "dragonflyglade/decision/target_ledger.h"
+#include "tests/history/history.h"
+
+namespace dragonflyglade {
+
+/// What a run is made of.
+struct PlacementRun {
+  int targets = 6;
+  int models = 12;
+  int adapters = 6;
+  int planners = 1;
+  bool fenced = false;
+  std::int64_t capacity = 1000;
+  std::int64_t model_bytes = 220;
+  std::int64_t adapter_bytes = 10;
+  absl::Duration length = absl::Minutes(10);
+  /// Part of the orders whose answer is lost, and that are carried out late.
+  double lost = 0;
+  double late = 0;
+  absl::Duration latest = absl::Seconds(60);
+  /// Chance in each second that a target restarts, and that a planner pauses.
+  double restarts = 0;
+  double pauses = 0;
+  bool kv_out_midway = false;
+  /// Demand of each model moves up and down by this factor within an hour.
+  double swing = 1;
+  double tokens_per_second = 6000;  ///< of all models together
+  bool static_placement = false;
+  PlanOptions plan;
+  /// A planner that gives bytes back as soon as an unload is confirmed.
+  bool forget_open_loads = false;
+  std::uint64_t seed = 1;
+};
+
+/// What a run showed.
+struct PlacementResult {
+  int moves = 0;  ///< loads of models
+  double attained = 0;  ///< part of the demand that found a copy with room
+  double reachable = 0;  ///< part of model-seconds with a copy
+  std::int64_t kv_writes = 0;
+  int worst_over = 0;  ///< bytes above a target's memory; 0 if never
+  std::vector<HistoryEvent> history;
+};
+
+/// Targets with finite memory, planners that may race and pause, and orders
+/// that are lost, late or doubled, on a virtual clock.
+class PlacementFleet {
+ public:
+  explicit PlacementFleet(const PlacementRun& run);
+
+  PlacementResult Run();
+
+ private:
+  struct Target {
+    std::string name;
+    int boot = 1;
+    std::int64_t highest_fence = 0;
+    std::map<std::string, std::int64_t> memory;
+  };
+  struct Stored {
+    TargetLedger ledger;
+    std::int64_t revision = 0;
+  };
+  struct Planner {
+    std::unique_ptr<PlacementPlanner> planner;
+    std::int64_t fence = 0;
+    Instant paused_until;
+    std::map<std::string, std::pair<std::int64_t, Instant>> seen;
+    int model_loads_open = 0;
+    int adapter_loads_open = 0;
+  };
+
+  void At(Instant when, std::function<void()> action);
+  void PlanRound(std::size_t planner);
+  void Act(std::size_t planner, const PlanStep& step,
+           std::map<std::string, Stored> picture);
+  bool Write(Stored stored, const std::vector<std::pair<std::string,
+                                                        std::int64_t>>& also);
+  void Send(std::size_t planner, const std::string& target, bool is_load,
+            const CopySpec& spec, const std::string& order_id,
+            std::int64_t fence);
+  bool Execute(Target& target, bool is_load, const CopySpec& spec,
+               std::int64_t fence);
+  void Settle(std::size_t planner, const std::string& target, bool is_load,
+              const OrderOutcome& outcome);
+  void Second();
+  double Demand(int model) const;
+  bool KvOut() const;
+  bool Chance(double part);
+  std::string BootId(const Target& target) const;
+  PlanInput InputFor(Planner& planner,
+                     std::map<std::string, Stored>& picture);
+
+  const PlacementRun run;
+  ManualClock manual;
+  Clock clock;
+  std::mt19937_64 random;
+  std::multimap<Instant, std::function<void()>> queue;
+  std::map<std::string, Target> targets;
+  std::map<std::string, Stored> store;
+  std::int64_t revision = 1;
+  std::vector<Planner> planners;
+  std::vector<double> phases;
+  std::vector<double> weights;
+  double demanded = 0;
+  double served = 0;
+  int model_seconds = 0;
+  int reachable_seconds = 0;
+  PlacementResult result;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
--- /dev/null
+++ b/tests/unit/unit-placement.cc
@@ -0,0 +1,171 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include "dragonflyglade/decision/target_ledger.h"
+#include "tests/model/placement_fleet.h"
+
+namespace dragonflyglade {
+namespace {
+
+TargetLedger Ledger() {
+  TargetLedger ledger;
+  ledger.target = "t";
+  ledger.capacity = 100;
+  ledger.boot_id = "boot-1";
+  return ledger;
+}
+
+CopySpec Spec(const char* name, std::int64_t bytes) {
+  return CopySpec{name, "1", "", bytes};
+}
+
+OrderOutcome Outcome(const std::string& id, const char* name, bool done,
+                     const char* boot = "boot-1", std::int64_t fence = 1) {
+  return OrderOutcome{id, name, fence, done, boot};
+}
+
+PlacementRun RandomRun() {
+  PlacementRun run;
+  run.seed = *rc::gen::arbitrary<std::uint64_t>();
+  run.targets = *rc::gen::inRange(2, 7);
+  run.models = *rc::gen::inRange(2, 14);
+  run.planners = *rc::gen::inRange(1, 4);
+  run.fenced = *rc::gen::arbitrary<bool>();
+  run.lost = *rc::gen::element(0.0, 0.1, 0.5);
+  run.late = *rc::gen::element(0.0, 0.1, 0.4);
+  run.restarts = *rc::gen::element(0.0, 0.001, 0.02);
+  run.pauses = *rc::gen::element(0.0, 0.05, 0.3);
+  run.kv_out_midway = *rc::gen::arbitrary<bool>();
+  run.swing = 100;
+  run.tokens_per_second = *rc::gen::element(1000.0, 6000.0, 20'000.0);
+  run.length = absl::Minutes(3);
+  run.plan.drop_after = absl::Seconds(5);
+  return run;
+}
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(BooksBeforeItOrders);
+  CPPUNIT_TEST(ALateLoadKeepsItsBytesBooked);
+  CPPUNIT_TEST(ARestartSettlesOldOrders);
+  CPPUNIT_TEST(AStalePlannerIsRefused);
+  CPPUNIT_TEST(MemoryIsNeverOvercommitted);
+  CPPUNIT_TEST(ForgettingOpenLoadsOvercommits);
+  CPPUNIT_TEST(EveryModelBecomesReachable);
+  CPPUNIT_TEST(HysteresisSavesMoves);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BooksBeforeItOrders() {
+    TargetLedger ledger = Ledger();
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("a", 60), 1).Ok());
+    CPPUNIT_ASSERT(!BeginLoad(ledger, Spec("b", 50), 1).Ok());
+    CPPUNIT_ASSERT(!BeginLoad(ledger, Spec("a", 10), 1).Ok());
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("c", 40), 1).Ok());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, BookedBytes(ledger));
+    const auto copy = DecodeLedger(EncodeLedger(ledger));
+    CPPUNIT_ASSERT_EQUAL(EncodeLedger(ledger), EncodeLedger(copy.Value()));
+    FinishLoad(ledger, Outcome("t-1", "a", false), false);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{40}, BookedBytes(ledger));
+  }
+
+  // A load order gets no answer and is sent again; the second one is
+  // answered. The model is unloaded later, and that is confirmed. The first
+  // order may still arrive and bring the model back, so at a target that
+  // ignores fences its bytes stay booked; at a fenced one a newer fence has
+  // made the old order void.
+  void ALateLoadKeepsItsBytesBooked() {
+    for (const bool fenced : {false, true}) {
+      TargetLedger ledger = Ledger();
+      CPPUNIT_ASSERT(BeginLoad(ledger, Spec("a", 60), 1).Ok());
+      CPPUNIT_ASSERT(RepeatLoad(ledger, "a", 2).Ok());
+      FinishLoad(ledger, Outcome("t-2", "a", true, "boot-1", 2), fenced);
+      CPPUNIT_ASSERT(BeginUnload(ledger, "a", 3).Ok());
+      FinishUnload(ledger, Outcome("t-3", "a", true, "boot-1", 3), fenced);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{fenced ? 0 : 60},
+                           BookedBytes(ledger));
+      // The late answer to the first order settles it.
+      FinishLoad(ledger, Outcome("t-1", "a", true), fenced);
+      FinishLoad(ledger, Outcome("t-1", "a", true), fenced);
+    }
+  }
+
+  void ARestartSettlesOldOrders() {
+    TargetLedger ledger = Ledger();
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("sure", 30), 1).Ok());
+    FinishLoad(ledger, Outcome("t-1", "sure", true), false);
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("open", 30), 1).Ok());
+    TakeReport(ledger, "boot-2", {}, true);
+    // The open order may have reached the new process.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{30}, BookedBytes(ledger));
+    TakeReport(ledger, "boot-3", {}, true);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, BookedBytes(ledger));
+  }
+
+  void AStalePlannerIsRefused() {
+    TargetLedger ledger = Ledger();
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("a", 10), 5).Ok());
+    const Status late = BeginLoad(ledger, Spec("b", 10), 4);
+    CPPUNIT_ASSERT(!late.Ok());
+    CPPUNIT_ASSERT(late.Error().code == Errc::kNotHeld);
+    CPPUNIT_ASSERT(!BeginUnload(ledger, "a", 4).Ok());
+  }
+
+  // Planners race and pause, orders are lost, late and doubled, targets
+  // restart, the key-value service goes out: no target ever holds more than
+  // its memory.
+  void MemoryIsNeverOvercommitted() {
+    const bool holds = rc::check("memory never over", [] {
+      const PlacementResult result = PlacementFleet(RandomRun()).Run();
+      RC_ASSERT(CheckMemory(result.history).empty());
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // The same with a ledger that gives bytes back although a load order is
+  // still open: the checker must find a target above its memory.
+  void ForgettingOpenLoadsOvercommits() {
+    int worst = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      PlacementRun run;
+      run.seed = seed;
+      run.models = 14;
+      run.targets = 3;
+      run.late = 0.4;
+      run.swing = 100;
+      run.plan.drop_after = absl::Seconds(5);
+      run.length = absl::Minutes(30);
+      run.forget_open_loads = true;
+      worst = std::max(worst, PlacementFleet(run).Run().worst_over);
+    }
+    CPPUNIT_ASSERT(worst > 0);
+  }
+
+  void EveryModelBecomesReachable() {
+    PlacementRun run;
+    run.models = 20;
+    run.restarts = 0;
+    run.lost = 0.2;
+    const PlacementResult result = PlacementFleet(run).Run();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(result.reachable),
+                           result.reachable > 0.99);
+  }
+
+  void HysteresisSavesMoves() {
+    PlacementRun run;
+    run.swing = 10;
+    run.length = absl::Hours(2);
+    const PlacementResult with = PlacementFleet(run).Run();
+    run.plan.drop_after = absl::ZeroDuration();
+    run.plan.drop_below = run.plan.add_above;
+    const PlacementResult without = PlacementFleet(run).Run();
+    CPPUNIT_ASSERT(with.moves < without.moves);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlacementTest, "unit-placement");
+
+}  // namespace
+}  // namespace dragonflyglade
