--- a/dragonflyglade/caller/caller_server.cc
+++ b/dragonflyglade/caller/caller_server.cc
@@ -41,8 +41,7 @@
   response.status = rule.http_status;
   response.set_content(RefusalBody(refusal, request_id), kJson);
   if (!rule.retry_later) return;
-  const double seconds =
-      std::ceil(absl::ToDoubleSeconds(refusal.retry_after));
+  const double seconds = std::ceil(absl::ToDoubleSeconds(refusal.retry_after));
   response.set_header("Retry-After",
                       std::to_string(std::max(1, static_cast<int>(seconds))));
 }
@@ -71,13 +70,14 @@
 struct CallerServer::Impl {
   Impl(Endpoint listen, RequestHandler& handler, const Metrics& metrics,
        int threads)
-      : handler(handler), metrics(metrics), server(std::move(listen), threads) {}
+      : handler(handler),
+        metrics(metrics),
+        server(std::move(listen), threads) {}
 
   void Route();
   void Answer(const httplib::Request& wire, httplib::Response& response);
   void AnswerStream(const std::shared_ptr<EventStream>& stream,
-                    const std::string& request_id,
-                    httplib::Response& response);
+                    const std::string& request_id, httplib::Response& response);
 
   RequestHandler& handler;
   const Metrics& metrics;
@@ -152,19 +152,18 @@
   http.Patch(".*", answer);
   http.Delete(".*", answer);
   // The library answers what it cannot parse without a body.
-  http.set_error_handler(
-      [](const httplib::Request&, httplib::Response& response) {
-        if (!response.body.empty()) return;
-        const bool too_large = response.status == 413;
-        const bool is_server_fault = response.status >= 500;
-        const RefusalCode code = too_large         ? RefusalCode::kBodyTooLarge
-                                 : is_server_fault ? RefusalCode::kInternal
-                                                   : RefusalCode::kBadRequest;
-        const int status = response.status;
-        WriteRefusal(Refusal{code, "the request could not be read"}, "",
-                     response);
-        response.status = status;
-      });
+  http.set_error_handler([](const httplib::Request&,
+                            httplib::Response& response) {
+    if (!response.body.empty()) return;
+    const bool too_large = response.status == 413;
+    const bool is_server_fault = response.status >= 500;
+    const RefusalCode code = too_large         ? RefusalCode::kBodyTooLarge
+                             : is_server_fault ? RefusalCode::kInternal
+                                               : RefusalCode::kBadRequest;
+    const int status = response.status;
+    WriteRefusal(Refusal{code, "the request could not be read"}, "", response);
+    response.status = status;
+  });
   http.set_exception_handler([](const httplib::Request&,
                                 httplib::Response& response,
                                 std::exception_ptr problem) {
@@ -173,8 +172,8 @@
     } catch (const std::exception& error) {
       LogFor(LogPart::kCaller).error("Request failed: {}.", error.what());
     }
-    WriteRefusal(Refusal{RefusalCode::kInternal, "the request failed here"},
-                 "", response);
+    WriteRefusal(Refusal{RefusalCode::kInternal, "the request failed here"}, "",
+                 response);
   });
 }
 
--- a/dragonflyglade/caller/caller_server.h
+++ b/dragonflyglade/caller/caller_server.h
@@ -12,8 +12,8 @@
 class CallerServer {
  public:
   /// @param threads the most connections that are served at once
-  CallerServer(Endpoint listen, RequestHandler& handler,
-               const Metrics& metrics, int threads);
+  CallerServer(Endpoint listen, RequestHandler& handler, const Metrics& metrics,
+               int threads);
   ~CallerServer();
 
   /// Binds and begins to answer.
--- a/dragonflyglade/caller/completion_request.cc
+++ b/dragonflyglade/caller/completion_request.cc
@@ -70,7 +70,8 @@
   if (limit == document.end() || limit->is_null()) {
     return static_cast<double>(model.max_output_tokens);
   }
-  if (!limit->is_number_integer()) return Bad("max_tokens: expected an integer");
+  if (!limit->is_number_integer())
+    return Bad("max_tokens: expected an integer");
   const auto tokens = limit->get<std::int64_t>();
   if (tokens < 1 || tokens > kMostOutputTokens) {
     return Bad(fmt::format("max_tokens: expected 1 to {}, found {}",
@@ -81,8 +82,8 @@
 
 bool MayUse(const WorkspaceRecord* workspace, const std::string& model) {
   if (workspace == nullptr || workspace->models.empty()) return true;
-  return std::find(workspace->models.begin(), workspace->models.end(),
-                   model) != workspace->models.end();
+  return std::find(workspace->models.begin(), workspace->models.end(), model) !=
+         workspace->models.end();
 }
 
 }  // namespace
@@ -114,8 +115,7 @@
   auto prompt = PromptOf(document, is_chat);
   if (auto* refusal = std::get_if<Refusal>(&prompt)) return *refusal;
   const std::string& text = std::get<std::string>(prompt);
-  request.prompt_tokens =
-      1 + static_cast<double>(text.size()) / kBytesPerToken;
+  request.prompt_tokens = 1 + static_cast<double>(text.size()) / kBytesPerToken;
   request.prefix = StableHash(text.substr(0, kPrefixBytes));
 
   const auto max_tokens = MaxTokensOf(document, *model);
--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -90,15 +90,11 @@
                  fmt::format("no target of {} can be reached", what)};
 }
 
-CompletionRunner::CompletionRunner(AdmissionGate& gate, Dispatcher& dispatcher,
-                                   TargetBook& targets,
-                                   StreamRegistry& registry,
-                                   const CatalogHolder& catalog,
-                                   DemandBook& demand,
-                                   RetryBudget& retries, Metrics& metrics,
-                                   CallerLimits limits,
-                                   TargetCallOptions call_options,
-                                   std::string_view zone, Clock clock)
+CompletionRunner::CompletionRunner(
+    AdmissionGate& gate, Dispatcher& dispatcher, TargetBook& targets,
+    StreamRegistry& registry, const CatalogHolder& catalog, DemandBook& demand,
+    RetryBudget& retries, Metrics& metrics, CallerLimits limits,
+    TargetCallOptions call_options, std::string_view zone, Clock clock)
     : gate(gate),
       dispatcher(dispatcher),
       targets(targets),
@@ -133,8 +129,7 @@
   std::weak_ptr<EventStream> weak = job->stream;
   job->entry.emplace(this->registry, context.key_id, [weak] {
     if (const auto stream = weak.lock()) {
-      stream->Fail(
-          Refusal{RefusalCode::kStreamEnded, "the key was withdrawn"});
+      stream->Fail(Refusal{RefusalCode::kStreamEnded, "the key was withdrawn"});
       stream->Cancel();
     }
   });
@@ -159,10 +154,9 @@
 void CompletionRunner::Produce(Job& job) {
   this->TryTargets(job);
   // An engine may stop early; what it did not generate is given back.
-  this->gate.Settle(job.admission, job.delivered == 0
-                                       ? 0
-                                       : job.request.prompt_tokens +
-                                             job.generated);
+  this->gate.Settle(
+      job.admission,
+      job.delivered == 0 ? 0 : job.request.prompt_tokens + job.generated);
   this->metrics.Observe(
       "dragonflyglade_request_seconds",
       fmt::format("class=\"{}\"", NameOf(job.context.request_class)),
@@ -199,8 +193,8 @@
     if (this->AttemptOnce(job, std::get<TargetPlace>(place))) return;
     job.failed_targets.insert(std::get<TargetPlace>(place).target);
   }
-  job.stream->Fail(Refusal{RefusalCode::kTargetLost,
-                           "several targets failed this request"});
+  job.stream->Fail(
+      Refusal{RefusalCode::kTargetLost, "several targets failed this request"});
 }
 
 // True when the request has its final answer.
@@ -226,9 +220,9 @@
                              "the stream broke off and could not be resumed"});
   } else if (attempt.failure.has_value()) {
     const bool timed_out = attempt.failure->code == Errc::kTimeout;
-    job.stream->Fail(Refusal{timed_out ? RefusalCode::kTargetTimeout
-                                       : RefusalCode::kTargetLost,
-                             "the target did not answer whole"});
+    job.stream->Fail(Refusal{
+        timed_out ? RefusalCode::kTargetTimeout : RefusalCode::kTargetLost,
+        "the target did not answer whole"});
   } else {
     job.stream->Fail(Refusal{RefusalCode::kTargetRefused,
                              "the target refused: " + attempt.error_body});
@@ -288,9 +282,9 @@
   if (!status.Ok()) {
     attempt.failure = status.Error();
   } else if (attempt.status == kHttpOk) {
-    attempt.failure = MakeFailure(Errc::kTruncated, "read stream",
-                                  "target " + attempt.place.target,
-                                  "no end marker");
+    attempt.failure =
+        MakeFailure(Errc::kTruncated, "read stream",
+                    "target " + attempt.place.target, "no end marker");
   }
   if (attempt.failure.has_value() && !attempt.caller_gone &&
       !job.stream->Cancelled()) {
@@ -332,14 +326,12 @@
 
 bool CompletionRunner::MayRetry(const Job& job, const Attempt& attempt) {
   if (job.delivered > 0) return false;
-  const bool certainly_not_run =
-      attempt.failure.has_value() &&
-      attempt.failure->code == Errc::kConnectFailed;
+  const bool certainly_not_run = attempt.failure.has_value() &&
+                                 attempt.failure->code == Errc::kConnectFailed;
   if (certainly_not_run) return true;
-  const bool may_help = attempt.failure.has_value() ||
-                        attempt.status >= kHttpServerError ||
-                        attempt.status == kHttpNotFound ||
-                        attempt.status == kHttpTooManyRequests;
+  const bool may_help =
+      attempt.failure.has_value() || attempt.status >= kHttpServerError ||
+      attempt.status == kHttpNotFound || attempt.status == kHttpTooManyRequests;
   if (!may_help || !this->retries.TakeRetry()) return false;
   this->metrics.Count("dragonflyglade_retries_total");
   return true;
--- a/dragonflyglade/caller/completion_runner.h
+++ b/dragonflyglade/caller/completion_runner.h
@@ -30,9 +30,9 @@
   CompletionRunner(AdmissionGate& gate, Dispatcher& dispatcher,
                    TargetBook& targets, StreamRegistry& registry,
                    const CatalogHolder& catalog, DemandBook& demand,
-                   RetryBudget& retries, Metrics& metrics,
-                   CallerLimits limits, TargetCallOptions call_options,
-                   std::string_view zone, Clock clock);
+                   RetryBudget& retries, Metrics& metrics, CallerLimits limits,
+                   TargetCallOptions call_options, std::string_view zone,
+                   Clock clock);
 
   /// Answers a completion request whose key is good.
   CallerAnswer Run(const CallContext& context, const CallerRequest& request);
--- a/dragonflyglade/caller/request_handler.cc
+++ b/dragonflyglade/caller/request_handler.cc
@@ -106,9 +106,9 @@
     return Refusal{RefusalCode::kBadRequest, "the path is too long"};
   }
   if (request.body.size() > this->limits.max_body) {
-    return Refusal{RefusalCode::kBodyTooLarge,
-                   fmt::format("the body is above {} bytes",
-                               this->limits.max_body)};
+    return Refusal{
+        RefusalCode::kBodyTooLarge,
+        fmt::format("the body is above {} bytes", this->limits.max_body)};
   }
   if (request.path == "/v1/instances") return this->AnswerInstances(request);
   const auto readiness = this->Readiness();
@@ -217,8 +217,8 @@
 CallerAnswer RequestHandler::AnswerModels(const CallContext& context) const {
   json list = json::array();
   const auto add = [&list](const std::string& name) {
-    list.push_back({{"id", name}, {"object", "model"},
-                    {"owned_by", "dragonflyglade"}});
+    list.push_back(
+        {{"id", name}, {"object", "model"}, {"owned_by", "dragonflyglade"}});
   };
   for (const auto& [name, model] : context.catalog->models) add(name);
   for (const auto& [name, adapter] : context.catalog->adapters) add(name);
--- a/dragonflyglade/caller/service_runner.cc
+++ b/dragonflyglade/caller/service_runner.cc
@@ -95,10 +95,9 @@
   const ServiceRoute* route = FindRoute(*service, request.method, path);
   if (route == nullptr) {
     const bool known = PathIsKnown(*service, path);
-    return Refusal{known ? RefusalCode::kMethodNotAllowed
-                         : RefusalCode::kNotFound,
-                   fmt::format("{} has no route {} {}", name, request.method,
-                               path)};
+    return Refusal{
+        known ? RefusalCode::kMethodNotAllowed : RefusalCode::kNotFound,
+        fmt::format("{} has no route {} {}", name, request.method, path)};
   }
   Job job;
   job.context = &context;
@@ -136,9 +135,9 @@
   need.zone = this->zone;
   need.tokens = job.service->cost_tokens;
   need.avoid = avoid;
-  const auto place = this->dispatcher.Acquire(
-      need, job.context->workspace, job.service->request_class,
-      job.place_deadline);
+  const auto place =
+      this->dispatcher.Acquire(need, job.context->workspace,
+                               job.service->request_class, job.place_deadline);
   if (const auto* found = std::get_if<TargetPlace>(&place)) return *found;
   if (const auto* reason = std::get_if<NoPlace>(&place)) {
     return RefusalFor(*reason, job.service->name);
@@ -192,8 +191,8 @@
   const std::error_code& code = reply.Error().code;
   if (code == Errc::kConnectFailed) {
     end.certainly_not_run = true;
-    end.answer = Refusal{RefusalCode::kTargetsUnreachable,
-                         "no connection to a target"};
+    end.answer =
+        Refusal{RefusalCode::kTargetsUnreachable, "no connection to a target"};
   } else if (code == Errc::kTimeout) {
     end.answer = Refusal{RefusalCode::kTargetTimeout,
                          "the target did not answer in time"};
@@ -226,8 +225,8 @@
     }
     const TargetPlace& found = std::get<TargetPlace>(place);
     const Result<HttpReply> reply = this->CallTarget(job, found);
-    this->dispatcher.Release(found, reply.Ok() ? PlaceOutcome::kGood
-                                               : PlaceOutcome::kTargetFault);
+    this->dispatcher.Release(
+        found, reply.Ok() ? PlaceOutcome::kGood : PlaceOutcome::kTargetFault);
     if (!reply.Ok()) {
       LogFor(LogPart::kTarget).warn("{}.", reply.Error().ToString());
     }
@@ -244,8 +243,7 @@
   return end;
 }
 
-ClaimStep ServiceRunner::TakeClaim(const std::string& key,
-                                   const Claim& claim) {
+ClaimStep ServiceRunner::TakeClaim(const std::string& key, const Claim& claim) {
   const Instant deadline = this->clock.Now() + kClaimDeadline;
   while (true) {
     const ClaimWrite write = this->claims.Create(key, claim);
@@ -257,13 +255,13 @@
 }
 
 CallerAnswer ServiceRunner::RunClaimed(const Job& job) {
-  const std::string key = ClaimStore::KeyFor(
-      job.context->workspace, job.request->idempotency_key);
+  const std::string key =
+      ClaimStore::KeyFor(job.context->workspace, job.request->idempotency_key);
   Claim claim;
   claim.nonce = RandomHex(kNonceBytes);
-  claim.digest = Sha256Hex(fmt::format("{}\n{}\n{}\n{}", job.service->name,
-                                       job.request->method, job.path,
-                                       job.request->body));
+  claim.digest =
+      Sha256Hex(fmt::format("{}\n{}\n{}\n{}", job.service->name,
+                            job.request->method, job.path, job.request->body));
   const ClaimStep step = this->TakeClaim(key, claim);
   if (const auto* dispatch = std::get_if<Dispatch>(&step)) {
     return this->SendClaimed(job, key, dispatch->revision, claim);
--- a/dragonflyglade/caller/service_runner.h
+++ b/dragonflyglade/caller/service_runner.h
@@ -24,10 +24,10 @@
 /// often the caller asks.
 class ServiceRunner {
  public:
-  ServiceRunner(AdmissionGate& gate, Dispatcher& dispatcher,
-                ClaimStore& claims, RetryBudget& retries, Metrics& metrics,
-                CallerLimits limits, TargetCallOptions call_options,
-                std::string_view zone, Clock clock);
+  ServiceRunner(AdmissionGate& gate, Dispatcher& dispatcher, ClaimStore& claims,
+                RetryBudget& retries, Metrics& metrics, CallerLimits limits,
+                TargetCallOptions call_options, std::string_view zone,
+                Clock clock);
 
   /// Answers "/v1/services/<name>/<path>" for a key that is good.
   CallerAnswer Run(const CallContext& context, const CallerRequest& request);
--- a/dragonflyglade/decision/allotment.cc
+++ b/dragonflyglade/decision/allotment.cc
@@ -97,10 +97,10 @@
 }
 
 void DropEmpty(std::vector<HolderShare>& holders) {
-  holders.erase(std::remove_if(
-                    holders.begin(), holders.end(),
-                    [](const HolderShare& h) { return Assumed(h) == 0; }),
-                holders.end());
+  holders.erase(
+      std::remove_if(holders.begin(), holders.end(),
+                     [](const HolderShare& h) { return Assumed(h) == 0; }),
+      holders.end());
 }
 
 }  // namespace
--- a/dragonflyglade/decision/claim.cc
+++ b/dragonflyglade/decision/claim.cc
@@ -52,9 +52,10 @@
                    {"digest", claim.digest},
                    {"state", NameOf(claim.state)}};
   if (claim.state == ClaimState::kDone) {
-    document["answer"] = {{"status", claim.answer.status},
-                          {"content_type", claim.answer.content_type},
-                          {"body_base64", absl::Base64Escape(claim.answer.body)}};
+    document["answer"] = {
+        {"status", claim.answer.status},
+        {"content_type", claim.answer.content_type},
+        {"body_base64", absl::Base64Escape(claim.answer.body)}};
   }
   return document.dump();
 }
--- a/dragonflyglade/decision/failure.cc
+++ b/dragonflyglade/decision/failure.cc
@@ -58,8 +58,8 @@
 }
 
 std::string Failure::ToString() const {
-  std::string line = fmt::format("{} at {}: {}", this->step, this->peer,
-                                 this->code.message());
+  std::string line =
+      fmt::format("{} at {}: {}", this->step, this->peer, this->code.message());
   if (!this->detail.empty()) line += fmt::format(" ({})", this->detail);
   return line;
 }
--- a/dragonflyglade/decision/fair_queue.cc
+++ b/dragonflyglade/decision/fair_queue.cc
@@ -53,9 +53,9 @@
     }
   }
   if (!oldest.has_value()) return std::nullopt;
-  const Line& line = this->classes.at(static_cast<std::size_t>(
-                                          oldest->request_class))
-                         .lines.at(oldest->workspace);
+  const Line& line =
+      this->classes.at(static_cast<std::size_t>(oldest->request_class))
+          .lines.at(oldest->workspace);
   if (!search.can_place(line.entries.front())) return std::nullopt;
   return oldest;
 }
@@ -132,8 +132,7 @@
 
 void FairQueue::Refund(std::string_view workspace, RequestClass request_class,
                        double unused) {
-  ClassQueue& queue =
-      this->classes.at(static_cast<std::size_t>(request_class));
+  ClassQueue& queue = this->classes.at(static_cast<std::size_t>(request_class));
   const auto found = queue.lines.find(workspace);
   if (found == queue.lines.end()) return;
   found->second.finish -= unused;
--- a/dragonflyglade/decision/freshness.h
+++ b/dragonflyglade/decision/freshness.h
@@ -16,7 +16,7 @@
 
 /// How the instance stands among those that the platform lists.
 struct Reach {
-  int listed_others = 0;    ///< listed, not leaving, other than self
+  int listed_others = 0;     ///< listed, not leaving, other than self
   int reachable_others = 0;  ///< of those, how many answer heartbeats
 };
 
--- a/dragonflyglade/decision/membership.cc
+++ b/dragonflyglade/decision/membership.cc
@@ -105,11 +105,10 @@
                          absl::Span<const MemberStatement> updates) {
   absl::MutexLock lock(&this->mutex);
   const auto found = this->members.find(sender.info.name);
-  const bool was_current =
-      found != this->members.end() &&
-      std::tie(found->second.statement.incarnation,
-               found->second.statement.sequence) ==
-          std::tie(sender.incarnation, sender.sequence);
+  const bool was_current = found != this->members.end() &&
+                           std::tie(found->second.statement.incarnation,
+                                    found->second.statement.sequence) ==
+                               std::tie(sender.incarnation, sender.sequence);
   if (!this->TakeStatement(sender) && was_current) {
     // Heard directly: it lives, whatever was suspected, and its load is new.
     Member& member = found->second;
--- a/dragonflyglade/decision/placement_planner.cc
+++ b/dragonflyglade/decision/placement_planner.cc
@@ -36,9 +36,8 @@
 
   int Copies(std::string_view name) const {
     const auto found = this->copies.find(name);
-    return found == this->copies.end()
-               ? 0
-               : static_cast<int>(found->second.size());
+    return found == this->copies.end() ? 0
+                                       : static_cast<int>(found->second.size());
   }
 
   // Copies that surely serve: confirmed, and there by the last report.
@@ -106,11 +105,10 @@
 
 std::vector<PlanStep> PlacementPlanner::Plan(const PlanInput& input) {
   const Instant now = this->clock.Now();
-  this->load_credit =
-      std::min(static_cast<double>(this->options.loads_at_once),
-               this->load_credit +
-                   this->options.loads_per_second *
-                       absl::ToDoubleSeconds(now - this->credited));
+  this->load_credit = std::min(
+      static_cast<double>(this->options.loads_at_once),
+      this->load_credit + this->options.loads_per_second *
+                              absl::ToDoubleSeconds(now - this->credited));
   this->credited = now;
   Round round(input);
   round.model_loads_left =
@@ -236,8 +234,7 @@
       return;
     }
     --round.model_loads_left;
-    round.Load(*target,
-               CopySpec{model.name, model.version, "", model.bytes});
+    round.Load(*target, CopySpec{model.name, model.version, "", model.bytes});
   }
 }
 
@@ -276,8 +273,7 @@
     }
   }
   if (!best.has_value()) return false;
-  round.Unload(*best, best_name,
-               round.targets[best_stay].ledger.target);
+  round.Unload(*best, best_name, round.targets[best_stay].ledger.target);
   return true;
 }
 
@@ -306,8 +302,7 @@
     known.insert(model.name);
     if (round.unloading_now.count(model.name) > 0) continue;
     const auto found = round.input.demand.find(model.name);
-    const double demand =
-        found == round.input.demand.end() ? 0 : found->second;
+    const double demand = found == round.input.demand.end() ? 0 : found->second;
     const std::vector<std::size_t> sure = round.Sure(model.name);
     const int present = round.Copies(model.name);
     if (sure.size() < 2 ||
--- a/dragonflyglade/decision/refusal.cc
+++ b/dragonflyglade/decision/refusal.cc
@@ -38,10 +38,8 @@
     {RefusalCode::kClaimInDoubt, "claim_in_doubt", 409, Ran::kUnknown, kLater},
     {RefusalCode::kIdempotencyKeyReused, "idempotency_key_reused", 422,
      Ran::kNo, kNever},
-    {RefusalCode::kTargetRefused, "target_refused", 502, Ran::kUnknown,
-     kNever},
-    {RefusalCode::kTargetTimeout, "target_timeout", 504, Ran::kUnknown,
-     kNever},
+    {RefusalCode::kTargetRefused, "target_refused", 502, Ran::kUnknown, kNever},
+    {RefusalCode::kTargetTimeout, "target_timeout", 504, Ran::kUnknown, kNever},
     {RefusalCode::kTargetLost, "target_lost", 502, Ran::kUnknown, kNever},
     {RefusalCode::kAnswerTruncated, "answer_truncated", 502, Ran::kUnknown,
      kNever},
@@ -57,9 +55,7 @@
   return kRules.at(static_cast<std::size_t>(code));
 }
 
-std::string_view NameOf(Ran ran) {
-  return ran == Ran::kNo ? "no" : "unknown";
-}
+std::string_view NameOf(Ran ran) { return ran == Ran::kNo ? "no" : "unknown"; }
 
 std::string RefusalBody(const Refusal& refusal, std::string_view request_id) {
   using nlohmann::json;
--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -41,7 +41,8 @@
   kInternal,
 };
 
-inline constexpr int kRefusalCodes = static_cast<int>(RefusalCode::kInternal) + 1;
+inline constexpr int kRefusalCodes =
+    static_cast<int>(RefusalCode::kInternal) + 1;
 
 /// Whether the refused call may have run at a target.
 enum class Ran { kNo, kUnknown };
--- a/dragonflyglade/decision/rendezvous.cc
+++ b/dragonflyglade/decision/rendezvous.cc
@@ -13,9 +13,9 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-std::vector<std::string> RendezvousOwners(
-    std::string_view key, absl::Span<const std::string> members,
-    std::size_t count) {
+std::vector<std::string> RendezvousOwners(std::string_view key,
+                                          absl::Span<const std::string> members,
+                                          std::size_t count) {
   const std::uint64_t seed = StableHash(key);
   std::vector<std::pair<std::uint64_t, std::string_view>> weighted;
   weighted.reserve(members.size());
--- a/dragonflyglade/decision/rendezvous.h
+++ b/dragonflyglade/decision/rendezvous.h
@@ -24,9 +24,9 @@
 /// @param count how many owners are wanted
 /// @return at most count names, the heaviest first
 /// Complexity: O(n log n) in the members.
-std::vector<std::string> RendezvousOwners(
-    std::string_view key, absl::Span<const std::string> members,
-    std::size_t count);
+std::vector<std::string> RendezvousOwners(std::string_view key,
+                                          absl::Span<const std::string> members,
+                                          std::size_t count);
 
 /// Whether self is among the first count owners of key.
 bool IsRendezvousOwner(std::string_view key, std::string_view self,
--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -43,8 +43,7 @@
                                    std::string_view workspace) const {
   const auto found = shard.books.find(workspace);
   if (found != shard.books.end()) return found->second;
-  return shard.books
-      .emplace(std::string(workspace), Book(this->clock.Now()))
+  return shard.books.emplace(std::string(workspace), Book(this->clock.Now()))
       .first->second;
 }
 
@@ -58,8 +57,7 @@
       ShareOf(*book.allotment, this->instance, this->incarnation);
   const double rate = book.rate->tokens_per_second;
   const double part = PartOf(share);
-  book.bucket.Configure(part * rate, part * book.rate->burst_tokens,
-                        now);
+  book.bucket.Configure(part * rate, part * book.rate->burst_tokens, now);
   book.share = share;
 }
 
@@ -80,10 +78,9 @@
     return;
   }
   const Instant now = this->clock.Now();
-  const bool shrinks = ShareOf(allotment, this->instance, this->incarnation) <
-                       book.share;
-  const bool owes =
-      book.bucket.Level(now) < 0 || book.bucket.Reserved(now) > 0;
+  const bool shrinks =
+      ShareOf(allotment, this->instance, this->incarnation) < book.share;
+  const bool owes = book.bucket.Level(now) < 0 || book.bucket.Reserved(now) > 0;
   book.allotment = allotment;
   this->Reconfigure(book, now);
   if (shrinks && owes) {
@@ -156,10 +153,10 @@
 // later than the lender's debit.
 void ShareBook::DropStale(Admission& admission, Instant now) {
   auto& parts = admission.in_hand;
-  parts.erase(std::remove_if(
-                  parts.begin(), parts.end(),
-                  [now](const TokensInHand& p) { return p.use_by <= now; }),
-              parts.end());
+  parts.erase(
+      std::remove_if(parts.begin(), parts.end(),
+                     [now](const TokensInHand& p) { return p.use_by <= now; }),
+      parts.end());
 }
 
 AdmissionStep ShareBook::Spend(Admission& admission, Instant now) {
@@ -206,8 +203,7 @@
 // More buckets mean a shorter wait and more messages; the ask price weighs
 // one against the other.
 std::optional<ShareBook::Draw> ShareBook::ChooseDraw(
-    std::vector<Source> sources, double tokens,
-    absl::Duration longest) const {
+    std::vector<Source> sources, double tokens, absl::Duration longest) const {
   const auto time_to_empty = [this](const Source& source) {
     const absl::Duration left = absl::Seconds(source.level / source.rate);
     return source.peer.empty() ? left + this->options.own_preference : left;
@@ -247,12 +243,10 @@
 AdmissionStep ShareBook::GatherMore(Book& book, Admission& admission,
                                     double missing, Instant now) const {
   const std::vector<Source> sources = this->Sources(book, admission, now);
-  const absl::Duration patience =
-      admission.started + admission.max_wait - now;
+  const absl::Duration patience = admission.started + admission.max_wait - now;
   const absl::Duration longest =
       std::min(patience, this->options.longest_promise);
-  const std::optional<Draw> draw =
-      this->ChooseDraw(sources, missing, longest);
+  const std::optional<Draw> draw = this->ChooseDraw(sources, missing, longest);
   if (!draw.has_value()) {
     double level = 0;
     for (const Source& source : sources) level += source.level;
@@ -273,14 +267,14 @@
   }
   std::optional<Reservation> reserved;
   if (admission.asks <= kMostAsks) {
-    reserved = book.bucket.Reserve(missing, longest, this->options.hold_limit,
-                                   now);
+    reserved =
+        book.bucket.Reserve(missing, longest, this->options.hold_limit, now);
   }
   if (!reserved.has_value()) {
     return this->GiveUp(book, admission, draw->wait, now);
   }
-  admission.in_hand.push_back(TokensInHand{
-      "", missing, 0, now + reserved->wait, now + reserved->use_by});
+  admission.in_hand.push_back(TokensInHand{"", missing, 0, now + reserved->wait,
+                                           now + reserved->use_by});
   return Spend(admission, now);
 }
 
@@ -292,9 +286,8 @@
     if (part.peer.empty()) {
       book.bucket.Refund(part.tokens, admission.started, now);
     } else {
-      over.returns.push_back(
-          LoanReturn{part.peer, static_cast<std::int64_t>(part.tokens),
-                     part.stamp});
+      over.returns.push_back(LoanReturn{
+          part.peer, static_cast<std::int64_t>(part.tokens), part.stamp});
     }
   }
   admission.in_hand.clear();
@@ -342,10 +335,10 @@
   const Instant now = this->clock.Now();
   book.last_demand = now;
   Loan loan;
-  const std::optional<Reservation> reserved = book.bucket.Reserve(
-      static_cast<double>(tokens),
-      std::min(longest, this->options.longest_promise),
-      this->options.hold_limit, now);
+  const std::optional<Reservation> reserved =
+      book.bucket.Reserve(static_cast<double>(tokens),
+                          std::min(longest, this->options.longest_promise),
+                          this->options.hold_limit, now);
   if (reserved.has_value()) {
     loan.granted = tokens;
     loan.wait = reserved->wait;
--- a/dragonflyglade/decision/share_book.h
+++ b/dragonflyglade/decision/share_book.h
@@ -45,8 +45,8 @@
   std::string peer;  ///< empty for the own bucket
   double tokens = 0;
   std::int64_t stamp = 0;  ///< the giver's; goes back with returned tokens
-  Instant spend_from;  ///< not before this
-  Instant use_by;      ///< and not after this
+  Instant spend_from;      ///< not before this
+  Instant use_by;          ///< and not after this
 };
 
 /// One request's way to its tokens. Made by ShareBook::Begin.
@@ -223,8 +223,7 @@
                            Instant now) const;
   OverRate GiveUp(Book& book, Admission& admission, absl::Duration missing,
                   Instant now) const;
-  AdmissionStep NextInBook(Book& book, Admission& admission,
-                           Instant now) const;
+  AdmissionStep NextInBook(Book& book, Admission& admission, Instant now) const;
 
   const std::string instance;
   const std::int64_t incarnation;
--- a/dragonflyglade/decision/target_book.cc
+++ b/dragonflyglade/decision/target_book.cc
@@ -136,9 +136,9 @@
       age == absl::InfiniteDuration()
           ? 0.0
           : std::exp(-std::max(0.0, absl::ToDoubleSeconds(age)) / 2.0);
-  double cost = std::max(target.outstanding,
-                         trust * target.report.queued_tokens) +
-                0.1 * target.outstanding;
+  double cost =
+      std::max(target.outstanding, trust * target.report.queued_tokens) +
+      0.1 * target.outstanding;
   if (target.listed.zone != need.zone) {
     cost += this->options.zone_penalty_tokens;
   }
--- a/dragonflyglade/decision/target_book.h
+++ b/dragonflyglade/decision/target_book.h
@@ -2,7 +2,6 @@
 #define DRAGONFLYGLADE_DECISION_TARGET_BOOK_H_
 
 #include <array>
-#include <variant>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
@@ -30,9 +30,9 @@
 
 /// What a target says of its load. It lags.
 struct LoadReport {
-  double queued_tokens = 0;  ///< not yet processed, from all instances
-  int running = 0;           ///< requests in its batch
-  std::string boot_id;       ///< changes when the target restarts
+  double queued_tokens = 0;        ///< not yet processed, from all instances
+  int running = 0;                 ///< requests in its batch
+  std::string boot_id;             ///< changes when the target restarts
   std::set<std::string> resident;  ///< models and adapters in memory
   absl::Duration lag;  ///< how old the figures were when they arrived
 };
@@ -53,9 +53,9 @@
 /// What a request asks of a target.
 struct TargetNeed {
   std::string pool;
-  std::string model;    ///< empty for plain services
-  std::string adapter;  ///< empty for none
-  std::string zone;     ///< the asking instance's availability zone
+  std::string model;         ///< empty for plain services
+  std::string adapter;       ///< empty for none
+  std::string zone;          ///< the asking instance's availability zone
   std::uint64_t prefix = 0;  ///< hash of the prompt's beginning; 0 for none
   double tokens = 0;
   std::set<std::string> avoid;  ///< targets that failed this request already
--- a/dragonflyglade/decision/target_ledger.cc
+++ b/dragonflyglade/decision/target_ledger.cc
@@ -20,8 +20,7 @@
 }
 
 void Remove(TargetLedger& ledger, std::string_view name) {
-  ledger.copies.erase(std::remove_if(ledger.copies.begin(),
-                                     ledger.copies.end(),
+  ledger.copies.erase(std::remove_if(ledger.copies.begin(), ledger.copies.end(),
                                      [name](const LedgerCopy& copy) {
                                        return copy.name == name;
                                      }),
@@ -88,13 +87,13 @@
     if (copy.load_fence >= fence) continue;
     copy.open_loads.clear();
   }
-  ledger.copies.erase(
-      std::remove_if(ledger.copies.begin(), ledger.copies.end(),
-                     [](const LedgerCopy& copy) {
-                       return copy.state == CopyState::kUncertain &&
-                              copy.open_loads.empty();
-                     }),
-      ledger.copies.end());
+  ledger.copies.erase(std::remove_if(ledger.copies.begin(), ledger.copies.end(),
+                                     [](const LedgerCopy& copy) {
+                                       return copy.state ==
+                                                  CopyState::kUncertain &&
+                                              copy.open_loads.empty();
+                                     }),
+                      ledger.copies.end());
 }
 
 const char* NameOf(CopyState state) {
@@ -112,8 +111,8 @@
 }
 
 CopyState StateOf(const std::string& name) {
-  for (const CopyState state : {CopyState::kLoading, CopyState::kLoaded,
-                                CopyState::kUnloading}) {
+  for (const CopyState state :
+       {CopyState::kLoading, CopyState::kLoaded, CopyState::kUnloading}) {
     if (name == NameOf(state)) return state;
   }
   return CopyState::kUncertain;
@@ -208,8 +207,7 @@
                   bool fenced) {
   Rebase(ledger, outcome.boot_id);
   LedgerCopy* copy = Find(ledger, outcome.name);
-  const bool is_newest =
-      copy != nullptr && copy->order_id == outcome.order_id;
+  const bool is_newest = copy != nullptr && copy->order_id == outcome.order_id;
   if (is_newest && outcome.done && copy->state == CopyState::kUnloading) {
     if (copy->open_loads.empty()) {
       Remove(ledger, outcome.name);
@@ -259,12 +257,10 @@
                       {"load_fence", copy.load_fence},
                       {"order_id", copy.order_id}});
   }
-  const json document = {{"target", ledger.target},
-                         {"capacity", ledger.capacity},
-                         {"fence", ledger.fence},
-                         {"boot_id", ledger.boot_id},
-                         {"orders", ledger.orders},
-                         {"copies", copies}};
+  const json document = {
+      {"target", ledger.target}, {"capacity", ledger.capacity},
+      {"fence", ledger.fence},   {"boot_id", ledger.boot_id},
+      {"orders", ledger.orders}, {"copies", copies}};
   return document.dump();
 }
 
@@ -284,8 +280,7 @@
       copy.base = item.at("base");
       copy.bytes = item.at("bytes");
       copy.state = StateOf(item.at("state"));
-      copy.open_loads =
-          item.at("open_loads").get<std::vector<std::string>>();
+      copy.open_loads = item.at("open_loads").get<std::vector<std::string>>();
       copy.repeated = item.value("repeated", false);
       copy.survived_restart = item.value("survived_restart", false);
       copy.load_fence = item.at("load_fence");
--- a/dragonflyglade/decision/target_ledger.h
+++ b/dragonflyglade/decision/target_ledger.h
@@ -86,8 +86,7 @@
 
 /// Takes the answer to a load order. Taking it twice changes nothing more.
 /// @param fenced whether the target refuses orders with an old fence
-void FinishLoad(TargetLedger& ledger, const OrderOutcome& outcome,
-                bool fenced);
+void FinishLoad(TargetLedger& ledger, const OrderOutcome& outcome, bool fenced);
 
 /// Takes the answer to an unload order. Taking it twice changes nothing more.
 void FinishUnload(TargetLedger& ledger, const OrderOutcome& outcome,
--- a/dragonflyglade/decision/token_bucket.cc
+++ b/dragonflyglade/decision/token_bucket.cc
@@ -84,11 +84,11 @@
   this->level -= tokens;
   this->outstanding_total += tokens;
   const Outstanding entry{now + reservation.use_by, tokens};
-  const auto place = std::upper_bound(
-      this->outstanding.begin(), this->outstanding.end(), entry,
-      [](const Outstanding& a, const Outstanding& b) {
-        return a.expires < b.expires;
-      });
+  const auto place =
+      std::upper_bound(this->outstanding.begin(), this->outstanding.end(),
+                       entry, [](const Outstanding& a, const Outstanding& b) {
+                         return a.expires < b.expires;
+                       });
   this->outstanding.insert(place, entry);
   return reservation;
 }
--- a/dragonflyglade/instance/allotment_keeper.cc
+++ b/dragonflyglade/instance/allotment_keeper.cc
@@ -117,8 +117,7 @@
 }
 
 void AllotmentKeeper::Improve(const std::string& workspace,
-                              const Stored& stored,
-                              const AllotmentView& view) {
+                              const Stored& stored, const AllotmentView& view) {
   const std::optional<Allotment> next = NextAllotment(stored.allotment, view);
   if (!next.has_value()) return;
   const std::string key = AllotmentKey(workspace);
--- a/dragonflyglade/instance/allotment_keeper.h
+++ b/dragonflyglade/instance/allotment_keeper.h
@@ -22,10 +22,10 @@
 /// whoever takes it, since it rests on facts that stay true.
 class AllotmentKeeper {
  public:
-  AllotmentKeeper(const KvClient& kv, PeerClient& peers,
-                  Membership& membership, ShareBook& shares,
-                  const CatalogHolder& catalog, AuditTrail& audit,
-                  absl::Duration period, absl::Duration settle, Clock clock);
+  AllotmentKeeper(const KvClient& kv, PeerClient& peers, Membership& membership,
+                  ShareBook& shares, const CatalogHolder& catalog,
+                  AuditTrail& audit, absl::Duration period,
+                  absl::Duration settle, Clock clock);
   ~AllotmentKeeper();
 
   void Start();
--- a/dragonflyglade/instance/config_follower.cc
+++ b/dragonflyglade/instance/config_follower.cc
@@ -207,8 +207,8 @@
     for (const KvEvent& event : events) {
       newest = std::max(newest, event.entry.mod_revision);
       if (event.deleted) {
-        this->records.Offer(RecordVersion{event.entry.key,
-                                          event.entry.mod_revision, "", true});
+        this->records.Offer(
+            RecordVersion{event.entry.key, event.entry.mod_revision, "", true});
       } else {
         puts.push_back(event.entry);
       }
--- a/dragonflyglade/instance/instance.cc
+++ b/dragonflyglade/instance/instance.cc
@@ -36,8 +36,8 @@
 MemberStatement SelfOf(const Settings& settings) {
   MemberStatement self;
   self.info = MemberInfo{settings.name, settings.peer_listen.address,
-                         settings.peer_listen.port,
-                         settings.caller_listen.port, settings.zone};
+                         settings.peer_listen.port, settings.caller_listen.port,
+                         settings.zone};
   self.incarnation = absl::ToUnixMicros(absl::Now());
   return self;
 }
@@ -62,11 +62,12 @@
         demand(kDemandMemory, clock),
         audit(kv, settings.name),
         peers(settings.peers, clock),
-        heartbeats(membership, shares, records, freshness, targets,
-                   [this](const MemberStatement& newer) {
-                     this->follower.PullFrom(newer);
-                   },
-                   clock),
+        heartbeats(
+            membership, shares, records, freshness, targets,
+            [this](const MemberStatement& newer) {
+              this->follower.PullFrom(newer);
+            },
+            clock),
         heartbeat_loop(membership, heartbeats, peers,
                        settings.periods.heartbeat, clock),
         gate(shares, membership, peers),
@@ -78,17 +79,18 @@
                     settings.zone, clock),
         services(gate, dispatcher, claims, retries, metrics, settings.limits,
                  settings.target_calls, settings.zone, clock),
-        handler(catalog, freshness, membership, completions, services,
-                registry, metrics, settings.limits, settings.keep),
+        handler(catalog, freshness, membership, completions, services, registry,
+                metrics, settings.limits, settings.keep),
         callers(settings.caller_listen, handler, metrics, settings.threads),
-        follower(kv, peers, membership, records, freshness, catalog,
-                 FollowerOptions{settings.periods.config_reread,
-                                 2 * settings.periods.config_reread,
-                                 settings.config_relays},
-                 [this](const std::shared_ptr<const Catalog>& newest) {
-                   this->Follow(newest);
-                 },
-                 clock),
+        follower(
+            kv, peers, membership, records, freshness, catalog,
+            FollowerOptions{settings.periods.config_reread,
+                            2 * settings.periods.config_reread,
+                            settings.config_relays},
+            [this](const std::shared_ptr<const Catalog>& newest) {
+              this->Follow(newest);
+            },
+            clock),
         keeper(kv, peers, membership, shares, catalog, audit,
                settings.periods.allotments,
                settings.shares.longest_promise + settings.shares.hold_limit,
@@ -110,14 +112,13 @@
         audit_worker([this] {
           const auto flushed = this->audit.Flush();
           if (!flushed.Ok()) {
-            LogFor(LogPart::kOperator).debug("{}.",
-                                             flushed.Error().ToString());
+            LogFor(LogPart::kOperator).debug("{}.", flushed.Error().ToString());
           }
           return kAuditPeriod;
         }),
         load_worker([this] {
-          const double load = this->callers.Active() * kFullLoad /
-                              this->settings.threads;
+          const double load =
+              this->callers.Active() * kFullLoad / this->settings.threads;
           this->membership.SetLoad(
               std::min(static_cast<int>(kFullLoad), static_cast<int>(load)));
           return kLoadPeriod;
@@ -206,10 +207,10 @@
 }
 
 nlohmann::json Instance::Parts::ReadStatus() const {
-  return InstanceStatus(StatusSources{
-      this->membership, this->records, this->freshness, this->targets,
-      this->shares, this->catalog, this->metrics, this->follower.IsRelay(),
-      this->dispatcher.Waiting()});
+  return InstanceStatus(
+      StatusSources{this->membership, this->records, this->freshness,
+                    this->targets, this->shares, this->catalog, this->metrics,
+                    this->follower.IsRelay(), this->dispatcher.Waiting()});
 }
 
 bool Instance::Parts::HoldsShares() const {
@@ -330,6 +331,8 @@
   p.peer_server.Stop();
 }
 
-nlohmann::json Instance::StatusJson() const { return this->parts->ReadStatus(); }
+nlohmann::json Instance::StatusJson() const {
+  return this->parts->ReadStatus();
+}
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/instance/instance_status.cc
+++ b/dragonflyglade/instance/instance_status.cc
@@ -102,12 +102,11 @@
                                     {"held", holder.held}};
       }
     }
-    workspaces.push_back(
-        {{"name", name},
-         {"tokens_per_second", rate.limit.tokens_per_second},
-         {"burst_tokens", rate.limit.burst_tokens},
-         {"epoch", followed.has_value() ? followed->epoch : 0},
-         {"holders", holders}});
+    workspaces.push_back({{"name", name},
+                          {"tokens_per_second", rate.limit.tokens_per_second},
+                          {"burst_tokens", rate.limit.burst_tokens},
+                          {"epoch", followed.has_value() ? followed->epoch : 0},
+                          {"holders", holders}});
   }
   return workspaces;
 }
@@ -116,16 +115,16 @@
 
 json InstanceStatus(const StatusSources& sources) {
   const MemberStatement self = sources.membership.Self();
-  return {{"instance", self.info.name},
-          {"incarnation", self.incarnation},
-          {"state", self.leaving ? "leaving" : "serving"},
-          {"configuration", ConfigurationOf(sources)},
-          {"members", MembersOf(sources)},
-          {"targets", TargetsOf(sources)},
-          {"workspaces", WorkspacesOf(sources)},
-          {"waiting", sources.waiting},
-          {"refusals",
-           sources.metrics.Counters("dragonflyglade_refusals_total")}};
+  return {
+      {"instance", self.info.name},
+      {"incarnation", self.incarnation},
+      {"state", self.leaving ? "leaving" : "serving"},
+      {"configuration", ConfigurationOf(sources)},
+      {"members", MembersOf(sources)},
+      {"targets", TargetsOf(sources)},
+      {"workspaces", WorkspacesOf(sources)},
+      {"waiting", sources.waiting},
+      {"refusals", sources.metrics.Counters("dragonflyglade_refusals_total")}};
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/instance/placement_runner.cc
+++ b/dragonflyglade/instance/placement_runner.cc
@@ -67,8 +67,8 @@
     if (pool.role == nullptr) {
       pool.role = std::make_unique<RoleLease>(this->kv, role, self,
                                               this->options.lease, this->clock);
-      pool.planner = std::make_unique<PlacementPlanner>(this->options.plan,
-                                                        this->clock);
+      pool.planner =
+          std::make_unique<PlacementPlanner>(this->options.plan, this->clock);
     }
     if (!is_candidate) {
       pool.role->Release();
@@ -93,8 +93,8 @@
     const Result<TargetLedger> ledger = DecodeLedger(entry.value);
     if (!ledger.Ok()) {
       // Without the ledger nothing may be ordered at this target.
-      LogFor(LogPart::kPlacement).error("{}: {}.", entry.key,
-                                        ledger.Error().ToString());
+      LogFor(LogPart::kPlacement)
+          .error("{}: {}.", entry.key, ledger.Error().ToString());
       continue;
     }
     round.ledgers[ledger.Value().target] =
@@ -135,10 +135,9 @@
     const auto status = round.statuses.find(target);
     if (status == round.statuses.end()) continue;
     const std::string before = EncodeLedger(stored.ledger);
-    TakeReport(stored.ledger, status->second.boot_id,
-               status->second.resident,
-               this->ReportIsAfter(round, status->second,
-                                   absl::ZeroDuration()));
+    TakeReport(
+        stored.ledger, status->second.boot_id, status->second.resident,
+        this->ReportIsAfter(round, status->second, absl::ZeroDuration()));
     if (EncodeLedger(stored.ledger) == before) continue;
     if (!this->Store(round, stored, {})) {
       stored.ledger = DecodeLedger(before).Value();
@@ -149,8 +148,7 @@
 std::map<std::string, double> PlacementRunner::FleetDemand() {
   std::map<std::string, double> total = this->demand.Rates();
   for (const MemberStatement& member : this->membership.All()) {
-    const bool is_self =
-        member.info.name == this->membership.Self().info.name;
+    const bool is_self = member.info.name == this->membership.Self().info.name;
     if (is_self || member.state != MemberState::kAlive) continue;
     const Result<wire::DemandReport> report =
         this->peers.Demand(PeerEndpoint(member));
@@ -256,8 +254,7 @@
   if (!RepeatLoad(stored.ledger, step.spec.name, round.fence).Ok()) return;
   if (!this->Store(round, stored, {})) return;
   round.ledgers[step.target] = stored;
-  this->audit.Add("placement reload", step.target,
-                  {{"name", step.spec.name}});
+  this->audit.Add("placement reload", step.target, {{"name", step.spec.name}});
   this->SendLoad(round, stored, step.spec);
 }
 
@@ -299,9 +296,8 @@
       order.is_adapter ? this->adapter_loads_open : this->model_loads_open;
   if (order.is_load) ++open;
   this->orders.Run([this, &open, order = std::move(order)] {
-    const EngineClient engine(
-        Endpoint{order.target.address, order.target.port}, order.target.name,
-        this->call_options);
+    const EngineClient engine(Endpoint{order.target.address, order.target.port},
+                              order.target.name, this->call_options);
     const Result<OrderReply> reply = engine.Order(order.order);
     if (order.is_load) --open;
     if (reply.Ok()) {
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -30,11 +30,11 @@
 /// when the order's fate is known.
 class PlacementRunner {
  public:
-  PlacementRunner(const KvClient& kv, PeerClient& peers,
-                  Membership& membership, TargetBook& targets,
-                  const CatalogHolder& catalog, DemandBook& demand,
-                  AuditTrail& audit, TargetCallOptions call_options,
-                  PlacementOptions options, Clock clock);
+  PlacementRunner(const KvClient& kv, PeerClient& peers, Membership& membership,
+                  TargetBook& targets, const CatalogHolder& catalog,
+                  DemandBook& demand, AuditTrail& audit,
+                  TargetCallOptions call_options, PlacementOptions options,
+                  Clock clock);
   ~PlacementRunner();
 
   void Start();
--- a/dragonflyglade/instance/serve_command.cc
+++ b/dragonflyglade/instance/serve_command.cc
@@ -41,8 +41,7 @@
     return kExitFailed;
   }
   fmt::print(output.out, "serving callers={} peers={} operators={}\n",
-             ports.Value().caller, ports.Value().peer,
-             ports.Value().operators);
+             ports.Value().caller, ports.Value().peer, ports.Value().operators);
   output.out.flush();
   int received = 0;
   sigwait(&signals, &received);
--- a/dragonflyglade/instance/settings.cc
+++ b/dragonflyglade/instance/settings.cc
@@ -130,8 +130,8 @@
   settings.name = document.at("name");
   settings.zone = document.at("availability_zone");
   const json& listen = document.at("listen");
-  settings.caller_listen = addresses.Listen(listen.at("caller"),
-                                            "listen.caller");
+  settings.caller_listen =
+      addresses.Listen(listen.at("caller"), "listen.caller");
   settings.peer_listen = addresses.Listen(listen.at("peer"), "listen.peer");
   settings.operator_listen =
       addresses.Listen(listen.at("operator"), "listen.operator");
@@ -140,8 +140,7 @@
         addresses.Parse(endpoint.get<std::string>(), "kv.endpoints"));
   }
   settings.lists = addresses.Parse(
-      document.at("lists").at("endpoint").get<std::string>(),
-      "lists.endpoint");
+      document.at("lists").at("endpoint").get<std::string>(), "lists.endpoint");
   if (!addresses.Problems().empty()) return Invalid(addresses.Problems());
   ReadLimits(document.value("limits", json::object()), settings);
   ReadTimeouts(document.value("timeouts", json::object()), settings);
--- a/dragonflyglade/instance/settings_schema.cc
+++ b/dragonflyglade/instance/settings_schema.cc
@@ -28,11 +28,10 @@
 }
 
 json Listen() {
-  return Object({{"address", {{"type", "string"}}},
-                 {"port", {{"type", "integer"},
-                           {"minimum", 0},
-                           {"maximum", 65535}}}},
-                {"address", "port"});
+  return Object(
+      {{"address", {{"type", "string"}}},
+       {"port", {{"type", "integer"}, {"minimum", 0}, {"maximum", 65535}}}},
+      {"address", "port"});
 }
 
 json EndpointText() {
@@ -97,14 +96,15 @@
   return Object(
       {{"name", Name()},
        {"availability_zone", Name()},
-       {"listen", Object({{"caller", Listen()},
-                          {"peer", Listen()},
-                          {"operator", Listen()}},
-                         {"caller", "peer", "operator"})},
-       {"kv", Object({{"endpoints", {{"type", "array"},
-                                     {"minItems", 1},
-                                     {"items", EndpointText()}}}},
-                     {"endpoints"})},
+       {"listen",
+        Object(
+            {{"caller", Listen()}, {"peer", Listen()}, {"operator", Listen()}},
+            {"caller", "peer", "operator"})},
+       {"kv",
+        Object(
+            {{"endpoints",
+              {{"type", "array"}, {"minItems", 1}, {"items", EndpointText()}}}},
+            {"endpoints"})},
        {"lists", Object({{"endpoint", EndpointText()}}, {"endpoint"})},
        {"limits", Limits()},
        {"timeouts", Timeouts()},
@@ -115,8 +115,8 @@
                            {"prefix_bonus_tokens", Number(0)}})},
        {"log", Object({{"level",
                         {{"type", "string"},
-                         {"enum", {"trace", "debug", "info", "warn", "error",
-                                   "off"}}}},
+                         {"enum",
+                          {"trace", "debug", "info", "warn", "error", "off"}}}},
                        {"json", {{"type", "boolean"}}}})}},
       {"name", "availability_zone", "listen", "kv", "lists"});
 }
--- a/dragonflyglade/net/http_call.cc
+++ b/dragonflyglade/net/http_call.cc
@@ -103,8 +103,8 @@
     last_progress = std::chrono::steady_clock::now();
     return !this->impl->cancelled && on_head(HeadOf(response));
   };
-  wire.content_receiver = [&](const char* data, std::size_t size,
-                              std::uint64_t, std::uint64_t) {
+  wire.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
+                              std::uint64_t) {
     last_progress = std::chrono::steady_clock::now();
     return !this->impl->cancelled && on_data(std::string_view(data, size));
   };
--- a/dragonflyglade/operator/audit_trail.cc
+++ b/dragonflyglade/operator/audit_trail.cc
@@ -48,10 +48,9 @@
     return MakeFailure(Errc::kBadAnswer, "read audit trail", "kv",
                        error.what());
   }
-  std::stable_sort(entries.begin(), entries.end(),
-                   [](const AuditEntry& a, const AuditEntry& b) {
-                     return a.time < b.time;
-                   });
+  std::stable_sort(
+      entries.begin(), entries.end(),
+      [](const AuditEntry& a, const AuditEntry& b) { return a.time < b.time; });
   return entries;
 }
 
@@ -110,7 +109,8 @@
   std::vector<KvWrite> writes = {
       {this->SegmentKey(this->number), next.dump(), 0, false}};
   const bool drops = this->number - this->first_kept >= kSegmentsKept;
-  if (drops) writes.push_back({this->SegmentKey(this->first_kept), "", 0, true});
+  if (drops)
+    writes.push_back({this->SegmentKey(this->first_kept), "", 0, true});
   // The whole segment is written again, so a write whose answer was lost is
   // simply repeated.
   const Result<KvTxnReply> reply = this->kv.Txn({}, writes);
--- a/dragonflyglade/operator/catalog.cc
+++ b/dragonflyglade/operator/catalog.cc
@@ -35,8 +35,7 @@
     if (!key.Ok()) continue;
     const auto limit = retired.find(key.Value().kind);
     if (limit != retired.end() && key.Value().schema <= limit->second) continue;
-    Candidate& candidate =
-        newest[key.Value().kind + "/" + key.Value().name];
+    Candidate& candidate = newest[key.Value().kind + "/" + key.Value().name];
     if (candidate.key.schema >= key.Value().schema) continue;
     candidate = Candidate{key.Value(), &version};
   }
--- a/dragonflyglade/operator/commands.cc
+++ b/dragonflyglade/operator/commands.cc
@@ -233,8 +233,7 @@
 
 int RunConfigCommand(const std::vector<std::string>& arguments,
                      const CommandOutput& output) {
-  Parsed parsed =
-      Parse(arguments, KvOptionsDescription(), kConfigUse, output);
+  Parsed parsed = Parse(arguments, KvOptionsDescription(), kConfigUse, output);
   if (parsed.exit.has_value()) return *parsed.exit;
   if (parsed.words.empty()) {
     return BadUse(output, "expected a config command", kConfigUse);
@@ -262,9 +261,9 @@
                   const CommandOutput& output) {
   Parsed parsed = Parse(arguments, KvOptionsDescription(), kKeyUse, output);
   if (parsed.exit.has_value()) return *parsed.exit;
-  const bool usable = parsed.words.size() == 2 &&
-                      (parsed.words[0] == "grant" ||
-                       parsed.words[0] == "withdraw");
+  const bool usable =
+      parsed.words.size() == 2 &&
+      (parsed.words[0] == "grant" || parsed.words[0] == "withdraw");
   if (!usable) {
     return BadUse(output, "expected grant WORKSPACE or withdraw KEY_ID",
                   kKeyUse);
@@ -311,9 +310,9 @@
   try {
     fmt::print(output.out, "{}", StatusText(status.Value()));
   } catch (const json::exception& error) {
-    return Failed(output, MakeFailure(Errc::kBadAnswer, "show status",
-                                      instance.Value().ToString(),
-                                      error.what()));
+    return Failed(output,
+                  MakeFailure(Errc::kBadAnswer, "show status",
+                              instance.Value().ToString(), error.what()));
   }
   return kExitDone;
 }
@@ -331,10 +330,9 @@
   const KvClient kv(options.Value());
   const auto trail = ReadAuditTrail(kv);
   if (!trail.Ok()) return Failed(output, trail.Error());
-  const std::string subject =
-      parsed.options.count("subject") > 0
-          ? parsed.options["subject"].as<std::string>()
-          : std::string();
+  const std::string subject = parsed.options.count("subject") > 0
+                                  ? parsed.options["subject"].as<std::string>()
+                                  : std::string();
   for (const AuditEntry& entry : trail.Value()) {
     if (!subject.empty() && entry.subject.find(subject) == std::string::npos) {
       continue;
--- a/dragonflyglade/operator/config_editor.cc
+++ b/dragonflyglade/operator/config_editor.cc
@@ -33,8 +33,8 @@
     static const std::set<std::string> kKnown = {"kind", "schema", "name",
                                                  "value"};
     if (kKnown.count(field) > 0) continue;
-    return Invalid(fmt::format(
-        "{}.{}: expected only kind, schema, name, value", where, field));
+    return Invalid(fmt::format("{}.{}: expected only kind, schema, name, value",
+                               where, field));
   }
   const bool typed = item.contains("kind") && item.at("kind").is_string() &&
                      item.contains("name") && item.at("name").is_string() &&
@@ -131,15 +131,14 @@
     std::vector<std::string> changed;
     for (const KvExpect& expect : expects) {
       const auto& found = reply.Value().found;
-      const auto entry = std::find_if(
-          found.begin(), found.end(),
-          [&](const KvEntry& e) { return e.key == expect.key; });
+      const auto entry =
+          std::find_if(found.begin(), found.end(),
+                       [&](const KvEntry& e) { return e.key == expect.key; });
       const std::int64_t revision =
           entry == found.end() ? 0 : entry->mod_revision;
       if (revision == expect.mod_revision) continue;
       changed.push_back(fmt::format("{} is at revision {}, expected {}",
-                                    expect.key, revision,
-                                    expect.mod_revision));
+                                    expect.key, revision, expect.mod_revision));
     }
     return MakeFailure(Errc::kConflict, "apply", "kv",
                        fmt::format("{}", fmt::join(changed, "; ")));
@@ -158,8 +157,8 @@
                      "look with 'config get' before trying again");
 }
 
-Result<std::int64_t> ConfigEditor::Apply(
-    const std::vector<RecordDraft>& drafts, std::string_view action) {
+Result<std::int64_t> ConfigEditor::Apply(const std::vector<RecordDraft>& drafts,
+                                         std::string_view action) {
   std::vector<KvExpect> expects;
   std::vector<KvWrite> writes;
   for (const RecordDraft& draft : drafts) {
@@ -174,10 +173,9 @@
     writes.push_back(
         KvWrite{key, draft.value.dump(), 0, draft.value.is_null()});
   }
-  const std::string audit_key =
-      fmt::format("{}{}/{:020}-{}", kAuditPrefix, this->operator_name,
-                  absl::ToUnixMicros(absl::Now()),
-                  RandomHex(kAuditSuffixBytes));
+  const std::string audit_key = fmt::format(
+      "{}{}/{:020}-{}", kAuditPrefix, this->operator_name,
+      absl::ToUnixMicros(absl::Now()), RandomHex(kAuditSuffixBytes));
   writes.push_back(
       KvWrite{audit_key, this->AuditSegment(drafts, action), 0, false});
   return this->Commit(expects, std::move(writes), audit_key);
@@ -224,9 +222,9 @@
   std::set_difference(old_names.begin(), old_names.end(), new_names.begin(),
                       new_names.end(), std::back_inserter(left));
   if (!left.empty()) {
-    return MakeFailure(Errc::kRefused, "retire", kPeer,
-                       fmt::format("without a newer version: {}",
-                                   fmt::join(left, ", ")));
+    return MakeFailure(
+        Errc::kRefused, "retire", kPeer,
+        fmt::format("without a newer version: {}", fmt::join(left, ", ")));
   }
   RecordDraft draft;
   draft.key = RecordKey{"retirement", 1, std::string(kind)};
--- a/dragonflyglade/operator/metrics.cc
+++ b/dragonflyglade/operator/metrics.cc
@@ -57,8 +57,8 @@
     absl::MutexLock lock(&shard.mutex);
     for (const auto& [series, value] : shard.counters) {
       types[series.first] = "counter";
-      lines[series] = fmt::format(
-          "{} {}\n", Labelled(series.first, series.second), value);
+      lines[series] =
+          fmt::format("{} {}\n", Labelled(series.first, series.second), value);
     }
     for (const auto& [series, distribution] : shard.distributions) {
       const auto& [name, label] = series;
--- a/dragonflyglade/operator/metrics.h
+++ b/dragonflyglade/operator/metrics.h
@@ -24,8 +24,7 @@
   /// Adds to a counter.
   /// @param name a Prometheus name
   /// @param label one label, such as `code="over_rate"`; may be empty
-  void Count(std::string_view name, std::string_view label = {},
-             double by = 1);
+  void Count(std::string_view name, std::string_view label = {}, double by = 1);
 
   /// Adds an observation to a distribution; reported as count, sum and the
   /// 0.5 and 0.95 quantiles.
@@ -42,16 +41,14 @@
 
  private:
   using QuantileAccumulator = boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<
-                  boost::accumulators::tag::p_square_quantile>>;
-  using TotalAccumulator = boost::accumulators::accumulator_set<
       double,
-      boost::accumulators::stats<boost::accumulators::tag::count,
-                                 boost::accumulators::tag::sum>>;
+      boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+  using TotalAccumulator = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                         boost::accumulators::tag::sum>>;
   struct Distribution {
     TotalAccumulator total;
-    QuantileAccumulator median{boost::accumulators::quantile_probability =
-                                   0.5};
+    QuantileAccumulator median{boost::accumulators::quantile_probability = 0.5};
     QuantileAccumulator p95{boost::accumulators::quantile_probability = 0.95};
   };
   // Name and label.
--- a/dragonflyglade/operator/record_schemas.cc
+++ b/dragonflyglade/operator/record_schemas.cc
@@ -83,17 +83,16 @@
 }
 
 json Service() {
-  const json route = Object(
-      {{"method",
-        {{"type", "string"},
-         {"enum", {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}}}},
-       {"path", Text("^/")},
-       {"repeatable", {{"type", "boolean"}}}},
-      {"method", "path", "repeatable"});
+  const json route =
+      Object({{"method",
+               {{"type", "string"},
+                {"enum", {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}}}},
+              {"path", Text("^/")},
+              {"repeatable", {{"type", "boolean"}}}},
+             {"method", "path", "repeatable"});
   return Object(
       {{"pool", Text(kName)},
-       {"class",
-        {{"type", "string"}, {"enum", {"urgent", "chat", "batch"}}}},
+       {"class", {{"type", "string"}, {"enum", {"urgent", "chat", "batch"}}}},
        {"cost_tokens", AtLeast("number", 0)},
        {"routes", {{"type", "array"}, {"minItems", 1}, {"items", route}}}},
       {"pool", "class", "routes"});
@@ -116,11 +115,16 @@
 }
 
 std::map<std::pair<std::string, int>, json> AllSchemas() {
-  return {{{"workspace", 1}, Workspace()}, {{"key", 1}, Key()},
-          {{"rate", 1}, RateV1()},         {{"rate", 2}, RateV2()},
-          {{"pool", 1}, Pool()},           {{"model", 1}, Model()},
-          {{"adapter", 1}, Adapter()},     {{"placement", 1}, Placement()},
-          {{"service", 1}, Service()},     {{"retirement", 1}, Retirement()},
+  return {{{"workspace", 1}, Workspace()},
+          {{"key", 1}, Key()},
+          {{"rate", 1}, RateV1()},
+          {{"rate", 2}, RateV2()},
+          {{"pool", 1}, Pool()},
+          {{"model", 1}, Model()},
+          {{"adapter", 1}, Adapter()},
+          {{"placement", 1}, Placement()},
+          {{"service", 1}, Service()},
+          {{"retirement", 1}, Retirement()},
           {{"allotment", 1}, AllotmentSchema()}};
 }
 
--- a/dragonflyglade/operator/records.cc
+++ b/dragonflyglade/operator/records.cc
@@ -56,9 +56,8 @@
 }
 
 Record ToWorkspace(const RecordKey& key, const json& document) {
-  return WorkspaceRecord{
-      key.name, document.value("description", std::string()),
-      document.value("models", std::vector<std::string>())};
+  return WorkspaceRecord{key.name, document.value("description", std::string()),
+                         document.value("models", std::vector<std::string>())};
 }
 
 Record ToKey(const RecordKey& key, const json& document) {
@@ -73,9 +72,8 @@
   if (key.schema == 1) {
     record.limit.tokens_per_second = document.at("tokens_per_second");
   } else {
-    record.limit.tokens_per_second =
-        document.at("tokens").get<double>() /
-        document.at("per_seconds").get<double>();
+    record.limit.tokens_per_second = document.at("tokens").get<double>() /
+                                     document.at("per_seconds").get<double>();
   }
   return record;
 }
@@ -83,8 +81,8 @@
 Record ToPool(const RecordKey& key, const json& document) {
   PoolRecord record;
   record.name = key.name;
-  record.kind = document.at("kind") == "engine" ? PoolKind::kEngine
-                                                : PoolKind::kService;
+  record.kind =
+      document.at("kind") == "engine" ? PoolKind::kEngine : PoolKind::kService;
   record.memory_bytes = document.value("memory_bytes", std::int64_t{0});
   record.fenced = document.value("fenced", false);
   return record;
@@ -107,13 +105,12 @@
   ServiceRecord record;
   record.name = key.name;
   record.pool = document.at("pool");
-  record.request_class =
-      RequestClassOf(document.at("class").get<std::string>())
-          .value_or(RequestClass::kChat);
+  record.request_class = RequestClassOf(document.at("class").get<std::string>())
+                             .value_or(RequestClass::kChat);
   record.cost_tokens = document.value("cost_tokens", 1.0);
   for (const json& route : document.at("routes")) {
-    record.routes.push_back(ServiceRoute{
-        route.at("method"), route.at("path"), route.at("repeatable")});
+    record.routes.push_back(ServiceRoute{route.at("method"), route.at("path"),
+                                         route.at("repeatable")});
   }
   return record;
 }
@@ -175,9 +172,9 @@
 Result<RecordKey> ParseRecordKey(std::string_view text) {
   const std::vector<std::string_view> parts = Split(text);
   if (parts.size() != 4 || parts[0] != "config") {
-    return Invalid("read record key",
-                   fmt::format("expected config/<kind>/v<n>/<name>, found '{}'",
-                               text));
+    return Invalid(
+        "read record key",
+        fmt::format("expected config/<kind>/v<n>/<name>, found '{}'", text));
   }
   const int schema = SchemaNumber(parts[2]);
   if (schema < 1) {
--- a/dragonflyglade/operator/schema_check.cc
+++ b/dragonflyglade/operator/schema_check.cc
@@ -52,8 +52,7 @@
                      const std::vector<std::string>& steps) {
   const json* node = &schema;
   for (const std::string& step : steps) {
-    if (node->contains("properties") &&
-        node->at("properties").contains(step)) {
+    if (node->contains("properties") && node->at("properties").contains(step)) {
       node = &node->at("properties").at(step);
     } else if (node->contains("items")) {
       node = &node->at("items");
@@ -83,12 +82,9 @@
     parts.push_back("one of " + schema->at("enum").dump());
   }
   const std::vector<std::pair<const char*, const char*>> limits = {
-      {"minimum", "at least"},
-      {"exclusiveMinimum", "above"},
-      {"maximum", "at most"},
-      {"minLength", "length at least"},
-      {"minItems", "items at least"},
-      {"pattern", "matching"}};
+      {"minimum", "at least"},        {"exclusiveMinimum", "above"},
+      {"maximum", "at most"},         {"minLength", "length at least"},
+      {"minItems", "items at least"}, {"pattern", "matching"}};
   for (const auto& [field, words] : limits) {
     if (schema->contains(field)) {
       parts.push_back(fmt::format("{} {}", words, schema->at(field).dump()));
--- a/dragonflyglade/operator/status_server.cc
+++ b/dragonflyglade/operator/status_server.cc
@@ -54,11 +54,10 @@
 }
 
 std::string StatusText(const json& status) {
-  std::string text = fmt::format(
-      "instance {} (incarnation {}), {}\n",
-      status.at("instance").get<std::string>(),
-      status.at("incarnation").get<std::int64_t>(),
-      status.at("state").get<std::string>());
+  std::string text = fmt::format("instance {} (incarnation {}), {}\n",
+                                 status.at("instance").get<std::string>(),
+                                 status.at("incarnation").get<std::int64_t>(),
+                                 status.at("state").get<std::string>());
   const json& config = status.at("configuration");
   text += fmt::format("configuration revision {}, age {} ms, {}{}\n",
                       config.at("revision").get<std::int64_t>(),
--- a/dragonflyglade/peer/admission_gate.cc
+++ b/dragonflyglade/peer/admission_gate.cc
@@ -21,8 +21,7 @@
       this->membership.Find(step.peer);
   if (lender.has_value() && lender->state != MemberState::kDead) {
     const Result<wire::LoanReply> reply = this->peers.Borrow(
-        PeerEndpoint(*lender), admission.workspace, step.tokens,
-        step.longest);
+        PeerEndpoint(*lender), admission.workspace, step.tokens, step.longest);
     if (reply.Ok()) loan = FromWire(reply.Value());
   }
   this->shares.FinishLoan(admission, step.peer, loan);
--- a/dragonflyglade/peer/admission_gate.h
+++ b/dragonflyglade/peer/admission_gate.h
@@ -23,8 +23,7 @@
   /// @param max_wait how long to wait for tokens that accrue meanwhile
   /// @return the admission to settle later, or why there is none
   std::variant<Admission, Refusal> Admit(std::string_view workspace,
-                                         double cost,
-                                         absl::Duration max_wait);
+                                         double cost, absl::Duration max_wait);
 
   /// Gives back what the request did not use.
   void Settle(const Admission& admission, double used);
--- a/dragonflyglade/peer/heartbeat.cc
+++ b/dragonflyglade/peer/heartbeat.cc
@@ -17,9 +17,9 @@
 }
 
 HeartbeatExchange::HeartbeatExchange(Membership& membership, ShareBook& shares,
-                                     RecordStore& records,
-                                     Freshness& freshness, TargetBook& targets,
-                                     OnNewer on_newer, Clock clock)
+                                     RecordStore& records, Freshness& freshness,
+                                     TargetBook& targets, OnNewer on_newer,
+                                     Clock clock)
     : membership(membership),
       shares(shares),
       records(records),
@@ -48,8 +48,8 @@
   for (const auto& [target, mark_age] : this->targets.LeavingMarks()) {
     wire::TargetMark mark;
     mark.target = target;
-    mark.age_ms = static_cast<std::int32_t>(
-        absl::ToInt64Milliseconds(mark_age));
+    mark.age_ms =
+        static_cast<std::int32_t>(absl::ToInt64Milliseconds(mark_age));
     heartbeat.leaving_targets.push_back(mark);
   }
   return heartbeat;
@@ -68,8 +68,7 @@
     this->shares.Learn(sender.info.name, FromWire(balance));
   }
   for (const wire::TargetMark& mark : heartbeat.leaving_targets) {
-    this->targets.MarkLeaving(mark.target,
-                              absl::Milliseconds(mark.age_ms));
+    this->targets.MarkLeaving(mark.target, absl::Milliseconds(mark.age_ms));
   }
   const std::int64_t own = this->records.CompleteRevision();
   if (heartbeat.config_revision > own) {
--- a/dragonflyglade/peer/heartbeat_loop.cc
+++ b/dragonflyglade/peer/heartbeat_loop.cc
@@ -58,8 +58,7 @@
 bool HeartbeatLoop::AnswersThroughOthers(std::string_view name) {
   for (const MemberStatement& helper :
        this->membership.RandomLive(kHelpers, name)) {
-    const Result<bool> answer =
-        this->peers.Probe(PeerEndpoint(helper), name);
+    const Result<bool> answer = this->peers.Probe(PeerEndpoint(helper), name);
     if (answer.Ok() && answer.Value()) return true;
   }
   return false;
--- a/dragonflyglade/peer/peer_client.cc
+++ b/dragonflyglade/peer/peer_client.cc
@@ -156,12 +156,11 @@
                                            std::int64_t tokens,
                                            absl::Duration longest_wait) {
   wire::LoanReply reply;
-  const Status status =
-      this->Call(peer, "borrow", this->options.borrow_timeout, false,
-                 [&](Connection& c) {
-                   c.client.borrow(reply, std::string(workspace), tokens,
-                                   absl::ToInt64Microseconds(longest_wait));
-                 });
+  const Status status = this->Call(
+      peer, "borrow", this->options.borrow_timeout, false, [&](Connection& c) {
+        c.client.borrow(reply, std::string(workspace), tokens,
+                        absl::ToInt64Microseconds(longest_wait));
+      });
   if (!status.Ok()) return status.Error();
   return reply;
 }
@@ -177,11 +176,9 @@
 Result<wire::EpochConfirmation> PeerClient::ConfirmEpochs(
     const Endpoint& peer, const std::vector<std::string>& workspaces) {
   wire::EpochConfirmation confirmation;
-  const Status status =
-      this->Call(peer, "confirm epochs", this->options.call_timeout, true,
-                 [&](Connection& c) {
-                   c.client.confirmEpochs(confirmation, workspaces);
-                 });
+  const Status status = this->Call(
+      peer, "confirm epochs", this->options.call_timeout, true,
+      [&](Connection& c) { c.client.confirmEpochs(confirmation, workspaces); });
   if (!status.Ok()) return status.Error();
   return confirmation;
 }
--- a/dragonflyglade/peer/peer_codec.cc
+++ b/dragonflyglade/peer/peer_codec.cc
@@ -21,9 +21,8 @@
 
 MemberStatement FromWire(const wire::MemberUpdate& update) {
   MemberStatement statement;
-  statement.info =
-      MemberInfo{update.name, update.address, update.peer_port,
-                 update.caller_port, update.zone};
+  statement.info = MemberInfo{update.name, update.address, update.peer_port,
+                              update.caller_port, update.zone};
   statement.incarnation = update.incarnation;
   statement.sequence = update.sequence;
   statement.state =
@@ -72,8 +71,12 @@
 
 Loan FromWire(const wire::LoanReply& reply) {
   // Cut-off fractions of a microsecond must not make a promise earlier.
-  return Loan{reply.granted, absl::Microseconds(reply.wait_us + 1),
-              absl::Microseconds(reply.use_by_us), reply.stamp, reply.level, reply.cap};
+  return Loan{reply.granted,
+              absl::Microseconds(reply.wait_us + 1),
+              absl::Microseconds(reply.use_by_us),
+              reply.stamp,
+              reply.level,
+              reply.cap};
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/peer/peer_server.cc
+++ b/dragonflyglade/peer/peer_server.cc
@@ -128,8 +128,8 @@
       std::make_shared<TServerSocket>(state.listen.address, state.listen.port);
   state.socket->setRecvTimeout(kIdleConnectionMilliseconds);
   state.server = std::make_unique<TThreadedServer>(
-      std::make_shared<wire::PeerServiceProcessor>(state.handler),
-      state.socket, std::make_shared<TFramedTransportFactory>(),
+      std::make_shared<wire::PeerServiceProcessor>(state.handler), state.socket,
+      std::make_shared<TFramedTransportFactory>(),
       std::make_shared<TCompactProtocolFactory>());
   auto signal = std::make_shared<BoundSignal>();
   state.server->setServerEventHandler(signal);
--- a/dragonflyglade/platform/claim_store.cc
+++ b/dragonflyglade/platform/claim_store.cc
@@ -84,7 +84,8 @@
 }
 
 bool ClaimStore::WriteOne(const Ending& ending) {
-  const Result<KvTxnReply> reply = this->kv.Txn({ending.expect}, {ending.write});
+  const Result<KvTxnReply> reply =
+      this->kv.Txn({ending.expect}, {ending.write});
   // An answered comparison is final either way: if it failed, an earlier
   // attempt whose answer was lost did the write.
   return reply.Ok();
--- a/dragonflyglade/platform/claim_store.h
+++ b/dragonflyglade/platform/claim_store.h
@@ -62,8 +62,7 @@
   const Clock clock;
   absl::Mutex lease_mutex;
   std::int64_t lease ABSL_GUARDED_BY(lease_mutex) = 0;
-  Instant lease_until ABSL_GUARDED_BY(lease_mutex) =
-      -absl::InfiniteDuration();
+  Instant lease_until ABSL_GUARDED_BY(lease_mutex) = -absl::InfiniteDuration();
   mutable absl::Mutex mutex;
   std::deque<Ending> endings ABSL_GUARDED_BY(mutex);
   Worker worker;
--- a/dragonflyglade/platform/kv_client.cc
+++ b/dragonflyglade/platform/kv_client.cc
@@ -38,10 +38,8 @@
 
 KvClient::KvClient(KvOptions options) : options(std::move(options)) {}
 
-Result<std::string> KvClient::Call(std::string_view step,
-                                   std::string_view path,
-                                   const std::string& body,
-                                   bool writes) const {
+Result<std::string> KvClient::Call(std::string_view step, std::string_view path,
+                                   const std::string& body, bool writes) const {
   HttpOptions http;
   http.connect_timeout = this->options.connect_timeout;
   http.read_timeout = this->options.call_timeout;
@@ -61,10 +59,9 @@
       this->preferred = index;
       return std::move(reply.Value().body);
     }
-    const std::string detail = reply.Ok()
-                                   ? "status " + std::to_string(
-                                                     reply.Value().head.status)
-                                   : reply.Error().ToString();
+    const std::string detail =
+        reply.Ok() ? "status " + std::to_string(reply.Value().head.status)
+                   : reply.Error().ToString();
     const bool connected =
         reply.Ok() || reply.Error().code != Errc::kConnectFailed;
     // Failure: the answer to a write is lost after it took effect, and a
@@ -79,19 +76,18 @@
 }
 
 Result<KvRange> KvClient::Range(const KvQuery& query) const {
-  return Decoded("range",
-                 this->Call("range", "/v3/kv/range", EncodeRange(query).dump(),
-                            false),
-                 DecodeRange);
+  return Decoded(
+      "range",
+      this->Call("range", "/v3/kv/range", EncodeRange(query).dump(), false),
+      DecodeRange);
 }
 
 Result<KvTxnReply> KvClient::Txn(absl::Span<const KvExpect> expects,
                                  absl::Span<const KvWrite> writes) const {
-  Result<KvTxnReply> reply =
-      Decoded("txn",
-              this->Call("txn", "/v3/kv/txn", EncodeTxn(expects, writes).dump(),
-                         true),
-              DecodeTxn);
+  Result<KvTxnReply> reply = Decoded(
+      "txn",
+      this->Call("txn", "/v3/kv/txn", EncodeTxn(expects, writes).dump(), true),
+      DecodeTxn);
   // A malformed answer to a write says nothing of its outcome either.
   if (!reply.Ok() && reply.Error().code == Errc::kBadAnswer) {
     return MakeFailure(Errc::kOutcomeUnknown, "txn", kPeer,
@@ -101,8 +97,8 @@
 }
 
 Result<std::int64_t> KvClient::GrantLease(absl::Duration ttl) const {
-  const json message = {
-      {"TTL", std::to_string(absl::ToInt64Seconds(ttl))}, {"ID", "0"}};
+  const json message = {{"TTL", std::to_string(absl::ToInt64Seconds(ttl))},
+                        {"ID", "0"}};
   return Decoded(
       "grant lease",
       this->Call("grant lease", "/v3/lease/grant", message.dump(), true),
@@ -140,8 +136,8 @@
   // means that the connection is dead, although it looks open.
   http.read_timeout = this->options.watch_silence;
   const std::size_t index = this->preferred % this->options.endpoints.size();
-  auto call = std::make_shared<HttpCall>(this->options.endpoints[index], http,
-                                         kPeer);
+  auto call =
+      std::make_shared<HttpCall>(this->options.endpoints[index], http, kPeer);
   on_start(std::make_shared<WatchHandle>(call));
   ++this->calls;
 
--- a/dragonflyglade/platform/kv_codec.cc
+++ b/dragonflyglade/platform/kv_codec.cc
@@ -76,6 +76,9 @@
 }
 
 std::int64_t DecodeNumber(const json& object, const char* field) {
+  if (!object.is_object()) {
+    throw json::other_error::create(501, "not an object", nullptr);
+  }
   const auto found = object.find(field);
   if (found == object.end()) return 0;
   if (found->is_string()) {
--- a/dragonflyglade/platform/list_client.cc
+++ b/dragonflyglade/platform/list_client.cc
@@ -72,8 +72,7 @@
     }
     return list;
   } catch (const json::exception& error) {
-    return MakeFailure(Errc::kBadAnswer, "read instances", kPeer,
-                       error.what());
+    return MakeFailure(Errc::kBadAnswer, "read instances", kPeer, error.what());
   }
 }
 
--- a/dragonflyglade/target/dispatcher.cc
+++ b/dragonflyglade/target/dispatcher.cc
@@ -14,18 +14,18 @@
   const auto found = this->pools.find(pool);
   if (found != this->pools.end()) return *found->second;
   auto made = std::make_unique<PoolQueue>(this->options);
-  return *this->pools.emplace(std::string(pool), std::move(made))
-              .first->second;
+  return *this->pools.emplace(std::string(pool), std::move(made)).first->second;
 }
 
 void Dispatcher::Serve(PoolQueue& pool) {
-  const auto try_place = [&pool, this](const QueueEntry& entry)
-                             ABSL_EXCLUSIVE_LOCKS_REQUIRED(pool.mutex) {
-    Waiter& waiter = *pool.waiters.at(entry.id);
-    waiter.result = this->targets.Take(*waiter.need);
-    waiter.granted = std::holds_alternative<TargetPlace>(waiter.result);
-    return waiter.granted;
-  };
+  const auto try_place =
+      [&pool, this](const QueueEntry& entry)
+          ABSL_EXCLUSIVE_LOCKS_REQUIRED(pool.mutex) {
+            Waiter& waiter = *pool.waiters.at(entry.id);
+            waiter.result = this->targets.Take(*waiter.need);
+            waiter.granted = std::holds_alternative<TargetPlace>(waiter.result);
+            return waiter.granted;
+          };
   while (pool.queue.PopFirst(this->clock.Now(), try_place).has_value()) {
   }
 }
--- a/dragonflyglade/target/engine_client.h
+++ b/dragonflyglade/target/engine_client.h
@@ -47,8 +47,8 @@
 
 /// What an engine said to an order.
 struct OrderReply {
-  bool done = false;       ///< carried out (or was before)
-  std::string boot_id;     ///< of the process that answered
+  bool done = false;        ///< carried out (or was before)
+  std::string boot_id;      ///< of the process that answered
   std::string explanation;  ///< if it refused
 };
 
--- a/examples/embed/embed.cc
+++ b/examples/embed/embed.cc
@@ -80,11 +80,12 @@
   std::atomic<int> refused{0};
   std::vector<std::thread> threads;
   for (auto& [name, book] : books) {
-    threads.emplace_back([&books, &admitted, &refused, start, own = book.get()] {
-      while (absl::Now() - start < kRunTime) {
-        ++(Admit(books, *own) ? admitted : refused);
-      }
-    });
+    threads.emplace_back(
+        [&books, &admitted, &refused, start, own = book.get()] {
+          while (absl::Now() - start < kRunTime) {
+            ++(Admit(books, *own) ? admitted : refused);
+          }
+        });
   }
   for (std::thread& thread : threads) thread.join();
   const double seconds = absl::ToDoubleSeconds(absl::Now() - start);
--- a/tests/fleet/caller.cc
+++ b/tests/fleet/caller.cc
@@ -120,8 +120,7 @@
   void Refresh() {
     std::vector<Endpoint> asked;
     for (const Place& place : this->places) asked.push_back(place.endpoint);
-    asked.insert(asked.end(), this->load.seeds.begin(),
-                 this->load.seeds.end());
+    asked.insert(asked.end(), this->load.seeds.begin(), this->load.seeds.end());
     for (const Endpoint& endpoint : asked) {
       CallSpec spec;
       spec.path = "/v1/instances?zone=zone-a";
@@ -222,8 +221,8 @@
     } else {
       ++counts.failed;
     }
-    this->load.problems += fmt::format("{}: {} {} {}\n", name, result.status,
-                                       result.code, detail);
+    this->load.problems +=
+        fmt::format("{}: {} {} {}\n", name, result.status, result.code, detail);
   }
 
   Load& load;
--- a/tests/fleet/caller.h
+++ b/tests/fleet/caller.h
@@ -67,8 +67,8 @@
 class Load {
  public:
   /// @param seeds instances to ask first
-  Load(LoadKind kind, std::string key, std::vector<Endpoint> seeds,
-       int callers, absl::Duration pause, History& history);
+  Load(LoadKind kind, std::string key, std::vector<Endpoint> seeds, int callers,
+       absl::Duration pause, History& history);
   ~Load();
 
   /// Lets the calls under way end. Returns how all of them went.
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -119,8 +119,8 @@
   auto relay = std::make_unique<RelayStandIn>(at);
   const Endpoint through = relay->Start();
   this->target_links[name] = std::move(relay);
-  this->list.PutTarget(ListedTarget{name, through.address, through.port,
-                                    "zone-a", pool, false});
+  this->list.PutTarget(
+      ListedTarget{name, through.address, through.port, "zone-a", pool, false});
 }
 
 std::string Fleet::WriteSettings(int number, const Endpoint& kv_at) {
@@ -128,8 +128,7 @@
   const json settings = {
       {"name", this->NameOf(number)},
       {"availability_zone", number % 2 == 0 ? "zone-b" : "zone-a"},
-      {"listen",
-       {{"caller", listen}, {"peer", listen}, {"operator", listen}}},
+      {"listen", {{"caller", listen}, {"peer", listen}, {"operator", listen}}},
       {"kv", {{"endpoints", {kv_at.ToString()}}}},
       {"lists", {{"endpoint", this->list_at.ToString()}}},
       {"limits", {{"threads", 64}}},
@@ -149,8 +148,11 @@
         {"lists_ms", 100},
         {"reports_ms", 100},
         {"allotments_ms", 100}}},
-      {"placement", {{"period_ms", 100}, {"lease_ms", 2000},
-                     {"settle_ms", 1500}, {"loads_per_second", 50}}},
+      {"placement",
+       {{"period_ms", 100},
+        {"lease_ms", 2000},
+        {"settle_ms", 1500},
+        {"loads_per_second", 50}}},
       {"log", {{"level", "debug"}}}};
   const std::string path =
       fmt::format("{}/settings-{}.json", this->folder, number);
@@ -179,8 +181,7 @@
   this->processes[number] = std::move(process);
   ListedInstance listed;
   listed.info = MemberInfo{this->NameOf(number), "127.0.0.1", bound.peer,
-                           bound.caller,
-                           number % 2 == 0 ? "zone-b" : "zone-a"};
+                           bound.caller, number % 2 == 0 ? "zone-b" : "zone-a"};
   this->list.PutInstance(listed);
 }
 
--- a/tests/history/history.cc
+++ b/tests/history/history.cc
@@ -117,8 +117,8 @@
   Violations violations;
   for (const AnswerEvent& event : Only<AnswerEvent>(events)) {
     if (event.received == event.expected) continue;
-    violations.push_back(fmt::format("expected '{}', got '{}'",
-                                     event.expected, event.received));
+    violations.push_back(
+        fmt::format("expected '{}', got '{}'", event.expected, event.received));
   }
   return violations;
 }
--- a/tests/measure/main.cc
+++ b/tests/measure/main.cc
@@ -27,10 +27,8 @@
       "topic", po::value<std::string>(), "what to measure")(
       "seed", po::value<std::uint64_t>(&options.seed)->default_value(1),
       "of all random choices")(
-      "instances",
-      po::value<std::size_t>(&options.instances)->default_value(0),
-      "0: the usual sizes")("skew",
-                            po::value<std::string>(&options.skew),
+      "instances", po::value<std::size_t>(&options.instances)->default_value(0),
+      "0: the usual sizes")("skew", po::value<std::string>(&options.skew),
                             "even, skewed or moving; all if not given")(
       "baseline", po::value<std::string>(&options.baseline),
       "only this way of doing it");
--- a/tests/measure/measure_limits.cc
+++ b/tests/measure/measure_limits.cc
@@ -35,15 +35,15 @@
 // The holder that dies or pauses is one that skewed traffic does not go to.
 std::vector<Scenario> Scenarios(std::size_t instances) {
   const std::size_t last = OwnerIndex(instances);
-  return {{"steady", {}, false},
-          {"one_killed",
-           {Fault{FaultKind::kKill, absl::Seconds(20), last, {}}},
-           false},
-          {"one_paused",
-           {Fault{FaultKind::kPause, absl::Seconds(20), last,
-                  absl::Seconds(15)}},
-           false},
-          {"kv_out", {}, true}};
+  return {
+      {"steady", {}, false},
+      {"one_killed",
+       {Fault{FaultKind::kKill, absl::Seconds(20), last, {}}},
+       false},
+      {"one_paused",
+       {Fault{FaultKind::kPause, absl::Seconds(20), last, absl::Seconds(15)}},
+       false},
+      {"kv_out", {}, true}};
 }
 
 void MeasureOne(const MeasureOptions& options, const LimitsRun& base,
--- a/tests/model/limits_fleet.cc
+++ b/tests/model/limits_fleet.cc
@@ -114,8 +114,8 @@
 
 void LimitsFleet::Arrive() {
   const Instant now = this->manual.Now();
-  const double mean = this->run.cost / (2 * this->run.rate *
-                                        std::max(1.0, this->run.pressure));
+  const double mean =
+      this->run.cost / (2 * this->run.rate * std::max(1.0, this->run.pressure));
   this->At(now + absl::Seconds(absl::Exponential(this->random, 1 / mean)),
            [this] { this->Arrive(); });
   // On and off, so that bursts come after silence as well.
@@ -136,7 +136,8 @@
   // A request of a dead process is lost with it.
   if (!at.alive || at.incarnation != incarnation) return;
   if (at.paused_until > this->manual.Now()) {
-    this->At(at.paused_until, [=] { this->Step(node, incarnation, admission); });
+    this->At(at.paused_until,
+             [=] { this->Step(node, incarnation, admission); });
     return;
   }
   const AdmissionStep step = at.book->Next(*admission);
@@ -209,24 +210,22 @@
     this->Step(node, incarnation, admission);
   };
   // The timer of a paused process fires when it wakes.
-  this->At(sent + kBorrowTimeout, [=] {
-    this->At(this->Awake(node), [=] { finish(std::nullopt); });
-  });
+  this->At(sent + kBorrowTimeout,
+           [=] { this->At(this->Awake(node), [=] { finish(std::nullopt); }); });
   ++this->result.messages;
   const bool lost = absl::Bernoulli(this->random, this->run.message_loss);
   if (lost || !this->Reaches(node, lender)) return;
   this->At(sent + this->Delay(), [=] {
     this->At(this->Awake(lender), [=] {
       if (!this->nodes[lender].alive) return;
-      const Loan loan = this->nodes[lender].book->Lend(
-          kWorkspace, step.tokens, step.longest);
+      const Loan loan =
+          this->nodes[lender].book->Lend(kWorkspace, step.tokens, step.longest);
       ++this->result.messages;
       const bool answer_lost =
           absl::Bernoulli(this->random, this->run.message_loss);
       if (answer_lost || !this->Reaches(lender, node)) return;
-      this->At(this->manual.Now() + this->Delay(), [=] {
-        this->At(this->Awake(node), [=] { finish(loan); });
-      });
+      this->At(this->manual.Now() + this->Delay(),
+               [=] { this->At(this->Awake(node), [=] { finish(loan); }); });
     });
   });
 }
@@ -259,8 +258,7 @@
                             ? this->run.instances
                             : kHoldersInLargeFleet;
   if (this->run.way == SharingWay::kOneOwner) holders = 1;
-  for (const std::string& name :
-       RendezvousOwners(kWorkspace, names, holders)) {
+  for (const std::string& name : RendezvousOwners(kWorkspace, names, holders)) {
     view.wanted.push_back(HolderCandidate{name, view.answering[name]});
   }
   view.settled = this->gone.Settled(this->allotment, view);
@@ -290,8 +288,7 @@
     for (const WorkspaceBalance& balance : sender.book->Balances(16)) {
       this->nodes[to].book->Learn(NameOf(from), balance);
     }
-    for (const WorkspaceBalance& balance :
-         this->nodes[to].book->Balances(16)) {
+    for (const WorkspaceBalance& balance : this->nodes[to].book->Balances(16)) {
       sender.book->Learn(NameOf(to), balance);
     }
     // A cut instance catches up with the allotment when it is back.
@@ -351,8 +348,8 @@
     this->queue.erase(next);
     action();
   }
-  this->result.overshoot = LargestOvershoot(
-      this->result.history, kWorkspace, this->run.rate, this->run.burst);
+  this->result.overshoot = LargestOvershoot(this->result.history, kWorkspace,
+                                            this->run.rate, this->run.burst);
   return this->result;
 }
 
--- a/tests/model/placement_fleet.cc
+++ b/tests/model/placement_fleet.cc
@@ -49,8 +49,7 @@
   for (double& weight : this->weights) weight /= total;
   this->planners.resize(static_cast<std::size_t>(run.planners));
   for (Planner& planner : this->planners) {
-    planner.planner =
-        std::make_unique<PlacementPlanner>(run.plan, this->clock);
+    planner.planner = std::make_unique<PlacementPlanner>(run.plan, this->clock);
     planner.fence = ++this->revision;
   }
 }
@@ -64,8 +63,7 @@
 }
 
 bool PlacementFleet::KvOut() const {
-  const double part =
-      absl::FDivDuration(this->manual.Now(), this->run.length);
+  const double part = absl::FDivDuration(this->manual.Now(), this->run.length);
   return this->run.kv_out_midway && part > 0.4 && part < 0.6;
 }
 
@@ -93,9 +91,9 @@
         this->run.static_placement ? 0 : this->Demand(i);
   }
   for (int i = 0; i < this->run.adapters; ++i) {
-    input.adapters.push_back(PlannedAdapter{
-        fmt::format("a{}", i), ModelName(i % this->run.models),
-        this->run.adapter_bytes});
+    input.adapters.push_back(PlannedAdapter{fmt::format("a{}", i),
+                                            ModelName(i % this->run.models),
+                                            this->run.adapter_bytes});
   }
   const Instant now = this->manual.Now();
   for (auto& [name, stored] : picture) {
@@ -180,8 +178,7 @@
   } else if (const auto* reload = std::get_if<PlanReload>(&step)) {
     Stored stored = fresh(reload->target);
     if (!RepeatLoad(stored.ledger, reload->spec.name, fence).Ok()) return;
-    const std::string id =
-        FindCopy(stored.ledger, reload->spec.name)->order_id;
+    const std::string id = FindCopy(stored.ledger, reload->spec.name)->order_id;
     if (!this->Write(stored, {})) return;
     this->Send(index, reload->target, true, reload->spec, id, fence);
   } else {
@@ -201,8 +198,8 @@
   }
 }
 
-bool PlacementFleet::Execute(Target& target, bool is_load,
-                             const CopySpec& spec, std::int64_t fence) {
+bool PlacementFleet::Execute(Target& target, bool is_load, const CopySpec& spec,
+                             std::int64_t fence) {
   if (this->run.fenced && fence < target.highest_fence) return false;
   target.highest_fence = std::max(target.highest_fence, fence);
   if (!is_load) {
@@ -214,9 +211,8 @@
   for (const auto& [name, bytes] : target.memory) used += bytes;
   this->result.history.emplace_back(
       MemoryEvent{target.name, used, this->run.capacity});
-  this->result.worst_over =
-      std::max(this->result.worst_over,
-               static_cast<int>(used - this->run.capacity));
+  this->result.worst_over = std::max(
+      this->result.worst_over, static_cast<int>(used - this->run.capacity));
   return true;
 }
 
@@ -247,12 +243,11 @@
     Target& target = this->targets.at(name);
     // An order to a process that has ended goes nowhere.
     const bool arrives = target.boot == boot;
-    const bool done =
-        arrives && this->Execute(target, is_load, spec, fence);
+    const bool done = arrives && this->Execute(target, is_load, spec, fence);
     if (!arrives || is_lost) return;
-    this->Settle(index, name, is_load,
-                 OrderOutcome{order_id, spec.name, fence, done,
-                              BootId(target)});
+    this->Settle(
+        index, name, is_load,
+        OrderOutcome{order_id, spec.name, fence, done, BootId(target)});
   });
   if (is_load) {
     this->At(this->manual.Now() + takes, [=] {
@@ -321,9 +316,8 @@
     action();
   }
   this->result.attained = this->served / std::max(1.0, this->demanded);
-  this->result.reachable =
-      static_cast<double>(this->reachable_seconds) /
-      std::max(1, this->model_seconds);
+  this->result.reachable = static_cast<double>(this->reachable_seconds) /
+                           std::max(1, this->model_seconds);
   return this->result;
 }
 
--- a/tests/model/placement_fleet.h
+++ b/tests/model/placement_fleet.h
@@ -48,8 +48,8 @@
 
 /// What a run showed.
 struct PlacementResult {
-  int moves = 0;  ///< loads of models
-  double attained = 0;  ///< part of the demand that found a copy with room
+  int moves = 0;         ///< loads of models
+  double attained = 0;   ///< part of the demand that found a copy with room
   double reachable = 0;  ///< part of model-seconds with a copy
   std::int64_t kv_writes = 0;
   int worst_over = 0;  ///< bytes above a target's memory; 0 if never
@@ -88,8 +88,8 @@
   void PlanRound(std::size_t planner);
   void Act(std::size_t planner, const PlanStep& step,
            std::map<std::string, Stored> picture);
-  bool Write(Stored stored, const std::vector<std::pair<std::string,
-                                                        std::int64_t>>& also);
+  bool Write(Stored stored,
+             const std::vector<std::pair<std::string, std::int64_t>>& also);
   void Send(std::size_t planner, const std::string& target, bool is_load,
             const CopySpec& spec, const std::string& order_id,
             std::int64_t fence);
@@ -102,8 +102,7 @@
   bool KvOut() const;
   bool Chance(double part);
   std::string BootId(const Target& target) const;
-  PlanInput InputFor(Planner& planner,
-                     std::map<std::string, Stored>& picture);
+  PlanInput InputFor(Planner& planner, std::map<std::string, Stored>& picture);
 
   const PlacementRun run;
   ManualClock manual;
--- a/tests/scenario/parser.cc
+++ b/tests/scenario/parser.cc
@@ -36,8 +36,7 @@
       {"withdraw", {1, 1, {}, {}}},
       {"load", {1, 1, {"kind", "key", "callers", "pause_ms"}, {}}},
       {"calls", {2, 2, {}, {}}},
-      {"stop",
-       {1, 1, {"good", "refused", "unknown", "failed", "calls"}, {}}},
+      {"stop", {1, 1, {"good", "refused", "unknown", "failed", "calls"}, {}}},
       {"kill", {1, 1, {}, {}}},
       {"pause", {1, 1, {}, {}}},
       {"resume", {1, 1, {}, {}}},
@@ -78,10 +77,11 @@
 
 const auto kNameChar = x3::alnum | x3::char_("_");
 const auto kWordChar = x3::graph - x3::char_("=<>");
-const auto kWord =
-    x3::rule<struct WordTag, std::string>("a word") = x3::lexeme[+kWordChar];
-const auto kComparison = x3::rule<struct ComparisonTag, std::string>(
-    "=, >= or <=") = x3::string(">=") | x3::string("<=") | x3::string("=");
+const auto kWord = x3::rule<struct WordTag, std::string>("a word") =
+    x3::lexeme[+kWordChar];
+const auto kComparison =
+    x3::rule<struct ComparisonTag, std::string>("=, >= or <=") =
+        x3::string(">=") | x3::string("<=") | x3::string("=");
 const auto kArgument =
     x3::rule<struct ArgumentTag, ScenarioArgument>("name=value") =
         x3::lexeme[+kNameChar >> kComparison > +x3::graph];
@@ -98,9 +98,9 @@
   };
   bool matched = false;
   try {
-    matched = x3::phrase_parse(
-        begin, text.end(), +(kArgument[add_argument] | kWord[add_word]),
-        x3::blank);
+    matched = x3::phrase_parse(begin, text.end(),
+                               +(kArgument[add_argument] | kWord[add_word]),
+                               x3::blank);
   } catch (const x3::expectation_failure<std::string_view::iterator>& error) {
     first = static_cast<std::size_t>(error.where() - text.begin());
     return false;
@@ -121,8 +121,7 @@
   std::vector<std::string> verbs;
   for (const auto& [verb, rule] : Verbs()) verbs.push_back(verb);
   if (line.words.empty() || Verbs().count(line.words.front()) == 0) {
-    return Bad(file, number,
-               fmt::format("one of {}", fmt::join(verbs, ", ")),
+    return Bad(file, number, fmt::format("one of {}", fmt::join(verbs, ", ")),
                line.words.empty() ? "" : line.words.front());
   }
   ScenarioCommand command;
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -107,8 +107,7 @@
     options.engines = static_cast<int>(command.Number("engines", 2));
     options.ledgers = static_cast<int>(command.Number("ledgers", 1));
     options.keep_seconds = static_cast<int>(command.Number("keep", 1));
-    options.fresh_bound_ms =
-        static_cast<int>(command.Number("fresh_ms", 1500));
+    options.fresh_bound_ms = static_cast<int>(command.Number("fresh_ms", 1500));
     options.engine.fenced = command.Value("fenced", "no") == "yes";
     options.engine.token_delay =
         absl::Milliseconds(command.Number("token_delay_ms", 5));
@@ -156,9 +155,9 @@
     Load& load = *this->loads.at(command.words[0]);
     const int more = std::stoi(command.words[1]);
     const int until = load.Counts().good + more;
-    this->Eventually([&] { return load.Counts().good >= until; },
-                     fmt::format("{} more good calls; {}", more,
-                                 load.Problems()));
+    this->Eventually(
+        [&] { return load.Counts().good >= until; },
+        fmt::format("{} more good calls; {}", more, load.Problems()));
   }
 
   void DoStop(const ScenarioCommand& command) {
@@ -171,9 +170,9 @@
                                                {"calls", counts.calls}};
     for (const ScenarioArgument& wanted : command.arguments) {
       const int value = actual.at(wanted.name);
-      this->Require(this->Holds(wanted, value),
-                    fmt::format("{} is {}\n{}", wanted.name, value,
-                                load.Problems()));
+      this->Require(
+          this->Holds(wanted, value),
+          fmt::format("{} is {}\n{}", wanted.name, value, load.Problems()));
     }
   }
 
@@ -207,7 +206,8 @@
     const std::string& what = command.words[0];
     if (what == "out") kv.SetOut(true);
     if (what == "back") kv.SetOut(false);
-    if (what == "slow") kv.SetDelay(absl::Milliseconds(command.Number("ms", 0)));
+    if (what == "slow")
+      kv.SetDelay(absl::Milliseconds(command.Number("ms", 0)));
     if (what == "lose") {
       kv.LoseAnswers(static_cast<int>(command.Number("count", 1)));
     }
@@ -263,8 +263,7 @@
 
   // Several operators change one record, each from the same revision.
   void DoRace(const ScenarioCommand& command) {
-    const int racers =
-        static_cast<int>(command.Number("operators", kRacers));
+    const int racers = static_cast<int>(command.Number("operators", kRacers));
     KvOptions options;
     options.endpoints = {this->Instances().KvEndpoint()};
     options.call_timeout = absl::Seconds(5);
@@ -316,9 +315,8 @@
                     .dump();
     const Endpoint endpoint = this->TargetOf(command);
     const std::string key = this->KeyText(command.words[1]);
-    const double before =
-        this->Instances().Engine(1).Started() +
-        this->Instances().Engine(2).Started();
+    const double before = this->Instances().Engine(1).Started() +
+                          this->Instances().Engine(2).Started();
     open.reader = std::thread([&open, spec, endpoint, key] {
       open.result = CallInstance(endpoint, key, spec);
     });
@@ -368,8 +366,8 @@
           return status && (code.empty() || code == result.code) &&
                  (ran.empty() || ran == result.ran);
         },
-        fmt::format("status {}; the last was {} {}", command.Value("status", ""),
-                    result.status, result.body));
+        fmt::format("status {}; the last was {} {}",
+                    command.Value("status", ""), result.status, result.body));
   }
 
   // status POINTER TEXT: until the status of an instance holds the text there.
@@ -424,19 +422,32 @@
   std::map<std::string, std::unique_ptr<Load>> loads;
   std::map<std::string, std::unique_ptr<OpenStream>> streams;
   const std::map<std::string, Action> actions = {
-      {"fleet", &Runner::DoFleet},   {"key", &Runner::DoKey},
-      {"withdraw", &Runner::DoWithdraw}, {"load", &Runner::DoLoad},
-      {"calls", &Runner::DoCalls},   {"stop", &Runner::DoStop},
-      {"kill", &Runner::DoKill},     {"pause", &Runner::DoPause},
-      {"resume", &Runner::DoResume}, {"term", &Runner::DoTerm},
-      {"ended", &Runner::DoEnded},   {"unlist", &Runner::DoUnlist},
-      {"start", &Runner::DoStart},   {"ready", &Runner::DoReady},
-      {"kv", &Runner::DoKv},         {"list", &Runner::DoList},
-      {"link", &Runner::DoLink},     {"target", &Runner::DoTarget},
-      {"ledger", &Runner::DoLedger}, {"race", &Runner::DoRace},
-      {"apply", &Runner::DoApply},   {"stream", &Runner::DoStream},
-      {"ends", &Runner::DoEnds},     {"call", &Runner::DoCall},
-      {"status", &Runner::DoStatus}, {"check", &Runner::DoCheck}};
+      {"fleet", &Runner::DoFleet},
+      {"key", &Runner::DoKey},
+      {"withdraw", &Runner::DoWithdraw},
+      {"load", &Runner::DoLoad},
+      {"calls", &Runner::DoCalls},
+      {"stop", &Runner::DoStop},
+      {"kill", &Runner::DoKill},
+      {"pause", &Runner::DoPause},
+      {"resume", &Runner::DoResume},
+      {"term", &Runner::DoTerm},
+      {"ended", &Runner::DoEnded},
+      {"unlist", &Runner::DoUnlist},
+      {"start", &Runner::DoStart},
+      {"ready", &Runner::DoReady},
+      {"kv", &Runner::DoKv},
+      {"list", &Runner::DoList},
+      {"link", &Runner::DoLink},
+      {"target", &Runner::DoTarget},
+      {"ledger", &Runner::DoLedger},
+      {"race", &Runner::DoRace},
+      {"apply", &Runner::DoApply},
+      {"stream", &Runner::DoStream},
+      {"ends", &Runner::DoEnds},
+      {"call", &Runner::DoCall},
+      {"status", &Runner::DoStatus},
+      {"check", &Runner::DoCheck}};
 };
 
 }  // namespace
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -63,8 +63,7 @@
   http.Get("/load", [this](const Request&, Response& response) {
     response.set_content(this->Report().dump(), kJson);
   });
-  http.Get("/cache_events", [this](const Request& request,
-                                   Response& response) {
+  http.Get("/cache_events", [this](const Request& request, Response& response) {
     const std::int64_t after = std::stoll(request.get_param_value("after"));
     json events = json::array();
     absl::MutexLock lock(&this->mutex);
@@ -117,8 +116,7 @@
     ++this->started;
     this->streams[stream->request_id] = stream;
     this->queued_tokens += tokens;
-    const std::uint64_t prefix =
-        StableHash(prompt.substr(0, kPrefixBytes));
+    const std::uint64_t prefix = StableHash(prompt.substr(0, kPrefixBytes));
     this->cache_events.push_back(
         {{"sequence", this->cache_events.size() + 1}, {"prefix", prefix}});
   }
--- a/tests/standins/kv_stand_in.cc
+++ b/tests/standins/kv_stand_in.cc
@@ -169,8 +169,7 @@
 
 json KvStandIn::Range(const json& request) {
   const std::string from = DecodeBytes(request.at("key"));
-  const std::string to =
-      DecodeBytes(request.value("range_end", std::string()));
+  const std::string to = DecodeBytes(request.value("range_end", std::string()));
   const std::int64_t asked = DecodeNumber(request, "revision");
   const std::int64_t at = asked == 0 ? this->revision : asked;
   const std::int64_t least = DecodeNumber(request, "min_mod_revision");
@@ -192,8 +191,8 @@
   bool holds = true;
   for (const json& compare : request.value("compare", json::array())) {
     const auto found = this->keys.find(DecodeBytes(compare.at("key")));
-    const bool present = found != this->keys.end() &&
-                         !found->second.back().deleted;
+    const bool present =
+        found != this->keys.end() && !found->second.back().deleted;
     const std::int64_t actual =
         present ? found->second.back().entry.mod_revision : 0;
     holds = holds && actual == DecodeNumber(compare, "mod_revision");
@@ -201,8 +200,8 @@
   if (!holds) {
     json responses = json::array();
     for (const json& operation : request.value("failure", json::array())) {
-      responses.push_back({{"response_range",
-                            this->Range(operation.at("request_range"))}});
+      responses.push_back(
+          {{"response_range", this->Range(operation.at("request_range"))}});
     }
     return {{"header", this->Header()}, {"responses", responses}};
   }
@@ -253,8 +252,8 @@
       found->second = absl::Now() + this->lease_ttls[id];
       ttl = absl::ToInt64Seconds(this->lease_ttls[id]);
     }
-    return json({{"result", {{"header", this->Header()},
-                             {"TTL", std::to_string(ttl)}}}})
+    return json({{"result",
+                  {{"header", this->Header()}, {"TTL", std::to_string(ttl)}}}})
         .dump();
   }
   if (found != this->leases.end()) found->second = absl::InfinitePast();
--- a/tests/standins/ledger_stand_in.cc
+++ b/tests/standins/ledger_stand_in.cc
@@ -34,34 +34,33 @@
                             ? request.get_header_value("X-Request-Id")
                             : this->echoed_id);
   };
-  http.Get(R"(/balance/(.+))",
-           [note](const Request& request, Response& response) {
-             note(request, response);
-             response.set_content(
-                 json({{"name", request.matches[1].str()}, {"balance", 1200}})
-                     .dump(),
-                 kJson);
-           });
-  http.Post("/payouts", [this, note](const Request& request,
-                                     Response& response) {
+  http.Get(R"(/balance/(.+))", [note](const Request& request,
+                                      Response& response) {
     note(request, response);
-    const std::string payout = json::parse(request.body).at("payout");
-    absl::Duration wait;
-    int run = 0;
-    bool lost = false;
-    {
-      absl::MutexLock lock(&this->mutex);
-      run = ++this->runs[payout];
-      wait = this->delay;
-      lost = this->lose_answers > 0;
-      if (lost) --this->lose_answers;
-    }
-    absl::SleepFor(wait);
-    if (lost) return LoseAnswer(response);
-    response.status = 201;
-    response.set_content(json({{"payout", payout}, {"run", run}}).dump(),
-                         kJson);
+    response.set_content(
+        json({{"name", request.matches[1].str()}, {"balance", 1200}}).dump(),
+        kJson);
   });
+  http.Post("/payouts",
+            [this, note](const Request& request, Response& response) {
+              note(request, response);
+              const std::string payout = json::parse(request.body).at("payout");
+              absl::Duration wait;
+              int run = 0;
+              bool lost = false;
+              {
+                absl::MutexLock lock(&this->mutex);
+                run = ++this->runs[payout];
+                wait = this->delay;
+                lost = this->lose_answers > 0;
+                if (lost) --this->lose_answers;
+              }
+              absl::SleepFor(wait);
+              if (lost) return LoseAnswer(response);
+              response.status = 201;
+              response.set_content(
+                  json({{"payout", payout}, {"run", run}}).dump(), kJson);
+            });
 }
 
 LedgerStandIn::~LedgerStandIn() { this->server.Stop(); }
--- a/tests/standins/relay_stand_in.cc
+++ b/tests/standins/relay_stand_in.cc
@@ -100,10 +100,12 @@
     if (!connected) continue;
     this->links.push_back(link);
     this->carriers += 2;
-    std::thread([this, link] { this->Carry(link, link->near, link->far); })
-        .detach();
-    std::thread([this, link] { this->Carry(link, link->far, link->near); })
-        .detach();
+    std::thread([this, link] {
+      this->Carry(link, link->near, link->far);
+    }).detach();
+    std::thread([this, link] {
+      this->Carry(link, link->far, link->near);
+    }).detach();
   }
 }
 
@@ -118,8 +120,8 @@
     const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
     if (size <= 0) break;
     if (link->silent) continue;
-    if (send(to, buffer.data(), static_cast<std::size_t>(size),
-             MSG_NOSIGNAL) != size) {
+    if (send(to, buffer.data(), static_cast<std::size_t>(size), MSG_NOSIGNAL) !=
+        size) {
       break;
     }
   }
--- /dev/null
+++ b/tests/unit/unit-callers.cc
@@ -0,0 +1,189 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "dragonflyglade/caller/completion_request.h"
+#include "dragonflyglade/caller/event_stream.h"
+#include "dragonflyglade/caller/instance_answer.h"
+#include "dragonflyglade/caller/sse.h"
+#include "dragonflyglade/operator/caller_key.h"
+#include "tests/history/history.h"
+
+namespace dragonflyglade {
+namespace {
+
+Catalog SmallCatalog() {
+  Catalog catalog;
+  catalog.models["m"] = ModelRecord{"m", "p", "1", 10, 100};
+  catalog.models["n"] = ModelRecord{"n", "p", "1", 10, 100};
+  catalog.adapters["m-a"] = AdapterRecord{"m-a", "m", 1};
+  catalog.workspaces["all"] = WorkspaceRecord{"all", "", {}};
+  catalog.workspaces["one"] = WorkspaceRecord{"one", "", {"m"}};
+  return catalog;
+}
+
+struct BodyCase {
+  const char* path;
+  const char* workspace;
+  std::string body;
+  const char* problem;  ///< part of the refusal; empty: accepted
+};
+
+struct KeyCase {
+  const char* name;
+  std::string shown;
+  int expected;  ///< a KeyProblem, or -1 for accepted
+};
+
+class CallersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallersTest);
+  CPPUNIT_TEST(CompletionBodiesAreChecked);
+  CPPUNIT_TEST(KeysAreChecked);
+  CPPUNIT_TEST(EventsAreCutWherever);
+  CPPUNIT_TEST(StreamsEndOnce);
+  CPPUNIT_TEST(InstancesAreChosenByZoneLoadAndShare);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CompletionBodiesAreChecked() {
+    const Catalog catalog = SmallCatalog();
+    const char* plain = "/v1/completions";
+    const char* chat = "/v1/chat/completions";
+    const std::string deep(5000, '[');
+    const std::vector<BodyCase> cases = {
+        {plain, "all", R"({"model":"m","prompt":"x"})", ""},
+        {plain, "all", R"({"model":"m-a","prompt":"x","max_tokens":3})", ""},
+        {chat, "all",
+         R"({"model":"m","messages":[{"role":"user","content":"x"}]})", ""},
+        {plain, "one", R"({"model":"m","prompt":"x"})", ""},
+        {plain, "one", R"({"model":"n","prompt":"x"})", "no model 'n'"},
+        {plain, "all", R"({"model":"z","prompt":"x"})", "no model 'z'"},
+        {plain, "all", "", "JSON object"},
+        {plain, "all", "[]", "JSON object"},
+        {plain, "all", deep, "JSON object"},
+        {plain, "all", R"({"prompt":"x"})", "model: expected"},
+        {plain, "all", R"({"model":7,"prompt":"x"})", "model: expected"},
+        {plain, "all", R"({"model":"m"})", "prompt: expected"},
+        {plain, "all", R"({"model":"m","prompt":["x"]})", "prompt: expected"},
+        {chat, "all", R"({"model":"m","messages":[]})", "messages: expected"},
+        {chat, "all", R"({"model":"m","messages":[{"content":1}]})",
+         "messages: expected"},
+        {plain, "all", R"({"model":"m","prompt":"x","max_tokens":0})",
+         "max_tokens: expected 1"},
+        {plain, "all", R"({"model":"m","prompt":"x","max_tokens":1.5})",
+         "max_tokens: expected an integer"},
+        {plain, "all", R"({"model":"m","prompt":"x","stream":"yes"})",
+         "stream: expected"},
+    };
+    for (const BodyCase& item : cases) {
+      const auto parsed =
+          ParseCompletion(item.path, item.body, catalog, item.workspace);
+      const auto* refusal = std::get_if<Refusal>(&parsed);
+      const std::string text = refusal == nullptr ? "" : refusal->message;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.body, *item.problem != '\0',
+                                   refusal != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(item.body + ": " + text,
+                             text.find(item.problem) != std::string::npos);
+    }
+  }
+
+  void KeysAreChecked() {
+    Catalog catalog;
+    const CallerKey good = NewCallerKey();
+    const CallerKey withdrawn = NewCallerKey();
+    const CallerKey other = NewCallerKey();
+    const auto add = [&catalog](const CallerKey& key, bool is_withdrawn) {
+      const std::string salt = NewSalt();
+      catalog.keys[key.id] = KeyRecord{
+          key.id, "w", salt, DigestOf(salt, key.secret), is_withdrawn};
+    };
+    add(good, false);
+    add(withdrawn, true);
+    const std::string text = good.ToString();
+    const auto problem = [](KeyProblem p) { return static_cast<int>(p); };
+    const std::vector<KeyCase> cases = {
+        {"good", text, -1},
+        {"withdrawn", withdrawn.ToString(), problem(KeyProblem::kWithdrawn)},
+        {"a withdrawn id with a wrong secret",
+         CallerKey{withdrawn.id, good.secret}.ToString(),
+         problem(KeyProblem::kUnknown)},
+        {"unknown", other.ToString(), problem(KeyProblem::kUnknown)},
+        {"another's secret", CallerKey{good.id, other.secret}.ToString(),
+         problem(KeyProblem::kUnknown)},
+        {"truncated", text.substr(0, text.size() - 1),
+         problem(KeyProblem::kMalformed)},
+        {"lengthened", text + "0", problem(KeyProblem::kMalformed)},
+        {"upper case", "DG" + text.substr(2), problem(KeyProblem::kMalformed)},
+        {"empty", "", problem(KeyProblem::kMalformed)},
+        {"only the id", "dg_" + good.id, problem(KeyProblem::kMalformed)},
+    };
+    for (const KeyCase& item : cases) {
+      const auto checked = CheckCallerKey(catalog, item.shown);
+      const auto* found = std::get_if<KeyProblem>(&checked);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.name, item.expected,
+          found == nullptr ? -1 : static_cast<int>(*found));
+    }
+  }
+
+  void EventsAreCutWherever() {
+    const std::string stream =
+        ": comment\n\ndata: one\n\nevent: x\r\ndata: two\r\ndata:three\r\n\r\n"
+        "data: [DONE]\n\ndata: cut";
+    for (std::size_t size = 1; size < stream.size(); ++size) {
+      SseReader reader;
+      std::vector<std::string> events;
+      for (std::size_t at = 0; at < stream.size(); at += size) {
+        for (const std::string& event : reader.Feed(stream.substr(at, size))) {
+          events.push_back(event);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, events.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("two\nthree"), events[1]);
+      CPPUNIT_ASSERT(reader.HasRemainder());
+    }
+  }
+
+  void StreamsEndOnce() {
+    EventStream stream(2);
+    CPPUNIT_ASSERT(stream.Push("a"));
+    stream.Fail(Refusal{RefusalCode::kStreamEnded, "withdrawn"});
+    stream.Fail(Refusal{RefusalCode::kInternal, "later"});
+    CPPUNIT_ASSERT(!stream.Push("b"));
+    CPPUNIT_ASSERT(std::holds_alternative<StreamData>(stream.Next({})));
+    const StreamPart end = stream.Next({});
+    CPPUNIT_ASSERT(std::get<Refusal>(end).message == "withdrawn");
+    EventStream cancelled(2);
+    cancelled.Cancel();
+    bool done = false;
+    cancelled.OnCancel([&done] { done = true; });
+    CPPUNIT_ASSERT(done);
+  }
+
+  void InstancesAreChosenByZoneLoadAndShare() {
+    std::vector<MemberStatement> members;
+    for (const char* name : {"far", "near", "busy", "leaving", "dead", "new"}) {
+      MemberStatement member;
+      member.info.name = name;
+      member.info.zone = "far-zone";
+      member.incarnation = 1;
+      members.push_back(member);
+    }
+    members[1].info.zone = "z";
+    members[2].load_permille = 950;
+    members[3].leaving = true;
+    members[4].state = MemberState::kDead;
+    members[5].incarnation = 0;
+    const std::vector<std::string> holders = {"far"};
+    const auto choices =
+        ChooseInstances(members, InstanceQuestion{"z", "", "w"}, holders);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, choices.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("busy"), choices.back().name);
+    double total = 0;
+    for (const InstanceChoice& choice : choices) total += choice.weight;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, total, 1e-9);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CallersTest, "unit-callers");
+
+}  // namespace
+}  // namespace dragonflyglade
--- a/tests/unit/unit-freshness.cc
+++ b/tests/unit/unit-freshness.cc
@@ -37,8 +37,7 @@
         {"fresh and cut from peers", fresh, {5, 0}, AdmissionRight::kFresh},
         {"stale with all peers", stale, {5, 5}, AdmissionRight::kOutage},
         {"stale and one is missing", stale, {5, 4}, AdmissionRight::kCutOff},
-        {"stale with no peer in reach", stale, {5, 0},
-         AdmissionRight::kCutOff},
+        {"stale with no peer in reach", stale, {5, 0}, AdmissionRight::kCutOff},
         {"stale and alone", stale, {0, 0}, AdmissionRight::kCutOff},
     };
     for (const RightCase& item : cases) {
--- a/tests/unit/unit-limits.cc
+++ b/tests/unit/unit-limits.cc
@@ -22,8 +22,8 @@
 LimitsRun RandomRun() {
   LimitsRun run;
   run.instances = *rc::gen::inRange<std::size_t>(2, 9);
-  run.arrival = *rc::gen::element(Arrival::kEven, Arrival::kSkewed,
-                                  Arrival::kMoving);
+  run.arrival =
+      *rc::gen::element(Arrival::kEven, Arrival::kSkewed, Arrival::kMoving);
   run.seed = *rc::gen::arbitrary<std::uint64_t>();
   run.length = absl::Seconds(20);
   run.pressure = *rc::gen::element(0.5, 1.0, 4.0);
--- a/tests/unit/unit-placement.cc
+++ b/tests/unit/unit-placement.cc
@@ -84,8 +84,7 @@
       FinishLoad(ledger, Outcome("t-2", "a", true, "boot-1", 2), fenced);
       CPPUNIT_ASSERT(BeginUnload(ledger, "a", 3).Ok());
       FinishUnload(ledger, Outcome("t-3", "a", true, "boot-1", 3), fenced);
-      CPPUNIT_ASSERT_EQUAL(std::int64_t{fenced ? 0 : 60},
-                           BookedBytes(ledger));
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{fenced ? 0 : 60}, BookedBytes(ledger));
       // The late answer to the first order settles it.
       FinishLoad(ledger, Outcome("t-1", "a", true), fenced);
       FinishLoad(ledger, Outcome("t-1", "a", true), fenced);
--- a/tests/unit/unit-records.cc
+++ b/tests/unit/unit-records.cc
@@ -49,10 +49,8 @@
         {kRateV1, R"({"tokens_per_second": 10})", "burst_tokens"},
         {kRateV1, R"({"tokens_per_second": "ten", "burst_tokens": 20})",
          "tokens_per_second: expected number"},
-        {kRateV1, R"({"tokens_per_second": 0, "burst_tokens": 20})",
-         "above 0"},
-        {kRateV1,
-         R"({"tokens_per_second": 1, "burst_tokens": 2, "extra": 3})",
+        {kRateV1, R"({"tokens_per_second": 0, "burst_tokens": 20})", "above 0"},
+        {kRateV1, R"({"tokens_per_second": 1, "burst_tokens": 2, "extra": 3})",
          "extra"},
         {kRateV1, "{", "not JSON"},
         {kRateV1, "", "not JSON"},
@@ -102,7 +100,8 @@
          {RecordFate::kRejected, RecordFate::kInForce},
          20},
         {"a deletion stays",
-         {Version(kRateV1, 5, kGoodV1), {kRateV1, 7, "", true},
+         {Version(kRateV1, 5, kGoodV1),
+          {kRateV1, 7, "", true},
           Version(kRateV1, 6, kOther)},
          {RecordFate::kInForce, RecordFate::kInForce, RecordFate::kOld},
          0},
@@ -118,8 +117,8 @@
     for (const OfferCase& item : cases) {
       RecordStore store(WhyInvalid);
       for (std::size_t i = 0; i < item.offered.size(); ++i) {
-        CPPUNIT_ASSERT_MESSAGE(item.name, store.Offer(item.offered[i]) ==
-                                              item.fates[i]);
+        CPPUNIT_ASSERT_MESSAGE(item.name,
+                               store.Offer(item.offered[i]) == item.fates[i]);
       }
       const auto catalog = BuildCatalog(9, store.Good());
       const RateRecord* rate = FindRecord(catalog->rates, "w");
@@ -142,8 +141,8 @@
   void RetiredSchemasDoNotCount() {
     RecordStore store(WhyInvalid);
     store.Offer(Version(kRateV1, 5, kGoodV1));
-    store.Offer(Version("config/retirement/v1/rate", 6,
-                        R"({"retired_up_to": 1})"));
+    store.Offer(
+        Version("config/retirement/v1/rate", 6, R"({"retired_up_to": 1})"));
     CPPUNIT_ASSERT(BuildCatalog(6, store.Good())->rates.empty());
     store.Offer(Version(kRateV2, 7, kGoodV2));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
--- /dev/null
+++ b/tests/unit/unit-target-book.cc
@@ -0,0 +1,151 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/decision/target_book.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr const char* kPool = "p";
+
+class Book {
+ public:
+  Book() : book(Options(), Clock(&this->manual), 1) {
+    this->manual.Advance(absl::Hours(1));
+    this->book.TakeList(1, {Listed("a", "near"), Listed("b", "far")});
+    this->Report("a", 0);
+    this->Report("b", 0);
+  }
+
+  static TargetOptions Options() {
+    TargetOptions options;
+    options.max_in_flight = 4;
+    return options;
+  }
+
+  static ListedTarget Listed(const char* name, const char* zone) {
+    return ListedTarget{name, "127.0.0.1", 1, zone, kPool, false};
+  }
+
+  void Report(const char* name, double queued,
+              absl::Duration lag = absl::ZeroDuration()) {
+    LoadReport report;
+    report.queued_tokens = queued;
+    report.boot_id = "1";
+    report.resident = {"m"};
+    report.lag = lag;
+    this->book.TakeReport(kPool, name, report);
+  }
+
+  std::variant<TargetPlace, NoPlace> Take(double tokens = 10) {
+    TargetNeed need;
+    need.pool = kPool;
+    need.model = this->model;
+    need.zone = "near";
+    need.tokens = tokens;
+    need.avoid = this->avoid;
+    return this->book.Take(need);
+  }
+
+  std::string TakeName(double tokens = 10) {
+    const auto place = this->Take(tokens);
+    const auto* found = std::get_if<TargetPlace>(&place);
+    return found == nullptr ? "none" : found->target;
+  }
+
+  ManualClock manual;
+  TargetBook book;
+  std::string model = "m";
+  std::set<std::string> avoid;
+};
+
+class TargetBookTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetBookTest);
+  CPPUNIT_TEST(PrefersTheNearAndTheIdle);
+  CPPUNIT_TEST(AnOldReportCountsForLess);
+  CPPUNIT_TEST(SaysWhyThereIsNoPlace);
+  CPPUNIT_TEST(AFailingTargetIsSetAsideAndReturnsSlowly);
+  CPPUNIT_TEST(ALeavingTargetGetsNoNewWork);
+  CPPUNIT_TEST(AnOlderListChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PrefersTheNearAndTheIdle() {
+    Book book;
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), book.TakeName(1000));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), book.TakeName(10));
+    book.book.NotePrefix(kPool, "a", 7);
+  }
+
+  void AnOldReportCountsForLess() {
+    Book book;
+    book.Report("a", 500);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), book.TakeName());
+    book.Report("a", 500, absl::Seconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), book.TakeName());
+  }
+
+  void SaysWhyThereIsNoPlace() {
+    Book book;
+    for (int i = 0; i < 8; ++i) book.TakeName();
+    CPPUNIT_ASSERT(std::get<NoPlace>(book.Take()) == NoPlace::kBusy);
+    book.model = "other";
+    CPPUNIT_ASSERT(std::get<NoPlace>(book.Take()) == NoPlace::kNotResident);
+    book.model = "m";
+    book.avoid = {"a", "b"};
+    CPPUNIT_ASSERT(std::get<NoPlace>(book.Take()) == NoPlace::kUnreachable);
+    TargetNeed elsewhere;
+    elsewhere.pool = "q";
+    CPPUNIT_ASSERT(std::get<NoPlace>(book.book.Take(elsewhere)) ==
+                   NoPlace::kUnknownPool);
+  }
+
+  // Three failures in a row set a target aside. When it may come back it gets
+  // one request at first and its full budget only after the return time, so
+  // that one which is still ill takes few requests with it.
+  void AFailingTargetIsSetAsideAndReturnsSlowly() {
+    Book book;
+    book.avoid = {"b"};
+    for (int i = 0; i < 3; ++i) {
+      const auto place = std::get<TargetPlace>(book.Take());
+      book.book.Finish(place, PlaceOutcome::kTargetFault);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), book.TakeName());
+    book.manual.Advance(absl::Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), book.TakeName());
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), book.TakeName());
+    book.manual.Advance(absl::Seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), book.TakeName());
+  }
+
+  void ALeavingTargetGetsNoNewWork() {
+    Book book;
+    book.book.MarkLeaving("a");
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), book.TakeName());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), book.TakeName());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.book.LeavingMarks().size());
+    // A mark that is passed on keeps its age, so marks die out.
+    book.manual.Advance(absl::Minutes(2));
+    CPPUNIT_ASSERT(book.book.LeavingMarks().empty());
+    book.book.MarkLeaving("b", absl::Minutes(2));
+    CPPUNIT_ASSERT(book.book.LeavingMarks().empty());
+  }
+
+  void AnOlderListChangesNothing() {
+    Book book;
+    book.book.TakeList(0, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, book.book.Status().size());
+    book.book.TakeList(2, {Book::Listed("b", "far")});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.book.Status().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TargetBookTest, "unit-target-book");
+
+}  // namespace
+}  // namespace dragonflyglade
--- a/tests/unit/unit-token-bucket.cc
+++ b/tests/unit/unit-token-bucket.cc
@@ -41,8 +41,7 @@
     bucket.Configure(kRate, kCap, Instant());
     CPPUNIT_ASSERT(!bucket.Withdraw(1, Instant()));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(30, bucket.Level(absl::Seconds(3)), kExact);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(kCap, bucket.Level(absl::Seconds(60)),
-                                 kExact);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kCap, bucket.Level(absl::Seconds(60)), kExact);
     CPPUNIT_ASSERT(bucket.Withdraw(kCap, absl::Seconds(60)));
     CPPUNIT_ASSERT(!bucket.Withdraw(1, absl::Seconds(60)));
   }
