--- a/dragonflyglade/caller/request_handler.h
+++ b/dragonflyglade/caller/request_handler.h
@@ -26,8 +26,8 @@
  public:
   RequestHandler(const CatalogHolder& catalog, const Freshness& freshness,
                  const Membership& membership, CompletionRunner& completions,
-                 ServiceRunner& services, StreamRegistry& registry,
-                 Metrics& metrics, CallerLimits limits, absl::Duration keep);
+                 ServiceRunner& services, Metrics& metrics, CallerLimits limits,
+                 absl::Duration keep);
 
   /// Answers any request.
   CallerReply Handle(const CallerRequest& request);
@@ -55,7 +55,6 @@
   const Membership& membership;
   CompletionRunner& completions;
   ServiceRunner& services;
-  StreamRegistry& registry;
   Metrics& metrics;
   const CallerLimits limits;
   const absl::Duration keep;
--- a/dragonflyglade/caller/sse.cc
+++ b/dragonflyglade/caller/sse.cc
@@ -5,6 +5,7 @@
 namespace dragonflyglade {
 namespace {
 
+constexpr char kCarriageReturn = '\r';
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDataField = "data:";
 
@@ -14,14 +15,14 @@
   bool first = true;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
+    std::string_view line(event.substr(0, end));
     event = end == std::string_view::npos ? "" : event.substr(end + 1);
     if (line.substr(0, kDataField.size()) != kDataField) continue;
     line.remove_prefix(kDataField.size());
     if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
     if (!first) data += '\n';
     first = false;
-    data += line;
+    data.append(line);
   }
   return data;
 }
@@ -30,7 +31,7 @@
 
 std::vector<std::string> SseReader::Feed(std::string_view bytes) {
   for (const char c : bytes) {
-    if (c != '\r') this->buffer.push_back(c);
+    if (c != kCarriageReturn) this->buffer.push_back(c);
   }
   std::vector<std::string> events;
   std::size_t end = 0;
--- a/dragonflyglade/instance/instance.cc
+++ b/dragonflyglade/instance/instance.cc
@@ -79,8 +79,8 @@
                     settings.zone, clock),
         services(gate, dispatcher, claims, retries, metrics, settings.limits,
                  settings.target_calls, settings.zone, clock),
-        handler(catalog, freshness, membership, completions, services, registry,
-                metrics, settings.limits, settings.keep),
+        handler(catalog, freshness, membership, completions, services, metrics,
+                settings.limits, settings.keep),
         callers(settings.caller_listen, handler, metrics, settings.threads),
         follower(
             kv, peers, membership, records, freshness, catalog,
--- a/dragonflyglade/instance/main.cc
+++ b/dragonflyglade/instance/main.cc
@@ -28,7 +28,7 @@
     fmt::print(std::cerr, "{}", kUse);
     return kExitBadUse;
   }
-  const std::string command = all.front();
+  const std::string& command = all.front();
   const std::vector<std::string> arguments(all.begin() + 1, all.end());
   if (command == "serve") return RunServeCommand(arguments, output);
   if (command == "config") return RunConfigCommand(arguments, output);
--- a/dragonflyglade/net/log.cc
+++ b/dragonflyglade/net/log.cc
@@ -34,9 +34,9 @@
 };
 
 std::shared_ptr<spdlog::sinks::stderr_sink_mt>& Sink() {
-  static auto& kSink = *new std::shared_ptr<spdlog::sinks::stderr_sink_mt>(
+  static auto& sink = *new std::shared_ptr<spdlog::sinks::stderr_sink_mt>(
       std::make_shared<spdlog::sinks::stderr_sink_mt>());
-  return kSink;
+  return sink;
 }
 
 using Loggers = std::array<std::shared_ptr<spdlog::logger>, kPrefixes.size()>;
--- a/dragonflyglade/operator/caller_key.cc
+++ b/dragonflyglade/operator/caller_key.cc
@@ -82,7 +82,7 @@
   const Result<CallerKey> key = ParseCallerKey(text);
   if (!key.Ok()) return KeyProblem::kMalformed;
   const KeyRecord* record = FindRecord(catalog.keys, key.Value().id);
-  static const std::string kNobody(2 * SHA256_DIGEST_LENGTH, '0');
+  static const std::string kNobody(std::size_t{2} * SHA256_DIGEST_LENGTH, '0');
   const std::string salt = record == nullptr ? kNobody : record->salt;
   const std::string expected = record == nullptr ? kNobody : record->digest;
   const std::string digest = DigestOf(salt, key.Value().secret);
--- a/dragonflyglade/operator/record_schemas.cc
+++ b/dragonflyglade/operator/record_schemas.cc
@@ -131,10 +131,10 @@
 }  // namespace
 
 const json* RecordSchema(std::string_view kind, int version) {
-  static const auto& kSchemas =
+  static const auto& schemas =
       *new std::map<std::pair<std::string, int>, json>(AllSchemas());
-  const auto found = kSchemas.find({std::string(kind), version});
-  return found == kSchemas.end() ? nullptr : &found->second;
+  const auto found = schemas.find({std::string(kind), version});
+  return found == schemas.end() ? nullptr : &found->second;
 }
 
 }  // namespace dragonflyglade
--- a/tests/fleet/caller.cc
+++ b/tests/fleet/caller.cc
@@ -22,7 +22,6 @@
 // A paused instance takes connections and never answers.
 constexpr absl::Duration kPatience = absl::Seconds(5);
 constexpr absl::Duration kRetryPause = absl::Milliseconds(100);
-constexpr std::size_t kPrefixBytes = 256;
 
 }  // namespace
 
--- a/tests/fleet/process.cc
+++ b/tests/fleet/process.cc
@@ -25,6 +25,7 @@
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/tests/measure/topics.cc
+++ b/tests/measure/topics.cc
@@ -9,10 +9,10 @@
 }
 
 const std::map<std::string, MeasureTopic>& MeasureTopics() {
-  static const auto& kTopics = *new std::map<std::string, MeasureTopic>{
+  static const auto& topics = *new std::map<std::string, MeasureTopic>{
       {"limits", MeasureLimits},
   };
-  return kTopics;
+  return topics;
 }
 
 }  // namespace dragonflyglade
--- a/tests/model/limits_fleet.cc
+++ b/tests/model/limits_fleet.cc
@@ -266,7 +266,7 @@
   if (!next.has_value()) return;
   this->allotment = *next;
   for (std::size_t i = 0; i < this->nodes.size(); ++i) {
-    const Allotment copy = *next;
+    const Allotment& copy = this->allotment;
     this->At(this->manual.Now() + 10 * this->Delay(), [=] {
       this->At(this->Awake(i), [=] {
         if (this->nodes[i].alive && this->Reaches(i, i)) {
--- a/tests/model/limits_fleet.h
+++ b/tests/model/limits_fleet.h
@@ -121,7 +121,6 @@
   GoneHolders gone;
   std::vector<std::pair<Instant, std::set<std::string>>> lists;
   TokenBucket ideal;
-  bool source_on = true;
   std::size_t favourite = 0;
   LimitsResult result;
 };
--- a/tests/scenario/parser.cc
+++ b/tests/scenario/parser.cc
@@ -25,7 +25,7 @@
 };
 
 const std::map<std::string, VerbRule>& Verbs() {
-  static const auto& kVerbs = *new std::map<std::string, VerbRule>{
+  static const auto& verbs = *new std::map<std::string, VerbRule>{
       {"fleet",
        {0,
         0,
@@ -67,7 +67,7 @@
       {"status", {2, 2, {"on"}, {}}},
       {"check", {1, 2, {}, {}}},
   };
-  return kVerbs;
+  return verbs;
 }
 
 struct Line {
@@ -84,7 +84,7 @@
         x3::string(">=") | x3::string("<=") | x3::string("=");
 const auto kArgument =
     x3::rule<struct ArgumentTag, ScenarioArgument>("name=value") =
-        x3::lexeme[+kNameChar >> kComparison > +x3::graph];
+        x3::lexeme[(+kNameChar >> kComparison) > +x3::graph];
 
 // The whole line; the place of the first character that does not fit is left
 // in `first`.
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -275,6 +275,7 @@
     std::atomic<int> won{0};
     std::atomic<int> conflicts{0};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(racers));
     for (int i = 0; i < racers; ++i) {
       threads.emplace_back([&, i] {
         ConfigEditor editor(kv, fmt::format("racer-{}", i));
--- a/tests/standins/relay_stand_in.cc
+++ b/tests/standins/relay_stand_in.cc
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <stdexcept>
 #include <utility>
 
 namespace dragonflyglade {
@@ -74,7 +75,9 @@
   this->listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = AddressOf(Endpoint{"127.0.0.1", 0});
   socklen_t size = sizeof(address);
-  bind(this->listener, reinterpret_cast<sockaddr*>(&address), size);
+  if (bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) != 0) {
+    throw std::runtime_error("cannot bind");
+  }
   listen(this->listener, SOMAXCONN);
   getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
   this->acceptor = std::thread([this] { this->Accept(); });
--- a/tests/unit/unit-history.cc
+++ b/tests/unit/unit-history.cc
@@ -23,7 +23,7 @@
 }
 
 const std::vector<RuleCase>& Cases() {
-  static const auto& kCases = *new std::vector<RuleCase>{
+  static const auto& cases = *new std::vector<RuleCase>{
       {"a burst, then the rate",
        Windows,
        {At(0, 100), At(1, 10), At(3, 20)},
@@ -58,7 +58,7 @@
        {MemoryEvent{"t", 10, 10}},
        {MemoryEvent{"t", 11, 10}}},
   };
-  return kCases;
+  return cases;
 }
 
 class HistoryTest : public CppUnit::TestFixture {
