Keep the backlog in the instances, where the queue is fair

Cause: each instance sent each target up to 16 requests, so the backlog stood at the engines in the order of arrival: with one workspace at 8 times its part and no rate to stop it, the others' requests were in time in 10 % of cases, and at 60 % load 15 % of all first tokens were late although slots were free elsewhere. Reports now carry slots; an instance uses its equal part of them and its part of what a report shows free; the expected wait counts requests beyond the slots, not tokens in the batch.

Listed instances count as active before they are heard of, so that all instances agree on roles at once; one unit expectation is changed for that.

--- a/dragonflyglade/decision/membership.cc
+++ b/dragonflyglade/decision/membership.cc
@@ -8,6 +8,11 @@
 namespace dragonflyglade {
 namespace {
 
+// A fleet of eight has doubled this often.
+constexpr double kSmallDoublings = 3;
+
+constexpr std::size_t kLargeFleet = 16;
+
 bool IsNewer(const MemberStatement& a, const MemberStatement& b) {
   return std::tie(a.incarnation, a.sequence, a.state) >
          std::tie(b.incarnation, b.sequence, b.state);
@@ -79,19 +84,36 @@
   return live;
 }
 
+// Failure: a fleet that starts has hundreds of statements to pass on; news of
+// a death waits behind them, and meanwhile callers are sent to the dead. What
+// was sent least often goes first, so news overtakes what is nearly known.
 std::vector<MemberStatement> Membership::Updates(std::string_view to) {
   absl::MutexLock lock(&this->mutex);
+  const std::size_t count =
+      std::min(this->options.updates_per_message, this->pending.size());
+  std::partial_sort(this->pending.begin(),
+                    this->pending.begin() + static_cast<std::ptrdiff_t>(count),
+                    this->pending.end(),
+                    [](const Pending& a, const Pending& b) {
+                      return a.times_sent < b.times_sent;
+                    });
   std::vector<MemberStatement> updates;
-  const std::size_t rounds = this->pending.size();
-  for (std::size_t i = 0; i < rounds; ++i) {
-    if (updates.size() == this->options.updates_per_message) break;
-    Pending next = std::move(this->pending.front());
-    this->pending.pop_front();
+  for (std::size_t i = 0; i < count; ++i) {
+    Pending& next = this->pending[i];
+    ++next.times_sent;
     const auto found = this->members.find(next.name);
-    if (found == this->members.end()) continue;
-    updates.push_back(found->second.statement);
-    if (--next.times_left > 0) this->pending.push_back(std::move(next));
+    if (found != this->members.end()) {
+      updates.push_back(found->second.statement);
+    }
   }
+  const double fleet = static_cast<double>(this->members.size() + 1);
+  const int most = this->options.spread_factor *
+                   static_cast<int>(std::ceil(std::log2(fleet + 1)));
+  this->pending.erase(std::remove_if(this->pending.begin(), this->pending.end(),
+                                     [most](const Pending& sent) {
+                                       return sent.times_sent >= most;
+                                     }),
+                      this->pending.end());
   // Whoever is judged suspect or dead is told so, and can refute.
   const auto receiver = this->members.find(to);
   if (receiver != this->members.end() &&
@@ -162,14 +184,23 @@
   this->Judge(found->second, MemberState::kSuspect);
 }
 
+// In a small fleet each member is heard often, and the balances of its buckets
+// stay current; in a large one the bytes count.
+absl::Duration Membership::Period() const {
+  absl::MutexLock lock(&this->mutex);
+  if (this->members.size() < kLargeFleet) return this->options.period;
+  return std::max(this->options.period, this->options.large_fleet_period);
+}
+
 void Membership::Tick() {
   absl::MutexLock lock(&this->mutex);
   const Instant now = this->clock.Now();
+  const absl::Duration suspicion = this->Suspicion();
   for (auto it = this->members.begin(); it != this->members.end();) {
     Member& member = it->second;
     const absl::Duration lasted = now - member.since;
     if (member.statement.state == MemberState::kSuspect &&
-        lasted >= this->options.suspicion) {
+        lasted >= suspicion) {
       this->Judge(member, MemberState::kDead);
     }
     const bool forgotten = member.statement.state == MemberState::kDead &&
@@ -179,6 +210,15 @@
   }
 }
 
+// Failure: in a large fleet a suspect's refutation is still on its way when
+// the suspicion runs out, and a healthy instance is taken for dead by hundreds
+// of others at once.
+absl::Duration Membership::Suspicion() const {
+  const double doublings =
+      std::ceil(std::log2(static_cast<double>(this->members.size() + 2)));
+  return this->options.suspicion * std::max(1.0, doublings / kSmallDoublings);
+}
+
 void Membership::Leave() {
   absl::MutexLock lock(&this->mutex);
   if (this->self.leaving) return;
@@ -212,12 +252,14 @@
 }
 
 std::vector<std::string> Membership::Active() const {
+  absl::MutexLock lock(&this->mutex);
   std::vector<std::string> names;
-  for (const MemberStatement& statement : this->All()) {
+  if (!this->self.leaving) names.push_back(this->self.info.name);
+  for (const auto& [name, member] : this->members) {
+    const MemberStatement& statement = member.statement;
     if (statement.state == MemberState::kDead || statement.leaving) continue;
-    // Listed but never heard of: it cannot be counted on yet.
-    if (statement.incarnation == 0) continue;
-    names.push_back(statement.info.name);
+    if (statement.incarnation == 0 && !this->IsListed(name)) continue;
+    names.push_back(name);
   }
   return names;
 }
@@ -254,13 +296,12 @@
 }
 
 void Membership::Queue(std::string_view name) {
-  for (const Pending& waiting : this->pending) {
-    if (waiting.name == name) return;
+  for (Pending& waiting : this->pending) {
+    if (waiting.name != name) continue;
+    waiting.times_sent = 0;
+    return;
   }
-  const double fleet = static_cast<double>(this->members.size() + 1);
-  const int rounds = static_cast<int>(std::ceil(std::log2(fleet + 1)));
-  this->pending.push_back(
-      Pending{std::string(name), this->options.spread_factor * rounds});
+  this->pending.push_back(Pending{std::string(name), 0});
 }
 
 void Membership::Judge(Member& member, MemberState state) {
--- a/dragonflyglade/decision/membership.h
+++ b/dragonflyglade/decision/membership.h
@@ -2,7 +2,6 @@
 #define DRAGONFLYGLADE_DECISION_MEMBERSHIP_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -57,14 +56,18 @@
 
 /// Paces of the failure detector.
 struct MembershipOptions {
-  /// How long a suspect has to refute before it counts as dead.
+  /// How often an instance sends a heartbeat; a large fleet's at least.
+  absl::Duration period = absl::Milliseconds(300);
+  absl::Duration large_fleet_period = absl::Milliseconds(500);
+  /// How long a suspect of a small fleet has to refute before it counts as
+  /// dead; it grows with log2 of the fleet, as the time that news takes.
   absl::Duration suspicion = absl::Seconds(3);
   /// How long a dead instance that the list lacks is remembered.
   absl::Duration forget_after = absl::Seconds(60);
   /// How many statements go with one heartbeat.
-  std::size_t updates_per_message = 8;
+  std::size_t updates_per_message = 4;
   /// How often each statement is passed on, times log2 of the fleet.
-  int spread_factor = 3;
+  int spread_factor = 1;
 };
 
 /// Who is in the fleet, from the platform's list and heartbeats.
@@ -98,6 +101,9 @@
   /// An instance answered neither directly nor through others.
   void Missed(std::string_view name);
 
+  /// The time until the next heartbeat is due.
+  absl::Duration Period() const;
+
   /// Turns suspects whose time is up into dead and forgets old dead.
   void Tick();
 
@@ -117,6 +123,8 @@
   std::vector<MemberStatement> All() const;
 
   /// Names of instances that are not dead and not leaving, self included.
+  /// Those that the list names count before they are heard of, so that all
+  /// instances soon agree on who is there.
   std::vector<std::string> Active() const;
 
   /// An instance by name.
@@ -136,7 +144,7 @@
   };
   struct Pending {
     std::string name;
-    int times_left = 0;
+    int times_sent = 0;
   };
 
   bool TakeStatement(const MemberStatement& statement)
@@ -146,6 +154,7 @@
   void Queue(std::string_view name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   void Judge(Member& member, MemberState state)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  absl::Duration Suspicion() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
   bool IsListed(std::string_view name) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
@@ -155,7 +164,7 @@
   MemberStatement self ABSL_GUARDED_BY(mutex);
   std::map<std::string, Member, std::less<>> members ABSL_GUARDED_BY(mutex);
   InstanceList list ABSL_GUARDED_BY(mutex);
-  std::deque<Pending> pending ABSL_GUARDED_BY(mutex);
+  std::vector<Pending> pending ABSL_GUARDED_BY(mutex);
   std::vector<std::string> round ABSL_GUARDED_BY(mutex);
   std::mt19937_64 random ABSL_GUARDED_BY(mutex);
 };
--- a/dragonflyglade/decision/target_book.cc
+++ b/dragonflyglade/decision/target_book.cc
@@ -10,6 +10,15 @@
 namespace dragonflyglade {
 namespace {
 
+// Time after which a report counts for a third.
+constexpr absl::Duration kReportTrust = absl::Seconds(2);
+constexpr double kUnknownSlots = 16;
+// What a full batch, and one request that waits, add to a request's cost.
+constexpr double kBatchWeight = 0.5;
+constexpr double kWaitWeight = 2;
+// Reports overlap: what was taken after one is not in the next yet.
+constexpr double kSparePart = 0.5;
+
 bool IsResident(const LoadReport& report, const TargetNeed& need) {
   const auto has = [&report](const std::string& name) {
     return name.empty() || report.resident.count(name) > 0;
@@ -77,6 +86,12 @@
   // A restarted target has lost its prompt cache.
   if (found->report.boot_id != report.boot_id) found->prefixes.clear();
   found->report_at = this->clock.Now() - report.lag;
+  found->in_flight_at_report = found->in_flight;
+  const double spare = kSparePart * std::max(0, report.slots - report.running) /
+                       static_cast<double>(this->sharers);
+  // The fraction is drawn, so that all instances together take what is free.
+  found->spare =
+      static_cast<int>(spare + absl::Uniform(shard.random, 0.0, 1.0));
   found->report = std::move(report);
 }
 
@@ -126,28 +141,83 @@
   return std::max(1, static_cast<int>(std::floor(grown)));
 }
 
-// The expected wait in tokens. The report counts everybody's work but is old;
-// the own outstanding tokens are exact but miss the other instances. The
-// report fades with its age, and never counts for less than the own tokens.
-double TargetBook::Cost(const Target& target, const TargetNeed& need,
-                        Instant now) const {
+void TargetBook::SetSharers(int instances) {
+  this->sharers = std::max(1, instances);
+}
+
+// Failure: every instance sends a target as many requests as it may, they
+// wait at the engine in the order of arrival, and one workspace's flood delays
+// all others although each instance's own queue is fair. So the backlog is
+// kept here: each instance may use its equal part of a target's slots, and of
+// the slots that a report shows to be free its equal part again.
+bool TargetBook::HasRoom(const Target& target, Instant now) const {
+  if (target.in_flight >= this->Budget(target, now)) return false;
+  if (target.report.slots <= 0) return true;
+  const int part = std::max(1, target.report.slots / this->sharers);
+  if (target.in_flight < part) return true;
+  return target.in_flight < target.in_flight_at_report + target.spare;
+}
+
+// How many requests the target has from all instances. The report knows of
+// everybody's but is old; the own requests are known exactly, and others have
+// about as many each. The report fades with its age.
+double TargetBook::Occupancy(const Target& target, Instant now) const {
+  const double blind = static_cast<double>(target.in_flight) * this->sharers;
   const absl::Duration age = now - target.report_at;
+  if (age == absl::InfiniteDuration()) return blind;
   const double trust =
-      age == absl::InfiniteDuration()
-          ? 0.0
-          : std::exp(-std::max(0.0, absl::ToDoubleSeconds(age)) / 2.0);
-  double cost =
-      std::max(target.outstanding, trust * target.report.queued_tokens) +
-      0.1 * target.outstanding;
+      std::exp(-std::max(0.0, absl::FDivDuration(age, kReportTrust)));
+  const double reported =
+      target.report.running + target.in_flight - target.in_flight_at_report;
+  return trust * std::max(0.0, reported) + (1 - trust) * blind;
+}
+
+// A hint only: cache events come late and with gaps, and what was seen a while
+// ago is forgotten by a busy engine.
+bool TargetBook::LikelyCached(const Target& target, std::uint64_t prefix,
+                              Instant now) const {
+  if (prefix == 0) return false;
+  const auto seen = target.prefixes.find(prefix);
+  return seen != target.prefixes.end() &&
+         now - seen->second < this->options.prefix_memory;
+}
+
+// The expected wait in tokens. Requests in the batch hardly delay a new one;
+// those beyond the slots do.
+double TargetBook::Cost(const Target& target, const TargetNeed& need,
+                        Instant now) const {
+  const double occupancy = this->Occupancy(target, now);
+  const double slots =
+      target.report.slots > 0 ? target.report.slots : kUnknownSlots;
+  double cost = kBatchWeight * need.tokens * occupancy / slots;
+  cost += kWaitWeight * need.tokens * std::max(0.0, occupancy + 1 - slots);
   if (target.listed.zone != need.zone) {
     cost += this->options.zone_penalty_tokens;
   }
-  if (need.prefix != 0 && target.prefixes.count(need.prefix) > 0) {
+  if (this->LikelyCached(target, need.prefix, now)) {
     cost -= this->options.prefix_bonus_tokens;
   }
   return cost;
 }
 
+// Requests with the same beginning have one target that all instances prefer
+// for them without telling each other, so its cache is worth having.
+std::string TargetBook::PrefixHome(
+    const std::map<std::string, Target, std::less<>>& targets,
+    const TargetNeed& need) {
+  if (need.prefix == 0) return {};
+  std::string home;
+  std::uint64_t heaviest = 0;
+  for (const auto& [name, target] : targets) {
+    if (!IsResident(target.report, need) || target.listed.leaving) continue;
+    const std::uint64_t weight = StableHash(name, need.prefix);
+    if (!home.empty() && weight <= heaviest) continue;
+    home = name;
+    heaviest = weight;
+  }
+  return home;
+}
+
 std::variant<TargetPlace, NoPlace> TargetBook::Take(const TargetNeed& need) {
   Shard& shard = this->ShardOf(need.pool);
   absl::MutexLock lock(&shard.mutex);
@@ -156,6 +226,7 @@
     return NoPlace::kUnknownPool;
   }
   const Instant now = this->clock.Now();
+  const std::string home = this->PrefixHome(targets->second, need);
   bool resident = false;
   bool busy = false;
   Target* best = nullptr;
@@ -165,14 +236,15 @@
     resident = true;
     if (target.listed.leaving || this->IsMarkedLeaving(name)) continue;
     if (this->IsEjected(target, now) || need.avoid.count(name) > 0) continue;
-    if (target.in_flight >= this->Budget(target, now)) {
+    if (!this->HasRoom(target, now)) {
       busy = true;
       continue;
     }
     // Equal costs are broken at random, so that several instances which see
     // the same figures do not all choose the same target.
     const double jitter = absl::Uniform(shard.random, 0.0, 1.0);
-    const double cost = this->Cost(target, need, now) + jitter;
+    double cost = this->Cost(target, need, now) + jitter;
+    if (name == home) cost -= this->options.prefix_bonus_tokens;
     if (best != nullptr && cost >= best_cost) continue;
     best = &target;
     best_cost = cost;
@@ -203,7 +275,11 @@
     }
   }
   if (outcome != PlaceOutcome::kTargetFault) return;
-  if (++target.failures < this->options.failures_to_eject) return;
+  // A target that came back a moment ago is set aside again by one failure:
+  // otherwise each return costs as many requests as the first ejection did.
+  const bool on_trial =
+      this->clock.Now() - target.ejected_until < this->options.slow_return;
+  if (++target.failures < this->options.failures_to_eject && !on_trial) return;
   const absl::Duration wait = std::min(
       this->options.longest_ejection,
       this->options.ejection * std::pow(2.0, std::min(target.ejections, 10)));
@@ -219,9 +295,10 @@
   absl::MutexLock lock(&shard.mutex);
   Target* found = Find(shard, pool, target);
   if (found == nullptr) return;
-  std::set<std::uint64_t>& prefixes = found->prefixes;
-  if (prefixes.size() >= kMaxPrefixes) prefixes.erase(prefixes.begin());
-  prefixes.insert(prefix);
+  if (found->prefixes.size() >= kMaxPrefixes) {
+    found->prefixes.erase(found->prefixes.begin());
+  }
+  found->prefixes[prefix] = this->clock.Now();
 }
 
 void TargetBook::DropPrefix(std::string_view pool, std::string_view target,
--- a/dragonflyglade/decision/target_book.h
+++ b/dragonflyglade/decision/target_book.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_DECISION_TARGET_BOOK_H_
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -31,7 +32,8 @@
 /// What a target says of its load. It lags.
 struct LoadReport {
   double queued_tokens = 0;        ///< not yet processed, from all instances
-  int running = 0;                 ///< requests in its batch
+  int running = 0;                 ///< requests in its batch or waiting for it
+  int slots = 0;                   ///< requests it runs at once; 0 if not said
   std::string boot_id;             ///< changes when the target restarts
   std::set<std::string> resident;  ///< models and adapters in memory
   absl::Duration lag;  ///< how old the figures were when they arrived
@@ -48,6 +50,7 @@
   absl::Duration leaving_memory = absl::Seconds(60);
   double zone_penalty_tokens = 200;
   double prefix_bonus_tokens = 300;
+  absl::Duration prefix_memory = absl::Seconds(5);
 };
 
 /// What a request asks of a target.
@@ -115,6 +118,9 @@
   /// Targets marked as leaving and for how long, to pass on to peers.
   std::map<std::string, absl::Duration> LeavingMarks() const;
 
+  /// Says how many instances send requests to the same targets.
+  void SetSharers(int instances);
+
   /// Takes a place at the best target, or says why there is none.
   std::variant<TargetPlace, NoPlace> Take(const TargetNeed& need);
 
@@ -138,11 +144,13 @@
     LoadReport report;
     Instant report_at = -absl::InfiniteDuration();
     int in_flight = 0;
+    int in_flight_at_report = 0;
+    int spare = 0;  ///< slots that this instance may use beyond its part
     double outstanding = 0;
     int failures = 0;
     int ejections = 0;
     Instant ejected_until = -absl::InfiniteDuration();
-    std::set<std::uint64_t> prefixes;
+    std::map<std::uint64_t, Instant> prefixes;  ///< and when last seen
   };
   struct Shard {
     mutable absl::Mutex mutex;
@@ -162,11 +170,19 @@
   bool IsMarkedLeaving(std::string_view target) const;
   bool IsEjected(const Target& target, Instant now) const;
   int Budget(const Target& target, Instant now) const;
+  bool HasRoom(const Target& target, Instant now) const;
+  bool LikelyCached(const Target& target, std::uint64_t prefix,
+                    Instant now) const;
+  static std::string PrefixHome(
+      const std::map<std::string, Target, std::less<>>& targets,
+      const TargetNeed& need);
+  double Occupancy(const Target& target, Instant now) const;
   double Cost(const Target& target, const TargetNeed& need, Instant now) const;
 
   const TargetOptions options;
   const Clock clock;
   std::array<Shard, kShards> shards;
+  std::atomic<int> sharers{1};
   mutable absl::Mutex list_mutex;
   std::int64_t list_version ABSL_GUARDED_BY(list_mutex) = -1;
   mutable absl::Mutex marks_mutex;
--- a/dragonflyglade/instance/allotment_keeper.cc
+++ b/dragonflyglade/instance/allotment_keeper.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "dragonflyglade/decision/rendezvous.h"
 #include "dragonflyglade/net/log.h"
@@ -41,7 +42,7 @@
                                  Membership& membership, ShareBook& shares,
                                  const CatalogHolder& catalog,
                                  AuditTrail& audit, absl::Duration period,
-                                 absl::Duration settle, Clock clock)
+                                 absl::Duration settle, Hear hear, Clock clock)
     : kv(kv),
       peers(peers),
       membership(membership),
@@ -49,6 +50,7 @@
       catalog(catalog),
       audit(audit),
       period(period),
+      hear(std::move(hear)),
       gone(settle, clock),
       worker([this] { return this->Round(); }) {}
 
@@ -71,8 +73,9 @@
     view.listed.insert(listed.info.name);
   }
   for (const MemberStatement& member : this->membership.All()) {
-    if (member.incarnation == 0) continue;
-    view.answering[member.info.name] = member.incarnation;
+    if (member.incarnation != 0) {
+      view.answering[member.info.name] = member.incarnation;
+    }
     const bool able = !member.leaving && member.state == MemberState::kAlive &&
                       view.listed.count(member.info.name) > 0;
     if (able) {
@@ -83,6 +86,28 @@
   return view;
 }
 
+// In a large fleet a chosen holder may not have been heard of yet. It gets its
+// share in the round after it answered.
+void AllotmentKeeper::HearHolders(std::map<std::string, AllotmentView>& views) {
+  std::set<std::string> unheard;
+  for (auto& [workspace, view] : views) {
+    std::vector<HolderCandidate> heard;
+    for (const HolderCandidate& candidate : view.wanted) {
+      if (candidate.incarnation != 0) {
+        heard.push_back(candidate);
+      } else {
+        unheard.insert(candidate.instance);
+      }
+    }
+    view.wanted = std::move(heard);
+  }
+  for (const std::string& instance : unheard) {
+    const std::optional<MemberStatement> member =
+        this->membership.Find(instance);
+    if (member.has_value()) this->hear(*member);
+  }
+}
+
 // Asks each holder that should shrink which epochs it follows.
 void AllotmentKeeper::Confirm(const std::map<std::string, Stored>& stored,
                               std::map<std::string, AllotmentView>& views) {
@@ -157,6 +182,7 @@
     views[workspace] = common;
     views[workspace].wanted = WantedHolders(workspace, common.wanted);
   }
+  this->HearHolders(views);
   this->Confirm(stored, views);
   for (const auto& [workspace, entry] : stored) {
     // A workspace without a rate record keeps its allotment as it is.
--- a/dragonflyglade/instance/allotment_keeper.h
+++ b/dragonflyglade/instance/allotment_keeper.h
@@ -1,6 +1,8 @@
 #ifndef DRAGONFLYGLADE_INSTANCE_ALLOTMENT_KEEPER_H_
 #define DRAGONFLYGLADE_INSTANCE_ALLOTMENT_KEEPER_H_
 
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -22,10 +24,13 @@
 /// whoever takes it, since it rests on facts that stay true.
 class AllotmentKeeper {
  public:
+  /// Exchanges heartbeats with an instance that was not heard of yet.
+  using Hear = std::function<bool(const MemberStatement&)>;
+
   AllotmentKeeper(const KvClient& kv, PeerClient& peers, Membership& membership,
                   ShareBook& shares, const CatalogHolder& catalog,
                   AuditTrail& audit, absl::Duration period,
-                  absl::Duration settle, Clock clock);
+                  absl::Duration settle, Hear hear, Clock clock);
   ~AllotmentKeeper();
 
   void Start();
@@ -41,6 +46,7 @@
   absl::Duration Round();
   bool IsKeeper() const;
   AllotmentView CommonView() const;
+  void HearHolders(std::map<std::string, AllotmentView>& views);
   void Confirm(const std::map<std::string, Stored>& stored,
                std::map<std::string, AllotmentView>& views);
   void Improve(const std::string& workspace, const Stored& stored,
@@ -53,6 +59,7 @@
   const CatalogHolder& catalog;
   AuditTrail& audit;
   const absl::Duration period;
+  const Hear hear;
   GoneHolders gone;
   Worker worker;
 };
--- a/dragonflyglade/instance/instance.cc
+++ b/dragonflyglade/instance/instance.cc
@@ -68,8 +68,7 @@
               this->follower.PullFrom(newer);
             },
             clock),
-        heartbeat_loop(membership, heartbeats, peers,
-                       settings.periods.heartbeat, clock),
+        heartbeat_loop(membership, heartbeats, peers, clock),
         gate(shares, membership, peers),
         dispatcher(targets, settings.dispatch, clock),
         retries(kRetryShare, kRetryReserve),
@@ -91,10 +90,14 @@
               this->Follow(newest);
             },
             clock),
-        keeper(kv, peers, membership, shares, catalog, audit,
-               settings.periods.allotments,
-               settings.shares.longest_promise + settings.shares.hold_limit,
-               clock),
+        keeper(
+            kv, peers, membership, shares, catalog, audit,
+            settings.periods.allotments,
+            settings.shares.longest_promise + settings.shares.hold_limit,
+            [this](const MemberStatement& member) {
+              return this->heartbeat_loop.ExchangeWith(member);
+            },
+            clock),
         placement(kv, peers, membership, targets, catalog, demand, audit,
                   settings.target_calls, settings.placement, clock),
         poller(lists, targets, catalog, settings.target_calls,
@@ -121,6 +124,8 @@
               this->callers.Active() * kFullLoad / this->settings.threads;
           this->membership.SetLoad(
               std::min(static_cast<int>(kFullLoad), static_cast<int>(load)));
+          this->targets.SetSharers(
+              static_cast<int>(this->membership.Active().size()));
           return kLoadPeriod;
         }) {}
 
--- a/dragonflyglade/instance/settings.cc
+++ b/dragonflyglade/instance/settings.cc
@@ -117,7 +117,6 @@
 
 void ReadPeriods(const json& periods, Periods& out) {
   const absl::Duration ms = absl::Milliseconds(1);
-  Read(periods, "heartbeat_ms", ms, out.heartbeat);
   Read(periods, "config_reread_ms", ms, out.config_reread);
   Read(periods, "lists_ms", ms, out.lists);
   Read(periods, "reports_ms", ms, out.reports);
@@ -144,7 +143,10 @@
   if (!addresses.Problems().empty()) return Invalid(addresses.Problems());
   ReadLimits(document.value("limits", json::object()), settings);
   ReadTimeouts(document.value("timeouts", json::object()), settings);
-  ReadPeriods(document.value("periods", json::object()), settings.periods);
+  const json periods = document.value("periods", json::object());
+  ReadPeriods(periods, settings.periods);
+  Read(periods, "heartbeat_ms", absl::Milliseconds(1),
+       settings.membership.period);
   ReadPlacement(document.value("placement", json::object()),
                 settings.placement);
   Read(document, "config_relays", settings.config_relays);
--- a/dragonflyglade/instance/settings.h
+++ b/dragonflyglade/instance/settings.h
@@ -22,7 +22,6 @@
 
 /// How often an instance does what nobody asked it to.
 struct Periods {
-  absl::Duration heartbeat = absl::Milliseconds(300);
   absl::Duration config_reread = absl::Seconds(1);
   absl::Duration lists = absl::Seconds(1);
   absl::Duration reports = absl::Milliseconds(500);
--- a/dragonflyglade/peer/heartbeat_loop.cc
+++ b/dragonflyglade/peer/heartbeat_loop.cc
@@ -12,11 +12,10 @@
 
 HeartbeatLoop::HeartbeatLoop(Membership& membership,
                              HeartbeatExchange& heartbeats, PeerClient& peers,
-                             absl::Duration period, Clock clock)
+                             Clock clock)
     : membership(membership),
       heartbeats(heartbeats),
       peers(peers),
-      period(period),
       clock(clock),
       worker([this] { return this->Round(); }),
       news([this] {
@@ -66,15 +65,16 @@
 
 absl::Duration HeartbeatLoop::Round() {
   this->membership.Tick();
+  const absl::Duration period = this->membership.Period();
   const std::optional<MemberStatement> next = this->membership.NextToProbe();
-  if (!next.has_value()) return this->period;
-  if (this->ExchangeWith(*next)) return this->period;
-  if (this->AnswersThroughOthers(next->info.name)) return this->period;
+  if (!next.has_value()) return period;
+  if (this->ExchangeWith(*next)) return period;
+  if (this->AnswersThroughOthers(next->info.name)) return period;
   if (next->state == MemberState::kAlive) {
     LogFor(LogPart::kPeer).info("No answer from {}.", next->info.name);
   }
   this->membership.Missed(next->info.name);
-  return this->period;
+  return period;
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/peer/heartbeat_loop.h
+++ b/dragonflyglade/peer/heartbeat_loop.h
@@ -15,7 +15,7 @@
 class HeartbeatLoop {
  public:
   HeartbeatLoop(Membership& membership, HeartbeatExchange& heartbeats,
-                PeerClient& peers, absl::Duration period, Clock clock);
+                PeerClient& peers, Clock clock);
 
   void Start();
   void Stop();
@@ -34,7 +34,6 @@
   Membership& membership;
   HeartbeatExchange& heartbeats;
   PeerClient& peers;
-  const absl::Duration period;
   const Clock clock;
   Worker worker;
   Worker news;
--- a/dragonflyglade/target/engine_client.cc
+++ b/dragonflyglade/target/engine_client.cc
@@ -49,7 +49,9 @@
 EngineReport DecodeReport(const json& document) {
   EngineReport report;
   report.load.queued_tokens = document.at("queued_tokens").get<double>();
-  report.load.running = document.at("running").get<int>();
+  report.load.running =
+      document.at("running").get<int>() + document.value("waiting", 0);
+  report.load.slots = document.value("slots", 0);
   report.load.boot_id = document.at("boot_id").get<std::string>();
   report.load.resident = document.at("resident").get<std::set<std::string>>();
   report.load.lag = absl::Milliseconds(document.value("age_ms", 0));
--- /dev/null
+++ b/tests/integration/integration-callers.cc
@@ -0,0 +1,179 @@
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/fleet/caller.h"
+#include "tests/fleet/fleet.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+
+struct CallCase {
+  const char* name;
+  CallSpec spec;
+  std::string key;  ///< "good", "none" or the key itself
+  int status;
+  const char* code;
+};
+
+// Sends bytes as they are and returns what comes back.
+std::string SendRaw(const Endpoint& to, const std::string& bytes) {
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(to.port));
+  inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
+  std::string answer;
+  if (connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+      0) {
+    send(client, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    shutdown(client, SHUT_WR);
+    std::array<char, 4096> buffer;
+    ssize_t size = 0;
+    while ((size = recv(client, buffer.data(), buffer.size(), 0)) > 0) {
+      answer.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+  }
+  close(client);
+  return answer;
+}
+
+CallSpec Completion(const std::string& body) {
+  CallSpec spec;
+  spec.method = "POST";
+  spec.path = "/v1/completions";
+  spec.body = body;
+  return spec;
+}
+
+CallSpec Service(const char* method, const char* path,
+                 const std::string& body = {}) {
+  CallSpec spec;
+  spec.method = method;
+  spec.path = std::string("/v1/services/") + path;
+  spec.body = body;
+  return spec;
+}
+
+class CallersIntegration : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallersIntegration);
+  CPPUNIT_TEST(EachRequestGetsItsAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // One instance is sent everything that callers might send, good and bad.
+  // Each bad request gets its own error, none reaches a target or holds up
+  // the good one that follows.
+  void EachRequestGetsItsAnswer() {
+    FleetOptions options;
+    options.instances = 2;
+    Fleet fleet(options);
+    fleet.WaitReady();
+    const CallerKey key = fleet.Grant("gallery");
+    const Endpoint instance = fleet.CallerEndpoint(1);
+    const auto good_call = [&] {
+      return CallInstance(instance, key.ToString(),
+                          Service("GET", "ledger/balance/x"));
+    };
+    CPPUNIT_ASSERT(WaitUntil([&] { return good_call().status == 200; }));
+
+    CallSpec secret_in_path = Service("GET", "ledger/balance/");
+    secret_in_path.path += key.secret;
+    CallSpec secret_in_query = Service("GET", "ledger/balance/x?api_key=");
+    secret_in_query.path += key.ToString();
+    CallSpec urgent = Completion(R"({"model":"letters","prompt":"x"})");
+    urgent.headers = {{"X-Request-Class", "urgent"}};
+    CallSpec long_key = Service("POST", "ledger/payouts", "{}");
+    long_key.headers = {{"Idempotency-Key", std::string(300, 'k')}};
+    CallSpec wrong_method = Service("DELETE", "ledger/payouts");
+    CallSpec no_method = Completion("");
+    no_method.method = "GET";
+    const std::string large(2u << 20, 'x');
+    const std::vector<CallCase> cases = {
+        {"no key", Service("GET", "ledger/balance/x"), "none", 401,
+         "missing_key"},
+        {"unknown key", Service("GET", "ledger/balance/x"),
+         NewCallerKey().ToString(), 401, "unknown_key"},
+        {"truncated key", Service("GET", "ledger/balance/x"),
+         key.ToString().substr(0, 40), 401, "unknown_key"},
+        {"unknown path", CallSpec{"GET", "/v2/none", "", {}}, "good", 404,
+         "not_found"},
+        {"unknown service", Service("GET", "nothing/x"), "good", 404,
+         "not_found"},
+        {"unknown route", Service("GET", "ledger/secrets"), "good", 404,
+         "not_found"},
+        {"wrong method", wrong_method, "good", 405, "method_not_allowed"},
+        {"wrong method for models", no_method, "good", 405,
+         "method_not_allowed"},
+        {"a path that climbs", Service("GET", "ledger/balance/../payouts"),
+         "good", 400, "bad_request"},
+        {"a path with spaces", Service("GET", "ledger/balance/%20x"), "good",
+         400, "bad_request"},
+        {"the key in the path", secret_in_path, "good", 400, "bad_request"},
+        {"the key in the query", secret_in_query, "good", 400, "bad_request"},
+        {"the key in the body",
+         Completion(R"({"model":"letters","prompt":")" + key.secret + "\"}"),
+         "good", 400, "bad_request"},
+        {"no JSON", Completion("{"), "good", 400, "bad_request"},
+        {"bytes that are no text", Completion("\xff\xfe\x01"), "good", 400,
+         "bad_request"},
+        {"unknown model", Completion(R"({"model":"no","prompt":"x"})"), "good",
+         404, "not_found"},
+        {"a class that records give", urgent, "good", 400, "bad_request"},
+        {"a long idempotency key", long_key, "good", 400, "bad_request"},
+        {"more than the burst",
+         Completion(R"({"model":"letters","prompt":"x","max_tokens":900000})"),
+         "good", 400, "cost_above_burst"},
+        {"a body above the limit", Completion(large), "good", 413,
+         "body_too_large"},
+        {"a path above the limit",
+         Service("GET", ("ledger/balance/" + std::string(5000, 'y')).c_str()),
+         "good", 400, "bad_request"},
+    };
+    for (const CallCase& item : cases) {
+      const std::string shown = item.key == "good"   ? key.ToString()
+                                : item.key == "none" ? std::string()
+                                                     : item.key;
+      const CallResult result = CallInstance(instance, shown, item.spec);
+      const std::string seen = std::string(item.name) + ": " +
+                               std::to_string(result.status) + " " +
+                               result.body + result.failure;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, item.status, result.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, std::string(item.code), result.code);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, std::string("no"), result.ran);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200, good_call().status);
+    }
+    for (const char* raw :
+         {"", "\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
+          "POST /v1/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+          "POST /v1/completions HTTP/1.1\r\nContent-Length: 99\r\n\r\nshort",
+          "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "zz\r\n"}) {
+      const std::string answer = SendRaw(instance, raw);
+      CPPUNIT_ASSERT_MESSAGE(raw + answer,
+                             answer.find(" 200 ") == std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(raw, 200, good_call().status);
+    }
+    const std::string seen_elsewhere =
+        fleet.Received() + fleet.Logs() + fleet.KvText();
+    CPPUNIT_ASSERT(seen_elsewhere.find(key.secret) == std::string::npos);
+    const json status = fleet.Status(1);
+    CPPUNIT_ASSERT(status.at("refusals").dump().find("unknown_key") !=
+                   std::string::npos);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CallersIntegration,
+                                      "integration-callers");
+
+}  // namespace
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/integration/integration-commands.cc
@@ -0,0 +1,214 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/instance/serve_command.h"
+#include "dragonflyglade/operator/commands.h"
+#include "tests/standins/kv_stand_in.h"
+
+namespace dragonflyglade {
+namespace {
+
+struct Ran {
+  int code = 0;
+  std::string out;
+  std::string err;
+};
+
+using Command = int (*)(const std::vector<std::string>&, const CommandOutput&);
+
+Ran Run(Command command, const std::vector<std::string>& arguments) {
+  std::ostringstream out;
+  std::ostringstream err;
+  Ran ran;
+  ran.code = command(arguments, CommandOutput{out, err});
+  ran.out = out.str();
+  ran.err = err.str();
+  return ran;
+}
+
+struct CommandCase {
+  Command command;
+  std::vector<std::string> arguments;
+  int code;
+  const char* text;  ///< part of what is written
+};
+
+class CommandsIntegration : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CommandsIntegration);
+  CPPUNIT_TEST(BadUseIsTold);
+  CPPUNIT_TEST(ARecordsLife);
+  CPPUNIT_TEST(LostAnswersAreFoundOut);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->folder = std::filesystem::temp_directory_path() /
+                   ("glade-commands-" + std::to_string(getpid()));
+    std::filesystem::create_directories(this->folder);
+  }
+  void tearDown() override { std::filesystem::remove_all(this->folder); }
+
+  std::string File(const char* name, const char* text) const {
+    const std::string path = this->folder / name;
+    std::ofstream(path) << text;
+    return path;
+  }
+
+  void BadUseIsTold() {
+    const std::string bad = this->File("bad.json", R"([{"kind":"rate"}])");
+    const std::string settings = this->File("settings.json", R"({"name":1})");
+    const std::vector<CommandCase> cases = {
+        {RunConfigCommand, {}, kExitBadUse, "expected a config command"},
+        {RunConfigCommand, {"--help"}, kExitDone, "use: dragonflyglade"},
+        {RunConfigCommand, {"sing"}, kExitBadUse, "no such command: sing"},
+        {RunConfigCommand, {"apply", bad}, kExitBadUse, "--kv ADDRESS:PORT"},
+        {RunConfigCommand, {"validate"}, kExitBadUse, "expected a FILE"},
+        {RunConfigCommand, {"validate", bad}, kExitBadUse, "record 1"},
+        {RunConfigCommand,
+         {"validate", "/nowhere"},
+         kExitBadUse,
+         "cannot be read"},
+        {RunConfigCommand,
+         {"get", "--kv", "host:1", "rate", "w"},
+         kExitBadUse,
+         "expected an IP number"},
+        {RunConfigCommand,
+         {"get", "--kv", "127.0.0.1:1", "rate"},
+         kExitBadUse,
+         "expected KIND NAME"},
+        {RunConfigCommand,
+         {"get", "--kv", "127.0.0.1:1", "rate", "w"},
+         kExitFailed,
+         "unavailable"},
+        {RunConfigCommand,
+         {"retire", "--kv", "127.0.0.1:1", "rate", "x"},
+         kExitBadUse,
+         "expected KIND SCHEMA"},
+        {RunConfigCommand, {"apply", "--colour", "red"}, kExitBadUse, "colour"},
+        {RunKeyCommand, {"grant"}, kExitBadUse, "expected grant WORKSPACE"},
+        {RunKeyCommand, {"lend", "w"}, kExitBadUse, "expected grant"},
+        {RunStatusCommand, {}, kExitBadUse, "--instance"},
+        {RunStatusCommand,
+         {"--instance", "127.0.0.1:1"},
+         kExitFailed,
+         "could not connect"},
+        {RunAuditCommand, {"extra"}, kExitBadUse, "unexpected extra"},
+        {RunServeCommand, {}, kExitBadUse, "expected --settings"},
+        {RunServeCommand,
+         {"--settings", "/nowhere"},
+         kExitBadUse,
+         "cannot be read"},
+        {RunServeCommand,
+         {"--settings", settings, "--check"},
+         kExitBadUse,
+         "name: expected string"},
+    };
+    for (const CommandCase& item : cases) {
+      const Ran ran = Run(item.command, item.arguments);
+      const std::string seen = ran.out + ran.err;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, item.code, ran.code);
+      CPPUNIT_ASSERT_MESSAGE(seen, seen.find(item.text) != std::string::npos);
+    }
+  }
+
+  void ARecordsLife() {
+    KvStandIn kv;
+    const std::string at = kv.Start().ToString();
+    const std::string workspace = this->File(
+        "w.json", R"({"kind":"workspace","schema":1,"name":"w","value":{}})");
+    const std::string rate1 =
+        this->File("r1.json", R"({"kind":"rate","schema":1,"name":"w",
+                       "value":{"tokens_per_second":5,"burst_tokens":6}})");
+    const std::string rate2 =
+        this->File("r2.json", R"({"kind":"rate","schema":2,"name":"w",
+                       "value":{"tokens":5,"per_seconds":1,"burst_tokens":6}})");
+    const std::vector<CommandCase> cases = {
+        {RunKeyCommand,
+         {"grant", "--kv", at, "w"},
+         kExitFailed,
+         "no such record"},
+        {RunConfigCommand,
+         {"apply", "--kv", at, workspace},
+         kExitDone,
+         "applied 1 records at revision 2"},
+        {RunConfigCommand,
+         {"apply", "--kv", at, rate1},
+         kExitDone,
+         "revision 3"},
+        {RunConfigCommand,
+         {"apply", "--kv", at, rate1, "--expect-revision", "2"},
+         kExitFailed,
+         "changed by another writer"},
+        {RunConfigCommand,
+         {"apply", "--kv", at, rate1, "--expect-revision", "3"},
+         kExitDone,
+         "revision 4"},
+        {RunConfigCommand,
+         {"retire", "--kv", at, "rate", "1"},
+         kExitFailed,
+         "without a newer version: w"},
+        {RunConfigCommand,
+         {"apply", "--kv", at, rate2},
+         kExitDone,
+         "revision 5"},
+        {RunConfigCommand,
+         {"retire", "--kv", at, "rate", "1"},
+         kExitDone,
+         "retired rate up to v1"},
+        {RunConfigCommand,
+         {"retire", "--kv", at, "rate", "2"},
+         kExitBadUse,
+         "before its newest"},
+        {RunConfigCommand,
+         {"get", "--kv", at, "rate", "w"},
+         kExitDone,
+         "config/rate/v2/w at revision 5"},
+        {RunConfigCommand,
+         {"history", "--kv", at, "rate", "w"},
+         kExitDone,
+         "config apply"},
+        {RunKeyCommand, {"grant", "--kv", at, "w"}, kExitDone, "dg_"},
+        {RunKeyCommand,
+         {"withdraw", "--kv", at, "0123"},
+         kExitFailed,
+         "no such record"},
+        {RunAuditCommand, {"--kv", at, "--json"}, kExitDone, "key grant"},
+    };
+    for (const CommandCase& item : cases) {
+      const Ran ran = Run(item.command, item.arguments);
+      const std::string seen = ran.out + ran.err;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, item.code, ran.code);
+      CPPUNIT_ASSERT_MESSAGE(seen, seen.find(item.text) != std::string::npos);
+    }
+  }
+
+  // The service carries a change out but its answer is lost. The command
+  // finds its own audit entry, which was written in the same transaction, and
+  // reports success instead of a conflict with itself.
+  void LostAnswersAreFoundOut() {
+    KvStandIn kv;
+    const std::string at = kv.Start().ToString();
+    const std::string workspace = this->File(
+        "w.json", R"({"kind":"workspace","schema":1,"name":"w","value":{}})");
+    kv.LoseAnswers(1);
+    const Ran ran = Run(RunConfigCommand, {"apply", "--kv", at, workspace});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(ran.err, kExitDone, ran.code);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, kv.Writes());
+  }
+
+ private:
+  std::filesystem::path folder;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CommandsIntegration,
+                                      "integration-commands");
+
+}  // namespace
+}  // namespace dragonflyglade
--- a/tests/measure/measure_limits.cc
+++ b/tests/measure/measure_limits.cc
@@ -69,6 +69,7 @@
 }  // namespace
 
 void MeasureLimits(const MeasureOptions& options) {
+  MeasureLimitsBytes();
   std::vector<std::size_t> sizes = {3, 6, 40, 400};
   if (options.instances != 0) sizes = {options.instances};
   for (const std::size_t size : sizes) {
--- a/tests/measure/topics.h
+++ b/tests/measure/topics.h
@@ -26,6 +26,12 @@
 const std::map<std::string, MeasureTopic>& MeasureTopics();
 
 void MeasureLimits(const MeasureOptions& options);
+/// The bytes of a loan's messages, by the real codec.
+void MeasureLimitsBytes();
+void MeasureMembership(const MeasureOptions& options);
+void MeasureRouting(const MeasureOptions& options);
+void MeasureFairness(const MeasureOptions& options);
+void MeasurePlacement(const MeasureOptions& options);
 
 }  // namespace dragonflyglade
 
--- a/tests/model/membership_fleet.h
+++ b/tests/model/membership_fleet.h
@@ -17,7 +17,6 @@
 /// What a run is made of.
 struct MembershipRun {
   std::size_t instances = 6;
-  absl::Duration period = absl::Milliseconds(300);
   double message_loss = 0;
   absl::Duration length = absl::Minutes(2);
   /// When one instance dies without notice.
--- /dev/null
+++ b/tests/model/serving_fleet.h
@@ -0,0 +1,163 @@
+#ifndef DRAGONFLYGLADE_TESTS_MODEL_SERVING_FLEET_H_
+#define DRAGONFLYGLADE_TESTS_MODEL_SERVING_FLEET_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/fair_queue.h"
+#include "dragonflyglade/decision/retry_budget.h"
+#include "dragonflyglade/decision/target_book.h"
+#include "dragonflyglade/decision/token_bucket.h"
+
+namespace dragonflyglade {
+
+/// How a target is chosen.
+enum class RoutingWay {
+  kBook,           ///< the real one
+  kRoundRobin,     ///< each instance in turn
+  kTwoChoices,     ///< the less busy of two, by the own requests only
+  kLeastReported,  ///< whoever reported the least
+};
+
+/// How waiting requests are ordered.
+enum class QueueWay {
+  kFair,  ///< the real one
+  kFifo,  ///< as they came
+};
+
+/// What is wrong with one of the targets.
+enum class TargetFault { kNone, kSlow, kSilent, kRefusing, kThirdGone };
+
+/// What a run is made of.
+struct ServingRun {
+  std::size_t instances = 6;
+  std::size_t targets = 20;
+  RoutingWay routing = RoutingWay::kBook;
+  QueueWay queue = QueueWay::kFair;
+  TargetFault fault = TargetFault::kNone;
+  absl::Duration report_lag = absl::Seconds(1);
+  double load = 0.8;  ///< of what the targets can serve
+  /// Each workspace's part of the load, before the pressure.
+  std::vector<double> workspaces = {0.4, 0.3, 0.1, 0.1, 0.1};
+  /// By how much the first workspace exceeds its part.
+  double pressure = 1;
+  /// Whether workspaces are held to their rates, a tenth above their parts.
+  bool limited = true;
+  double batch_part = 0.2;   ///< of the requests
+  double urgent_part = 0.1;  ///< of the requests
+  int prefixes = 60;         ///< different prompt beginnings
+  absl::Duration length = absl::Seconds(120);
+  std::uint64_t seed = 1;
+};
+
+/// What a run showed.
+struct ServingResult {
+  int requests = 0;  ///< admitted
+  int over_rate = 0;
+  int in_time = 0;  ///< first token inside the class's deadline
+  int lost = 0;     ///< never answered
+  int attempts = 0;
+  int prefix_hits = 0;
+  std::map<std::string, std::pair<int, int>> by_workspace;  ///< in time, all
+  std::map<int, std::pair<int, int>> by_class;
+  absl::Duration longest_batch_wait;
+
+  double Attained() const;
+  double Attained(const std::string& workspace) const;
+  /// The worst workspace's attainment over the best's.
+  double WorstOverBest() const;
+};
+
+/// Instances that choose targets without knowing each other's load, targets
+/// that batch, and reports that lag, on a virtual clock.
+class ServingFleet {
+ public:
+  explicit ServingFleet(const ServingRun& run);
+
+  ServingResult Run();
+
+ private:
+  struct Request {
+    std::uint64_t id = 0;
+    std::string workspace;
+    RequestClass request_class = RequestClass::kChat;
+    double prompt = 0;
+    double output = 0;
+    std::uint64_t prefix = 0;
+    Instant arrived;
+    std::set<std::string> avoid;
+    int attempts = 0;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+  struct Waiting {
+    RequestPtr request;
+    std::size_t instance = 0;
+    TargetPlace place;
+  };
+  struct Reported {
+    Instant at;
+    double tokens = 0;
+    int held = 0;
+  };
+  struct Target {
+    std::string name;
+    double slowness = 1;
+    bool silent = false;
+    bool refusing = false;
+    int running = 0;
+    double queued_tokens = 0;
+    // Honours priorities.
+    std::map<int, std::deque<Waiting>> queue;
+    std::set<std::uint64_t> prefixes;
+    std::deque<std::uint64_t> prefix_order;
+    std::deque<Reported> reports;
+  };
+  struct Entry {
+    std::unique_ptr<TargetBook> book;
+    std::unique_ptr<FairQueue> queue;
+    std::unique_ptr<RetryBudget> retries;
+    std::map<std::uint64_t, RequestPtr> waiting;
+    std::map<std::string, int> own;  ///< requests at each target
+    std::size_t turn = 0;
+  };
+
+  void At(Instant when, std::function<void()> action);
+  void Arrive(std::size_t workspace);
+  void Enqueue(std::size_t instance, const RequestPtr& request);
+  void Serve(std::size_t instance);
+  bool TryPlace(std::size_t instance, const RequestPtr& request);
+  std::string ChooseSimply(std::size_t instance, const Request& request);
+  void Send(std::size_t instance, const RequestPtr& request,
+            const TargetPlace& place);
+  void Start(Target& target);
+  void Finish(std::size_t instance, const TargetPlace& place,
+              PlaceOutcome outcome);
+  void Fail(std::size_t instance, const RequestPtr& request,
+            const TargetPlace& place);
+  void Report();
+  void Recheck();
+  bool Hit(Target& target, std::uint64_t prefix);
+
+  const ServingRun run;
+  ManualClock manual;
+  Clock clock;
+  std::mt19937_64 random;
+  std::multimap<Instant, std::function<void()>> events;
+  std::vector<Entry> entries;
+  std::map<std::string, Target> targets;
+  std::vector<TokenBucket> rates;
+  std::uint64_t next_id = 1;
+  ServingResult result;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_MODEL_SERVING_FLEET_H_
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -167,7 +167,9 @@
                 *in_batch || this->running < this->behaviour.batch;
             return this->stopping || (!this->silent && has_room);
           };
+          if (!*in_batch) ++this->waiting;
           this->mutex.Await(absl::Condition(&may_run));
+          if (!*in_batch) --this->waiting;
           if (this->stopping) return false;
           if (!*in_batch) ++this->running;
           *in_batch = true;
@@ -223,6 +225,8 @@
   for (const auto& [name, bytes] : this->loaded) resident.push_back(name);
   json report = {{"queued_tokens", std::max(0.0, this->queued_tokens)},
                  {"running", this->running},
+                 {"waiting", this->waiting},
+                 {"slots", this->behaviour.batch},
                  {"boot_id", fmt::format("boot-{}", this->boot)},
                  {"resident", resident},
                  {"leaving", this->leaving}};
--- a/tests/standins/engine_stand_in.h
+++ b/tests/standins/engine_stand_in.h
@@ -110,6 +110,7 @@
   std::map<std::string, std::int64_t> loaded ABSL_GUARDED_BY(mutex);
   std::int64_t peak ABSL_GUARDED_BY(mutex) = 0;
   int running ABSL_GUARDED_BY(mutex) = 0;
+  int waiting ABSL_GUARDED_BY(mutex) = 0;
   double queued_tokens ABSL_GUARDED_BY(mutex) = 0;
   int served ABSL_GUARDED_BY(mutex) = 0;
   int started ABSL_GUARDED_BY(mutex) = 0;
--- a/tests/unit/unit-membership.cc
+++ b/tests/unit/unit-membership.cc
@@ -105,6 +105,9 @@
     membership.TakeList(InstanceList{5, {b}});
     membership.TakeList(InstanceList{4, {}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, membership.List().instances.size());
+    // Listed counts, heard of or not, until it is judged dead.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, membership.Active().size());
+    membership.TakeList(InstanceList{6, {}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, membership.Active().size());
   }
 
