--- a/dragonflyglade/decision/membership.cc
+++ b/dragonflyglade/decision/membership.cc
@@ -8,10 +8,12 @@
 namespace dragonflyglade {
 namespace {
 
-// A fleet of eight has doubled this often.
-constexpr double kSmallDoublings = 3;
+// A fleet of four has doubled this often.
+constexpr double kSmallDoublings = 2;
 
 constexpr std::size_t kLargeFleet = 16;
+// How often a statement that changes nothing for callers is passed on.
+constexpr int kCalmSends = 3;
 
 bool IsNewer(const MemberStatement& a, const MemberStatement& b) {
   return std::tie(a.incarnation, a.sequence, a.state) >
@@ -95,7 +97,8 @@
                     this->pending.begin() + static_cast<std::ptrdiff_t>(count),
                     this->pending.end(),
                     [](const Pending& a, const Pending& b) {
-                      return a.times_sent < b.times_sent;
+                      return std::make_pair(!a.urgent, a.times_sent) <
+                             std::make_pair(!b.urgent, b.times_sent);
                     });
   std::vector<MemberStatement> updates;
   for (std::size_t i = 0; i < count; ++i) {
@@ -111,7 +114,9 @@
                    static_cast<int>(std::ceil(std::log2(fleet + 1)));
   this->pending.erase(std::remove_if(this->pending.begin(), this->pending.end(),
                                      [most](const Pending& sent) {
-                                       return sent.times_sent >= most;
+                                       const int limit =
+                                           sent.urgent ? most : kCalmSends;
+                                       return sent.times_sent >= limit;
                                      }),
                       this->pending.end());
   // Whoever is judged suspect or dead is told so, and can refute.
@@ -153,7 +158,7 @@
     if (statement.state == MemberState::kDead) return false;
     this->members.emplace(statement.info.name,
                           Member{statement, this->clock.Now()});
-    this->Queue(statement.info.name);
+    this->Queue(statement);
     return true;
   }
   Member& member = found->second;
@@ -162,7 +167,7 @@
     member.since = this->clock.Now();
   }
   member.statement = statement;
-  this->Queue(statement.info.name);
+  this->Queue(statement);
   return true;
 }
 
@@ -295,19 +300,23 @@
   return {listed, alive};
 }
 
-void Membership::Queue(std::string_view name) {
+void Membership::Queue(const MemberStatement& statement) {
+  Pending entry;
+  entry.name = statement.info.name;
+  entry.urgent = statement.state != MemberState::kAlive || statement.leaving ||
+                 statement.sequence > 0;
   for (Pending& waiting : this->pending) {
-    if (waiting.name != name) continue;
-    waiting.times_sent = 0;
+    if (waiting.name != entry.name) continue;
+    waiting = std::move(entry);
     return;
   }
-  this->pending.push_back(Pending{std::string(name), 0});
+  this->pending.push_back(std::move(entry));
 }
 
 void Membership::Judge(Member& member, MemberState state) {
   member.statement.state = state;
   member.since = this->clock.Now();
-  this->Queue(member.statement.info.name);
+  this->Queue(member.statement);
 }
 
 bool Membership::IsListed(std::string_view name) const {
--- a/dragonflyglade/decision/membership.h
+++ b/dragonflyglade/decision/membership.h
@@ -67,7 +67,7 @@
   /// How many statements go with one heartbeat.
   std::size_t updates_per_message = 4;
   /// How often each statement is passed on, times log2 of the fleet.
-  int spread_factor = 1;
+  int spread_factor = 2;
 };
 
 /// Who is in the fleet, from the platform's list and heartbeats.
@@ -145,13 +145,15 @@
   struct Pending {
     std::string name;
     int times_sent = 0;
+    bool urgent = false;  ///< a suspicion, a death, a refutation, a departure
   };
 
   bool TakeStatement(const MemberStatement& statement)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   void Refute(const MemberStatement& statement)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-  void Queue(std::string_view name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void Queue(const MemberStatement& statement)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   void Judge(Member& member, MemberState state)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   absl::Duration Suspicion() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
--- a/dragonflyglade/decision/target_book.cc
+++ b/dragonflyglade/decision/target_book.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Time after which a report counts for a third.
-constexpr absl::Duration kReportTrust = absl::Seconds(2);
+constexpr absl::Duration kReportTrust = absl::Milliseconds(500);
 constexpr double kUnknownSlots = 16;
 // What a full batch, and one request that waits, add to a request's cost.
 constexpr double kBatchWeight = 0.5;
--- a/dragonflyglade/instance/config_follower.cc
+++ b/dragonflyglade/instance/config_follower.cc
@@ -186,7 +186,7 @@
   absl::MutexLock lock(&this->rebuild_mutex);
   const std::int64_t revision = this->records.CompleteRevision();
   std::shared_ptr<const Catalog> catalog =
-      BuildCatalog(revision, this->records.Good());
+      this->builder.Build(revision, this->records.Good());
   this->catalog.Set(catalog);
   this->on_change(catalog);
 }
--- a/dragonflyglade/instance/config_follower.h
+++ b/dragonflyglade/instance/config_follower.h
@@ -73,6 +73,7 @@
   const Clock clock;
 
   absl::Mutex rebuild_mutex;
+  CatalogBuilder builder ABSL_GUARDED_BY(rebuild_mutex);
   absl::Mutex mutex;
   std::shared_ptr<KvWatch> watch ABSL_GUARDED_BY(mutex);
   std::int64_t watched_revision ABSL_GUARDED_BY(mutex) = 0;
--- a/dragonflyglade/operator/catalog.cc
+++ b/dragonflyglade/operator/catalog.cc
@@ -5,43 +5,6 @@
 namespace dragonflyglade {
 namespace {
 
-struct Candidate {
-  RecordKey key;
-  const RecordVersion* version = nullptr;
-};
-
-using Newest = std::map<std::string, Candidate, std::less<>>;
-
-std::map<std::string, int> RetiredVersions(
-    absl::Span<const RecordVersion> good) {
-  std::map<std::string, int> retired;
-  for (const RecordVersion& version : good) {
-    const Result<RecordKey> key = ParseRecordKey(version.key);
-    if (version.deleted || !key.Ok()) continue;
-    if (key.Value().kind != "retirement") continue;
-    const Result<Record> record = ParseRecord(key.Value(), version.value);
-    if (!record.Ok()) continue;
-    retired[key.Value().name] =
-        std::get<RetirementRecord>(record.Value()).retired_up_to;
-  }
-  return retired;
-}
-
-Newest NewestVersions(absl::Span<const RecordVersion> good) {
-  const std::map<std::string, int> retired = RetiredVersions(good);
-  Newest newest;
-  for (const RecordVersion& version : good) {
-    const Result<RecordKey> key = ParseRecordKey(version.key);
-    if (!key.Ok()) continue;
-    const auto limit = retired.find(key.Value().kind);
-    if (limit != retired.end() && key.Value().schema <= limit->second) continue;
-    Candidate& candidate = newest[key.Value().kind + "/" + key.Value().name];
-    if (candidate.key.schema >= key.Value().schema) continue;
-    candidate = Candidate{key.Value(), &version};
-  }
-  return newest;
-}
-
 struct AddTo {
   Catalog& catalog;
   const std::string& name;
@@ -80,21 +43,64 @@
 
 }  // namespace
 
-std::shared_ptr<const Catalog> BuildCatalog(
+const CatalogBuilder::Parsed* CatalogBuilder::Read(
+    const RecordVersion& version) {
+  Parsed& known = this->parsed[version.key];
+  if (known.revision == version.revision) return &known;
+  const Result<RecordKey> key = ParseRecordKey(version.key);
+  if (!key.Ok()) return nullptr;
+  known.revision = version.revision;
+  known.key = key.Value();
+  known.record.reset();
+  if (version.deleted) return &known;
+  Result<Record> record = ParseRecord(known.key, version.value);
+  if (record.Ok()) known.record = std::move(record.Value());
+  return &known;
+}
+
+std::map<std::string, int> CatalogBuilder::RetiredSchemas(
+    absl::Span<const RecordVersion> good) {
+  std::map<std::string, int> retired;
+  for (const RecordVersion& version : good) {
+    const Parsed* known = this->Read(version);
+    if (known == nullptr || !known->record.has_value()) continue;
+    const auto* record = std::get_if<RetirementRecord>(&*known->record);
+    if (record != nullptr) retired[record->kind] = record->retired_up_to;
+  }
+  return retired;
+}
+
+std::shared_ptr<const Catalog> CatalogBuilder::Build(
     std::int64_t revision, absl::Span<const RecordVersion> good) {
+  const std::map<std::string, int> retired = this->RetiredSchemas(good);
+  std::map<std::string, Candidate> newest;
+  for (const RecordVersion& version : good) {
+    const Parsed* known = this->Read(version);
+    if (known == nullptr) continue;
+    const RecordKey& key = known->key;
+    const auto limit = retired.find(key.kind);
+    if (limit != retired.end() && key.schema <= limit->second) continue;
+    Candidate& candidate = newest[key.kind + "/" + key.name];
+    if (candidate.schema >= key.schema) continue;
+    candidate = Candidate{known, key.schema};
+  }
   auto catalog = std::make_shared<Catalog>();
   catalog->revision = revision;
-  for (const auto& [path, candidate] : NewestVersions(good)) {
-    if (candidate.version->deleted) continue;
-    Result<Record> record =
-        ParseRecord(candidate.key, candidate.version->value);
-    if (!record.Ok()) continue;
-    std::visit(AddTo{*catalog, candidate.key.name}, std::move(record.Value()));
-    catalog->schema_in_use[path] = candidate.key.schema;
+  for (const auto& [path, candidate] : newest) {
+    if (candidate.parsed == nullptr) continue;
+    if (!candidate.parsed->record.has_value()) continue;
+    std::visit(AddTo{*catalog, candidate.parsed->key.name},
+               *candidate.parsed->record);
+    catalog->schema_in_use[path] = candidate.schema;
   }
   return catalog;
 }
 
+std::shared_ptr<const Catalog> BuildCatalog(
+    std::int64_t revision, absl::Span<const RecordVersion> good) {
+  return CatalogBuilder().Build(revision, good);
+}
+
 std::shared_ptr<const Catalog> CatalogHolder::Get() const {
   absl::MutexLock lock(&this->mutex);
   return this->catalog;
--- a/dragonflyglade/operator/catalog.h
+++ b/dragonflyglade/operator/catalog.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,8 +36,35 @@
   ByName<int> schema_in_use;  ///< "kind/name" to schema version
 };
 
-/// Builds the catalog of the good record versions.
-/// Complexity: O(n log n) in the records.
+/// Builds catalogs, and reads only the records that changed since the last
+/// one. Not synchronised.
+class CatalogBuilder {
+ public:
+  /// The catalog of the good record versions.
+  /// Complexity: O(n log n) in the records, with a small constant for those
+  /// that were read before.
+  std::shared_ptr<const Catalog> Build(std::int64_t revision,
+                                       absl::Span<const RecordVersion> good);
+
+ private:
+  struct Parsed {
+    std::int64_t revision = 0;
+    RecordKey key;
+    std::optional<Record> record;  ///< nothing if deleted
+  };
+  struct Candidate {
+    const Parsed* parsed = nullptr;
+    int schema = 0;
+  };
+
+  const Parsed* Read(const RecordVersion& version);
+  std::map<std::string, int> RetiredSchemas(
+      absl::Span<const RecordVersion> good);
+
+  std::map<std::string, Parsed, std::less<>> parsed;
+};
+
+/// Builds one catalog of the good record versions.
 std::shared_ptr<const Catalog> BuildCatalog(
     std::int64_t revision, absl::Span<const RecordVersion> good);
 
--- a/tests/measure/topics.cc
+++ b/tests/measure/topics.cc
@@ -12,7 +12,8 @@
   static const auto& topics = *new std::map<std::string, MeasureTopic>{
       {"limits", MeasureLimits},       {"membership", MeasureMembership},
       {"routing", MeasureRouting},     {"fairness", MeasureFairness},
-      {"placement", MeasurePlacement},
+      {"placement", MeasurePlacement}, {"capacity", MeasureCapacity},
+      {"once", MeasureOnce},
   };
   return topics;
 }
--- a/tests/measure/topics.h
+++ b/tests/measure/topics.h
@@ -32,6 +32,10 @@
 void MeasureRouting(const MeasureOptions& options);
 void MeasureFairness(const MeasureOptions& options);
 void MeasurePlacement(const MeasureOptions& options);
+/// Processor time and memory of single decisions.
+void MeasureCapacity(const MeasureOptions& options);
+/// Calls that may not be repeated, with and without claims.
+void MeasureOnce(const MeasureOptions& options);
 
 }  // namespace dragonflyglade
 
