Borrow only when the own bucket is not nearly full; refute suspicions of unheard instances

Limits: with buckets near their caps each request asked whichever bucket was fuller by a little, a call for nothing. The own bucket is drawn on alone down to 85 % of its cap. Membership: instances known only from the list were suspected under incarnation 0, which they did not refute.

--- a/dragonflyglade/decision/membership.cc
+++ b/dragonflyglade/decision/membership.cc
@@ -8,8 +8,8 @@
 namespace dragonflyglade {
 namespace {
 
-// A fleet of four has doubled this often.
-constexpr double kSmallDoublings = 2;
+// A fleet of eight has doubled this often.
+constexpr double kSmallDoublings = 3;
 
 constexpr std::size_t kLargeFleet = 16;
 // How often a statement that changes nothing for callers is passed on.
@@ -175,10 +175,14 @@
 // callers are steered away from it. A statement with a higher sequence can
 // only come from the instance itself, so it overrules every suspicion.
 void Membership::Refute(const MemberStatement& statement) {
-  if (statement.incarnation != this->self.incarnation) return;
+  if (statement.incarnation > this->self.incarnation) return;
   if (statement.state == MemberState::kAlive) return;
-  if (statement.sequence < this->self.sequence) return;
-  this->self.sequence = statement.sequence + 1;
+  // Whoever knew this instance only from the list suspects incarnation 0; a
+  // raised sequence makes the news that it lives travel as a refutation.
+  const bool is_of_this_process =
+      statement.incarnation == this->self.incarnation;
+  const std::int64_t refuted = is_of_this_process ? statement.sequence : 0;
+  this->self.sequence = std::max(this->self.sequence, refuted + 1);
 }
 
 void Membership::Missed(std::string_view name) {
--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -204,9 +204,12 @@
 // one against the other.
 std::optional<ShareBook::Draw> ShareBook::ChooseDraw(
     std::vector<Source> sources, double tokens, absl::Duration longest) const {
-  const auto time_to_empty = [this](const Source& source) {
-    const absl::Duration left = absl::Seconds(source.level / source.rate);
-    return source.peer.empty() ? left + this->options.own_preference : left;
+  const auto time_to_empty = [this, tokens](const Source& source) {
+    const bool is_own = source.peer.empty();
+    const double left = source.level - tokens;
+    const bool has_plenty = left >= this->options.own_until * source.cap;
+    if (is_own && has_plenty) return absl::InfiniteDuration();
+    return absl::Seconds(source.level / source.rate);
   };
   std::sort(sources.begin(), sources.end(),
             [&](const Source& a, const Source& b) {
--- a/dragonflyglade/decision/share_book.h
+++ b/dragonflyglade/decision/share_book.h
@@ -33,9 +33,10 @@
   absl::Duration longest_promise = absl::Milliseconds(500);
   /// What asking one more peer is worth in waiting time.
   absl::Duration ask_price = absl::Milliseconds(10);
-  /// How much longer, in time to empty, a peer's bucket must last than the
-  /// own one to be asked although the own one has the tokens.
-  absl::Duration own_preference = absl::Milliseconds(0);
+  /// Part of its cap down to which the own bucket is drawn on alone. Below
+  /// it, those furthest from empty give first, own and others alike: a bucket
+  /// that sits at its cap accrues nothing.
+  double own_until = 0.85;
   /// Workspaces without demand for this long leave the balances.
   absl::Duration demand_memory = absl::Seconds(10);
 };
