--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -268,6 +268,11 @@
     const double whole = std::min(std::ceil(tokens), std::floor(source.cap));
     return BorrowFrom{source.peer, static_cast<std::int64_t>(whole), longest};
   }
+  // What is spent at once needs no reservation.
+  if (admission.in_hand.empty() && book.bucket.Withdraw(missing, now)) {
+    admission.charged = now;
+    return Admitted{};
+  }
   std::optional<Reservation> reserved;
   if (admission.asks <= kMostAsks) {
     reserved =
--- a/dragonflyglade/decision/token_bucket.cc
+++ b/dragonflyglade/decision/token_bucket.cc
@@ -4,38 +4,46 @@
 
 namespace dragonflyglade {
 
-TokenBucket::TokenBucket(Instant now) : updated(now) {}
+TokenBucket::TokenBucket(Instant now) { this->state.updated = now; }
 
 void TokenBucket::Configure(double rate, double cap, Instant now) {
   this->Accrue(now);
   this->rate = rate;
   this->cap = cap;
-  this->level = std::min(this->level, cap - this->outstanding_total);
+  this->state.level = std::min(this->state.level, cap - this->state.reserved);
   this->Remember();
 }
 
 double TokenBucket::Level(Instant now) const {
-  TokenBucket later = *this;
-  later.Accrue(now);
-  return later.level;
+  State state = this->state;
+  for (const Outstanding& entry : this->outstanding) {
+    if (entry.expires > now) break;
+    this->Grow(state, entry.expires);
+    state.reserved -= entry.tokens;
+  }
+  this->Grow(state, now);
+  return state.level;
 }
 
 double TokenBucket::Reserved(Instant now) const {
-  TokenBucket later = *this;
-  later.Accrue(now);
-  return later.outstanding_total;
+  double reserved = 0;
+  for (const Outstanding& entry : this->outstanding) {
+    if (entry.expires > now) reserved += entry.tokens;
+  }
+  return reserved;
 }
 
 double TokenBucket::Room() const {
-  return this->cap - this->outstanding_total - this->level;
+  return this->cap - this->state.reserved - this->state.level;
 }
 
-void TokenBucket::Grow(Instant until) {
-  if (until <= this->updated) return;
+void TokenBucket::Grow(State& state, Instant until) const {
+  if (until <= state.updated) return;
   const double accrued =
-      this->rate * absl::ToDoubleSeconds(until - this->updated);
-  this->level += std::clamp(accrued, 0.0, std::max(0.0, this->Room()));
-  this->updated = until;
+      this->rate * absl::ToDoubleSeconds(until - state.updated);
+  const double room = this->cap - state.reserved - state.level;
+  state.level += std::clamp(accrued, 0.0, std::max(0.0, room));
+  state.updated = until;
 }
 
 // Failure: a loan is spent a moment after it was given, and the bucket that
@@ -46,19 +54,19 @@
 void TokenBucket::Accrue(Instant now) {
   while (!this->outstanding.empty() &&
          this->outstanding.front().expires <= now) {
-    this->Grow(this->outstanding.front().expires);
-    this->outstanding_total -= this->outstanding.front().tokens;
+    this->Grow(this->state, this->outstanding.front().expires);
+    this->state.reserved -= this->outstanding.front().tokens;
     this->outstanding.pop_front();
   }
-  if (this->outstanding.empty()) this->outstanding_total = 0;
-  this->Grow(now);
+  if (this->outstanding.empty()) this->state.reserved = 0;
+  this->Grow(this->state, now);
 }
 
 bool TokenBucket::Withdraw(double tokens, Instant now) {
   this->Accrue(now);
-  if (this->level < tokens) return false;
+  if (this->state.level < tokens) return false;
   this->Remember();
-  this->level -= tokens;
+  this->state.level -= tokens;
   return true;
 }
 
@@ -69,7 +77,7 @@
   this->Accrue(now);
   if (tokens > this->cap) return std::nullopt;
   Reservation reservation;
-  const double missing = tokens - this->level;
+  const double missing = tokens - this->state.level;
   if (missing > 0) {
     if (this->rate <= 0) return std::nullopt;
     reservation.wait = absl::Seconds(missing / this->rate);
@@ -81,8 +89,8 @@
   const double accrued = this->rate * absl::ToDoubleSeconds(longest + hold);
   if (this->Room() > accrued) reservation.use_by = longest + hold;
   this->Remember();
-  this->level -= tokens;
-  this->outstanding_total += tokens;
+  this->state.level -= tokens;
+  this->state.reserved += tokens;
   const Outstanding entry{now + reservation.use_by, tokens};
   const auto place =
       std::upper_bound(this->outstanding.begin(), this->outstanding.end(),
@@ -96,7 +104,7 @@
 double TokenBucket::Deposit(double tokens, Instant now) {
   this->Accrue(now);
   const double kept = std::clamp(tokens, 0.0, std::max(0.0, this->Room()));
-  this->level += kept;
+  this->state.level += kept;
   return kept;
 }
 
@@ -114,7 +122,7 @@
     if (past.at > since) room = std::min(room, past.room);
   }
   const double kept = std::clamp(tokens, 0.0, std::max(room, 0.0));
-  this->level += kept;
+  this->state.level += kept;
   for (Headroom& past : this->headrooms) {
     if (past.at > since) past.room -= kept;
   }
@@ -129,7 +137,7 @@
   while (!this->headrooms.empty() && this->headrooms.back().room >= room) {
     this->headrooms.pop_back();
   }
-  this->headrooms.push_back(Headroom{this->updated, room});
+  this->headrooms.push_back(Headroom{this->state.updated, room});
   if (this->headrooms.size() <= kMaxRemembered) return;
   const Headroom oldest = this->headrooms.front();
   this->headrooms.pop_front();
--- a/dragonflyglade/decision/token_bucket.h
+++ b/dragonflyglade/decision/token_bucket.h
@@ -74,16 +74,20 @@
     double tokens;
   };
 
+  struct State {
+    double level = 0;
+    double reserved = 0;  ///< sum of what is outstanding
+    Instant updated;
+  };
+
   void Accrue(Instant now);
-  void Grow(Instant until);
+  void Grow(State& state, Instant until) const;
   double Room() const;
   void Remember();
 
   double rate = 0;
   double cap = 0;
-  double level = 0;
-  Instant updated;
-  double outstanding_total = 0;
+  State state;
   std::deque<Outstanding> outstanding;  ///< by expiry
   std::deque<Headroom> headrooms;
 };
--- a/dragonflyglade/instance/allotment_keeper.cc
+++ b/dragonflyglade/instance/allotment_keeper.cc
@@ -86,6 +86,22 @@
   return view;
 }
 
+// One instance notes changes of membership for all, or each would be in the
+// audit trail as often as there are instances.
+void AllotmentKeeper::NoteMembers() {
+  for (const MemberStatement& member : this->membership.All()) {
+    std::string state = member.leaving ? "leaving" : "alive";
+    if (member.state == MemberState::kDead) state = "dead";
+    if (member.incarnation == 0) continue;
+    std::string& noted = this->noted_members[member.info.name];
+    const std::string seen = state + " " + std::to_string(member.incarnation);
+    if (noted == seen) continue;
+    noted = seen;
+    this->audit.Add("member", member.info.name,
+                    {{"state", state}, {"incarnation", member.incarnation}});
+  }
+}
+
 // In a large fleet a chosen holder may not have been heard of yet. It gets its
 // share in the round after it answered.
 void AllotmentKeeper::HearHolders(std::map<std::string, AllotmentView>& views) {
@@ -160,6 +176,7 @@
 
 absl::Duration AllotmentKeeper::Round() {
   if (!this->IsKeeper()) return this->period;
+  this->NoteMembers();
   KvQuery query;
   query.key = AllotmentKey("");
   query.prefix = true;
--- a/dragonflyglade/instance/allotment_keeper.h
+++ b/dragonflyglade/instance/allotment_keeper.h
@@ -46,6 +46,7 @@
   absl::Duration Round();
   bool IsKeeper() const;
   AllotmentView CommonView() const;
+  void NoteMembers();
   void HearHolders(std::map<std::string, AllotmentView>& views);
   void Confirm(const std::map<std::string, Stored>& stored,
                std::map<std::string, AllotmentView>& views);
@@ -61,6 +62,7 @@
   const absl::Duration period;
   const Hear hear;
   GoneHolders gone;
+  std::map<std::string, std::string> noted_members;
   Worker worker;
 };
 
--- a/dragonflyglade/instance/placement_runner.cc
+++ b/dragonflyglade/instance/placement_runner.cc
@@ -77,6 +77,10 @@
     }
     const std::optional<std::int64_t> fence = pool.role->Hold();
     if (!fence.has_value()) continue;
+    if (pool.noted_fence != *fence) {
+      pool.noted_fence = *fence;
+      this->audit.Add("role taken", role, {{"fence", *fence}});
+    }
     PoolRound round{name, record, pool, *fence, {}, {}};
     this->PlanPool(round);
   }
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -50,6 +50,7 @@
   struct Pool {
     std::unique_ptr<RoleLease> role;
     std::unique_ptr<PlacementPlanner> planner;
+    std::int64_t noted_fence = 0;  ///< the last one in the audit trail
     /// For each target: how many orders its ledger counts, and when this
     /// instance first saw that many.
     std::map<std::string, std::pair<std::int64_t, Instant>> orders_seen;
