--- a/dragonflyglade/instance/placement_runner.cc
+++ b/dragonflyglade/instance/placement_runner.cc
@@ -16,6 +16,7 @@
 constexpr int kSettleAttempts = 40;
 constexpr absl::Duration kSettlePause = absl::Milliseconds(100);
 constexpr absl::Duration kLongestSettlePause = absl::Seconds(2);
+constexpr absl::Duration kDemandEvery = absl::Seconds(5);
 // How many instances try to hold one pool's role.
 constexpr std::size_t kRoleCandidates = 2;
 
@@ -149,22 +150,27 @@
   }
 }
 
-std::map<std::string, double> PlacementRunner::FleetDemand() {
-  std::map<std::string, double> total = this->demand.Rates();
+// One call to every instance, so not in every round: demand is an average over
+// several seconds anyway.
+void PlacementRunner::RefreshDemand() {
+  const Instant now = this->clock.Now();
+  if (now - this->demand_read_at < kDemandEvery) return;
+  this->demand_read_at = now;
+  this->fleet_demand = this->demand.Rates();
+  const std::string self = this->membership.Self().info.name;
   for (const MemberStatement& member : this->membership.All()) {
-    const bool is_self = member.info.name == this->membership.Self().info.name;
+    const bool is_self = member.info.name == self;
     if (is_self || member.state != MemberState::kAlive) continue;
     const Result<wire::DemandReport> report =
         this->peers.Demand(PeerEndpoint(member));
     if (!report.Ok()) continue;
     for (const auto& [model, rate] : report.Value().rates) {
-      total[model] += rate;
+      this->fleet_demand[model] += rate;
     }
   }
-  return total;
 }
 
-PlanInput PlacementRunner::InputFor(const PoolRound& round) {
+PlanInput PlacementRunner::InputFor(const PoolRound& round) const {
   PlanInput input;
   const std::shared_ptr<const Catalog> catalog = this->catalog.Get();
   for (const auto& [name, model] : catalog->models) {
@@ -192,7 +198,7 @@
     }
     input.targets.push_back(std::move(planned));
   }
-  input.demand = this->FleetDemand();
+  input.demand = this->fleet_demand;
   input.model_loads_open = this->model_loads_open;
   input.adapter_loads_open = this->adapter_loads_open;
   return input;
@@ -201,6 +207,7 @@
 void PlacementRunner::PlanPool(PoolRound& round) {
   if (!this->ReadLedgers(round)) return;
   this->TakeReports(round);
+  this->RefreshDemand();
   const std::vector<PlanStep> steps =
       round.pool.planner->Plan(this->InputFor(round));
   for (const PlanStep& step : steps) {
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -81,8 +81,8 @@
   void TakeReports(PoolRound& round);
   bool ReportIsAfter(const PoolRound& round, const TargetStatus& status,
                      absl::Duration settle) const;
-  PlanInput InputFor(const PoolRound& round);
-  std::map<std::string, double> FleetDemand();
+  PlanInput InputFor(const PoolRound& round) const;
+  void RefreshDemand();
   void CarryOut(PoolRound& round, const PlanLoad& step);
   void CarryOut(PoolRound& round, const PlanReload& step);
   void CarryOut(PoolRound& round, const PlanUnload& step);
@@ -102,6 +102,8 @@
   const TargetCallOptions call_options;
   const PlacementOptions options;
   const Clock clock;
+  std::map<std::string, double> fleet_demand;
+  Instant demand_read_at = -absl::InfiniteDuration();
   std::map<std::string, Pool> pools;
   std::atomic<int> model_loads_open{0};
   std::atomic<int> adapter_loads_open{0};
