Ask silent peers again before refusing; say when nobody answers

Ruled out: lost tokens (the workspace used under 1 % of its rate). Peers that were silent are now asked again for as long as the caller may wait, and if nobody answers the refusal says so instead of blaming the rate. The measuring programs move to measure/, so that tests/ holds tests.

--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -10,6 +10,7 @@
 
 // How long a peer that did not answer is not asked again.
 constexpr absl::Duration kSilence = absl::Seconds(1);
+constexpr absl::Duration kSilentPause = absl::Milliseconds(20);
 constexpr int kMostAsks = 12;
 constexpr absl::Duration kShortestRetryAfter = absl::Milliseconds(100);
 
@@ -172,6 +173,7 @@
 
 std::vector<ShareBook::Source> ShareBook::Sources(const Book& book,
                                                   const Admission& admission,
+                                                  bool with_silent,
                                                   Instant now) const {
   std::vector<Source> sources;
   if (book.share > 0) {
@@ -187,7 +189,7 @@
                   part * book.rate->tokens_per_second, part * burst};
     const auto hint = book.hints.find(holder.instance);
     if (hint != book.hints.end()) {
-      if (now < hint->second.silent_until) continue;
+      if (!with_silent && now < hint->second.silent_until) continue;
       const double seconds = absl::ToDoubleSeconds(now - hint->second.at);
       source.level =
           std::min(source.cap, hint->second.level + source.rate * seconds);
@@ -243,19 +245,40 @@
   return best;
 }
 
+// Failure: on a busy machine two peers answer a little late, are left out for
+// a second, and an instance that holds no share itself refuses everybody as
+// over the rate. Peers that were silent are asked again before a request is
+// given up, for as long as it may wait; and if nobody answers at all, that is
+// what the caller is told.
+AdmissionStep ShareBook::WithoutDraw(Book& book, Admission& admission,
+                                     double missing, Instant now) const {
+  const bool may_wait =
+      now + kSilentPause < admission.started + admission.max_wait;
+  if (!admission.silent.empty() && may_wait) {
+    admission.silent.clear();
+    return WaitFor{kSilentPause};
+  }
+  const std::vector<Source> sources = this->Sources(book, admission, true, now);
+  double level = 0;
+  for (const Source& source : sources) level += source.level;
+  return this->GiveUp(book, admission,
+                      TimeFor(missing - level, book.rate->tokens_per_second),
+                      now);
+}
+
 AdmissionStep ShareBook::GatherMore(Book& book, Admission& admission,
                                     double missing, Instant now) const {
-  const std::vector<Source> sources = this->Sources(book, admission, now);
   const absl::Duration patience = admission.started + admission.max_wait - now;
   const absl::Duration longest =
       std::min(patience, this->options.longest_promise);
-  const std::optional<Draw> draw = this->ChooseDraw(sources, missing, longest);
+  std::optional<Draw> draw = this->ChooseDraw(
+      this->Sources(book, admission, false, now), missing, longest);
+  if (!draw.has_value()) {
+    draw = this->ChooseDraw(this->Sources(book, admission, true, now), missing,
+                            longest);
+  }
   if (!draw.has_value()) {
-    double level = 0;
-    for (const Source& source : sources) level += source.level;
-    const absl::Duration wait =
-        TimeFor(missing - level, book.rate->tokens_per_second);
-    return this->GiveUp(book, admission, wait, now);
+    return this->WithoutDraw(book, admission, missing, now);
   }
   // Peers are asked first: what they say may change the plan, and the own
   // bucket then gives the rest.
@@ -286,8 +309,9 @@
   return Spend(admission, now);
 }
 
-OverRate ShareBook::GiveUp(Book& book, Admission& admission,
-                           absl::Duration missing, Instant now) const {
+AdmissionStep ShareBook::GiveUp(Book& book, Admission& admission,
+                                absl::Duration missing, Instant now) const {
+  if (book.share == 0 && !admission.answered) return NoShare{};
   OverRate over;
   over.retry_after = std::max(missing, kShortestRetryAfter);
   for (const TokensInHand& part : admission.in_hand) {
@@ -317,6 +341,7 @@
     hint.silent_until = now + kSilence;
     return;
   }
+  admission.answered = true;
   hint.level = static_cast<double>(loan->level);
   if (loan->granted == 0) return;
   admission.in_hand.push_back(TokensInHand{
--- a/dragonflyglade/decision/share_book.h
+++ b/dragonflyglade/decision/share_book.h
@@ -59,6 +59,7 @@
   std::vector<TokensInHand> in_hand;
   std::set<std::string> silent;    ///< peers that did not answer
   int asks = 0;                    ///< loans asked for so far
+  bool answered = false;           ///< whether any peer answered
   Instant asked_at;                ///< of the loan under way
   std::optional<Instant> charged;  ///< when it was admitted
 };
@@ -92,7 +93,7 @@
 };
 /// The workspace has no rate record.
 struct NoRate {};
-/// Nobody holds a share of this workspace yet.
+/// Nobody that holds a share of this workspace could be asked.
 struct NoShare {};
 
 using AdmissionStep = std::variant<Admitted, BorrowFrom, WaitFor, OverRate,
@@ -215,15 +216,17 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(shard.mutex);
   void Reconfigure(Book& book, Instant now) const;
   std::vector<Source> Sources(const Book& book, const Admission& admission,
-                              Instant now) const;
+                              bool with_silent, Instant now) const;
+  AdmissionStep WithoutDraw(Book& book, Admission& admission, double missing,
+                            Instant now) const;
   std::optional<Draw> ChooseDraw(std::vector<Source> sources, double tokens,
                                  absl::Duration longest) const;
   static void DropStale(Admission& admission, Instant now);
   static AdmissionStep Spend(Admission& admission, Instant now);
   AdmissionStep GatherMore(Book& book, Admission& admission, double missing,
                            Instant now) const;
-  OverRate GiveUp(Book& book, Admission& admission, absl::Duration missing,
-                  Instant now) const;
+  AdmissionStep GiveUp(Book& book, Admission& admission, absl::Duration missing,
+                       Instant now) const;
   AdmissionStep NextInBook(Book& book, Admission& admission, Instant now) const;
 
   const std::string instance;
--- a/dragonflyglade/peer/admission_gate.cc
+++ b/dragonflyglade/peer/admission_gate.cc
@@ -63,10 +63,9 @@
       return Refusal{RefusalCode::kNoRate,
                      fmt::format("workspace {} has no rate", workspace)};
     } else {
-      return Refusal{
-          RefusalCode::kNoShare,
-          fmt::format("no instance holds a share of workspace {} yet",
-                      workspace)};
+      return Refusal{RefusalCode::kNoShare,
+                     fmt::format("no holder of a share of workspace {} answers",
+                                 workspace)};
     }
   }
 }
--- a/tests/history/history.cc
+++ b/measure/history/history.cc
@@ -1,4 +1,4 @@
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 #include <fmt/format.h>
 
--- a/tests/history/history.h
+++ b/measure/history/history.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_TESTS_HISTORY_HISTORY_H_
-#define DRAGONFLYGLADE_TESTS_HISTORY_HISTORY_H_
+#ifndef DRAGONFLYGLADE_MEASURE_HISTORY_HISTORY_H_
+#define DRAGONFLYGLADE_MEASURE_HISTORY_HISTORY_H_
 
 #include <cstdint>
 #include <string>
@@ -87,4 +87,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_HISTORY_HISTORY_H_
+#endif  // DRAGONFLYGLADE_MEASURE_HISTORY_HISTORY_H_
--- a/tests/measure/main.cc
+++ b/measure/main.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/measure/topics.h"
+#include "measure/topics.h"
 
 namespace {
 
--- a/tests/measure/measure_capacity.cc
+++ b/measure/measure_capacity.cc
@@ -14,7 +14,7 @@
 #include "dragonflyglade/decision/target_book.h"
 #include "dragonflyglade/operator/caller_key.h"
 #include "dragonflyglade/operator/catalog.h"
-#include "tests/measure/topics.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/measure/measure_limits.cc
+++ b/measure/measure_limits.cc
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include "tests/measure/topics.h"
-#include "tests/model/limits_fleet.h"
+#include "measure/model/limits_fleet.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/measure/measure_membership.cc
+++ b/measure/measure_membership.cc
@@ -6,8 +6,8 @@
 
 #include "dragonflyglade/peer/generated/PeerService.h"
 #include "dragonflyglade/peer/peer_codec.h"
-#include "tests/measure/topics.h"
-#include "tests/model/membership_fleet.h"
+#include "measure/model/membership_fleet.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/measure/measure_once.cc
+++ b/measure/measure_once.cc
@@ -6,7 +6,7 @@
 
 #include "absl/random/distributions.h"
 #include "dragonflyglade/decision/claim.h"
-#include "tests/measure/topics.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/measure/measure_placement.cc
+++ b/measure/measure_placement.cc
@@ -2,8 +2,8 @@
 
 #include <chrono>
 
-#include "tests/measure/topics.h"
-#include "tests/model/placement_fleet.h"
+#include "measure/model/placement_fleet.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/measure/measure_routing.cc
+++ b/measure/measure_routing.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "tests/measure/topics.h"
-#include "tests/model/serving_fleet.h"
+#include "measure/model/serving_fleet.h"
+#include "measure/topics.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/model/limits_fleet.cc
+++ b/measure/model/limits_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/model/limits_fleet.h"
+#include "measure/model/limits_fleet.h"
 
 #include <fmt/format.h>
 
--- a/tests/model/limits_fleet.h
+++ b/measure/model/limits_fleet.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
-#define DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
+#ifndef DRAGONFLYGLADE_MEASURE_MODEL_LIMITS_FLEET_H_
+#define DRAGONFLYGLADE_MEASURE_MODEL_LIMITS_FLEET_H_
 
 #include <cstdint>
 #include <functional>
@@ -13,7 +13,7 @@
 #include "dragonflyglade/decision/allotment.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/share_book.h"
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 namespace dragonflyglade {
 
@@ -127,4 +127,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_MODEL_LIMITS_FLEET_H_
+#endif  // DRAGONFLYGLADE_MEASURE_MODEL_LIMITS_FLEET_H_
--- a/tests/model/membership_fleet.cc
+++ b/measure/model/membership_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/model/membership_fleet.h"
+#include "measure/model/membership_fleet.h"
 
 #include <fmt/format.h>
 
--- a/tests/model/placement_fleet.cc
+++ b/measure/model/placement_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/model/placement_fleet.h"
+#include "measure/model/placement_fleet.h"
 
 #include <fmt/format.h>
 
--- a/tests/model/placement_fleet.h
+++ b/measure/model/placement_fleet.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
-#define DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
+#ifndef DRAGONFLYGLADE_MEASURE_MODEL_PLACEMENT_FLEET_H_
+#define DRAGONFLYGLADE_MEASURE_MODEL_PLACEMENT_FLEET_H_
 
 #include <cstdint>
 #include <functional>
@@ -13,7 +13,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/placement_planner.h"
 #include "dragonflyglade/decision/target_ledger.h"
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 namespace dragonflyglade {
 
@@ -124,4 +124,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_MODEL_PLACEMENT_FLEET_H_
+#endif  // DRAGONFLYGLADE_MEASURE_MODEL_PLACEMENT_FLEET_H_
--- a/tests/model/serving_fleet.cc
+++ b/measure/model/serving_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/model/serving_fleet.h"
+#include "measure/model/serving_fleet.h"
 
 #include <fmt/format.h>
 
--- a/tests/measure/topics.cc
+++ b/measure/topics.cc
@@ -1,4 +1,4 @@
-#include "tests/measure/topics.h"
+#include "measure/topics.h"
 
 #include <fmt/format.h>
 
--- a/tests/measure/topics.h
+++ b/measure/topics.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
-#define DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
+#ifndef DRAGONFLYGLADE_MEASURE_TOPICS_H_
+#define DRAGONFLYGLADE_MEASURE_TOPICS_H_
 
 #include <cstdint>
 #include <functional>
@@ -39,4 +39,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_MEASURE_TOPICS_H_
+#endif  // DRAGONFLYGLADE_MEASURE_TOPICS_H_
--- a/tests/fleet/caller.h
+++ b/tests/fleet/caller.h
@@ -13,7 +13,7 @@
 #include "absl/time/time.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/net/http_call.h"
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 namespace dragonflyglade {
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -11,8 +11,8 @@
 
 #include "dragonflyglade/operator/config_editor.h"
 #include "dragonflyglade/platform/kv_client.h"
+#include "measure/history/history.h"
 #include "tests/fleet/process.h"
-#include "tests/history/history.h"
 #include "tests/standins/engine_stand_in.h"
 #include "tests/standins/kv_stand_in.h"
 #include "tests/standins/ledger_stand_in.h"
--- a/tests/unit/unit-callers.cc
+++ b/tests/unit/unit-callers.cc
@@ -5,7 +5,7 @@
 #include "dragonflyglade/caller/instance_answer.h"
 #include "dragonflyglade/caller/sse.h"
 #include "dragonflyglade/operator/caller_key.h"
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/unit/unit-history.cc
+++ b/tests/unit/unit-history.cc
@@ -2,7 +2,7 @@
 
 #include <functional>
 
-#include "tests/history/history.h"
+#include "measure/history/history.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/unit/unit-limits.cc
+++ b/tests/unit/unit-limits.cc
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-#include "tests/model/limits_fleet.h"
+#include "measure/model/limits_fleet.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/unit/unit-membership.cc
+++ b/tests/unit/unit-membership.cc
@@ -5,7 +5,7 @@
 
 #include "absl/random/distributions.h"
 #include "dragonflyglade/decision/membership.h"
-#include "tests/model/membership_fleet.h"
+#include "measure/model/membership_fleet.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/unit/unit-placement.cc
+++ b/tests/unit/unit-placement.cc
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "dragonflyglade/decision/target_ledger.h"
-#include "tests/model/placement_fleet.h"
+#include "measure/model/placement_fleet.h"
 
 namespace dragonflyglade {
 namespace {
