--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "dragonflyglade/caller/place.h"
 #include "dragonflyglade/caller/sse.h"
 #include "dragonflyglade/net/log.h"
 
@@ -74,22 +75,6 @@
   std::optional<Failure> failure;
 };
 
-Refusal RefusalFor(NoPlace reason, std::string_view what) {
-  switch (reason) {
-    case NoPlace::kBusy:
-      return Refusal{RefusalCode::kTargetsBusy,
-                     fmt::format("all targets of {} are busy", what)};
-    case NoPlace::kNotResident:
-      return Refusal{RefusalCode::kModelNotResident,
-                     fmt::format("{} is not loaded at any target", what)};
-    case NoPlace::kUnreachable:
-    case NoPlace::kUnknownPool:
-      break;
-  }
-  return Refusal{RefusalCode::kTargetsUnreachable,
-                 fmt::format("no target of {} can be reached", what)};
-}
-
 CompletionRunner::CompletionRunner(
     AdmissionGate& gate, Dispatcher& dispatcher, TargetBook& targets,
     StreamRegistry& registry, const CatalogHolder& catalog, DemandBook& demand,
@@ -172,15 +157,10 @@
   need.prefix = job.request.prefix;
   need.tokens = job.request.Cost();
   need.avoid = job.failed_targets;
-  const auto place =
-      this->dispatcher.Acquire(need, job.context.workspace,
-                               job.context.request_class, job.place_deadline);
-  if (const auto* found = std::get_if<TargetPlace>(&place)) return *found;
-  if (const auto* reason = std::get_if<NoPlace>(&place)) {
-    return RefusalFor(*reason, job.request.model);
-  }
-  return Refusal{RefusalCode::kQueueFull,
-                 "too many requests wait for " + job.request.pool};
+  return WaitForPlace(
+      this->dispatcher, need,
+      PlaceRequest{job.context.workspace, job.context.request_class,
+                   job.place_deadline, job.request.model});
 }
 
 void CompletionRunner::TryTargets(Job& job) {
--- a/dragonflyglade/caller/completion_runner.h
+++ b/dragonflyglade/caller/completion_runner.h
@@ -69,9 +69,6 @@
   TaskGroup tasks;
 };
 
-/// The refusal for a place that could not be had.
-Refusal RefusalFor(NoPlace reason, std::string_view what);
-
 }  // namespace dragonflyglade
 
 #endif  // DRAGONFLYGLADE_CALLER_COMPLETION_RUNNER_H_
--- /dev/null
+++ b/dragonflyglade/caller/place.h
@@ -0,0 +1,30 @@
+#ifndef DRAGONFLYGLADE_CALLER_PLACE_H_
+#define DRAGONFLYGLADE_CALLER_PLACE_H_
+
+#include <string_view>
+#include <variant>
+
+#include "dragonflyglade/decision/refusal.h"
+#include "dragonflyglade/target/dispatcher.h"
+
+namespace dragonflyglade {
+
+/// Who waits for a place, and for how long.
+struct PlaceRequest {
+  std::string_view workspace;
+  RequestClass request_class = RequestClass::kChat;
+  Instant deadline;
+  std::string_view what;  ///< the model or service, for messages
+};
+
+/// The refusal for a place that could not be had.
+Refusal RefusalFor(NoPlace reason, std::string_view what);
+
+/// Waits for a place at a target, or says why there is none.
+std::variant<TargetPlace, Refusal> WaitForPlace(Dispatcher& dispatcher,
+                                                const TargetNeed& need,
+                                                const PlaceRequest& request);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_CALLER_PLACE_H_
--- a/dragonflyglade/caller/service_runner.cc
+++ b/dragonflyglade/caller/service_runner.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
-#include "dragonflyglade/caller/completion_runner.h"
+#include "dragonflyglade/caller/place.h"
 #include "dragonflyglade/net/log.h"
 #include "dragonflyglade/operator/caller_key.h"
 
@@ -135,15 +135,10 @@
   need.zone = this->zone;
   need.tokens = job.service->cost_tokens;
   need.avoid = avoid;
-  const auto place =
-      this->dispatcher.Acquire(need, job.context->workspace,
-                               job.service->request_class, job.place_deadline);
-  if (const auto* found = std::get_if<TargetPlace>(&place)) return *found;
-  if (const auto* reason = std::get_if<NoPlace>(&place)) {
-    return RefusalFor(*reason, job.service->name);
-  }
-  return Refusal{RefusalCode::kQueueFull,
-                 "too many requests wait for " + job.service->name};
+  return WaitForPlace(
+      this->dispatcher, need,
+      PlaceRequest{job.context->workspace, job.service->request_class,
+                   job.place_deadline, job.service->name});
 }
 
 Result<HttpReply> ServiceRunner::CallTarget(const Job& job,
