Book what engines held before their ledgers began

Cause: a ledger began empty, so at an engine that had 900,000 of its 1,000,000 bytes in use by a model that no record names, the planner ordered 300,000 more: the engine was asked for more than it has, refused, and the fleet never became ready (scenario preloaded: fails before, passes after in 1.1 s). What a report shows is booked before anything is planned; a name without a record takes all that is free until it is unloaded. A change of a pool's memory now reaches ledgers that exist.

--- a/dragonflyglade/decision/target_ledger.cc
+++ b/dragonflyglade/decision/target_ledger.cc
@@ -243,6 +243,17 @@
   ledger.copies = std::move(kept);
 }
 
+void BookFound(TargetLedger& ledger, const CopySpec& spec) {
+  if (FindCopy(ledger, spec.name) != nullptr) return;
+  LedgerCopy copy;
+  copy.name = spec.name;
+  copy.version = spec.version;
+  copy.base = spec.base;
+  copy.bytes = spec.bytes;
+  copy.state = CopyState::kLoaded;
+  ledger.copies.push_back(std::move(copy));
+}
+
 std::string EncodeLedger(const TargetLedger& ledger) {
   json copies = json::array();
   for (const LedgerCopy& copy : ledger.copies) {
--- a/dragonflyglade/decision/target_ledger.h
+++ b/dragonflyglade/decision/target_ledger.h
@@ -98,6 +98,10 @@
 void TakeReport(TargetLedger& ledger, std::string_view boot_id,
                 const std::set<std::string>& resident, bool after_booking);
 
+/// Books what a target reported although nothing was ordered: it was loaded
+/// before the ledger began. Does nothing if the name stands there already.
+void BookFound(TargetLedger& ledger, const CopySpec& spec);
+
 /// The ledger as JSON.
 std::string EncodeLedger(const TargetLedger& ledger);
 /// Errors: kBadAnswer.
--- a/dragonflyglade/instance/placement_runner.cc
+++ b/dragonflyglade/instance/placement_runner.cc
@@ -112,8 +112,8 @@
     Stored& stored = round.ledgers[status.listed.name];
     if (stored.ledger.target.empty()) {
       stored.ledger.target = status.listed.name;
-      stored.ledger.capacity = round.record.memory_bytes;
     }
+    stored.ledger.capacity = round.record.memory_bytes;
   }
   for (const auto& [target, stored] : round.ledgers) {
     auto& [orders, since] = round.pool.orders_seen[target];
@@ -135,15 +135,44 @@
          made_at > seen->second.second + settle;
 }
 
+// Failure: an engine has models in memory that no ledger knows, because it is
+// older than the ledger or somebody loaded them by hand. Loads planned on an
+// empty ledger then overcommit its memory. What a report shows is booked with
+// its record's size; a name without a record takes all that is free, so
+// nothing is loaded there until it is gone.
+void PlacementRunner::BookUnordered(
+    TargetLedger& ledger, const std::set<std::string>& resident) const {
+  const std::shared_ptr<const Catalog> catalog = this->catalog.Get();
+  for (const std::string& name : resident) {
+    const ModelRecord* model = FindRecord(catalog->models, name);
+    const AdapterRecord* adapter = FindRecord(catalog->adapters, name);
+    CopySpec spec;
+    spec.name = name;
+    if (model != nullptr) {
+      spec.version = model->version;
+      spec.bytes = model->bytes;
+    } else if (adapter != nullptr) {
+      spec.base = adapter->model;
+      spec.bytes = adapter->bytes;
+    } else {
+      spec.bytes =
+          std::max<std::int64_t>(0, ledger.capacity - BookedBytes(ledger));
+    }
+    BookFound(ledger, spec);
+  }
+}
+
 void PlacementRunner::TakeReports(PoolRound& round) {
   for (auto& [target, stored] : round.ledgers) {
-    const auto status = round.statuses.find(target);
-    if (status == round.statuses.end()) continue;
+    const auto found = round.statuses.find(target);
+    if (found == round.statuses.end()) continue;
+    const TargetStatus& status = found->second;
+    const bool after = this->ReportIsAfter(round, status, absl::ZeroDuration());
     const std::string before = EncodeLedger(stored.ledger);
-    TakeReport(
-        stored.ledger, status->second.boot_id, status->second.resident,
-        this->ReportIsAfter(round, status->second, absl::ZeroDuration()));
-    if (EncodeLedger(stored.ledger) == before) continue;
+    TakeReport(stored.ledger, status.boot_id, status.resident, after);
+    if (after) this->BookUnordered(stored.ledger, status.resident);
+    const bool is_first = after && stored.mod_revision == 0;
+    if (!is_first && EncodeLedger(stored.ledger) == before) continue;
     if (!this->Store(round, stored, {})) {
       stored.ledger = DecodeLedger(before).Value();
     }
@@ -189,7 +218,9 @@
     PlannedTarget planned;
     planned.ledger = stored.ledger;
     const auto status = round.statuses.find(target);
-    planned.usable = status != round.statuses.end() &&
+    // Before its first report was booked, nothing is known of its memory.
+    planned.usable = stored.mod_revision != 0 &&
+                     status != round.statuses.end() &&
                      !status->second.leaving && !status->second.ejected &&
                      status->second.report_age <= this->options.report_limit;
     if (planned.usable &&
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
   void PlanPool(PoolRound& round);
   bool ReadLedgers(PoolRound& round);
   void TakeReports(PoolRound& round);
+  void BookUnordered(TargetLedger& ledger,
+                     const std::set<std::string>& resident) const;
   bool ReportIsAfter(const PoolRound& round, const TargetStatus& status,
                      absl::Duration settle) const;
   PlanInput InputFor(const PoolRound& round) const;
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -92,6 +92,9 @@
   this->kv_client = std::make_unique<KvClient>(kv_options);
   for (int i = 1; i <= options.engines; ++i) {
     this->engines.push_back(std::make_unique<EngineStandIn>(options.engine));
+    if (options.preloaded > 0) {
+      this->engines.back()->Preload("unknown", options.preloaded);
+    }
     this->AddTarget(fmt::format("engine-{}", i), kEnginePool,
                     this->engines.back()->Start());
   }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -27,6 +27,9 @@
   int engines = 2;
   int ledgers = 1;
   EngineBehaviour engine;
+  /// Bytes of a model that each engine has in memory to begin with, and that
+  /// no record names.
+  std::int64_t preloaded = 0;
   int fresh_bound_ms = 1500;
   int keep_seconds = 1;
   double rate = 100'000;
--- a/tests/scenario/parser.cc
+++ b/tests/scenario/parser.cc
@@ -30,7 +30,7 @@
        {0,
         0,
         {"instances", "engines", "ledgers", "fenced", "keep", "rate", "burst",
-         "token_delay_ms", "fresh_ms"},
+         "token_delay_ms", "fresh_ms", "preloaded"},
         {}}},
       {"key", {1, 1, {"workspace"}, {}}},
       {"withdraw", {1, 1, {}, {}}},
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -111,6 +111,8 @@
     options.engine.fenced = command.Value("fenced", "no") == "yes";
     options.engine.token_delay =
         absl::Milliseconds(command.Number("token_delay_ms", 5));
+    options.preloaded =
+        static_cast<std::int64_t>(command.Number("preloaded", 0));
     options.rate = command.Number("rate", options.rate);
     options.burst = command.Number("burst", options.burst);
     this->fleet = std::make_unique<Fleet>(options);
--- a/tests/unit/unit-placement.cc
+++ b/tests/unit/unit-placement.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(BooksBeforeItOrders);
   CPPUNIT_TEST(ALateLoadKeepsItsBytesBooked);
+  CPPUNIT_TEST(WhatWasThereBeforeIsBooked);
   CPPUNIT_TEST(ARestartSettlesOldOrders);
   CPPUNIT_TEST(AStalePlannerIsRefused);
   CPPUNIT_TEST(MemoryIsNeverOvercommitted);
@@ -91,6 +92,19 @@
     }
   }
 
+  // An engine had a model in memory before its ledger began. It is booked when
+  // a report shows it, so a load that would not fit beside it is refused.
+  void WhatWasThereBeforeIsBooked() {
+    TargetLedger ledger = Ledger();
+    BookFound(ledger, Spec("old", 70));
+    BookFound(ledger, Spec("old", 70));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{70}, BookedBytes(ledger));
+    CPPUNIT_ASSERT(!BeginLoad(ledger, Spec("new", 40), 1).Ok());
+    CPPUNIT_ASSERT(BeginUnload(ledger, "old", 1).Ok());
+    FinishUnload(ledger, Outcome("t-1", "old", true), false);
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("new", 40), 1).Ok());
+  }
+
   void ARestartSettlesOldOrders() {
     TargetLedger ledger = Ledger();
     CPPUNIT_ASSERT(BeginLoad(ledger, Spec("sure", 30), 1).Ok());
