--- a/dragonflyglade/platform/claim_store.cc
+++ b/dragonflyglade/platform/claim_store.cc
@@ -43,6 +43,11 @@
   return granted;
 }
 
+std::int64_t ClaimStore::LastLease() {
+  absl::MutexLock lock(&this->lease_mutex);
+  return this->lease;
+}
+
 ClaimWrite ClaimStore::Create(const std::string& key, const Claim& claim) {
   const Result<std::int64_t> lease = this->Lease();
   if (!lease.Ok()) return ClaimNotWritten{};
@@ -64,9 +69,11 @@
 
 void ClaimStore::Finish(const std::string& key, std::int64_t revision,
                         const Claim& claim) {
-  const Result<std::int64_t> lease = this->Lease();
-  KvWrite write{key, EncodeClaim(claim), 0, false};
-  if (lease.Ok()) write.lease = lease.Value();
+  // An ending without a lease would stay for good. If none can be granted now,
+  // the last one still lives for as long as claims are kept.
+  const Result<std::int64_t> granted = this->Lease();
+  const std::int64_t lease = granted.Ok() ? granted.Value() : this->LastLease();
+  KvWrite write{key, EncodeClaim(claim), lease, false};
   this->Enqueue(Ending{KvExpect{key, revision}, std::move(write)});
 }
 
--- a/dragonflyglade/platform/claim_store.h
+++ b/dragonflyglade/platform/claim_store.h
@@ -53,6 +53,7 @@
   };
 
   Result<std::int64_t> Lease();
+  std::int64_t LastLease();
   absl::Duration WritePending();
   bool WriteOne(const Ending& ending);
   void Enqueue(Ending ending);
--- a/measure/measure_capacity.cc
+++ b/measure/measure_capacity.cc
@@ -133,6 +133,7 @@
     manual.Advance(absl::Hours(1));
     TargetBook book(TargetOptions{}, Clock(&manual), 1);
     std::vector<ListedTarget> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       list.push_back(ListedTarget{fmt::format("t{:04}", i), "10.0.0.1", 8000,
                                   "a", kPool, false});
--- /dev/null
+++ b/measure/measure_config.cc
@@ -0,0 +1,43 @@
+#include <fmt/format.h>
+
+#include "measure/model/membership_fleet.h"
+#include "measure/topics.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr double kChangesPerDay = 1200;
+constexpr double kSecondsPerDay = 86'400;
+constexpr int kRelays = 2;
+constexpr double kRereadsPerSecond = 1;
+// One watch counts as a call for as long as it waits.
+constexpr double kCallsOfRelay = 1 + kRereadsPerSecond;
+
+}  // namespace
+
+// How long news takes to be everywhere, and what following the configuration
+// costs the key-value service, against everybody watching it.
+void MeasureConfig(const MeasureOptions& options) {
+  std::vector<std::size_t> sizes = {6, 40, 400};
+  if (options.instances != 0) sizes = {options.instances};
+  for (const std::size_t size : sizes) {
+    MembershipRun run;
+    run.instances = size;
+    run.seed = options.seed;
+    run.length = absl::Seconds(60);
+    run.kill_at = absl::InfiniteDuration();
+    const MembershipResult result = MembershipFleet(run).Run();
+    const std::string name = fmt::format("config.{}", size);
+    PrintFigure(name + ".news_everywhere_after",
+                absl::ToDoubleSeconds(result.news_everywhere_after), "s");
+    PrintFigure(name + ".relays.kv_calls", kRelays * kCallsOfRelay,
+                "per_second");
+    PrintFigure(name + ".everybody_watches.kv_calls",
+                static_cast<double>(size) * kCallsOfRelay, "per_second");
+    PrintFigure(name + ".pulls",
+                static_cast<double>(size) * kChangesPerDay / kSecondsPerDay,
+                "per_second_in_all");
+  }
+}
+
+}  // namespace dragonflyglade
--- a/measure/topics.cc
+++ b/measure/topics.cc
@@ -10,10 +10,10 @@
 
 const std::map<std::string, MeasureTopic>& MeasureTopics() {
   static const auto& topics = *new std::map<std::string, MeasureTopic>{
-      {"limits", MeasureLimits},       {"membership", MeasureMembership},
-      {"routing", MeasureRouting},     {"fairness", MeasureFairness},
-      {"placement", MeasurePlacement}, {"capacity", MeasureCapacity},
-      {"once", MeasureOnce},
+      {"limits", MeasureLimits},         {"config", MeasureConfig},
+      {"membership", MeasureMembership}, {"routing", MeasureRouting},
+      {"fairness", MeasureFairness},     {"placement", MeasurePlacement},
+      {"capacity", MeasureCapacity},     {"once", MeasureOnce},
   };
   return topics;
 }
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -28,6 +28,7 @@
 void MeasureLimits(const MeasureOptions& options);
 /// The bytes of a loan's messages, by the real codec.
 void MeasureLimitsBytes();
+void MeasureConfig(const MeasureOptions& options);
 void MeasureMembership(const MeasureOptions& options);
 void MeasureRouting(const MeasureOptions& options);
 void MeasureFairness(const MeasureOptions& options);
--- a/tests/integration/integration-callers.cc
+++ b/tests/integration/integration-callers.cc
@@ -152,12 +152,16 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, std::string("no"), result.ran);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200, good_call().status);
     }
-    for (const char* raw :
-         {"", "\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
-          "POST /v1/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
-          "POST /v1/completions HTTP/1.1\r\nContent-Length: 99\r\n\r\nshort",
-          "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-          "zz\r\n"}) {
+    const std::string post = "POST /v1/completions HTTP/1.1\r\n";
+    const std::vector<std::string> malformed = {
+        "",
+        "\r\n\r\n",
+        "GET\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        post + "Content-Length: -5\r\n\r\n",
+        post + "Content-Length: 99\r\n\r\nshort",
+        post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"};
+    for (const std::string& raw : malformed) {
       const std::string answer = SendRaw(instance, raw);
       CPPUNIT_ASSERT_MESSAGE(raw + answer,
                              answer.find(" 200 ") == std::string::npos);
--- a/tests/integration/integration-history.cc
+++ b/tests/integration/integration-history.cc
@@ -86,6 +86,7 @@
     std::atomic<bool> stopping{false};
     const Instant start = Now();
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&, i] {
         CallSpec spec;
