--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -128,7 +128,7 @@
 
 std::string Fleet::WriteSettings(int number, const Endpoint& kv_at) {
   const json listen = {{"address", "127.0.0.1"}, {"port", 0}};
-  const json settings = {
+  json settings = {
       {"name", this->NameOf(number)},
       {"availability_zone", number % 2 == 0 ? "zone-b" : "zone-a"},
       {"listen", {{"caller", listen}, {"peer", listen}, {"operator", listen}}},
@@ -157,6 +157,7 @@
         {"settle_ms", 1500},
         {"loads_per_second", 50}}},
       {"log", {{"level", "debug"}}}};
+  if (this->options.default_periods) settings.erase("periods");
   const std::string path =
       fmt::format("{}/settings-{}.json", this->folder, number);
   std::ofstream(path) << settings.dump(2);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -31,6 +31,8 @@
   /// no record names.
   std::int64_t preloaded = 0;
   int fresh_bound_ms = 1500;
+  /// Whether instances keep the default periods; tests use shorter ones.
+  bool default_periods = false;
   int keep_seconds = 1;
   double rate = 100'000;
   double burst = 200'000;
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "absl/time/clock.h"
 #include "dragonflyglade/operator/config_editor.h"
 #include "tests/fleet/caller.h"
 #include "tests/fleet/fleet.h"
@@ -111,6 +112,7 @@
     options.engine.fenced = command.Value("fenced", "no") == "yes";
     options.engine.token_delay =
         absl::Milliseconds(command.Number("token_delay_ms", 5));
+    options.default_periods = command.Value("periods", "short") == "default";
     options.preloaded =
         static_cast<std::int64_t>(command.Number("preloaded", 0));
     options.rate = command.Number("rate", options.rate);
@@ -203,6 +205,16 @@
   }
   void DoReady(const ScenarioCommand&) { this->Instances().WaitReady(); }
 
+  // Times are printed to be read, never judged: machines differ.
+  void DoMark(const ScenarioCommand& command) {
+    this->marks[command.words[0]] = absl::Now();
+  }
+  void DoSince(const ScenarioCommand& command) {
+    const absl::Time mark = this->marks.at(command.words[0]);
+    fmt::print("line {}: {:.2f} s since {}\n", command.line,
+               absl::ToDoubleSeconds(absl::Now() - mark), command.words[0]);
+  }
+
   void DoKv(const ScenarioCommand& command) {
     KvStandIn& kv = this->Instances().Kv();
     const std::string& what = command.words[0];
@@ -421,6 +433,7 @@
   const ScenarioCommand* current = nullptr;
   History history;
   std::unique_ptr<Fleet> fleet;
+  std::map<std::string, absl::Time> marks;
   std::map<std::string, CallerKey> keys;
   std::map<std::string, std::unique_ptr<Load>> loads;
   std::map<std::string, std::unique_ptr<OpenStream>> streams;
@@ -439,6 +452,8 @@
       {"unlist", &Runner::DoUnlist},
       {"start", &Runner::DoStart},
       {"ready", &Runner::DoReady},
+      {"mark", &Runner::DoMark},
+      {"since", &Runner::DoSince},
       {"kv", &Runner::DoKv},
       {"list", &Runner::DoList},
       {"link", &Runner::DoLink},
