--- a/tests/integration/integration-callers.cc
+++ b/tests/integration/integration-callers.cc
@@ -167,6 +167,20 @@
                              answer.find(" 200 ") == std::string::npos);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(raw, 200, good_call().status);
     }
+    // The same at the port for other instances, and a frame that claims to be
+    // two gigabytes long.
+    const int peer_port =
+        fleet.Status(1).at("members").at(0).at("peer_port").get<int>();
+    for (const std::string& raw :
+         {malformed[2], malformed[5], std::string("\x7f\xff\xff\xff....")}) {
+      SendRaw(Endpoint{"127.0.0.1", peer_port}, raw);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(raw, 200, good_call().status);
+    }
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const json seen = fleet.Status(2);
+      return seen.is_object() &&
+             seen.at("members").dump().find("dead") == std::string::npos;
+    }));
     const std::string seen_elsewhere =
         fleet.Received() + fleet.Logs() + fleet.KvText();
     CPPUNIT_ASSERT(seen_elsewhere.find(key.secret) == std::string::npos);
