Send the class as the engines' priority field

Engines read the priority from the request's body, not from a header; the stand-in now serves by it, and what a caller writes there itself is replaced.

--- a/dragonflyglade/caller/completion_request.cc
+++ b/dragonflyglade/caller/completion_request.cc
@@ -90,7 +90,7 @@
 
 std::variant<CompletionRequest, Refusal> ParseCompletion(
     std::string_view path, std::string_view body, const Catalog& catalog,
-    std::string_view workspace) {
+    std::string_view workspace, RequestClass request_class) {
   const json document = ParseBounded(body);
   if (!document.is_object()) return Bad("body: expected a JSON object");
   const auto name = document.find("model");
@@ -131,6 +131,9 @@
   // here, so that a broken one is noticed and can be taken up.
   json sent = document;
   sent["stream"] = true;
+  // Engines serve the lower number first; what a caller asks for itself does
+  // not count.
+  sent["priority"] = static_cast<int>(request_class);
   sent["max_tokens"] = static_cast<std::int64_t>(request.max_tokens);
   request.body = sent.dump(-1, ' ', false, json::error_handler_t::replace);
   return request;
--- a/dragonflyglade/caller/completion_request.h
+++ b/dragonflyglade/caller/completion_request.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "dragonflyglade/decision/refusal.h"
+#include "dragonflyglade/decision/request_class.h"
 #include "dragonflyglade/operator/catalog.h"
 
 namespace dragonflyglade {
@@ -27,11 +28,13 @@
 
 /// Reads a completion's JSON body.
 /// @param path "/v1/completions" or "/v1/chat/completions"
+/// @param request_class becomes the priority that engines honour
 /// Errors: bad_request for malformed input, not_found for unknown models and
 /// models that the workspace may not use.
 std::variant<CompletionRequest, Refusal> ParseCompletion(
     std::string_view path, std::string_view body, const Catalog& catalog,
-    std::string_view workspace);
+    std::string_view workspace,
+    RequestClass request_class = RequestClass::kChat);
 
 }  // namespace dragonflyglade
 
--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -96,7 +96,7 @@
 CallerAnswer CompletionRunner::Run(const CallContext& context,
                                    const CallerRequest& request) {
   auto parsed = ParseCompletion(request.path, request.body, *context.catalog,
-                                context.workspace);
+                                context.workspace, context.request_class);
   if (auto* refusal = std::get_if<Refusal>(&parsed)) return *refusal;
   auto job = std::make_shared<Job>();
   job->context = context;
@@ -181,8 +181,7 @@
 bool CompletionRunner::AttemptOnce(Job& job, const TargetPlace& place) {
   Attempt attempt(place, EngineClient(Endpoint{place.address, place.port},
                                       place.target, this->call_options));
-  EngineRequest request{job.path, job.request.body, job.context.request_id,
-                        job.context.request_class};
+  EngineRequest request{job.path, job.request.body, job.context.request_id};
   this->ReadFrom(job, attempt, EngineClient::RequestFor(request));
   for (int i = 0; i < kMostResumes && this->Resume(job, attempt); ++i) {
   }
--- a/dragonflyglade/target/engine_client.cc
+++ b/dragonflyglade/target/engine_client.cc
@@ -12,11 +12,6 @@
 
 constexpr int kHttpOk = 200;
 
-// Engines take the lower number first, as vLLM's priority scheduling does.
-int PriorityOf(RequestClass request_class) {
-  return static_cast<int>(request_class);
-}
-
 const char* OrderPath(OrderKind kind) {
   switch (kind) {
     case OrderKind::kLoadModel:
@@ -80,9 +75,7 @@
   http.method = "POST";
   http.path = request.path;
   http.body = request.body;
-  http.headers = {
-      {"X-Request-Id", request.request_id},
-      {"X-Priority", std::to_string(PriorityOf(request.request_class))}};
+  http.headers = {{"X-Request-Id", request.request_id}};
   return http;
 }
 
--- a/dragonflyglade/target/engine_client.h
+++ b/dragonflyglade/target/engine_client.h
@@ -9,7 +9,6 @@
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/failure.h"
-#include "dragonflyglade/decision/request_class.h"
 #include "dragonflyglade/decision/target_book.h"
 #include "dragonflyglade/net/http_call.h"
 
@@ -29,7 +28,6 @@
   std::string path;  ///< "/v1/completions" or "/v1/chat/completions"
   std::string body;  ///< JSON
   std::string request_id;
-  RequestClass request_class = RequestClass::kChat;
 };
 
 /// What an order changes at an engine.
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -100,6 +100,7 @@
   const int tokens = body.at("max_tokens");
   auto stream = std::make_shared<Stream>();
   stream->request_id = request.get_header_value("X-Request-Id");
+  stream->priority = body.value("priority", 0);
   const std::string prompt = PromptOf(body);
   {
     absl::MutexLock lock(&this->mutex);
@@ -161,15 +162,24 @@
                                                httplib::DataSink& sink) {
         {
           absl::MutexLock lock(&this->mutex);
-          const auto may_run = [this,
-                                in_batch]() ABSL_SHARED_LOCKS_REQUIRED(mutex) {
-            const bool has_room =
-                *in_batch || this->running < this->behaviour.batch;
-            return this->stopping || (!this->silent && has_room);
+          Turn turn;
+          if (!*in_batch) {
+            turn = {stream->priority, this->next_turn++};
+            this->waiting.insert(turn);
+          }
+          const auto may_run = [this, in_batch,
+                                turn]() ABSL_SHARED_LOCKS_REQUIRED(mutex) {
+            if (this->stopping || *in_batch) return !this->silent;
+            const bool is_next = *this->waiting.begin() == turn;
+            return !this->silent && is_next &&
+                   this->running < this->behaviour.batch;
           };
-          if (!*in_batch) ++this->waiting;
-          this->mutex.Await(absl::Condition(&may_run));
-          if (!*in_batch) --this->waiting;
+          const auto may_go_on = [this, &may_run]()
+                                     ABSL_SHARED_LOCKS_REQUIRED(mutex) {
+                                       return this->stopping || may_run();
+                                     };
+          this->mutex.Await(absl::Condition(&may_go_on));
+          this->waiting.erase(turn);
           if (this->stopping) return false;
           if (!*in_batch) ++this->running;
           *in_batch = true;
@@ -225,7 +235,7 @@
   for (const auto& [name, bytes] : this->loaded) resident.push_back(name);
   json report = {{"queued_tokens", std::max(0.0, this->queued_tokens)},
                  {"running", this->running},
-                 {"waiting", this->waiting},
+                 {"waiting", this->waiting.size()},
                  {"slots", this->behaviour.batch},
                  {"boot_id", fmt::format("boot-{}", this->boot)},
                  {"resident", resident},
--- a/tests/standins/engine_stand_in.h
+++ b/tests/standins/engine_stand_in.h
@@ -74,7 +74,10 @@
   struct Stream {
     std::vector<std::string> events;
     std::string request_id;
+    int priority = 0;
   };
+  /// A request's priority, and its place among those of the same.
+  using Turn = std::pair<int, std::uint64_t>;
   struct HeldOrder {
     std::string kind;
     nlohmann::json body;
@@ -110,7 +113,8 @@
   std::map<std::string, std::int64_t> loaded ABSL_GUARDED_BY(mutex);
   std::int64_t peak ABSL_GUARDED_BY(mutex) = 0;
   int running ABSL_GUARDED_BY(mutex) = 0;
-  int waiting ABSL_GUARDED_BY(mutex) = 0;
+  std::set<Turn> waiting ABSL_GUARDED_BY(mutex);
+  std::uint64_t next_turn ABSL_GUARDED_BY(mutex) = 1;
   double queued_tokens ABSL_GUARDED_BY(mutex) = 0;
   int served ABSL_GUARDED_BY(mutex) = 0;
   int started ABSL_GUARDED_BY(mutex) = 0;
--- a/tests/unit/unit-callers.cc
+++ b/tests/unit/unit-callers.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
 #include "dragonflyglade/caller/completion_request.h"
 #include "dragonflyglade/caller/event_stream.h"
 #include "dragonflyglade/caller/instance_answer.h"
@@ -36,6 +38,7 @@
 class CallersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallersTest);
   CPPUNIT_TEST(CompletionBodiesAreChecked);
+  CPPUNIT_TEST(TheClassBecomesThePriority);
   CPPUNIT_TEST(KeysAreChecked);
   CPPUNIT_TEST(EventsAreCutWherever);
   CPPUNIT_TEST(StreamsEndOnce);
@@ -85,6 +88,22 @@
     }
   }
 
+  void TheClassBecomesThePriority() {
+    const Catalog catalog = SmallCatalog();
+    // What a caller writes there itself is replaced.
+    const std::string body = R"({"model":"m","prompt":"x","priority":-9})";
+    for (const RequestClass kind :
+         {RequestClass::kUrgent, RequestClass::kChat, RequestClass::kBatch}) {
+      const auto parsed =
+          ParseCompletion("/v1/completions", body, catalog, "all", kind);
+      const auto& request = std::get<CompletionRequest>(parsed);
+      const auto sent = nlohmann::json::parse(request.body);
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(kind),
+                           sent.at("priority").get<int>());
+      CPPUNIT_ASSERT(sent.at("stream").get<bool>());
+    }
+  }
+
   void KeysAreChecked() {
     Catalog catalog;
     const CallerKey good = NewCallerKey();
