Change engines' roles by the pool's record; show buckets in the status

Role orders carry the fence and an order id of the target's ledger like all others, and are repeated when a settled report still shows the old role.

--- a/dragonflyglade/decision/share_book.cc
+++ b/dragonflyglade/decision/share_book.cc
@@ -415,6 +415,19 @@
   return balances;
 }
 
+std::optional<WorkspaceBalance> ShareBook::BalanceOf(
+    std::string_view workspace) const {
+  const Shard& shard = this->ShardOf(workspace);
+  absl::MutexLock lock(&shard.mutex);
+  const auto found = shard.books.find(workspace);
+  if (found == shard.books.end()) return std::nullopt;
+  const TokenBucket& bucket = found->second.bucket;
+  return WorkspaceBalance{
+      std::string(workspace),
+      static_cast<std::int64_t>(bucket.Level(this->clock.Now())),
+      static_cast<std::int64_t>(bucket.Cap())};
+}
+
 void ShareBook::Learn(std::string_view peer, const WorkspaceBalance& balance) {
   Shard& shard = this->ShardOf(balance.workspace);
   absl::MutexLock lock(&shard.mutex);
--- a/dragonflyglade/decision/share_book.h
+++ b/dragonflyglade/decision/share_book.h
@@ -171,6 +171,9 @@
   /// Buckets of workspaces with recent demand, at most limit of them.
   std::vector<WorkspaceBalance> Balances(std::size_t limit) const;
 
+  /// The own bucket of a workspace, if it is known here.
+  std::optional<WorkspaceBalance> BalanceOf(std::string_view workspace) const;
+
   /// Takes note of a peer's bucket.
   void Learn(std::string_view peer, const WorkspaceBalance& balance);
 
--- a/dragonflyglade/decision/target_book.cc
+++ b/dragonflyglade/decision/target_book.cc
@@ -324,6 +324,7 @@
         status.leaving = target.listed.leaving || this->IsMarkedLeaving(name);
         status.report_age = now - target.report_at;
         status.boot_id = target.report.boot_id;
+        status.role = target.report.role;
         status.resident = target.report.resident;
         all.push_back(std::move(status));
       }
--- a/dragonflyglade/decision/target_book.h
+++ b/dragonflyglade/decision/target_book.h
@@ -31,10 +31,11 @@
 
 /// What a target says of its load. It lags.
 struct LoadReport {
-  double queued_tokens = 0;        ///< not yet processed, from all instances
-  int running = 0;                 ///< requests in its batch or waiting for it
-  int slots = 0;                   ///< requests it runs at once; 0 if not said
-  std::string boot_id;             ///< changes when the target restarts
+  double queued_tokens = 0;  ///< not yet processed, from all instances
+  int running = 0;           ///< requests in its batch or waiting for it
+  int slots = 0;             ///< requests it runs at once; 0 if not said
+  std::string boot_id;       ///< changes when the target restarts
+  std::string role;  ///< what part of the work it does; empty if not said
   std::set<std::string> resident;  ///< models and adapters in memory
   absl::Duration lag;  ///< how old the figures were when they arrived
 };
@@ -93,6 +94,7 @@
   bool leaving = false;
   absl::Duration report_age;
   std::string boot_id;
+  std::string role;
   std::set<std::string> resident;
 };
 
--- a/dragonflyglade/decision/target_ledger.cc
+++ b/dragonflyglade/decision/target_ledger.cc
@@ -183,6 +183,12 @@
   return Done{};
 }
 
+Result<std::string> BeginRoleChange(TargetLedger& ledger, std::int64_t fence) {
+  const Status fresh = CheckFence(ledger, fence);
+  if (!fresh.Ok()) return fresh.Error();
+  return NextOrderId(ledger);
+}
+
 void FinishLoad(TargetLedger& ledger, const OrderOutcome& outcome,
                 bool fenced) {
   Rebase(ledger, outcome.boot_id);
--- a/dragonflyglade/decision/target_ledger.h
+++ b/dragonflyglade/decision/target_ledger.h
@@ -75,6 +75,10 @@
 Status BeginUnload(TargetLedger& ledger, std::string_view name,
                    std::int64_t fence);
 
+/// Numbers an order that changes the target's role; it books no memory.
+/// @return the order's id. Errors: kNotHeld if a newer planner wrote.
+Result<std::string> BeginRoleChange(TargetLedger& ledger, std::int64_t fence);
+
 /// The answer to an order.
 struct OrderOutcome {
   std::string order_id;
--- a/dragonflyglade/instance/instance_status.cc
+++ b/dragonflyglade/instance/instance_status.cc
@@ -85,6 +85,7 @@
                        {"outstanding_tokens", target.outstanding_tokens},
                        {"report_age_ms", Milliseconds(target.report_age)},
                        {"boot_id", target.boot_id},
+                       {"role", target.role},
                        {"resident", target.resident}});
   }
   return targets;
@@ -102,11 +103,15 @@
                                     {"held", holder.held}};
       }
     }
-    workspaces.push_back({{"name", name},
-                          {"tokens_per_second", rate.limit.tokens_per_second},
-                          {"burst_tokens", rate.limit.burst_tokens},
-                          {"epoch", followed.has_value() ? followed->epoch : 0},
-                          {"holders", holders}});
+    const auto bucket = sources.shares.BalanceOf(name);
+    workspaces.push_back(
+        {{"name", name},
+         {"tokens_per_second", rate.limit.tokens_per_second},
+         {"burst_tokens", rate.limit.burst_tokens},
+         {"epoch", followed.has_value() ? followed->epoch : 0},
+         {"bucket_level", bucket.has_value() ? bucket->level : 0},
+         {"bucket_cap", bucket.has_value() ? bucket->cap : 0},
+         {"holders", holders}});
   }
   return workspaces;
 }
--- a/dragonflyglade/instance/placement_runner.cc
+++ b/dragonflyglade/instance/placement_runner.cc
@@ -241,12 +241,42 @@
   this->RefreshDemand();
   const std::vector<PlanStep> steps =
       round.pool.planner->Plan(this->InputFor(round));
+  this->CorrectRoles(round);
   for (const PlanStep& step : steps) {
     if (!round.pool.role->Held()) return;
     std::visit([&](const auto& known) { this->CarryOut(round, known); }, step);
   }
 }
 
+// Engines that report another role than their pool's are told. A lost order is
+// repeated once a report made after its settle time still shows the old role.
+void PlacementRunner::CorrectRoles(PoolRound& round) {
+  if (round.record.role.empty()) return;
+  for (auto& [target, stored] : round.ledgers) {
+    const auto status = round.statuses.find(target);
+    if (status == round.statuses.end() || stored.mod_revision == 0) continue;
+    const std::string& role = status->second.role;
+    if (role.empty() || role == round.record.role) continue;
+    const bool has_settled =
+        this->ReportIsAfter(round, status->second, this->options.settle);
+    if (has_settled && round.pool.role->Held()) {
+      this->CorrectRole(round, stored, status->second);
+    }
+  }
+}
+
+void PlacementRunner::CorrectRole(PoolRound& round, Stored& stored,
+                                  const TargetStatus& status) {
+  Stored changed = stored;
+  const Result<std::string> id = BeginRoleChange(changed.ledger, round.fence);
+  if (!id.Ok() || !this->Store(round, changed, {})) return;
+  stored = changed;
+  this->audit.Add("placement role", status.listed.name,
+                  {{"role", round.record.role}});
+  this->Send(NewOrder(round, status.listed, OrderKind::kSetRole, id.Value(),
+                      round.record.role));
+}
+
 bool PlacementRunner::Store(const PoolRound& round, Stored& stored,
                             const std::vector<KvExpect>& also) {
   const std::string key = LedgerKey(round.name, stored.ledger.target);
@@ -263,19 +293,31 @@
   return true;
 }
 
-void PlacementRunner::SendLoad(PoolRound& round, const Stored& stored,
-                               const CopySpec& spec) {
+PlacementRunner::Order PlacementRunner::NewOrder(const PoolRound& round,
+                                                 const ListedTarget& target,
+                                                 OrderKind kind,
+                                                 std::string_view id,
+                                                 std::string_view name) {
   Order order;
   order.pool = round.name;
-  order.target = round.statuses.at(stored.ledger.target).listed;
+  order.target = target;
   order.fenced = round.record.fenced;
-  order.is_load = true;
-  order.is_adapter = !spec.base.empty();
-  order.order.kind =
-      order.is_adapter ? OrderKind::kLoadAdapter : OrderKind::kLoadModel;
-  order.order.id = FindCopy(stored.ledger, spec.name)->order_id;
+  order.order.kind = kind;
+  order.order.id = std::string(id);
   order.order.fence = round.fence;
-  order.order.name = spec.name;
+  order.order.name = std::string(name);
+  return order;
+}
+
+void PlacementRunner::SendLoad(PoolRound& round, const Stored& stored,
+                               const CopySpec& spec) {
+  const bool is_adapter = !spec.base.empty();
+  Order order =
+      NewOrder(round, round.statuses.at(stored.ledger.target).listed,
+               is_adapter ? OrderKind::kLoadAdapter : OrderKind::kLoadModel,
+               FindCopy(stored.ledger, spec.name)->order_id, spec.name);
+  order.is_load = true;
+  order.is_adapter = is_adapter;
   order.order.version = spec.version;
   order.order.bytes = spec.bytes;
   this->Send(std::move(order));
@@ -320,17 +362,10 @@
   this->audit.Add("placement unload", step.target, {{"name", step.name}});
   const auto status = round.statuses.find(step.target);
   if (status == round.statuses.end()) return;
-  Order order;
-  order.pool = round.name;
-  order.target = status->second.listed;
-  order.fenced = round.record.fenced;
-  order.is_adapter = is_adapter;
-  order.order.kind =
-      is_adapter ? OrderKind::kUnloadAdapter : OrderKind::kUnloadModel;
-  order.order.id = FindCopy(stored.ledger, step.name)->order_id;
-  order.order.fence = round.fence;
-  order.order.name = step.name;
-  this->Send(std::move(order));
+  this->Send(
+      NewOrder(round, status->second.listed,
+               is_adapter ? OrderKind::kUnloadAdapter : OrderKind::kUnloadModel,
+               FindCopy(stored.ledger, step.name)->order_id, step.name));
 }
 
 void PlacementRunner::Send(Order order) {
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -89,8 +89,14 @@
   void CarryOut(PoolRound& round, const PlanLoad& step);
   void CarryOut(PoolRound& round, const PlanReload& step);
   void CarryOut(PoolRound& round, const PlanUnload& step);
+  void CorrectRoles(PoolRound& round);
+  void CorrectRole(PoolRound& round, Stored& stored,
+                   const TargetStatus& status);
   bool Store(const PoolRound& round, Stored& stored,
              const std::vector<KvExpect>& also);
+  static Order NewOrder(const PoolRound& round, const ListedTarget& target,
+                        OrderKind kind, std::string_view id,
+                        std::string_view name);
   void SendLoad(PoolRound& round, const Stored& stored, const CopySpec& spec);
   void Send(Order order);
   void Settle(const Order& order, const OrderReply& reply);
--- a/dragonflyglade/operator/record_schemas.cc
+++ b/dragonflyglade/operator/record_schemas.cc
@@ -61,7 +61,9 @@
   return Object(
       {{"kind", {{"type", "string"}, {"enum", {"engine", "service"}}}},
        {"memory_bytes", AtLeast("integer", 0)},
-       {"fenced", {{"type", "boolean"}}}},
+       {"fenced", {{"type", "boolean"}}},
+       {"role",
+        {{"type", "string"}, {"enum", {"mixed", "prefill", "decode"}}}}},
       {"kind"});
 }
 
--- a/dragonflyglade/operator/records.cc
+++ b/dragonflyglade/operator/records.cc
@@ -85,6 +85,7 @@
       document.at("kind") == "engine" ? PoolKind::kEngine : PoolKind::kService;
   record.memory_bytes = document.value("memory_bytes", std::int64_t{0});
   record.fenced = document.value("fenced", false);
+  record.role = document.value("role", std::string());
   return record;
 }
 
--- a/dragonflyglade/operator/records.h
+++ b/dragonflyglade/operator/records.h
@@ -62,6 +62,7 @@
   PoolKind kind = PoolKind::kEngine;
   std::int64_t memory_bytes = 0;  ///< accelerator memory of one target
   bool fenced = false;            ///< targets refuse orders with an old fence
+  std::string role;  ///< that its engines should have; empty: as they are
 };
 
 /// A model that engines can load.
--- a/dragonflyglade/operator/status_server.cc
+++ b/dragonflyglade/operator/status_server.cc
@@ -90,9 +90,11 @@
   }
   text += "workspaces\n";
   for (const json& workspace : status.at("workspaces")) {
-    text += fmt::format("  {} epoch {} holders {}\n",
+    text += fmt::format("  {} epoch {} bucket {} of {} holders {}\n",
                         workspace.at("name").get<std::string>(),
                         workspace.at("epoch").get<std::int64_t>(),
+                        workspace.at("bucket_level").get<std::int64_t>(),
+                        workspace.at("bucket_cap").get<std::int64_t>(),
                         workspace.at("holders").dump());
   }
   text += "refusals " + status.at("refusals").dump() + "\n";
--- a/dragonflyglade/target/engine_client.cc
+++ b/dragonflyglade/target/engine_client.cc
@@ -22,6 +22,8 @@
       return "/v1/load_lora_adapter";
     case OrderKind::kUnloadAdapter:
       return "/v1/unload_lora_adapter";
+    case OrderKind::kSetRole:
+      return "/v1/set_role";
   }
   return "";
 }
@@ -31,6 +33,7 @@
 }
 
 json OrderBody(const EngineOrder& order) {
+  if (order.kind == OrderKind::kSetRole) return {{"role", order.name}};
   if (IsAdapterOrder(order.kind)) {
     return {{"lora_name", order.name},
             {"lora_path", order.name},
@@ -50,6 +53,7 @@
   report.load.boot_id = document.at("boot_id").get<std::string>();
   report.load.resident = document.at("resident").get<std::set<std::string>>();
   report.load.lag = absl::Milliseconds(document.value("age_ms", 0));
+  report.load.role = document.value("role", std::string());
   report.leaving = document.value("leaving", false);
   return report;
 }
--- a/dragonflyglade/target/engine_client.h
+++ b/dragonflyglade/target/engine_client.h
@@ -31,14 +31,20 @@
 };
 
 /// What an order changes at an engine.
-enum class OrderKind { kLoadModel, kUnloadModel, kLoadAdapter, kUnloadAdapter };
+enum class OrderKind {
+  kLoadModel,
+  kUnloadModel,
+  kLoadAdapter,
+  kUnloadAdapter,
+  kSetRole,
+};
 
 /// An order to an engine.
 struct EngineOrder {
   OrderKind kind = OrderKind::kLoadModel;
   std::string id;  ///< the same for each attempt at one order
   std::int64_t fence = 0;
-  std::string name;  ///< of the model or adapter
+  std::string name;  ///< of the model or adapter; the new role
   std::string version;
   std::int64_t bytes = 0;
 };
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -75,7 +75,7 @@
     response.set_content(json({{"events", events}}).dump(), kJson);
   });
   for (const char* kind : {"load_model", "unload_model", "load_lora_adapter",
-                           "unload_lora_adapter"}) {
+                           "unload_lora_adapter", "set_role"}) {
     http.Post(std::string("/v1/") + kind,
               [this, kind](const Request& request, Response& response) {
                 this->Order(kind, request, response);
@@ -239,6 +239,7 @@
                  {"slots", this->behaviour.batch},
                  {"boot_id", fmt::format("boot-{}", this->boot)},
                  {"resident", resident},
+                 {"role", this->role},
                  {"leaving", this->leaving}};
   const absl::Time now = absl::Now();
   this->reports.emplace_back(now, report);
@@ -255,6 +256,10 @@
 // Carries an order out; returns why not, or nothing.
 std::string EngineStandIn::Execute(const std::string& kind, const json& body) {
   absl::MutexLock lock(&this->mutex);
+  if (kind == "set_role") {
+    this->role = body.at("role").get<std::string>();
+    return {};
+  }
   const std::string name = body.contains("model")
                                ? body.at("model").get<std::string>()
                                : body.at("lora_name").get<std::string>();
--- a/tests/standins/engine_stand_in.h
+++ b/tests/standins/engine_stand_in.h
@@ -102,6 +102,7 @@
   bool silent ABSL_GUARDED_BY(mutex) = false;
   bool refusing ABSL_GUARDED_BY(mutex) = false;
   bool leaving ABSL_GUARDED_BY(mutex) = false;
+  std::string role ABSL_GUARDED_BY(mutex) = "mixed";
   std::string echoed_id ABSL_GUARDED_BY(mutex);
   int cut_after ABSL_GUARDED_BY(mutex) = 0;
   int cut_times ABSL_GUARDED_BY(mutex) = 0;
