--- a/tests/integration/integration-callers.cc
+++ b/tests/integration/integration-callers.cc
@@ -67,6 +67,7 @@
 class CallersIntegration : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallersIntegration);
   CPPUNIT_TEST(EachRequestGetsItsAnswer);
+  CPPUNIT_TEST(ACancelReachesTheEngine);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -188,6 +189,50 @@
     CPPUNIT_ASSERT(status.at("refusals").dump().find("unknown_key") !=
                    std::string::npos);
   }
+
+  // A caller opens a stream that would last for hours and goes away after the
+  // first event. The call to the engine ends, and its place is free again.
+  void ACancelReachesTheEngine() {
+    FleetOptions options;
+    options.instances = 1;
+    options.engines = 1;
+    options.engine.token_delay = absl::Milliseconds(50);
+    Fleet fleet(options);
+    fleet.WaitReady();
+    const CallerKey key = fleet.Grant("gallery");
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.headers = {{"Authorization", "Bearer " + key.ToString()}};
+    request.body = R"({"model":"letters","prompt":"x","max_tokens":100000,)"
+                   R"("stream":true})";
+    const auto in_flight = [&fleet] {
+      const json status = fleet.Status(1);
+      int total = 0;
+      for (const json& target : status.at("targets")) {
+        total += target.at("in_flight").get<int>();
+      }
+      return total;
+    };
+    int status = 0;
+    const auto until_first = [&] {
+      HttpCall call(fleet.CallerEndpoint(1), HttpOptions{}, "instance");
+      call.Stream(
+          request,
+          [&status](const HttpHead& head) {
+            status = head.status;
+            return status == 200;
+          },
+          [&](std::string_view) {
+            CPPUNIT_ASSERT_EQUAL(1, in_flight());
+            return false;
+          });
+      return status == 200;
+    };
+    CPPUNIT_ASSERT(WaitUntil(until_first));
+    CPPUNIT_ASSERT(WaitUntil([&] { return in_flight() == 0; }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return fleet.Engine(1).Served() == 1; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CallersIntegration,
