Take out what nothing uses, and name the API's paths once

A second count of delivered events, the queue's refund that nobody called, a relay that was made and thrown away, a retry loop that a single-threaded model can never need, two unread counters of the engine stand-in, and path texts that stood in three files.

--- a/dragonflyglade/caller/completion_request.cc
+++ b/dragonflyglade/caller/completion_request.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/decision/rendezvous.h"
 
 namespace dragonflyglade {
@@ -111,7 +112,7 @@
   if (model == nullptr) return UnknownModel(name->get<std::string>());
   request.pool = model->pool;
 
-  const bool is_chat = path == "/v1/chat/completions";
+  const bool is_chat = path == kChatPath;
   auto prompt = PromptOf(document, is_chat);
   if (auto* refusal = std::get_if<Refusal>(&prompt)) return *refusal;
   const std::string& text = std::get<std::string>(prompt);
--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/caller/place.h"
 #include "dragonflyglade/caller/sse.h"
 #include "dragonflyglade/net/log.h"
@@ -55,7 +56,6 @@
   Instant place_deadline;
   std::set<std::string> failed_targets;
   int delivered = 0;  ///< events passed on
-  double generated = 0;
   bool first_seen = false;
 };
 
@@ -141,7 +141,7 @@
   // An engine may stop early; what it did not generate is given back.
   this->gate.Settle(
       job.admission,
-      job.delivered == 0 ? 0 : job.request.prompt_tokens + job.generated);
+      job.delivered == 0 ? 0 : job.request.prompt_tokens + job.delivered);
   this->metrics.Observe(
       "dragonflyglade_request_seconds",
       fmt::format("class=\"{}\"", NameOf(job.context.request_class)),
@@ -225,7 +225,6 @@
       attempt.complete = true;
     } else {
       ++job.delivered;
-      ++job.generated;
     }
     if (!job.first_seen) {
       job.first_seen = true;
@@ -318,7 +317,7 @@
 
 // Puts a whole answer together from the stream.
 CallerAnswer CompletionRunner::Collect(Job& job) {
-  const bool is_chat = job.path == "/v1/chat/completions";
+  const bool is_chat = job.path == kChatPath;
   std::string text;
   json last = json::object();
   std::string finish_reason = "stop";
--- a/dragonflyglade/caller/request_handler.cc
+++ b/dragonflyglade/caller/request_handler.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "dragonflyglade/caller/instance_answer.h"
+#include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/net/log.h"
 #include "dragonflyglade/operator/caller_key.h"
 
@@ -17,7 +18,6 @@
 
 constexpr std::size_t kRequestIdBytes = 8;
 constexpr std::string_view kBearer = "Bearer ";
-constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kLongestIdempotencyKey = 256;
 
 std::string_view BearerOf(std::string_view authorization) {
@@ -108,7 +108,7 @@
         RefusalCode::kBodyTooLarge,
         fmt::format("the body is above {} bytes", this->limits.max_body)};
   }
-  if (request.path == "/v1/instances") return this->AnswerInstances(request);
+  if (request.path == kInstancesPath) return this->AnswerInstances(request);
   const auto readiness = this->Readiness();
   if (const auto* refusal = std::get_if<Refusal>(&readiness)) return *refusal;
   auto context = this->Authenticate(request, request_id);
@@ -169,14 +169,13 @@
   if (request.idempotency_key.size() > kLongestIdempotencyKey) {
     return Refusal{RefusalCode::kBadRequest, "Idempotency-Key is too long"};
   }
-  if (request.path == "/v1/models") {
+  if (request.path == kModelsPath) {
     if (request.method != "GET") {
       return Refusal{RefusalCode::kMethodNotAllowed, "expected GET"};
     }
     return this->AnswerModels(own);
   }
-  if (request.path == "/v1/completions" ||
-      request.path == "/v1/chat/completions") {
+  if (request.path == kCompletionsPath || request.path == kChatPath) {
     if (request.method != "POST") {
       return Refusal{RefusalCode::kMethodNotAllowed, "expected POST"};
     }
--- a/dragonflyglade/caller/service_runner.cc
+++ b/dragonflyglade/caller/service_runner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/caller/place.h"
 #include "dragonflyglade/net/log.h"
 #include "dragonflyglade/operator/caller_key.h"
@@ -18,7 +19,6 @@
 constexpr absl::Duration kClaimPause = absl::Milliseconds(50);
 constexpr std::size_t kNonceBytes = 16;
 constexpr std::size_t kLongestStoredAnswer = 256u << 10;
-constexpr std::string_view kServicePrefix = "/v1/services/";
 
 bool Matches(const ServiceRoute& route, std::string_view method,
              std::string_view path) {
--- a/dragonflyglade/decision/fair_queue.cc
+++ b/dragonflyglade/decision/fair_queue.cc
@@ -130,14 +130,6 @@
   return false;
 }
 
-void FairQueue::Refund(std::string_view workspace, RequestClass request_class,
-                       double unused) {
-  ClassQueue& queue = this->classes.at(static_cast<std::size_t>(request_class));
-  const auto found = queue.lines.find(workspace);
-  if (found == queue.lines.end()) return;
-  found->second.finish -= unused;
-}
-
 std::size_t FairQueue::Size() const {
   std::size_t size = 0;
   for (const ClassQueue& queue : this->classes) {
--- a/dragonflyglade/decision/fair_queue.h
+++ b/dragonflyglade/decision/fair_queue.h
@@ -56,10 +56,6 @@
   /// Takes a request out that is given up. False if it is not there.
   bool Remove(std::uint64_t id);
 
-  /// Corrects a workspace's service when a request used less than its cost.
-  void Refund(std::string_view workspace, RequestClass request_class,
-              double unused);
-
   std::size_t Size() const;
 
  private:
--- a/measure/model/placement_fleet.cc
+++ b/measure/model/placement_fleet.cc
@@ -20,8 +20,6 @@
 constexpr double kHalf = 0.5;
 // Demand of models falls off like this power of their rank.
 constexpr double kSkew = 0.8;
-// A load that waits for its confirmation is tried so often.
-constexpr int kSettleTries = 40;
 
 std::string ModelName(int model) { return fmt::format("m{}", model); }
 
@@ -246,7 +244,7 @@
     const bool done = arrives && this->Execute(target, is_load, spec, fence);
     if (!arrives || is_lost) return;
     this->Settle(
-        index, name, is_load,
+        name, is_load,
         OrderOutcome{order_id, spec.name, fence, done, BootId(target)});
   });
   if (is_load) {
@@ -257,23 +255,20 @@
   }
 }
 
-void PlacementFleet::Settle(std::size_t, const std::string& name, bool is_load,
+void PlacementFleet::Settle(const std::string& name, bool is_load,
                             const OrderOutcome& outcome) {
-  for (int i = 0; i < kSettleTries; ++i) {
-    if (this->KvOut()) return;
-    Stored stored = this->store.at(name);
-    if (is_load) {
-      FinishLoad(stored.ledger, outcome, this->run.fenced);
-    } else {
-      if (this->run.forget_open_loads) {
-        for (LedgerCopy& copy : stored.ledger.copies) {
-          if (copy.name == outcome.name) copy.open_loads.clear();
-        }
+  Stored stored = this->store.at(name);
+  if (is_load) {
+    FinishLoad(stored.ledger, outcome, this->run.fenced);
+  } else {
+    if (this->run.forget_open_loads) {
+      for (LedgerCopy& copy : stored.ledger.copies) {
+        if (copy.name == outcome.name) copy.open_loads.clear();
       }
-      FinishUnload(stored.ledger, outcome, this->run.fenced);
     }
-    if (this->Write(stored, {})) return;
+    FinishUnload(stored.ledger, outcome, this->run.fenced);
   }
+  this->Write(stored, {});
 }
 
 void PlacementFleet::Second() {
--- a/measure/model/placement_fleet.h
+++ b/measure/model/placement_fleet.h
@@ -95,7 +95,7 @@
             std::int64_t fence);
   bool Execute(Target& target, bool is_load, const CopySpec& spec,
                std::int64_t fence);
-  void Settle(std::size_t planner, const std::string& target, bool is_load,
+  void Settle(const std::string& target, bool is_load,
               const OrderOutcome& outcome);
   void Second();
   double Demand(int model) const;
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -165,9 +165,6 @@
 }
 
 void Fleet::StartInstance(int number) {
-  if (this->kv_links.count(number) == 0) {
-    this->kv_links[number] = std::make_unique<RelayStandIn>(this->kv_at);
-  }
   auto relay = std::make_unique<RelayStandIn>(this->kv_at);
   const Endpoint through = relay->Start();
   this->kv_links[number] = std::move(relay);
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -263,7 +263,6 @@
   const std::string name = body.contains("model")
                                ? body.at("model").get<std::string>()
                                : body.at("lora_name").get<std::string>();
-  ++this->orders;
   if (kind == "unload_model" || kind == "unload_lora_adapter") {
     this->loaded.erase(name);
     return {};
@@ -378,13 +377,6 @@
   this->reports.clear();
 }
 
-std::int64_t EngineStandIn::UsedBytes() const {
-  absl::MutexLock lock(&this->mutex);
-  std::int64_t used = 0;
-  for (const auto& [name, bytes] : this->loaded) used += bytes;
-  return used;
-}
-
 std::int64_t EngineStandIn::PeakBytes() const {
   absl::MutexLock lock(&this->mutex);
   return this->peak;
@@ -407,11 +399,6 @@
   return this->started;
 }
 
-int EngineStandIn::OrdersTaken() const {
-  absl::MutexLock lock(&this->mutex);
-  return this->orders;
-}
-
 std::string EngineStandIn::Received() const {
   absl::MutexLock lock(&this->mutex);
   return this->received;
--- a/tests/standins/engine_stand_in.h
+++ b/tests/standins/engine_stand_in.h
@@ -59,14 +59,12 @@
   /// Loses all memory and changes the boot id.
   void Restart();
 
-  std::int64_t UsedBytes() const;
   /// The most memory that was ever asked of it at once.
   std::int64_t PeakBytes() const;
   std::set<std::string> Resident() const;
   int Served() const;
   /// Completions that began.
   int Started() const;
-  int OrdersTaken() const;
   /// Everything that was received: paths, headers and bodies.
   std::string Received() const;
 
@@ -119,7 +117,6 @@
   double queued_tokens ABSL_GUARDED_BY(mutex) = 0;
   int served ABSL_GUARDED_BY(mutex) = 0;
   int started ABSL_GUARDED_BY(mutex) = 0;
-  int orders ABSL_GUARDED_BY(mutex) = 0;
   std::string received ABSL_GUARDED_BY(mutex);
   std::map<std::string, std::shared_ptr<Stream>> streams ABSL_GUARDED_BY(mutex);
   std::deque<std::pair<absl::Time, nlohmann::json>> reports
