--- a/dragonflyglade/caller/service_runner.h
+++ b/dragonflyglade/caller/service_runner.h
@@ -11,7 +11,7 @@
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/operator/metrics.h"
 #include "dragonflyglade/peer/admission_gate.h"
-#include "dragonflyglade/platform/claim_store.h"
+#include "dragonflyglade/store/claim_store.h"
 #include "dragonflyglade/target/dispatcher.h"
 #include "dragonflyglade/target/engine_client.h"
 
--- a/dragonflyglade/instance/allotment_keeper.h
+++ b/dragonflyglade/instance/allotment_keeper.h
@@ -13,7 +13,7 @@
 #include "dragonflyglade/operator/audit_trail.h"
 #include "dragonflyglade/operator/catalog.h"
 #include "dragonflyglade/peer/peer_client.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
--- a/dragonflyglade/instance/config_follower.cc
+++ b/dragonflyglade/instance/config_follower.cc
@@ -107,7 +107,7 @@
   }
   const Result<KvRange> range = this->kv.Range(query);
   if (!range.Ok()) {
-    LogFor(LogPart::kPlatform).debug("{}.", range.Error().ToString());
+    LogFor(LogPart::kStore).debug("{}.", range.Error().ToString());
     return false;
   }
   std::int64_t newest = 0;
@@ -130,7 +130,7 @@
   absl::MutexLock lock(&this->mutex);
   const bool caught_up = this->watched_revision >= read;
   if (this->watch == nullptr || delivered == 0 || caught_up) return;
-  LogFor(LogPart::kPlatform).warn("Watch is behind. Opening a new one.");
+  LogFor(LogPart::kStore).warn("Watch is behind. Opening a new one.");
   this->watch->Stop();
 }
 
@@ -231,7 +231,7 @@
     this->watch.reset();
   }
   if (ended.code != Errc::kCancelled) {
-    LogFor(LogPart::kPlatform).info("Watch ended: {}.", ended.ToString());
+    LogFor(LogPart::kStore).info("Watch ended: {}.", ended.ToString());
   }
   return kWatchPause;
 }
--- a/dragonflyglade/instance/config_follower.h
+++ b/dragonflyglade/instance/config_follower.h
@@ -14,7 +14,7 @@
 #include "dragonflyglade/net/worker.h"
 #include "dragonflyglade/operator/catalog.h"
 #include "dragonflyglade/peer/peer_client.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
--- a/dragonflyglade/instance/instance.cc
+++ b/dragonflyglade/instance/instance.cc
@@ -16,7 +16,7 @@
 #include "dragonflyglade/operator/status_server.h"
 #include "dragonflyglade/peer/heartbeat_loop.h"
 #include "dragonflyglade/peer/peer_server.h"
-#include "dragonflyglade/platform/list_client.h"
+#include "dragonflyglade/store/list_client.h"
 #include "dragonflyglade/target/target_poller.h"
 
 namespace dragonflyglade {
@@ -206,7 +206,7 @@
   if (list.Ok()) {
     this->membership.TakeList(list.Value());
   } else {
-    LogFor(LogPart::kPlatform).debug("{}.", list.Error().ToString());
+    LogFor(LogPart::kStore).debug("{}.", list.Error().ToString());
   }
   return this->settings.periods.lists;
 }
--- a/dragonflyglade/instance/placement_runner.h
+++ b/dragonflyglade/instance/placement_runner.h
@@ -19,8 +19,8 @@
 #include "dragonflyglade/operator/audit_trail.h"
 #include "dragonflyglade/operator/catalog.h"
 #include "dragonflyglade/peer/peer_client.h"
-#include "dragonflyglade/platform/kv_client.h"
-#include "dragonflyglade/platform/role_lease.h"
+#include "dragonflyglade/store/kv_client.h"
+#include "dragonflyglade/store/role_lease.h"
 #include "dragonflyglade/target/engine_client.h"
 
 namespace dragonflyglade {
--- a/dragonflyglade/instance/settings.h
+++ b/dragonflyglade/instance/settings.h
@@ -14,7 +14,7 @@
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/net/log.h"
 #include "dragonflyglade/peer/peer_client.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 #include "dragonflyglade/target/dispatcher.h"
 #include "dragonflyglade/target/engine_client.h"
 
--- a/dragonflyglade/net/log.cc
+++ b/dragonflyglade/net/log.cc
@@ -12,8 +12,7 @@
 namespace {
 
 constexpr std::array<const char*, 7> kPrefixes = {
-    "caller", "target",    "platform", "operator",
-    "peer",   "placement", "instance"};
+    "caller", "target", "store", "operator", "peer", "placement", "instance"};
 
 // Escapes the message, so that each line stays one JSON object whatever the
 // message holds.
--- a/dragonflyglade/net/log.h
+++ b/dragonflyglade/net/log.h
@@ -11,7 +11,7 @@
 enum class LogPart {
   kCaller,
   kTarget,
-  kPlatform,
+  kStore,
   kOperator,
   kPeer,
   kPlacement,
--- a/dragonflyglade/operator/audit_trail.h
+++ b/dragonflyglade/operator/audit_trail.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
--- a/dragonflyglade/operator/commands.cc
+++ b/dragonflyglade/operator/commands.cc
@@ -12,7 +12,7 @@
 #include "dragonflyglade/operator/audit_trail.h"
 #include "dragonflyglade/operator/config_editor.h"
 #include "dragonflyglade/operator/status_server.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 namespace {
--- a/dragonflyglade/operator/config_editor.h
+++ b/dragonflyglade/operator/config_editor.h
@@ -11,7 +11,7 @@
 #include "dragonflyglade/operator/audit_trail.h"
 #include "dragonflyglade/operator/caller_key.h"
 #include "dragonflyglade/operator/records.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
--- a/dragonflyglade/platform/claim_store.cc
+++ b/dragonflyglade/store/claim_store.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/platform/claim_store.h"
+#include "dragonflyglade/store/claim_store.h"
 
 #include <fmt/format.h>
 
--- a/dragonflyglade/platform/claim_store.h
+++ b/dragonflyglade/store/claim_store.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
-#define DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
+#ifndef DRAGONFLYGLADE_STORE_CLAIM_STORE_H_
+#define DRAGONFLYGLADE_STORE_CLAIM_STORE_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,7 +11,7 @@
 #include "dragonflyglade/decision/claim.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/net/worker.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
@@ -71,4 +71,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_PLATFORM_CLAIM_STORE_H_
+#endif  // DRAGONFLYGLADE_STORE_CLAIM_STORE_H_
--- a/dragonflyglade/platform/kv_client.cc
+++ b/dragonflyglade/store/kv_client.cc
@@ -1,9 +1,9 @@
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 #include <utility>
 
 #include "dragonflyglade/net/http_call.h"
-#include "dragonflyglade/platform/kv_codec.h"
+#include "dragonflyglade/store/kv_codec.h"
 
 namespace dragonflyglade {
 namespace {
--- a/dragonflyglade/platform/kv_client.h
+++ b/dragonflyglade/store/kv_client.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_PLATFORM_KV_CLIENT_H_
-#define DRAGONFLYGLADE_PLATFORM_KV_CLIENT_H_
+#ifndef DRAGONFLYGLADE_STORE_KV_CLIENT_H_
+#define DRAGONFLYGLADE_STORE_KV_CLIENT_H_
 
 #include <atomic>
 #include <cstdint>
@@ -135,4 +135,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_PLATFORM_KV_CLIENT_H_
+#endif  // DRAGONFLYGLADE_STORE_KV_CLIENT_H_
--- a/dragonflyglade/platform/kv_codec.cc
+++ b/dragonflyglade/store/kv_codec.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/platform/kv_codec.h"
+#include "dragonflyglade/store/kv_codec.h"
 
 #include "absl/strings/escaping.h"
 
--- a/dragonflyglade/platform/kv_codec.h
+++ b/dragonflyglade/store/kv_codec.h
@@ -1,11 +1,11 @@
-#ifndef DRAGONFLYGLADE_PLATFORM_KV_CODEC_H_
-#define DRAGONFLYGLADE_PLATFORM_KV_CODEC_H_
+#ifndef DRAGONFLYGLADE_STORE_KV_CODEC_H_
+#define DRAGONFLYGLADE_STORE_KV_CODEC_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
@@ -34,4 +34,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_PLATFORM_KV_CODEC_H_
+#endif  // DRAGONFLYGLADE_STORE_KV_CODEC_H_
--- a/dragonflyglade/platform/list_client.cc
+++ b/dragonflyglade/store/list_client.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/platform/list_client.h"
+#include "dragonflyglade/store/list_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/dragonflyglade/platform/list_client.h
+++ b/dragonflyglade/store/list_client.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
-#define DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
+#ifndef DRAGONFLYGLADE_STORE_LIST_CLIENT_H_
+#define DRAGONFLYGLADE_STORE_LIST_CLIENT_H_
 
 #include <cstdint>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_PLATFORM_LIST_CLIENT_H_
+#endif  // DRAGONFLYGLADE_STORE_LIST_CLIENT_H_
--- a/dragonflyglade/platform/role_lease.cc
+++ b/dragonflyglade/store/role_lease.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/platform/role_lease.h"
+#include "dragonflyglade/store/role_lease.h"
 
 namespace dragonflyglade {
 namespace {
--- a/dragonflyglade/platform/role_lease.h
+++ b/dragonflyglade/store/role_lease.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_PLATFORM_ROLE_LEASE_H_
-#define DRAGONFLYGLADE_PLATFORM_ROLE_LEASE_H_
+#ifndef DRAGONFLYGLADE_STORE_ROLE_LEASE_H_
+#define DRAGONFLYGLADE_STORE_ROLE_LEASE_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,7 +8,7 @@
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
@@ -50,4 +50,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_PLATFORM_ROLE_LEASE_H_
+#endif  // DRAGONFLYGLADE_STORE_ROLE_LEASE_H_
--- a/dragonflyglade/target/target_poller.cc
+++ b/dragonflyglade/target/target_poller.cc
@@ -47,7 +47,7 @@
     this->targets.TakeList(list.Value().version, list.Value().targets);
     this->report_worker.Wake();
   } else {
-    LogFor(LogPart::kPlatform).debug("{}.", list.Error().ToString());
+    LogFor(LogPart::kStore).debug("{}.", list.Error().ToString());
   }
   return this->list_period;
 }
--- a/dragonflyglade/target/target_poller.h
+++ b/dragonflyglade/target/target_poller.h
@@ -7,7 +7,7 @@
 #include "dragonflyglade/decision/target_book.h"
 #include "dragonflyglade/net/worker.h"
 #include "dragonflyglade/operator/catalog.h"
-#include "dragonflyglade/platform/list_client.h"
+#include "dragonflyglade/store/list_client.h"
 #include "dragonflyglade/target/engine_client.h"
 
 namespace dragonflyglade {
--- a/measure/model/limits_fleet.cc
+++ b/measure/model/limits_fleet.cc
@@ -138,7 +138,7 @@
   if (!at.alive || at.incarnation != incarnation) return;
   if (at.paused_until > this->manual.Now()) {
     this->At(at.paused_until,
-             [=] { this->Step(node, incarnation, admission); });
+             [=, this] { this->Step(node, incarnation, admission); });
     return;
   }
   const AdmissionStep step = at.book->Next(*admission);
@@ -152,7 +152,7 @@
     const double unused = this->run.unused * this->run.cost;
     const absl::Duration after =
         absl::Uniform(this->random, 0.0, 2.0) * absl::Seconds(1);
-    this->At(now + after, [=] {
+    this->At(now + after, [=, this] {
       Node& later = this->nodes[node];
       if (!later.alive || later.incarnation != incarnation) return;
       this->result.history.emplace_back(UnusedEvent{now, kWorkspace, unused});
@@ -165,7 +165,7 @@
     this->Borrow(node, incarnation, admission, *borrow);
   } else if (const auto* wait = std::get_if<WaitFor>(&step)) {
     this->At(this->manual.Now() + wait->delay,
-             [=] { this->Step(node, incarnation, admission); });
+             [=, this] { this->Step(node, incarnation, admission); });
   } else {
     ++this->result.refused;
     if (const auto* over = std::get_if<OverRate>(&step)) {
@@ -181,8 +181,8 @@
     const bool lost = absl::Bernoulli(this->random, this->run.message_loss);
     if (lost || !this->Reaches(node, lender)) continue;
     const std::int64_t incarnation = this->nodes[lender].incarnation;
-    this->At(this->manual.Now() + this->Delay(), [=] {
-      this->At(this->Awake(lender), [=] {
+    this->At(this->manual.Now() + this->Delay(), [=, this] {
+      this->At(this->Awake(lender), [=, this] {
         Node& at = this->nodes[lender];
         if (!at.alive || at.incarnation != incarnation) return;
         at.book->TakeBack(kWorkspace, part.tokens, part.stamp);
@@ -202,7 +202,7 @@
   const std::size_t lender = this->IndexOf(step.peer);
   const Instant sent = this->manual.Now();
   auto answered = std::make_shared<bool>(false);
-  const auto finish = [=](const std::optional<Loan>& loan) {
+  const auto finish = [=, this](const std::optional<Loan>& loan) {
     if (*answered) return;
     *answered = true;
     Node& at = this->nodes[node];
@@ -211,13 +211,14 @@
     this->Step(node, incarnation, admission);
   };
   // The timer of a paused process fires when it wakes.
-  this->At(sent + kBorrowTimeout,
-           [=] { this->At(this->Awake(node), [=] { finish(std::nullopt); }); });
+  this->At(sent + kBorrowTimeout, [=, this] {
+    this->At(this->Awake(node), [=, this] { finish(std::nullopt); });
+  });
   ++this->result.messages;
   const bool lost = absl::Bernoulli(this->random, this->run.message_loss);
   if (lost || !this->Reaches(node, lender)) return;
-  this->At(sent + this->Delay(), [=] {
-    this->At(this->Awake(lender), [=] {
+  this->At(sent + this->Delay(), [=, this] {
+    this->At(this->Awake(lender), [=, this] {
       if (!this->nodes[lender].alive) return;
       const Loan loan =
           this->nodes[lender].book->Lend(kWorkspace, step.tokens, step.longest);
@@ -225,8 +226,9 @@
       const bool answer_lost =
           absl::Bernoulli(this->random, this->run.message_loss);
       if (answer_lost || !this->Reaches(lender, node)) return;
-      this->At(this->manual.Now() + this->Delay(),
-               [=] { this->At(this->Awake(node), [=] { finish(loan); }); });
+      this->At(this->manual.Now() + this->Delay(), [=, this] {
+        this->At(this->Awake(node), [=, this] { finish(loan); });
+      });
     });
   });
 }
@@ -268,8 +270,8 @@
   this->allotment = *next;
   for (std::size_t i = 0; i < this->nodes.size(); ++i) {
     const Allotment& copy = this->allotment;
-    this->At(this->manual.Now() + 10 * this->Delay(), [=] {
-      this->At(this->Awake(i), [=] {
+    this->At(this->manual.Now() + 10 * this->Delay(), [=, this] {
+      this->At(this->Awake(i), [=, this] {
         if (this->nodes[i].alive && this->Reaches(i, i)) {
           this->nodes[i].book->Adopt(copy);
         }
--- a/measure/model/placement_fleet.cc
+++ b/measure/model/placement_fleet.cc
@@ -124,7 +124,8 @@
 
 void PlacementFleet::PlanRound(std::size_t index) {
   Planner& planner = this->planners[index];
-  this->At(this->manual.Now() + kPlanEvery, [=] { this->PlanRound(index); });
+  this->At(this->manual.Now() + kPlanEvery,
+           [=, this] { this->PlanRound(index); });
   if (planner.paused_until > this->manual.Now() || this->KvOut()) return;
   std::map<std::string, Stored> picture = this->store;
   const std::vector<PlanStep> steps =
@@ -137,7 +138,7 @@
     when = planner.paused_until;
   }
   for (const PlanStep& step : steps) {
-    this->At(when, [=] { this->Act(index, step, picture); });
+    this->At(when, [=, this] { this->Act(index, step, picture); });
   }
 }
 
@@ -231,13 +232,13 @@
                        : this->planners[index].adapter_loads_open;
   if (is_load) ++open;
   if (is_doubled) {
-    this->At(this->manual.Now() + late(), [=] {
+    this->At(this->manual.Now() + late(), [=, this] {
       Target& target = this->targets.at(name);
       if (target.boot == boot) this->Execute(target, is_load, spec, fence);
     });
   }
   const absl::Duration wait = is_late ? late() : absl::ZeroDuration();
-  this->At(this->manual.Now() + wait + takes, [=] {
+  this->At(this->manual.Now() + wait + takes, [=, this] {
     Target& target = this->targets.at(name);
     // An order to a process that has ended goes nowhere.
     const bool arrives = target.boot == boot;
@@ -248,7 +249,7 @@
         OrderOutcome{order_id, spec.name, fence, done, BootId(target)});
   });
   if (is_load) {
-    this->At(this->manual.Now() + takes, [=] {
+    this->At(this->manual.Now() + takes, [=, this] {
       Planner& planner = this->planners[index];
       --(is_model ? planner.model_loads_open : planner.adapter_loads_open);
     });
@@ -299,7 +300,7 @@
 PlacementResult PlacementFleet::Run() {
   for (std::size_t i = 0; i < this->planners.size(); ++i) {
     this->At(this->manual.Now() + kQuick * (i + 1),
-             [=] { this->PlanRound(i); });
+             [=, this] { this->PlanRound(i); });
   }
   this->At(absl::Seconds(60), [this] { this->Second(); });
   while (!this->queue.empty() &&
--- a/measure/model/serving_fleet.cc
+++ b/measure/model/serving_fleet.cc
@@ -105,7 +105,7 @@
   const double rate = capacity * this->run.load * part;
   this->At(
       this->manual.Now() + absl::Seconds(absl::Exponential(this->random, rate)),
-      [=] { this->Arrive(workspace); });
+      [=, this] { this->Arrive(workspace); });
   if (this->run.limited &&
       !this->rates[workspace].Withdraw(1, this->manual.Now())) {
     ++this->result.over_rate;
@@ -221,12 +221,12 @@
   ++request->attempts;
   if (target.refusing) {
     this->At(this->manual.Now() + absl::Milliseconds(1),
-             [=] { this->Fail(instance, request, place); });
+             [=, this] { this->Fail(instance, request, place); });
     return;
   }
   if (target.silent) {
     this->At(this->manual.Now() + kSilence,
-             [=] { this->Fail(instance, request, place); });
+             [=, this] { this->Fail(instance, request, place); });
     return;
   }
   target.queued_tokens += request->prompt + request->output;
@@ -275,7 +275,7 @@
           std::max(this->result.longest_batch_wait, first - request.arrived);
     }
     const std::string name = target.name;
-    this->At(first + absl::Seconds(decode), [=] {
+    this->At(first + absl::Seconds(decode), [=, this] {
       Target& at = this->targets.at(name);
       --at.running;
       at.queued_tokens -= waiting.request->prompt + waiting.request->output;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "dragonflyglade/operator/config_editor.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 #include "measure/history/history.h"
 #include "tests/fleet/process.h"
 #include "tests/standins/engine_stand_in.h"
--- a/tests/standins/kv_stand_in.cc
+++ b/tests/standins/kv_stand_in.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
-#include "dragonflyglade/platform/kv_codec.h"
+#include "dragonflyglade/store/kv_codec.h"
 #include "tests/standins/faulty_answer.h"
 
 namespace dragonflyglade {
--- a/tests/standins/kv_stand_in.h
+++ b/tests/standins/kv_stand_in.h
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/net/http_server.h"
-#include "dragonflyglade/platform/kv_client.h"
+#include "dragonflyglade/store/kv_client.h"
 
 namespace dragonflyglade {
 
--- a/tests/unit/unit-inputs.cc
+++ b/tests/unit/unit-inputs.cc
@@ -6,7 +6,7 @@
 
 #include "dragonflyglade/instance/settings.h"
 #include "dragonflyglade/net/endpoint.h"
-#include "dragonflyglade/platform/kv_codec.h"
+#include "dragonflyglade/store/kv_codec.h"
 #include "tests/scenario/scenario.h"
 
 namespace dragonflyglade {
