--- /dev/null
+++ b/dragonflyglade/decision/target_choice.h
@@ -0,0 +1,61 @@
+#ifndef DRAGONFLYGLADE_DECISION_TARGET_CHOICE_H_
+#define DRAGONFLYGLADE_DECISION_TARGET_CHOICE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+
+namespace dragonflyglade {
+
+/// What a request asks of a target.
+struct ChoiceRequest {
+  double prompt_tokens = 0;    ///< 0 for plain services
+  double shared_tokens = 0;    ///< the part of the prompt others share
+  std::string_view shared_id;  ///< names the shared part; empty if none
+};
+
+/// A target that could run the request, as known here and now.
+struct ChoiceCandidate {
+  std::string_view id;
+  int slots = 1;
+  /// Requests there, of this instance and as far as known of all others.
+  double requests = 0;
+  /// Prompt tokens sent there whose first output has not been seen.
+  double unread_tokens = 0;
+  /// Same zone: no bytes between zones.
+  bool same_zone = true;
+  /// The part of its last requests that failed, 0 to 1.
+  double fault_share = 0;
+};
+
+/// The candidate and the delay until the first output that is expected there.
+struct TargetChoice {
+  std::size_t index = 0;
+  absl::Duration expected_wait;
+};
+
+/// The urgency that is asked of an engine, from 0 (first) to 9. A workspace's
+/// priority goes before the route's.
+int UrgencyOf(int route_priority, std::optional<int> workspace_priority);
+
+/// Picks the candidate with the least expected wait for the first output.
+///
+/// Requests that share a part of their prompt prefer the same targets on all
+/// instances without a message between them: each candidate's share of the
+/// prompt counts as kept there by the rank of a stable hash. A preferred
+/// target that is busy for longer than it takes to read the part anew loses
+/// the request to an idle one.
+/// @param jitter uniform in [0, 1); breaks ties between equal plain targets
+/// @return nothing if there is no candidate
+/// Complexity: linear in the candidates.
+std::optional<TargetChoice> ChooseTarget(
+    const ChoiceRequest& request, absl::Span<const ChoiceCandidate> candidates,
+    double jitter);
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_DECISION_TARGET_CHOICE_H_
--- /dev/null
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -0,0 +1,204 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cerrno>
+
+#include "absl/strings/match.h"
+#include "dragonflyglade/gateway/caller_link.h"
+#include "dragonflyglade/gateway/http_text.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// A body of some hundred kilobytes arrives in well under a second; a caller
+// that takes longer than this has stopped sending.
+constexpr absl::Duration kBodyTimeout = absl::Seconds(10);
+// How long a closing connection is still read from.
+constexpr absl::Duration kCloseTimeout = absl::Milliseconds(500);
+// A caller that takes nothing for so long is treated as gone.
+constexpr absl::Duration kWriteTimeout = absl::Seconds(10);
+
+int StatusOf(const error_code& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  return 400;
+}
+
+bool IsHttpError(const error_code& error) {
+  return error.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
+using Parser = http::request_parser<http::string_body>;
+
+ReadResult ResultOf(const error_code& error) {
+  if (IsHttpError(error)) return MalformedRequest{StatusOf(error)};
+  return CallerLeft{};
+}
+
+ReceivedRequest Received(Parser& parser) {
+  ReceivedRequest request;
+  request.head = HeadText<true>(parser.get().base(), parser.get().keep_alive());
+  request.method = std::string(request.head.method);
+  request.path_and_query = std::string(request.head.path_and_query);
+  request.head.method = request.method;
+  request.head.path_and_query = request.path_and_query;
+  request.body = std::move(parser.get().body());
+  return request;
+}
+
+}  // namespace
+
+CallerLink::CallerLink(asio::io_context& context, tcp::socket socket)
+    : context(context), socket(std::move(socket)), timer(context) {
+  // Failing options change timing only, never an outcome.
+  error_code ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+}
+
+CallerLink::~CallerLink() {
+  *this->alive = false;
+  this->Abort();
+}
+
+void CallerLink::Abort() {
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+void CallerLink::ArmTimer(absl::Duration time) {
+  this->timer.expires_after(absl::ToChronoNanoseconds(time));
+  this->timer.async_wait([this, alive = this->alive](const error_code& error) {
+    if (!error && *alive) this->Abort();
+  });
+}
+
+asio::awaitable<bool> CallerLink::WaitForBytes(absl::Duration idle) {
+  if (this->buffer.size() > 0) co_return true;
+  this->ArmTimer(idle);
+  error_code error;
+  co_await this->socket.async_wait(
+      tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+asio::awaitable<ReadResult> CallerLink::Read(CallerLimits limits) {
+  this->stream_begun = false;
+  const bool readable = co_await this->WaitForBytes(limits.idle_timeout);
+  if (!readable) co_return CallerLeft{};
+  this->ArmTimer(limits.header_timeout);
+  Parser parser;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  error_code error;
+  co_await http::async_read_header(
+      this->socket, this->buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return ResultOf(error);
+  if (absl::EqualsIgnoreCase(std::string(parser.get()[http::field::expect]),
+                             "100-continue")) {
+    const bool written = co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (!written) co_return CallerLeft{};
+  }
+  this->ArmTimer(kBodyTimeout);
+  co_await http::async_read(this->socket, this->buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  this->timer.cancel();
+  if (error) co_return ResultOf(error);
+  this->keep_alive = parser.get().keep_alive();
+  co_return Received(parser);
+}
+
+asio::awaitable<bool> CallerLink::Write(std::string text) {
+  if (this->left) co_return false;
+  this->ArmTimer(kWriteTimeout);
+  error_code error;
+  co_await asio::async_write(this->socket, asio::buffer(text),
+                             asio::redirect_error(asio::use_awaitable, error));
+  this->timer.cancel();
+  if (error) this->left = true;
+  co_return !error;
+}
+
+asio::awaitable<bool> CallerLink::WriteAnswer(int status, HeaderFields fields,
+                                              std::string_view body) {
+  std::string text = AnswerText(status, fields, BodyFraming::kLength,
+                                body.size(), this->keep_alive);
+  text.append(body);
+  co_return co_await this->Write(std::move(text));
+}
+
+asio::awaitable<bool> CallerLink::BeginStream(int status, HeaderFields fields,
+                                              std::string_view first) {
+  this->stream_begun = true;
+  std::string text =
+      AnswerText(status, fields, BodyFraming::kChunked, 0, this->keep_alive);
+  if (!first.empty()) text += ChunkText(first);
+  co_return co_await this->Write(std::move(text));
+}
+
+asio::awaitable<bool> CallerLink::WritePart(std::string_view bytes) {
+  if (bytes.empty()) co_return true;
+  co_return co_await this->Write(ChunkText(bytes));
+}
+
+asio::awaitable<bool> CallerLink::EndStream() {
+  co_return co_await this->Write(std::string(kLastChunk));
+}
+
+void CallerLink::WatchForLeaving(std::function<void()> on_left) {
+  // Bytes of a next request hide the end of the connection.
+  if (this->buffer.size() > 0) return;
+  this->watch = ++this->watches;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [this, alive = this->alive, number = this->watch,
+       on_left = std::move(on_left)](const error_code& error) {
+        if (!*alive || this->watch != number || error) return;
+        char byte = 0;
+        const ssize_t got = recv(this->socket.native_handle(), &byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+        const bool nothing_yet =
+            got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (got > 0 || nothing_yet) return;
+        this->left = true;
+        on_left();
+      });
+}
+
+void CallerLink::StopWatching() {
+  if (this->watch == 0) return;
+  this->watch = 0;
+  error_code ignored;
+  this->socket.cancel(ignored);
+}
+
+asio::awaitable<void> CallerLink::CloseSoftly() {
+  error_code error;
+  this->socket.shutdown(tcp::socket::shutdown_send, error);
+  this->ArmTimer(kCloseTimeout);
+  std::array<char, 4096> dropped;
+  while (!error) {
+    co_await this->socket.async_read_some(
+        asio::buffer(dropped),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  this->timer.cancel();
+  this->Abort();
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/caller_link.h
@@ -0,0 +1,97 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_CALLER_LINK_H_
+#define DRAGONFLYGLADE_GATEWAY_CALLER_LINK_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/wire_format.h"
+
+namespace dragonflyglade::gateway {
+
+/// A request's head and body as they were read.
+struct ReceivedRequest {
+  HttpHeadText head;
+  std::string method;          ///< what head.method views
+  std::string path_and_query;  ///< what head.path_and_query views
+  std::string body;
+};
+/// Bytes that are no proper request: answer with the status, then close.
+struct MalformedRequest {
+  int status = 400;
+};
+/// The caller closed, or was silent for too long.
+struct CallerLeft {};
+using ReadResult = std::variant<ReceivedRequest, MalformedRequest, CallerLeft>;
+
+/// A caller's connection: reads requests, writes answers, and notices while
+/// an answer is being made that the caller has left. One event loop.
+class CallerLink {
+ public:
+  CallerLink(boost::asio::io_context& context,
+             boost::asio::ip::tcp::socket socket);
+  ~CallerLink();
+  CallerLink(const CallerLink&) = delete;
+  CallerLink& operator=(const CallerLink&) = delete;
+
+  boost::asio::awaitable<ReadResult> Read(CallerLimits limits);
+
+  /// Writes a whole answer. False if the caller cannot be written to.
+  boost::asio::awaitable<bool> WriteAnswer(int status, HeaderFields fields,
+                                           std::string_view body);
+
+  /// Writes the head of a stream with its first bytes, further ones, and its
+  /// end.
+  boost::asio::awaitable<bool> BeginStream(int status, HeaderFields fields,
+                                           std::string_view first);
+  boost::asio::awaitable<bool> WritePart(std::string_view bytes);
+  boost::asio::awaitable<bool> EndStream();
+
+  /// Calls back once if the caller closes while nothing is read from it.
+  void WatchForLeaving(std::function<void()> left);
+  void StopWatching();
+
+  /// Whether the next answer keeps the connection open.
+  void SetKeepAlive(bool keep) { this->keep_alive = keep; }
+  bool KeepAlive() const { return this->keep_alive; }
+  bool Left() const { return this->left; }
+  /// Whether a stream's head went out, after which no other answer can.
+  bool StreamBegun() const { return this->stream_begun; }
+
+  /// Closes at once; an unfinished answer then does not look complete.
+  void Abort();
+
+  /// Ends the connection after the last answer, reading what is still on its
+  /// way: closing with unread bytes would reset it under the answer.
+  boost::asio::awaitable<void> CloseSoftly();
+
+ private:
+  boost::asio::awaitable<bool> WaitForBytes(absl::Duration idle);
+  boost::asio::awaitable<bool> Write(std::string text);
+  void ArmTimer(absl::Duration time);
+
+  boost::asio::io_context& context;
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  boost::asio::steady_timer timer;
+  bool keep_alive = true;
+  bool left = false;
+  bool stream_begun = false;
+  int watch = 0;  ///< which watch is the present one; 0: none
+  int watches = 0;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_CALLER_LINK_H_
--- /dev/null
+++ b/dragonflyglade/gateway/event_log.cc
@@ -0,0 +1,93 @@
+#include "dragonflyglade/gateway/event_log.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <algorithm>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace dragonflyglade::gateway {
+namespace {
+
+// Lines in the queue to the writing thread: at about 300 bytes a line this
+// bounds the memory at 1.2 MB.
+constexpr std::size_t kQueueLines = 4096;
+// A busy instance serves some dozens of requests a second at two lines each;
+// this leaves room for bursts and bounds the cost of a flood of refusals.
+constexpr double kLinesPerSecond = 400;
+constexpr double kLinesBurst = 800;
+
+struct Appender {
+  fmt::memory_buffer& out;
+
+  void operator()(std::string_view text) const {
+    using nlohmann::json;
+    const std::string quoted =
+        json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+    this->out.append(quoted.data(), quoted.data() + quoted.size());
+  }
+  void operator()(std::int64_t number) const {
+    fmt::format_to(std::back_inserter(this->out), "{}", number);
+  }
+  void operator()(double number) const {
+    fmt::format_to(std::back_inserter(this->out), "{:.3f}", number);
+  }
+  void operator()(bool truth) const {
+    fmt::format_to(std::back_inserter(this->out), "{}", truth);
+  }
+};
+
+}  // namespace
+
+EventLog::EventLog(std::string_view instance, Clock clock)
+    : instance(instance),
+      clock(std::move(clock)),
+      lines_left(kLinesBurst),
+      refilled(this->clock.Now()),
+      writer(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1)),
+      logger(std::make_shared<spdlog::async_logger>(
+          "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+          this->writer, spdlog::async_overflow_policy::overrun_oldest)) {
+  this->logger->set_pattern("%v", spdlog::pattern_time_type::utc);
+  this->logger->set_level(spdlog::level::info);
+}
+
+EventLog::~EventLog() { this->logger->flush(); }
+
+bool EventLog::TakeLine() {
+  const Instant now = this->clock.Now();
+  const double earned =
+      kLinesPerSecond * absl::ToDoubleSeconds(now - this->refilled);
+  this->lines_left = std::min(kLinesBurst, this->lines_left + earned);
+  this->refilled = now;
+  if (this->lines_left < 1) return false;
+  this->lines_left -= 1;
+  return true;
+}
+
+void EventLog::Write(std::string_view part, std::string_view event,
+                     std::initializer_list<LogField> fields) {
+  if (!this->TakeLine()) {
+    this->dropped += 1;
+    return;
+  }
+  fmt::memory_buffer line;
+  fmt::format_to(std::back_inserter(line),
+                 R"({{"t":"{}","instance":"{}","part":"{}","event":"{}")",
+                 absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
+                                  absl::UTCTimeZone()),
+                 this->instance, part, event);
+  for (const LogField& field : fields) {
+    fmt::format_to(std::back_inserter(line), R"(,"{}":)", field.name);
+    std::visit(Appender{line}, field.value);
+  }
+  line.push_back('}');
+  this->logger->info(std::string_view(line.data(), line.size()));
+}
+
+std::uint64_t EventLog::Dropped() const {
+  return this->dropped + this->writer->overrun_counter();
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -0,0 +1,205 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "dragonflyglade/gateway/fleet_state.h"
+
+namespace dragonflyglade::gateway {
+namespace {
+
+constexpr std::string_view kInstancesPrefix = "dragonflyglade/instances/";
+// Living targets are back in the store within this time of its return.
+constexpr absl::Duration kGraceAfterReturn = absl::Seconds(2);
+
+}  // namespace
+
+FleetState::FleetState(boost::asio::io_context& context, const WireFormat& wire,
+                       Clock clock, EventLog& log)
+    : wire(wire), clock(std::move(clock)), log(log), changed(context) {}
+
+std::string FleetState::InstanceKey(std::string_view name) {
+  std::string key(kInstancesPrefix);
+  key.append(name);
+  return key;
+}
+
+bool FleetState::HasPrefix(std::string_view key,
+                           std::string_view prefix) const {
+  return key.substr(0, prefix.size()) == prefix;
+}
+
+// A late answer of the store must not bring back what was overwritten.
+bool FleetState::IsNewer(std::string_view key, std::uint64_t revision) {
+  const auto found = this->revisions.find(key);
+  if (found == this->revisions.end()) {
+    this->revisions.emplace(std::string(key), revision);
+    return true;
+  }
+  if (revision <= found->second) return false;
+  found->second = revision;
+  return true;
+}
+
+void FleetState::Apply(const StoreItem& item) {
+  if (!this->IsNewer(item.key, item.revision)) return;
+  if (item.key == this->wire.config_key) this->ApplyConfig(item);
+  if (this->HasPrefix(item.key, this->wire.targets_prefix)) {
+    this->ApplyTarget(item);
+  }
+  if (this->HasPrefix(item.key, kInstancesPrefix)) this->ApplyInstance(item);
+  if (item.key == kDutyKey) this->ApplyDuty(item);
+  this->changed.Notify();
+}
+
+void FleetState::ApplyConfig(const StoreItem& item) {
+  Result<GatewayConfig> decoded = this->wire.decode_config(item.value);
+  if (!decoded.Ok()) {
+    this->log.Write(
+        "config", "invalid",
+        {{"revision", item.revision}, {"why", decoded.Error().ToString()}});
+    return;
+  }
+  this->config =
+      std::make_shared<const GatewayConfig>(std::move(decoded.Value()));
+  this->log.Write(
+      "config", "in force",
+      {{"version", this->config->version},
+       {"revision", item.revision},
+       {"routes", static_cast<int>(this->config->routes.Routes().size())}});
+}
+
+void FleetState::ApplyTarget(const StoreItem& item) {
+  Result<TargetRecord> decoded = this->wire.decode_target(item.key, item.value);
+  if (!decoded.Ok()) {
+    const std::string id = item.key.substr(this->wire.targets_prefix.size());
+    this->DropTarget(id, "unreadable entry");
+    return;
+  }
+  TargetRecord record = std::move(decoded.Value());
+  this->log.Write("targets", record.leaving ? "leaving" : "entry",
+                  {{"target", record.id},
+                   {"service", record.service},
+                   {"revision", item.revision},
+                   {"sequence", record.sequence}});
+  const auto known = this->targets.find(record.id);
+  if (known != this->targets.end() &&
+      known->second->Record().service == record.service) {
+    known->second->Update(std::move(record));
+    return;
+  }
+  this->RemoveTarget(record.id);
+  auto state = std::make_shared<TargetState>(std::move(record));
+  this->by_service[state->Record().service].push_back(state);
+  this->targets[state->Record().id] = std::move(state);
+}
+
+void FleetState::ApplyInstance(const StoreItem& item) {
+  Result<InstanceRecord> decoded = DecodeInstanceRecord(item.value);
+  if (!decoded.Ok()) return;
+  this->log.Write(
+      "instances", "entry",
+      {{"peer", decoded.Value().name}, {"revision", item.revision}});
+  this->instances[item.key.substr(kInstancesPrefix.size())] =
+      std::move(decoded.Value());
+}
+
+void FleetState::ApplyDuty(const StoreItem& item) {
+  Result<InstanceRecord> decoded = DecodeInstanceRecord(item.value);
+  if (!decoded.Ok()) return;
+  this->duty = DutyHolder{std::move(decoded.Value()), item.revision};
+  this->log.Write(
+      "duty", "holder",
+      {{"peer", this->duty->instance.name}, {"revision", item.revision}});
+}
+
+void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
+  if (!this->IsNewer(key, revision)) return;
+  if (this->HasPrefix(key, this->wire.targets_prefix)) {
+    this->DropTarget(key.substr(this->wire.targets_prefix.size()),
+                     "entry removed");
+  }
+  if (this->HasPrefix(key, kInstancesPrefix)) {
+    const std::string_view name = key.substr(kInstancesPrefix.size());
+    this->log.Write("instances", "gone",
+                    {{"peer", name}, {"revision", revision}});
+    const auto found = this->instances.find(name);
+    if (found != this->instances.end()) this->instances.erase(found);
+  }
+  if (key == kDutyKey) {
+    this->duty.reset();
+    this->log.Write("duty", "no holder", {{"revision", revision}});
+  }
+  this->changed.Notify();
+}
+
+void FleetState::ApplyListing(absl::Span<const StoreItem> items,
+                              std::uint64_t store_revision) {
+  std::set<std::string_view> listed;
+  for (const StoreItem& item : items) listed.insert(item.key);
+  std::vector<std::string> missing;
+  for (const auto& [key, revision] : this->revisions) {
+    if (listed.count(key) == 0) missing.push_back(key);
+  }
+  for (const std::string& key : missing) {
+    if (key == this->wire.config_key) continue;
+    this->ApplyDeleted(key, store_revision);
+  }
+  for (const StoreItem& item : items) this->Apply(item);
+}
+
+void FleetState::StoreReturned() { this->returned_at = this->clock.Now(); }
+
+void FleetState::DropTarget(std::string_view id, std::string_view why) {
+  const std::shared_ptr<TargetState> target = this->Target(id);
+  if (target == nullptr) return;
+  const Instant now = this->clock.Now();
+  const bool in_grace = this->returned_at.has_value() &&
+                        now - *this->returned_at < kGraceAfterReturn;
+  this->log.Write("targets", in_grace ? "missing" : "gone",
+                  {{"target", id}, {"why", why}});
+  if (in_grace && !target->Record().leaving) {
+    target->missing_since = now;
+    return;
+  }
+  this->RemoveTarget(id);
+}
+
+void FleetState::RemoveTarget(std::string_view id) {
+  const auto found = this->targets.find(id);
+  if (found == this->targets.end()) return;
+  const std::shared_ptr<TargetState> target = found->second;
+  auto& peers = this->by_service[target->Record().service];
+  peers.erase(std::remove(peers.begin(), peers.end(), target), peers.end());
+  this->targets.erase(found);
+}
+
+void FleetState::Sweep() {
+  if (!this->returned_at.has_value()) return;
+  if (this->clock.Now() - *this->returned_at < kGraceAfterReturn) return;
+  this->returned_at.reset();
+  std::vector<std::string> gone;
+  for (const auto& [id, target] : this->targets) {
+    if (target->missing_since.has_value()) gone.push_back(id);
+  }
+  for (const std::string& id : gone) {
+    this->log.Write("targets", "gone",
+                    {{"target", id}, {"why", "not back in the store"}});
+    this->RemoveTarget(id);
+  }
+  if (!gone.empty()) this->changed.Notify();
+}
+
+absl::Span<const std::shared_ptr<TargetState>> FleetState::Targets(
+    std::string_view service) const {
+  const auto found = this->by_service.find(service);
+  if (found == this->by_service.end()) return {};
+  return found->second;
+}
+
+std::shared_ptr<TargetState> FleetState::Target(std::string_view id) const {
+  const auto found = this->targets.find(id);
+  return found == this->targets.end() ? nullptr : found->second;
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -0,0 +1,102 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_FLEET_STATE_H_
+#define DRAGONFLYGLADE_GATEWAY_FLEET_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/signal.h"
+#include "dragonflyglade/gateway/store_types.h"
+#include "dragonflyglade/gateway/target_state.h"
+#include "dragonflyglade/gateway/wire_format.h"
+
+namespace dragonflyglade::gateway {
+
+/// Who holds the duty of placing models, according to the store.
+struct DutyHolder {
+  InstanceRecord instance;
+  std::uint64_t revision = 0;
+};
+
+/// What this instance believes of configuration, targets and instances: a
+/// reading of the store, where each key moves forward by its revision only.
+/// One event loop.
+class FleetState {
+ public:
+  FleetState(boost::asio::io_context& context, const WireFormat& wire,
+             Clock clock, EventLog& log);
+
+  /// A key was read or changed. Older revisions than the last one known of
+  /// the key change nothing.
+  void Apply(const StoreItem& item);
+  void ApplyDeleted(std::string_view key, std::uint64_t revision);
+
+  /// All keys of a complete listing: what is missing from it is gone.
+  void ApplyListing(absl::Span<const StoreItem> items,
+                    std::uint64_t store_revision);
+
+  /// The store answers again after it did not. Targets that are then missing
+  /// are believed in for a moment: entries lapse while the store is away, and
+  /// living targets enter themselves again.
+  void StoreReturned();
+
+  /// Drops targets whose time of grace is over.
+  void Sweep();
+
+  /// The configuration in force; null until one is known.
+  std::shared_ptr<const GatewayConfig> Config() const { return this->config; }
+
+  /// The targets of a service, leaving ones among them.
+  absl::Span<const std::shared_ptr<TargetState>> Targets(
+      std::string_view service) const;
+  std::shared_ptr<TargetState> Target(std::string_view id) const;
+
+  const std::map<std::string, InstanceRecord, std::less<>>& Instances() const {
+    return this->instances;
+  }
+  const std::optional<DutyHolder>& Duty() const { return this->duty; }
+
+  /// Notified at each change.
+  Signal& Changed() { return this->changed; }
+
+  /// The keys of our own.
+  static std::string InstanceKey(std::string_view name);
+  static constexpr std::string_view kDutyKey = "dragonflyglade/duty/placement";
+
+ private:
+  bool IsNewer(std::string_view key, std::uint64_t revision);
+  void ApplyConfig(const StoreItem& item);
+  void ApplyTarget(const StoreItem& item);
+  void ApplyInstance(const StoreItem& item);
+  void ApplyDuty(const StoreItem& item);
+  void DropTarget(std::string_view id, std::string_view why);
+  void RemoveTarget(std::string_view id);
+  bool HasPrefix(std::string_view key, std::string_view prefix) const;
+
+  const WireFormat& wire;
+  const Clock clock;
+  EventLog& log;
+  Signal changed;
+  std::shared_ptr<const GatewayConfig> config;
+  std::map<std::string, std::uint64_t, std::less<>> revisions;
+  std::map<std::string, std::shared_ptr<TargetState>, std::less<>> targets;
+  std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
+      by_service;
+  std::map<std::string, InstanceRecord, std::less<>> instances;
+  std::optional<DutyHolder> duty;
+  std::optional<Instant> returned_at;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_FLEET_STATE_H_
--- /dev/null
+++ b/dragonflyglade/gateway/gateway.cc
@@ -0,0 +1,294 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+#include <vector>
+
+#include "dragonflyglade/gateway/caller_link.h"
+#include "dragonflyglade/gateway/gateway.h"
+#include "dragonflyglade/operator/caller_key.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// Connections that wait to be accepted: a burst of new callers, some hundred
+// in the time of one turn of the loop on a small machine.
+constexpr int kBacklog = 1024;
+// After a failed accept, e.g. without descriptors, until the next try.
+constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);
+// Callers keep the list of instances for its stated time; some keep it for
+// three times as long.
+constexpr int kKeepTimes = 3;
+// What remains of the time to stop for ending the process.
+constexpr absl::Duration kStopMargin = absl::Milliseconds(600);
+constexpr absl::Duration kStopLook = absl::Milliseconds(50);
+// Addresses in one directory answer, at most.
+constexpr std::size_t kMostAddresses = 64;
+constexpr std::size_t kIncarnationBytes = 8;
+
+}  // namespace
+
+Gateway::Gateway(GatewaySettings settings, WireFormat wire)
+    : settings(std::move(settings)),
+      wire(std::move(wire)),
+      clock(SteadyClock()),
+      context(1),
+      log(this->settings.instance, this->clock),
+      fleet(this->context, this->wire, this->clock, this->log),
+      store(this->context, this->settings.store, this->wire, this->metrics,
+            this->clock),
+      follower(this->context, this->store, this->fleet, this->log, this->clock),
+      duty({this->settings.quiet_between_holders}, ReadLocalTime),
+      registration(this->context, this->store, this->fleet, this->duty,
+                   this->Self(), this->settings.lease_ttl, this->log,
+                   this->clock),
+      pipeline(this->context, this->settings, this->wire, this->fleet,
+               this->demand, this->metrics, this->log, this->clock),
+      signals(this->context) {
+  this->AddGauges();
+}
+
+InstanceRecord Gateway::Self() const {
+  InstanceRecord self;
+  self.name = this->settings.instance;
+  self.zone = this->settings.zone;
+  self.callers = this->settings.callers.ToString();
+  self.peers = this->settings.peers.ToString();
+  self.incarnation = RandomHex(kIncarnationBytes);
+  return self;
+}
+
+void Gateway::AddGauges() {
+  this->metrics.AddGauge("requests_in_flight", [this] {
+    return static_cast<double>(this->pipeline.InFlight());
+  });
+  this->metrics.AddGauge("config_version", [this] {
+    const auto config = this->fleet.Config();
+    return config == nullptr ? 0.0 : static_cast<double>(config->version);
+  });
+  this->metrics.AddGauge("store_in_contact", [this] {
+    return this->follower.InContact() ? 1.0 : 0.0;
+  });
+  this->metrics.AddGauge("instances", [this] {
+    return static_cast<double>(this->fleet.Instances().size());
+  });
+  this->metrics.AddGauge("holds_placing_duty",
+                         [this] { return this->duty.MayAct() ? 1.0 : 0.0; });
+  this->metrics.AddGauge("log_lines_dropped", [this] {
+    return static_cast<double>(this->log.Dropped());
+  });
+}
+
+Result<Gateway::Acceptor*> Gateway::Listen(const Endpoint& endpoint) {
+  error_code error;
+  const tcp::endpoint place(asio::ip::make_address(endpoint.address, error),
+                            static_cast<unsigned short>(endpoint.port));
+  Acceptor& acceptor = this->acceptors.emplace_back(this->context);
+  if (!error) acceptor.open(place.protocol(), error);
+  if (!error) acceptor.set_option(Acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(place, error);
+  if (!error) acceptor.listen(kBacklog, error);
+  if (error) {
+    return MakeFailure(Errc::kConnectFailed, "listen", endpoint.ToString(),
+                       error.message());
+  }
+  return &acceptor;
+}
+
+Status Gateway::Run() {
+  const Result<Acceptor*> callers = this->Listen(this->settings.callers);
+  if (!callers.Ok()) return callers.Error();
+  this->callers_port = callers.Value()->local_endpoint().port();
+  const std::vector<std::pair<Endpoint, Answerer>> questions = {
+      {this->settings.readiness,
+       [this](std::string_view path) { return this->AnswerReadiness(path); }},
+      {this->settings.directory,
+       [this](std::string_view path) { return this->AnswerDirectory(path); }},
+      {this->settings.metrics,
+       [this](std::string_view path) { return this->AnswerMetrics(path); }},
+  };
+  asio::co_spawn(this->context, this->AcceptCallers(*callers.Value()),
+                 asio::detached);
+  for (const auto& [endpoint, answer] : questions) {
+    const Result<Acceptor*> acceptor = this->Listen(endpoint);
+    if (!acceptor.Ok()) return acceptor.Error();
+    asio::co_spawn(this->context,
+                   this->AcceptQuestions(*acceptor.Value(), answer),
+                   asio::detached);
+  }
+  // A caller or target that closes its end must not end the process.
+  signal(SIGPIPE, SIG_IGN);
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  asio::co_spawn(this->context, this->WaitForSignal(), asio::detached);
+  asio::co_spawn(this->context, this->follower.Run(), asio::detached);
+  asio::co_spawn(this->context, this->registration.Run(), asio::detached);
+  this->log.Write("process", "started",
+                  {{"callers", this->settings.callers.ToString()},
+                   {"store", this->settings.store.ToString()}});
+  this->context.run();
+  return Done{};
+}
+
+asio::awaitable<void> Gateway::AcceptCallers(Acceptor& acceptor) {
+  while (true) {
+    error_code error;
+    Socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await Sleep(this->context, kAcceptPause);
+      continue;
+    }
+    asio::co_spawn(this->context, this->ServeCaller(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> Gateway::AcceptQuestions(Acceptor& acceptor,
+                                               Answerer answer) {
+  while (true) {
+    error_code error;
+    Socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await Sleep(this->context, kAcceptPause);
+      continue;
+    }
+    asio::co_spawn(this->context,
+                   this->ServeQuestions(std::move(socket), answer),
+                   asio::detached);
+  }
+}
+
+CallerLimits Gateway::Limits() const {
+  const auto config = this->fleet.Config();
+  return config == nullptr ? CallerLimits() : config->limits;
+}
+
+asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
+  CallerLink link(this->context, std::move(socket));
+  while (true) {
+    const CallerLimits limits = this->Limits();
+    ReadResult read = co_await link.Read(limits);
+    if (std::holds_alternative<CallerLeft>(read)) co_return;
+    int malformed = 0;
+    if (const auto* bad = std::get_if<MalformedRequest>(&read)) {
+      malformed = bad->status;
+    } else {
+      auto& received = std::get<ReceivedRequest>(read);
+      received.head.method = received.method;
+      received.head.path_and_query = received.path_and_query;
+      Result<CallerRequest> request = this->wire.decode_request(received.head);
+      if (request.Ok()) {
+        request.Value().body = std::move(received.body);
+        link.SetKeepAlive(link.KeepAlive() && !this->stopping);
+        co_await this->pipeline.Serve(std::move(request.Value()), link);
+      } else {
+        malformed = 400;
+      }
+    }
+    if (malformed != 0) {
+      this->metrics.Count("malformed_requests");
+      link.SetKeepAlive(false);
+      co_await link.WriteAnswer(malformed, {}, "");
+    }
+    if (link.Left()) co_return;
+    if (!link.KeepAlive()) {
+      co_await link.CloseSoftly();
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> Gateway::ServeQuestions(Socket socket, Answerer answer) {
+  CallerLink link(this->context, std::move(socket));
+  const CallerLimits limits;
+  while (true) {
+    const ReadResult read = co_await link.Read(limits);
+    const auto* received = std::get_if<ReceivedRequest>(&read);
+    if (received == nullptr) co_return;
+    const PlainAnswer reply = answer(received->path_and_query);
+    HeaderFields fields;
+    fields.emplace_back("Content-Type", reply.content_type);
+    const bool written =
+        co_await link.WriteAnswer(reply.status, std::move(fields), reply.body);
+    if (!written || !link.KeepAlive()) co_return;
+  }
+}
+
+Gateway::PlainAnswer Gateway::AnswerReadiness(std::string_view path) const {
+  if (!this->wire.is_readiness_question(path)) return {};
+  const bool ready = this->fleet.Config() != nullptr && !this->stopping;
+  return {ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready"};
+}
+
+Gateway::PlainAnswer Gateway::AnswerDirectory(std::string_view path) const {
+  if (!this->wire.decode_directory_question(path).has_value()) return {};
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : this->fleet.Instances()) {
+    if (name == this->settings.instance) continue;
+    addresses.push_back(record.callers);
+  }
+  if (!this->stopping) addresses.push_back(this->settings.callers.ToString());
+  if (addresses.size() > kMostAddresses) {
+    std::mt19937 random{std::random_device{}()};
+    std::shuffle(addresses.begin(), addresses.end(), random);
+    addresses.resize(kMostAddresses);
+  }
+  return {200, "application/json",
+          this->wire.encode_directory_answer(addresses,
+                                             this->settings.directory_keep)};
+}
+
+Gateway::PlainAnswer Gateway::AnswerMetrics(std::string_view path) const {
+  if (path.substr(0, path.find('?')) != "/metrics") return {};
+  return {200, "text/plain; version=0.0.4", this->metrics.Text()};
+}
+
+asio::awaitable<void> Gateway::WaitForSignal() {
+  error_code error;
+  co_await this->signals.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
+  if (!error) this->Stop();
+}
+
+void Gateway::Stop() {
+  if (this->stopping) return;
+  this->stopping = true;
+  asio::co_spawn(this->context, this->FollowStop(), asio::detached);
+}
+
+asio::awaitable<void> Gateway::FollowStop() {
+  const Instant begun = this->clock.Now();
+  this->log.Write("process", "stopping",
+                  {{"in_flight", this->pipeline.InFlight()}});
+  co_await this->registration.Leave();
+  // Callers go on coming until they have asked for instances again; after
+  // that, the process ends as soon as it serves nobody.
+  const absl::Duration most = this->settings.stop_within - kStopMargin;
+  const absl::Duration callers_know =
+      std::min(most, kKeepTimes * this->settings.directory_keep);
+  while (true) {
+    const absl::Duration since = this->clock.Now() - begun;
+    if (since >= most) break;
+    if (since >= callers_know && this->pipeline.InFlight() == 0) break;
+    co_await Sleep(this->context, kStopLook);
+  }
+  this->log.Write("process", "stopped",
+                  {{"in_flight", this->pipeline.InFlight()},
+                   {"after_ms", this->clock.Now() - begun}});
+  this->context.stop();
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/gateway.h
@@ -0,0 +1,92 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
+#define DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <list>
+#include <string>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/gateway_settings.h"
+#include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/pipeline.h"
+#include "dragonflyglade/gateway/registration.h"
+#include "dragonflyglade/gateway/store_follower.h"
+#include "dragonflyglade/gateway/store_link.h"
+#include "dragonflyglade/gateway/wire_format.h"
+#include "dragonflyglade/operator/metrics.h"
+
+namespace dragonflyglade::gateway {
+
+/// One gateway process: wires its parts together on one event loop, serves
+/// until a signal to stop, and then ends without cutting a request.
+class Gateway {
+ public:
+  Gateway(GatewaySettings settings, WireFormat wire);
+
+  /// Listens and serves until SIGTERM or SIGINT was followed through.
+  /// Errors: kConnectFailed if an address cannot be listened on.
+  Status Run();
+
+  /// The port for callers, once Run listens; for settings with port 0.
+  int CallersPort() const { return this->callers_port; }
+
+  /// Begins to stop, as a signal does. From the event loop only.
+  void Stop();
+
+  boost::asio::io_context& Context() { return this->context; }
+
+ private:
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+  using Socket = boost::asio::ip::tcp::socket;
+  /// Answers a question of one line.
+  struct PlainAnswer {
+    int status = 404;
+    std::string content_type = "text/plain";
+    std::string body;
+  };
+  using Answerer = std::function<PlainAnswer(std::string_view path)>;
+
+  Result<Acceptor*> Listen(const Endpoint& endpoint);
+  boost::asio::awaitable<void> AcceptCallers(Acceptor& acceptor);
+  boost::asio::awaitable<void> AcceptQuestions(Acceptor& acceptor,
+                                               Answerer answer);
+  boost::asio::awaitable<void> ServeCaller(Socket socket);
+  boost::asio::awaitable<void> ServeQuestions(Socket socket, Answerer answer);
+  boost::asio::awaitable<void> WaitForSignal();
+  boost::asio::awaitable<void> FollowStop();
+  PlainAnswer AnswerReadiness(std::string_view path) const;
+  PlainAnswer AnswerDirectory(std::string_view path) const;
+  PlainAnswer AnswerMetrics(std::string_view path) const;
+  InstanceRecord Self() const;
+  CallerLimits Limits() const;
+  void AddGauges();
+
+  const GatewaySettings settings;
+  const WireFormat wire;
+  const Clock clock;
+  boost::asio::io_context context;
+  Metrics metrics;
+  EventLog log;
+  FleetState fleet;
+  ModelDemand demand;
+  StoreLink store;
+  StoreFollower follower;
+  DutyLease duty;
+  Registration registration;
+  Pipeline pipeline;
+  boost::asio::signal_set signals;
+  std::list<Acceptor> acceptors;
+  int callers_port = 0;
+  bool stopping = false;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/dragonflyglade/gateway/gateway_command.cc
@@ -0,0 +1,43 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+#include <variant>
+
+#include "dragonflyglade/gateway/gateway.h"
+#include "dragonflyglade/gateway/gateway_command.h"
+#include "dragonflyglade/operator/settings_options.h"
+
+namespace dragonflyglade::gateway {
+namespace {
+
+constexpr const char* kUse =
+    "use: dragonflyglade gateway --settings FILE [--check]\n";
+
+}  // namespace
+
+int RunGatewayCommand(const std::vector<std::string>& arguments,
+                      const CommandOutput& output, WireFormat wire) {
+  const std::variant<SettingsOptions, int> parsed =
+      ParseSettingsOptions(arguments, kUse, output);
+  if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
+  const auto& options = std::get<SettingsOptions>(parsed);
+  const Result<GatewaySettings> settings =
+      ReadGatewaySettings(options.settings);
+  if (!settings.Ok()) {
+    fmt::print(output.err, "{}\n", settings.Error().ToString());
+    return kExitBadUse;
+  }
+  if (options.check) {
+    fmt::print(output.out, "settings are valid\n");
+    return kExitDone;
+  }
+  Gateway gateway(settings.Value(), std::move(wire));
+  const Status ran = gateway.Run();
+  if (ran.Ok()) return kExitDone;
+  fmt::print(output.err, "{}\n", ran.Error().ToString());
+  return kExitFailed;
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -0,0 +1,49 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
+#define DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/failure.h"
+#include "dragonflyglade/decision/quota_share.h"
+#include "dragonflyglade/net/endpoint.h"
+
+namespace dragonflyglade::gateway {
+
+/// The settings of a gateway process.
+struct GatewaySettings {
+  std::string instance;  ///< its name, unique among the instances
+  std::string zone;
+  Endpoint callers;    ///< requests
+  Endpoint readiness;  ///< "is it ready"
+  Endpoint directory;  ///< "which instances to use"
+  Endpoint metrics;
+  Endpoint peers;  ///< datagrams of other instances
+  Endpoint store;
+
+  absl::Duration lease_ttl = absl::Seconds(3);
+  /// Orders of two holders of a duty to one target lie further apart.
+  absl::Duration quiet_between_holders = absl::Seconds(3);
+  /// From the signal to stop until the process must have ended.
+  absl::Duration stop_within = absl::Seconds(8);
+  /// How long callers may keep the answer to "which instances to use".
+  absl::Duration directory_keep = absl::Seconds(2);
+
+  QuotaAllowance quota_allowance;
+  double retry_share = 0.1;  ///< retries for each request
+  double retry_slack = 10;   ///< retries over all instances in a window
+  absl::Duration load_window = absl::Seconds(5);  ///< of the weight store
+  double load_overage = 1;  ///< times the loads a second in a window
+};
+
+/// Reads and checks a settings file.
+/// Errors: kInvalidSettings, naming each field that is missing or wrong.
+Result<GatewaySettings> ReadGatewaySettings(const std::string& path);
+
+/// The same from text.
+Result<GatewaySettings> ParseGatewaySettings(std::string_view text);
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/dragonflyglade/gateway/http_text.cc
@@ -0,0 +1,68 @@
+#include "dragonflyglade/gateway/http_text.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <iterator>
+
+#include "absl/strings/match.h"
+
+namespace dragonflyglade::gateway {
+namespace {
+
+std::string_view ReasonOf(int status) {
+  const auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {reason.data(), reason.size()};
+}
+
+void AppendFields(const HeaderFields& fields, std::string& text) {
+  for (const auto& [name, value] : fields) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+bool HasHost(const HeaderFields& fields) {
+  return std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+    return absl::EqualsIgnoreCase(field.first, "Host");
+  });
+}
+
+}  // namespace
+
+std::string RequestText(const HttpCallText& call, std::string_view host) {
+  std::string text =
+      fmt::format("{} {} HTTP/1.1\r\n", call.method, call.path_and_query);
+  if (!HasHost(call.fields)) text += fmt::format("Host: {}\r\n", host);
+  AppendFields(call.fields, text);
+  if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+    text += fmt::format("Content-Length: {}\r\n", call.body.size());
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string AnswerText(int status, const HeaderFields& fields,
+                       BodyFraming framing, std::size_t length,
+                       bool keep_alive) {
+  std::string text =
+      fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonOf(status));
+  AppendFields(fields, text);
+  if (framing == BodyFraming::kChunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  } else {
+    text += fmt::format("Content-Length: {}\r\n", length);
+  }
+  if (!keep_alive) text += "Connection: close\r\n";
+  text += "\r\n";
+  return text;
+}
+
+std::string ChunkText(std::string_view bytes) {
+  std::string text = fmt::format("{:x}\r\n", bytes.size());
+  text.append(bytes).append("\r\n");
+  return text;
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/instance_record.cc
@@ -0,0 +1,34 @@
+#include "dragonflyglade/gateway/instance_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyglade::gateway {
+
+using nlohmann::json;
+
+std::string EncodeInstanceRecord(const InstanceRecord& record) {
+  return json{{"name", record.name},
+              {"zone", record.zone},
+              {"callers", record.callers},
+              {"peers", record.peers},
+              {"incarnation", record.incarnation}}
+      .dump();
+}
+
+Result<InstanceRecord> DecodeInstanceRecord(std::string_view text) {
+  try {
+    const json document = json::parse(text);
+    InstanceRecord record;
+    record.name = document.at("name").get<std::string>();
+    record.zone = document.at("zone").get<std::string>();
+    record.callers = document.at("callers").get<std::string>();
+    record.peers = document.at("peers").get<std::string>();
+    record.incarnation = document.at("incarnation").get<std::string>();
+    return record;
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kInvalidRecord, "read instance", "store",
+                       error.what());
+  }
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/instance_record.h
@@ -0,0 +1,27 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_INSTANCE_RECORD_H_
+#define DRAGONFLYGLADE_GATEWAY_INSTANCE_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "dragonflyglade/decision/failure.h"
+
+namespace dragonflyglade::gateway {
+
+/// What an instance says of itself in the store, under a lease.
+struct InstanceRecord {
+  std::string name;
+  std::string zone;
+  std::string callers;      ///< address for callers
+  std::string peers;        ///< address for other instances
+  std::string incarnation;  ///< new at each start of the process
+};
+
+std::string EncodeInstanceRecord(const InstanceRecord& record);
+
+/// Errors: kInvalidRecord.
+Result<InstanceRecord> DecodeInstanceRecord(std::string_view text);
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_INSTANCE_RECORD_H_
--- /dev/null
+++ b/dragonflyglade/gateway/registration.cc
@@ -0,0 +1,185 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <time.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "dragonflyglade/decision/rendezvous.h"
+#include "dragonflyglade/gateway/registration.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An answer takes milliseconds; a call that fails is made again well within
+// the lease.
+constexpr absl::Duration kCallTimeout = absl::Milliseconds(400);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(200);
+// Renewals in one lease: two may fail before it ends.
+constexpr int kRenewalsInLease = 3;
+// Between looks at whether the duty is vacant.
+constexpr absl::Duration kDutyLook = absl::Milliseconds(250);
+// How much later each further candidate tries: one store call more than the
+// first one needs, so that normally only one writes.
+constexpr absl::Duration kTurn = absl::Milliseconds(100);
+constexpr int kMostTurns = 10;
+
+}  // namespace
+
+LocalTime ReadLocalTime() {
+  timespec boot{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  return {SteadyClock().Now(), absl::DurationFromTimespec(boot)};
+}
+
+Registration::Registration(asio::io_context& context, StoreLink& store,
+                           FleetState& fleet, DutyLease& duty,
+                           InstanceRecord self, absl::Duration lease_ttl,
+                           EventLog& log, Clock clock)
+    : context(context),
+      store(store),
+      fleet(fleet),
+      duty(duty),
+      self(std::move(self)),
+      lease_ttl(lease_ttl),
+      log(log),
+      clock(std::move(clock)) {}
+
+asio::awaitable<void> Registration::Run() {
+  Instant next_renewal = this->clock.Now();
+  while (!this->leaving) {
+    const Instant now = this->clock.Now();
+    if (this->lease == 0) {
+      co_await this->Grant();
+      next_renewal = now + this->lease_ttl / kRenewalsInLease;
+    } else if (!this->entered) {
+      co_await this->Enter();
+    } else if (now >= next_renewal) {
+      next_renewal = now + this->lease_ttl / kRenewalsInLease;
+      co_await this->Renew();
+    }
+    if (this->entered && !this->leaving) co_await this->TakeDuty();
+    co_await Sleep(this->context, this->entered ? kDutyLook : kRetryPause);
+  }
+}
+
+asio::awaitable<void> Registration::Grant() {
+  const LocalTime sent = ReadLocalTime();
+  StoreCall call = StoreGrant{this->lease_ttl};
+  const StoreReply reply =
+      co_await this->store.Call(std::move(call), kCallTimeout);
+  const auto* lease = std::get_if<StoreLease>(&reply);
+  if (lease == nullptr) co_return;
+  this->lease = lease->lease;
+  this->granted = lease->ttl;
+  this->renewed = sent;
+  co_await this->Enter();
+}
+
+asio::awaitable<void> Registration::Enter() {
+  StoreTransaction transaction;
+  transaction.puts.push_back({FleetState::InstanceKey(this->self.name),
+                              EncodeInstanceRecord(this->self), this->lease});
+  StoreCall call = std::move(transaction);
+  const StoreReply reply =
+      co_await this->store.Call(std::move(call), kCallTimeout);
+  if (std::holds_alternative<StoreNoLease>(reply)) this->LeaseEnded();
+  this->entered = std::holds_alternative<StoreCommitted>(reply);
+  if (this->entered) {
+    this->log.Write("registration", "entered", {{"lease", this->lease}});
+  }
+}
+
+asio::awaitable<void> Registration::Renew() {
+  const LocalTime sent = ReadLocalTime();
+  StoreCall call = StoreRenewal{this->lease};
+  const StoreReply reply =
+      co_await this->store.Call(std::move(call), kCallTimeout);
+  if (std::holds_alternative<StoreNoLease>(reply)) {
+    this->LeaseEnded();
+    co_return;
+  }
+  const auto* lease = std::get_if<StoreLease>(&reply);
+  if (lease == nullptr) co_return;
+  this->granted = lease->ttl;
+  this->renewed = sent;
+  if (this->duty.Held()) this->duty.Renewed(sent, lease->ttl);
+}
+
+void Registration::LeaseEnded() {
+  this->log.Write("registration", "lease ended",
+                  {{"lease", this->lease}, {"held_duty", this->duty.Held()}});
+  this->lease = 0;
+  this->entered = false;
+  this->duty.Lost();
+}
+
+bool Registration::DutyIsMine() const {
+  const auto& holder = this->fleet.Duty();
+  return holder.has_value() &&
+         holder->instance.incarnation == this->self.incarnation;
+}
+
+absl::Duration Registration::TurnToTake() const {
+  std::vector<std::string> names;
+  for (const auto& [name, record] : this->fleet.Instances()) {
+    names.push_back(name);
+  }
+  const std::vector<std::string> order =
+      RendezvousOwners(FleetState::kDutyKey, names, names.size());
+  const auto place = std::find(order.begin(), order.end(), this->self.name);
+  const int turn = static_cast<int>(place - order.begin());
+  return std::min(turn, kMostTurns) * kTurn;
+}
+
+asio::awaitable<void> Registration::TakeDuty() {
+  const Instant now = this->clock.Now();
+  if (this->fleet.Duty().has_value()) {
+    this->vacant_since.reset();
+    // The answer to the taking write was lost, and the store shows it.
+    if (this->DutyIsMine() && !this->duty.Held()) {
+      this->duty.Acquired(this->fleet.Duty()->revision, this->renewed,
+                          this->granted);
+    }
+    co_return;
+  }
+  if (this->fleet.Config() == nullptr) co_return;
+  if (this->duty.Held()) co_return;
+  if (!this->vacant_since.has_value()) this->vacant_since = now;
+  if (now - *this->vacant_since < this->TurnToTake()) co_return;
+  StoreTransaction transaction;
+  const std::string key(FleetState::kDutyKey);
+  transaction.expected.push_back({key, 0});
+  transaction.puts.push_back(
+      {key, EncodeInstanceRecord(this->self), this->lease});
+  StoreCall call = std::move(transaction);
+  const StoreReply reply =
+      co_await this->store.Call(std::move(call), kCallTimeout);
+  if (std::holds_alternative<StoreNoLease>(reply)) this->LeaseEnded();
+  const auto* committed = std::get_if<StoreCommitted>(&reply);
+  if (committed == nullptr) co_return;
+  this->duty.Acquired(committed->revision, this->renewed, this->granted);
+  this->log.Write("duty", "taken", {{"fence", committed->revision}});
+}
+
+asio::awaitable<void> Registration::Leave() {
+  this->leaving = true;
+  const bool held = this->duty.Held();
+  this->duty.Lost();
+  StoreTransaction transaction;
+  transaction.deletes.push_back(FleetState::InstanceKey(this->self.name));
+  if (held && this->DutyIsMine()) {
+    const std::string key(FleetState::kDutyKey);
+    transaction.expected.push_back({key, this->fleet.Duty()->revision});
+    transaction.deletes.push_back(key);
+  }
+  // An answer that is lost does not matter: the lease ends by itself.
+  StoreCall call = std::move(transaction);
+  co_await this->store.Call(std::move(call), kCallTimeout);
+  this->log.Write("registration", "left", {{"held_duty", held}});
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/registration.h
@@ -0,0 +1,62 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_REGISTRATION_H_
+#define DRAGONFLYGLADE_GATEWAY_REGISTRATION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <optional>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/store_link.h"
+
+namespace dragonflyglade::gateway {
+
+/// The steady and the boot clock now.
+LocalTime ReadLocalTime();
+
+/// Keeps this instance in the store under a lease, and takes the placing duty
+/// under the same lease when nobody holds it. One event loop.
+class Registration {
+ public:
+  Registration(boost::asio::io_context& context, StoreLink& store,
+               FleetState& fleet, DutyLease& duty, InstanceRecord self,
+               absl::Duration lease_ttl, EventLog& log, Clock clock);
+
+  /// Runs until Leave.
+  boost::asio::awaitable<void> Run();
+
+  /// Takes this instance out of the store and lets the duty go.
+  boost::asio::awaitable<void> Leave();
+
+ private:
+  boost::asio::awaitable<void> Grant();
+  boost::asio::awaitable<void> Enter();
+  boost::asio::awaitable<void> Renew();
+  boost::asio::awaitable<void> TakeDuty();
+  bool DutyIsMine() const;
+  absl::Duration TurnToTake() const;
+  void LeaseEnded();
+
+  boost::asio::io_context& context;
+  StoreLink& store;
+  FleetState& fleet;
+  DutyLease& duty;
+  const InstanceRecord self;
+  const absl::Duration lease_ttl;
+  EventLog& log;
+  const Clock clock;
+  std::uint64_t lease = 0;
+  LocalTime renewed;       ///< when the last answered renewal was sent
+  absl::Duration granted;  ///< by the store
+  bool entered = false;
+  bool leaving = false;
+  std::optional<Instant> vacant_since;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_REGISTRATION_H_
--- /dev/null
+++ b/dragonflyglade/gateway/signal.cc
@@ -0,0 +1,38 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "dragonflyglade/gateway/signal.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void> WaitFor(asio::steady_timer& timer) {
+  // The only error is a cancelled wait, and that is what Notify does.
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+asio::awaitable<void> Sleep(asio::io_context& context, absl::Duration time) {
+  asio::steady_timer timer(context, absl::ToChronoNanoseconds(time));
+  co_await WaitFor(timer);
+}
+
+asio::awaitable<void> Signal::Wait(absl::Duration at_most) {
+  asio::steady_timer timer(this->context, absl::ToChronoNanoseconds(at_most));
+  const auto place = this->waiting.insert(this->waiting.end(), &timer);
+  co_await WaitFor(timer);
+  this->waiting.erase(place);
+}
+
+void Signal::Notify() {
+  for (asio::steady_timer* timer : this->waiting) timer->cancel();
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -0,0 +1,137 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <fmt/format.h>
+
+#include "dragonflyglade/gateway/store_follower.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A change must be in force two seconds after it was acknowledged. A silent
+// watch is given up after wait and answer time, and the next one, on a new
+// connection, answers at once: about 1.2 s in all. Shorter waits would cost
+// more calls, which the store counts.
+constexpr absl::Duration kWatchWait = absl::Milliseconds(800);
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(350);
+// A page of some hundred entries.
+constexpr absl::Duration kListTimeout = absl::Seconds(1);
+// Between calls while the store does not answer: all instances together stay
+// far below its rates, and its return is noticed within the two seconds that
+// living targets have to enter themselves again.
+constexpr absl::Duration kRetryPause = absl::Milliseconds(250);
+
+// Everything: targets, configuration and our own keys in one watch, since
+// each waiting call counts.
+constexpr const char* kAllKeys = "";
+
+std::string WhyNot(const StoreReply& reply) {
+  if (const auto* refused = std::get_if<StoreRefused>(&reply)) {
+    return fmt::format("refused with status {}", refused->status);
+  }
+  if (const auto* unknown = std::get_if<StoreUnknown>(&reply)) {
+    return "no answer: " + unknown->detail;
+  }
+  return "unexpected answer";
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(asio::io_context& context, StoreLink& store,
+                             FleetState& fleet, EventLog& log, Clock clock)
+    : context(context),
+      store(store),
+      fleet(fleet),
+      log(log),
+      clock(std::move(clock)) {}
+
+asio::awaitable<void> StoreFollower::Run() {
+  while (true) {
+    const bool listed = co_await this->List();
+    if (!listed) continue;
+    bool history_kept = true;
+    while (history_kept) {
+      history_kept = co_await this->Watch();
+      this->fleet.Sweep();
+    }
+    this->log.Write("store", "history gone", {{"revision", this->revision}});
+  }
+}
+
+asio::awaitable<bool> StoreFollower::List() {
+  std::vector<StoreItem> items;
+  std::optional<std::uint64_t> first_revision;
+  std::string after;
+  bool more = true;
+  while (more) {
+    StoreCall call = StoreList{kAllKeys, after};
+    StoreReply reply =
+        co_await this->store.Call(std::move(call), kListTimeout);
+    auto* page = std::get_if<StorePage>(&reply);
+    if (page == nullptr) {
+      co_await this->NotHeard(WhyNot(reply));
+      co_return false;
+    }
+    // Pages are not a snapshot. Watching from the first page's revision shows
+    // again what changed while later pages were read, and revisions make that
+    // harmless.
+    if (!first_revision.has_value()) first_revision = page->store_revision;
+    for (StoreItem& item : page->items) items.push_back(std::move(item));
+    more = page->truncated && !items.empty();
+    if (more) after = items.back().key;
+  }
+  this->Heard();
+  this->revision = *first_revision;
+  this->fleet.ApplyListing(items, this->revision);
+  this->log.Write("store", "listed",
+                  {{"revision", this->revision},
+                   {"items", static_cast<int>(items.size())}});
+  co_return true;
+}
+
+asio::awaitable<bool> StoreFollower::Watch() {
+  StoreCall call = StoreWatch{kAllKeys, this->revision, kWatchWait};
+  const StoreReply reply = co_await this->store.Call(std::move(call),
+                                                     kWatchWait + kAnswerTime);
+  if (std::holds_alternative<StoreCompacted>(reply)) {
+    this->Heard();
+    co_return false;
+  }
+  const auto* events = std::get_if<StoreEvents>(&reply);
+  if (events == nullptr) {
+    co_await this->NotHeard(WhyNot(reply));
+    co_return true;
+  }
+  this->Heard();
+  for (const StoreEvent& event : events->events) {
+    if (event.deleted) {
+      this->fleet.ApplyDeleted(event.item.key, event.item.revision);
+    } else {
+      this->fleet.Apply(event.item);
+    }
+  }
+  this->revision = std::max(this->revision, events->store_revision);
+  co_return true;
+}
+
+void StoreFollower::Heard() {
+  if (!this->away_since.has_value()) return;
+  this->log.Write("store", "regained",
+                  {{"away_ms", this->clock.Now() - *this->away_since},
+                   {"revision", this->revision}});
+  this->away_since.reset();
+  this->fleet.StoreReturned();
+}
+
+asio::awaitable<void> StoreFollower::NotHeard(std::string_view why) {
+  if (!this->away_since.has_value()) {
+    this->away_since = this->clock.Now();
+    this->log.Write("store", "lost",
+                    {{"why", why}, {"revision", this->revision}});
+  }
+  co_await Sleep(this->context, kRetryPause);
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/target_state.cc
@@ -0,0 +1,146 @@
+#include "dragonflyglade/gateway/target_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflyglade::gateway {
+namespace {
+
+// How long a target's word that it lacks something goes before its record,
+// which is written at its next heartbeat, about a second later.
+constexpr absl::Duration kAbsenceHolds = absl::Milliseconds(1500);
+// A report tells of the load at one moment; after this it says nothing.
+constexpr absl::Duration kReportHolds = absl::Seconds(1);
+// Summaries come several times a second; after this the sender is gone.
+constexpr absl::Duration kOthersHold = absl::Milliseconds(1500);
+// A full target is asked again when a place may have become free: plain
+// requests take some tens of milliseconds.
+constexpr absl::Duration kFullHolds = absl::Milliseconds(60);
+// The weight of the last request in the share of faults: about the last ten
+// count, so that a target failing two in five stands out within a second.
+constexpr double kFaultWeight = 0.1;
+// A target that refuses connections or is silent is left alone for a while,
+// twice as long each time.
+constexpr absl::Duration kAvoidFirst = absl::Milliseconds(500);
+constexpr int kAvoidDoublings = 4;
+
+}  // namespace
+
+std::string ResidentKey(std::string_view model, std::string_view adapter) {
+  std::string key(model);
+  if (!adapter.empty()) key.append("/").append(adapter);
+  return key;
+}
+
+TargetState::TargetState(TargetRecord record) : record(std::move(record)) {}
+
+void TargetState::Update(TargetRecord newer) {
+  const bool other_process = newer.born_ms != this->record.born_ms ||
+                             newer.address != this->record.address;
+  this->record = std::move(newer);
+  this->missing_since.reset();
+  if (!other_process) return;
+  this->placed_adapters.clear();
+  this->absent_until.clear();
+  this->connections.Clear();
+  this->report.reset();
+  this->fault_share = 0;
+  this->unreachable_in_row = 0;
+  this->avoid_until = absl::ZeroDuration();
+}
+
+bool TargetState::HoldsModel(std::string_view model) const {
+  return std::any_of(
+      this->record.models.begin(), this->record.models.end(),
+      [&](const ResidentModel& item) { return item.name == model; });
+}
+
+bool TargetState::Holds(std::string_view model, std::string_view adapter,
+                        Instant now) const {
+  const std::string key = ResidentKey(model, adapter);
+  const auto absent = this->absent_until.find(key);
+  if (absent != this->absent_until.end() && now < absent->second) return false;
+  for (const ResidentModel& item : this->record.models) {
+    if (item.name != model) continue;
+    if (adapter.empty()) return true;
+    if (this->placed_adapters.count(key) > 0) return true;
+    return std::find(item.adapters.begin(), item.adapters.end(), adapter) !=
+           item.adapters.end();
+  }
+  return false;
+}
+
+void TargetState::MarkAbsent(std::string_view model, std::string_view adapter,
+                             Instant now) {
+  const std::string key = ResidentKey(model, adapter);
+  this->placed_adapters.erase(key);
+  this->absent_until[key] = now + kAbsenceHolds;
+}
+
+void TargetState::SetPlacedAdapters(std::set<std::string> adapters) {
+  for (const std::string& key : adapters) {
+    // News of a placing is newer than an absence that was seen before it.
+    if (this->placed_adapters.count(key) == 0) this->absent_until.erase(key);
+  }
+  this->placed_adapters = std::move(adapters);
+}
+
+void TargetState::MarkFull(Instant now) {
+  this->avoid_until = std::max(this->avoid_until, now + kFullHolds);
+}
+
+void TargetState::Sent(double prompt_tokens) {
+  this->in_flight += 1;
+  this->unread_tokens += prompt_tokens;
+}
+
+void TargetState::FirstOutput(double prompt_tokens) {
+  this->unread_tokens = std::max(0.0, this->unread_tokens - prompt_tokens);
+}
+
+void TargetState::Ended() { this->in_flight -= 1; }
+
+void TargetState::Reported(const LoadReport& newer, Instant now) {
+  this->report = newer;
+  this->reported_at = now;
+  this->in_flight_at_report = this->in_flight;
+}
+
+void TargetState::SetOthers(double requests, double unread, Instant now) {
+  this->others_requests = requests;
+  this->others_unread = unread;
+  this->others_at = now;
+}
+
+double TargetState::Requests(Instant now) const {
+  if (this->others_at.has_value() && now - *this->others_at < kOthersHold) {
+    return this->in_flight + this->others_requests;
+  }
+  if (this->report.has_value() && now - this->reported_at < kReportHolds) {
+    const int since = this->in_flight - this->in_flight_at_report;
+    return std::max<double>(
+        this->in_flight, this->report->running + this->report->waiting + since);
+  }
+  return this->in_flight;
+}
+
+double TargetState::Unread(Instant now) const {
+  if (this->others_at.has_value() && now - *this->others_at < kOthersHold) {
+    return this->unread_tokens + this->others_unread;
+  }
+  return this->unread_tokens;
+}
+
+void TargetState::Learn(TargetResult result, Instant now) {
+  const double fault = result == TargetResult::kSound ? 0 : 1;
+  this->fault_share += kFaultWeight * (fault - this->fault_share);
+  if (result != TargetResult::kUnreachable) {
+    this->unreachable_in_row = 0;
+    return;
+  }
+  const int doublings = std::min(this->unreachable_in_row, kAvoidDoublings);
+  this->avoid_until = now + kAvoidFirst * (1 << doublings);
+  this->unreachable_in_row += 1;
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/target_state.h
@@ -0,0 +1,97 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_TARGET_STATE_H_
+#define DRAGONFLYGLADE_GATEWAY_TARGET_STATE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/target_connection.h"
+
+namespace dragonflyglade::gateway {
+
+/// How a request ended, as far as it tells of its target.
+enum class TargetResult {
+  kSound,  ///< answered as it should
+  kFault,  ///< failed, broke off, or answered with an error of its own
+  kUnreachable,
+};
+
+/// What this instance knows of one target. One event loop.
+class TargetState {
+ public:
+  explicit TargetState(TargetRecord record);
+
+  const TargetRecord& Record() const { return this->record; }
+
+  /// Takes a newer record. A target that was started anew has forgotten all.
+  void Update(TargetRecord newer);
+
+  /// Whether the model, and the adapter unless it is empty, can be asked for.
+  bool Holds(std::string_view model, std::string_view adapter,
+             Instant now) const;
+  bool HoldsModel(std::string_view model) const;
+
+  /// The target said that it lacks them, whatever its record says.
+  void MarkAbsent(std::string_view model, std::string_view adapter,
+                  Instant now);
+
+  /// The placing instance says which adapters are there beside the record's.
+  void SetPlacedAdapters(std::set<std::string> adapters);
+
+  /// Counts a request while it is at the target.
+  void Sent(double prompt_tokens);
+  void FirstOutput(double prompt_tokens);
+  void Ended();
+  int InFlight() const { return this->in_flight; }
+  double UnreadTokens() const { return this->unread_tokens; }
+
+  /// What the target said of its load with an answer.
+  void Reported(const LoadReport& report, Instant now);
+  /// What other instances have there, by the last summary.
+  void SetOthers(double requests, double unread, Instant now);
+
+  /// Requests there, of this and all other instances, as far as known.
+  double Requests(Instant now) const;
+  double Unread(Instant now) const;
+
+  /// The target had no place for a request just now.
+  void MarkFull(Instant now);
+
+  /// Learns from a request's end.
+  void Learn(TargetResult result, Instant now);
+  bool Avoided(Instant now) const { return now < this->avoid_until; }
+  /// 0 to 1: the part of the last requests that failed.
+  double FaultShare() const { return this->fault_share; }
+
+  /// Set when the entry vanished although the target may live on.
+  std::optional<Instant> missing_since;
+  ConnectionPool connections;
+
+ private:
+  TargetRecord record;
+  std::set<std::string> placed_adapters;
+  std::map<std::string, Instant> absent_until;
+  int in_flight = 0;
+  double unread_tokens = 0;
+  std::optional<LoadReport> report;
+  Instant reported_at;
+  int in_flight_at_report = 0;
+  double others_requests = 0;
+  double others_unread = 0;
+  std::optional<Instant> others_at;
+  double fault_share = 0;
+  int unreachable_in_row = 0;
+  Instant avoid_until;
+};
+
+/// "model" or "model/adapter".
+std::string ResidentKey(std::string_view model, std::string_view adapter);
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_TARGET_STATE_H_
--- a/dragonflyglade/instance/main.cc
+++ b/dragonflyglade/instance/main.cc
@@ -1,44 +1,78 @@
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 
+#include <functional>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
-#include "dragonflyglade/instance/serve_command.h"
+#include "dragonflyglade/gateway/gateway_command.h"
 #include "dragonflyglade/operator/commands.h"
+#include "platform/wire.h"
+#ifdef DRAGONFLYGLADE_ALL_COMMANDS
+#include "dragonflyglade/instance/serve_command.h"
+#endif
 
+namespace dragonflyglade {
 namespace {
 
-constexpr const char* kUse =
-    "use: dragonflyglade COMMAND [--help]\n"
-    "  serve    run one instance\n"
-    "  config   validate, apply, get, show the history of, or retire records\n"
-    "  key      grant or withdraw a caller's key\n"
-    "  status   show what an instance sees\n"
-    "  audit    show the trail of changes\n";
+using Arguments = std::vector<std::string>;
 
-}  // namespace
+struct Command {
+  std::string_view name;
+  std::string_view purpose;
+  std::function<int(const Arguments&, const CommandOutput&)> run;
+};
 
-int main(int argc, char** argv) {
-  using namespace dragonflyglade;  // NOLINT: the program's own names.
-  const std::vector<std::string> all(argv + 1, argv + argc);
+int RunGateway(const Arguments& arguments, const CommandOutput& output) {
+  return gateway::RunGatewayCommand(arguments, output,
+                                    platform::MakeWireFormat());
+}
+
+std::vector<Command> Commands() {
+  return {
+      {"gateway", "run one instance on the users' platform", RunGateway},
+#ifdef DRAGONFLYGLADE_ALL_COMMANDS
+      {"serve", "run one instance", RunServeCommand},
+      {"config", "validate, apply, get, show the history of, or retire records",
+       RunConfigCommand},
+      {"key", "grant or withdraw a caller's key", RunKeyCommand},
+      {"status", "show what an instance sees", RunStatusCommand},
+      {"audit", "show the trail of changes", RunAuditCommand},
+#endif
+  };
+}
+
+std::string Use() {
+  std::string use = "use: dragonflyglade COMMAND [--help]\n";
+  for (const Command& command : Commands()) {
+    use += fmt::format("  {:<8} {}\n", command.name, command.purpose);
+  }
+  return use;
+}
+
+int Run(const Arguments& all) {
   const CommandOutput output{std::cout, std::cerr};
   if (all.empty()) {
-    fmt::print(std::cerr, "{}", kUse);
+    fmt::print(std::cerr, "{}", Use());
     return kExitBadUse;
   }
-  const std::string& command = all.front();
-  const std::vector<std::string> arguments(all.begin() + 1, all.end());
-  if (command == "serve") return RunServeCommand(arguments, output);
-  if (command == "config") return RunConfigCommand(arguments, output);
-  if (command == "key") return RunKeyCommand(arguments, output);
-  if (command == "status") return RunStatusCommand(arguments, output);
-  if (command == "audit") return RunAuditCommand(arguments, output);
-  if (command == "--help" || command == "help") {
-    fmt::print(std::cout, "{}", kUse);
+  const Arguments arguments(all.begin() + 1, all.end());
+  for (const Command& command : Commands()) {
+    if (command.name == all.front()) return command.run(arguments, output);
+  }
+  if (all.front() == "--help" || all.front() == "help") {
+    fmt::print(std::cout, "{}", Use());
     return kExitDone;
   }
-  fmt::print(std::cerr, "no such command: {}\n{}", command, kUse);
+  fmt::print(std::cerr, "no such command: {}\n{}", all.front(), Use());
   return kExitBadUse;
 }
+
+}  // namespace
+}  // namespace dragonflyglade
+
+int main(int argc, char** argv) {
+  return dragonflyglade::Run(std::vector<std::string>(argv + 1, argv + argc));
+}
--- a/dragonflyglade/instance/serve_command.cc
+++ b/dragonflyglade/instance/serve_command.cc
@@ -5,16 +5,14 @@
 #include <pthread.h>
 #include <signal.h>
 
-#include <boost/program_options.hpp>
-#include <optional>
+#include <variant>
 
 #include "dragonflyglade/instance/instance.h"
+#include "dragonflyglade/operator/settings_options.h"
 
 namespace dragonflyglade {
 namespace {
 
-namespace po = boost::program_options;
-
 constexpr const char* kServeUse =
     "use: dragonflyglade serve --settings FILE [--check]\n";
 
@@ -54,37 +52,16 @@
 
 int RunServeCommand(const std::vector<std::string>& arguments,
                     const CommandOutput& output) {
-  po::options_description described;
-  described.add_options()("help", "show this text")(
-      "settings", po::value<std::string>(), "the settings file")(
-      "check", "only check the settings");
-  po::variables_map options;
-  try {
-    po::store(po::command_line_parser(arguments)
-                  .options(described)
-                  .positional({})
-                  .run(),
-              options);
-    po::notify(options);
-  } catch (const po::error& error) {
-    fmt::print(output.err, "{}\n{}", error.what(), kServeUse);
-    return kExitBadUse;
-  }
-  if (options.count("help") > 0) {
-    fmt::print(output.out, "{}", kServeUse);
-    return kExitDone;
-  }
-  if (options.count("settings") == 0) {
-    fmt::print(output.err, "expected --settings FILE\n{}", kServeUse);
-    return kExitBadUse;
-  }
-  const Result<Settings> settings =
-      ReadSettings(options["settings"].as<std::string>());
+  const std::variant<SettingsOptions, int> parsed =
+      ParseSettingsOptions(arguments, kServeUse, output);
+  if (const int* exit_code = std::get_if<int>(&parsed)) return *exit_code;
+  const auto& options = std::get<SettingsOptions>(parsed);
+  const Result<Settings> settings = ReadSettings(options.settings);
   if (!settings.Ok()) {
     fmt::print(output.err, "{}\n", settings.Error().ToString());
     return kExitBadUse;
   }
-  if (options.count("check") > 0) {
+  if (options.check) {
     fmt::print(output.out, "settings are valid\n");
     return kExitDone;
   }
