--- /dev/null
+++ b/dragonflyglade/decision/quota_window.h
@@ -0,0 +1,99 @@
+#ifndef DRAGONFLYGLADE_DECISION_QUOTA_WINDOW_H_
+#define DRAGONFLYGLADE_DECISION_QUOTA_WINDOW_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/clock.h"
+
+namespace dragonflyglade {
+
+/// What a workspace may spend over all instances.
+struct QuotaLimit {
+  double rate = 0;   ///< tokens a second; 0 with burst 0: no limit
+  double burst = 0;  ///< tokens
+};
+
+/// Over which span a limit is counted, and by how much the fleet may exceed
+/// it. The excess covers what instances cannot know of each other.
+struct QuotaAllowance {
+  absl::Duration window = absl::Seconds(8);
+  double overage = 0;  ///< part of the limit
+  double slack = 0;    ///< tokens in a window
+};
+
+/// Whether a request is admitted, and if not, when to come back.
+struct QuotaVerdict {
+  bool admitted = true;
+  absl::Duration retry_after = absl::ZeroDuration();
+  double left = 0;  ///< tokens this instance could spend before the request
+};
+
+/// What the whole fleet spent in the window, by the newest summary.
+struct FleetSpend {
+  double total = 0;   ///< of all instances, this one among them
+  double own = 0;     ///< what the total counts of this instance
+  int instances = 1;  ///< that the total counts
+};
+
+/// Counts what this instance spends of each workspace's quota in a sliding
+/// window, and decides how much more it may spend. Not synchronised.
+///
+/// With a fresh summary of the fleet each instance may spend an equal part of
+/// what the fleet has left; what it spent since the summary counts against its
+/// part, so all parts together stay inside the limit. Without one, each may
+/// spend an equal part of the whole limit, which holds whatever happens to
+/// messages.
+class QuotaWindows {
+ public:
+  QuotaWindows(QuotaAllowance allowance, Clock clock);
+
+  /// The instances that share the quotas, as the store lists them.
+  void SetInstances(int count);
+
+  /// A summary of the fleet came.
+  void SetFleetSpend(std::string_view workspace, FleetSpend spend);
+
+  /// Counts the tokens of a request, or says when they will fit.
+  QuotaVerdict Take(std::string_view workspace, const QuotaLimit& limit,
+                    double tokens);
+
+  /// A request that was counted did not run.
+  void GiveBack(std::string_view workspace, double tokens);
+
+  /// What this instance spent in the window, by workspace.
+  std::map<std::string, double> Spent();
+
+  /// What all instances together may spend in a window.
+  double FleetAllowance(const QuotaLimit& limit) const;
+
+ private:
+  struct Slice {
+    std::int64_t number = 0;
+    double tokens = 0;
+  };
+  struct Spending {
+    std::deque<Slice> slices;
+    double sum = 0;
+    FleetSpend fleet;
+    std::optional<Instant> fleet_at;
+  };
+
+  Spending& Current(std::string_view workspace);
+  double Left(const Spending& spending, const QuotaLimit& limit) const;
+  std::int64_t SliceNow() const;
+
+  const QuotaAllowance allowance;
+  const Clock clock;
+  int instances = 1;
+  std::map<std::string, Spending, std::less<>> spendings;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_DECISION_QUOTA_WINDOW_H_
--- /dev/null
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -0,0 +1,276 @@
+#include "dragonflyglade/decision/residency_planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace dragonflyglade {
+namespace {
+
+std::string PlaceName(std::string_view engine, std::string_view model,
+                      std::string_view adapter) {
+  std::string name(engine);
+  return name.append(" ").append(model).append("/").append(adapter);
+}
+
+int AdapterCount(const EngineHoldings& engine) {
+  int count = 0;
+  for (const auto& [model, adapters] : engine.models) {
+    count += static_cast<int>(adapters.size());
+  }
+  return count;
+}
+
+}  // namespace
+
+// What one round works on: a copy of the holdings that follows the changes.
+struct ResidencyPlanner::Round {
+  std::map<std::string, const WantedModel*, std::less<>> models;
+  std::map<std::string, const WantedAdapter*> adapters;
+  std::vector<EngineHoldings> engines;
+  std::map<std::string, int, std::less<>> copies;
+  std::map<std::string, double> engine_load;
+  std::vector<ResidencyChange> changes;
+
+  double Used(const EngineHoldings& engine) const {
+    double used = 0;
+    for (const auto& [name, held] : engine.models) {
+      const auto model = this->models.find(name);
+      if (model == this->models.end()) continue;
+      used +=
+          model->second->memory_mb + held.size() * model->second->adapter_mb;
+    }
+    return used;
+  }
+
+  double LoadOf(const std::string& model) const {
+    const auto found = this->models.find(model);
+    return found == this->models.end() ? 0 : found->second->load;
+  }
+
+  int CopiesOf(const std::string& model) const {
+    const auto found = this->copies.find(model);
+    return found == this->copies.end() ? 0 : found->second;
+  }
+
+  // How busy each copy is with the model.
+  double PerCopy(const WantedModel& model) const {
+    return model.load / std::max(1, this->CopiesOf(model.name));
+  }
+
+  void CountEngineLoads() {
+    this->engine_load.clear();
+    for (const EngineHoldings& engine : this->engines) {
+      double load = 0;
+      for (const auto& [name, adapters] : engine.models) {
+        load += this->LoadOf(name) / std::max(1, this->CopiesOf(name));
+      }
+      this->engine_load[engine.id] = load;
+    }
+  }
+};
+
+ResidencyPlanner::ResidencyPlanner(ResidencyOptions options, Clock clock)
+    : options(options), clock(std::move(clock)) {}
+
+std::vector<ResidencyChange> ResidencyPlanner::Plan(
+    absl::Span<const WantedModel> models,
+    absl::Span<const WantedAdapter> adapters,
+    absl::Span<const EngineHoldings> engines, int model_loads) {
+  Round round;
+  round.engines.assign(engines.begin(), engines.end());
+  for (const WantedModel& model : models) round.models[model.name] = &model;
+  for (const WantedAdapter& adapter : adapters) {
+    round.adapters[absl::StrCat(adapter.model, "/", adapter.adapter)] =
+        &adapter;
+  }
+  for (const EngineHoldings& engine : round.engines) {
+    if (!engine.usable) continue;
+    for (const auto& [name, held] : engine.models) round.copies[name] += 1;
+  }
+  round.CountEngineLoads();
+  this->PlanModels(round, model_loads);
+  this->PlanAdapters(round);
+  return std::move(round.changes);
+}
+
+void ResidencyPlanner::PlanModels(Round& round, int model_loads) {
+  std::vector<const WantedModel*> short_of_copies;
+  for (const auto& [name, model] : round.models) {
+    const bool nowhere = round.CopiesOf(name) == 0;
+    if (nowhere || round.PerCopy(*model) > this->options.add_above) {
+      short_of_copies.push_back(model);
+    }
+  }
+  // Models that are nowhere first, those with waiting requests before others,
+  // then by how busy their copies are.
+  std::sort(short_of_copies.begin(), short_of_copies.end(),
+            [&](const WantedModel* one, const WantedModel* other) {
+              const auto key = [&](const WantedModel* model) {
+                return std::make_tuple(round.CopiesOf(model->name) > 0,
+                                       -model->waiting, -round.PerCopy(*model));
+              };
+              return key(one) < key(other);
+            });
+  for (const WantedModel* model : short_of_copies) {
+    if (model_loads <= 0) return;
+    if (this->AddCopy(round, *model)) {
+      model_loads -= 1;
+    } else {
+      this->MakeRoom(round, *model);
+    }
+  }
+}
+
+bool ResidencyPlanner::AddCopy(Round& round, const WantedModel& model) {
+  EngineHoldings* best = nullptr;
+  for (EngineHoldings& engine : round.engines) {
+    if (!engine.usable || engine.busy) continue;
+    if (engine.models.count(model.name) > 0) continue;
+    if (round.Used(engine) + model.memory_mb > engine.memory_mb) continue;
+    if (best == nullptr ||
+        round.engine_load[engine.id] < round.engine_load[best->id]) {
+      best = &engine;
+    }
+  }
+  if (best == nullptr) return false;
+  best->models[model.name];
+  best->busy = true;
+  round.copies[model.name] += 1;
+  round.CountEngineLoads();
+  round.changes.push_back(
+      {ResidencyChange::Kind::kLoad, best->id, model.name, ""});
+  return true;
+}
+
+// Takes away the copy that is missed least, on an engine where that makes
+// enough room. The load follows in a later round, when the copy is gone.
+bool ResidencyPlanner::MakeRoom(Round& round, const WantedModel& model) {
+  EngineHoldings* best = nullptr;
+  std::string best_victim;
+  double best_cost = std::numeric_limits<double>::max();
+  for (EngineHoldings& engine : round.engines) {
+    if (!engine.usable || engine.busy) continue;
+    if (engine.models.count(model.name) > 0) continue;
+    const double missing =
+        round.Used(engine) + model.memory_mb - engine.memory_mb;
+    for (const auto& [name, held] : engine.models) {
+      const auto victim = round.models.find(name);
+      if (victim == round.models.end()) continue;
+      const int copies = round.CopiesOf(name);
+      if (copies < 2 || victim->second->memory_mb < missing) continue;
+      const double rest = victim->second->load / (copies - 1);
+      const bool spared = rest <= this->options.spare_below ||
+                          rest < 0.5 * round.PerCopy(model);
+      if (!spared) continue;
+      const double cost = rest + round.engine_load[engine.id];
+      if (cost >= best_cost) continue;
+      best_cost = cost;
+      best = &engine;
+      best_victim = name;
+    }
+  }
+  if (best == nullptr) return false;
+  best->models.erase(best_victim);
+  best->busy = true;
+  round.copies[best_victim] -= 1;
+  round.changes.push_back(
+      {ResidencyChange::Kind::kUnload, best->id, best_victim, ""});
+  return true;
+}
+
+void ResidencyPlanner::PlanAdapters(Round& round) {
+  std::vector<const WantedAdapter*> wanted;
+  for (const auto& [name, adapter] : round.adapters) {
+    wanted.push_back(adapter);
+  }
+  std::sort(wanted.begin(), wanted.end(),
+            [](const WantedAdapter* one, const WantedAdapter* other) {
+              return std::make_pair(-one->waiting, -one->load) <
+                     std::make_pair(-other->waiting, -other->load);
+            });
+  for (const WantedAdapter* adapter : wanted) this->AddAdapter(round, *adapter);
+}
+
+void ResidencyPlanner::AddAdapter(Round& round, const WantedAdapter& wanted) {
+  int copies = 0;
+  std::vector<EngineHoldings*> holders;
+  for (EngineHoldings& engine : round.engines) {
+    if (!engine.usable) continue;
+    const auto model = engine.models.find(wanted.model);
+    if (model == engine.models.end()) continue;
+    if (model->second.count(wanted.adapter) > 0) {
+      copies += 1;
+    } else if (!engine.busy) {
+      holders.push_back(&engine);
+    }
+  }
+  const bool second =
+      copies == 1 && wanted.load / copies > this->options.second_adapter_above;
+  if (copies > 0 && !second) return;
+  std::sort(
+      holders.begin(), holders.end(),
+      [&](const EngineHoldings* one, const EngineHoldings* other) {
+        const auto key = [&](const EngineHoldings* engine) {
+          return std::make_pair(
+              AdapterCount(*engine) >= engine->adapter_slots,
+              round.engine_load[engine->id] + 0.05 * AdapterCount(*engine));
+        };
+        return key(one) < key(other);
+      });
+  const auto model = round.models.find(wanted.model);
+  if (model == round.models.end()) return;
+  for (EngineHoldings* engine : holders) {
+    const bool has_slot = AdapterCount(*engine) < engine->adapter_slots;
+    const bool has_memory =
+        round.Used(*engine) + model->second->adapter_mb <= engine->memory_mb;
+    if (has_slot && has_memory) {
+      engine->models[wanted.model].insert(wanted.adapter);
+      this->placed_at[PlaceName(engine->id, wanted.model, wanted.adapter)] =
+          this->clock.Now();
+      round.changes.push_back({ResidencyChange::Kind::kLoad, engine->id,
+                               wanted.model, wanted.adapter});
+      return;
+    }
+    // Only what nobody has asked for gives way to a second copy.
+    if (this->EvictAdapter(round, *engine, wanted)) return;
+  }
+}
+
+bool ResidencyPlanner::EvictAdapter(Round& round, EngineHoldings& engine,
+                                    const WantedAdapter& wanted) {
+  const Instant now = this->clock.Now();
+  std::optional<std::pair<std::string, std::string>> victim;
+  double least =
+      wanted.waiting > 0 ? std::numeric_limits<double>::max() : wanted.load;
+  for (const auto& [model, adapters] : engine.models) {
+    for (const std::string& adapter : adapters) {
+      const auto placed =
+          this->placed_at.find(PlaceName(engine.id, model, adapter));
+      if (placed != this->placed_at.end() &&
+          now - placed->second < this->options.adapter_stays) {
+        continue;
+      }
+      const auto asked = round.adapters.find(absl::StrCat(model, "/", adapter));
+      const double load =
+          asked == round.adapters.end() ? 0 : asked->second->load;
+      const bool awaited =
+          asked != round.adapters.end() && asked->second->waiting > 0;
+      if (awaited || load >= least) continue;
+      least = load;
+      victim = {model, adapter};
+    }
+  }
+  if (!victim.has_value()) return false;
+  engine.models[victim->first].erase(victim->second);
+  this->placed_at.erase(PlaceName(engine.id, victim->first, victim->second));
+  round.changes.push_back({ResidencyChange::Kind::kUnload, engine.id,
+                           victim->first, victim->second});
+  return true;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/dragonflyglade/decision/residency_planner.h
@@ -0,0 +1,106 @@
+#ifndef DRAGONFLYGLADE_DECISION_RESIDENCY_PLANNER_H_
+#define DRAGONFLYGLADE_DECISION_RESIDENCY_PLANNER_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "dragonflyglade/decision/clock.h"
+
+namespace dragonflyglade {
+
+/// A model of a service, with what callers ask of it now.
+struct WantedModel {
+  std::string name;
+  double memory_mb = 0;
+  double adapter_mb = 0;  ///< of each of its adapters
+  /// Engine time asked for: 1 keeps one target busy.
+  double load = 0;
+  int waiting = 0;  ///< requests that wait because it is nowhere
+};
+
+/// An adapter that callers ask for now.
+struct WantedAdapter {
+  std::string model;
+  std::string adapter;
+  double load = 0;
+  int waiting = 0;
+};
+
+/// An engine, with what it holds or is booked to hold.
+struct EngineHoldings {
+  std::string id;
+  double memory_mb = 0;
+  int adapter_slots = 0;
+  /// Model to its adapters. A load that is under way counts as held, an
+  /// unload that is under way still counts.
+  std::map<std::string, std::set<std::string>, std::less<>> models;
+  bool usable = true;  ///< present and not leaving
+  bool busy = false;   ///< takes no order for a model now
+};
+
+/// A change of what an engine holds.
+struct ResidencyChange {
+  enum class Kind { kLoad, kUnload };
+  Kind kind = Kind::kLoad;
+  std::string target;
+  std::string model;
+  std::string adapter;  ///< empty: the model itself
+};
+
+/// Thresholds.
+struct ResidencyOptions {
+  /// A model gets a copy more when its copies are this busy with it. Far
+  /// below 1: engines slow down for all they serve as they fill, and a copy
+  /// takes seconds to load while demand moves.
+  double add_above = 0.30;
+  /// A copy may make room for others if the rest would be at most this busy.
+  double spare_below = 0.20;
+  /// An adapter gets a second copy when one is this busy with it.
+  double second_adapter_above = 0.15;
+  /// How long an adapter stays although others want its place.
+  absl::Duration adapter_stays = absl::Seconds(2);
+};
+
+/// Decides which models and adapters engines should hold. Not synchronised.
+///
+/// Every model keeps a copy; a copy is taken away only to make room, and never
+/// the last one. Adapters load in milliseconds, so they follow requests;
+/// models take seconds, so they follow the load before requests wait.
+class ResidencyPlanner {
+ public:
+  ResidencyPlanner(ResidencyOptions options, Clock clock);
+
+  /// The next changes. At most one for a model at each engine; engines that
+  /// are busy get none.
+  /// @param model_loads how many loads of models may begin now
+  /// Complexity: O(models * engines + adapters * engines).
+  std::vector<ResidencyChange> Plan(absl::Span<const WantedModel> models,
+                                    absl::Span<const WantedAdapter> adapters,
+                                    absl::Span<const EngineHoldings> engines,
+                                    int model_loads);
+
+ private:
+  struct Round;
+
+  void PlanModels(Round& round, int model_loads);
+  bool AddCopy(Round& round, const WantedModel& model);
+  bool MakeRoom(Round& round, const WantedModel& model);
+  void PlanAdapters(Round& round);
+  void AddAdapter(Round& round, const WantedAdapter& wanted);
+  bool EvictAdapter(Round& round, EngineHoldings& engine,
+                    const WantedAdapter& wanted);
+
+  const ResidencyOptions options;
+  const Clock clock;
+  /// When an adapter was placed at an engine; keys are "engine model/adapter".
+  std::map<std::string, Instant> placed_at;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_DECISION_RESIDENCY_PLANNER_H_
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -11,6 +11,10 @@
 // Prompt tokens a target reads in a millisecond. Engines of today read about
 // 39 when idle; requests that are generating take a part of it.
 constexpr double kReadPerMs = 30;
+// An output token in a batch of some dozens: a step of 6 ms over the batch.
+constexpr double kMsPerOutput = 0.35;
+// The part of shared tokens that are read anew, on the average.
+constexpr double kSharedMissed = 0.3;
 // What each running request adds to the first output of the next one, by the
 // step time that it adds while prompts are read in pieces between steps.
 constexpr double kMsPerRunning = 1.5;
@@ -51,6 +55,13 @@
 
 }  // namespace
 
+double EngineWorkMs(double prompt_tokens, double shared_tokens,
+                    double output_tokens) {
+  const double read =
+      prompt_tokens - shared_tokens + kSharedMissed * shared_tokens;
+  return read / kReadPerMs + output_tokens * kMsPerOutput;
+}
+
 int UrgencyOf(int route_priority, std::optional<int> workspace_priority) {
   constexpr int kLevels = 3;  // of the route, within each of the workspace
   constexpr int kLast = 9;
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -42,6 +42,11 @@
 /// priority goes before the route's.
 int UrgencyOf(int route_priority, std::optional<int> workspace_priority);
 
+/// How long a request keeps an engine busy, in milliseconds.
+/// @param shared_tokens the part of the prompt that engines mostly keep
+double EngineWorkMs(double prompt_tokens, double shared_tokens,
+                    double output_tokens);
+
 /// Picks the candidate with the least expected wait for the first output.
 ///
 /// Requests that share a part of their prompt prefer the same targets on all
--- /dev/null
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -0,0 +1,257 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <set>
+
+#include "dragonflyglade/gateway/fleet_channel.h"
+#include "dragonflyglade/net/endpoint.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+// Requests move in and out of targets within some hundred milliseconds, so
+// older news says little; faster reports cost processor time for each pair of
+// messages.
+constexpr absl::Duration kReportEvery = absl::Milliseconds(200);
+constexpr std::size_t kLargestDatagram = 65000;
+// Reports whose summary is still awaited.
+constexpr std::size_t kMostUnanswered = 32;
+
+std::string Encode(const wire::FleetMessage& message) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  message.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+std::optional<wire::FleetMessage> Decode(std::string_view datagram) {
+  try {
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(datagram.data())),
+        static_cast<std::uint32_t>(datagram.size()));
+    TCompactProtocol protocol(buffer);
+    wire::FleetMessage message;
+    message.read(&protocol);
+    return message;
+  } catch (const std::exception&) {
+    // Anybody can send to the port; what cannot be read is counted by the
+    // caller and dropped.
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+FleetChannel::FleetChannel(asio::io_context& context, FleetState& fleet,
+                           ModelDemand& demand, QuotaWindows& quotas,
+                           ReportHub& hub, const DutyLease& duty,
+                           InstanceRecord self, Metrics& metrics, Clock clock)
+    : context(context),
+      fleet(fleet),
+      demand(demand),
+      quotas(quotas),
+      hub(hub),
+      duty(duty),
+      self(std::move(self)),
+      metrics(metrics),
+      clock(std::move(clock)),
+      socket(context),
+      wake(context) {
+  this->demand.OnFirstWait([this] { this->wake.Notify(); });
+}
+
+Status FleetChannel::Open(const Endpoint& endpoint) {
+  error_code error;
+  const udp::endpoint place(asio::ip::make_address(endpoint.address, error),
+                            static_cast<unsigned short>(endpoint.port));
+  if (!error) this->socket.open(place.protocol(), error);
+  if (!error) this->socket.bind(place, error);
+  if (!error) this->socket.non_blocking(true, error);
+  if (error) {
+    return MakeFailure(Errc::kConnectFailed, "listen", endpoint.ToString(),
+                       error.message());
+  }
+  return Done{};
+}
+
+asio::awaitable<void> FleetChannel::Receive() {
+  std::string space(kLargestDatagram, '\0');
+  while (true) {
+    udp::endpoint sender;
+    error_code error;
+    const std::size_t got = co_await this->socket.async_receive_from(
+        asio::buffer(space), sender,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await Sleep(this->context, kReportEvery);
+      continue;
+    }
+    this->Take(std::string_view(space.data(), got));
+  }
+}
+
+void FleetChannel::Take(std::string_view datagram) {
+  const std::optional<wire::FleetMessage> message = Decode(datagram);
+  if (!message.has_value()) {
+    this->metrics.Count("unreadable_datagrams");
+    return;
+  }
+  if (message->__isset.report) this->TakeReport(message->report);
+  if (message->__isset.summary) this->TakeSummary(message->summary);
+}
+
+asio::awaitable<void> FleetChannel::Report() {
+  while (true) {
+    co_await this->wake.Wait(kReportEvery);
+    const std::optional<DutyHolder> holder = this->fleet.Duty();
+    if (!holder.has_value()) continue;
+    wire::FleetMessage message;
+    message.__set_report(this->MakeReport());
+    if (holder->instance.incarnation == this->self.incarnation) {
+      this->TakeReport(message.report);
+    } else {
+      this->Send(message, holder->instance.peers);
+    }
+  }
+}
+
+wire::InstanceReport FleetChannel::MakeReport() {
+  wire::InstanceReport report;
+  report.instance = this->self.name;
+  report.incarnation = this->self.incarnation;
+  report.address = this->self.peers;
+  report.sequence = ++this->sequence;
+  this->fleet.ForEachTarget([&](const TargetState& target) {
+    if (target.InFlight() == 0) return;
+    wire::TargetUse use;
+    use.target = target.Record().id;
+    use.requests = target.InFlight();
+    use.unread_tokens = static_cast<std::int64_t>(target.UnreadTokens());
+    report.targets.push_back(std::move(use));
+  });
+  for (const auto& [name, count] : this->demand.Take()) {
+    wire::ModelWish wish;
+    wish.service_name = name.service;
+    wish.model = name.model;
+    wish.adapter = name.adapter;
+    wish.requests = count.requests;
+    wish.work_ms = count.work_ms;
+    wish.waiting = count.waiting;
+    report.wishes.push_back(std::move(wish));
+  }
+  const std::map<std::string, double> spent = this->quotas.Spent();
+  for (const auto& [workspace, tokens] : spent) {
+    wire::WorkspaceSpend spend;
+    spend.workspace = workspace;
+    spend.tokens = static_cast<std::int64_t>(tokens);
+    report.spends.push_back(std::move(spend));
+  }
+  this->spent_at[this->sequence] = spent;
+  if (this->spent_at.size() > kMostUnanswered) {
+    this->spent_at.erase(this->spent_at.begin());
+  }
+  return report;
+}
+
+void FleetChannel::TakeReport(const wire::InstanceReport& report) {
+  if (!this->duty.Held()) return;
+  this->hub.Take(report);
+  bool anyone_waits = false;
+  for (const wire::ModelWish& wish : report.wishes) {
+    anyone_waits = anyone_waits || wish.waiting > 0;
+  }
+  if (anyone_waits && this->waiting) this->waiting();
+  this->SendSummary(report.instance, report.address);
+}
+
+void FleetChannel::SendSummary(const std::string& instance,
+                               const std::string& address) {
+  wire::FleetMessage message;
+  wire::FleetSummary summary = this->hub.SummaryFor(instance);
+  summary.holder = this->self.incarnation;
+  summary.fence = static_cast<std::int64_t>(this->duty.Fence());
+  if (this->holdings) summary.holdings = this->holdings();
+  message.__set_summary(std::move(summary));
+  if (instance == this->self.name) {
+    this->TakeSummary(message.summary);
+  } else {
+    this->Send(message, address);
+  }
+}
+
+void FleetChannel::PushSummaries() {
+  for (const auto& [instance, address] : this->hub.Reporters()) {
+    this->SendSummary(instance, address);
+  }
+}
+
+void FleetChannel::TakeSummary(const wire::FleetSummary& summary) {
+  const std::optional<DutyHolder>& holder = this->fleet.Duty();
+  // A holder that was replaced may not know it yet.
+  if (!holder.has_value() || holder->instance.incarnation != summary.holder) {
+    return;
+  }
+  const Instant now = this->clock.Now();
+  std::map<std::string_view, const wire::TargetUse*> uses;
+  for (const wire::TargetUse& use : summary.targets) uses[use.target] = &use;
+  this->fleet.ForEachTarget([&](TargetState& target) {
+    const auto use = uses.find(target.Record().id);
+    if (use == uses.end()) {
+      target.SetOthers(0, 0, now);
+    } else {
+      target.SetOthers(use->second->requests, use->second->unread_tokens, now);
+    }
+  });
+  for (const wire::TargetHoldings& item : summary.holdings) {
+    const std::shared_ptr<TargetState> target = this->fleet.Target(item.target);
+    if (target == nullptr) continue;
+    target->SetPlaced(
+        std::set<std::string>(item.adapters.begin(), item.adapters.end()),
+        std::set<std::string>(item.closing_models.begin(),
+                              item.closing_models.end()),
+        now);
+  }
+  const auto own = this->spent_at.find(summary.answers);
+  for (const wire::WorkspaceSpend& spend : summary.spends) {
+    FleetSpend fleet_spend;
+    fleet_spend.total = static_cast<double>(spend.tokens);
+    fleet_spend.instances = summary.instances;
+    if (own != this->spent_at.end()) {
+      const auto mine = own->second.find(spend.workspace);
+      if (mine != own->second.end()) fleet_spend.own = mine->second;
+    }
+    this->quotas.SetFleetSpend(spend.workspace, fleet_spend);
+  }
+  this->fleet.Changed().Notify();
+}
+
+void FleetChannel::Send(const wire::FleetMessage& message,
+                        const std::string& address) {
+  const Result<Endpoint> endpoint = ParseEndpoint(address);
+  if (!endpoint.Ok()) return;
+  error_code error;
+  const udp::endpoint place(
+      asio::ip::make_address(endpoint.Value().address, error),
+      static_cast<unsigned short>(endpoint.Value().port));
+  if (error) return;
+  const std::string datagram = Encode(message);
+  this->socket.send_to(asio::buffer(datagram), place, 0, error);
+  this->metrics.Count("peer_datagrams",
+                      error ? "result=\"failed\"" : "result=\"sent\"");
+  this->metrics.Count("peer_bytes", {}, static_cast<double>(datagram.size()));
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -0,0 +1,83 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_FLEET_CHANNEL_H_
+#define DRAGONFLYGLADE_GATEWAY_FLEET_CHANNEL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/decision/quota_window.h"
+#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/report_hub.h"
+#include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/operator/metrics.h"
+#include "dragonflyglade/peer/generated/fleet_types.h"
+
+namespace dragonflyglade::gateway {
+
+/// Tells the placing instance what this one has and wants, and takes its
+/// summary of the fleet, in datagrams. A lost one is made good by the next.
+/// One event loop.
+class FleetChannel {
+ public:
+  FleetChannel(boost::asio::io_context& context, FleetState& fleet,
+               ModelDemand& demand, QuotaWindows& quotas, ReportHub& hub,
+               const DutyLease& duty, InstanceRecord self, Metrics& metrics,
+               Clock clock);
+
+  /// Opens the socket. Errors: kConnectFailed.
+  Status Open(const Endpoint& endpoint);
+
+  /// Run until the process ends.
+  boost::asio::awaitable<void> Receive();
+  boost::asio::awaitable<void> Report();
+
+  /// As holder: gives every reporter the summary now.
+  void PushSummaries();
+
+  /// As holder: what is at the targets, added to each summary.
+  void SetHoldings(std::function<std::vector<wire::TargetHoldings>()> read) {
+    this->holdings = std::move(read);
+  }
+  /// As holder: called when a report came with waiting requests.
+  void OnWaiting(std::function<void()> wake) {
+    this->waiting = std::move(wake);
+  }
+
+ private:
+  wire::InstanceReport MakeReport();
+  void Take(std::string_view datagram);
+  void TakeReport(const wire::InstanceReport& report);
+  void TakeSummary(const wire::FleetSummary& summary);
+  void SendSummary(const std::string& instance, const std::string& address);
+  void Send(const wire::FleetMessage& message, const std::string& address);
+
+  boost::asio::io_context& context;
+  FleetState& fleet;
+  ModelDemand& demand;
+  QuotaWindows& quotas;
+  ReportHub& hub;
+  const DutyLease& duty;
+  const InstanceRecord self;
+  Metrics& metrics;
+  const Clock clock;
+  boost::asio::ip::udp::socket socket;
+  Signal wake;
+  std::int64_t sequence = 0;
+  /// What this instance had spent when it made a report, by its sequence.
+  std::map<std::int64_t, std::map<std::string, double>> spent_at;
+  std::function<std::vector<wire::TargetHoldings>()> holdings;
+  std::function<void()> waiting;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_FLEET_CHANNEL_H_
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -85,11 +85,12 @@
   const auto known = this->targets.find(record.id);
   if (known != this->targets.end() &&
       known->second->Record().service == record.service) {
-    known->second->Update(std::move(record));
+    known->second->Update(std::move(record), this->clock.Now());
     return;
   }
   this->RemoveTarget(record.id);
-  auto state = std::make_shared<TargetState>(std::move(record));
+  auto state =
+      std::make_shared<TargetState>(std::move(record), this->clock.Now());
   this->by_service[state->Record().service].push_back(state);
   this->targets[state->Record().id] = std::move(state);
 }
@@ -197,6 +198,11 @@
   return found->second;
 }
 
+void FleetState::ForEachTarget(
+    const std::function<void(TargetState&)>& visit) const {
+  for (const auto& [id, target] : this->targets) visit(*target);
+}
+
 std::shared_ptr<TargetState> FleetState::Target(std::string_view id) const {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : found->second;
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_GATEWAY_FLEET_STATE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +61,7 @@
   absl::Span<const std::shared_ptr<TargetState>> Targets(
       std::string_view service) const;
   std::shared_ptr<TargetState> Target(std::string_view id) const;
+  void ForEachTarget(const std::function<void(TargetState&)>& visit) const;
 
   const std::map<std::string, InstanceRecord, std::less<>>& Instances() const {
     return this->instances;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -46,20 +46,29 @@
       context(1),
       log(this->settings.instance, this->clock),
       fleet(this->context, this->wire, this->clock, this->log),
+      quotas(this->settings.quota_allowance, this->clock),
       store(this->context, this->settings.store, this->wire, this->metrics,
             this->clock),
       follower(this->context, this->store, this->fleet, this->log, this->clock),
       duty({this->settings.quiet_between_holders}, ReadLocalTime),
+      self(this->MakeSelf()),
       registration(this->context, this->store, this->fleet, this->duty,
-                   this->Self(), this->settings.lease_ttl, this->log,
+                   this->self, this->settings.lease_ttl, this->log,
                    this->clock),
+      hub(this->clock),
+      channel(this->context, this->fleet, this->demand, this->quotas, this->hub,
+              this->duty, this->self, this->metrics, this->clock),
+      placement(this->context, this->settings, this->wire, this->fleet,
+                this->duty, this->hub, this->channel, this->metrics, this->log,
+                this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
-               this->demand, this->metrics, this->log, this->clock),
+               this->demand, this->quotas, this->metrics, this->log,
+               this->clock),
       signals(this->context) {
   this->AddGauges();
 }
 
-InstanceRecord Gateway::Self() const {
+InstanceRecord Gateway::MakeSelf() const {
   InstanceRecord self;
   self.name = this->settings.instance;
   self.zone = this->settings.zone;
@@ -127,6 +136,11 @@
                    this->AcceptQuestions(*acceptor.Value(), answer),
                    asio::detached);
   }
+  const Status peers = this->channel.Open(this->settings.peers);
+  if (!peers.Ok()) return peers;
+  asio::co_spawn(this->context, this->channel.Receive(), asio::detached);
+  asio::co_spawn(this->context, this->channel.Report(), asio::detached);
+  asio::co_spawn(this->context, this->placement.Run(), asio::detached);
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
   this->signals.add(SIGTERM);
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -12,11 +12,14 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
 #include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/pipeline.h"
+#include "dragonflyglade/gateway/placement_duty.h"
 #include "dragonflyglade/gateway/registration.h"
+#include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/store_follower.h"
 #include "dragonflyglade/gateway/store_link.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -64,7 +67,7 @@
   PlainAnswer AnswerReadiness(std::string_view path) const;
   PlainAnswer AnswerDirectory(std::string_view path) const;
   PlainAnswer AnswerMetrics(std::string_view path) const;
-  InstanceRecord Self() const;
+  InstanceRecord MakeSelf() const;
   CallerLimits Limits() const;
   void AddGauges();
 
@@ -76,10 +79,15 @@
   EventLog log;
   FleetState fleet;
   ModelDemand demand;
+  QuotaWindows quotas;
   StoreLink store;
   StoreFollower follower;
   DutyLease duty;
+  const InstanceRecord self;
   Registration registration;
+  ReportHub hub;
+  FleetChannel channel;
+  PlacementDuty placement;
   Pipeline pipeline;
   boost::asio::signal_set signals;
   std::list<Acceptor> acceptors;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -47,6 +47,7 @@
                               {"quiet_between_holders_ms", Number()},
                               {"stop_within_s", Number()},
                               {"directory_keep_s", Number()},
+                              {"quota_window_s", Number()},
                               {"quota_overage", Number()},
                               {"quota_slack", Number()},
                               {"retry_share", Number()},
@@ -99,6 +100,7 @@
            settings.quiet_between_holders);
   ReadTime(limits, "stop_within_s", s, settings.stop_within);
   ReadTime(limits, "directory_keep_s", s, settings.directory_keep);
+  ReadTime(limits, "quota_window_s", s, settings.quota_allowance.window);
   ReadNumber(limits, "quota_overage", settings.quota_allowance.overage);
   ReadNumber(limits, "quota_slack", settings.quota_allowance.slack);
   ReadNumber(limits, "retry_share", settings.retry_share);
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -6,7 +6,7 @@
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/failure.h"
-#include "dragonflyglade/decision/quota_share.h"
+#include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "dragonflyglade/decision/quota_share.h"
+#include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/decision/route_table.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/model_demand.cc
+++ b/dragonflyglade/gateway/model_demand.cc
@@ -2,19 +2,19 @@
 
 namespace dragonflyglade::gateway {
 
-void ModelDemand::Asked(const std::string& name, double tokens) {
+void ModelDemand::Asked(const ModelName& name, double work_ms) {
   DemandCount& count = this->counts[name];
   count.requests += 1;
-  count.tokens += tokens;
+  count.work_ms += work_ms;
 }
 
-void ModelDemand::BeginWait(const std::string& name) {
+void ModelDemand::BeginWait(const ModelName& name) {
   DemandCount& count = this->counts[name];
   count.waiting += 1;
   if (count.waiting == 1 && this->wake) this->wake();
 }
 
-void ModelDemand::EndWait(const std::string& name) {
+void ModelDemand::EndWait(const ModelName& name) {
   this->counts[name].waiting -= 1;
 }
 
@@ -22,7 +22,7 @@
   Counts taken = this->counts;
   for (auto item = this->counts.begin(); item != this->counts.end();) {
     item->second.requests = 0;
-    item->second.tokens = 0;
+    item->second.work_ms = 0;
     if (item->second.waiting <= 0) {
       item = this->counts.erase(item);
     } else {
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -26,8 +26,9 @@
 // A request that finds its model or adapter nowhere waits for it: adapters
 // are there in some ten milliseconds, models in seconds. Longer than this,
 // the caller does better to come back.
-constexpr absl::Duration kMostWait = absl::Seconds(2);
-constexpr double kWaitShare = 0.33;  // of the time that is left
+// Half of what a caller wants its first output in is the longest useful wait
+// for an adapter.
+constexpr double kWaitShare = 0.5;  // of the route's latency objective
 // How often a waiting request looks whether its caller has left.
 constexpr absl::Duration kWaitSlice = absl::Milliseconds(100);
 // Declined attempts cost a message each; a request that five targets have
@@ -145,17 +146,17 @@
 
 Pipeline::Pipeline(asio::io_context& context, const GatewaySettings& settings,
                    const WireFormat& wire, FleetState& fleet,
-                   ModelDemand& demand, Metrics& metrics, EventLog& log,
-                   Clock clock)
+                   ModelDemand& demand, QuotaWindows& quotas, Metrics& metrics,
+                   EventLog& log, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
       fleet(fleet),
       demand(demand),
+      quotas(quotas),
       metrics(metrics),
       log(log),
-      clock(clock),
-      quotas(settings.quota_allowance, clock) {}
+      clock(std::move(clock)) {}
 
 asio::awaitable<void> Pipeline::Serve(CallerRequest request, CallerLink& link) {
   Job job(std::move(request), link);
@@ -223,7 +224,7 @@
       {{"id", job.request.id},
        {"workspace", job.workspace->name},
        {"tokens", job.cost},
-       {"level", verdict.level},
+       {"left", verdict.left},
        {"instances", static_cast<int>(this->fleet.Instances().size())}});
   return Make(RefusalCode::kOverRate, "the workspace is above its rate",
               verdict.retry_after);
@@ -232,11 +233,11 @@
 asio::awaitable<void> Pipeline::Forward(Job& job) {
   const ModelUse& use = job.request.use;
   if (job.IsEngineWork()) {
-    const std::string base = job.service->name + "/";
-    this->demand.Asked(base + use.model, use.Tokens());
+    const double work_ms =
+        EngineWorkMs(use.prompt_tokens, job.SharedTokens(), use.output_tokens);
+    this->demand.Asked({job.service->name, use.model, ""}, work_ms);
     if (!use.adapter.empty()) {
-      this->demand.Asked(base + ResidentKey(use.model, use.adapter),
-                         use.Tokens());
+      this->demand.Asked({job.service->name, use.model, use.adapter}, work_ms);
     }
   }
   Next next = Next::kTryAnother;
@@ -248,10 +249,10 @@
     }
     if (target == nullptr) {
       const bool models = job.IsEngineWork();
-      Refusal refusal = Make(models ? RefusalCode::kModelNotResident
-                                    : RefusalCode::kTargetsBusy,
-                             "no target can take the request now",
-                             models ? kRetryModel : kRetryBusy);
+      Refusal refusal = Make(
+          models ? RefusalCode::kModelNotResident : RefusalCode::kTargetsBusy,
+          "no target can take the request now",
+          models ? kRetryModel : kRetryBusy);
       co_await this->Refuse(job, std::move(refusal));
       co_return;
     }
@@ -313,10 +314,10 @@
   if (target != nullptr || !job.IsEngineWork()) co_return target;
   const Instant begun = this->clock.Now();
   const Instant until =
-      begun + std::min(kMostWait, kWaitShare * (job.give_up - begun));
-  const std::string name =
-      job.service->name + "/" +
-      ResidentKey(job.request.use.model, job.request.use.adapter);
+      begun +
+      std::min(kWaitShare * job.route->latency_objective, job.give_up - begun);
+  const ModelName name{job.service->name, job.request.use.model,
+                       job.request.use.adapter};
   this->demand.BeginWait(name);
   Instant now = begun;
   while (target == nullptr && now < until && !job.link.Left()) {
@@ -326,9 +327,10 @@
   }
   this->demand.EndWait(name);
   job.held += now - begun;
-  this->log.Write(
-      "request", target != nullptr ? "model found" : "no model",
-      {{"id", job.request.id}, {"model", name}, {"waited_ms", now - begun}});
+  this->log.Write("request", target != nullptr ? "model found" : "no model",
+                  {{"id", job.request.id},
+                   {"model", ResidentKey(name.model, name.adapter)},
+                   {"waited_ms", now - begun}});
   co_return target;
 }
 
@@ -461,9 +463,9 @@
                    {"status", declined.head.status},
                    {"attempts", job.attempts}});
   if (this->MayRepeat(job, false)) co_return Next::kTryAnother;
-  Refusal refusal = Make(
-      job.runs > 0 ? RefusalCode::kTargetLost : RefusalCode::kTargetsBusy,
-      "the targets have no place for the request");
+  Refusal refusal =
+      Make(job.runs > 0 ? RefusalCode::kTargetLost : RefusalCode::kTargetsBusy,
+           "the targets have no place for the request");
   co_await this->Refuse(job, std::move(refusal));
   co_return Next::kDone;
 }
@@ -598,7 +600,7 @@
   const RefusalRule& rule = RuleOf(refusal.code);
   if (rule.ran == Ran::kNo && job.workspace != nullptr &&
       refusal.code != RefusalCode::kOverRate) {
-    this->quotas.GiveBack(job.workspace->name, job.workspace->quota, job.cost);
+    this->quotas.GiveBack(job.workspace->name, job.cost);
   }
   HeaderFields fields = this->wire.answer_fields(job.request);
   fields.emplace_back("Content-Type", "application/json");
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -10,7 +10,7 @@
 
 #include "absl/random/random.h"
 #include "dragonflyglade/decision/clock.h"
-#include "dragonflyglade/decision/quota_share.h"
+#include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/gateway/caller_link.h"
@@ -30,7 +30,7 @@
  public:
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
-           Metrics& metrics, EventLog& log, Clock clock);
+           QuotaWindows& quotas, Metrics& metrics, EventLog& log, Clock clock);
 
   /// Answers a request on the link.
   boost::asio::awaitable<void> Serve(CallerRequest request, CallerLink& link);
@@ -74,10 +74,10 @@
   const WireFormat& wire;
   FleetState& fleet;
   ModelDemand& demand;
+  QuotaWindows& quotas;
   Metrics& metrics;
   EventLog& log;
   const Clock clock;
-  QuotaShares quotas;
   std::map<std::string, std::unique_ptr<RetryBudget>, std::less<>> retries;
   absl::BitGen random;
   int in_flight = 0;
--- /dev/null
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -0,0 +1,420 @@
+#include <utility>
+// Asio's coroutine headers use std::exchange without including it.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "dragonflyglade/gateway/http_text.h"
+#include "dragonflyglade/gateway/placement_duty.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Demand for models moves within seconds; adapters wake the planner at once.
+constexpr absl::Duration kPlanEvery = absl::Milliseconds(250);
+// An engine answers an order in milliseconds.
+constexpr absl::Duration kOrderTimeout = absl::Milliseconds(400);
+// An order without an answer may be carried out late; the same one again with
+// the same expected count makes the late one void.
+constexpr int kOrderTries = 3;
+constexpr absl::Duration kOrderPause = absl::Milliseconds(50);
+// An adapter is there some ten milliseconds after the order was taken.
+constexpr absl::Duration kAdapterLoads = absl::Milliseconds(15);
+// Before a model is unloaded, instances are told to send nothing more for it;
+// the news is there within a message's time.
+constexpr absl::Duration kClosingNews = absl::Milliseconds(60);
+// Reports tell of some hundred milliseconds ago.
+constexpr absl::Duration kReportLag = absl::Milliseconds(600);
+// A load that is not seen to end by this many times its usual time is looked
+// into: loads slow down in proportion to how many run.
+constexpr int kLoadPatience = 4;
+// Loads that an unanswered order of an earlier holder may still begin.
+constexpr int kLoadsInReserve = 2;
+// Loads that may begin beside what the rate allows in a window.
+constexpr int kLoadsBeside = 3;
+
+std::string PlaceOf(const ResidencyChange& change) {
+  return ResidentKey(change.model, change.adapter);
+}
+
+}  // namespace
+
+PlacementDuty::PlacementDuty(asio::io_context& context,
+                             const GatewaySettings& settings,
+                             const WireFormat& wire, FleetState& fleet,
+                             DutyLease& duty, ReportHub& hub,
+                             FleetChannel& channel, Metrics& metrics,
+                             EventLog& log, Clock clock)
+    : context(context),
+      settings(settings),
+      wire(wire),
+      fleet(fleet),
+      duty(duty),
+      hub(hub),
+      channel(channel),
+      metrics(metrics),
+      log(log),
+      clock(clock),
+      planner(ResidencyOptions(), clock),
+      wake(context) {
+  this->channel.SetHoldings([this] { return this->Holdings(); });
+  this->channel.OnWaiting([this] { this->wake.Notify(); });
+}
+
+asio::awaitable<void> PlacementDuty::Run() {
+  while (true) {
+    co_await this->wake.Wait(kPlanEvery);
+    if (!this->duty.MayAct()) {
+      if (this->acting) this->Forget();
+      if (!this->duty.Held()) this->hub.Clear();
+      continue;
+    }
+    if (!this->acting) {
+      this->acting = true;
+      // The holder before may have begun as many loads as are allowed.
+      this->load_times.assign(1000, this->clock.Now());
+      this->log.Write("placement", "acting", {{"fence", this->duty.Fence()}});
+    }
+    this->Follow();
+    this->Plan();
+  }
+}
+
+void PlacementDuty::Forget() {
+  this->acting = false;
+  this->engines.clear();
+  this->log.Write("placement", "not acting", {{"held", this->duty.Held()}});
+}
+
+void PlacementDuty::Follow() {
+  std::set<std::string> present;
+  this->fleet.ForEachTarget([&](const TargetState& target) {
+    const auto config = this->fleet.Config();
+    const auto service = config->services.find(target.Record().service);
+    if (service == config->services.end()) return;
+    if (!service->second.engine.has_value()) return;
+    present.insert(target.Record().id);
+    this->FollowEngine(target);
+  });
+  for (auto item = this->engines.begin(); item != this->engines.end();) {
+    if (present.count(item->first) == 0) {
+      item = this->engines.erase(item);
+    } else {
+      ++item;
+    }
+  }
+}
+
+void PlacementDuty::FollowEngine(const TargetState& target) {
+  const TargetRecord& record = target.Record();
+  std::shared_ptr<Engine>& engine = this->engines[record.id];
+  const bool known = engine != nullptr && engine->born_ms == record.born_ms &&
+                     engine->service == record.service;
+  if (known) {
+    this->FollowRecord(*engine, target);
+    return;
+  }
+  engine = std::make_shared<Engine>();
+  engine->id = record.id;
+  engine->service = record.service;
+  engine->born_ms = record.born_ms;
+  engine->sequence = record.sequence;
+  for (const ResidentModel& model : record.models) {
+    engine->models[model.name] =
+        std::set<std::string>(model.adapters.begin(), model.adapters.end());
+  }
+}
+
+// The record says which models are there, at its last heartbeat; adapters are
+// known better here. A record from before the last order says nothing of it.
+void PlacementDuty::FollowRecord(Engine& engine, const TargetState& target) {
+  const Instant now = this->clock.Now();
+  const TargetRecord& record = target.Record();
+  if (engine.loading.has_value()) {
+    if (target.HoldsModel(*engine.loading)) {
+      this->log.Write("placement", "loaded",
+                      {{"target", engine.id}, {"model", *engine.loading}});
+      engine.loading.reset();
+    } else if (now > engine.loading_until) {
+      engine.loading.reset();
+      engine.inspect = true;
+    }
+  }
+  const bool fresh = target.UpdatedAt() > engine.settled_at;
+  if (engine.ordering || !fresh) return;
+  for (auto closing = engine.closing.begin();
+       closing != engine.closing.end();) {
+    if (target.HoldsModel(*closing)) {
+      ++closing;
+      continue;
+    }
+    engine.models.erase(*closing);
+    closing = engine.closing.erase(closing);
+  }
+  for (const ResidentModel& model : record.models) {
+    if (engine.models.count(model.name) > 0) continue;
+    engine.models[model.name] =
+        std::set<std::string>(model.adapters.begin(), model.adapters.end());
+  }
+}
+
+std::vector<wire::TargetHoldings> PlacementDuty::Holdings() const {
+  std::vector<wire::TargetHoldings> all;
+  for (const auto& [id, engine] : this->engines) {
+    wire::TargetHoldings holdings;
+    holdings.target = id;
+    for (const auto& [model, adapters] : engine->models) {
+      for (const std::string& adapter : adapters) {
+        std::string key = ResidentKey(model, adapter);
+        if (engine->unready.count(key) > 0) continue;
+        holdings.adapters.push_back(std::move(key));
+      }
+    }
+    holdings.closing_models.assign(engine->closing.begin(),
+                                   engine->closing.end());
+    all.push_back(std::move(holdings));
+  }
+  return all;
+}
+
+int PlacementDuty::LoadsLeft(const EngineLimits& limits) {
+  const Instant now = this->clock.Now();
+  while (!this->load_times.empty() &&
+         now - this->load_times.front() > this->settings.load_window) {
+    this->load_times.pop_front();
+  }
+  const double window = absl::ToDoubleSeconds(this->settings.load_window);
+  const int allowed = static_cast<int>(limits.loads_per_second * window *
+                                       this->settings.load_overage) +
+                      kLoadsBeside - kLoadsInReserve;
+  return allowed - static_cast<int>(this->load_times.size());
+}
+
+void PlacementDuty::Plan() {
+  const auto config = this->fleet.Config();
+  const std::map<ModelName, FleetDemand> demand = this->hub.Demand();
+  for (const auto& [name, service] : config->services) {
+    if (service.engine.has_value()) this->PlanService(service, demand);
+  }
+}
+
+void PlacementDuty::PlanService(
+    const ServiceSpec& service,
+    const std::map<ModelName, FleetDemand>& demand) {
+  std::vector<WantedModel> models;
+  for (const ServedModel& served : service.engine->models) {
+    WantedModel model;
+    model.name = served.name;
+    model.memory_mb = served.memory_mb;
+    model.adapter_mb = served.adapter_mb;
+    const auto asked = demand.find({service.name, served.name, ""});
+    if (asked != demand.end()) {
+      model.load = asked->second.load;
+      model.waiting = asked->second.waiting;
+    }
+    models.push_back(std::move(model));
+  }
+  std::vector<WantedAdapter> adapters;
+  for (const auto& [name, asked] : demand) {
+    if (name.service != service.name || name.adapter.empty()) continue;
+    adapters.push_back({name.model, name.adapter, asked.load, asked.waiting});
+  }
+  std::vector<EngineHoldings> holdings;
+  for (const auto& [id, engine] : this->engines) {
+    if (engine->service != service.name) continue;
+    const auto target = this->fleet.Target(id);
+    EngineHoldings item;
+    item.id = id;
+    item.memory_mb = service.engine->memory_mb;
+    item.adapter_slots = service.engine->adapter_slots;
+    item.models = engine->models;
+    item.usable = target != nullptr && !target->Record().leaving;
+    item.busy = engine->ordering || engine->inspect ||
+                engine->loading.has_value() || !engine->closing.empty();
+    holdings.push_back(std::move(item));
+  }
+  const std::vector<ResidencyChange> changes = this->planner.Plan(
+      models, adapters, holdings, this->LoadsLeft(*service.engine));
+  for (const ResidencyChange& change : changes) this->Book(service, change);
+  for (const auto& [id, engine] : this->engines) {
+    if (engine->inspect && !engine->ordering) {
+      engine->ordering = true;
+      asio::co_spawn(this->context, this->Inspect(engine), asio::detached);
+    }
+  }
+}
+
+bool PlacementDuty::Book(const ServiceSpec& service,
+                         const ResidencyChange& change) {
+  const auto found = this->engines.find(change.target);
+  if (found == this->engines.end() || found->second->ordering) return false;
+  Engine& engine = *found->second;
+  engine.ordering = true;
+  const bool loads = change.kind == ResidencyChange::Kind::kLoad;
+  if (loads && change.adapter.empty()) {
+    engine.models[change.model];
+    engine.loading = change.model;
+    const auto& served = service.engine->models;
+    const auto model = std::find_if(
+        served.begin(), served.end(),
+        [&](const ServedModel& item) { return item.name == change.model; });
+    engine.loading_until = this->clock.Now() + kLoadPatience * model->load_time;
+    this->load_times.push_back(this->clock.Now());
+  } else if (loads) {
+    engine.models[change.model].insert(change.adapter);
+    engine.unready.insert(PlaceOf(change));
+  } else if (change.adapter.empty()) {
+    engine.closing.insert(change.model);
+  } else {
+    engine.unready.insert(PlaceOf(change));
+  }
+  asio::co_spawn(this->context, this->CarryOut(found->second, change),
+                 asio::detached);
+  return true;
+}
+
+asio::awaitable<std::optional<OrderAnswer>> PlacementDuty::SendOrder(
+    const Engine& engine, const ResidencyChange& change) {
+  const std::shared_ptr<TargetState> target = this->fleet.Target(engine.id);
+  if (target == nullptr) co_return OrderAnswer::kWrongTarget;
+  EngineOrder order;
+  order.load = change.kind == ResidencyChange::Kind::kLoad;
+  order.model = change.model;
+  order.adapter = change.adapter;
+  order.expected_sequence = engine.sequence;
+  order.holder = this->settings.instance;
+  order.fence = this->duty.Fence();
+  const HttpCallText call = this->wire.encode_order(engine.id, order);
+  std::string head = RequestText(call, target->Record().address);
+  const std::string address = target->Record().address;
+  TargetExchange exchange(this->context, target->connections, this->wire,
+                          this->clock);
+  const Instant give_up = this->clock.Now() + kOrderTimeout;
+  const ExchangeOutcome outcome =
+      co_await exchange.Run(address, "", std::move(head), call.body, give_up);
+  this->metrics.Count("orders");
+  if (const auto* whole = std::get_if<WholeAnswer>(&outcome)) {
+    co_return this->wire.decode_order_answer(whole->head.status);
+  }
+  if (const auto* declined = std::get_if<Declined>(&outcome)) {
+    co_return this->wire.decode_order_answer(declined->head.status);
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<void> PlacementDuty::CarryOut(std::shared_ptr<Engine> engine,
+                                              ResidencyChange change) {
+  if (change.kind == ResidencyChange::Kind::kUnload) {
+    this->channel.PushSummaries();
+    co_await Sleep(this->context, kClosingNews);
+  }
+  std::optional<OrderAnswer> answer;
+  for (int attempt = 0; attempt < kOrderTries && !answer.has_value();
+       ++attempt) {
+    // Checked as late as possible: whoever lost the duty must not send.
+    if (!this->duty.MayAct()) break;
+    answer = co_await this->SendOrder(*engine, change);
+    if (!answer.has_value()) co_await Sleep(this->context, kOrderPause);
+  }
+  this->log.Write(
+      "placement", "order",
+      {{"target", engine->id},
+       {"load", change.kind == ResidencyChange::Kind::kLoad},
+       {"model", PlaceOf(change)},
+       {"expected", engine->sequence},
+       {"fence", this->duty.Fence()},
+       {"answer", answer.has_value() ? static_cast<int>(*answer) : -1}});
+  if (answer.has_value()) {
+    this->Settle(*engine, change, *answer);
+  } else {
+    engine->inspect = true;
+  }
+  const bool adapter_loads = answer == OrderAnswer::kAccepted &&
+                             !change.adapter.empty() &&
+                             change.kind == ResidencyChange::Kind::kLoad;
+  if (adapter_loads) co_await Sleep(this->context, kAdapterLoads);
+  engine->unready.erase(PlaceOf(change));
+  engine->settled_at = this->clock.Now();
+  engine->ordering = false;
+  this->channel.PushSummaries();
+  this->wake.Notify();
+}
+
+void PlacementDuty::Settle(Engine& engine, const ResidencyChange& change,
+                           OrderAnswer answer) {
+  const bool loads = change.kind == ResidencyChange::Kind::kLoad;
+  const bool of_adapter = !change.adapter.empty();
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      engine.sequence += 1;
+      break;
+    case OrderAnswer::kAlreadyHolds:
+      // An adapter that nobody uses is dropped at once, which counts as an
+      // order taken.
+      if (of_adapter && !loads) engine.sequence += 1;
+      if (!of_adapter && loads) engine.loading.reset();
+      break;
+    case OrderAnswer::kWrongTarget:
+      // Another process is there; its record will say what it holds.
+      engine.inspect = true;
+      return;
+    case OrderAnswer::kConflict:
+    case OrderAnswer::kFenced:
+    case OrderAnswer::kInvalid:
+      engine.inspect = true;
+      return;
+  }
+  if (of_adapter && !loads) engine.models[change.model].erase(change.adapter);
+}
+
+asio::awaitable<void> PlacementDuty::Inspect(std::shared_ptr<Engine> engine) {
+  // A report tells of a moment ago: asked too early, it would not yet show
+  // the last order.
+  co_await Sleep(this->context, kReportLag);
+  const std::shared_ptr<TargetState> target = this->fleet.Target(engine->id);
+  if (target != nullptr && this->duty.MayAct()) {
+    const HttpCallText call = this->wire.encode_report_call(engine->id);
+    std::string head = RequestText(call, target->Record().address);
+    const std::string address = target->Record().address;
+    TargetExchange exchange(this->context, target->connections, this->wire,
+                            this->clock);
+    const Instant give_up = this->clock.Now() + kOrderTimeout;
+    const ExchangeOutcome outcome =
+        co_await exchange.Run(address, "", std::move(head), call.body, give_up);
+    this->metrics.Count("engine_reports");
+    const auto* whole = std::get_if<WholeAnswer>(&outcome);
+    const Result<EngineReport> report =
+        whole == nullptr ? Result<EngineReport>(MakeFailure(
+                               Errc::kOutcomeUnknown, "report", engine->id))
+                         : this->wire.decode_report(whole->body);
+    if (report.Ok() && !report.Value().busy) {
+      engine->inspect = false;
+      engine->sequence = report.Value().sequence;
+      engine->models.clear();
+      engine->closing.clear();
+      engine->loading.reset();
+      for (const ResidentModel& model : report.Value().models) {
+        engine->models[model.name] =
+            std::set<std::string>(model.adapters.begin(), model.adapters.end());
+      }
+      for (const std::string& pending : report.Value().pending_adapters) {
+        const std::size_t slash = pending.find('/');
+        if (slash == std::string::npos) continue;
+        engine->models[pending.substr(0, slash)].insert(
+            pending.substr(slash + 1));
+      }
+    }
+    this->log.Write("placement", "inspected",
+                    {{"target", engine->id},
+                     {"sequence", engine->sequence},
+                     {"known", report.Ok()}});
+  }
+  engine->settled_at = this->clock.Now();
+  engine->ordering = false;
+  this->channel.PushSummaries();
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/report_hub.h
@@ -0,0 +1,65 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_REPORT_HUB_H_
+#define DRAGONFLYGLADE_GATEWAY_REPORT_HUB_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/peer/generated/fleet_types.h"
+
+namespace dragonflyglade::gateway {
+
+/// How much callers ask for a model or adapter now, over all instances.
+struct FleetDemand {
+  double load = 0;  ///< engine time: 1 keeps one engine busy
+  int waiting = 0;
+};
+
+/// Sums up what instances report, at the one that holds the placing duty, so
+/// that each instance sends one message and gets one instead of speaking to
+/// all others. What is kept is soft: a new holder knows all after a round of
+/// reports. One event loop.
+class ReportHub {
+ public:
+  explicit ReportHub(Clock clock);
+
+  /// Takes a report in. Older ones than the last from the process are dropped.
+  void Take(const wire::InstanceReport& report);
+
+  /// What the others have at each target, and what all spent.
+  wire::FleetSummary SummaryFor(std::string_view instance);
+
+  /// What is asked for, averaged over the last seconds.
+  std::map<ModelName, FleetDemand> Demand();
+
+  /// Where to send summaries: addresses of instances heard lately.
+  std::vector<std::pair<std::string, std::string>> Reporters();
+
+  /// Forgets all; the duty went elsewhere.
+  void Clear();
+
+ private:
+  struct Entry {
+    wire::InstanceReport report;
+    Instant at;
+  };
+  struct Average {
+    double sum_ms = 0;
+    Instant at;
+  };
+
+  void DropSilent();
+  void Decay(Average& average) const;
+
+  const Clock clock;
+  std::map<std::string, Entry, std::less<>> entries;
+  std::map<ModelName, Average> demand;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_REPORT_HUB_H_
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -12,10 +12,13 @@
 
 // A change must be in force two seconds after it was acknowledged. A silent
 // watch is given up after wait and answer time, and the next one, on a new
-// connection, answers at once: about 1.2 s in all. Shorter waits would cost
+// connection, answers at once: about 1.6 s in all. Shorter waits would cost
 // more calls, which the store counts.
-constexpr absl::Duration kWatchWait = absl::Milliseconds(800);
-constexpr absl::Duration kAnswerTime = absl::Milliseconds(350);
+constexpr absl::Duration kWatchWait = absl::Milliseconds(1200);
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
+// After changes the next watch waits a little, so that one call brings what
+// many targets write at about the same time.
+constexpr absl::Duration kGatherPause = absl::Milliseconds(150);
 // A page of some hundred entries.
 constexpr absl::Duration kListTimeout = absl::Seconds(1);
 // Between calls while the store does not answer: all instances together stay
@@ -67,8 +70,7 @@
   bool more = true;
   while (more) {
     StoreCall call = StoreList{kAllKeys, after};
-    StoreReply reply =
-        co_await this->store.Call(std::move(call), kListTimeout);
+    StoreReply reply = co_await this->store.Call(std::move(call), kListTimeout);
     auto* page = std::get_if<StorePage>(&reply);
     if (page == nullptr) {
       co_await this->NotHeard(WhyNot(reply));
@@ -93,8 +95,8 @@
 
 asio::awaitable<bool> StoreFollower::Watch() {
   StoreCall call = StoreWatch{kAllKeys, this->revision, kWatchWait};
-  const StoreReply reply = co_await this->store.Call(std::move(call),
-                                                     kWatchWait + kAnswerTime);
+  const StoreReply reply =
+      co_await this->store.Call(std::move(call), kWatchWait + kAnswerTime);
   if (std::holds_alternative<StoreCompacted>(reply)) {
     this->Heard();
     co_return false;
@@ -113,6 +115,7 @@
     }
   }
   this->revision = std::max(this->revision, events->store_revision);
+  if (!events->events.empty()) co_await Sleep(this->context, kGatherPause);
   co_return true;
 }
 
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -32,15 +32,19 @@
   return key;
 }
 
-TargetState::TargetState(TargetRecord record) : record(std::move(record)) {}
+TargetState::TargetState(TargetRecord record, Instant now)
+    : record(std::move(record)), updated_at(now) {}
 
-void TargetState::Update(TargetRecord newer) {
+void TargetState::Update(TargetRecord newer, Instant now) {
   const bool other_process = newer.born_ms != this->record.born_ms ||
                              newer.address != this->record.address;
   this->record = std::move(newer);
+  this->updated_at = now;
   this->missing_since.reset();
   if (!other_process) return;
   this->placed_adapters.clear();
+  this->closing_models.clear();
+  this->placed_at.reset();
   this->absent_until.clear();
   this->connections.Clear();
   this->report.reset();
@@ -60,10 +64,13 @@
   const std::string key = ResidentKey(model, adapter);
   const auto absent = this->absent_until.find(key);
   if (absent != this->absent_until.end() && now < absent->second) return false;
+  const bool told =
+      this->placed_at.has_value() && now - *this->placed_at < kOthersHold;
+  if (told && this->closing_models.count(std::string(model)) > 0) return false;
   for (const ResidentModel& item : this->record.models) {
     if (item.name != model) continue;
     if (adapter.empty()) return true;
-    if (this->placed_adapters.count(key) > 0) return true;
+    if (told) return this->placed_adapters.count(key) > 0;
     return std::find(item.adapters.begin(), item.adapters.end(), adapter) !=
            item.adapters.end();
   }
@@ -77,12 +84,15 @@
   this->absent_until[key] = now + kAbsenceHolds;
 }
 
-void TargetState::SetPlacedAdapters(std::set<std::string> adapters) {
+void TargetState::SetPlaced(std::set<std::string> adapters,
+                            std::set<std::string> closing, Instant now) {
   for (const std::string& key : adapters) {
     // News of a placing is newer than an absence that was seen before it.
     if (this->placed_adapters.count(key) == 0) this->absent_until.erase(key);
   }
   this->placed_adapters = std::move(adapters);
+  this->closing_models = std::move(closing);
+  this->placed_at = now;
 }
 
 void TargetState::MarkFull(Instant now) {
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -24,12 +24,14 @@
 /// What this instance knows of one target. One event loop.
 class TargetState {
  public:
-  explicit TargetState(TargetRecord record);
+  TargetState(TargetRecord record, Instant now);
 
   const TargetRecord& Record() const { return this->record; }
+  /// When the record was last replaced.
+  Instant UpdatedAt() const { return this->updated_at; }
 
   /// Takes a newer record. A target that was started anew has forgotten all.
-  void Update(TargetRecord newer);
+  void Update(TargetRecord newer, Instant now);
 
   /// Whether the model, and the adapter unless it is empty, can be asked for.
   bool Holds(std::string_view model, std::string_view adapter,
@@ -40,8 +42,11 @@
   void MarkAbsent(std::string_view model, std::string_view adapter,
                   Instant now);
 
-  /// The placing instance says which adapters are there beside the record's.
-  void SetPlacedAdapters(std::set<std::string> adapters);
+  /// The placing instance says which adapters are there, as ResidentKey, and
+  /// which models are about to leave. While that is fresh it goes before the
+  /// record, which lags by a heartbeat.
+  void SetPlaced(std::set<std::string> adapters,
+                 std::set<std::string> closing_models, Instant now);
 
   /// Counts a request while it is at the target.
   void Sent(double prompt_tokens);
@@ -74,7 +79,10 @@
 
  private:
   TargetRecord record;
+  Instant updated_at;
   std::set<std::string> placed_adapters;
+  std::set<std::string> closing_models;
+  std::optional<Instant> placed_at;
   std::map<std::string, Instant> absent_until;
   int in_flight = 0;
   double unread_tokens = 0;
--- /dev/null
+++ b/dragonflyglade/peer/fleet.thrift
@@ -0,0 +1,63 @@
+namespace cpp dragonflyglade.wire
+
+/** What an instance, or the fleet, has at a target now. */
+struct TargetUse {
+  1: string target
+  2: i32 requests
+  /** Prompt tokens sent there whose first output has not been seen. */
+  3: i64 unread_tokens
+}
+
+/** What callers asked of a model or adapter since the last report. */
+struct ModelWish {
+  1: string service_name
+  2: string model
+  /** Empty: the model itself. */
+  3: string adapter
+  4: double requests
+  /** Milliseconds of an engine's time. */
+  5: double work_ms
+  /** Requests that wait now because it is nowhere. */
+  6: i32 waiting
+}
+
+/** What was spent of a workspace's quota in the window. */
+struct WorkspaceSpend {
+  1: string workspace
+  2: i64 tokens
+}
+
+struct InstanceReport {
+  1: string instance
+  2: string incarnation
+  /** Where to send the summary. */
+  3: string address
+  4: i64 sequence
+  5: list<TargetUse> targets
+  6: list<ModelWish> wishes
+  7: list<WorkspaceSpend> spends
+}
+
+/** The adapters at a target, and the models that are about to leave it. */
+struct TargetHoldings {
+  1: string target
+  2: list<string> adapters
+  3: list<string> closing_models
+}
+
+struct FleetSummary {
+  1: string holder
+  2: i64 fence
+  /** The last report of the addressed instance that is counted in. */
+  3: i64 answers
+  /** How many instances were heard lately. */
+  4: i32 instances
+  5: list<TargetUse> targets
+  6: list<TargetHoldings> holdings
+  7: list<WorkspaceSpend> spends
+}
+
+union FleetMessage {
+  1: InstanceReport report
+  2: FleetSummary summary
+}
