--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -18,11 +18,28 @@
 
 }  // namespace
 
-QuotaWindows::QuotaWindows(QuotaAllowance allowance, Clock clock)
-    : allowance(allowance), clock(std::move(clock)) {}
+QuotaWindows::QuotaWindows(QuotaAllowance allowance, bool nothing_spent_before,
+                           Clock clock)
+    : allowance(allowance),
+      clock(std::move(clock)),
+      nothing_spent_before(nothing_spent_before),
+      started(this->clock.Now()) {}
 
 void QuotaWindows::SetInstances(int count) {
+  const Instant now = this->clock.Now();
+  const bool stood = now - this->instances_at > this->allowance.window;
+  if (count < this->instances && !stood) return;
   this->instances = std::max(1, count);
+  this->instances_at = now;
+}
+
+// After a restart, what may be spent of a window grows from nothing at the
+// pace of the limit: the process before may have spent up to its limit, and
+// what it spent leaves the window at that pace.
+double QuotaWindows::Earned(double whole) const {
+  if (this->nothing_spent_before) return whole;
+  const absl::Duration age = this->clock.Now() - this->started;
+  return whole * std::min(1.0, absl::FDivDuration(age, this->allowance.window));
 }
 
 std::int64_t QuotaWindows::SliceNow() const {
@@ -62,9 +79,11 @@
   const double whole = this->FleetAllowance(limit);
   const bool fresh = spending.fleet_at.has_value() &&
                      this->clock.Now() - *spending.fleet_at < kSummaryHolds;
-  if (!fresh) return whole / this->instances - spending.sum;
+  if (!fresh) return this->Earned(whole) / this->instances - spending.sum;
   const int sharing = std::max(this->instances, spending.fleet.instances);
-  const double left = std::max(0.0, whole - spending.fleet.total);
+  // A process that was started anew may have spent its part before.
+  const double unknown = spending.fleet.unknown_shares * whole / sharing;
+  const double left = std::max(0.0, whole - spending.fleet.total - unknown);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
   return left / sharing - since;
 }
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -39,6 +39,9 @@
   double total = 0;   ///< of all instances, this one among them
   double own = 0;     ///< what the total counts of this instance
   int instances = 1;  ///< that the total counts
+  /// Instances whose spending in the window is not in the total, each
+  /// weighted by the part of the window that is not known.
+  double unknown_shares = 0;
 };
 
 /// Counts what this instance spends of each workspace's quota in a sliding
@@ -51,9 +54,14 @@
 /// messages.
 class QuotaWindows {
  public:
-  QuotaWindows(QuotaAllowance allowance, Clock clock);
-
-  /// The instances that share the quotas, as the store lists them.
+  /// @param nothing_spent_before false after a restart: what the process
+  ///   before spent is not known, and counts until its window is over
+  QuotaWindows(QuotaAllowance allowance, bool nothing_spent_before,
+               Clock clock);
+
+  /// The instances that share the quotas, as the store lists them. A lower
+  /// count holds only once it has stood for a window: instances vanish from
+  /// the store while they are restarted, and come back.
   void SetInstances(int count);
 
   /// A summary of the fleet came.
@@ -87,10 +95,14 @@
   Spending& Current(std::string_view workspace);
   double Left(const Spending& spending, const QuotaLimit& limit) const;
   std::int64_t SliceNow() const;
+  double Earned(double whole) const;
 
   const QuotaAllowance allowance;
   const Clock clock;
+  const bool nothing_spent_before;
+  const Instant started;
   int instances = 1;
+  Instant instances_at;
   std::map<std::string, Spending, std::less<>> spendings;
 };
 
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -55,11 +55,14 @@
 
 }  // namespace
 
+double ExpectedRead(double prompt_tokens, double shared_tokens) {
+  return prompt_tokens - shared_tokens + kSharedMissed * shared_tokens;
+}
+
 double EngineWorkMs(double prompt_tokens, double shared_tokens,
                     double output_tokens) {
-  const double read =
-      prompt_tokens - shared_tokens + kSharedMissed * shared_tokens;
-  return read / kReadPerMs + output_tokens * kMsPerOutput;
+  return ExpectedRead(prompt_tokens, shared_tokens) / kReadPerMs +
+         output_tokens * kMsPerOutput;
 }
 
 int UrgencyOf(int route_priority, std::optional<int> workspace_priority) {
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -42,6 +42,9 @@
 /// priority goes before the route's.
 int UrgencyOf(int route_priority, std::optional<int> workspace_priority);
 
+/// Prompt tokens that an engine is expected to read, having kept a part.
+double ExpectedRead(double prompt_tokens, double shared_tokens);
+
 /// How long a request keeps an engine busy, in milliseconds.
 /// @param shared_tokens the part of the prompt that engines mostly keep
 double EngineWorkMs(double prompt_tokens, double shared_tokens,
--- a/dragonflyglade/gateway/event_log.cc
+++ b/dragonflyglade/gateway/event_log.cc
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
@@ -73,11 +74,13 @@
     return;
   }
   fmt::memory_buffer line;
-  fmt::format_to(std::back_inserter(line),
-                 R"({{"t":"{}","instance":"{}","part":"{}","event":"{}")",
-                 absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
-                                  absl::UTCTimeZone()),
-                 this->instance, part, event);
+  fmt::format_to(
+      std::back_inserter(line),
+      R"({{"t":"{}","instance":"{}","part":"{}","event":"{}")",
+      absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ",
+                       absl::FromChrono(std::chrono::system_clock::now()),
+                       absl::UTCTimeZone()),
+      this->instance, part, event);
   for (const LogField& field : fields) {
     fmt::format_to(std::back_inserter(line), R"(,"{}":)", field.name);
     std::visit(Appender{line}, field.value);
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -29,6 +29,9 @@
 constexpr std::size_t kLargestDatagram = 65000;
 // Reports whose summary is still awaited.
 constexpr std::size_t kMostUnanswered = 32;
+// News of targets that lack something; more are told in later reports.
+constexpr std::size_t kMostLacks = 32;
+constexpr absl::Duration kAgeless = absl::Hours(24);
 
 std::string Encode(const wire::FleetMessage& message) {
   const auto buffer = std::make_shared<TMemoryBuffer>();
@@ -58,7 +61,8 @@
 FleetChannel::FleetChannel(asio::io_context& context, FleetState& fleet,
                            ModelDemand& demand, QuotaWindows& quotas,
                            ReportHub& hub, const DutyLease& duty,
-                           InstanceRecord self, Metrics& metrics, Clock clock)
+                           InstanceRecord self, bool first_start,
+                           StoreNews& news, Metrics& metrics, Clock clock)
     : context(context),
       fleet(fleet),
       demand(demand),
@@ -66,9 +70,12 @@
       hub(hub),
       duty(duty),
       self(std::move(self)),
+      first_start(first_start),
+      news(news),
       metrics(metrics),
       clock(std::move(clock)),
       socket(context),
+      started(this->clock.Now()),
       wake(context) {
   this->demand.OnFirstWait([this] { this->wake.Notify(); });
 }
@@ -134,6 +141,10 @@
   report.incarnation = this->self.incarnation;
   report.address = this->self.peers;
   report.sequence = ++this->sequence;
+  // Before the first start of all nothing was spent, so no age matters.
+  const absl::Duration age = this->clock.Now() - this->started;
+  report.age_ms = absl::ToInt64Milliseconds(this->first_start ? kAgeless : age);
+  report.lacks.swap(this->lacks);
   this->fleet.ForEachTarget([&](const TargetState& target) {
     if (target.InFlight() == 0) return;
     wire::TargetUse use;
@@ -174,6 +185,9 @@
     anyone_waits = anyone_waits || wish.waiting > 0;
   }
   if (anyone_waits && this->waiting) this->waiting();
+  if (this->on_lack) {
+    for (const wire::TargetLack& lack : report.lacks) this->on_lack(lack);
+  }
   this->SendSummary(report.instance, report.address);
 }
 
@@ -183,6 +197,10 @@
   wire::FleetSummary summary = this->hub.SummaryFor(instance);
   summary.holder = this->self.incarnation;
   summary.fence = static_cast<std::int64_t>(this->duty.Fence());
+  summary.urgent_revision =
+      static_cast<std::int64_t>(this->news.urgent_revision);
+  summary.store_age_ms =
+      absl::ToInt64Milliseconds(this->clock.Now() - this->news.confirmed_at);
   if (this->holdings) summary.holdings = this->holdings();
   message.__set_summary(std::move(summary));
   if (instance == this->self.name) {
@@ -233,11 +251,26 @@
       const auto mine = own->second.find(spend.workspace);
       if (mine != own->second.end()) fleet_spend.own = mine->second;
     }
+    fleet_spend.unknown_shares = summary.unknown_shares;
     this->quotas.SetFleetSpend(spend.workspace, fleet_spend);
   }
+  if (holder->instance.incarnation != this->self.incarnation) {
+    this->news.HeardOfHolder(
+        static_cast<std::uint64_t>(summary.urgent_revision),
+        now - absl::Milliseconds(summary.store_age_ms));
+  }
   this->fleet.Changed().Notify();
 }
 
+void FleetChannel::ReportLack(std::string_view target, const ModelName& name) {
+  if (this->lacks.size() >= kMostLacks) return;
+  wire::TargetLack lack;
+  lack.target = std::string(target);
+  lack.model = name.model;
+  lack.adapter = name.adapter;
+  this->lacks.push_back(std::move(lack));
+}
+
 void FleetChannel::Send(const wire::FleetMessage& message,
                         const std::string& address) {
   const Result<Endpoint> endpoint = ParseEndpoint(address);
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
@@ -17,6 +18,7 @@
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/report_hub.h"
+#include "dragonflyglade/gateway/store_news.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/operator/metrics.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
@@ -30,8 +32,8 @@
  public:
   FleetChannel(boost::asio::io_context& context, FleetState& fleet,
                ModelDemand& demand, QuotaWindows& quotas, ReportHub& hub,
-               const DutyLease& duty, InstanceRecord self, Metrics& metrics,
-               Clock clock);
+               const DutyLease& duty, InstanceRecord self, bool first_start,
+               StoreNews& news, Metrics& metrics, Clock clock);
 
   /// Opens the socket. Errors: kConnectFailed.
   Status Open(const Endpoint& endpoint);
@@ -51,6 +53,13 @@
   void OnWaiting(std::function<void()> wake) {
     this->waiting = std::move(wake);
   }
+  /// As holder: a target was seen to lack what it should hold.
+  void OnLack(std::function<void(const wire::TargetLack&)> act) {
+    this->on_lack = std::move(act);
+  }
+
+  /// A target said that it lacks this.
+  void ReportLack(std::string_view target, const ModelName& name);
 
  private:
   wire::InstanceReport MakeReport();
@@ -67,15 +76,20 @@
   ReportHub& hub;
   const DutyLease& duty;
   const InstanceRecord self;
+  const bool first_start;
+  StoreNews& news;
   Metrics& metrics;
   const Clock clock;
   boost::asio::ip::udp::socket socket;
+  const Instant started;
   Signal wake;
   std::int64_t sequence = 0;
   /// What this instance had spent when it made a report, by its sequence.
   std::map<std::int64_t, std::map<std::string, double>> spent_at;
   std::function<std::vector<wire::TargetHoldings>()> holdings;
   std::function<void()> waiting;
+  std::function<void(const wire::TargetLack&)> on_lack;
+  std::vector<wire::TargetLack> lacks;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -46,6 +46,8 @@
   if (item.key == this->wire.config_key) this->ApplyConfig(item);
   if (this->HasPrefix(item.key, this->wire.targets_prefix)) {
     this->ApplyTarget(item);
+  } else {
+    this->urgent_revision = item.revision;
   }
   if (this->HasPrefix(item.key, kInstancesPrefix)) this->ApplyInstance(item);
   if (item.key == kDutyKey) this->ApplyDuty(item);
@@ -69,6 +71,20 @@
        {"routes", static_cast<int>(this->config->routes.Routes().size())}});
 }
 
+bool FleetState::IsUrgent(const TargetRecord& record) const {
+  const std::shared_ptr<TargetState> known = this->Target(record.id);
+  if (known == nullptr) return true;
+  const TargetRecord& old = known->Record();
+  const auto names = [](const TargetRecord& target) {
+    std::set<std::string_view> result;
+    for (const ResidentModel& model : target.models) result.insert(model.name);
+    return result;
+  };
+  return old.leaving != record.leaving || old.address != record.address ||
+         old.service != record.service || old.born_ms != record.born_ms ||
+         names(old) != names(record);
+}
+
 void FleetState::ApplyTarget(const StoreItem& item) {
   Result<TargetRecord> decoded = this->wire.decode_target(item.key, item.value);
   if (!decoded.Ok()) {
@@ -77,11 +93,11 @@
     return;
   }
   TargetRecord record = std::move(decoded.Value());
+  if (this->IsUrgent(record)) this->urgent_revision = item.revision;
   this->log.Write("targets", record.leaving ? "leaving" : "entry",
                   {{"target", record.id},
                    {"service", record.service},
-                   {"revision", item.revision},
-                   {"sequence", record.sequence}});
+                   {"revision", item.revision}});
   const auto known = this->targets.find(record.id);
   if (known != this->targets.end() &&
       known->second->Record().service == record.service) {
@@ -116,6 +132,7 @@
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
   if (!this->IsNewer(key, revision)) return;
+  this->urgent_revision = revision;
   if (this->HasPrefix(key, this->wire.targets_prefix)) {
     this->DropTarget(key.substr(this->wire.targets_prefix.size()),
                      "entry removed");
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -68,6 +68,10 @@
   }
   const std::optional<DutyHolder>& Duty() const { return this->duty; }
 
+  /// The newest revision of a change that must be followed at once: all but
+  /// changes of which models and adapters a target holds.
+  std::uint64_t UrgentRevision() const { return this->urgent_revision; }
+
   /// Notified at each change.
   Signal& Changed() { return this->changed; }
 
@@ -79,6 +83,7 @@
   bool IsNewer(std::string_view key, std::uint64_t revision);
   void ApplyConfig(const StoreItem& item);
   void ApplyTarget(const StoreItem& item);
+  bool IsUrgent(const TargetRecord& record) const;
   void ApplyInstance(const StoreItem& item);
   void ApplyDuty(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
@@ -97,6 +102,7 @@
   std::map<std::string, InstanceRecord, std::less<>> instances;
   std::optional<DutyHolder> duty;
   std::optional<Instant> returned_at;
+  std::uint64_t urgent_revision = 0;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -46,24 +46,28 @@
       context(1),
       log(this->settings.instance, this->clock),
       fleet(this->context, this->wire, this->clock, this->log),
-      quotas(this->settings.quota_allowance, this->clock),
+      quotas(this->settings.quota_allowance, this->settings.first_start,
+             this->clock),
       store(this->context, this->settings.store, this->wire, this->metrics,
             this->clock),
-      follower(this->context, this->store, this->fleet, this->log, this->clock),
+      news(this->context),
+      follower(this->context, this->store, this->fleet, this->news, this->log,
+               this->clock),
       duty({this->settings.quiet_between_holders}, ReadLocalTime),
       self(this->MakeSelf()),
       registration(this->context, this->store, this->fleet, this->duty,
                    this->self, this->settings.lease_ttl, this->log,
                    this->clock),
-      hub(this->clock),
+      hub(this->settings.quota_allowance.window, this->clock),
       channel(this->context, this->fleet, this->demand, this->quotas, this->hub,
-              this->duty, this->self, this->metrics, this->clock),
+              this->duty, this->self, this->settings.first_start, this->news,
+              this->metrics, this->clock),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->duty, this->hub, this->channel, this->metrics, this->log,
                 this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
-               this->demand, this->quotas, this->metrics, this->log,
-               this->clock),
+               this->demand, this->quotas, this->channel, this->metrics,
+               this->log, this->clock),
       signals(this->context) {
   this->AddGauges();
 }
@@ -287,6 +291,7 @@
   const Instant begun = this->clock.Now();
   this->log.Write("process", "stopping",
                   {{"in_flight", this->pipeline.InFlight()}});
+  this->pipeline.StopBy(begun + this->settings.stop_within - kStopMargin);
   co_await this->registration.Leave();
   // Callers go on coming until they have asked for instances again; after
   // that, the process ends as soon as it serves nobody.
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -81,6 +81,7 @@
   ModelDemand demand;
   QuotaWindows quotas;
   StoreLink store;
+  StoreNews news;
   StoreFollower follower;
   DutyLease duty;
   const InstanceRecord self;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -57,6 +57,7 @@
                              json::array());
   return Object({{"instance", Name()},
                  {"zone", Name()},
+                 {"first_start", {{"type", "boolean"}}},
                  {"listen", listen},
                  {"store", Object({{"address", Address()}}, {"address"})},
                  {"limits", limits}},
@@ -119,6 +120,7 @@
   GatewaySettings settings;
   settings.instance = document.at("instance").get<std::string>();
   settings.zone = document.at("zone").get<std::string>();
+  settings.first_start = document.value("first_start", false);
   AddressReader addresses;
   const json& listen = document.at("listen");
   settings.callers = addresses.Read(listen, "callers");
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -30,6 +30,9 @@
   /// How long callers may keep the answer to "which instances to use".
   absl::Duration directory_keep = absl::Seconds(2);
 
+  /// Whether no process of the fleet has run before, so that nothing can
+  /// have been spent of any quota.
+  bool first_start = false;
   QuotaAllowance quota_allowance;
   double retry_share = 0.1;  ///< retries for each request
   double retry_slack = 10;   ///< retries over all instances in a window
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -147,14 +147,13 @@
   std::string zone;
   int slots = 1;
   bool leaving = false;
-  std::int64_t sequence = 0;  ///< orders taken since its start
-  std::int64_t born_ms = 0;   ///< of its start; another one forgot everything
+  std::int64_t born_ms = 0;  ///< of its start; another one forgot everything
   std::vector<ResidentModel> models;
 };
 
 /// What an engine reports when asked.
 struct EngineReport {
-  std::int64_t sequence = 0;
+  std::int64_t orders_taken = 0;  ///< since its start
   std::int64_t born_ms = 0;
   bool busy = false;  ///< an order is being carried out
   std::vector<ResidentModel> models;
@@ -166,7 +165,8 @@
   bool load = true;
   std::string model;
   std::string adapter;  ///< empty: the model itself
-  std::int64_t expected_sequence = 0;
+  /// How many the engine took before; with another count it does nothing.
+  std::int64_t orders_taken = 0;
   std::string holder;
   std::uint64_t fence = 0;
 };
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -38,6 +38,11 @@
 constexpr absl::Duration kRetryBusy = absl::Milliseconds(500);
 constexpr absl::Duration kRetryModel = absl::Seconds(2);
 constexpr absl::Duration kRetryNotReady = absl::Seconds(1);
+// Another instance can be asked at once.
+constexpr absl::Duration kRetryElsewhere = absl::Milliseconds(50);
+// After the signal to stop, requests are taken as ever for this long: callers
+// that just asked for instances may still be on their way.
+constexpr absl::Duration kLateCallers = absl::Milliseconds(2500);
 constexpr double kLongestRetryAfter = 60;  // seconds
 // The part of the fleet's retries that instances hand out, each an equal
 // share: the rest covers instances that come and go.
@@ -98,6 +103,10 @@
   }
   double SharedTokens() const;
   std::string_view SharedId() const;
+  /// Prompt tokens that the target is expected to read.
+  double UnreadTokens() const {
+    return ExpectedRead(this->request.use.prompt_tokens, this->SharedTokens());
+  }
 };
 
 // The last part of a prompt is the request's own or its session's; all before
@@ -146,14 +155,16 @@
 
 Pipeline::Pipeline(asio::io_context& context, const GatewaySettings& settings,
                    const WireFormat& wire, FleetState& fleet,
-                   ModelDemand& demand, QuotaWindows& quotas, Metrics& metrics,
-                   EventLog& log, Clock clock)
+                   ModelDemand& demand, QuotaWindows& quotas,
+                   FleetChannel& channel, Metrics& metrics, EventLog& log,
+                   Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
       fleet(fleet),
       demand(demand),
       quotas(quotas),
+      channel(channel),
       metrics(metrics),
       log(log),
       clock(std::move(clock)) {}
@@ -198,9 +209,27 @@
       std::min(job.request.deadline.value_or(absl::InfiniteDuration()),
                job.route->timeout);
   job.give_up = job.started + limit;
+  if (this->EndsTooLate(job)) {
+    return Make(RefusalCode::kDraining, "the instance is stopping",
+                kRetryElsewhere);
+  }
   return std::nullopt;
 }
 
+void Pipeline::StopBy(Instant end) {
+  this->stop_begun = this->clock.Now();
+  this->stop_end = end;
+}
+
+// Callers keep coming for seconds after the signal, since they keep the list
+// of instances. A stream that they begin late would be cut at the end of the
+// process; they do better elsewhere at once.
+bool Pipeline::EndsTooLate(const Job& job) const {
+  if (!this->stop_end.has_value()) return false;
+  if (job.give_up <= *this->stop_end) return false;
+  return this->clock.Now() - *this->stop_begun > kLateCallers;
+}
+
 std::optional<Refusal> Pipeline::FindWorkspace(Job& job) {
   if (!job.config->wants_keys || job.route->open) return std::nullopt;
   if (job.request.key.empty()) {
@@ -360,7 +389,7 @@
   TargetExchange exchange(this->context, target->connections, this->wire,
                           this->clock);
   job.exchange = &exchange;
-  InFlightGuard guard(*target, job.request.use.prompt_tokens);
+  InFlightGuard guard(*target, job.UnreadTokens());
   ExchangeOutcome outcome =
       co_await exchange.Run(address, job.request.id, std::move(head),
                             job.request.body, job.give_up + kAnswerOnItsWay);
@@ -454,6 +483,8 @@
     target.MarkFull(now);
   } else if (job.IsEngineWork()) {
     target.MarkAbsent(use.model, use.adapter, now);
+    const ModelName name{job.service->name, use.model, use.adapter};
+    this->channel.ReportLack(job.target, name);
   } else {
     target.Learn(TargetResult::kUnreachable, now);
   }
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -15,6 +15,7 @@
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/gateway/caller_link.h"
 #include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
@@ -30,11 +31,16 @@
  public:
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
-           QuotaWindows& quotas, Metrics& metrics, EventLog& log, Clock clock);
+           QuotaWindows& quotas, FleetChannel& channel, Metrics& metrics,
+           EventLog& log, Clock clock);
 
   /// Answers a request on the link.
   boost::asio::awaitable<void> Serve(CallerRequest request, CallerLink& link);
 
+  /// The process stops; it ends at this time at the latest. Requests that
+  /// cannot be over by then are refused from a moment after the signal on.
+  void StopBy(Instant end);
+
   /// Requests being served.
   int InFlight() const { return this->in_flight; }
 
@@ -45,6 +51,7 @@
 
   std::optional<Refusal> Admit(Job& job);
   std::optional<Refusal> FindWorkspace(Job& job);
+  bool EndsTooLate(const Job& job) const;
   boost::asio::awaitable<void> Forward(Job& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(Job& job);
   std::shared_ptr<TargetState> Choose(Job& job);
@@ -75,12 +82,15 @@
   FleetState& fleet;
   ModelDemand& demand;
   QuotaWindows& quotas;
+  FleetChannel& channel;
   Metrics& metrics;
   EventLog& log;
   const Clock clock;
   std::map<std::string, std::unique_ptr<RetryBudget>, std::less<>> retries;
   absl::BitGen random;
   int in_flight = 0;
+  std::optional<Instant> stop_begun;
+  std::optional<Instant> stop_end;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -62,6 +62,8 @@
       wake(context) {
   this->channel.SetHoldings([this] { return this->Holdings(); });
   this->channel.OnWaiting([this] { this->wake.Notify(); });
+  this->channel.OnLack(
+      [this](const wire::TargetLack& lack) { this->TakeLack(lack); });
 }
 
 asio::awaitable<void> PlacementDuty::Run() {
@@ -83,6 +85,24 @@
   }
 }
 
+void PlacementDuty::TakeLack(const wire::TargetLack& lack) {
+  const auto found = this->engines.find(lack.target);
+  if (found == this->engines.end()) return;
+  Engine& engine = *found->second;
+  const auto model = engine.models.find(lack.model);
+  const bool believed =
+      model != engine.models.end() &&
+      (lack.adapter.empty() || model->second.count(lack.adapter) > 0);
+  const std::string name = ResidentKey(lack.model, lack.adapter);
+  const bool on_its_way = engine.unready.count(name) > 0 ||
+                          engine.loading == lack.model ||
+                          engine.closing.count(lack.model) > 0;
+  if (!believed || on_its_way || engine.ordering) return;
+  this->log.Write("placement", "lacking",
+                  {{"target", engine.id}, {"model", name}});
+  engine.inspect = true;
+}
+
 void PlacementDuty::Forget() {
   this->acting = false;
   this->engines.clear();
@@ -121,7 +141,8 @@
   engine->id = record.id;
   engine->service = record.service;
   engine->born_ms = record.born_ms;
-  engine->sequence = record.sequence;
+  // Orders that it took of an earlier holder are not known here.
+  engine->inspect = true;
   for (const ResidentModel& model : record.models) {
     engine->models[model.name] =
         std::set<std::string>(model.adapters.begin(), model.adapters.end());
@@ -284,7 +305,7 @@
   order.load = change.kind == ResidencyChange::Kind::kLoad;
   order.model = change.model;
   order.adapter = change.adapter;
-  order.expected_sequence = engine.sequence;
+  order.orders_taken = engine.orders_taken;
   order.holder = this->settings.instance;
   order.fence = this->duty.Fence();
   const HttpCallText call = this->wire.encode_order(engine.id, order);
@@ -324,7 +345,7 @@
       {{"target", engine->id},
        {"load", change.kind == ResidencyChange::Kind::kLoad},
        {"model", PlaceOf(change)},
-       {"expected", engine->sequence},
+       {"expected", engine->orders_taken},
        {"fence", this->duty.Fence()},
        {"answer", answer.has_value() ? static_cast<int>(*answer) : -1}});
   if (answer.has_value()) {
@@ -349,12 +370,12 @@
   const bool of_adapter = !change.adapter.empty();
   switch (answer) {
     case OrderAnswer::kAccepted:
-      engine.sequence += 1;
+      engine.orders_taken += 1;
       break;
     case OrderAnswer::kAlreadyHolds:
       // An adapter that nobody uses is dropped at once, which counts as an
       // order taken.
-      if (of_adapter && !loads) engine.sequence += 1;
+      if (of_adapter && !loads) engine.orders_taken += 1;
       if (!of_adapter && loads) engine.loading.reset();
       break;
     case OrderAnswer::kWrongTarget:
@@ -367,13 +388,20 @@
       engine.inspect = true;
       return;
   }
-  if (of_adapter && !loads) engine.models[change.model].erase(change.adapter);
+  if (!of_adapter || loads) return;
+  if (answer == OrderAnswer::kAccepted) {
+    // Requests still use it, and its place is not free until they end.
+    engine.inspect = true;
+    return;
+  }
+  engine.models[change.model].erase(change.adapter);
 }
 
 asio::awaitable<void> PlacementDuty::Inspect(std::shared_ptr<Engine> engine) {
   // A report tells of a moment ago: asked too early, it would not yet show
   // the last order.
-  co_await Sleep(this->context, kReportLag);
+  const absl::Duration since = this->clock.Now() - engine->settled_at;
+  if (since < kReportLag) co_await Sleep(this->context, kReportLag - since);
   const std::shared_ptr<TargetState> target = this->fleet.Target(engine->id);
   if (target != nullptr && this->duty.MayAct()) {
     const HttpCallText call = this->wire.encode_report_call(engine->id);
@@ -392,7 +420,7 @@
                          : this->wire.decode_report(whole->body);
     if (report.Ok() && !report.Value().busy) {
       engine->inspect = false;
-      engine->sequence = report.Value().sequence;
+      engine->orders_taken = report.Value().orders_taken;
       engine->models.clear();
       engine->closing.clear();
       engine->loading.reset();
@@ -409,7 +437,7 @@
     }
     this->log.Write("placement", "inspected",
                     {{"target", engine->id},
-                     {"sequence", engine->sequence},
+                     {"orders_taken", engine->orders_taken},
                      {"known", report.Ok()}});
   }
   engine->settled_at = this->clock.Now();
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -49,7 +49,7 @@
     std::string id;
     std::string service;
     std::int64_t born_ms = 0;
-    std::int64_t sequence = 0;
+    std::int64_t orders_taken = 0;
     /// Held or booked.
     std::map<std::string, std::set<std::string>, std::less<>> models;
     std::set<std::string> closing;  ///< models that are being unloaded
@@ -61,6 +61,7 @@
     Instant settled_at;     ///< when the last order was answered
   };
 
+  void TakeLack(const wire::TargetLack& lack);
   void Forget();
   void Follow();
   void FollowEngine(const TargetState& target);
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -1,5 +1,6 @@
 #include "dragonflyglade/gateway/report_hub.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -16,7 +17,8 @@
 
 }  // namespace
 
-ReportHub::ReportHub(Clock clock) : clock(std::move(clock)) {}
+ReportHub::ReportHub(absl::Duration spend_window, Clock clock)
+    : spend_window(spend_window), clock(std::move(clock)) {}
 
 void ReportHub::Decay(Average& average) const {
   const Instant now = this->clock.Now();
@@ -26,9 +28,8 @@
 }
 
 void ReportHub::Take(const wire::InstanceReport& report) {
-  Entry& entry = this->entries[report.instance];
-  const bool same_process = entry.report.incarnation == report.incarnation;
-  if (same_process && report.sequence <= entry.report.sequence) return;
+  Entry& entry = this->entries[report.incarnation];
+  if (report.sequence <= entry.report.sequence) return;
   entry.report = report;
   entry.at = this->clock.Now();
   for (const wire::ModelWish& wish : report.wishes) {
@@ -40,10 +41,14 @@
   }
 }
 
-void ReportHub::DropSilent() {
+bool ReportHub::IsHeard(const Entry& entry) const {
+  return this->clock.Now() - entry.at <= kReportHolds;
+}
+
+void ReportHub::DropOld() {
   const Instant now = this->clock.Now();
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-    if (now - entry->second.at > kReportHolds) {
+    if (now - entry->second.at > this->spend_window) {
       entry = this->entries.erase(entry);
     } else {
       ++entry;
@@ -51,16 +56,36 @@
   }
 }
 
+double ReportHub::UnknownShares() const {
+  double shares = 0;
+  for (const auto& [incarnation, entry] : this->entries) {
+    const absl::Duration age = absl::Milliseconds(entry.report.age_ms);
+    if (!this->IsHeard(entry) || age >= this->spend_window) continue;
+    const bool knows_before = std::any_of(
+        this->entries.begin(), this->entries.end(), [&](const auto& other) {
+          return other.first != incarnation &&
+                 other.second.report.instance == entry.report.instance;
+        });
+    if (knows_before) continue;
+    shares += 1 - absl::FDivDuration(age, this->spend_window);
+  }
+  return shares;
+}
+
 wire::FleetSummary ReportHub::SummaryFor(std::string_view instance) {
-  this->DropSilent();
+  this->DropOld();
   wire::FleetSummary summary;
+  summary.instances = 0;
+  summary.unknown_shares = this->UnknownShares();
   std::map<std::string, wire::TargetUse> uses;
   std::map<std::string, std::int64_t> spends;
-  for (const auto& [name, entry] : this->entries) {
+  for (const auto& [incarnation, entry] : this->entries) {
     for (const wire::WorkspaceSpend& spend : entry.report.spends) {
       spends[spend.workspace] += spend.tokens;
     }
-    if (name == instance) {
+    if (!this->IsHeard(entry)) continue;
+    summary.instances += 1;
+    if (entry.report.instance == instance) {
       summary.answers = entry.report.sequence;
       continue;
     }
@@ -71,7 +96,6 @@
       sum.unread_tokens += use.unread_tokens;
     }
   }
-  summary.instances = static_cast<std::int32_t>(this->entries.size());
   for (auto& [target, use] : uses) summary.targets.push_back(std::move(use));
   for (const auto& [workspace, tokens] : spends) {
     wire::WorkspaceSpend spend;
@@ -83,7 +107,7 @@
 }
 
 std::map<ModelName, FleetDemand> ReportHub::Demand() {
-  this->DropSilent();
+  this->DropOld();
   std::map<ModelName, FleetDemand> result;
   const double memory_ms = absl::ToDoubleMilliseconds(kDemandMemory);
   for (auto item = this->demand.begin(); item != this->demand.end();) {
@@ -95,7 +119,8 @@
     result[item->first].load = item->second.sum_ms / memory_ms;
     ++item;
   }
-  for (const auto& [name, entry] : this->entries) {
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (!this->IsHeard(entry)) continue;
     for (const wire::ModelWish& wish : entry.report.wishes) {
       result[{wish.service_name, wish.model, wish.adapter}].waiting +=
           wish.waiting;
@@ -105,10 +130,11 @@
 }
 
 std::vector<std::pair<std::string, std::string>> ReportHub::Reporters() {
-  this->DropSilent();
+  this->DropOld();
   std::vector<std::pair<std::string, std::string>> reporters;
-  for (const auto& [name, entry] : this->entries) {
-    reporters.emplace_back(name, entry.report.address);
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (!this->IsHeard(entry)) continue;
+    reporters.emplace_back(entry.report.instance, entry.report.address);
   }
   return reporters;
 }
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -25,7 +25,8 @@
 /// reports. One event loop.
 class ReportHub {
  public:
-  explicit ReportHub(Clock clock);
+  /// @param spend_window how long what an instance spent still counts
+  ReportHub(absl::Duration spend_window, Clock clock);
 
   /// Takes a report in. Older ones than the last from the process are dropped.
   void Take(const wire::InstanceReport& report);
@@ -52,10 +53,15 @@
     Instant at;
   };
 
-  void DropSilent();
+  bool IsHeard(const Entry& entry) const;
+  void DropOld();
+  double UnknownShares() const;
   void Decay(Average& average) const;
 
+  const absl::Duration spend_window;
   const Clock clock;
+  /// By incarnation: an instance that was started anew has forgotten what it
+  /// spent before, and the quota has not.
   std::map<std::string, Entry, std::less<>> entries;
   std::map<ModelName, Average> demand;
 };
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -12,13 +12,19 @@
 
 // A change must be in force two seconds after it was acknowledged. A silent
 // watch is given up after wait and answer time, and the next one, on a new
-// connection, answers at once: about 1.6 s in all. Shorter waits would cost
+// connection, answers at once: about 1.3 s in all. Shorter waits would cost
 // more calls, which the store counts.
-constexpr absl::Duration kWatchWait = absl::Milliseconds(1200);
+constexpr absl::Duration kWatchWait = absl::Milliseconds(900);
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
 // After changes the next watch waits a little, so that one call brings what
 // many targets write at about the same time.
-constexpr absl::Duration kGatherPause = absl::Milliseconds(150);
+constexpr absl::Duration kGatherPause = absl::Milliseconds(250);
+// The holder's word counts if it heard the store this lately. Its own watch
+// may be silent for 1.2 s before it notices; with the datagram's way and a
+// call of our own a change is still in force within two seconds.
+constexpr absl::Duration kHolderHeard = absl::Milliseconds(1500);
+// Changes that need not be followed at once are read after this.
+constexpr absl::Duration kLedWait = absl::Seconds(3);
 // A page of some hundred entries.
 constexpr absl::Duration kListTimeout = absl::Seconds(1);
 // Between calls while the store does not answer: all instances together stay
@@ -43,10 +49,12 @@
 }  // namespace
 
 StoreFollower::StoreFollower(asio::io_context& context, StoreLink& store,
-                             FleetState& fleet, EventLog& log, Clock clock)
+                             FleetState& fleet, StoreNews& news, EventLog& log,
+                             Clock clock)
     : context(context),
       store(store),
       fleet(fleet),
+      news(news),
       log(log),
       clock(std::move(clock)) {}
 
@@ -87,14 +95,33 @@
   this->Heard();
   this->revision = *first_revision;
   this->fleet.ApplyListing(items, this->revision);
+  this->news.urgent_revision = this->fleet.UrgentRevision();
+  this->news.confirmed_at = this->clock.Now();
   this->log.Write("store", "listed",
                   {{"revision", this->revision},
                    {"items", static_cast<int>(items.size())}});
   co_return true;
 }
 
+bool StoreFollower::HolderKnows() const {
+  return this->clock.Now() - this->news.holder_confirmed_at < kHolderHeard;
+}
+
+asio::awaitable<void> StoreFollower::WaitForHolder() {
+  const Instant begun = this->clock.Now();
+  while (this->HolderKnows() && this->news.holder_revision <= this->revision &&
+         this->clock.Now() - begun < kLedWait) {
+    co_await this->news.changed.Wait(kGatherPause);
+  }
+}
+
 asio::awaitable<bool> StoreFollower::Watch() {
-  StoreCall call = StoreWatch{kAllKeys, this->revision, kWatchWait};
+  co_await this->WaitForHolder();
+  // With the holder's word there is something to read, or the time for a look
+  // has come; nothing is waited for then.
+  const absl::Duration wait =
+      this->HolderKnows() ? absl::ZeroDuration() : kWatchWait;
+  StoreCall call = StoreWatch{kAllKeys, this->revision, wait};
   const StoreReply reply =
       co_await this->store.Call(std::move(call), kWatchWait + kAnswerTime);
   if (std::holds_alternative<StoreCompacted>(reply)) {
@@ -115,6 +142,8 @@
     }
   }
   this->revision = std::max(this->revision, events->store_revision);
+  this->news.urgent_revision = this->fleet.UrgentRevision();
+  this->news.confirmed_at = this->clock.Now();
   if (!events->events.empty()) co_await Sleep(this->context, kGatherPause);
   co_return true;
 }
--- a/dragonflyglade/gateway/store_follower.h
+++ b/dragonflyglade/gateway/store_follower.h
@@ -11,6 +11,7 @@
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/store_link.h"
+#include "dragonflyglade/gateway/store_news.h"
 
 namespace dragonflyglade::gateway {
 
@@ -19,11 +20,14 @@
 ///
 /// Waits are short. A watch on a connection that went silent looks like a
 /// store where nothing happens, and only an answer that fails to come tells
-/// the two apart. One event loop.
+/// the two apart. While the holder of the placing duty follows the store and
+/// says so, this instance asks only when the holder has seen a change, or
+/// after a longer while: calls then grow with changes, not with instances
+/// times time. One event loop.
 class StoreFollower {
  public:
   StoreFollower(boost::asio::io_context& context, StoreLink& store,
-                FleetState& fleet, EventLog& log, Clock clock);
+                FleetState& fleet, StoreNews& news, EventLog& log, Clock clock);
 
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
@@ -36,12 +40,15 @@
  private:
   boost::asio::awaitable<bool> List();
   boost::asio::awaitable<bool> Watch();
+  boost::asio::awaitable<void> WaitForHolder();
+  bool HolderKnows() const;
   void Heard();
   boost::asio::awaitable<void> NotHeard(std::string_view why);
 
   boost::asio::io_context& context;
   StoreLink& store;
   FleetState& fleet;
+  StoreNews& news;
   EventLog& log;
   const Clock clock;
   std::uint64_t revision = 0;
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -8,7 +8,7 @@
 
 // How long a target's word that it lacks something goes before its record,
 // which is written at its next heartbeat, about a second later.
-constexpr absl::Duration kAbsenceHolds = absl::Milliseconds(1500);
+constexpr absl::Duration kAbsenceHolds = absl::Milliseconds(1000);
 // A report tells of the load at one moment; after this it says nothing.
 constexpr absl::Duration kReportHolds = absl::Seconds(1);
 // Summaries come several times a second; after this the sender is gone.
@@ -86,10 +86,6 @@
 
 void TargetState::SetPlaced(std::set<std::string> adapters,
                             std::set<std::string> closing, Instant now) {
-  for (const std::string& key : adapters) {
-    // News of a placing is newer than an absence that was seen before it.
-    if (this->placed_adapters.count(key) == 0) this->absent_until.erase(key);
-  }
   this->placed_adapters = std::move(adapters);
   this->closing_models = std::move(closing);
   this->placed_at = now;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -27,6 +27,13 @@
   2: i64 tokens
 }
 
+/** A target said that it does not hold this. */
+struct TargetLack {
+  1: string target
+  2: string model
+  3: string adapter
+}
+
 struct InstanceReport {
   1: string instance
   2: string incarnation
@@ -36,6 +43,10 @@
   5: list<TargetUse> targets
   6: list<ModelWish> wishes
   7: list<WorkspaceSpend> spends
+  /** Of the process; what one before it spent is not among the spends. */
+  8: i64 age_ms
+  /** Models and adapters that targets lack although they should be there. */
+  9: list<TargetLack> lacks
 }
 
 /** The adapters at a target, and the models that are about to leave it. */
@@ -55,6 +66,14 @@
   5: list<TargetUse> targets
   6: list<TargetHoldings> holdings
   7: list<WorkspaceSpend> spends
+  /** Instances that were started anew within the window and whose spending
+      before is not known, each weighted by the part of the window. */
+  8: double unknown_shares
+  /** The newest revision of the store at which something changed that must be
+      followed at once. */
+  9: i64 urgent_revision
+  /** Since the holder last heard the store say that there is nothing newer. */
+  10: i64 store_age_ms
 }
 
 union FleetMessage {
