--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -83,7 +83,12 @@
   const int sharing = std::max(this->instances, spending.fleet.instances);
   // A process that was started anew may have spent its part before.
   const double unknown = spending.fleet.unknown_shares * whole / sharing;
-  const double left = std::max(0.0, whole - spending.fleet.total - unknown);
+  // Instances that the summary does not hear may be alive and spend their
+  // parts; each side of a partition keeps to the part of its own instances.
+  const double heard = std::min(
+      1.0, static_cast<double>(spending.fleet.instances) / this->instances);
+  const double left =
+      std::max(0.0, whole * heard - spending.fleet.total - unknown);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
   return left / sharing - since;
 }
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -7,9 +7,9 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-// Reports come several times a second; after this the sender is gone, and its
-// requests ended with it.
-constexpr absl::Duration kReportHolds = absl::Milliseconds(1200);
+// Reports come every 200 ms; three in a row are not lost by chance. Until an
+// instance is missed, others spend quota that it may be spending, too.
+constexpr absl::Duration kReportHolds = absl::Milliseconds(700);
 // Demand is averaged over this time: long enough that single large requests
 // do not move models, short against the seconds that a load takes.
 constexpr absl::Duration kDemandMemory = absl::Seconds(3);
