--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -13,7 +13,7 @@
 // that reach a target later than they are counted here, and the moment in
 // which an instance falls back from the fleet's count to its own.
 constexpr double kUsedExcess = 0.5;
-// See Earned. With 1, a flood of 3 s before a restart of the whole fleet
+// See EarnedPart. With 1, a flood of 3 s before a restart of the whole fleet
 // exceeded the window by 0.6 %.
 constexpr double kRestartGrowth = 1.5;
 // Summaries come several times a second; after this the instance that sends
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+// It grows slower at first, since a workspace that floods spends most of its
+// window in a few seconds.
+double EarnedPart(absl::Duration age, absl::Duration window) {
+  return std::pow(std::min(1.0, absl::FDivDuration(age, window)),
+                  kRestartGrowth);
+}
+
 QuotaWindows::QuotaWindows(QuotaAllowance allowance, bool nothing_spent_before,
                            Clock clock)
     : allowance(allowance),
@@ -39,14 +46,11 @@
 
 // After a restart, what may be spent of a window grows from nothing: the
 // process before may have spent up to its limit, and that leaves the window
-// only with time. It grows slower at first, since a workspace that floods
-// spends most of its window in a few seconds.
+// only with time.
 double QuotaWindows::Earned(double whole) const {
   if (this->nothing_spent_before) return whole;
   const absl::Duration age = this->clock.Now() - this->started;
-  const double part =
-      std::min(1.0, absl::FDivDuration(age, this->allowance.window));
-  return whole * std::pow(part, kRestartGrowth);
+  return whole * EarnedPart(age, this->allowance.window);
 }
 
 std::int64_t QuotaWindows::SliceNow() const {
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -44,6 +44,11 @@
   double unknown_shares = 0;
 };
 
+/// The part of a window that a process may spend again after a restart, when
+/// what was spent before it is not known.
+/// @param age of the process
+double EarnedPart(absl::Duration age, absl::Duration window);
+
 /// Counts what this instance spends of each workspace's quota in a sliding
 /// window, and decides how much more it may spend. Not synchronised.
 ///
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "dragonflyglade/decision/quota_window.h"
+
 namespace dragonflyglade::gateway {
 namespace {
 
@@ -67,8 +69,7 @@
                  other.second.report.instance == entry.report.instance;
         });
     if (knows_before) continue;
-    // As slowly as an instance's own part grows after a restart.
-    shares += 1 - std::pow(absl::FDivDuration(age, this->spend_window), 1.5);
+    shares += 1 - EarnedPart(age, this->spend_window);
   }
   return shares;
 }
