--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -58,12 +58,14 @@
 
 }  // namespace
 
-FleetChannel::FleetChannel(asio::io_context& context, FleetState& fleet,
-                           ModelDemand& demand, QuotaWindows& quotas,
-                           ReportHub& hub, const DutyLease& duty,
-                           InstanceRecord self, bool first_start,
-                           StoreNews& news, Metrics& metrics, Clock clock)
+FleetChannel::FleetChannel(asio::io_context& context, udp::socket& socket,
+                           FleetState& fleet, ModelDemand& demand,
+                           QuotaWindows& quotas, ReportHub& hub,
+                           const DutyLease& duty, InstanceRecord self,
+                           bool first_start, StoreNews& news, Metrics& metrics,
+                           Clock clock)
     : context(context),
+      socket(socket),
       fleet(fleet),
       demand(demand),
       quotas(quotas),
@@ -74,26 +76,11 @@
       news(news),
       metrics(metrics),
       clock(std::move(clock)),
-      socket(context),
       started(this->clock.Now()),
       wake(context) {
   this->demand.OnFirstWait([this] { this->wake.Notify(); });
 }
 
-Status FleetChannel::Open(const Endpoint& endpoint) {
-  error_code error;
-  const udp::endpoint place(asio::ip::make_address(endpoint.address, error),
-                            static_cast<unsigned short>(endpoint.port));
-  if (!error) this->socket.open(place.protocol(), error);
-  if (!error) this->socket.bind(place, error);
-  if (!error) this->socket.non_blocking(true, error);
-  if (error) {
-    return MakeFailure(Errc::kConnectFailed, "listen", endpoint.ToString(),
-                       error.message());
-  }
-  return Done{};
-}
-
 asio::awaitable<void> FleetChannel::Receive() {
   std::string space(kLargestDatagram, '\0');
   while (true) {
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -30,14 +30,12 @@
 /// One event loop.
 class FleetChannel {
  public:
-  FleetChannel(boost::asio::io_context& context, FleetState& fleet,
+  FleetChannel(boost::asio::io_context& context,
+               boost::asio::ip::udp::socket& socket, FleetState& fleet,
                ModelDemand& demand, QuotaWindows& quotas, ReportHub& hub,
                const DutyLease& duty, InstanceRecord self, bool first_start,
                StoreNews& news, Metrics& metrics, Clock clock);
 
-  /// Opens the socket. Errors: kConnectFailed.
-  Status Open(const Endpoint& endpoint);
-
   /// Run until the process ends.
   boost::asio::awaitable<void> Receive();
   boost::asio::awaitable<void> Report();
@@ -70,6 +68,7 @@
   void Send(const wire::FleetMessage& message, const std::string& address);
 
   boost::asio::io_context& context;
+  boost::asio::ip::udp::socket& socket;
   FleetState& fleet;
   ModelDemand& demand;
   QuotaWindows& quotas;
@@ -80,7 +79,6 @@
   StoreNews& news;
   Metrics& metrics;
   const Clock clock;
-  boost::asio::ip::udp::socket socket;
   const Instant started;
   Signal wake;
   std::int64_t sequence = 0;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -22,9 +22,6 @@
 
 namespace {
 
-// Connections that wait to be accepted: a burst of new callers, some hundred
-// in the time of one turn of the loop on a small machine.
-constexpr int kBacklog = 1024;
 // After a failed accept, e.g. without descriptors, until the next try.
 constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);
 // Callers keep the list of instances for its stated time; some keep it for
@@ -44,6 +41,7 @@
       wire(std::move(wire)),
       clock(SteadyClock()),
       context(1),
+      listeners(this->context, this->settings),
       log(this->settings.instance, this->clock),
       fleet(this->context, this->wire, this->clock, this->log),
       quotas(this->settings.quota_allowance, this->settings.first_start,
@@ -59,9 +57,10 @@
                    this->self, this->settings.lease_ttl, this->log,
                    this->clock),
       hub(this->settings.quota_allowance.window, this->clock),
-      channel(this->context, this->fleet, this->demand, this->quotas, this->hub,
-              this->duty, this->self, this->settings.first_start, this->news,
-              this->metrics, this->clock),
+      channel(this->context, this->listeners.peers, this->fleet, this->demand,
+              this->quotas, this->hub, this->duty, this->self,
+              this->settings.first_start, this->news, this->metrics,
+              this->clock),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->duty, this->hub, this->channel, this->metrics, this->log,
                 this->clock),
@@ -103,55 +102,32 @@
   });
 }
 
-Result<Gateway::Acceptor*> Gateway::Listen(const Endpoint& endpoint) {
-  error_code error;
-  const tcp::endpoint place(asio::ip::make_address(endpoint.address, error),
-                            static_cast<unsigned short>(endpoint.port));
-  Acceptor& acceptor = this->acceptors.emplace_back(this->context);
-  if (!error) acceptor.open(place.protocol(), error);
-  if (!error) acceptor.set_option(Acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(place, error);
-  if (!error) acceptor.listen(kBacklog, error);
-  if (error) {
-    return MakeFailure(Errc::kConnectFailed, "listen", endpoint.ToString(),
-                       error.message());
-  }
-  return &acceptor;
+void Gateway::Spawn(asio::awaitable<void> task) {
+  asio::co_spawn(this->context, std::move(task), asio::detached);
 }
 
 Status Gateway::Run() {
-  const Result<Acceptor*> callers = this->Listen(this->settings.callers);
-  if (!callers.Ok()) return callers.Error();
-  this->callers_port = callers.Value()->local_endpoint().port();
-  const std::vector<std::pair<Endpoint, Answerer>> questions = {
-      {this->settings.readiness,
-       [this](std::string_view path) { return this->AnswerReadiness(path); }},
-      {this->settings.directory,
-       [this](std::string_view path) { return this->AnswerDirectory(path); }},
-      {this->settings.metrics,
-       [this](std::string_view path) { return this->AnswerMetrics(path); }},
-  };
-  asio::co_spawn(this->context, this->AcceptCallers(*callers.Value()),
-                 asio::detached);
-  for (const auto& [endpoint, answer] : questions) {
-    const Result<Acceptor*> acceptor = this->Listen(endpoint);
-    if (!acceptor.Ok()) return acceptor.Error();
-    asio::co_spawn(this->context,
-                   this->AcceptQuestions(*acceptor.Value(), answer),
-                   asio::detached);
-  }
-  const Status peers = this->channel.Open(this->settings.peers);
-  if (!peers.Ok()) return peers;
-  asio::co_spawn(this->context, this->channel.Receive(), asio::detached);
-  asio::co_spawn(this->context, this->channel.Report(), asio::detached);
-  asio::co_spawn(this->context, this->placement.Run(), asio::detached);
+  if (!this->listeners.Bound().Ok()) return this->listeners.Bound();
+  this->Spawn(this->AcceptCallers(this->listeners.callers));
+  this->Spawn(this->AcceptQuestions(
+      this->listeners.readiness,
+      [this](std::string_view path) { return this->AnswerReadiness(path); }));
+  this->Spawn(this->AcceptQuestions(
+      this->listeners.directory,
+      [this](std::string_view path) { return this->AnswerDirectory(path); }));
+  this->Spawn(this->AcceptQuestions(
+      this->listeners.metrics,
+      [this](std::string_view path) { return this->AnswerMetrics(path); }));
+  this->Spawn(this->channel.Receive());
+  this->Spawn(this->channel.Report());
+  this->Spawn(this->placement.Run());
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
   this->signals.add(SIGTERM);
   this->signals.add(SIGINT);
-  asio::co_spawn(this->context, this->WaitForSignal(), asio::detached);
-  asio::co_spawn(this->context, this->follower.Run(), asio::detached);
-  asio::co_spawn(this->context, this->registration.Run(), asio::detached);
+  this->Spawn(this->WaitForSignal());
+  this->Spawn(this->follower.Run());
+  this->Spawn(this->registration.Run());
   this->log.Write("process", "started",
                   {{"callers", this->settings.callers.ToString()},
                    {"store", this->settings.store.ToString()}});
@@ -168,8 +144,7 @@
       co_await Sleep(this->context, kAcceptPause);
       continue;
     }
-    asio::co_spawn(this->context, this->ServeCaller(std::move(socket)),
-                   asio::detached);
+    this->Spawn(this->ServeCaller(std::move(socket)));
   }
 }
 
@@ -183,9 +158,7 @@
       co_await Sleep(this->context, kAcceptPause);
       continue;
     }
-    asio::co_spawn(this->context,
-                   this->ServeQuestions(std::move(socket), answer),
-                   asio::detached);
+    this->Spawn(this->ServeQuestions(std::move(socket), answer));
   }
 }
 
@@ -284,7 +257,7 @@
 void Gateway::Stop() {
   if (this->stopping) return;
   this->stopping = true;
-  asio::co_spawn(this->context, this->FollowStop(), asio::detached);
+  this->Spawn(this->FollowStop());
 }
 
 asio::awaitable<void> Gateway::FollowStop() {
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -6,7 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
-#include <list>
 #include <string>
 
 #include "dragonflyglade/decision/clock.h"
@@ -15,6 +14,7 @@
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
+#include "dragonflyglade/gateway/listeners.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/pipeline.h"
 #include "dragonflyglade/gateway/placement_duty.h"
@@ -37,13 +37,15 @@
   /// Errors: kConnectFailed if an address cannot be listened on.
   Status Run();
 
-  /// The port for callers, once Run listens; for settings with port 0.
-  int CallersPort() const { return this->callers_port; }
+  /// The settings, with the ports that are listened on.
+  const GatewaySettings& Settings() const { return this->settings; }
 
   /// Begins to stop, as a signal does. From the event loop only.
   void Stop();
 
   boost::asio::io_context& Context() { return this->context; }
+  /// What it believes; to be read on the event loop.
+  const FleetState& Fleet() const { return this->fleet; }
 
  private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
@@ -56,7 +58,7 @@
   };
   using Answerer = std::function<PlainAnswer(std::string_view path)>;
 
-  Result<Acceptor*> Listen(const Endpoint& endpoint);
+  void Spawn(boost::asio::awaitable<void> task);
   boost::asio::awaitable<void> AcceptCallers(Acceptor& acceptor);
   boost::asio::awaitable<void> AcceptQuestions(Acceptor& acceptor,
                                                Answerer answer);
@@ -71,10 +73,11 @@
   CallerLimits Limits() const;
   void AddGauges();
 
-  const GatewaySettings settings;
+  GatewaySettings settings;
   const WireFormat wire;
   const Clock clock;
   boost::asio::io_context context;
+  Listeners listeners;
   Metrics metrics;
   EventLog log;
   FleetState fleet;
@@ -91,8 +94,6 @@
   PlacementDuty placement;
   Pipeline pipeline;
   boost::asio::signal_set signals;
-  std::list<Acceptor> acceptors;
-  int callers_port = 0;
   bool stopping = false;
 };
 
--- /dev/null
+++ b/dragonflyglade/gateway/listeners.cc
@@ -0,0 +1,62 @@
+#include "dragonflyglade/gateway/listeners.h"
+
+namespace dragonflyglade::gateway {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+// Connections that wait to be accepted: a burst of new callers, some hundred
+// in the time of one turn of the loop on a small machine.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Listeners::Listeners(boost::asio::io_context& context,
+                     GatewaySettings& settings)
+    : callers(context),
+      readiness(context),
+      directory(context),
+      metrics(context),
+      peers(context) {
+  this->Listen(settings.callers, this->callers);
+  this->Listen(settings.readiness, this->readiness);
+  this->Listen(settings.directory, this->directory);
+  this->Listen(settings.metrics, this->metrics);
+  this->BindPeers(settings.peers);
+}
+
+void Listeners::Listen(Endpoint& endpoint, tcp::acceptor& acceptor) {
+  error_code error;
+  const tcp::endpoint place(
+      boost::asio::ip::make_address(endpoint.address, error),
+      static_cast<unsigned short>(endpoint.port));
+  if (!error) acceptor.open(place.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(place, error);
+  if (!error) acceptor.listen(kBacklog, error);
+  this->Note(error, endpoint);
+  if (!error) endpoint.port = acceptor.local_endpoint().port();
+}
+
+void Listeners::BindPeers(Endpoint& endpoint) {
+  error_code error;
+  const udp::endpoint place(
+      boost::asio::ip::make_address(endpoint.address, error),
+      static_cast<unsigned short>(endpoint.port));
+  if (!error) this->peers.open(place.protocol(), error);
+  if (!error) this->peers.bind(place, error);
+  if (!error) this->peers.non_blocking(true, error);
+  this->Note(error, endpoint);
+  if (!error) endpoint.port = this->peers.local_endpoint().port();
+}
+
+void Listeners::Note(const error_code& error, const Endpoint& endpoint) {
+  if (!error || !this->bound.Ok()) return;
+  this->bound = MakeFailure(Errc::kConnectFailed, "listen", endpoint.ToString(),
+                            error.message());
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/tests/platform/platform-codecs.cc
@@ -0,0 +1,459 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "platform/types.h"
+#include "platform/wire.h"
+
+namespace dragonflyglade::platform {
+namespace {
+
+const std::string kConfig = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h.example", "prefix": "/a/", "type": "streaming",
+     "timeout_ms": 6000, "target_latency_ms": 800, "priority": 1,
+     "backends": [{"service": "s1", "weight": 90},
+                  {"service": "s2", "weight": 10}],
+     "max_attempts": 2, "public": true, "resumable": true, "later": [1]},
+    {"host": "h.example", "prefix": "/b/", "type": "non_idempotent",
+     "service": "s2"}],
+  "services": [
+    {"name": "s1", "max_connections": 360,
+     "engine": {"models": [{"name": "m1", "weights_mb": 34300.0,
+                            "load_s": 2.0, "adapters": 63,
+                            "adapter_mb": 40.0}],
+                "weights_mb": 200000.0, "adapter_slots": 8,
+                "loads_per_s": 2.1}},
+    {"name": "s2"}],
+  "limits": {"max_header_bytes": 100, "max_body_bytes": 200,
+             "header_timeout_ms": 300, "idle_timeout_ms": 400},
+  "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1,
+               "unit": "token_stream", "plain_tokens": 200,
+               "rate_per_s": 1000, "burst": 2000}]})";
+
+struct InvalidCase {
+  const char* what;
+  std::string text;
+};
+
+struct FieldCase {
+  const char* what;
+  HeaderFields fields;
+  std::function<bool(const CallerRequest&)> holds;
+};
+
+struct AnswerCase {
+  const char* what;
+  int status;
+  HeaderFields fields;
+  std::function<bool(const AnswerHead&)> holds;
+};
+
+struct CallCase {
+  const char* what;
+  StoreCall call;
+  const char* method;
+  const char* path;
+  const char* body;
+};
+
+struct ReplyCase {
+  const char* what;
+  StoreCall call;
+  int status;
+  const char* body;
+  std::function<bool(const StoreReply&)> holds;
+};
+
+std::string ValueOf(const HeaderFields& fields, std::string_view name) {
+  for (const auto& [field, value] : fields) {
+    if (field == name) return value;
+  }
+  return "";
+}
+
+CallerRequest Decoded(HeaderFields fields) {
+  HttpHeadText head;
+  head.method = "POST";
+  head.path_and_query = "/a/x?y=1";
+  fields.emplace_back("Host", "h.example");
+  head.fields = std::move(fields);
+  return DecodeRequest(head).Value();
+}
+
+class PlatformCodecsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformCodecsTest);
+  CPPUNIT_TEST(ReadsAConfiguration);
+  CPPUNIT_TEST(RejectsWhatIsNoConfiguration);
+  CPPUNIT_TEST(ReadsTargets);
+  CPPUNIT_TEST(RejectsEntriesOfOtherWriters);
+  CPPUNIT_TEST(ReadsRequests);
+  CPPUNIT_TEST(WritesRequestsForTargets);
+  CPPUNIT_TEST(ReadsAnswers);
+  CPPUNIT_TEST(WritesStoreCalls);
+  CPPUNIT_TEST(ReadsStoreReplies);
+  CPPUNIT_TEST(WritesOrdersAndReadsReports);
+  CPPUNIT_TEST(SpeaksTheDirectory);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsAConfiguration() {
+    const GatewayConfig config = DecodeConfig(kConfig).Value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, config.version);
+    const Route& stream = *config.routes.Find("h.example", "/a/x");
+    CPPUNIT_ASSERT(stream.repeatability == Repeatability::kStream);
+    CPPUNIT_ASSERT(stream.timeout == absl::Seconds(6));
+    CPPUNIT_ASSERT(stream.latency_objective == absl::Milliseconds(800));
+    CPPUNIT_ASSERT(stream.open && stream.resumable);
+    CPPUNIT_ASSERT_EQUAL(2, stream.max_targets);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stream.services.size());
+    const Route& once = *config.routes.Find("h.example", "/b/x");
+    CPPUNIT_ASSERT(once.repeatability == Repeatability::kOnce);
+    CPPUNIT_ASSERT_EQUAL(std::string("s2"), once.services.front().service);
+    const ServiceSpec& engines = config.services.find("s1")->second;
+    CPPUNIT_ASSERT_EQUAL(200000.0, engines.engine->memory_mb);
+    CPPUNIT_ASSERT_EQUAL(34300.0, engines.engine->models[0].memory_mb);
+    CPPUNIT_ASSERT(!config.services.find("s2")->second.engine.has_value());
+    CPPUNIT_ASSERT(config.wants_keys);
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                         config.workspace_of_key.find("k2")->second);
+    const WorkspaceSpec& workspace = config.workspaces.find("t1")->second;
+    CPPUNIT_ASSERT(workspace.counts_tokens);
+    CPPUNIT_ASSERT_EQUAL(2000.0, workspace.quota.burst);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, config.limits.max_body_bytes);
+    CPPUNIT_ASSERT(config.limits.idle_timeout == absl::Milliseconds(400));
+  }
+
+  void RejectsWhatIsNoConfiguration() {
+    const std::vector<InvalidCase> cases = {
+        {"nothing", ""},
+        {"no JSON", "{"},
+        {"another type", "[]"},
+        {"no version", R"({"routes": [], "services": []})"},
+        {"a field of another type",
+         R"({"version": "x", "routes": [], "services": []})"},
+        {"a route without its prefix",
+         R"({"version": 1, "services": [],
+             "routes": [{"host": "h", "type": "idempotent",
+                         "service": "s"}]})"},
+    };
+    for (const InvalidCase& item : cases) {
+      const Result<GatewayConfig> config = DecodeConfig(item.text);
+      CPPUNIT_ASSERT_MESSAGE(item.what, !config.Ok());
+      CPPUNIT_ASSERT(config.Error().code ==
+                     make_error_code(Errc::kInvalidRecord));
+    }
+  }
+
+  void ReadsTargets() {
+    const TargetRecord target = DecodeTarget("servers/i-1", R"({"service": "s1",
+            "address": "127.0.0.1:80", "zone": "z", "slots": 64,
+            "state": "draining", "born": 12, "sequence": 4, "new": {},
+            "models": [{"name": "m", "version": 1,
+                        "adapters": ["a1", {"name": "a2", "version": 3}]}]})")
+                                    .Value();
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), target.id);
+    CPPUNIT_ASSERT(target.leaving);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{12}, target.born_ms);
+    const std::vector<std::string> adapters = {"a1", "a2"};
+    CPPUNIT_ASSERT(target.models[0].adapters == adapters);
+  }
+
+  // Anybody may have written an entry. One that cannot be read must neither
+  // end the process nor be used, and must not hide the others.
+  void RejectsEntriesOfOtherWriters() {
+    const std::vector<InvalidCase> cases = {
+        {"bytes that are no text", std::string("\xff\x00\x7f", 3)},
+        {"no service", R"({"address": "a", "slots": 1, "state": "ready"})"},
+        {"slots of another type",
+         R"({"service": "s", "address": "a", "slots": "1",
+             "state": "ready"})"},
+        {"a state that is not known",
+         R"({"service": "s", "address": "a", "slots": 1, "state": "new"})"},
+        {"models of another type",
+         R"({"service": "s", "address": "a", "slots": 1, "state": "ready",
+             "models": 5})"},
+        {"a list", "[1]"},
+    };
+    for (const InvalidCase& item : cases) {
+      CPPUNIT_ASSERT_MESSAGE(item.what,
+                             !DecodeTarget("servers/x", item.text).Ok());
+    }
+  }
+
+  void ReadsRequests() {
+    const std::vector<FieldCase> cases = {
+        {"the key, whatever the scheme's case",
+         {{"authorization", "bearer  k1 "}},
+         [](const auto& r) {
+           return r.key == "k1" && r.passed_on.size() == 1;
+         }},
+        {"another scheme is no key",
+         {{"Authorization", "Basic x"}},
+         [](const auto& r) { return r.key.empty(); }},
+        {"model, adapter and tokens",
+         {{"X-Dragonflyglade-Model", "m1/a2"},
+          {"X-Dragonflyglade-Token-Usage", "1460,80"}},
+         [](const auto& r) {
+           return r.use.model == "m1" && r.use.adapter == "a2" &&
+                  r.use.Tokens() == 1540 && r.passed_on.size() == 3;
+         }},
+        {"parts of the prompt",
+         {{"X-Dragonflyglade-Prompt-Prefix", "5c:800,91:410"}},
+         [](const auto& r) {
+           return r.use.parts.size() == 2 && r.use.parts[1].id == "91" &&
+                  r.use.parts[0].tokens == 800;
+         }},
+        {"a part that cannot be read ends the list",
+         {{"X-Dragonflyglade-Prompt-Prefix", "5c:800,91,e4:3"}},
+         [](const auto& r) { return r.use.parts.size() == 1; }},
+        {"the deadline is replaced, not passed on",
+         {{"X-Dragonflyglade-Deadline-Ms", "1500"}},
+         [](const auto& r) {
+           return r.deadline == absl::Seconds(1.5) && r.passed_on.size() == 1;
+         }},
+        {"a deadline that cannot be read",
+         {{"X-Dragonflyglade-Deadline-Ms", "soon"}},
+         [](const auto& r) { return !r.deadline.has_value(); }},
+        {"fields of one connection",
+         {{"Connection", "close, X-Mine"},
+          {"X-Mine", "1"},
+          {"Keep-Alive", "timeout=5"},
+          {"Transfer-Encoding", "chunked"},
+          {"Content-Length", "5"}},
+         [](const auto& r) { return r.passed_on.size() == 1; }},
+        {"fields that are the system's to set",
+         {{"X-Dragonflyglade-Tenant", "other"},
+          {"X-Dragonflyglade-Hold", "h"},
+          {"x-dragonflyglade-pin-ms", "5"},
+          {"X-Dragonflyglade-Kv-Backup", "1.2.3.4:5"},
+          {"Kv-From", "1.2.3.4:5/x"},
+          {"X-Dragonflyglade-Target-Instance", "i"},
+          {"X-Dragonflyglade-Request-Priority", "0"}},
+         [](const auto& r) { return r.passed_on.size() == 1; }},
+        {"others are passed on",
+         {{"X-Other", "1"}, {"Accept", "*/*"}},
+         [](const auto& r) { return r.passed_on.size() == 3; }},
+    };
+    for (const FieldCase& item : cases) {
+      CPPUNIT_ASSERT_MESSAGE(item.what, item.holds(Decoded(item.fields)));
+    }
+    HttpHeadText no_host;
+    CPPUNIT_ASSERT(!DecodeRequest(no_host).Ok());
+  }
+
+  void WritesRequestsForTargets() {
+    const CallerRequest request =
+        Decoded({{"X-Dragonflyglade-Attempt-Id", "r1"},
+                 {"Last-Event-Id", "3"},
+                 {"Authorization", "Bearer secret"}});
+    TargetStamp stamp;
+    stamp.target = "i-1";
+    stamp.workspace = "t1";
+    stamp.time_left = absl::Milliseconds(1234.9);
+    stamp.priority = 4;
+    stamp.resume_after = "8";
+    const HeaderFields fields = TargetFields(request, stamp);
+    const auto value = [&](const char* name) { return ValueOf(fields, name); };
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"),
+                         value("X-Dragonflyglade-Attempt-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1234"),
+                         value("X-Dragonflyglade-Deadline-Ms"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                         value("X-Dragonflyglade-Target-Instance"));
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), value("X-Dragonflyglade-Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string("4"),
+                         value("X-Dragonflyglade-Request-Priority"));
+    CPPUNIT_ASSERT_EQUAL(std::string("8"), value("Last-Event-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("Authorization"));
+    const auto resumed = std::count_if(
+        fields.begin(), fields.end(),
+        [](const auto& field) { return field.first == "Last-Event-Id"; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, resumed);
+  }
+
+  void ReadsAnswers() {
+    const std::vector<AnswerCase> cases = {
+        {"a signed answer",
+         200,
+         {{"X-Dragonflyglade-Server-Signature", "s"},
+          {"X-Dragonflyglade-Attempt-Id", "r1"},
+          {"Keep-Alive", "max=9, timeout=5"}},
+         [](const auto& a) {
+           return a.is_signed && a.request_id == "r1" && !a.not_executed &&
+                  a.keep_alive == absl::Seconds(5) && a.passed_on.size() == 2;
+         }},
+        {"load, which is not the caller's",
+         200,
+         {{"X-Dragonflyglade-Server-Load", "3,1,8"}},
+         [](const auto& a) {
+           return a.load->running == 3 && a.load->waiting == 1 &&
+                  a.load->slots == 8 && a.passed_on.empty();
+         }},
+        {"a load that cannot be read",
+         200,
+         {{"X-Dragonflyglade-Server-Load", "3,x"}},
+         [](const auto& a) { return !a.load.has_value(); }},
+        {"the target says that it did not run",
+         503,
+         {{"X-Dragonflyglade-Not-Executed", "1"}},
+         [](const auto& a) { return a.not_executed && !a.wrong_target; }},
+        {"503 alone says nothing",
+         503,
+         {},
+         [](const auto& a) { return !a.not_executed; }},
+        {"another target at the address",
+         421,
+         {},
+         [](const auto& a) { return a.not_executed && a.wrong_target; }},
+        {"a stream",
+         200,
+         {{"Content-Type", "text/event-stream; charset=utf-8"}},
+         [](const auto& a) { return a.event_stream; }},
+        {"an encoding",
+         200,
+         {{"Content-Encoding", "gzip"}},
+         [](const auto& a) { return a.encoded; }},
+    };
+    for (const AnswerCase& item : cases) {
+      HttpHeadText head;
+      head.status = item.status;
+      head.fields = item.fields;
+      CPPUNIT_ASSERT_MESSAGE(item.what, item.holds(DecodeAnswer(head)));
+    }
+  }
+
+  void WritesStoreCalls() {
+    StoreTransaction transaction;
+    transaction.expected.push_back({"a", 3});
+    transaction.puts.push_back({"a", "hi", 9});
+    transaction.deletes.push_back("b");
+    const std::vector<CallCase> cases = {
+        {"a first page", StoreList{"servers/", ""}, "GET",
+         "/-/kv-range?prefix=servers/", ""},
+        {"a further page", StoreList{"", "a b"}, "GET",
+         "/-/kv-range?prefix=&after=a%20b", ""},
+        {"a watch", StoreWatch{"op/", 5, absl::Milliseconds(900)}, "GET",
+         "/-/kv-watch?prefix=op/&after=5&wait_ms=900", ""},
+        {"a transaction", transaction, "POST", "/-/kv-txn",
+         R"({"deletes":["b"],"expected":[{"key":"a","revision":3}],)"
+         R"("puts":[{"key":"a","lease":9,"value":"aGk="}]})"},
+        {"a lease", StoreGrant{absl::Seconds(2)}, "POST", "/-/kv-lease",
+         R"({"ttl_ms":2000})"},
+        {"a renewal", StoreRenewal{7}, "POST", "/-/kv-keep/7", ""},
+        {"its end", StoreLeaseEnd{7}, "DELETE", "/-/kv-lease-end/7", ""},
+    };
+    for (const CallCase& item : cases) {
+      const HttpCallText text = EncodeStoreCall(item.call);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, std::string(item.method),
+                                   text.method);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, std::string(item.path),
+                                   text.path_and_query);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, std::string(item.body),
+                                   text.body);
+    }
+  }
+
+  void ReadsStoreReplies() {
+    const StoreCall list = StoreList{"", ""};
+    const StoreCall watch = StoreWatch{"", 1, absl::Seconds(1)};
+    const StoreCall write = StoreTransaction{};
+    const std::vector<ReplyCase> cases = {
+        {"a page", list, 200,
+         R"({"items": [{"key": "a", "value": "aGk=", "revision": 2,
+                        "created": 1, "lease": 0}],
+             "truncated": true, "current_rev": 9})",
+         [](const auto& r) {
+           const auto& page = std::get<StorePage>(r);
+           return page.truncated && page.store_revision == 9 &&
+                  page.items[0].value == "hi";
+         }},
+        {"changes", watch, 200,
+         R"({"events": [{"key": "a", "revision": 3, "deleted": true}],
+             "current_rev": 3})",
+         [](const auto& r) {
+           return std::get<StoreEvents>(r).events[0].deleted;
+         }},
+        {"a commit", write, 200, R"({"revision": 4})",
+         [](const auto& r) {
+           return std::get<StoreCommitted>(r).revision == 4;
+         }},
+        {"a conflict", write, 412, R"({"items": []})",
+         [](const auto& r) {
+           return std::holds_alternative<StoreConflict>(r);
+         }},
+        {"no such lease", write, 404, "",
+         [](const auto& r) { return std::holds_alternative<StoreNoLease>(r); }},
+        {"the history is gone", watch, 410, "",
+         [](const auto& r) {
+           return std::holds_alternative<StoreCompacted>(r);
+         }},
+        {"too many calls", watch, 429, "",
+         [](const auto& r) { return std::get<StoreRefused>(r).status == 429; }},
+        {"a body that cannot be read", write, 200, "{",
+         [](const auto& r) { return std::holds_alternative<StoreUnknown>(r); }},
+        {"a value that is not base64", list, 200,
+         R"({"items": [{"key": "a", "value": "%", "revision": 2}],
+             "current_rev": 9})",
+         [](const auto& r) { return std::holds_alternative<StoreUnknown>(r); }},
+    };
+    for (const ReplyCase& item : cases) {
+      const StoreReply reply =
+          DecodeStoreReply(item.call, item.status, item.body);
+      CPPUNIT_ASSERT_MESSAGE(item.what, item.holds(reply));
+    }
+  }
+
+  void WritesOrdersAndReadsReports() {
+    EngineOrder order;
+    order.model = "m";
+    order.adapter = "a3";
+    order.orders_taken = 2;
+    order.holder = "node";
+    order.fence = 41;
+    const HttpCallText call = EncodeOrder("i-1", order);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"adapter":"a3","expected":2,"fencing_token":41,)"
+                    R"("holder":"node","model":"m","operation":"load"})"),
+        call.body);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("i-1"),
+        ValueOf(call.fields, "X-Dragonflyglade-Target-Instance"));
+    CPPUNIT_ASSERT(DecodeOrderAnswer(202) == OrderAnswer::kAccepted);
+    CPPUNIT_ASSERT(DecodeOrderAnswer(409) == OrderAnswer::kConflict);
+    CPPUNIT_ASSERT(!DecodeOrderAnswer(500).has_value());
+    const EngineReport report =
+        DecodeReport(R"({"sequence": 5, "busy": true, "born": 9,
+                         "models": [{"name": "m", "adapters": ["a1"]}],
+                         "pending": ["m/a3@1"]})")
+            .Value();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, report.orders_taken);
+    CPPUNIT_ASSERT(report.busy);
+    CPPUNIT_ASSERT_EQUAL(std::string("m/a3"), report.pending_adapters[0]);
+    CPPUNIT_ASSERT(!DecodeReport("{}").Ok());
+  }
+
+  void SpeaksTheDirectory() {
+    const auto question = DecodeDirectoryQuestion(
+        "/-/resolve?name=h.example&region=r&zone=z&more=1");
+    CPPUNIT_ASSERT_EQUAL(std::string("h.example"), question->host);
+    CPPUNIT_ASSERT_EQUAL(std::string("z"), question->zone);
+    CPPUNIT_ASSERT(!DecodeDirectoryQuestion("/other").has_value());
+    const std::vector<std::string> addresses = {"127.0.0.1:1"};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"addresses":["127.0.0.1:1"],"ttl_s":2})"),
+        EncodeDirectoryAnswer(addresses, absl::Seconds(2)));
+    CPPUNIT_ASSERT(IsReadinessQuestion("/-/readyz"));
+    CPPUNIT_ASSERT(!IsReadinessQuestion("/-/readyz/x"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformCodecsTest, "platform-codecs");
+
+}  // namespace
+}  // namespace dragonflyglade::platform
--- /dev/null
+++ b/tests/platform/platform-gateway.cc
@@ -0,0 +1,573 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "dragonflyglade/gateway/gateway.h"
+#include "platform/wire.h"
+#include "tests/platform/store_stand_in.h"
+#include "tests/platform/target_stand_in.h"
+
+namespace dragonflyglade {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using gateway::Gateway;
+using gateway::GatewaySettings;
+using nlohmann::json;
+using Script = PlatformTargetStandIn::Script;
+
+// The longest that anything here may take; normally it is milliseconds.
+constexpr absl::Duration kPatience = absl::Seconds(20);
+
+std::string Answer(const RawRequest& request, const std::string& status,
+                   const std::string& body, const std::string& more = "") {
+  return "HTTP/1.1 " + status + "\r\nX-Dragonflyglade-Attempt-Id: " +
+         request.Field("X-Dragonflyglade-Attempt-Id") + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string kSigned = "X-Dragonflyglade-Server-Signature: s1\r\n";
+
+Script Sound(const RawRequest& request) {
+  return {Answer(request, "200 OK", "done", kSigned)};
+}
+
+Script Refusing(const RawRequest& request) {
+  return {
+      Answer(request, "503 Busy", "", "X-Dragonflyglade-Not-Executed: 1\r\n")};
+}
+
+Script Closing(const RawRequest&) { return {"", true}; }
+
+Script Truncated(const RawRequest& request) {
+  std::string bytes = Answer(request, "200 OK", "done", kSigned);
+  bytes.resize(bytes.size() - 2);
+  return {bytes, true};
+}
+
+Script Unsigned(const RawRequest& request) {
+  return {Answer(request, "200 OK", "done")};
+}
+
+Script Encoded(const RawRequest& request) {
+  return {Answer(request, "200 OK", "done",
+                 kSigned + "Content-Encoding: gzip\r\n")};
+}
+
+Script Failing(const RawRequest& request) {
+  return {Answer(request, "500 Oops", "why", kSigned)};
+}
+
+Script Unmarked(const RawRequest& request) {
+  return {Answer(request, "503 Busy", "", kSigned)};
+}
+
+Script LateSecond(const RawRequest& request) {
+  RawRequest other = request;
+  other.head = "GET / HTTP/1.1\r\nX-Dragonflyglade-Attempt-Id: other\r\n\r\n";
+  return {Answer(other, "200 OK", "not yours", kSigned) +
+          Answer(request, "200 OK", "done", kSigned)};
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+// The bytes of a body in chunks.
+std::string WithoutChunks(std::string_view body) {
+  std::string bytes;
+  while (!body.empty()) {
+    const std::size_t size = std::stoul(std::string(body), nullptr, 16);
+    body.remove_prefix(body.find("\r\n") + 2);
+    bytes.append(body.substr(0, size));
+    body.remove_prefix(size + 2);
+  }
+  return bytes;
+}
+
+std::string StreamHead(const RawRequest& request) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + kSigned +
+         "X-Dragonflyglade-Attempt-Id: " +
+         request.Field("X-Dragonflyglade-Attempt-Id") +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+         "\n\n";
+}
+
+// Goes on after the event that the request names, up to event 4.
+Script Streaming(const RawRequest& request) {
+  const std::string after = request.Field("Last-Event-Id");
+  std::string bytes = StreamHead(request);
+  for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= 4; ++id) {
+    bytes += Chunk(Event(id));
+  }
+  return {bytes + "0\r\n\r\n"};
+}
+
+// Breaks off in the middle of the third event.
+Script CutStream(const RawRequest& request) {
+  return {StreamHead(request) + Chunk(Event(1) + Event(2)) + Chunk("id: 3\nda"),
+          true};
+}
+
+// One gateway before two targets of one service, in this process.
+class Stage {
+ public:
+  explicit Stage(PlatformTargetStandIn::Answer answer = Sound)
+      : first(answer), second(answer) {
+    this->store.Put("op/config", this->Config(1, "plain").dump());
+    this->PutTarget("i-1", this->first, "ready");
+    this->gateway =
+        std::make_unique<Gateway>(this->Settings(), platform::MakeWireFormat());
+    this->thread = std::thread([this] { this->ran = this->gateway->Run(); });
+    this->WaitFor([this] { return this->Call("GET", "/once/").status != 503; });
+  }
+
+  ~Stage() {
+    this->gateway->Context().stop();
+    this->thread.join();
+  }
+
+  struct Reply {
+    int status = 0;  ///< 0: the connection ended without an answer
+    std::string text;
+    bool ended_whole = false;  ///< as its framing says
+    std::string Field(const std::string& name) const {
+      return RawRequest{this->text, ""}.Field(name);
+    }
+    std::string Body() const {
+      return this->text.substr(this->text.find("\r\n\r\n") + 4);
+    }
+  };
+
+  void AddSecond() {
+    this->PutTarget("i-2", this->second, "ready");
+    this->WaitFor([this] { return this->Sees("\"target\":\"i-2\""); });
+  }
+
+  // The next request of all is answered like this, whichever target gets it.
+  void NextAnywhere(PlatformTargetStandIn::Answer once,
+                    PlatformTargetStandIn::Answer later) {
+    const auto used = std::make_shared<std::atomic<bool>>(false);
+    const auto answer = [=](const RawRequest& request) {
+      return used->exchange(true) ? later(request) : once(request);
+    };
+    this->first.Next(answer);
+    this->second.Next(answer);
+  }
+
+  std::size_t Arrivals() const {
+    return this->first.Requests().size() + this->second.Requests().size();
+  }
+
+  Reply Call(const std::string& method, const std::string& path,
+             const std::string& key = "k1", const std::string& more = "") {
+    return this->Send(this->Text(method, path, key, more));
+  }
+
+  std::string Text(const std::string& method, const std::string& path,
+                   const std::string& key = "k1",
+                   const std::string& more = "") {
+    this->calls += 1;
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+           "X-Dragonflyglade-Attempt-Id: r" +
+           std::to_string(this->calls) +
+           "\r\nX-Dragonflyglade-Deadline-Ms: 5000\r\n"
+           "Authorization: Bearer " +
+           key + "\r\n" + more + "\r\n";
+  }
+
+  Reply Send(const std::string& text) {
+    return this->SendTo(this->gateway->Settings().callers, text);
+  }
+
+  Reply SendTo(const Endpoint& endpoint, const std::string& text) {
+    const auto socket = this->Connect(endpoint);
+    error_code error;
+    boost::asio::write(*socket, boost::asio::buffer(text), error);
+    Reply reply;
+    char space[4096];
+    while (!error) {
+      reply.text.append(space,
+                        socket->read_some(boost::asio::buffer(space), error));
+    }
+    if (reply.text.size() > 12) reply.status = std::stoi(reply.text.substr(9));
+    const bool chunked =
+        absl::StrContains(reply.text, "Transfer-Encoding: chunked");
+    reply.ended_whole = !chunked || absl::EndsWith(reply.text, "\r\n0\r\n\r\n");
+    return reply;
+  }
+
+  std::unique_ptr<tcp::socket> Connect(const Endpoint& endpoint) {
+    auto socket = std::make_unique<tcp::socket>(this->client);
+    socket->connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                                  static_cast<unsigned short>(endpoint.port)));
+    return socket;
+  }
+
+  Reply Ask(const Endpoint& endpoint, const std::string& path) {
+    return this->SendTo(endpoint, "GET " + path +
+                                      " HTTP/1.1\r\nHost: x\r\n"
+                                      "Connection: close\r\n\r\n");
+  }
+
+  void WaitFor(const std::function<bool()>& holds) {
+    const absl::Time end = absl::Now() + kPatience;
+    while (!holds()) {
+      CPPUNIT_ASSERT_MESSAGE("waited in vain", absl::Now() < end);
+      absl::SleepFor(absl::Milliseconds(10));
+    }
+  }
+
+  // The gateway's own state, read on its event loop.
+  template <typename T>
+  T Read(const std::function<T()>& read) {
+    std::optional<T> value;
+    absl::Notification done;
+    boost::asio::post(this->gateway->Context(), [&] {
+      value = read();
+      done.Notify();
+    });
+    done.WaitForNotification();
+    return *value;
+  }
+
+  bool Sees(const std::string&) {
+    return this->Read<std::size_t>([this] {
+      return this->gateway->Fleet().Targets("s").size();
+    }) == 2;
+  }
+
+  void PutTarget(const std::string& id, const PlatformTargetStandIn& target,
+                 const std::string& state, json models = json::array()) {
+    this->store.Put("servers/" + id, json{{"service", "s"},
+                                          {"address", target.Address()},
+                                          {"zone", "z"},
+                                          {"slots", 4},
+                                          {"state", state},
+                                          {"born", 1},
+                                          {"models", models}}
+                                         .dump());
+  }
+
+  json Config(int version, const std::string& last_route) const {
+    const auto route = [](const std::string& prefix, const std::string& type,
+                          int attempts, bool resumable) {
+      return json{{"name", prefix},        {"host", "h.example"},
+                  {"prefix", prefix},      {"type", type},
+                  {"timeout_ms", 5000},    {"target_latency_ms", 2000},
+                  {"service", "s"},        {"max_attempts", attempts},
+                  {"resumable", resumable}};
+    };
+    return {{"version", version},
+            {"routes",
+             {route("/once/", "non_idempotent", 1, false),
+              route("/any/", "idempotent", 2, false),
+              route("/cut/", "streaming", 1, false),
+              route("/resumed/", "streaming", 2, true),
+              route("/" + last_route + "/", "idempotent", 1, false)}},
+            {"services",
+             {{{"name", "s"},
+               {"max_connections", 50},
+               {"engine",
+                {{"models", {{{"name", "m"}, {"weights_mb", 10}}}},
+                 {"weights_mb", 100},
+                 {"adapter_slots", 2},
+                 {"loads_per_s", 2}}}}}},
+            {"tenants",
+             {{{"name", "t1"}, {"api_keys", {"k1"}}},
+              {{"name", "small"},
+               {"api_keys", {"k2"}},
+               {"rate_per_s", 1},
+               {"burst", 1},
+               {"unit", "token_stream"},
+               {"plain_tokens", 1000}}}}};
+  }
+
+  PlatformStoreStandIn store;
+  PlatformTargetStandIn first;
+  PlatformTargetStandIn second;
+  std::unique_ptr<Gateway> gateway;
+
+ private:
+  GatewaySettings Settings() const {
+    GatewaySettings settings;
+    settings.instance = "one";
+    settings.zone = "z";
+    for (Endpoint* endpoint :
+         {&settings.callers, &settings.readiness, &settings.directory,
+          &settings.metrics, &settings.peers}) {
+      *endpoint = {"127.0.0.1", 0};
+    }
+    settings.store = this->store.Address();
+    settings.quiet_between_holders = absl::Milliseconds(10);
+    settings.retry_share = 1;
+    settings.retry_slack = 100;
+    return settings;
+  }
+
+  boost::asio::io_context client;
+  std::thread thread;
+  Status ran = Done{};
+  int calls = 0;
+};
+
+struct ExchangeCase {
+  const char* what;
+  const char* path;
+  PlatformTargetStandIn::Answer first_answer;
+  int status;
+  std::size_t arrivals;  ///< at both targets
+};
+
+class PlatformGatewayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformGatewayTest);
+  CPPUNIT_TEST(AnswersByWhatIsKnownOfTheRun);
+  CPPUNIT_TEST(PassesOnWhatTheTargetNeeds);
+  CPPUNIT_TEST(RefusesWhatMayNotRun);
+  CPPUNIT_TEST(GoesOnWithAStreamAtAnotherTarget);
+  CPPUNIT_TEST(ACutStreamDoesNotLookWhole);
+  CPPUNIT_TEST(EndsTheRunWhenTheCallerLeaves);
+  CPPUNIT_TEST(FollowsTheConfiguration);
+  CPPUNIT_TEST(SendsNothingToALeavingTarget);
+  CPPUNIT_TEST(PlacesAnAdapterThatIsAskedFor);
+  CPPUNIT_TEST(StopsWithoutCuttingARequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A payout whose answer is lost may have run: sent again it would be paid
+  // twice, and refused with 503 the caller would send it again itself. Only a
+  // target's own mark, or that nothing left, says that it did not run. What
+  // may run again is tried at the other target.
+  void AnswersByWhatIsKnownOfTheRun() {
+    const std::vector<ExchangeCase> cases = {
+        {"a sound answer", "/once/", Sound, 200, 1},
+        {"declined, so another may run it", "/once/", Refusing, 200, 2},
+        {"closed without an answer", "/once/", Closing, 502, 1},
+        {"a truncated answer", "/once/", Truncated, 502, 1},
+        {"an answer without the target's mark", "/once/", Unsigned, 502, 1},
+        {"an encoded answer", "/once/", Encoded, 502, 1},
+        {"a failure of the target's own", "/once/", Failing, 500, 1},
+        {"a promise without its mark", "/once/", Unmarked, 502, 1},
+        {"the late answer to another request", "/once/", LateSecond, 200, 1},
+        {"may run again: closed", "/any/", Closing, 200, 2},
+        {"may run again: truncated", "/any/", Truncated, 200, 2},
+        {"may run again: failed", "/any/", Failing, 200, 2},
+        {"may run again: unmarked", "/any/", Unmarked, 200, 2},
+    };
+    for (const ExchangeCase& item : cases) {
+      Stage stage;
+      stage.AddSecond();
+      stage.NextAnywhere(item.first_answer, Sound);
+      const std::size_t before = stage.Arrivals();
+      const Stage::Reply reply = stage.Call("POST", item.path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.status, reply.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.arrivals,
+                                   stage.Arrivals() - before);
+      const bool has_signature =
+          !reply.Field("X-Dragonflyglade-Server-Signature").empty();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.what, item.status == 200 || item.status == 500, has_signature);
+      if (reply.status == 200) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, std::string("done"),
+                                     reply.Body());
+      }
+    }
+  }
+
+  void PassesOnWhatTheTargetNeeds() {
+    Stage stage;
+    stage.Call("GET", "/any/x?y=1", "k1", "X-Mine: 5\r\n");
+    const RawRequest request = stage.first.Requests().back();
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /any/x?y=1 HTTP/1.1"),
+                         request.Line());
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), request.Field("X-Mine"));
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                         request.Field("X-Dragonflyglade-Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                         request.Field("X-Dragonflyglade-Target-Instance"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), request.Field("Authorization"));
+    const int left = std::stoi(request.Field("X-Dragonflyglade-Deadline-Ms"));
+    CPPUNIT_ASSERT(left > 0 && left <= 5000);
+  }
+
+  void RefusesWhatMayNotRun() {
+    struct RefusalCase {
+      const char* what;
+      const char* path;
+      const char* key;
+      int status;
+      bool retry_after;
+    };
+    const std::vector<RefusalCase> cases = {
+        {"no route", "/other/", "k1", 404, false},
+        {"a key that is not known", "/any/", "nobody", 401, false},
+        {"above the quota", "/any/", "k2", 429, true},
+    };
+    Stage stage;
+    for (const RefusalCase& item : cases) {
+      const std::size_t before = stage.first.Requests().size();
+      const Stage::Reply reply = stage.Call("GET", item.path, item.key);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.status, reply.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.retry_after,
+                                   !reply.Field("Retry-After").empty());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, before,
+                                   stage.first.Requests().size());
+    }
+  }
+
+  // The target breaks off within the third event. The caller sees one stream
+  // with each event once: the half event is dropped, and the other target
+  // goes on after the last whole one.
+  void GoesOnWithAStreamAtAnotherTarget() {
+    Stage stage(Streaming);
+    stage.AddSecond();
+    stage.NextAnywhere(CutStream, Streaming);
+    const Stage::Reply reply = stage.Call("POST", "/resumed/");
+    CPPUNIT_ASSERT_EQUAL(200, reply.status);
+    CPPUNIT_ASSERT(reply.ended_whole);
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3) + Event(4),
+                         WithoutChunks(reply.Body()));
+    const RawRequest one = stage.first.Requests().back();
+    const RawRequest other = stage.second.Requests().back();
+    CPPUNIT_ASSERT(one.Field("Last-Event-Id") == "2" ||
+                   other.Field("Last-Event-Id") == "2");
+    CPPUNIT_ASSERT_EQUAL(one.Field("X-Dragonflyglade-Attempt-Id"),
+                         other.Field("X-Dragonflyglade-Attempt-Id"));
+  }
+
+  // A stream that may not be resumed is cut. Ended like a whole one, the
+  // caller would take half a letter for all of it.
+  void ACutStreamDoesNotLookWhole() {
+    Stage stage(CutStream);
+    const Stage::Reply reply = stage.Call("POST", "/cut/");
+    CPPUNIT_ASSERT_EQUAL(200, reply.status);
+    CPPUNIT_ASSERT(absl::StrContains(reply.text, Event(2)));
+    CPPUNIT_ASSERT(!reply.ended_whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stage.first.Requests().size());
+  }
+
+  // The caller closes while the target works. Without the cancel, the target
+  // would work on for nobody.
+  void EndsTheRunWhenTheCallerLeaves() {
+    Stage stage;
+    stage.first.Next([](const RawRequest&) { return Script{"", false, true}; });
+    const std::size_t before = stage.first.Requests().size();
+    auto socket = stage.Connect(stage.gateway->Settings().callers);
+    const std::string text = stage.Text("POST", "/once/");
+    boost::asio::write(*socket, boost::asio::buffer(text));
+    stage.WaitFor([&] { return stage.first.Requests().size() == before + 1; });
+    socket->close();
+    stage.WaitFor([&] { return stage.first.Hangups() == 1; });
+  }
+
+  void FollowsTheConfiguration() {
+    Stage stage;
+    CPPUNIT_ASSERT_EQUAL(404, stage.Call("GET", "/new/").status);
+    stage.store.Put("op/config", stage.Config(2, "new").dump());
+    stage.WaitFor([&] { return stage.Call("GET", "/new/").status == 200; });
+    CPPUNIT_ASSERT_EQUAL(404, stage.Call("GET", "/plain/").status);
+    stage.store.Put("op/config", "not a configuration");
+    stage.PutTarget("i-2", stage.second, "ready");
+    stage.WaitFor([&] { return stage.Sees("i-2"); });
+    CPPUNIT_ASSERT_EQUAL(200, stage.Call("GET", "/new/").status);
+  }
+
+  void SendsNothingToALeavingTarget() {
+    Stage stage;
+    stage.AddSecond();
+    stage.PutTarget("i-1", stage.first, "draining");
+    stage.WaitFor([&] {
+      return stage.Read<bool>([&] {
+        return stage.gateway->Fleet().Target("i-1")->Record().leaving;
+      });
+    });
+    const std::size_t before = stage.first.Requests().size();
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, stage.Call("GET", "/any/").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, stage.first.Requests().size());
+  }
+
+  // The adapter is nowhere. The request waits while the holder of the placing
+  // duty orders it, and is then sent to the engine that has it.
+  void PlacesAnAdapterThatIsAskedFor() {
+    std::string order;
+    absl::Mutex mutex;
+    Stage stage([&](const RawRequest& request) {
+      if (absl::StrContains(request.Line(), "/-/report")) {
+        return Script{Answer(request, "200 OK",
+                             R"({"sequence": 3, "busy": false,
+                                 "models": [{"name": "m"}]})")};
+      }
+      if (!absl::StrContains(request.Line(), "/-/order")) return Sound(request);
+      absl::MutexLock lock(&mutex);
+      order = request.body;
+      return Script{Answer(request, "202 Accepted", "")};
+    });
+    stage.PutTarget("i-1", stage.first, "ready",
+                    {{{"name", "m"}, {"adapters", json::array()}}});
+    stage.WaitFor([&] {
+      return stage
+                 .Call("POST", "/once/", "k1",
+                       "X-Dragonflyglade-Model: m/a7\r\n"
+                       "X-Dragonflyglade-Token-Usage: 10,10\r\n")
+                 .status == 200;
+    });
+    absl::MutexLock lock(&mutex);
+    const json sent = json::parse(order);
+    CPPUNIT_ASSERT_EQUAL(std::string("a7"),
+                         sent.at("adapter").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(3, sent.at("expected").get<int>());
+    CPPUNIT_ASSERT(sent.at("fencing_token").get<int>() > 0);
+  }
+
+  // A process that is told to stop is no longer ready and no longer listed,
+  // and still serves: callers keep the list for seconds.
+  void StopsWithoutCuttingARequest() {
+    Stage stage;
+    const GatewaySettings settings =
+        stage.Read<GatewaySettings>([&] { return stage.gateway->Settings(); });
+    CPPUNIT_ASSERT_EQUAL(200,
+                         stage.Ask(settings.readiness, "/-/readyz").status);
+    const std::string listed =
+        stage.Ask(settings.directory, "/-/resolve?name=h").Body();
+    CPPUNIT_ASSERT(absl::StrContains(listed, settings.callers.ToString()));
+    boost::asio::post(stage.gateway->Context(), [&] { stage.gateway->Stop(); });
+    stage.WaitFor([&] {
+      return stage.Ask(settings.readiness, "/-/readyz").status == 503;
+    });
+    const std::string left =
+        stage.Ask(settings.directory, "/-/resolve?name=h").Body();
+    CPPUNIT_ASSERT(!absl::StrContains(left, settings.callers.ToString()));
+    CPPUNIT_ASSERT_EQUAL(200, stage.Call("POST", "/once/").status);
+    stage.WaitFor(
+        [&] { return stage.store.Keys("dragonflyglade/instances/").empty(); });
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformGatewayTest, "platform-gateway");
+
+}  // namespace
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,70 @@
+#ifndef DRAGONFLYGLADE_TESTS_PLATFORM_STORE_STAND_IN_H_
+#define DRAGONFLYGLADE_TESTS_PLATFORM_STORE_STAND_IN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/net/worker.h"
+
+namespace httplib {
+class Server;
+}
+
+namespace dragonflyglade {
+
+/// The users' platform's store in memory: listings, watches, transactions and
+/// leases that never end by themselves.
+class PlatformStoreStandIn {
+ public:
+  PlatformStoreStandIn();
+  ~PlatformStoreStandIn();
+
+  Endpoint Address() const { return {"127.0.0.1", this->port}; }
+
+  /// Writes as the operator or a target does.
+  void Put(const std::string& key, const std::string& value);
+  void Delete(const std::string& key);
+
+  /// The value of a key; empty if there is none.
+  std::string Get(const std::string& key) const;
+  std::vector<std::string> Keys(const std::string& prefix) const;
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Change {
+    std::string key;
+    Item item;
+    bool deleted = false;
+  };
+
+  void Record(const std::string& key, const std::string& value,
+              std::uint64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void Remove(const std::string& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  std::string List(const std::string& prefix) const;
+  std::string Watch(const std::string& prefix, std::uint64_t after,
+                    int wait_ms) const;
+  int Transact(const std::string& body, std::string& answer);
+
+  mutable absl::Mutex mutex;
+  std::map<std::string, Item> items ABSL_GUARDED_BY(mutex);
+  std::vector<Change> changes ABSL_GUARDED_BY(mutex);
+  std::uint64_t revision ABSL_GUARDED_BY(mutex) = 1;
+  std::uint64_t leases ABSL_GUARDED_BY(mutex) = 0;
+  bool closing ABSL_GUARDED_BY(mutex) = false;
+  std::unique_ptr<httplib::Server> server;
+  int port = 0;
+  std::unique_ptr<Worker> worker;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_PLATFORM_STORE_STAND_IN_H_
--- /dev/null
+++ b/tests/platform/target_stand_in.cc
@@ -0,0 +1,135 @@
+#include "tests/platform/target_stand_in.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+
+namespace dragonflyglade {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+std::string RawRequest::Field(const std::string& name) const {
+  const std::string lower = absl::AsciiStrToLower(this->head);
+  const std::string wanted = "\r\n" + absl::AsciiStrToLower(name) + ": ";
+  const std::size_t at = lower.find(wanted);
+  if (at == std::string::npos) return "";
+  const std::size_t begin = at + wanted.size();
+  return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
+}
+
+bool ReadRaw(tcp::socket& socket, std::string& buffer, RawRequest& request) {
+  const auto more = [&] {
+    char space[4096];
+    error_code error;
+    const std::size_t got = socket.read_some(boost::asio::buffer(space), error);
+    buffer.append(space, got);
+    return !error;
+  };
+  while (buffer.find("\r\n\r\n") == std::string::npos) {
+    if (!more()) return false;
+  }
+  const std::size_t end = buffer.find("\r\n\r\n") + 4;
+  request.head = buffer.substr(0, end);
+  buffer.erase(0, end);
+  const std::string length = request.Field("Content-Length");
+  const std::size_t size = length.empty() ? 0 : std::stoul(length);
+  while (buffer.size() < size) {
+    if (!more()) return false;
+  }
+  request.body = buffer.substr(0, size);
+  buffer.erase(0, size);
+  return true;
+}
+
+PlatformTargetStandIn::PlatformTargetStandIn(Answer answer)
+    : acceptor(this->context,
+               tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+      usual(std::move(answer)) {
+  this->accepting = std::thread([this] { this->Accept(); });
+}
+
+PlatformTargetStandIn::~PlatformTargetStandIn() {
+  shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+  this->accepting.join();
+  std::vector<std::thread> ending;
+  {
+    absl::MutexLock lock(&this->mutex);
+    for (const auto& socket : this->sockets) {
+      shutdown(socket->native_handle(), SHUT_RDWR);
+    }
+    ending.swap(this->threads);
+  }
+  for (std::thread& thread : ending) thread.join();
+}
+
+std::string PlatformTargetStandIn::Address() const {
+  return Endpoint{"127.0.0.1", this->acceptor.local_endpoint().port()}
+      .ToString();
+}
+
+void PlatformTargetStandIn::Accept() {
+  while (true) {
+    error_code error;
+    auto socket = std::make_shared<Socket>(this->context);
+    this->acceptor.accept(*socket, error);
+    if (error) return;
+    absl::MutexLock lock(&this->mutex);
+    this->sockets.push_back(socket);
+    this->threads.emplace_back([this, socket] { this->Serve(socket); });
+  }
+}
+
+void PlatformTargetStandIn::Serve(std::shared_ptr<Socket> socket) {
+  std::string buffer;
+  RawRequest request;
+  while (ReadRaw(*socket, buffer, request)) {
+    const Script script = this->ScriptFor(request);
+    error_code error;
+    boost::asio::write(*socket, boost::asio::buffer(script.bytes), error);
+    if (script.hang) {
+      char byte = 0;
+      socket->read_some(boost::asio::buffer(&byte, 1), error);
+      absl::MutexLock lock(&this->mutex);
+      this->hangups += 1;
+      return;
+    }
+    if (script.close || error) {
+      shutdown(socket->native_handle(), SHUT_RDWR);
+      return;
+    }
+  }
+}
+
+PlatformTargetStandIn::Script PlatformTargetStandIn::ScriptFor(
+    const RawRequest& request) {
+  Answer answer = this->usual;
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->requests.push_back(request);
+    if (!this->next.empty()) {
+      answer = this->next.front();
+      this->next.pop_front();
+    }
+  }
+  return answer(request);
+}
+
+void PlatformTargetStandIn::Next(Answer answer) {
+  absl::MutexLock lock(&this->mutex);
+  this->next.push_back(std::move(answer));
+}
+
+std::vector<RawRequest> PlatformTargetStandIn::Requests() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->requests;
+}
+
+int PlatformTargetStandIn::Hangups() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->hangups;
+}
+
+}  // namespace dragonflyglade
--- /dev/null
+++ b/tests/unit/unit-quota-window.cc
@@ -0,0 +1,175 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <memory>
+#include <vector>
+
+#include "dragonflyglade/decision/quota_window.h"
+
+namespace dragonflyglade {
+namespace {
+
+constexpr absl::Duration kWindow = absl::Seconds(8);
+const QuotaLimit kLimit{1000, 1000};
+// No excess, so that the figures below are the limit's own.
+const QuotaAllowance kExact{kWindow, 0, 0};
+const double kWhole = 9000;  ///< of a window: eight seconds and the burst
+
+double TakeAll(QuotaWindows& quotas, double step) {
+  double taken = 0;
+  while (quotas.Take("w", kLimit, step).admitted) taken += step;
+  return taken;
+}
+
+struct ShareCase {
+  const char* what;
+  int listed;
+  std::optional<FleetSpend> fleet;
+  double expected;
+};
+
+class QuotaWindowTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuotaWindowTest);
+  CPPUNIT_TEST(SpendsItsPart);
+  CPPUNIT_TEST(SlidesOutOfTheWindow);
+  CPPUNIT_TEST(GrowsFromNothingAfterARestart);
+  CPPUNIT_TEST(SaysWhenToComeBack);
+  CPPUNIT_TEST(GivesBack);
+  CPPUNIT_TEST(KeepsACountThatFellForAWhile);
+  CPPUNIT_TEST(KeepsTheLimitOnBothSidesOfAPartition);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SpendsItsPart() {
+    const std::vector<ShareCase> cases = {
+        {"alone", 1, std::nullopt, kWhole},
+        {"an equal part, nothing heard", 3, std::nullopt, kWhole / 3},
+        {"a part of what the fleet has left", 3, FleetSpend{6000, 0, 3}, 1000},
+        {"nothing is left", 3, FleetSpend{9000, 0, 3}, 0},
+        {"two of four are heard: half of the limit is theirs", 4,
+         FleetSpend{0, 0, 2}, kWhole / 2 / 4},
+        {"one process before may have spent its part", 3,
+         FleetSpend{0, 0, 3, 1}, kWhole * 2 / 3 / 3},
+    };
+    for (const ShareCase& item : cases) {
+      ManualClock manual;
+      QuotaWindows quotas(kExact, true, Clock(&manual));
+      quotas.SetInstances(item.listed);
+      if (item.fleet.has_value()) quotas.SetFleetSpend("w", *item.fleet);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(item.what, item.expected,
+                                           TakeAll(quotas, 1), 2);
+    }
+  }
+
+  void SlidesOutOfTheWindow() {
+    ManualClock manual;
+    QuotaWindows quotas(kExact, true, Clock(&manual));
+    TakeAll(quotas, 10);
+    manual.Advance(kWindow - absl::Milliseconds(200));
+    CPPUNIT_ASSERT(!quotas.Take("w", kLimit, 10).admitted);
+    manual.Advance(absl::Milliseconds(400));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kWhole, TakeAll(quotas, 10), 10);
+  }
+
+  // All instances are killed while a workspace floods, and start again with
+  // no memory of what was spent. Were they to begin with a whole window, the
+  // workspace would get twice its quota within it.
+  void GrowsFromNothingAfterARestart() {
+    ManualClock manual;
+    QuotaWindows quotas(kExact, false, Clock(&manual));
+    CPPUNIT_ASSERT_EQUAL(0.0, TakeAll(quotas, 10));
+    manual.Advance(kWindow / 2);
+    const double half = TakeAll(quotas, 10);
+    CPPUNIT_ASSERT(half > 0 && half < kWhole / 2);
+    manual.Advance(kWindow + absl::Seconds(1));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kWhole, TakeAll(quotas, 10), 10);
+  }
+
+  void SaysWhenToComeBack() {
+    ManualClock manual;
+    QuotaWindows quotas(kExact, true, Clock(&manual));
+    TakeAll(quotas, 1000);
+    const QuotaVerdict verdict = quotas.Take("w", kLimit, 500);
+    CPPUNIT_ASSERT(!verdict.admitted);
+    CPPUNIT_ASSERT(verdict.retry_after == absl::Milliseconds(500));
+    CPPUNIT_ASSERT(quotas.Take("w", QuotaLimit{}, 1e9).admitted);
+  }
+
+  void GivesBack() {
+    ManualClock manual;
+    QuotaWindows quotas(kExact, true, Clock(&manual));
+    CPPUNIT_ASSERT(quotas.Take("w", kLimit, 9000).admitted);
+    CPPUNIT_ASSERT(!quotas.Take("w", kLimit, 100).admitted);
+    quotas.GiveBack("w", 4000);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, TakeAll(quotas, 10), 10);
+  }
+
+  // An instance that restarts, or that is cut off from the store, leaves the
+  // list of instances and goes on spending its part.
+  void KeepsACountThatFellForAWhile() {
+    ManualClock manual;
+    QuotaWindows quotas(kExact, true, Clock(&manual));
+    quotas.SetInstances(3);
+    manual.Advance(absl::Seconds(1));
+    quotas.SetInstances(1);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kWhole / 3, TakeAll(quotas, 1), 2);
+    manual.Advance(2 * kWindow);
+    quotas.SetInstances(1);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kWhole, TakeAll(quotas, 1), 2);
+  }
+
+  // Two of seven instances are cut off together with the one that sums up.
+  // Callers reach both sides and ask for more than the quota on each. No span
+  // of a window's length may see more than the quota, whatever the sides
+  // cannot know of each other.
+  void KeepsTheLimitOnBothSidesOfAPartition() {
+    constexpr int kInstances = 7;
+    constexpr int kCutOff = 2;
+    const bool kept = rc::check("both sides together stay inside", [] {
+      ManualClock manual;
+      std::vector<std::unique_ptr<QuotaWindows>> all;
+      for (int i = 0; i < kInstances; ++i) {
+        all.push_back(
+            std::make_unique<QuotaWindows>(kExact, true, Clock(&manual)));
+        all.back()->SetInstances(kInstances);
+      }
+      const int steps = *rc::gen::inRange(20, 60);
+      std::vector<double> spent(steps, 0);
+      for (int step = 0; step < steps; ++step) {
+        for (int i = 0; i < kInstances; ++i) {
+          const double tokens = *rc::gen::inRange(1, 40);
+          for (int ask = 0; ask < 30; ++ask) {
+            if (all[i]->Take("w", kLimit, tokens).admitted) {
+              spent[step] += tokens;
+            }
+          }
+        }
+        for (int side = 0; side < 2; ++side) {
+          const int from = side == 0 ? 0 : kCutOff;
+          const int to = side == 0 ? kCutOff : kInstances;
+          double total = 0;
+          for (int i = from; i < to; ++i) total += all[i]->Spent()["w"];
+          for (int i = from; i < to; ++i) {
+            all[i]->SetFleetSpend("w",
+                                  {total, all[i]->Spent()["w"], to - from, 0});
+          }
+        }
+        manual.Advance(absl::Milliseconds(200));
+      }
+      const int window = static_cast<int>(kWindow / absl::Milliseconds(200));
+      for (int first = 0; first < steps; ++first) {
+        double sum = 0;
+        for (int i = first; i < std::min(steps, first + window); ++i) {
+          sum += spent[i];
+        }
+        RC_ASSERT(sum <= kWhole);
+      }
+    });
+    CPPUNIT_ASSERT(kept);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(QuotaWindowTest, "unit-quota-window");
+
+}  // namespace
+}  // namespace dragonflyglade
