--- a/measure/main.cc
+++ b/measure/main.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <functional>
 #include <iostream>
@@ -18,6 +19,18 @@
 
 constexpr int kBadUse = 2;
 
+// An option's value that the topic does not know would measure nothing.
+bool IsKnown(const char* option, const std::string& value,
+             const std::vector<std::string>& known) {
+  if (value.empty()) return true;
+  if (std::find(known.begin(), known.end(), value) != known.end()) return true;
+  std::cerr << option << ": no such value for this topic: " << value
+            << "\nknown:";
+  for (const std::string& item : known) std::cerr << " " << item;
+  std::cerr << (known.empty() ? " none\n" : "\n");
+  return false;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -55,6 +68,11 @@
     std::cerr << "\n" << described;
     return given.count("help") > 0 ? 0 : kBadUse;
   }
-  topics.at(given["topic"].as<std::string>())(options);
+  const auto& topic = topics.at(given["topic"].as<std::string>());
+  if (!IsKnown("--skew", options.skew, topic.skews)) return kBadUse;
+  if (!IsKnown("--baseline", options.baseline, topic.baselines)) {
+    return kBadUse;
+  }
+  topic.run(options);
   return 0;
 }
--- a/measure/topics.cc
+++ b/measure/topics.cc
@@ -10,10 +10,20 @@
 
 const std::map<std::string, MeasureTopic>& MeasureTopics() {
   static const auto& topics = *new std::map<std::string, MeasureTopic>{
-      {"limits", MeasureLimits},         {"config", MeasureConfig},
-      {"membership", MeasureMembership}, {"routing", MeasureRouting},
-      {"fairness", MeasureFairness},     {"placement", MeasurePlacement},
-      {"capacity", MeasureCapacity},     {"once", MeasureOnce},
+      {"limits",
+       {MeasureLimits,
+        {"even", "skewed", "moving"},
+        {"borrowing", "static_split", "one_owner"}}},
+      {"config", {MeasureConfig, {}, {}}},
+      {"membership", {MeasureMembership, {}, {}}},
+      {"routing",
+       {MeasureRouting,
+        {},
+        {"book", "round_robin", "two_choices", "least_reported"}}},
+      {"fairness", {MeasureFairness, {}, {"fair", "fifo"}}},
+      {"placement", {MeasurePlacement, {}, {}}},
+      {"capacity", {MeasureCapacity, {}, {}}},
+      {"once", {MeasureOnce, {}, {"claims", "plain_retries"}}},
   };
   return topics;
 }
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflyglade {
 
@@ -20,7 +21,12 @@
 /// Prints one figure as "name value unit".
 void PrintFigure(std::string_view name, double value, std::string_view unit);
 
-using MeasureTopic = std::function<void(const MeasureOptions&)>;
+/// What can be measured, and the values that its options take.
+struct MeasureTopic {
+  std::function<void(const MeasureOptions&)> run;
+  std::vector<std::string> skews;
+  std::vector<std::string> baselines;
+};
 
 /// All topics by name.
 const std::map<std::string, MeasureTopic>& MeasureTopics();
