--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -47,8 +47,8 @@
     for (const auto& [name, held] : engine.models) {
       const auto model = this->models.find(name);
       if (model == this->models.end()) continue;
-      used +=
-          model->second->memory_mb + held.size() * model->second->adapter_mb;
+      used += model->second->memory_mb +
+              static_cast<double>(held.size()) * model->second->adapter_mb;
     }
     return used;
   }
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -81,7 +81,8 @@
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const ChoiceCandidate& candidate = candidates[i];
     // A different phase for each candidate, so that ties spread.
-    const double phase = std::fmod(jitter + 0.618 * i, 1.0);
+    const double phase =
+        std::fmod(jitter + 0.618 * static_cast<double>(i), 1.0);
     double wait = request.prompt_tokens > 0 ? EngineWaitMs(request, candidate)
                                             : PlainWaitMs(candidate, phase);
     wait += candidate.fault_share * kMsFault;
--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -64,7 +64,7 @@
 }  // namespace
 
 CallerLink::CallerLink(asio::io_context& context, tcp::socket socket)
-    : context(context), socket(std::move(socket)), timer(context) {
+    : socket(std::move(socket)), timer(context) {
   // Failing options change timing only, never an outcome.
   error_code ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -80,7 +80,6 @@
   boost::asio::awaitable<bool> Write(std::string text);
   void ArmTimer(absl::Duration time);
 
-  boost::asio::io_context& context;
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   boost::asio::steady_timer timer;
--- a/dragonflyglade/gateway/event_splitter.cc
+++ b/dragonflyglade/gateway/event_splitter.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
+#include "dragonflyglade/net/text.h"
 
 namespace dragonflyglade::gateway {
 namespace {
@@ -44,9 +45,9 @@
     const std::string_view line = events.substr(0, end);
     events.remove_prefix(end + 1);
     if (line.substr(0, kField.size()) != kField) continue;
-    const absl::string_view value = absl::StripAsciiWhitespace(
-        absl::string_view(line.data(), line.size()).substr(kField.size()));
-    this->last_id = std::string(value);
+    const absl::string_view value =
+        absl::StripAsciiWhitespace(AbslView(line).substr(kField.size()));
+    this->last_id = Copy(value);
     std::int64_t number = 0;
     if (!absl::SimpleAtoi(value, &number)) continue;
     if (this->last_number.has_value() && number <= *this->last_number) {
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -17,7 +17,6 @@
 namespace dragonflyglade::gateway {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -384,9 +384,6 @@
       if (!of_adapter && loads) engine.loading.reset();
       break;
     case OrderAnswer::kWrongTarget:
-      // Another process is there; its record will say what it holds.
-      engine.inspect = true;
-      return;
     case OrderAnswer::kConflict:
     case OrderAnswer::kFenced:
     case OrderAnswer::kInvalid:
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -60,12 +60,13 @@
 
 double ReportHub::UnknownShares() const {
   double shares = 0;
-  for (const auto& [incarnation, entry] : this->entries) {
+  for (const auto& item : this->entries) {
+    const Entry& entry = item.second;
     const absl::Duration age = absl::Milliseconds(entry.report.age_ms);
     if (!this->IsHeard(entry) || age >= this->spend_window) continue;
     const bool knows_before = std::any_of(
         this->entries.begin(), this->entries.end(), [&](const auto& other) {
-          return other.first != incarnation &&
+          return other.first != item.first &&
                  other.second.report.instance == entry.report.instance;
         });
     if (knows_before) continue;
--- /dev/null
+++ b/dragonflyglade/net/text.h
@@ -0,0 +1,26 @@
+#ifndef DRAGONFLYGLADE_NET_TEXT_H_
+#define DRAGONFLYGLADE_NET_TEXT_H_
+
+#include <string>
+#include <string_view>
+
+#include "absl/strings/string_view.h"
+
+namespace dragonflyglade {
+
+/// Abseil's views, which are a type of their own in Debian 12, as ours.
+inline std::string_view View(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+inline absl::string_view AbslView(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// A copy of a view of Abseil's.
+inline std::string Copy(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_NET_TEXT_H_
--- a/measure/model/limits_fleet.cc
+++ b/measure/model/limits_fleet.cc
@@ -212,7 +212,7 @@
   };
   // The timer of a paused process fires when it wakes.
   this->At(sent + kBorrowTimeout, [=, this] {
-    this->At(this->Awake(node), [=, this] { finish(std::nullopt); });
+    this->At(this->Awake(node), [=] { finish(std::nullopt); });
   });
   ++this->result.messages;
   const bool lost = absl::Bernoulli(this->random, this->run.message_loss);
@@ -227,7 +227,7 @@
           absl::Bernoulli(this->random, this->run.message_loss);
       if (answer_lost || !this->Reaches(lender, node)) return;
       this->At(this->manual.Now() + this->Delay(), [=, this] {
-        this->At(this->Awake(node), [=, this] { finish(loan); });
+        this->At(this->Awake(node), [=] { finish(loan); });
       });
     });
   });
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -217,7 +217,8 @@
           double used = 0;
           std::size_t places = 0;
           for (const auto& [name, held] : engine.models) {
-            used += 60 + 10 * (name[0] - 'a') + held.size();
+            used +=
+                60 + 10 * (name[0] - 'a') + static_cast<double>(held.size());
             places += held.size();
             copies[name] += 1;
             held_once.insert(name);
