Admit large requests while the fleet has room

A request that is larger than an instance's seventh of what a window has left was refused although the workspace was inside its quota. One request may now take two parts; what instances do so in one moment the unused half of the allowance covers (property test with a flood of eight times the quota).

--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -85,23 +85,23 @@
          kUsedExcess * this->allowance.slack;
 }
 
-double QuotaWindows::Left(const Spending& spending,
-                          const QuotaLimit& limit) const {
+QuotaWindows::Part QuotaWindows::OwnPart(const Spending& spending,
+                                         const QuotaLimit& limit) const {
   const double whole = this->FleetAllowance(limit);
   const bool fresh = spending.fleet_at.has_value() &&
                      this->clock.Now() - *spending.fleet_at < kSummaryHolds;
-  if (!fresh) return this->Earned(whole) / this->instances - spending.sum;
+  if (!fresh) return {this->Earned(whole) / this->instances, spending.sum, 1};
   const int sharing = std::max(this->instances, spending.fleet.instances);
-  // A process that was started anew may have spent its part before.
-  const double unknown = spending.fleet.unknown_shares * whole / sharing;
   // Instances that the summary does not hear may be alive and spend their
   // parts; each side of a partition keeps to the part of its own instances.
   const double heard = std::min(
       1.0, static_cast<double>(spending.fleet.instances) / this->instances);
+  // A process that was started anew may have spent its part before.
+  const double unknown = spending.fleet.unknown_shares * whole / sharing;
   const double left =
       std::max(0.0, whole * heard - spending.fleet.total - unknown);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
-  return left / sharing - since;
+  return {left / sharing, since, this->allowance.at_once};
 }
 
 QuotaVerdict QuotaWindows::Take(std::string_view workspace,
@@ -109,12 +109,16 @@
   QuotaVerdict verdict;
   if (limit.rate <= 0 && limit.burst <= 0) return verdict;
   Spending& spending = this->Current(workspace);
-  verdict.left = this->Left(spending, limit);
-  if (verdict.left < tokens) {
+  const Part part = this->OwnPart(spending, limit);
+  verdict.left = part.tokens - part.spent;
+  const bool fits =
+      verdict.left > 0 && part.spent + tokens <= part.at_once * part.tokens;
+  if (!fits) {
     verdict.admitted = false;
     // The fleet's window empties at the rate; this instance gets its part.
     const double rate = std::max(1.0, limit.rate / this->instances);
-    verdict.retry_after = absl::Seconds((tokens - verdict.left) / rate);
+    verdict.retry_after =
+        absl::Seconds(std::max(0.0, tokens - verdict.left) / rate);
     return verdict;
   }
   const std::int64_t now = this->SliceNow();
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -25,6 +25,11 @@
   absl::Duration window = absl::Seconds(8);
   double overage = 0;  ///< part of the limit
   double slack = 0;    ///< tokens in a window
+  /// How much of its equal part of what is left one request may take, in
+  /// parts. Requests are large against a part, and above 1 a large one need
+  /// not be refused while the fleet has room; instances that do so in the same
+  /// moment spend the slack.
+  double at_once = 2;
 };
 
 /// Whether a request is admitted, and if not, when to come back.
@@ -98,7 +103,14 @@
   };
 
   Spending& Current(std::string_view workspace);
-  double Left(const Spending& spending, const QuotaLimit& limit) const;
+  /// What this instance may spend of the window, and has.
+  struct Part {
+    double tokens = 0;
+    double spent = 0;
+    double at_once = 1;
+  };
+
+  Part OwnPart(const Spending& spending, const QuotaLimit& limit) const;
   std::int64_t SliceNow() const;
   double Earned(double whole) const;
 
--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -109,7 +109,8 @@
       this->socket, this->buffer, parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return ResultOf(error);
-  if (absl::EqualsIgnoreCase(std::string(parser.get()[http::field::expect]),
+  const auto expects = parser.get()[http::field::expect];
+  if (absl::EqualsIgnoreCase({expects.data(), expects.size()},
                              "100-continue")) {
     const bool written = co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
     if (!written) co_return CallerLeft{};
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -220,7 +220,8 @@
     if (use == uses.end()) {
       target.SetOthers(0, 0, now);
     } else {
-      target.SetOthers(use->second->requests, use->second->unread_tokens, now);
+      target.SetOthers(use->second->requests,
+                       static_cast<double>(use->second->unread_tokens), now);
     }
   });
   for (const wire::TargetHoldings& item : summary.holdings) {
--- a/tests/unit/unit-quota-window.cc
+++ b/tests/unit/unit-quota-window.cc
@@ -12,7 +12,7 @@
 constexpr absl::Duration kWindow = absl::Seconds(8);
 const QuotaLimit kLimit{1000, 1000};
 // No excess, so that the figures below are the limit's own.
-const QuotaAllowance kExact{kWindow, 0, 0};
+const QuotaAllowance kExact{kWindow, 0, 0, 1};
 const double kWhole = 9000;  ///< of a window: eight seconds and the burst
 
 double TakeAll(QuotaWindows& quotas, double step) {
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(GivesBack);
   CPPUNIT_TEST(KeepsACountThatFellForAWhile);
   CPPUNIT_TEST(KeepsTheLimitOnBothSidesOfAPartition);
+  CPPUNIT_TEST(AdmitsALargeRequestWhileTheFleetHasRoom);
+  CPPUNIT_TEST(KeepsTheAllowanceUnderAFlood);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +169,70 @@
     });
     CPPUNIT_ASSERT(kept);
   }
+
+  // One of seven instances gets a request of 1.5 equal parts of what is left.
+  // Refused, its caller would be turned away although the workspace is inside
+  // its quota.
+  void AdmitsALargeRequestWhileTheFleetHasRoom() {
+    ManualClock manual;
+    QuotaAllowance allowance = kExact;
+    allowance.at_once = 2;
+    QuotaWindows quotas(allowance, true, Clock(&manual));
+    quotas.SetInstances(7);
+    quotas.SetFleetSpend("w", {kWhole - 7000, 0, 7, 0});
+    CPPUNIT_ASSERT(quotas.Take("w", kLimit, 1500).admitted);
+    CPPUNIT_ASSERT(!quotas.Take("w", kLimit, 10).admitted);
+  }
+
+  // Seven instances are asked for eight times the quota in requests of the
+  // usual size; news go round each 200 ms. The window's limit with its whole
+  // allowance holds.
+  void KeepsTheAllowanceUnderAFlood() {
+    constexpr int kInstances = 7;
+    const QuotaLimit limit{100000, 100000};
+    const QuotaAllowance allowance{kWindow, 0.1, 100000, 2};
+    const double allowed = 900000 * 1.1 + 100000;
+    const bool kept = rc::check("the allowance holds", [&] {
+      ManualClock manual;
+      std::vector<std::unique_ptr<QuotaWindows>> all;
+      for (int i = 0; i < kInstances; ++i) {
+        all.push_back(
+            std::make_unique<QuotaWindows>(allowance, true, Clock(&manual)));
+        all.back()->SetInstances(kInstances);
+      }
+      const int steps = *rc::gen::inRange(50, 90);
+      std::vector<double> spent(steps, 0);
+      for (int step = 0; step < steps; ++step) {
+        for (auto& quotas : all) {
+          const double asked = 8 * limit.rate * 0.2 / kInstances;
+          double offered = 0;
+          while (offered < asked) {
+            const double tokens = *rc::gen::inRange(2000, 15000);
+            offered += tokens;
+            if (quotas->Take("w", limit, tokens).admitted) {
+              spent[step] += tokens;
+            }
+          }
+        }
+        double total = 0;
+        for (auto& quotas : all) total += quotas->Spent()["w"];
+        for (auto& quotas : all) {
+          quotas->SetFleetSpend("w",
+                                {total, quotas->Spent()["w"], kInstances, 0});
+        }
+        manual.Advance(absl::Milliseconds(200));
+      }
+      const int window = static_cast<int>(kWindow / absl::Milliseconds(200));
+      for (int first = 0; first < steps; ++first) {
+        double sum = 0;
+        for (int i = first; i < std::min(steps, first + window); ++i) {
+          sum += spent[i];
+        }
+        RC_ASSERT(sum <= allowed);
+      }
+    });
+    CPPUNIT_ASSERT(kept);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(QuotaWindowTest, "unit-quota-window");
