--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -68,6 +68,12 @@
     return model.load / std::max(1, this->CopiesOf(model.name));
   }
 
+  int ClosingEngines() const {
+    return static_cast<int>(
+        std::count_if(this->engines.begin(), this->engines.end(),
+                      [](const auto& engine) { return engine.closing; }));
+  }
+
   void CountEngineLoads() {
     this->engine_load.clear();
     for (const EngineHoldings& engine : this->engines) {
@@ -128,9 +134,12 @@
               };
               return key(one) < key(other);
             });
+  // Room that is being made is for loads that may begin soon. Without this
+  // bound, every round until the first unload ends would take one copy more.
+  int rooms = std::max(1, model_loads) - round.ClosingEngines();
   for (const WantedModel* model : short_of_copies) {
     const bool fits = this->PlaceFor(round, *model) != nullptr;
-    if (!fits) this->MakeRoom(round, *model);
+    if (!fits && rooms > 0 && this->MakeRoom(round, *model)) rooms -= 1;
     if (!fits || model_loads <= 0) continue;
     if (this->AddCopy(round, *model)) model_loads -= 1;
   }
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -41,8 +41,9 @@
   std::map<std::string, std::set<std::string>, std::less<>> models;
   /// Adapters that requests use now, as "model/adapter".
   std::set<std::string> in_use;
-  bool usable = true;  ///< present and not leaving
-  bool busy = false;   ///< takes no order for a model now
+  bool usable = true;    ///< present and not leaving
+  bool busy = false;     ///< takes no order for a model now
+  bool closing = false;  ///< a model is being unloaded from it
 };
 
 /// A change of what an engine holds.
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -260,6 +260,7 @@
     item.usable = target != nullptr && !target->Record().leaving;
     item.busy = engine->ordering || engine->inspect ||
                 engine->loading.has_value() || !engine->closing.empty();
+    item.closing = !engine->closing.empty();
     holdings.push_back(std::move(item));
   }
   const std::vector<ResidencyChange> changes = this->planner.Plan(
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -53,6 +53,12 @@
   return engine;
 }
 
+EngineHoldings Closing(EngineHoldings engine) {
+  engine.busy = true;
+  engine.closing = true;
+  return engine;
+}
+
 EngineHoldings Leaving(EngineHoldings engine) {
   engine.usable = false;
   return engine;
@@ -102,6 +108,14 @@
          {Engine("e1", {{"a", {}}, {"b", {}}}), Engine("e2", {{"b", {}}}, 100)},
          0,
          "unload b at e2"},
+        {"room that is being made is waited for",
+         {Model("a", 0.9), Model("b", 0)},
+         {},
+         {Engine("e1", {{"a", {}}, {"b", {}}}),
+          Closing(Engine("e2", {{"b", {}}}, 100)),
+          Engine("e3", {{"b", {}}}, 100)},
+         1,
+         ""},
         {"the last copy stays",
          {Model("a", 0.9), Model("b", 0)},
          {},
@@ -153,8 +167,12 @@
          ""},
         {"a model whose adapters crowd its copies gets another",
          {Model("a", 0)},
-         {{"a", "x", 0, 0}, {"a", "y", 0, 0}},
-         {Engine("e1", {{"a", {"x", "y"}}}), Engine("e2", {})},
+         {{"a", "w", 0, 0},
+          {"a", "x", 0, 0},
+          {"a", "y", 0, 0},
+          {"a", "z", 0, 0}},
+         {Using(Engine("e1", {{"a", {"w", "x"}}}), {"a/w", "a/x"}),
+          Engine("e2", {})},
          9,
          "load a at e2"},
     };
