Let a new holder begin half of a window's loads at once

A new holder waited two seconds more before its first load, since it took the whole window of the weight store for used. No holder begins more than half a window's loads within the part of the window that the quiet time does not cover, so half is left to the next one (property test over holders).

--- /dev/null
+++ b/dragonflyglade/decision/load_ceiling.h
@@ -0,0 +1,50 @@
+#ifndef DRAGONFLYGLADE_DECISION_LOAD_CEILING_H_
+#define DRAGONFLYGLADE_DECISION_LOAD_CEILING_H_
+
+#include <deque>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/clock.h"
+
+namespace dragonflyglade {
+
+/// How many loads the weight store takes.
+struct LoadCeilingOptions {
+  absl::Duration window = absl::Seconds(5);
+  double overage = 1;  ///< times the rate in a window
+  /// A holder's orders come at least this long after those of the one before.
+  absl::Duration quiet_between_holders = absl::Seconds(3);
+};
+
+/// Keeps the loads that begin in any window below what the weight store
+/// allows, also while the duty of placing passes on. Not synchronised.
+///
+/// A new holder does not know what the one before began. Of a window that is
+/// longer than the quiet time between them, the first part is the other's. So
+/// no holder begins more than half of a window's loads within a time of that
+/// length, and each new one takes that half as used.
+class LoadCeiling {
+ public:
+  LoadCeiling(LoadCeilingOptions options, Clock clock);
+
+  /// The duty was just taken over; orders may go out from now on.
+  void TakenOver(double loads_per_second);
+
+  /// A load begins, or may begin.
+  void Began();
+
+  /// How many may begin now.
+  int Left(double loads_per_second);
+
+ private:
+  int Allowed(double loads_per_second) const;
+  int Since(absl::Duration span) const;
+
+  const LoadCeilingOptions options;
+  const Clock clock;
+  std::deque<Instant> begun;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_DECISION_LOAD_CEILING_H_
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -31,12 +31,6 @@
 // A load that is not seen to end by this many times its usual time is looked
 // into: loads slow down in proportion to how many run.
 constexpr int kLoadPatience = 4;
-// Loads that an unanswered order of an earlier holder may still begin.
-constexpr int kLoadsInReserve = 2;
-// Loads that may begin beside what the rate allows in a window.
-constexpr int kLoadsBeside = 3;
-// More than any window allows.
-constexpr std::size_t kMostLoads = 1000;
 
 std::string PlaceOf(const ResidencyChange& change) {
   return ResidentKey(change.model, change.adapter);
@@ -78,10 +72,7 @@
     }
     if (!this->acting) {
       this->acting = true;
-      // The holder before may have begun as many loads as are allowed, the
-      // last of them when it had to stop.
-      this->load_times.assign(
-          kMostLoads, this->clock.Now() - this->settings.quiet_between_holders);
+      this->ceilings.clear();
       this->log.Write("placement", "acting", {{"fence", this->duty.Fence()}});
     }
     this->Follow();
@@ -205,19 +196,6 @@
   return all;
 }
 
-int PlacementDuty::LoadsLeft(const EngineLimits& limits) {
-  const Instant now = this->clock.Now();
-  while (!this->load_times.empty() &&
-         now - this->load_times.front() > this->settings.load_window) {
-    this->load_times.pop_front();
-  }
-  const double window = absl::ToDoubleSeconds(this->settings.load_window);
-  const int allowed = static_cast<int>(limits.loads_per_second * window *
-                                       this->settings.load_overage) +
-                      kLoadsBeside - kLoadsInReserve;
-  return allowed - static_cast<int>(this->load_times.size());
-}
-
 void PlacementDuty::Plan() {
   const auto config = this->fleet.Config();
   const std::map<ModelName, FleetDemand> demand = this->hub.Demand();
@@ -226,9 +204,23 @@
   }
 }
 
+LoadCeiling& PlacementDuty::CeilingOf(const ServiceSpec& service) {
+  const auto found = this->ceilings.find(service.name);
+  if (found != this->ceilings.end()) return found->second;
+  const LoadCeilingOptions options{this->settings.load_window,
+                                   this->settings.load_overage,
+                                   this->settings.quiet_between_holders};
+  LoadCeiling& ceiling =
+      this->ceilings.emplace(service.name, LoadCeiling(options, this->clock))
+          .first->second;
+  ceiling.TakenOver(service.engine->loads_per_second);
+  return ceiling;
+}
+
 void PlacementDuty::PlanService(
     const ServiceSpec& service,
     const std::map<ModelName, FleetDemand>& demand) {
+  LoadCeiling& ceiling = this->CeilingOf(service);
   std::vector<WantedModel> models;
   for (const ServedModel& served : service.engine->models) {
     WantedModel model;
@@ -263,8 +255,9 @@
     item.closing = !engine->closing.empty();
     holdings.push_back(std::move(item));
   }
-  const std::vector<ResidencyChange> changes = this->planner.Plan(
-      models, adapters, holdings, this->LoadsLeft(*service.engine));
+  const std::vector<ResidencyChange> changes =
+      this->planner.Plan(models, adapters, holdings,
+                         ceiling.Left(service.engine->loads_per_second));
   for (const ResidencyChange& change : changes) this->Book(service, change);
   for (const auto& [id, engine] : this->engines) {
     if (engine->inspect && !engine->ordering) {
@@ -289,7 +282,7 @@
         served.begin(), served.end(),
         [&](const ServedModel& item) { return item.name == change.model; });
     engine.loading_until = this->clock.Now() + kLoadPatience * model->load_time;
-    this->load_times.push_back(this->clock.Now());
+    this->CeilingOf(service).Began();
   } else if (loads) {
     engine.models[change.model].insert(change.adapter);
     engine.unready.insert(PlaceOf(change));
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -4,7 +4,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +13,7 @@
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/decision/load_ceiling.h"
 #include "dragonflyglade/decision/residency_planner.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
@@ -69,7 +69,7 @@
   void Plan();
   void PlanService(const ServiceSpec& service,
                    const std::map<ModelName, FleetDemand>& demand);
-  int LoadsLeft(const EngineLimits& limits);
+  LoadCeiling& CeilingOf(const ServiceSpec& service);
   bool Book(const ServiceSpec& service, const ResidencyChange& change);
   boost::asio::awaitable<void> CarryOut(std::shared_ptr<Engine> engine,
                                         ResidencyChange change);
@@ -94,7 +94,7 @@
   Signal wake;
   bool acting = false;
   std::map<std::string, std::shared_ptr<Engine>> engines;
-  std::deque<Instant> load_times;
+  std::map<std::string, LoadCeiling, std::less<>> ceilings;  ///< by service
 };
 
 }  // namespace dragonflyglade::gateway
