--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -74,6 +74,9 @@
   /// the store while they are restarted, and come back.
   void SetInstances(int count);
 
+  /// The operator changed how far the fleet may exceed limits.
+  void SetAllowance(const QuotaAllowance& newer) { this->allowance = newer; }
+
   /// A summary of the fleet came.
   void SetFleetSpend(std::string_view workspace, FleetSpend spend);
 
@@ -114,7 +117,7 @@
   std::int64_t SliceNow() const;
   double Earned(double whole) const;
 
-  const QuotaAllowance allowance;
+  QuotaAllowance allowance;
   const Clock clock;
   const bool nothing_spent_before;
   const Instant started;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -35,8 +35,9 @@
 
 }  // namespace
 
-Gateway::Gateway(GatewaySettings settings, WireFormat wire)
+Gateway::Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire)
     : settings(std::move(settings)),
+      reread(std::move(reread)),
       wire(std::move(wire)),
       clock(SteadyClock()),
       context(1),
@@ -124,6 +125,7 @@
   signal(SIGPIPE, SIG_IGN);
   this->signals.add(SIGTERM);
   this->signals.add(SIGINT);
+  this->signals.add(SIGHUP);
   this->Spawn(this->WaitForSignal());
   this->Spawn(this->follower.Run());
   this->Spawn(this->registration.Run());
@@ -247,10 +249,29 @@
 }
 
 asio::awaitable<void> Gateway::WaitForSignal() {
-  error_code error;
-  co_await this->signals.async_wait(
-      asio::redirect_error(asio::use_awaitable, error));
-  if (!error) this->Stop();
+  while (true) {
+    error_code error;
+    const int received = co_await this->signals.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    if (received == SIGHUP) {
+      this->Reload();
+    } else {
+      this->Stop();
+    }
+  }
+}
+
+void Gateway::Reload() {
+  const Result<GatewaySettings> newer = this->reread();
+  if (!newer.Ok()) {
+    this->log.Write("process", "reload refused",
+                    {{"why", newer.Error().ToString()}});
+    return;
+  }
+  const bool needs_restart = TakeLimitsOver(newer.Value(), this->settings);
+  this->quotas.SetAllowance(this->settings.quota_allowance);
+  this->log.Write("process", "reloaded", {{"needs_restart", needs_restart}});
 }
 
 void Gateway::Stop() {
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -31,7 +31,10 @@
 /// until a signal to stop, and then ends without cutting a request.
 class Gateway {
  public:
-  Gateway(GatewaySettings settings, WireFormat wire);
+  using ReadSettings = std::function<Result<GatewaySettings>()>;
+
+  /// @param reread reads the settings anew, for SIGHUP
+  Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire);
 
   /// Listens and serves until SIGTERM or SIGINT was followed through.
   /// Errors: kConnectFailed if an address cannot be listened on.
@@ -40,6 +43,10 @@
   /// The settings, with the ports that are listened on.
   const GatewaySettings& Settings() const { return this->settings; }
 
+  /// Reads the settings anew, as SIGHUP does. Settings that are not valid
+  /// change nothing. From the event loop only.
+  void Reload();
+
   /// Begins to stop, as a signal does. From the event loop only.
   void Stop();
 
@@ -75,6 +82,7 @@
   void AddGauges();
 
   GatewaySettings settings;
+  const ReadSettings reread;
   const WireFormat wire;
   const Clock clock;
   boost::asio::io_context context;
--- a/dragonflyglade/gateway/gateway_command.cc
+++ b/dragonflyglade/gateway/gateway_command.cc
@@ -33,7 +33,10 @@
     fmt::print(output.out, "settings are valid\n");
     return kExitDone;
   }
-  Gateway gateway(settings.Value(), std::move(wire));
+  const auto reread = [&options] {
+    return ReadGatewaySettings(options.settings);
+  };
+  Gateway gateway(settings.Value(), reread, std::move(wire));
   const Status ran = gateway.Run();
   if (ran.Ok()) return kExitDone;
   fmt::print(output.err, "{}\n", ran.Error().ToString());
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -134,6 +134,29 @@
   return settings;
 }
 
+bool TakeLimitsOver(const GatewaySettings& newer, GatewaySettings& settings) {
+  GatewaySettings taken = newer;
+  taken.instance = settings.instance;
+  taken.zone = settings.zone;
+  taken.callers = settings.callers;
+  taken.readiness = settings.readiness;
+  taken.directory = settings.directory;
+  taken.metrics = settings.metrics;
+  taken.peers = settings.peers;
+  taken.store = settings.store;
+  settings = std::move(taken);
+  const auto differs = [](const Endpoint& one, const Endpoint& other) {
+    return one.ToString() != other.ToString();
+  };
+  return newer.instance != settings.instance || newer.zone != settings.zone ||
+         differs(newer.callers, settings.callers) ||
+         differs(newer.readiness, settings.readiness) ||
+         differs(newer.directory, settings.directory) ||
+         differs(newer.metrics, settings.metrics) ||
+         differs(newer.peers, settings.peers) ||
+         differs(newer.store, settings.store);
+}
+
 Result<GatewaySettings> ReadGatewaySettings(const std::string& path) {
   std::ifstream file(path);
   if (!file) return Invalid(fmt::format("cannot open {}", path));
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -44,7 +44,12 @@
 /// Errors: kInvalidSettings, naming each field that is missing or wrong.
 Result<GatewaySettings> ReadGatewaySettings(const std::string& path);
 
-/// The same from text.
+/// Takes the limits of newer settings over, which may change while a process
+/// runs. Addresses and names stay.
+/// @return whether something differs that only a new process can take over
+bool TakeLimitsOver(const GatewaySettings& newer, GatewaySettings& settings);
+
+/// The same as ReadGatewaySettings, from text.
 Result<GatewaySettings> ParseGatewaySettings(std::string_view text);
 
 }  // namespace dragonflyglade::gateway
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -1,4 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <signal.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/asio/buffer.hpp>
@@ -137,8 +139,10 @@
       : first(answer), second(answer) {
     this->store.Put("op/config", this->Config(1, "plain").dump());
     this->PutTarget("i-1", this->first, "ready");
-    this->gateway =
-        std::make_unique<Gateway>(this->Settings(), platform::MakeWireFormat());
+    this->reread = this->Settings();
+    this->gateway = std::make_unique<Gateway>(
+        this->Settings(), [this] { return this->reread; },
+        platform::MakeWireFormat());
     this->thread = std::thread([this] { this->ran = this->gateway->Run(); });
     this->WaitFor([this] { return this->Call("GET", "/once/").status != 503; });
   }
@@ -313,6 +317,8 @@
   PlatformTargetStandIn first;
   PlatformTargetStandIn second;
   std::unique_ptr<Gateway> gateway;
+  /// What the settings file holds now.
+  Result<GatewaySettings> reread = GatewaySettings();
 
  private:
   GatewaySettings Settings() const {
@@ -358,6 +364,7 @@
   CPPUNIT_TEST(PlacesAnAdapterThatIsAskedFor);
   CPPUNIT_TEST(DoesNotTakeUpADutyOfAnEndedLease);
   CPPUNIT_TEST(GivesUpADutyThatAnotherHolds);
+  CPPUNIT_TEST(ReloadsItsSettings);
   CPPUNIT_TEST(StopsWithoutCuttingARequest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -583,6 +590,34 @@
     stage.WaitFor([&] { return !stage.HoldsDuty(); });
   }
 
+  // SIGHUP ends a process that does not expect it, and with it all requests
+  // that it serves. Here it reads the settings again; ones that are not valid
+  // change nothing.
+  void ReloadsItsSettings() {
+    Stage stage;
+    const GatewaySettings settings =
+        stage.Read<GatewaySettings>([&] { return stage.gateway->Settings(); });
+    const auto kept_for = [&](const std::string& seconds) {
+      return absl::StrContains(
+          stage.Ask(settings.directory, "/-/resolve?name=h").Body(),
+          "\"ttl_s\":" + seconds);
+    };
+    CPPUNIT_ASSERT(kept_for("2"));
+    GatewaySettings newer = settings;
+    newer.directory_keep = absl::Seconds(4);
+    stage.reread = newer;
+    kill(getpid(), SIGHUP);
+    stage.WaitFor([&] { return kept_for("4"); });
+    stage.reread =
+        MakeFailure(Errc::kInvalidSettings, "read settings", "settings");
+    stage.Read<bool>([&] {
+      stage.gateway->Reload();
+      return true;
+    });
+    CPPUNIT_ASSERT(kept_for("4"));
+    CPPUNIT_ASSERT_EQUAL(200, stage.Call("GET", "/any/").status);
+  }
+
   // A process that is told to stop is no longer ready and no longer listed,
   // and still serves: callers keep the list for seconds.
   void StopsWithoutCuttingARequest() {
