Split the pipeline by job; include Asio's coroutines in one place

The order of <utility> before Asio's coroutine headers stood in twelve sources and is one header now.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -1,5 +1,5 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/caller_link.h"
+
 #include <sys/socket.h>
 
 #include <array>
@@ -8,9 +8,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <cerrno>
+#include <utility>
 
 #include "absl/strings/match.h"
-#include "dragonflyglade/gateway/caller_link.h"
 #include "dragonflyglade/gateway/http_text.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_CALLER_LINK_H_
 #define DRAGONFLYGLADE_GATEWAY_CALLER_LINK_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +13,7 @@
 #include <string_view>
 #include <variant>
 
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
--- a/dragonflyglade/gateway/event_log.cc
+++ b/dragonflyglade/gateway/event_log.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace dragonflyglade::gateway {
 namespace {
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -1,5 +1,5 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/fleet_channel.h"
+
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -8,8 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <set>
+#include <utility>
 
-#include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_FLEET_CHANNEL_H_
 #define DRAGONFLYGLADE_GATEWAY_FLEET_CHANNEL_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
@@ -14,6 +13,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
 #include "dragonflyglade/decision/quota_window.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/model_demand.h"
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -1,9 +1,8 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/fleet_state.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
-
-#include "dragonflyglade/gateway/fleet_state.h"
+#include <utility>
 
 namespace dragonflyglade::gateway {
 namespace {
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -1,5 +1,5 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/gateway.h"
+
 #include <signal.h>
 
 #include <algorithm>
@@ -8,10 +8,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "dragonflyglade/gateway/caller_link.h"
-#include "dragonflyglade/gateway/gateway.h"
 #include "dragonflyglade/operator/caller_key.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -10,6 +9,7 @@
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
--- a/dragonflyglade/gateway/gateway_command.cc
+++ b/dragonflyglade/gateway/gateway_command.cc
@@ -1,12 +1,12 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/gateway_command.h"
+
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 
+#include <utility>
 #include <variant>
 
 #include "dragonflyglade/gateway/gateway.h"
-#include "dragonflyglade/gateway/gateway_command.h"
 #include "dragonflyglade/operator/settings_options.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 #include "dragonflyglade/operator/schema_check.h"
 
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_PIPELINE_H_
 #define DRAGONFLYGLADE_GATEWAY_PIPELINE_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
@@ -13,6 +12,7 @@
 #include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_link.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
@@ -25,6 +25,8 @@
 
 namespace dragonflyglade::gateway {
 
+struct RequestJob;
+
 /// Serves one request: finds its route and workspace, admits it, chooses
 /// targets, forwards, and answers the caller. One event loop.
 class Pipeline {
@@ -45,36 +47,39 @@
   int InFlight() const { return this->in_flight; }
 
  private:
-  struct Job;
   /// What to do after an attempt.
   enum class Next { kDone, kTryAnother };
 
-  std::optional<Refusal> Admit(Job& job);
-  std::optional<Refusal> FindWorkspace(Job& job);
-  bool EndsTooLate(const Job& job) const;
-  boost::asio::awaitable<void> Forward(Job& job);
-  boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(Job& job);
-  std::shared_ptr<TargetState> Choose(Job& job);
-  std::shared_ptr<TargetState> ChooseAmong(Job& job, bool all);
-  boost::asio::awaitable<Next> Attempt(Job& job,
+  std::optional<Refusal> Admit(RequestJob& job);
+  std::optional<Refusal> FindWorkspace(RequestJob& job);
+  bool EndsTooLate(const RequestJob& job) const;
+  boost::asio::awaitable<void> Forward(RequestJob& job);
+  boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
+      RequestJob& job);
+  std::shared_ptr<TargetState> Choose(RequestJob& job);
+  std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool all);
+  boost::asio::awaitable<Next> Attempt(RequestJob& job,
                                        std::shared_ptr<TargetState> target);
-  boost::asio::awaitable<Next> Relay(Job& job, TargetState& target,
+  boost::asio::awaitable<Next> Relay(RequestJob& job, TargetState& target,
                                      TargetExchange& exchange,
                                      const AnswerHead& head);
-  boost::asio::awaitable<bool> RelayEvents(Job& job, const AnswerHead& head,
+  boost::asio::awaitable<bool> RelayEvents(RequestJob& job,
+                                           const AnswerHead& head,
                                            std::string_view events, bool ended);
-  boost::asio::awaitable<Next> AfterNotSent(Job& job, TargetState& target,
+  boost::asio::awaitable<Next> AfterNotSent(RequestJob& job,
+                                            TargetState& target,
                                             const NotSent& not_sent);
-  boost::asio::awaitable<Next> AfterDeclined(Job& job, TargetState& target,
+  boost::asio::awaitable<Next> AfterDeclined(RequestJob& job,
+                                             TargetState& target,
                                              const Declined& declined);
-  boost::asio::awaitable<Next> AfterLost(Job& job, TargetState& target,
+  boost::asio::awaitable<Next> AfterLost(RequestJob& job, TargetState& target,
                                          const Lost& lost);
-  boost::asio::awaitable<Next> AfterWhole(Job& job, TargetState& target,
+  boost::asio::awaitable<Next> AfterWhole(RequestJob& job, TargetState& target,
                                           const WholeAnswer& answer);
-  bool MayRepeat(Job& job, bool has_run);
+  bool MayRepeat(RequestJob& job, bool has_run);
   RetryBudget& RetriesOf(std::string_view service);
-  boost::asio::awaitable<void> Refuse(Job& job, Refusal refusal);
-  void Account(Job& job, std::string_view outcome, int status);
+  boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
+  void Account(RequestJob& job, std::string_view outcome, int status);
 
   boost::asio::io_context& context;
   const GatewaySettings& settings;
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -1,11 +1,11 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/placement_duty.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
-#include "dragonflyglade/gateway/placement_duty.h"
 
 namespace dragonflyglade::gateway {
 
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_PLACEMENT_DUTY_H_
 #define DRAGONFLYGLADE_GATEWAY_PLACEMENT_DUTY_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -15,6 +14,7 @@
 #include "dragonflyglade/decision/duty_lease.h"
 #include "dragonflyglade/decision/load_ceiling.h"
 #include "dragonflyglade/decision/residency_planner.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -1,12 +1,12 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/registration.h"
+
 #include <time.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "dragonflyglade/decision/rendezvous.h"
-#include "dragonflyglade/gateway/registration.h"
 
 namespace dragonflyglade::gateway {
 
--- a/dragonflyglade/gateway/registration.h
+++ b/dragonflyglade/gateway/registration.h
@@ -1,13 +1,13 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_REGISTRATION_H_
 #define DRAGONFLYGLADE_GATEWAY_REGISTRATION_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <optional>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
--- /dev/null
+++ b/dragonflyglade/gateway/request_job.cc
@@ -0,0 +1,33 @@
+#include "dragonflyglade/gateway/request_job.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dragonflyglade/decision/target_choice.h"
+
+namespace dragonflyglade::gateway {
+
+// The last part of a prompt is the request's own or its session's; all before
+// it are shared.
+double RequestJob::SharedTokens() const {
+  const auto& parts = this->request.use.parts;
+  double tokens = 0;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) tokens += parts[i].tokens;
+  return std::min(tokens, this->request.use.prompt_tokens);
+}
+
+std::string_view RequestJob::SharedId() const {
+  const auto& parts = this->request.use.parts;
+  return parts.size() < 2 ? std::string_view() : parts[parts.size() - 2].id;
+}
+
+double RequestJob::UnreadTokens() const {
+  return ExpectedRead(this->request.use.prompt_tokens, this->SharedTokens());
+}
+
+Refusal MakeRefusal(RefusalCode code, std::string message,
+                    absl::Duration retry_after) {
+  return {code, std::move(message), retry_after};
+}
+
+}  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/signal.cc
+++ b/dragonflyglade/gateway/signal.cc
@@ -1,10 +1,8 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/signal.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "dragonflyglade/gateway/signal.h"
-
 namespace dragonflyglade::gateway {
 
 namespace asio = boost::asio;
--- a/dragonflyglade/gateway/signal.h
+++ b/dragonflyglade/gateway/signal.h
@@ -1,13 +1,13 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_SIGNAL_H_
 #define DRAGONFLYGLADE_GATEWAY_SIGNAL_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <list>
 
 #include "absl/time/time.h"
+#include "dragonflyglade/gateway/awaitable.h"
 
 namespace dragonflyglade::gateway {
 
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -1,8 +1,8 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/store_follower.h"
+
 #include <fmt/format.h>
 
-#include "dragonflyglade/gateway/store_follower.h"
+#include <utility>
 
 namespace dragonflyglade::gateway {
 
--- a/dragonflyglade/gateway/store_follower.h
+++ b/dragonflyglade/gateway/store_follower.h
@@ -1,13 +1,13 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_STORE_FOLLOWER_H_
 #define DRAGONFLYGLADE_GATEWAY_STORE_FOLLOWER_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/store_link.h"
--- a/dragonflyglade/gateway/store_link.cc
+++ b/dragonflyglade/gateway/store_link.cc
@@ -1,9 +1,10 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/store_link.h"
+
 #include <fmt/format.h>
 
+#include <utility>
+
 #include "dragonflyglade/gateway/http_text.h"
-#include "dragonflyglade/gateway/store_link.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/store_link.h
+++ b/dragonflyglade/gateway/store_link.h
@@ -1,11 +1,11 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_STORE_LINK_H_
 #define DRAGONFLYGLADE_GATEWAY_STORE_LINK_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/store_types.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/wire_format.h"
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -1,5 +1,5 @@
-#include <utility>
-// Asio's coroutine headers use std::exchange without including it.
+#include "dragonflyglade/gateway/target_exchange.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -10,9 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
+#include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
-#include "dragonflyglade/gateway/target_exchange.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_TARGET_EXCHANGE_H_
 #define DRAGONFLYGLADE_GATEWAY_TARGET_EXCHANGE_H_
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -13,6 +12,7 @@
 #include <variant>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/wire_format.h"
