Count kept connections as such

An exchange that ended cleanly had given its connection back before it was asked whether it was a kept one, so target_connections_reused stayed near 0.

--- a/dragonflyglade/gateway/target_connection.cc
+++ b/dragonflyglade/gateway/target_connection.cc
@@ -34,10 +34,7 @@
   while (!this->idle.empty()) {
     std::shared_ptr<TargetConnection> last = std::move(this->idle.back());
     this->idle.pop_back();
-    if (now < last->usable_until && IsQuiet(*last)) {
-      last->reused = true;
-      return last;
-    }
+    if (now < last->usable_until && IsQuiet(*last)) return last;
   }
   return nullptr;
 }
--- a/dragonflyglade/gateway/target_connection.h
+++ b/dragonflyglade/gateway/target_connection.h
@@ -21,7 +21,6 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   Instant usable_until;  ///< while idle
-  bool reused = false;
 };
 
 /// The idle connections to one target.
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -107,7 +107,7 @@
   const Instant now = this->clock.Now();
   this->connection = this->pool.Take(now);
   if (this->connection != nullptr) {
-    this->connected = true;
+    this->reused = true;
     co_return std::nullopt;
   }
   const Result<Endpoint> endpoint = ParseEndpoint(address);
@@ -125,7 +125,6 @@
   this->timer.cancel();
   if (!this->aborted_by.empty()) co_return NotSent{this->aborted_by};
   if (error) co_return NotSent{error.message()};
-  this->connected = true;
   SetOptions(this->connection->socket);
   co_return std::nullopt;
 }
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -79,10 +79,8 @@
   /// Ends the exchange from outside: closes the connection.
   void Abort(std::string_view why);
 
-  bool Connected() const { return this->connected; }
-  bool Reused() const {
-    return this->connection != nullptr && this->connection->reused;
-  }
+  /// Whether the exchange took a connection that was kept from another one.
+  bool Reused() const { return this->reused; }
 
  private:
   using Parser =
@@ -112,7 +110,7 @@
   AnswerHead head;
   std::string aborted_by;  ///< empty: not aborted
   bool timed_out = false;
-  bool connected = false;
+  bool reused = false;
   /// Whether the exchange lives; timers hold it and check it.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
