--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -3,7 +3,10 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
@@ -26,6 +29,12 @@
 // older news says little; faster reports cost processor time for each pair of
 // messages.
 constexpr absl::Duration kReportEvery = absl::Milliseconds(200);
+// An instance without requests has nothing to tell, but must hear of changes.
+// In a fleet of 82 instances most are idle, and the holder's work is reports.
+constexpr absl::Duration kIdleReportEvery = absl::Milliseconds(500);
+// Several orders are mostly answered within some milliseconds of one another;
+// a request that waits for an adapter loses no more than this.
+constexpr absl::Duration kPushGather = absl::Milliseconds(8);
 constexpr std::size_t kLargestDatagram = 65000;
 // Reports whose summary is still awaited.
 constexpr std::size_t kMostUnanswered = 32;
@@ -33,6 +42,10 @@
 constexpr std::size_t kMostLacks = 32;
 constexpr absl::Duration kAgeless = absl::Hours(24);
 
+bool IsIdle(const wire::InstanceReport& report) {
+  return report.targets.empty() && report.wishes.empty();
+}
+
 std::string Encode(const wire::FleetMessage& message) {
   const auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocol protocol(buffer);
@@ -79,6 +92,7 @@
       started(this->clock.Now()),
       wake(context) {
   this->demand.OnFirstWait([this] { this->wake.Notify(); });
+  this->news.on_urgent = [this] { this->Push(Reach::kAll); };
 }
 
 asio::awaitable<void> FleetChannel::Receive() {
@@ -109,16 +123,19 @@
 
 asio::awaitable<void> FleetChannel::Report() {
   while (true) {
-    co_await this->wake.Wait(kReportEvery);
-    const std::optional<DutyHolder> holder = this->fleet.Duty();
-    if (!holder.has_value()) continue;
     wire::FleetMessage message;
     message.__set_report(this->MakeReport());
-    if (holder->instance.incarnation == this->self.incarnation) {
-      this->TakeReport(message.report);
-    } else {
-      this->Send(message, holder->instance.peers);
+    const absl::Duration interval =
+        absl::Milliseconds(message.report.interval_ms);
+    const std::optional<DutyHolder> holder = this->fleet.Duty();
+    if (holder.has_value()) {
+      if (holder->instance.incarnation == this->self.incarnation) {
+        this->TakeReport(message.report);
+      } else {
+        this->Send(message, holder->instance.peers);
+      }
     }
+    co_await this->wake.Wait(interval);
   }
 }
 
@@ -160,6 +177,11 @@
     spend.tokens = static_cast<std::int64_t>(tokens);
     report.spends.push_back(std::move(spend));
   }
+  report.store_revision = static_cast<std::int64_t>(this->news.urgent_through);
+  report.holdings_of = this->told_by;
+  report.holdings_version = this->told_version;
+  report.interval_ms = absl::ToInt64Milliseconds(
+      IsIdle(report) ? kIdleReportEvery : kReportEvery);
   this->spent_at[this->sequence] = spent;
   if (this->spent_at.size() > kMostUnanswered) {
     this->spent_at.erase(this->spent_at.begin());
@@ -178,40 +200,88 @@
   if (this->on_lack) {
     for (const wire::TargetLack& lack : report.lacks) this->on_lack(lack);
   }
-  this->SendSummary(report.instance, report.address);
+  this->SendSummary(report);
 }
 
-void FleetChannel::SendSummary(const std::string& instance,
-                               const std::string& address) {
+void FleetChannel::SendSummary(const wire::InstanceReport& report) {
   wire::FleetMessage message;
-  wire::FleetSummary summary = this->hub.SummaryFor(instance);
+  wire::FleetSummary summary = this->hub.SummaryFor(report);
   summary.holder = this->self.incarnation;
   summary.fence = static_cast<std::int64_t>(this->duty.Fence());
   summary.urgent_revision =
       static_cast<std::int64_t>(this->news.urgent_revision);
   summary.store_age_ms =
       absl::ToInt64Milliseconds(this->clock.Now() - this->news.confirmed_at);
-  if (this->holdings) summary.holdings = this->holdings();
+  summary.holdings_version = this->holdings.Version();
+  summary.holdings = this->holdings.Since(
+      report.holdings_of == this->self.incarnation ? report.holdings_version
+                                                   : 0);
+  this->AddStoreNews(report, summary);
   message.__set_summary(std::move(summary));
-  if (instance == this->self.name) {
+  if (report.incarnation == this->self.incarnation) {
     this->TakeSummary(message.summary);
   } else {
-    this->Send(message, address);
+    this->Send(message, report.address);
+  }
+}
+
+// The report acknowledges what its instance knows, so a lost summary is made
+// good by the next one.
+void FleetChannel::AddStoreNews(const wire::InstanceReport& report,
+                                wire::FleetSummary& summary) const {
+  const std::optional<std::vector<StoreEvent>> events =
+      this->fleet.Recent().Since(
+          static_cast<std::uint64_t>(report.store_revision));
+  if (!events.has_value()) return;
+  for (const StoreEvent& event : *events) {
+    wire::StoreChange change;
+    change.key = event.item.key;
+    change.value = event.item.value;
+    change.revision = static_cast<std::int64_t>(event.item.revision);
+    change.lease = static_cast<std::int64_t>(event.item.lease);
+    change.deleted = event.deleted;
+    summary.changes.push_back(std::move(change));
   }
+  summary.changes_through =
+      static_cast<std::int64_t>(this->news.watched_through);
 }
 
-void FleetChannel::PushSummaries() {
-  for (const auto& [instance, address] : this->hub.Reporters()) {
-    this->SendSummary(instance, address);
+void FleetChannel::Push(Reach reach) {
+  if (!this->duty.Held()) return;
+  for (const wire::InstanceReport& report : this->hub.Reporters()) {
+    if (reach == Reach::kBusy && IsIdle(report)) continue;
+    this->SendSummary(report);
   }
 }
 
+void FleetChannel::PushSoon() {
+  if (this->push_pending) return;
+  this->push_pending = true;
+  asio::co_spawn(this->context, this->PushGathered(), asio::detached);
+}
+
+asio::awaitable<void> FleetChannel::PushGathered() {
+  co_await Sleep(this->context, kPushGather);
+  this->push_pending = false;
+  this->Push(Reach::kBusy);
+}
+
 void FleetChannel::TakeSummary(const wire::FleetSummary& summary) {
   const std::optional<DutyHolder>& holder = this->fleet.Duty();
   // A holder that was replaced may not know it yet.
   if (!holder.has_value() || holder->instance.incarnation != summary.holder) {
     return;
   }
+  // The changes may be of the duty itself, so the holder is not used below.
+  const bool own = summary.holder == this->self.incarnation;
+  this->TakeUses(summary);
+  this->TakeHoldings(summary);
+  this->TakeSpends(summary);
+  if (!own) this->TakeStoreNews(summary);
+  this->fleet.Changed().Notify();
+}
+
+void FleetChannel::TakeUses(const wire::FleetSummary& summary) {
   const Instant now = this->clock.Now();
   std::map<std::string_view, const wire::TargetUse*> uses;
   for (const wire::TargetUse& use : summary.targets) uses[use.target] = &use;
@@ -224,15 +294,30 @@
                        static_cast<double>(use->second->unread_tokens), now);
     }
   });
+}
+
+void FleetChannel::TakeHoldings(const wire::FleetSummary& summary) {
+  if (this->told_by != summary.holder) this->told_holdings.clear();
+  this->told_by = summary.holder;
+  this->told_version = summary.holdings_version;
   for (const wire::TargetHoldings& item : summary.holdings) {
-    const std::shared_ptr<TargetState> target = this->fleet.Target(item.target);
-    if (target == nullptr) continue;
+    this->told_holdings[item.target] = item;
+  }
+  if (summary.holdings_version == 0) return;
+  const Instant now = this->clock.Now();
+  for (const auto& [id, item] : this->told_holdings) {
+    const std::shared_ptr<TargetState> target = this->fleet.Target(id);
+    // What was told of a process before this one is of no use.
+    if (target == nullptr || target->Record().born_ms != item.born_ms) continue;
     target->SetPlaced(
         std::set<std::string>(item.adapters.begin(), item.adapters.end()),
         std::set<std::string>(item.closing_models.begin(),
                               item.closing_models.end()),
         now);
   }
+}
+
+void FleetChannel::TakeSpends(const wire::FleetSummary& summary) {
   const auto own = this->spent_at.find(summary.answers);
   for (const wire::WorkspaceSpend& spend : summary.spends) {
     FleetSpend fleet_spend;
@@ -245,12 +330,28 @@
     fleet_spend.unknown_shares = summary.unknown_shares;
     this->quotas.SetFleetSpend(spend.workspace, fleet_spend);
   }
-  if (holder->instance.incarnation != this->self.incarnation) {
-    this->news.HeardOfHolder(
-        static_cast<std::uint64_t>(summary.urgent_revision),
-        now - absl::Milliseconds(summary.store_age_ms));
+}
+
+void FleetChannel::TakeStoreNews(const wire::FleetSummary& summary) {
+  for (const wire::StoreChange& change : summary.changes) {
+    const auto revision = static_cast<std::uint64_t>(change.revision);
+    if (change.deleted) {
+      this->fleet.ApplyDeleted(change.key, revision);
+      continue;
+    }
+    StoreItem item;
+    item.key = change.key;
+    item.value = change.value;
+    item.revision = revision;
+    item.lease = static_cast<std::uint64_t>(change.lease);
+    this->fleet.Apply(item);
   }
-  this->fleet.Changed().Notify();
+  this->news.urgent_through =
+      std::max(this->news.urgent_through,
+               static_cast<std::uint64_t>(summary.changes_through));
+  this->news.HeardOfHolder(
+      static_cast<std::uint64_t>(summary.urgent_revision),
+      this->clock.Now() - absl::Milliseconds(summary.store_age_ms));
 }
 
 void FleetChannel::ReportLack(std::string_view target, const ModelName& name) {
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -15,6 +15,7 @@
 #include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/holdings_book.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/report_hub.h"
@@ -40,13 +41,12 @@
   boost::asio::awaitable<void> Receive();
   boost::asio::awaitable<void> Report();
 
-  /// As holder: gives every reporter the summary now.
-  void PushSummaries();
+  /// As holder: gives the summary to every reporter that has requests, a few
+  /// milliseconds from now, once for all that happens until then.
+  void PushSoon();
 
-  /// As holder: what is at the targets, added to each summary.
-  void SetHoldings(std::function<std::vector<wire::TargetHoldings>()> read) {
-    this->holdings = std::move(read);
-  }
+  /// As holder: what is at the targets, for the summaries.
+  HoldingsBook& Holdings() { return this->holdings; }
   /// As holder: called when a report came with waiting requests.
   void OnWaiting(std::function<void()> wake) {
     this->waiting = std::move(wake);
@@ -60,11 +60,22 @@
   void ReportLack(std::string_view target, const ModelName& name);
 
  private:
+  /// Whom to push a summary to.
+  enum class Reach { kBusy, kAll };
+
+  void Push(Reach reach);
+  boost::asio::awaitable<void> PushGathered();
   wire::InstanceReport MakeReport();
   void Take(std::string_view datagram);
   void TakeReport(const wire::InstanceReport& report);
   void TakeSummary(const wire::FleetSummary& summary);
-  void SendSummary(const std::string& instance, const std::string& address);
+  void SendSummary(const wire::InstanceReport& report);
+  void AddStoreNews(const wire::InstanceReport& report,
+                    wire::FleetSummary& summary) const;
+  void TakeUses(const wire::FleetSummary& summary);
+  void TakeHoldings(const wire::FleetSummary& summary);
+  void TakeSpends(const wire::FleetSummary& summary);
+  void TakeStoreNews(const wire::FleetSummary& summary);
   void Send(const wire::FleetMessage& message, const std::string& address);
 
   boost::asio::io_context& context;
@@ -84,10 +95,15 @@
   std::int64_t sequence = 0;
   /// What this instance had spent when it made a report, by its sequence.
   std::map<std::int64_t, std::map<std::string, double>> spent_at;
-  std::function<std::vector<wire::TargetHoldings>()> holdings;
+  HoldingsBook holdings;
+  /// What the holder said is at the targets, and its version of it.
+  std::map<std::string, wire::TargetHoldings> told_holdings;
+  std::string told_by;
+  std::int64_t told_version = 0;
   std::function<void()> waiting;
   std::function<void(const wire::TargetLack&)> on_lack;
   std::vector<wire::TargetLack> lacks;
+  bool push_pending = false;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -42,14 +42,12 @@
 
 void FleetState::Apply(const StoreItem& item) {
   if (!this->IsNewer(item.key, item.revision)) return;
+  const bool of_target = this->HasPrefix(item.key, this->wire.targets_prefix);
+  const bool urgent = !of_target || this->ApplyTarget(item);
   if (item.key == this->wire.config_key) this->ApplyConfig(item);
-  if (this->HasPrefix(item.key, this->wire.targets_prefix)) {
-    this->ApplyTarget(item);
-  } else {
-    this->urgent_revision = item.revision;
-  }
   if (this->HasPrefix(item.key, kInstancesPrefix)) this->ApplyInstance(item);
   if (item.key == kDutyKey) this->ApplyDuty(item);
+  if (urgent) this->NoteUrgent({item, false});
   this->changed.Notify();
 }
 
@@ -84,15 +82,21 @@
          names(old) != names(record);
 }
 
-void FleetState::ApplyTarget(const StoreItem& item) {
+void FleetState::NoteUrgent(StoreEvent event) {
+  this->urgent_revision = std::max(this->urgent_revision, event.item.revision);
+  this->recent.Add(std::move(event));
+}
+
+// Returns whether the change must be followed at once.
+bool FleetState::ApplyTarget(const StoreItem& item) {
   Result<TargetRecord> decoded = this->wire.decode_target(item.key, item.value);
   if (!decoded.Ok()) {
     const std::string id = item.key.substr(this->wire.targets_prefix.size());
     this->DropTarget(id, "unreadable entry");
-    return;
+    return true;
   }
   TargetRecord record = std::move(decoded.Value());
-  if (this->IsUrgent(record)) this->urgent_revision = item.revision;
+  const bool urgent = this->IsUrgent(record);
   this->log.Write("targets", record.leaving ? "leaving" : "entry",
                   {{"target", record.id},
                    {"service", record.service},
@@ -101,13 +105,14 @@
   if (known != this->targets.end() &&
       known->second->Record().service == record.service) {
     known->second->Update(std::move(record), this->clock.Now());
-    return;
+    return urgent;
   }
   this->RemoveTarget(record.id);
   auto state =
       std::make_shared<TargetState>(std::move(record), this->clock.Now());
   this->by_service[state->Record().service].push_back(state);
   this->targets[state->Record().id] = std::move(state);
+  return urgent;
 }
 
 void FleetState::ApplyInstance(const StoreItem& item) {
@@ -133,7 +138,10 @@
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
   if (!this->IsNewer(key, revision)) return;
-  this->urgent_revision = revision;
+  StoreItem gone;
+  gone.key = std::string(key);
+  gone.revision = revision;
+  this->NoteUrgent({std::move(gone), true});
   if (this->HasPrefix(key, this->wire.targets_prefix)) {
     this->DropTarget(key.substr(this->wire.targets_prefix.size()),
                      "entry removed");
@@ -155,6 +163,7 @@
 
 void FleetState::ApplyListing(absl::Span<const StoreItem> items,
                               std::uint64_t store_revision) {
+  this->recent.CompleteAfter(store_revision);
   std::set<std::string_view> listed;
   for (const StoreItem& item : items) listed.insert(item.key);
   std::vector<std::string> missing;
@@ -227,4 +236,37 @@
   return found == this->targets.end() ? nullptr : found->second;
 }
 
+std::vector<InstanceOffer> FleetState::Offers() const {
+  std::vector<InstanceOffer> offers;
+  for (const auto& [name, record] : this->instances) {
+    offers.push_back({name, record.zone, record.capacity});
+  }
+  return offers;
+}
+
+std::vector<const InstanceRecord*> FleetState::Records(
+    absl::Span<const std::size_t> order) const {
+  std::vector<const InstanceRecord*> all;
+  for (const auto& [name, record] : this->instances) all.push_back(&record);
+  std::vector<const InstanceRecord*> result;
+  for (const std::size_t index : order) result.push_back(all[index]);
+  return result;
+}
+
+std::vector<const InstanceRecord*> FleetState::ListedInstances() const {
+  return this->Records(ChooseInstances(this->Offers()));
+}
+
+bool FleetState::IsListed(std::string_view instance) const {
+  const auto listed = this->ListedInstances();
+  return std::any_of(
+      listed.begin(), listed.end(),
+      [&](const InstanceRecord* record) { return record->name == instance; });
+}
+
+std::vector<const InstanceRecord*> FleetState::InstancesByStrength(
+    std::string_view key) const {
+  return this->Records(ByStrength(this->Offers(), key));
+}
+
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -13,9 +13,11 @@
 
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/instance_choice.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/recent_changes.h"
 #include "dragonflyglade/gateway/signal.h"
 #include "dragonflyglade/gateway/store_types.h"
 #include "dragonflyglade/gateway/target_state.h"
@@ -67,6 +69,12 @@
   const std::map<std::string, InstanceRecord, std::less<>>& Instances() const {
     return this->instances;
   }
+  /// The instances that callers are sent to, the strongest first.
+  std::vector<const InstanceRecord*> ListedInstances() const;
+  bool IsListed(std::string_view instance) const;
+  /// All instances by strength; ties are broken by a hash with the key.
+  std::vector<const InstanceRecord*> InstancesByStrength(
+      std::string_view key) const;
   const std::optional<DutyHolder>& Duty() const { return this->duty; }
   /// When the duty was last taken or let go.
   std::uint64_t DutyRevision() const { return this->duty_revision; }
@@ -75,6 +83,9 @@
   /// changes of which models and adapters a target holds.
   std::uint64_t UrgentRevision() const { return this->urgent_revision; }
 
+  /// The urgent changes seen lately.
+  const RecentChanges& Recent() const { return this->recent; }
+
   /// Notified at each change.
   Signal& Changed() { return this->changed; }
 
@@ -85,12 +96,16 @@
  private:
   bool IsNewer(std::string_view key, std::uint64_t revision);
   void ApplyConfig(const StoreItem& item);
-  void ApplyTarget(const StoreItem& item);
+  bool ApplyTarget(const StoreItem& item);
+  void NoteUrgent(StoreEvent event);
   bool IsUrgent(const TargetRecord& record) const;
   void ApplyInstance(const StoreItem& item);
   void ApplyDuty(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
+  std::vector<InstanceOffer> Offers() const;
+  std::vector<const InstanceRecord*> Records(
+      absl::Span<const std::size_t> order) const;
   bool HasPrefix(std::string_view key, std::string_view prefix) const;
 
   const WireFormat& wire;
@@ -107,6 +122,7 @@
   std::uint64_t duty_revision = 0;
   std::optional<Instant> returned_at;
   std::uint64_t urgent_revision = 0;
+  RecentChanges recent;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -53,9 +53,10 @@
                this->clock),
       duty({this->settings.quiet_between_holders}, ReadLocalTime),
       self(this->MakeSelf()),
-      registration(this->context, this->store, this->fleet, this->duty,
-                   this->self, this->settings.lease_ttl, this->log,
-                   this->clock),
+      registration(
+          this->context, this->store, this->fleet, this->duty, this->self,
+          {this->settings.lease_ttl, this->settings.unlisted_lease_ttl},
+          this->log, this->clock),
       hub(this->settings.quota_allowance.window, this->clock),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->hub, this->duty, this->self,
@@ -78,6 +79,8 @@
   self.callers = this->settings.callers.ToString();
   self.peers = this->settings.peers.ToString();
   self.incarnation = RandomHex(kIncarnationBytes);
+  self.capacity =
+      InstanceCapacity(this->settings.cores, this->settings.link_mbps);
   return self;
 }
 
@@ -227,12 +230,15 @@
 
 Gateway::PlainAnswer Gateway::AnswerDirectory(std::string_view path) const {
   if (!this->wire.decode_directory_question(path).has_value()) return {};
+  const std::string own = this->settings.callers.ToString();
   std::vector<std::string> addresses;
-  for (const auto& [name, record] : this->fleet.Instances()) {
-    if (name == this->settings.instance) continue;
-    addresses.push_back(record.callers);
+  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
+    if (record->callers == own && this->stopping) continue;
+    addresses.push_back(record->callers);
   }
-  if (!this->stopping) addresses.push_back(this->settings.callers.ToString());
+  // With nobody in the store, e.g. before its first answer, callers can do no
+  // better than the instance that they reached.
+  if (addresses.empty() && !this->stopping) addresses.push_back(own);
   if (addresses.size() > kMostAddresses) {
     std::mt19937 random{std::random_device{}()};
     std::shuffle(addresses.begin(), addresses.end(), random);
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -44,7 +44,10 @@
               {"metrics", Address()},
               {"peers", Address()}},
              {"callers", "readiness", "directory", "metrics", "peers"});
+  const json machine =
+      Object({{"cores", Number()}, {"link_mbps", Number()}}, json::array());
   const json limits = Object({{"lease_ttl_ms", Number()},
+                              {"unlisted_lease_ttl_ms", Number()},
                               {"quiet_between_holders_ms", Number()},
                               {"stop_within_s", Number()},
                               {"directory_keep_s", Number()},
@@ -61,6 +64,7 @@
                  {"first_start", {{"type", "boolean"}}},
                  {"listen", listen},
                  {"store", Object({{"address", Address()}}, {"address"})},
+                 {"machine", machine},
                  {"limits", limits}},
                 {"instance", "zone", "listen", "store"});
 }
@@ -98,6 +102,7 @@
   const absl::Duration ms = absl::Milliseconds(1);
   const absl::Duration s = absl::Seconds(1);
   ReadTime(limits, "lease_ttl_ms", ms, settings.lease_ttl);
+  ReadTime(limits, "unlisted_lease_ttl_ms", ms, settings.unlisted_lease_ttl);
   ReadTime(limits, "quiet_between_holders_ms", ms,
            settings.quiet_between_holders);
   ReadTime(limits, "stop_within_s", s, settings.stop_within);
@@ -131,6 +136,9 @@
   settings.peers = addresses.Read(listen, "peers");
   settings.store = addresses.Read(document.at("store"), "address");
   if (!addresses.Problem().empty()) return Invalid(addresses.Problem());
+  const json machine = document.value("machine", json::object());
+  ReadNumber(machine, "cores", settings.cores);
+  ReadNumber(machine, "link_mbps", settings.link_mbps);
   ReadLimits(document.value("limits", json::object()), settings);
   return settings;
 }
@@ -145,11 +153,15 @@
   taken.metrics = settings.metrics;
   taken.peers = settings.peers;
   taken.store = settings.store;
+  taken.cores = settings.cores;
+  taken.link_mbps = settings.link_mbps;
   settings = std::move(taken);
   const auto differs = [](const Endpoint& one, const Endpoint& other) {
     return one.ToString() != other.ToString();
   };
   return newer.instance != settings.instance || newer.zone != settings.zone ||
+         newer.cores != settings.cores ||
+         newer.link_mbps != settings.link_mbps ||
          differs(newer.callers, settings.callers) ||
          differs(newer.readiness, settings.readiness) ||
          differs(newer.directory, settings.directory) ||
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -21,8 +21,13 @@
   Endpoint metrics;
   Endpoint peers;  ///< datagrams of other instances
   Endpoint store;
+  double cores = 1;  ///< of the processor, fractions included
+  double link_mbps = 1000;
 
   absl::Duration lease_ttl = absl::Seconds(2);
+  /// The lease of an instance that callers are not sent to. Nobody waits for
+  /// news of its end, and renewals of a large fleet are the store's main load.
+  absl::Duration unlisted_lease_ttl = absl::Seconds(8);
   /// Orders of two holders of a duty to one target lie further apart.
   absl::Duration quiet_between_holders = absl::Seconds(3);
   /// From the signal to stop until the process must have ended.
--- a/dragonflyglade/gateway/instance_record.cc
+++ b/dragonflyglade/gateway/instance_record.cc
@@ -11,7 +11,8 @@
               {"zone", record.zone},
               {"callers", record.callers},
               {"peers", record.peers},
-              {"incarnation", record.incarnation}}
+              {"incarnation", record.incarnation},
+              {"capacity", record.capacity}}
       .dump();
 }
 
@@ -24,6 +25,8 @@
     record.callers = document.at("callers").get<std::string>();
     record.peers = document.at("peers").get<std::string>();
     record.incarnation = document.at("incarnation").get<std::string>();
+    // Instances of an earlier version say nothing of it.
+    record.capacity = document.value("capacity", 0.0);
     return record;
   } catch (const json::exception& error) {
     return MakeFailure(Errc::kInvalidRecord, "read instance", "store",
--- a/dragonflyglade/gateway/instance_record.h
+++ b/dragonflyglade/gateway/instance_record.h
@@ -15,6 +15,7 @@
   std::string callers;      ///< address for callers
   std::string peers;        ///< address for other instances
   std::string incarnation;  ///< new at each start of the process
+  double capacity = 0;      ///< see InstanceCapacity
 };
 
 std::string EncodeInstanceRecord(const InstanceRecord& record);
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -56,7 +56,6 @@
       clock(clock),
       planner(ResidencyOptions(), clock),
       wake(context) {
-  this->channel.SetHoldings([this] { return this->Holdings(); });
   this->channel.OnWaiting([this] { this->wake.Notify(); });
   this->channel.OnLack(
       [this](const wire::TargetLack& lack) { this->TakeLack(lack); });
@@ -77,6 +76,7 @@
     }
     this->Follow();
     this->Plan();
+    this->channel.Holdings().Set(this->Holdings());
   }
 }
 
@@ -101,6 +101,7 @@
 void PlacementDuty::Forget() {
   this->acting = false;
   this->engines.clear();
+  this->channel.Holdings().Clear();
   this->log.Write("placement", "not acting", {{"held", this->duty.Held()}});
 }
 
@@ -182,6 +183,7 @@
   for (const auto& [id, engine] : this->engines) {
     wire::TargetHoldings holdings;
     holdings.target = id;
+    holdings.born_ms = engine->born_ms;
     for (const auto& [model, adapters] : engine->models) {
       for (const std::string& adapter : adapters) {
         std::string key = ResidentKey(model, adapter);
@@ -196,6 +198,11 @@
   return all;
 }
 
+void PlacementDuty::TellHoldings() {
+  this->channel.Holdings().Set(this->Holdings());
+  this->channel.PushSoon();
+}
+
 void PlacementDuty::Plan() {
   const auto config = this->fleet.Config();
   const std::map<ModelName, FleetDemand> demand = this->hub.Demand();
@@ -333,7 +340,7 @@
 asio::awaitable<void> PlacementDuty::CarryOut(std::shared_ptr<Engine> engine,
                                               ResidencyChange change) {
   if (change.kind == ResidencyChange::Kind::kUnload) {
-    this->channel.PushSummaries();
+    this->TellHoldings();
     co_await Sleep(this->context, kClosingNews);
   }
   std::optional<OrderAnswer> answer;
@@ -364,7 +371,7 @@
   engine->unready.erase(PlaceOf(change));
   engine->settled_at = this->clock.Now();
   engine->ordering = false;
-  this->channel.PushSummaries();
+  this->TellHoldings();
   this->wake.Notify();
 }
 
@@ -419,7 +426,7 @@
   }
   engine->settled_at = this->clock.Now();
   engine->ordering = false;
-  this->channel.PushSummaries();
+  this->TellHoldings();
 }
 
 bool PlacementDuty::TakeReport(Engine& engine, std::string_view body) {
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -82,6 +82,7 @@
   boost::asio::awaitable<void> Inspect(std::shared_ptr<Engine> engine);
   bool TakeReport(Engine& engine, std::string_view body);
   std::vector<wire::TargetHoldings> Holdings() const;
+  void TellHoldings();
 
   boost::asio::io_context& context;
   const GatewaySettings& settings;
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -4,9 +4,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
-
-#include "dragonflyglade/decision/rendezvous.h"
 
 namespace dragonflyglade::gateway {
 
@@ -37,14 +34,14 @@
 
 Registration::Registration(asio::io_context& context, StoreLink& store,
                            FleetState& fleet, DutyLease& duty,
-                           InstanceRecord self, absl::Duration lease_ttl,
+                           InstanceRecord self, LeaseTimes lease_times,
                            EventLog& log, Clock clock)
     : context(context),
       store(store),
       fleet(fleet),
       duty(duty),
       self(std::move(self)),
-      lease_ttl(lease_ttl),
+      lease_times(lease_times),
       log(log),
       clock(std::move(clock)) {}
 
@@ -52,13 +49,13 @@
   Instant next_renewal = this->clock.Now();
   while (!this->leaving) {
     const Instant now = this->clock.Now();
-    if (this->lease == 0) {
+    if (this->lease == 0 || this->WantsAnotherLease()) {
       co_await this->Grant();
-      next_renewal = now + this->lease_ttl / kRenewalsInLease;
+      next_renewal = now + this->granted / kRenewalsInLease;
     } else if (!this->entered) {
       co_await this->Enter();
     } else if (now >= next_renewal) {
-      next_renewal = now + this->lease_ttl / kRenewalsInLease;
+      next_renewal = now + this->granted / kRenewalsInLease;
       co_await this->Renew();
     }
     if (this->entered && !this->leaving) co_await this->TakeDuty();
@@ -68,14 +65,18 @@
 
 asio::awaitable<void> Registration::Grant() {
   const LocalTime sent = ReadLocalTime();
-  StoreCall call = StoreGrant{this->lease_ttl};
+  const absl::Duration wanted = this->WantedLease();
+  StoreCall call = StoreGrant{wanted};
   const StoreReply reply =
       co_await this->store.Call(std::move(call), kCallTimeout);
   const auto* lease = std::get_if<StoreLease>(&reply);
   if (lease == nullptr) co_return;
   this->lease = lease->lease;
   this->granted = lease->ttl;
+  this->asked_for = wanted;
   this->renewed = sent;
+  // The entry moves to the new lease; the end of the one before, if there is
+  // one, then removes nothing.
   co_await this->Enter();
 }
 
@@ -134,14 +135,26 @@
   this->duty.Lost();
 }
 
+absl::Duration Registration::WantedLease() const {
+  const bool alone = this->fleet.Instances().empty();
+  return alone || this->fleet.IsListed(this->self.name)
+             ? this->lease_times.listed
+             : this->lease_times.unlisted;
+}
+
+// The lease that the duty stands under must not change: orders carry it.
+bool Registration::WantsAnotherLease() const {
+  if (!this->entered || this->DutyIsMine()) return false;
+  if (this->fleet.Instances().count(this->self.name) == 0) return false;
+  return this->WantedLease() != this->asked_for;
+}
+
 absl::Duration Registration::TurnToTake() const {
-  std::vector<std::string> names;
-  for (const auto& [name, record] : this->fleet.Instances()) {
-    names.push_back(name);
-  }
-  const std::vector<std::string> order =
-      RendezvousOwners(FleetState::kDutyKey, names, names.size());
-  const auto place = std::find(order.begin(), order.end(), this->self.name);
+  // The holder sends summaries to all instances, so strong ones go first.
+  const auto order = this->fleet.InstancesByStrength(FleetState::kDutyKey);
+  const auto place = std::find_if(
+      order.begin(), order.end(),
+      [&](const auto* record) { return record->name == this->self.name; });
   const int turn = static_cast<int>(place - order.begin());
   return std::min(turn, kMostTurns) * kTurn;
 }
@@ -162,6 +175,9 @@
   }
   if (this->fleet.Config() == nullptr) co_return;
   if (this->duty.Held()) co_return;
+  // The duty stands under this instance's lease, and a long one would keep it
+  // from others for as long after this one's end.
+  if (this->asked_for != this->lease_times.listed) co_return;
   if (!this->vacant_since.has_value()) this->vacant_since = now;
   if (now - *this->vacant_since < this->TurnToTake()) co_return;
   StoreTransaction transaction;
--- a/dragonflyglade/gateway/registration.h
+++ b/dragonflyglade/gateway/registration.h
@@ -18,13 +18,19 @@
 /// The steady and the boot clock now.
 LocalTime ReadLocalTime();
 
+/// How long leases last.
+struct LeaseTimes {
+  absl::Duration listed = absl::Seconds(2);    ///< callers are sent here
+  absl::Duration unlisted = absl::Seconds(8);  ///< they are not
+};
+
 /// Keeps this instance in the store under a lease, and takes the placing duty
 /// under the same lease when nobody holds it. One event loop.
 class Registration {
  public:
   Registration(boost::asio::io_context& context, StoreLink& store,
                FleetState& fleet, DutyLease& duty, InstanceRecord self,
-               absl::Duration lease_ttl, EventLog& log, Clock clock);
+               LeaseTimes lease_times, EventLog& log, Clock clock);
 
   /// Runs until Leave.
   boost::asio::awaitable<void> Run();
@@ -40,6 +46,8 @@
   bool DutyIsMine() const;
   void CheckDuty();
   absl::Duration TurnToTake() const;
+  absl::Duration WantedLease() const;
+  bool WantsAnotherLease() const;
   void LeaseEnded();
 
   boost::asio::io_context& context;
@@ -47,12 +55,13 @@
   FleetState& fleet;
   DutyLease& duty;
   const InstanceRecord self;
-  const absl::Duration lease_ttl;
+  const LeaseTimes lease_times;
   EventLog& log;
   const Clock clock;
   std::uint64_t lease = 0;
-  LocalTime renewed;       ///< when the last answered renewal was sent
-  absl::Duration granted;  ///< by the store
+  LocalTime renewed;         ///< when the last answered renewal was sent
+  absl::Duration granted;    ///< by the store
+  absl::Duration asked_for;  ///< of the store
   bool entered = false;
   bool leaving = false;
   std::optional<Instant> vacant_since;
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -9,12 +9,15 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-// Reports come every 200 ms; three in a row are not lost by chance. Until an
-// instance is missed, others spend quota that it may be spending, too.
-constexpr absl::Duration kReportHolds = absl::Milliseconds(700);
+// A report is missed when the next one is this late: with reports each 200 ms,
+// three in a row are not lost by chance. Until an instance is missed, others
+// spend quota that it may be spending, too.
+constexpr absl::Duration kReportLate = absl::Milliseconds(500);
 // Demand is averaged over this time: long enough that single large requests
 // do not move models, short against the seconds that a load takes.
 constexpr absl::Duration kDemandMemory = absl::Seconds(3);
+// Reports of one moment are answered from the same sums.
+constexpr absl::Duration kSumsHold = absl::Milliseconds(10);
 constexpr double kNothing = 1e-3;  // milliseconds of work
 
 }  // namespace
@@ -44,7 +47,8 @@
 }
 
 bool ReportHub::IsHeard(const Entry& entry) const {
-  return this->clock.Now() - entry.at <= kReportHolds;
+  const absl::Duration interval = absl::Milliseconds(entry.report.interval_ms);
+  return this->clock.Now() - entry.at <= interval + kReportLate;
 }
 
 void ReportHub::DropOld() {
@@ -75,32 +79,54 @@
   return shares;
 }
 
-wire::FleetSummary ReportHub::SummaryFor(std::string_view instance) {
+// Summed up once for many summaries: each instance's summary is the whole less
+// its own part, so the work grows with the instances and not with their square.
+void ReportHub::SumUp() {
+  const Instant now = this->clock.Now();
+  if (this->sums_at.has_value() && now - *this->sums_at < kSumsHold) return;
+  this->sums_at = now;
   this->DropOld();
-  wire::FleetSummary summary;
-  summary.instances = 0;
-  summary.unknown_shares = this->UnknownShares();
-  std::map<std::string, wire::TargetUse> uses;
-  std::map<std::string, std::int64_t> spends;
+  this->sums = Sums();
+  this->sums.unknown_shares = this->UnknownShares();
   for (const auto& [incarnation, entry] : this->entries) {
     for (const wire::WorkspaceSpend& spend : entry.report.spends) {
-      spends[spend.workspace] += spend.tokens;
+      this->sums.spends[spend.workspace] += spend.tokens;
     }
     if (!this->IsHeard(entry)) continue;
-    summary.instances += 1;
-    if (entry.report.instance == instance) {
-      summary.answers = entry.report.sequence;
-      continue;
-    }
+    this->sums.instances += 1;
+    this->sums.answers[incarnation] = entry.report.sequence;
     for (const wire::TargetUse& use : entry.report.targets) {
-      wire::TargetUse& sum = uses[use.target];
-      sum.target = use.target;
+      wire::TargetUse& sum = this->sums.uses[use.target];
       sum.requests += use.requests;
       sum.unread_tokens += use.unread_tokens;
     }
   }
-  for (auto& [target, use] : uses) summary.targets.push_back(std::move(use));
-  for (const auto& [workspace, tokens] : spends) {
+}
+
+wire::FleetSummary ReportHub::SummaryFor(const wire::InstanceReport& report) {
+  this->SumUp();
+  wire::FleetSummary summary;
+  summary.instances = this->sums.instances;
+  summary.unknown_shares = this->sums.unknown_shares;
+  // The sums may be older than the last report: what counts is the part of
+  // this instance that is in them.
+  const auto counted = this->sums.answers.find(report.incarnation);
+  if (counted != this->sums.answers.end()) summary.answers = counted->second;
+  std::map<std::string_view, const wire::TargetUse*> own;
+  for (const wire::TargetUse& use : report.targets) own[use.target] = &use;
+  for (const auto& [target, sum] : this->sums.uses) {
+    wire::TargetUse others = sum;
+    const auto mine = own.find(target);
+    if (mine != own.end()) {
+      others.requests = std::max(0, sum.requests - mine->second->requests);
+      others.unread_tokens = std::max<std::int64_t>(
+          0, sum.unread_tokens - mine->second->unread_tokens);
+    }
+    if (others.requests == 0 && others.unread_tokens == 0) continue;
+    others.target = target;
+    summary.targets.push_back(std::move(others));
+  }
+  for (const auto& [workspace, tokens] : this->sums.spends) {
     wire::WorkspaceSpend spend;
     spend.workspace = workspace;
     spend.tokens = tokens;
@@ -144,12 +170,11 @@
   return adapters;
 }
 
-std::vector<std::pair<std::string, std::string>> ReportHub::Reporters() {
+std::vector<wire::InstanceReport> ReportHub::Reporters() {
   this->DropOld();
-  std::vector<std::pair<std::string, std::string>> reporters;
+  std::vector<wire::InstanceReport> reporters;
   for (const auto& [incarnation, entry] : this->entries) {
-    if (!this->IsHeard(entry)) continue;
-    reporters.emplace_back(entry.report.instance, entry.report.address);
+    if (this->IsHeard(entry)) reporters.push_back(entry.report);
   }
   return reporters;
 }
@@ -157,6 +182,7 @@
 void ReportHub::Clear() {
   this->entries.clear();
   this->demand.clear();
+  this->sums_at.reset();
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -33,7 +34,10 @@
   void Take(const wire::InstanceReport& report);
 
   /// What the others have at each target, and what all spent.
-  wire::FleetSummary SummaryFor(std::string_view instance);
+  /// @param report the last one of the instance that asks
+  /// Complexity: O(targets); summing up, O(instances * targets), is done once
+  /// for all summaries of a moment.
+  wire::FleetSummary SummaryFor(const wire::InstanceReport& report);
 
   /// What is asked for, averaged over the last seconds.
   std::map<ModelName, FleetDemand> Demand();
@@ -41,8 +45,8 @@
   /// Adapters that requests use at a target now, as "model/adapter".
   std::set<std::string> AdaptersInUse(std::string_view target) const;
 
-  /// Where to send summaries: addresses of instances heard lately.
-  std::vector<std::pair<std::string, std::string>> Reporters();
+  /// The last reports of the instances heard lately.
+  std::vector<wire::InstanceReport> Reporters();
 
   /// Forgets all; the duty went elsewhere.
   void Clear();
@@ -57,6 +61,16 @@
     Instant at;
   };
 
+  /// What all instances that were heard have and spent together.
+  struct Sums {
+    std::map<std::string, wire::TargetUse> uses;
+    std::map<std::string, std::int64_t> spends;
+    std::map<std::string, std::int64_t> answers;  ///< by incarnation
+    int instances = 0;
+    double unknown_shares = 0;
+  };
+
+  void SumUp();
   bool IsHeard(const Entry& entry) const;
   void DropOld();
   double UnknownShares() const;
@@ -68,6 +82,8 @@
   /// spent before, and the quota has not.
   std::map<std::string, Entry, std::less<>> entries;
   std::map<ModelName, Average> demand;
+  Sums sums;
+  std::optional<Instant> sums_at;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -23,8 +23,10 @@
 // may be silent for 1.2 s before it notices; with the datagram's way and a
 // call of our own a change is still in force within two seconds.
 constexpr absl::Duration kHolderHeard = absl::Milliseconds(1500);
-// Changes that need not be followed at once are read after this.
-constexpr absl::Duration kLedWait = absl::Seconds(3);
+// Changes that need not be followed at once are read after this. The holder's
+// summaries bring all others; what is read here is which adapters targets say
+// they hold, for when there is no holder.
+constexpr absl::Duration kLedWait = absl::Seconds(8);
 // A page of some hundred entries.
 constexpr absl::Duration kListTimeout = absl::Seconds(1);
 // Between calls while the store does not answer: all instances together stay
@@ -95,8 +97,8 @@
   this->Heard();
   this->revision = *first_revision;
   this->fleet.ApplyListing(items, this->revision);
-  this->news.urgent_revision = this->fleet.UrgentRevision();
-  this->news.confirmed_at = this->clock.Now();
+  this->news.Watched(this->revision, this->fleet.UrgentRevision(),
+                     this->clock.Now());
   this->log.Write("store", "listed",
                   {{"revision", this->revision},
                    {"items", static_cast<int>(items.size())}});
@@ -109,7 +111,8 @@
 
 asio::awaitable<void> StoreFollower::WaitForHolder() {
   const Instant begun = this->clock.Now();
-  while (this->HolderKnows() && this->news.holder_revision <= this->revision &&
+  while (this->HolderKnows() &&
+         this->news.holder_revision <= this->news.urgent_through &&
          this->clock.Now() - begun < kLedWait) {
     co_await this->news.changed.Wait(kGatherPause);
   }
@@ -142,8 +145,10 @@
     }
   }
   this->revision = std::max(this->revision, events->store_revision);
-  this->news.urgent_revision = this->fleet.UrgentRevision();
-  this->news.confirmed_at = this->clock.Now();
+  const std::uint64_t urgent = this->fleet.UrgentRevision();
+  const bool is_new = urgent > this->news.urgent_revision;
+  this->news.Watched(this->revision, urgent, this->clock.Now());
+  if (is_new && this->news.on_urgent) this->news.on_urgent();
   if (!events->events.empty()) co_await Sleep(this->context, kGatherPause);
   co_return true;
 }
--- a/dragonflyglade/gateway/store_news.h
+++ b/dragonflyglade/gateway/store_news.h
@@ -1,8 +1,10 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_STORE_NEWS_H_
 #define DRAGONFLYGLADE_GATEWAY_STORE_NEWS_H_
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/signal.h"
@@ -17,6 +19,10 @@
   /// The newest revision with a change that must be followed at once: of the
   /// configuration, of which targets and instances there are, or of the duty.
   std::uint64_t urgent_revision = 0;
+  /// The revision through which this instance's own watch brought all changes.
+  std::uint64_t watched_through = 0;
+  /// The same for urgent changes, by its own watch or by the holder's word.
+  std::uint64_t urgent_through = 0;
   /// When this instance last heard that it had all changes.
   Instant confirmed_at;
 
@@ -24,6 +30,16 @@
   std::uint64_t holder_revision = 0;
   Instant holder_confirmed_at;
   Signal changed;
+  /// Called when the own watch brought a change that must be followed at once.
+  std::function<void()> on_urgent;
+
+  /// The own watch brought all changes up to a revision.
+  void Watched(std::uint64_t revision, std::uint64_t urgent, Instant now) {
+    this->watched_through = revision;
+    this->urgent_through = std::max(this->urgent_through, revision);
+    this->urgent_revision = urgent;
+    this->confirmed_at = now;
+  }
 
   void HeardOfHolder(std::uint64_t revision, Instant confirmed) {
     this->holder_revision = revision;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -49,6 +49,22 @@
   8: i64 age_ms
   /** Models and adapters that targets lack although they should be there. */
   9: list<TargetLack> lacks
+  /** The revision of the store through which it knows all urgent changes. */
+  10: i64 store_revision
+  /** The holder whose holdings it knows, and the version of them; 0: none. */
+  11: string holdings_of
+  12: i64 holdings_version
+  /** Until its next report, when nothing happens. */
+  13: i64 interval_ms
+}
+
+/** A change of the store that must be followed at once. */
+struct StoreChange {
+  1: string key
+  2: binary value
+  3: i64 revision
+  4: i64 lease
+  5: bool deleted
 }
 
 /** The adapters at a target, and the models that are about to leave it. */
@@ -56,6 +72,8 @@
   1: string target
   2: list<string> adapters
   3: list<string> closing_models
+  /** The start of the target's process that this is about. */
+  4: i64 born_ms
 }
 
 struct FleetSummary {
@@ -66,6 +84,7 @@
   /** How many instances were heard lately. */
   4: i32 instances
   5: list<TargetUse> targets
+  /** Those that changed since the version that the report names. */
   6: list<TargetHoldings> holdings
   7: list<WorkspaceSpend> spends
   /** Instances that were started anew within the window and whose spending
@@ -76,6 +95,12 @@
   9: i64 urgent_revision
   /** Since the holder last heard the store say that there is nothing newer. */
   10: i64 store_age_ms
+  /** Urgent changes since the revision that the report names. */
+  11: list<StoreChange> changes
+  /** The revision through which the changes are all; 0: they are not. */
+  12: i64 changes_through
+  /** 0: the holder does not know what targets hold. */
+  13: i64 holdings_version
 }
 
 union FleetMessage {
