--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -16,6 +16,8 @@
 // See EarnedPart. With 1, a flood of 3 s before a restart of the whole fleet
 // exceeded the window by 0.6 %.
 constexpr double kRestartGrowth = 1.5;
+// The part of its share that an instance spends without asking.
+constexpr double kPartWithoutAsking = 0.5;
 // Summaries come several times a second; after this the instance that sends
 // them is gone, and others may spend unheard.
 constexpr absl::Duration kSummaryHolds = absl::Milliseconds(1200);
@@ -48,9 +50,20 @@
 // process before may have spent up to its limit, and that leaves the window
 // only with time.
 double QuotaWindows::Earned(double whole) const {
-  if (this->nothing_spent_before) return whole;
-  const absl::Duration age = this->clock.Now() - this->started;
-  return whole * EarnedPart(age, this->allowance.window);
+  if (!this->listed) return 0;
+  const Instant now = this->clock.Now();
+  if (!this->nothing_spent_before) {
+    whole *= EarnedPart(now - this->started, this->allowance.window);
+  }
+  if (this->listed_since.has_value()) {
+    whole *= EarnedPart(now - *this->listed_since, this->allowance.window);
+  }
+  return whole;
+}
+
+void QuotaWindows::SetListed(bool listed) {
+  if (listed && !this->listed) this->listed_since = this->clock.Now();
+  this->listed = listed;
 }
 
 std::int64_t QuotaWindows::SliceNow() const {
@@ -85,25 +98,85 @@
          kUsedExcess * this->allowance.slack;
 }
 
+bool QuotaWindows::IsFresh(const Spending& spending) const {
+  return spending.fleet_at.has_value() &&
+         this->clock.Now() - *spending.fleet_at < kSummaryHolds;
+}
+
+double QuotaWindows::FleetLeft(double whole, const FleetSpend& spend) const {
+  const int sharing = std::max(this->instances, spend.instances);
+  // Instances that the summary does not hear may be alive and spend their
+  // parts; each side of a partition keeps to the part of its own instances.
+  const double heard =
+      std::min(1.0, static_cast<double>(spend.instances) / this->instances);
+  // A process that was started anew may have spent its part before.
+  const double unknown = spend.unknown_shares * whole / sharing;
+  return std::max(0.0, whole * heard - spend.total - unknown);
+}
+
 QuotaWindows::Part QuotaWindows::OwnPart(const Spending& spending,
                                          const QuotaLimit& limit) const {
   const double whole = this->FleetAllowance(limit);
-  const bool fresh = spending.fleet_at.has_value() &&
-                     this->clock.Now() - *spending.fleet_at < kSummaryHolds;
-  if (!fresh) return {this->Earned(whole) / this->instances, spending.sum, 1};
+  if (!this->IsFresh(spending)) return this->UnheardPart(spending, whole);
+  if (!this->listed) return {};
   const int sharing = std::max(this->instances, spending.fleet.instances);
-  // Instances that the summary does not hear may be alive and spend their
-  // parts; each side of a partition keeps to the part of its own instances.
-  const double heard = std::min(
-      1.0, static_cast<double>(spending.fleet.instances) / this->instances);
-  // A process that was started anew may have spent its part before.
-  const double unknown = spending.fleet.unknown_shares * whole / sharing;
-  const double left =
-      std::max(0.0, whole * heard - spending.fleet.total - unknown);
+  const double left = this->FleetLeft(whole, spending.fleet);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
   return {left / sharing, since, this->allowance.at_once};
 }
 
+// With nobody to sum up, an equal part of the limit. Until the window of the
+// last summary is over, no more than what was left by it: some instances may
+// have been granted more than their part, and if all others then spent theirs,
+// the fleet would exceed the limit by what those have too much.
+QuotaWindows::Part QuotaWindows::UnheardPart(const Spending& spending,
+                                             double whole) const {
+  double tokens = this->Earned(whole) / this->instances;
+  const bool known =
+      spending.fleet_at.has_value() &&
+      this->clock.Now() - *spending.fleet_at < this->allowance.window;
+  if (known) {
+    const int sharing = std::max(this->instances, spending.fleet.instances);
+    const double left = this->FleetLeft(whole, spending.fleet) / sharing;
+    tokens = std::min(tokens, spending.fleet.own + left);
+  }
+  return {tokens, spending.sum, 1};
+}
+
+// Equal parts of a large fleet are smaller than a request, so most requests
+// there are decided where the sums are. Half of what is left is kept for that:
+// parts and grants together stay inside it between two summaries.
+QuotaVerdict QuotaWindows::TakePart(std::string_view workspace,
+                                    const QuotaLimit& limit, double tokens) {
+  if (limit.rate <= 0 && limit.burst <= 0) return {};
+  Spending& spending = this->Current(workspace);
+  if (!this->IsFresh(spending)) return this->Take(workspace, limit, tokens);
+  const Part part = this->OwnPart(spending, limit);
+  QuotaVerdict verdict;
+  verdict.left = kPartWithoutAsking * part.tokens - part.spent;
+  verdict.admitted = tokens <= verdict.left;
+  if (verdict.admitted) this->Spend(spending, tokens);
+  return verdict;
+}
+
+QuotaVerdict QuotaWindows::Grant(const QuotaLimit& limit, double tokens,
+                                 const FleetSpend& spend) const {
+  QuotaVerdict verdict;
+  if (limit.rate <= 0 && limit.burst <= 0) return verdict;
+  verdict.left = this->FleetLeft(this->FleetAllowance(limit), spend);
+  const double needed = tokens / (1 - kPartWithoutAsking);
+  verdict.admitted = needed <= verdict.left;
+  if (verdict.admitted) return verdict;
+  // What was spent leaves the window at about the rate.
+  verdict.retry_after =
+      absl::Seconds((needed - verdict.left) / std::max(1.0, limit.rate));
+  return verdict;
+}
+
+void QuotaWindows::Granted(std::string_view workspace, double tokens) {
+  this->Spend(this->Current(workspace), tokens);
+}
+
 QuotaVerdict QuotaWindows::Take(std::string_view workspace,
                                 const QuotaLimit& limit, double tokens) {
   QuotaVerdict verdict;
@@ -121,13 +194,17 @@
         absl::Seconds(std::max(0.0, tokens - verdict.left) / rate);
     return verdict;
   }
+  this->Spend(spending, tokens);
+  return verdict;
+}
+
+void QuotaWindows::Spend(Spending& spending, double tokens) {
   const std::int64_t now = this->SliceNow();
   if (spending.slices.empty() || spending.slices.back().number != now) {
     spending.slices.push_back({now, 0});
   }
   spending.slices.back().tokens += tokens;
   spending.sum += tokens;
-  return verdict;
 }
 
 void QuotaWindows::GiveBack(std::string_view workspace, double tokens) {
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -25,11 +25,11 @@
   absl::Duration window = absl::Seconds(8);
   double overage = 0;  ///< part of the limit
   double slack = 0;    ///< tokens in a window
-  /// How much of its equal part of what is left one request may take, in
-  /// parts. Requests are large against a part, and above 1 a large one need
-  /// not be refused while the fleet has room; instances that do so in the same
+  /// How much of its equal part of what is left an instance may spend until
+  /// the next summary, in parts. Above 1 a large request need not be refused
+  /// while nobody can be asked for more; instances that do so in the same
   /// moment spend the slack.
-  double at_once = 2;
+  double at_once = 1;
 };
 
 /// Whether a request is admitted, and if not, when to come back.
@@ -69,9 +69,9 @@
   QuotaWindows(QuotaAllowance allowance, bool nothing_spent_before,
                Clock clock);
 
-  /// The instances that share the quotas, as the store lists them. A lower
-  /// count holds only once it has stood for a window: instances vanish from
-  /// the store while they are restarted, and come back.
+  /// The instances that share the quotas: those that callers are sent to. A
+  /// lower count holds only once it has stood for a window: instances vanish
+  /// from the store while they are restarted, and come back.
   void SetInstances(int count);
 
   /// The operator changed how far the fleet may exceed limits.
@@ -80,6 +80,24 @@
   /// A summary of the fleet came.
   void SetFleetSpend(std::string_view workspace, FleetSpend spend);
 
+  /// Whether callers are sent to this instance. Others have no part of their
+  /// own, and one that joins gets its part over a window, since the one that it
+  /// replaces may have spent that part.
+  void SetListed(bool listed);
+
+  /// Counts the tokens of a request if they fit into what this instance may
+  /// spend while all others may ask for more, too: half of its part.
+  QuotaVerdict TakePart(std::string_view workspace, const QuotaLimit& limit,
+                        double tokens);
+
+  /// Whether an instance may spend tokens beyond its part, by the sums of the
+  /// fleet. Decided where the sums are; the instance counts them by Granted.
+  QuotaVerdict Grant(const QuotaLimit& limit, double tokens,
+                     const FleetSpend& spend) const;
+
+  /// Counts tokens that were granted.
+  void Granted(std::string_view workspace, double tokens);
+
   /// Counts the tokens of a request, or says when they will fit.
   QuotaVerdict Take(std::string_view workspace, const QuotaLimit& limit,
                     double tokens);
@@ -113,6 +131,10 @@
     double at_once = 1;
   };
 
+  bool IsFresh(const Spending& spending) const;
+  double FleetLeft(double whole, const FleetSpend& spend) const;
+  void Spend(Spending& spending, double tokens);
+  Part UnheardPart(const Spending& spending, double whole) const;
   Part OwnPart(const Spending& spending, const QuotaLimit& limit) const;
   std::int64_t SliceNow() const;
   double Earned(double whole) const;
@@ -123,6 +145,8 @@
   const Instant started;
   int instances = 1;
   Instant instances_at;
+  bool listed = true;
+  std::optional<Instant> listed_since;  ///< nothing: from the start
   std::map<std::string, Spending, std::less<>> spendings;
 };
 
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -73,15 +73,16 @@
 
 FleetChannel::FleetChannel(asio::io_context& context, udp::socket& socket,
                            FleetState& fleet, ModelDemand& demand,
-                           QuotaWindows& quotas, ReportHub& hub,
-                           const DutyLease& duty, InstanceRecord self,
-                           bool first_start, StoreNews& news, Metrics& metrics,
-                           Clock clock)
+                           QuotaWindows& quotas, QuotaDesk& desk,
+                           ReportHub& hub, const DutyLease& duty,
+                           InstanceRecord self, bool first_start,
+                           StoreNews& news, Metrics& metrics, Clock clock)
     : context(context),
       socket(socket),
       fleet(fleet),
       demand(demand),
       quotas(quotas),
+      desk(desk),
       hub(hub),
       duty(duty),
       self(std::move(self)),
@@ -92,6 +93,10 @@
       started(this->clock.Now()),
       wake(context) {
   this->demand.OnFirstWait([this] { this->wake.Notify(); });
+  this->desk.OnSend(
+      [this](const wire::FleetMessage& message, const std::string& address) {
+        this->Send(message, address);
+      });
   this->news.on_urgent = [this] { this->Push(Reach::kAll); };
 }
 
@@ -119,6 +124,8 @@
   }
   if (message->__isset.report) this->TakeReport(message->report);
   if (message->__isset.summary) this->TakeSummary(message->summary);
+  if (message->__isset.ask) this->desk.TakeAsk(message->ask);
+  if (message->__isset.grant) this->desk.TakeGrant(message->grant);
 }
 
 asio::awaitable<void> FleetChannel::Report() {
@@ -178,6 +185,8 @@
     report.spends.push_back(std::move(spend));
   }
   report.store_revision = static_cast<std::int64_t>(this->news.urgent_through);
+  report.listed = this->fleet.IsListed(this->self.name);
+  report.grants_through = this->desk.SettledThrough();
   report.holdings_of = this->told_by;
   report.holdings_version = this->told_version;
   report.interval_ms = absl::ToInt64Milliseconds(
@@ -192,6 +201,7 @@
 void FleetChannel::TakeReport(const wire::InstanceReport& report) {
   if (!this->duty.Held()) return;
   this->hub.Take(report);
+  this->desk.Reported(report);
   bool anyone_waits = false;
   for (const wire::ModelWish& wish : report.wishes) {
     anyone_waits = anyone_waits || wish.waiting > 0;
@@ -206,6 +216,10 @@
 void FleetChannel::SendSummary(const wire::InstanceReport& report) {
   wire::FleetMessage message;
   wire::FleetSummary summary = this->hub.SummaryFor(report);
+  for (wire::WorkspaceSpend& spend : summary.spends) {
+    spend.tokens +=
+        static_cast<std::int64_t>(this->desk.OpenGrants(spend.workspace));
+  }
   summary.holder = this->self.incarnation;
   summary.fence = static_cast<std::int64_t>(this->duty.Fence());
   summary.urgent_revision =
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -18,6 +18,7 @@
 #include "dragonflyglade/gateway/holdings_book.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/store_news.h"
 #include "dragonflyglade/net/endpoint.h"
@@ -33,9 +34,10 @@
  public:
   FleetChannel(boost::asio::io_context& context,
                boost::asio::ip::udp::socket& socket, FleetState& fleet,
-               ModelDemand& demand, QuotaWindows& quotas, ReportHub& hub,
-               const DutyLease& duty, InstanceRecord self, bool first_start,
-               StoreNews& news, Metrics& metrics, Clock clock);
+               ModelDemand& demand, QuotaWindows& quotas, QuotaDesk& desk,
+               ReportHub& hub, const DutyLease& duty, InstanceRecord self,
+               bool first_start, StoreNews& news, Metrics& metrics,
+               Clock clock);
 
   /// Run until the process ends.
   boost::asio::awaitable<void> Receive();
@@ -56,6 +58,9 @@
     this->on_lack = std::move(act);
   }
 
+  /// The duty ended: what was granted as holder is not counted here any more.
+  void ForgetGrants() { this->desk.Clear(); }
+
   /// A target said that it lacks this.
   void ReportLack(std::string_view target, const ModelName& name);
 
@@ -83,6 +88,7 @@
   FleetState& fleet;
   ModelDemand& demand;
   QuotaWindows& quotas;
+  QuotaDesk& desk;
   ReportHub& hub;
   const DutyLease& duty;
   const InstanceRecord self;
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -123,6 +123,7 @@
       {{"peer", decoded.Value().name}, {"revision", item.revision}});
   this->instances[item.key.substr(kInstancesPrefix.size())] =
       std::move(decoded.Value());
+  this->InstancesChanged();
 }
 
 void FleetState::ApplyDuty(const StoreItem& item) {
@@ -152,6 +153,7 @@
                     {{"peer", name}, {"revision", revision}});
     const auto found = this->instances.find(name);
     if (found != this->instances.end()) this->instances.erase(found);
+    this->InstancesChanged();
   }
   if (key == kDutyKey) {
     this->duty.reset();
@@ -253,14 +255,13 @@
   return result;
 }
 
-std::vector<const InstanceRecord*> FleetState::ListedInstances() const {
-  return this->Records(ChooseInstances(this->Offers()));
+void FleetState::InstancesChanged() {
+  this->listed = this->Records(ChooseInstances(this->Offers()));
 }
 
 bool FleetState::IsListed(std::string_view instance) const {
-  const auto listed = this->ListedInstances();
   return std::any_of(
-      listed.begin(), listed.end(),
+      this->listed.begin(), this->listed.end(),
       [&](const InstanceRecord* record) { return record->name == instance; });
 }
 
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -70,7 +70,9 @@
     return this->instances;
   }
   /// The instances that callers are sent to, the strongest first.
-  std::vector<const InstanceRecord*> ListedInstances() const;
+  const std::vector<const InstanceRecord*>& ListedInstances() const {
+    return this->listed;
+  }
   bool IsListed(std::string_view instance) const;
   /// All instances by strength; ties are broken by a hash with the key.
   std::vector<const InstanceRecord*> InstancesByStrength(
@@ -103,6 +105,7 @@
   void ApplyDuty(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
+  void InstancesChanged();
   std::vector<InstanceOffer> Offers() const;
   std::vector<const InstanceRecord*> Records(
       absl::Span<const std::size_t> order) const;
@@ -118,6 +121,7 @@
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
   std::map<std::string, InstanceRecord, std::less<>> instances;
+  std::vector<const InstanceRecord*> listed;  ///< of the instances
   std::optional<DutyHolder> duty;
   std::uint64_t duty_revision = 0;
   std::optional<Instant> returned_at;
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/pipeline.h"
 #include "dragonflyglade/gateway/placement_duty.h"
+#include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/registration.h"
 #include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/store_follower.h"
@@ -99,6 +100,7 @@
   const InstanceRecord self;
   Registration registration;
   ReportHub hub;
+  QuotaDesk desk;
   FleetChannel channel;
   PlacementDuty placement;
   Pipeline pipeline;
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -34,7 +34,7 @@
 
 Pipeline::Pipeline(asio::io_context& context, const GatewaySettings& settings,
                    const WireFormat& wire, FleetState& fleet,
-                   ModelDemand& demand, QuotaWindows& quotas,
+                   ModelDemand& demand, QuotaDesk& quotas,
                    FleetChannel& channel, Metrics& metrics, EventLog& log,
                    Clock clock)
     : context(context),
@@ -53,7 +53,7 @@
   job.started = this->clock.Now();
   job.config = this->fleet.Config();
   this->in_flight += 1;
-  std::optional<Refusal> refusal = this->Admit(job);
+  std::optional<Refusal> refusal = co_await this->Admit(job);
   if (refusal.has_value()) {
     co_await this->Refuse(job, std::move(*refusal));
   } else {
@@ -66,7 +66,14 @@
   this->in_flight -= 1;
 }
 
-std::optional<Refusal> Pipeline::Admit(RequestJob& job) {
+asio::awaitable<std::optional<Refusal>> Pipeline::Admit(RequestJob& job) {
+  std::optional<Refusal> refusal = this->FindRoute(job);
+  if (!refusal.has_value()) refusal = this->FindWorkspace(job);
+  if (!refusal.has_value()) refusal = co_await this->TakeQuota(job);
+  co_return refusal;
+}
+
+std::optional<Refusal> Pipeline::FindRoute(RequestJob& job) {
   if (job.config == nullptr) {
     return MakeRefusal(RefusalCode::kNotReady, "no configuration yet",
                        kRetryNotReady);
@@ -77,8 +84,6 @@
     return MakeRefusal(RefusalCode::kNotFound,
                        "no route for this host and path");
   }
-  std::optional<Refusal> refusal = this->FindWorkspace(job);
-  if (refusal.has_value()) return refusal;
   const std::string_view service = PickService(
       job.route->services, absl::Uniform<double>(this->random, 0, 1));
   const auto spec = job.config->services.find(service);
@@ -126,19 +131,16 @@
   job.cost = !job.workspace->counts_tokens ? 1
              : tokens > 0                  ? tokens
                                            : job.workspace->plain_tokens;
-  this->quotas.SetInstances(static_cast<int>(this->fleet.Instances().size()));
-  const QuotaVerdict verdict =
-      this->quotas.Take(job.workspace->name, job.workspace->quota, job.cost);
-  if (verdict.admitted) return std::nullopt;
-  this->log.Write(
-      "quota", "short",
-      {{"id", job.request.id},
-       {"workspace", job.workspace->name},
-       {"tokens", job.cost},
-       {"left", verdict.left},
-       {"instances", static_cast<int>(this->fleet.Instances().size())}});
-  return MakeRefusal(RefusalCode::kOverRate, "the workspace is above its rate",
-                     verdict.retry_after);
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<Refusal>> Pipeline::TakeQuota(RequestJob& job) {
+  if (job.workspace == nullptr) co_return std::nullopt;
+  const QuotaVerdict verdict = co_await this->quotas.Take(
+      job.request.id, job.workspace->name, job.workspace->quota, job.cost);
+  if (verdict.admitted) co_return std::nullopt;
+  co_return MakeRefusal(RefusalCode::kOverRate,
+                        "the workspace is above its rate", verdict.retry_after);
 }
 
 asio::awaitable<void> Pipeline::Forward(RequestJob& job) {
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -9,7 +9,6 @@
 
 #include "absl/random/random.h"
 #include "dragonflyglade/decision/clock.h"
-#include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/gateway/awaitable.h"
@@ -19,6 +18,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -33,7 +33,7 @@
  public:
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
-           QuotaWindows& quotas, FleetChannel& channel, Metrics& metrics,
+           QuotaDesk& quotas, FleetChannel& channel, Metrics& metrics,
            EventLog& log, Clock clock);
 
   /// Answers a request on the link.
@@ -50,8 +50,10 @@
   /// What to do after an attempt.
   enum class Next { kDone, kTryAnother };
 
-  std::optional<Refusal> Admit(RequestJob& job);
+  boost::asio::awaitable<std::optional<Refusal>> Admit(RequestJob& job);
+  std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
+  boost::asio::awaitable<std::optional<Refusal>> TakeQuota(RequestJob& job);
   bool EndsTooLate(const RequestJob& job) const;
   boost::asio::awaitable<void> Forward(RequestJob& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
@@ -86,7 +88,7 @@
   const WireFormat& wire;
   FleetState& fleet;
   ModelDemand& demand;
-  QuotaWindows& quotas;
+  QuotaDesk& quotas;
   FleetChannel& channel;
   Metrics& metrics;
   EventLog& log;
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -66,7 +66,10 @@
     co_await this->wake.Wait(kPlanEvery);
     if (!this->duty.MayAct()) {
       if (this->acting) this->Forget();
-      if (!this->duty.Held()) this->hub.Clear();
+      if (!this->duty.Held()) {
+        this->hub.Clear();
+        this->channel.ForgetGrants();
+      }
       continue;
     }
     if (!this->acting) {
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -67,7 +67,8 @@
   for (const auto& item : this->entries) {
     const Entry& entry = item.second;
     const absl::Duration age = absl::Milliseconds(entry.report.age_ms);
-    if (!this->IsHeard(entry) || age >= this->spend_window) continue;
+    const bool shares_quota = entry.report.listed && this->IsHeard(entry);
+    if (!shares_quota || age >= this->spend_window) continue;
     const bool knows_before = std::any_of(
         this->entries.begin(), this->entries.end(), [&](const auto& other) {
           return other.first != item.first &&
@@ -93,7 +94,7 @@
       this->sums.spends[spend.workspace] += spend.tokens;
     }
     if (!this->IsHeard(entry)) continue;
-    this->sums.instances += 1;
+    if (entry.report.listed) this->sums.instances += 1;
     this->sums.answers[incarnation] = entry.report.sequence;
     for (const wire::TargetUse& use : entry.report.targets) {
       wire::TargetUse& sum = this->sums.uses[use.target];
@@ -103,6 +104,18 @@
   }
 }
 
+FleetSpend ReportHub::SpendOf(const std::string& workspace) {
+  this->SumUp();
+  FleetSpend spend;
+  const auto tokens = this->sums.spends.find(workspace);
+  if (tokens != this->sums.spends.end()) {
+    spend.total = static_cast<double>(tokens->second);
+  }
+  spend.instances = this->sums.instances;
+  spend.unknown_shares = this->sums.unknown_shares;
+  return spend;
+}
+
 wire::FleetSummary ReportHub::SummaryFor(const wire::InstanceReport& report) {
   this->SumUp();
   wire::FleetSummary summary;
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
 
@@ -39,6 +40,9 @@
   /// for all summaries of a moment.
   wire::FleetSummary SummaryFor(const wire::InstanceReport& report);
 
+  /// What all instances spent of a workspace's quota.
+  FleetSpend SpendOf(const std::string& workspace);
+
   /// What is asked for, averaged over the last seconds.
   std::map<ModelName, FleetDemand> Demand();
 
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -56,6 +56,10 @@
   12: i64 holdings_version
   /** Until its next report, when nothing happens. */
   13: i64 interval_ms
+  /** Whether callers are sent to it. */
+  14: bool listed
+  /** Grants up to this number are among the spends, or will not be used. */
+  15: i64 grants_through
 }
 
 /** A change of the store that must be followed at once. */
@@ -81,13 +85,13 @@
   2: i64 fence
   /** The last report of the addressed instance that is counted in. */
   3: i64 answers
-  /** How many instances were heard lately. */
+  /** How many instances that callers are sent to were heard lately. */
   4: i32 instances
   5: list<TargetUse> targets
   /** Those that changed since the version that the report names. */
   6: list<TargetHoldings> holdings
   7: list<WorkspaceSpend> spends
-  /** Instances that were started anew within the window and whose spending
+  /** Of those, instances that were started anew within the window and whose spending
       before is not known, each weighted by the part of the window. */
   8: double unknown_shares
   /** The newest revision of the store at which something changed that must be
@@ -103,7 +107,29 @@
   13: i64 holdings_version
 }
 
+/** May a request of this size run, beyond the instance's own part? */
+struct QuotaAsk {
+  /** Grows within the process; the same number is the same question. */
+  1: i64 number
+  2: string incarnation
+  /** Where to send the answer. */
+  3: string address
+  4: string workspace
+  5: i64 tokens
+}
+
+struct QuotaGrant {
+  1: string holder
+  2: i64 number
+  3: bool granted
+  4: i64 retry_after_ms
+  /** What the fleet could still spend before the request. */
+  5: i64 left
+}
+
 union FleetMessage {
   1: InstanceReport report
   2: FleetSummary summary
+  3: QuotaAsk ask
+  4: QuotaGrant grant
 }
