--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -66,6 +66,11 @@
   this->listed = listed;
 }
 
+absl::Duration QuotaWindows::ListedFor() const {
+  if (!this->listed_since.has_value()) return absl::InfiniteDuration();
+  return this->clock.Now() - *this->listed_since;
+}
+
 std::int64_t QuotaWindows::SliceNow() const {
   return this->clock.Now() / kSlice;
 }
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -85,6 +85,9 @@
   /// replaces may have spent that part.
   void SetListed(bool listed);
 
+  /// For how long; unlimited if from the start of the process.
+  absl::Duration ListedFor() const;
+
   /// Counts the tokens of a request if they fit into what this instance may
   /// spend while all others may ask for more, too: half of its part.
   QuotaVerdict TakePart(std::string_view workspace, const QuotaLimit& limit,
--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -21,6 +21,10 @@
   return name.append(" ").append(model).append("/").append(adapter);
 }
 
+bool Keeps(const EngineHoldings& engine, std::string_view model) {
+  return engine.in_memory.count(model) > 0 || engine.on_disk.count(model) > 0;
+}
+
 int AdapterCount(const EngineHoldings& engine) {
   int count = 0;
   for (const auto& [model, adapters] : engine.models) {
@@ -36,10 +40,13 @@
   std::map<std::string, const WantedModel*, std::less<>> models;
   std::map<std::string, const WantedAdapter*> adapters;
   std::vector<EngineHoldings> engines;
-  std::map<std::string, int, std::less<>> copies;
-  std::map<std::string, double> engine_load;
+  std::map<std::string, int, std::less<>> copies;       ///< also those loading
+  std::map<std::string, int, std::less<>> ready;        ///< those that serve
+  std::vector<double> engine_loads;                     ///< by index
   std::map<std::string, int, std::less<>> adapters_of;  ///< asked for
   int adapter_slots = 0;                                ///< of an engine
+  /// Usable engines by model, once models are planned.
+  std::map<std::string, std::vector<EngineHoldings*>, std::less<>> holders;
   std::vector<ResidencyChange> changes;
 
   double Used(const EngineHoldings& engine) const {
@@ -63,6 +70,11 @@
     return found == this->copies.end() ? 0 : found->second;
   }
 
+  int ReadyOf(const std::string& model) const {
+    const auto found = this->ready.find(model);
+    return found == this->ready.end() ? 0 : found->second;
+  }
+
   // How busy each copy is with the model.
   double PerCopy(const WantedModel& model) const {
     return model.load / std::max(1, this->CopiesOf(model.name));
@@ -74,14 +86,29 @@
                       [](const auto& engine) { return engine.closing; }));
   }
 
+  double EngineLoad(const EngineHoldings& engine) const {
+    return this->engine_loads[&engine - this->engines.data()];
+  }
+
   void CountEngineLoads() {
-    this->engine_load.clear();
+    this->engine_loads.clear();
     for (const EngineHoldings& engine : this->engines) {
       double load = 0;
       for (const auto& [name, adapters] : engine.models) {
         load += this->LoadOf(name) / std::max(1, this->CopiesOf(name));
       }
-      this->engine_load[engine.id] = load;
+      this->engine_loads.push_back(load);
+    }
+  }
+
+  // The copies share the model's load anew.
+  void CopyAdded(const EngineHoldings& added, const WantedModel& model) {
+    const int before = this->copies[model.name]++;
+    const double share = model.load / (before + 1);
+    const double change = before == 0 ? 0 : share - model.load / before;
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      if (this->engines[i].models.count(model.name) == 0) continue;
+      this->engine_loads[i] += &this->engines[i] == &added ? share : change;
     }
   }
 };
@@ -106,7 +133,10 @@
   }
   for (const EngineHoldings& engine : round.engines) {
     if (!engine.usable) continue;
-    for (const auto& [name, held] : engine.models) round.copies[name] += 1;
+    for (const auto& [name, held] : engine.models) {
+      round.copies[name] += 1;
+      if (name != engine.loading) round.ready[name] += 1;
+    }
   }
   round.CountEngineLoads();
   this->PlanModels(round, model_loads);
@@ -138,40 +168,83 @@
   // bound, every round until the first unload ends would take one copy more.
   int rooms = std::max(1, model_loads) - round.ClosingEngines();
   for (const WantedModel* model : short_of_copies) {
-    const bool fits = this->PlaceFor(round, *model) != nullptr;
+    if (this->AddCopy(round, *model, false)) continue;
+    const bool fits = this->PlaceFor(round, *model, true) != nullptr;
     if (!fits && rooms > 0 && this->MakeRoom(round, *model)) rooms -= 1;
     if (!fits || model_loads <= 0) continue;
-    if (this->AddCopy(round, *model)) model_loads -= 1;
+    if (this->AddCopy(round, *model, true)) model_loads -= 1;
   }
 }
 
+// What it costs to wait for the load, as load of an engine.
+double ResidencyPlanner::LoadingCost(const EngineHoldings& engine,
+                                     const WantedModel& model) const {
+  absl::Duration time = model.from_store;
+  if (engine.on_disk.count(model.name) > 0) time = model.from_disk;
+  if (engine.in_memory.count(model.name) > 0) time = model.from_memory;
+  return this->options.load_per_second * absl::ToDoubleSeconds(time);
+}
+
+// The engine that serves the model best, as far as it has room.
+// Without the store, only engines that kept the model's weights.
 EngineHoldings* ResidencyPlanner::PlaceFor(Round& round,
-                                           const WantedModel& model) {
+                                           const WantedModel& model,
+                                           bool from_store) {
   EngineHoldings* best = nullptr;
+  double best_cost = 0;
   for (EngineHoldings& engine : round.engines) {
     if (!engine.usable || engine.busy) continue;
     if (engine.models.count(model.name) > 0) continue;
+    if (!from_store && !Keeps(engine, model.name)) continue;
     if (round.Used(engine) + model.memory_mb > engine.memory_mb) continue;
-    if (best == nullptr ||
-        round.engine_load[engine.id] < round.engine_load[best->id]) {
-      best = &engine;
-    }
+    const double cost =
+        round.EngineLoad(engine) + this->LoadingCost(engine, model);
+    if (best != nullptr && cost >= best_cost) continue;
+    best = &engine;
+    best_cost = cost;
   }
   return best;
 }
 
-bool ResidencyPlanner::AddCopy(Round& round, const WantedModel& model) {
-  EngineHoldings* best = this->PlaceFor(round, model);
+bool ResidencyPlanner::AddCopy(Round& round, const WantedModel& model,
+                               bool from_store) {
+  EngineHoldings* best = this->PlaceFor(round, model, from_store);
   if (best == nullptr) return false;
+  const bool kept = Keeps(*best, model.name);
   best->models[model.name];
   best->busy = true;
-  round.copies[model.name] += 1;
-  round.CountEngineLoads();
+  round.CopyAdded(*best, model);
+  this->placed_at[PlaceName(best->id, model.name, "")] = this->clock.Now();
   round.changes.push_back(
-      {ResidencyChange::Kind::kLoad, best->id, model.name, ""});
+      {ResidencyChange::Kind::kLoad, best->id, model.name, "", !kept});
   return true;
 }
 
+bool ResidencyPlanner::Stays(std::string_view engine, std::string_view model,
+                             std::string_view adapter,
+                             absl::Duration time) const {
+  const auto placed = this->placed_at.find(PlaceName(engine, model, adapter));
+  return placed != this->placed_at.end() &&
+         this->clock.Now() - placed->second < time;
+}
+
+// Whether a copy is missed so little that it may make room for another model.
+// Copies that are still loading serve nobody and do not count as the rest: a
+// model in demand would lose its only copy that serves while others load, and
+// its callers would find it nowhere for seconds.
+bool ResidencyPlanner::MayGo(const Round& round, const EngineHoldings& engine,
+                             const std::string& name,
+                             const WantedModel& wanted) const {
+  const auto victim = round.models.find(name);
+  if (victim == round.models.end()) return false;
+  const int rest = round.ReadyOf(name) - 1;
+  if (name == engine.loading || rest < 1) return false;
+  if (this->Stays(engine.id, name, "", this->options.copy_stays)) return false;
+  const double load = victim->second->load / rest;
+  return load <= this->options.spare_below ||
+         load < 0.5 * round.PerCopy(wanted);
+}
+
 // Takes away the copy that is missed least, on an engine where that makes
 // enough room. The load follows in a later round, when the copy is gone.
 bool ResidencyPlanner::MakeRoom(Round& round, const WantedModel& model) {
@@ -184,15 +257,12 @@
     const double missing =
         round.Used(engine) + model.memory_mb - engine.memory_mb;
     for (const auto& [name, held] : engine.models) {
-      const auto victim = round.models.find(name);
-      if (victim == round.models.end()) continue;
-      const int copies = round.CopiesOf(name);
-      if (copies < 2 || victim->second->memory_mb < missing) continue;
-      const double rest = victim->second->load / (copies - 1);
-      const bool spared = rest <= this->options.spare_below ||
-                          rest < 0.5 * round.PerCopy(model);
-      if (!spared) continue;
-      const double cost = rest + round.engine_load[engine.id];
+      if (!this->MayGo(round, engine, name, model)) continue;
+      const WantedModel& victim = *round.models.at(name);
+      if (victim.memory_mb < missing) continue;
+      const double cost = victim.load / (round.ReadyOf(name) - 1) +
+                          round.EngineLoad(engine) +
+                          this->LoadingCost(engine, model);
       if (cost >= best_cost) continue;
       best_cost = cost;
       best = &engine;
@@ -203,6 +273,7 @@
   best->models.erase(best_victim);
   best->busy = true;
   round.copies[best_victim] -= 1;
+  round.ready[best_victim] -= 1;
   round.changes.push_back(
       {ResidencyChange::Kind::kUnload, best->id, best_victim, ""});
   return true;
@@ -218,35 +289,37 @@
               return std::make_pair(-one->waiting, -one->load) <
                      std::make_pair(-other->waiting, -other->load);
             });
+  for (EngineHoldings& engine : round.engines) {
+    if (!engine.usable) continue;
+    for (const auto& [name, held] : engine.models) {
+      round.holders[name].push_back(&engine);
+    }
+  }
   for (const WantedAdapter* adapter : wanted) this->AddAdapter(round, *adapter);
 }
 
 void ResidencyPlanner::AddAdapter(Round& round, const WantedAdapter& wanted) {
   int copies = 0;
   std::vector<EngineHoldings*> holders;
-  for (EngineHoldings& engine : round.engines) {
-    if (!engine.usable) continue;
-    const auto model = engine.models.find(wanted.model);
-    if (model == engine.models.end()) continue;
-    if (model->second.count(wanted.adapter) > 0) {
+  for (EngineHoldings* engine : round.holders[wanted.model]) {
+    if (engine->models.at(wanted.model).count(wanted.adapter) > 0) {
       copies += 1;
-    } else if (!engine.busy) {
-      holders.push_back(&engine);
+    } else if (!engine->busy) {
+      holders.push_back(engine);
     }
   }
   const bool second =
       copies == 1 && wanted.load / copies > this->options.second_adapter_above;
   if (copies > 0 && !second) return;
-  std::sort(
-      holders.begin(), holders.end(),
-      [&](const EngineHoldings* one, const EngineHoldings* other) {
-        const auto key = [&](const EngineHoldings* engine) {
-          return std::make_pair(
-              AdapterCount(*engine) >= engine->adapter_slots,
-              round.engine_load[engine->id] + 0.05 * AdapterCount(*engine));
-        };
-        return key(one) < key(other);
-      });
+  std::sort(holders.begin(), holders.end(),
+            [&](const EngineHoldings* one, const EngineHoldings* other) {
+              const auto key = [&](const EngineHoldings* engine) {
+                return std::make_pair(
+                    AdapterCount(*engine) >= engine->adapter_slots,
+                    round.EngineLoad(*engine) + 0.05 * AdapterCount(*engine));
+              };
+              return key(one) < key(other);
+            });
   const auto model = round.models.find(wanted.model);
   if (model == round.models.end()) return;
   for (EngineHoldings* engine : holders) {
@@ -268,16 +341,12 @@
 
 bool ResidencyPlanner::EvictAdapter(Round& round, EngineHoldings& engine,
                                     const WantedAdapter& wanted) {
-  const Instant now = this->clock.Now();
   std::optional<std::pair<std::string, std::string>> victim;
   double least =
       wanted.waiting > 0 ? std::numeric_limits<double>::max() : wanted.load;
   for (const auto& [model, adapters] : engine.models) {
     for (const std::string& adapter : adapters) {
-      const auto placed =
-          this->placed_at.find(PlaceName(engine.id, model, adapter));
-      if (placed != this->placed_at.end() &&
-          now - placed->second < this->options.adapter_stays) {
+      if (this->Stays(engine.id, model, adapter, this->options.adapter_stays)) {
         continue;
       }
       const auto asked = round.adapters.find(absl::StrCat(model, "/", adapter));
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -21,6 +21,10 @@
   /// Engine time asked for: 1 keeps one target busy.
   double load = 0;
   int waiting = 0;  ///< requests that wait because it is nowhere
+  /// How long a load takes, by where an engine has its weights.
+  absl::Duration from_store = absl::Seconds(5);
+  absl::Duration from_disk = absl::Seconds(1);
+  absl::Duration from_memory = absl::Milliseconds(400);
 };
 
 /// An adapter that callers ask for now.
@@ -39,6 +43,12 @@
   /// Model to its adapters. A load that is under way counts as held, an
   /// unload that is under way still counts.
   std::map<std::string, std::set<std::string>, std::less<>> models;
+  /// The model whose load is under way; empty if none is.
+  std::string loading;
+  /// Models whose weights it kept after they were unloaded. Such loads are
+  /// fast and do not use the weight store.
+  std::set<std::string, std::less<>> in_memory;
+  std::set<std::string, std::less<>> on_disk;
   /// Adapters that requests use now, as "model/adapter".
   std::set<std::string> in_use;
   bool usable = true;    ///< present and not leaving
@@ -52,7 +62,8 @@
   Kind kind = Kind::kLoad;
   std::string target;
   std::string model;
-  std::string adapter;  ///< empty: the model itself
+  std::string adapter;      ///< empty: the model itself
+  bool from_store = false;  ///< a load that the weight store counts
 };
 
 /// Thresholds.
@@ -65,6 +76,12 @@
   double spare_below = 0.20;
   /// An adapter gets a second copy when one is this busy with it.
   double second_adapter_above = 0.15;
+  /// How long a copy of a model stays although others want its room: what it
+  /// takes to load it again.
+  absl::Duration copy_stays = absl::Seconds(5);
+  /// How much busier an engine may be for each second that a load there takes
+  /// less. A copy that is there five seconds earlier is worth half an engine.
+  double load_per_second = 0.1;
   /// How long an adapter stays although others want its place.
   absl::Duration adapter_stays = absl::Seconds(2);
 };
@@ -81,7 +98,7 @@
   /// The next changes. At most one for a model at each engine; engines that
   /// are busy get none.
   /// @param model_loads how many loads of models may begin now
-  /// Complexity: O(models * engines + adapters * engines).
+  /// Complexity: O(models * engines + adapters * copies of their models).
   std::vector<ResidencyChange> Plan(absl::Span<const WantedModel> models,
                                     absl::Span<const WantedAdapter> adapters,
                                     absl::Span<const EngineHoldings> engines,
@@ -91,8 +108,15 @@
   struct Round;
 
   void PlanModels(Round& round, int model_loads);
-  EngineHoldings* PlaceFor(Round& round, const WantedModel& model);
-  bool AddCopy(Round& round, const WantedModel& model);
+  EngineHoldings* PlaceFor(Round& round, const WantedModel& model,
+                           bool from_store);
+  bool AddCopy(Round& round, const WantedModel& model, bool from_store);
+  double LoadingCost(const EngineHoldings& engine,
+                     const WantedModel& model) const;
+  bool MayGo(const Round& round, const EngineHoldings& engine,
+             const std::string& name, const WantedModel& wanted) const;
+  bool Stays(std::string_view engine, std::string_view model,
+             std::string_view adapter, absl::Duration time) const;
   bool MakeRoom(Round& round, const WantedModel& model);
   void PlanAdapters(Round& round);
   void AddAdapter(Round& round, const WantedAdapter& wanted);
@@ -101,7 +125,8 @@
 
   const ResidencyOptions options;
   const Clock clock;
-  /// When an adapter was placed at an engine; keys are "engine model/adapter".
+  /// When a model or adapter was placed at an engine; keys are
+  /// "engine model/adapter".
   std::map<std::string, Instant> placed_at;
 };
 
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -186,6 +186,8 @@
   }
   report.store_revision = static_cast<std::int64_t>(this->news.urgent_through);
   report.listed = this->fleet.IsListed(this->self.name);
+  report.listed_ms =
+      absl::ToInt64Milliseconds(std::min(kAgeless, this->quotas.ListedFor()));
   report.grants_through = this->desk.SettledThrough();
   report.holdings_of = this->told_by;
   report.holdings_version = this->told_version;
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -85,7 +85,9 @@
 struct ServedModel {
   std::string name;
   double memory_mb = 0;
-  absl::Duration load_time = absl::Seconds(5);
+  absl::Duration load_time = absl::Seconds(5);  ///< from the weight store
+  absl::Duration disk_load_time = absl::Seconds(5);
+  absl::Duration memory_load_time = absl::Seconds(5);
   int adapters = 0;
   double adapter_mb = 0;
 };
@@ -149,6 +151,9 @@
   bool leaving = false;
   std::int64_t born_ms = 0;  ///< of its start; another one forgot everything
   std::vector<ResidentModel> models;
+  /// Models whose weights it keeps beside what it serves.
+  std::vector<std::string> in_memory;
+  std::vector<std::string> on_disk;
 };
 
 /// What an engine reports when asked.
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -24,6 +24,9 @@
 // After the signal to stop, requests are taken as ever for this long: callers
 // that just asked for instances may still be on their way.
 constexpr absl::Duration kLateCallers = absl::Milliseconds(2500);
+// The part of a target's connections for instances that callers are sent to.
+// The rest is for callers that come elsewhere with an old list.
+constexpr double kListedConnections = 0.9;
 constexpr double kLongestRetryAfter = 60;  // seconds
 
 std::string_view PathOf(std::string_view path_and_query) {
@@ -173,11 +176,18 @@
   }
 }
 
+// A target's connections are shared by the instances that callers are sent to.
+// Divided by all, an instance of 61 with 8 listed had 11 at a target of 64
+// places, and a model with one copy was refused while its target had room.
+int Pipeline::MostAtTarget(const ServiceSpec& service) const {
+  const double whole = kListedConnections * service.max_connections;
+  const auto listed = static_cast<double>(this->fleet.ListedInstances().size());
+  return std::max(1, static_cast<int>(whole / std::max(1.0, listed)));
+}
+
 std::shared_ptr<TargetState> Pipeline::ChooseAmong(RequestJob& job, bool all) {
   const Instant now = this->clock.Now();
-  const int instances =
-      std::max<int>(1, static_cast<int>(this->fleet.Instances().size()));
-  const int most = std::max(1, job.service->max_connections / instances);
+  const int most = this->MostAtTarget(*job.service);
   const ModelUse& use = job.request.use;
   std::vector<std::shared_ptr<TargetState>> targets;
   std::vector<ChoiceCandidate> candidates;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -58,6 +58,7 @@
   boost::asio::awaitable<void> Forward(RequestJob& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
       RequestJob& job);
+  int MostAtTarget(const ServiceSpec& service) const;
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool all);
   boost::asio::awaitable<Next> Attempt(RequestJob& job,
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -142,7 +142,7 @@
   const auto found = this->retries.find(service);
   if (found != this->retries.end()) return *found->second;
   const int instances =
-      std::max<int>(1, static_cast<int>(this->fleet.Instances().size()));
+      std::max<int>(1, static_cast<int>(this->fleet.ListedInstances().size()));
   const double reserve =
       std::max(1.0, kUsedRetries * this->settings.retry_slack / instances);
   return *this->retries
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -15,6 +15,10 @@
 
 // Demand for models moves within seconds; adapters wake the planner at once.
 constexpr absl::Duration kPlanEvery = absl::Milliseconds(250);
+// A round takes some milliseconds of a small machine's processor at 90 engines,
+// and news that wake it come each few milliseconds. An adapter is there some
+// ten milliseconds after its order in any case.
+constexpr absl::Duration kPlanPause = absl::Milliseconds(20);
 // An engine answers an order in milliseconds.
 constexpr absl::Duration kOrderTimeout = absl::Milliseconds(400);
 // An order without an answer may be carried out late; the same one again with
@@ -56,14 +60,16 @@
       clock(clock),
       planner(ResidencyOptions(), clock),
       wake(context) {
-  this->channel.OnWaiting([this] { this->wake.Notify(); });
+  this->channel.OnWaiting([this] { this->WantPlan(); });
   this->channel.OnLack(
       [this](const wire::TargetLack& lack) { this->TakeLack(lack); });
 }
 
 asio::awaitable<void> PlacementDuty::Run() {
   while (true) {
-    co_await this->wake.Wait(kPlanEvery);
+    co_await Sleep(this->context, kPlanPause);
+    if (!this->plan_wanted) co_await this->wake.Wait(kPlanEvery - kPlanPause);
+    this->plan_wanted = false;
     if (!this->duty.MayAct()) {
       if (this->acting) this->Forget();
       if (!this->duty.Held()) {
@@ -201,6 +207,11 @@
   return all;
 }
 
+void PlacementDuty::WantPlan() {
+  this->plan_wanted = true;
+  this->wake.Notify();
+}
+
 void PlacementDuty::TellHoldings() {
   this->channel.Holdings().Set(this->Holdings());
   this->channel.PushSoon();
@@ -237,6 +248,9 @@
     model.name = served.name;
     model.memory_mb = served.memory_mb;
     model.adapter_mb = served.adapter_mb;
+    model.from_store = served.load_time;
+    model.from_disk = served.disk_load_time;
+    model.from_memory = served.memory_load_time;
     const auto asked = demand.find({service.name, served.name, ""});
     if (asked != demand.end()) {
       model.load = asked->second.load;
@@ -249,6 +263,7 @@
     if (name.service != service.name || name.adapter.empty()) continue;
     adapters.push_back({name.model, name.adapter, asked.load, asked.waiting});
   }
+  const auto adapters_in_use = this->hub.AdaptersInUse();
   std::vector<EngineHoldings> holdings;
   for (const auto& [id, engine] : this->engines) {
     if (engine->service != service.name) continue;
@@ -258,8 +273,16 @@
     item.memory_mb = service.engine->memory_mb;
     item.adapter_slots = service.engine->adapter_slots;
     item.models = engine->models;
-    item.in_use = this->hub.AdaptersInUse(id);
+    const auto in_use = adapters_in_use.find(id);
+    if (in_use != adapters_in_use.end()) item.in_use = in_use->second;
     item.usable = target != nullptr && !target->Record().leaving;
+    item.loading = engine->loading.value_or("");
+    // What it kept before its last order may have made way for that since.
+    if (target != nullptr && target->UpdatedAt() > engine->settled_at) {
+      const TargetRecord& record = target->Record();
+      item.in_memory = {record.in_memory.begin(), record.in_memory.end()};
+      item.on_disk = {record.on_disk.begin(), record.on_disk.end()};
+    }
     item.busy = engine->ordering || engine->inspect ||
                 engine->loading.has_value() || !engine->closing.empty();
     item.closing = !engine->closing.empty();
@@ -292,7 +315,7 @@
         served.begin(), served.end(),
         [&](const ServedModel& item) { return item.name == change.model; });
     engine.loading_until = this->clock.Now() + kLoadPatience * model->load_time;
-    this->CeilingOf(service).Began();
+    if (change.from_store) this->CeilingOf(service).Began();
   } else if (loads) {
     engine.models[change.model].insert(change.adapter);
     engine.unready.insert(PlaceOf(change));
@@ -359,6 +382,7 @@
       {{"target", engine->id},
        {"load", change.kind == ResidencyChange::Kind::kLoad},
        {"model", PlaceOf(change)},
+       {"from_store", change.from_store},
        {"expected", engine->orders_taken},
        {"fence", this->duty.Fence()},
        {"answer", answer.has_value() ? static_cast<int>(*answer) : -1}});
@@ -375,7 +399,7 @@
   engine->settled_at = this->clock.Now();
   engine->ordering = false;
   this->TellHoldings();
-  this->wake.Notify();
+  this->WantPlan();
 }
 
 void PlacementDuty::Settle(Engine& engine, const ResidencyChange& change,
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -83,6 +83,7 @@
   bool TakeReport(Engine& engine, std::string_view body);
   std::vector<wire::TargetHoldings> Holdings() const;
   void TellHoldings();
+  void WantPlan();
 
   boost::asio::io_context& context;
   const GatewaySettings& settings;
@@ -97,6 +98,7 @@
   ResidencyPlanner planner;
   Signal wake;
   bool acting = false;
+  bool plan_wanted = false;
   std::map<std::string, std::shared_ptr<Engine>> engines;
   std::map<std::string, LoadCeiling, std::less<>> ceilings;  ///< by service
 };
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -18,6 +18,8 @@
 constexpr absl::Duration kDemandMemory = absl::Seconds(3);
 // Reports of one moment are answered from the same sums.
 constexpr absl::Duration kSumsHold = absl::Milliseconds(10);
+// Below a second of reports, single requests would look like demand.
+constexpr double kLeastSeen = 0.3;
 constexpr double kNothing = 1e-3;  // milliseconds of work
 
 }  // namespace
@@ -37,6 +39,8 @@
   if (report.sequence <= entry.report.sequence) return;
   entry.report = report;
   entry.at = this->clock.Now();
+  const bool first = !report.wishes.empty() && !this->demand_since.has_value();
+  if (first) this->demand_since = entry.at;
   for (const wire::ModelWish& wish : report.wishes) {
     const ModelName name{wish.service_name, wish.model, wish.adapter};
     const auto found =
@@ -64,22 +68,33 @@
 
 double ReportHub::UnknownShares() const {
   double shares = 0;
-  for (const auto& item : this->entries) {
-    const Entry& entry = item.second;
-    const absl::Duration age = absl::Milliseconds(entry.report.age_ms);
-    const bool shares_quota = entry.report.listed && this->IsHeard(entry);
-    if (!shares_quota || age >= this->spend_window) continue;
-    const bool knows_before = std::any_of(
-        this->entries.begin(), this->entries.end(), [&](const auto& other) {
-          return other.first != item.first &&
-                 other.second.report.instance == entry.report.instance;
-        });
-    if (knows_before) continue;
-    shares += 1 - EarnedPart(age, this->spend_window);
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (!entry.report.listed || !this->IsHeard(entry)) continue;
+    const double earned =
+        this->IsSuccessor(incarnation, entry)
+            ? 1
+            : EarnedPart(absl::Milliseconds(entry.report.age_ms),
+                         this->spend_window);
+    // Whoever was listed before it may be alive beyond a partition, and has
+    // that part of the quota: a cut-off side lists others in place of those
+    // that it misses, and would count them as all that there are.
+    const double joined = EarnedPart(absl::Milliseconds(entry.report.listed_ms),
+                                     this->spend_window);
+    shares += 1 - std::min(earned, joined);
   }
   return shares;
 }
 
+// Whether what the process before it spent is known from its reports.
+bool ReportHub::IsSuccessor(std::string_view incarnation,
+                            const Entry& entry) const {
+  return std::any_of(
+      this->entries.begin(), this->entries.end(), [&](const auto& other) {
+        return other.first != incarnation &&
+               other.second.report.instance == entry.report.instance;
+      });
+}
+
 // Summed up once for many summaries: each instance's summary is the whole less
 // its own part, so the work grows with the instances and not with their square.
 void ReportHub::SumUp() {
@@ -151,7 +166,13 @@
 std::map<ModelName, FleetDemand> ReportHub::Demand() {
   this->DropOld();
   std::map<ModelName, FleetDemand> result;
-  const double memory_ms = absl::ToDoubleMilliseconds(kDemandMemory);
+  // The average of a new holder begins at nothing; without this, models in
+  // demand look idle in its first seconds and lose their copies.
+  const Instant since = this->demand_since.value_or(this->clock.Now());
+  const double age =
+      absl::FDivDuration(this->clock.Now() - since, kDemandMemory);
+  const double seen = std::max(kLeastSeen, 1 - std::exp(-age));
+  const double memory_ms = seen * absl::ToDoubleMilliseconds(kDemandMemory);
   for (auto item = this->demand.begin(); item != this->demand.end();) {
     this->Decay(item->second);
     if (item->second.sum_ms < kNothing) {
@@ -171,16 +192,15 @@
   return result;
 }
 
-std::set<std::string> ReportHub::AdaptersInUse(std::string_view target) const {
-  std::set<std::string> adapters;
+std::map<std::string, std::set<std::string>> ReportHub::AdaptersInUse() const {
+  std::map<std::string, std::set<std::string>> in_use;
   for (const auto& [incarnation, entry] : this->entries) {
     if (!this->IsHeard(entry)) continue;
     for (const wire::TargetUse& use : entry.report.targets) {
-      if (use.target != target) continue;
-      adapters.insert(use.adapters.begin(), use.adapters.end());
+      in_use[use.target].insert(use.adapters.begin(), use.adapters.end());
     }
   }
-  return adapters;
+  return in_use;
 }
 
 std::vector<wire::InstanceReport> ReportHub::Reporters() {
@@ -196,6 +216,7 @@
   this->entries.clear();
   this->demand.clear();
   this->sums_at.reset();
+  this->demand_since.reset();
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -46,8 +46,8 @@
   /// What is asked for, averaged over the last seconds.
   std::map<ModelName, FleetDemand> Demand();
 
-  /// Adapters that requests use at a target now, as "model/adapter".
-  std::set<std::string> AdaptersInUse(std::string_view target) const;
+  /// Adapters that requests use now, as "model/adapter", by target.
+  std::map<std::string, std::set<std::string>> AdaptersInUse() const;
 
   /// The last reports of the instances heard lately.
   std::vector<wire::InstanceReport> Reporters();
@@ -78,6 +78,7 @@
   bool IsHeard(const Entry& entry) const;
   void DropOld();
   double UnknownShares() const;
+  bool IsSuccessor(std::string_view incarnation, const Entry& entry) const;
   void Decay(Average& average) const;
 
   const absl::Duration spend_window;
@@ -86,6 +87,7 @@
   /// spent before, and the quota has not.
   std::map<std::string, Entry, std::less<>> entries;
   std::map<ModelName, Average> demand;
+  std::optional<Instant> demand_since;  ///< of the first request reported
   Sums sums;
   std::optional<Instant> sums_at;
 };
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -60,6 +60,8 @@
   14: bool listed
   /** Grants up to this number are among the spends, or will not be used. */
   15: i64 grants_through
+  /** For how long; many hours if from the start of the process. */
+  16: i64 listed_ms
 }
 
 /** A change of the store that must be followed at once. */
--- a/measure/topics.cc
+++ b/measure/topics.cc
@@ -22,6 +22,7 @@
         {"book", "round_robin", "two_choices", "least_reported"}}},
       {"fairness", {MeasureFairness, {}, {"fair", "fifo"}}},
       {"placement", {MeasurePlacement, {}, {}}},
+      {"residency", {MeasureResidency, {}, {}}},
       {"capacity", {MeasureCapacity, {}, {}}},
       {"once", {MeasureOnce, {}, {"claims", "plain_retries"}}},
   };
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -38,6 +38,7 @@
 void MeasureMembership(const MeasureOptions& options);
 void MeasureRouting(const MeasureOptions& options);
 void MeasureFairness(const MeasureOptions& options);
+void MeasureResidency(const MeasureOptions& options);
 void MeasurePlacement(const MeasureOptions& options);
 /// Processor time and memory of single decisions.
 void MeasureCapacity(const MeasureOptions& options);
--- /dev/null
+++ b/tests/unit/unit-report-hub.cc
@@ -0,0 +1,165 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <string>
+#include <vector>
+
+#include "dragonflyglade/gateway/report_hub.h"
+
+namespace dragonflyglade::gateway {
+namespace {
+
+constexpr absl::Duration kWindow = absl::Seconds(8);
+constexpr std::int64_t kAlways = 86400000;  // milliseconds: longer than any
+
+wire::InstanceReport Report(const std::string& instance,
+                            const std::string& process = "1") {
+  wire::InstanceReport report;
+  report.instance = instance;
+  report.incarnation = instance + "/" + process;
+  report.sequence = 1;
+  report.interval_ms = 200;
+  report.listed = true;
+  report.age_ms = kAlways;
+  report.listed_ms = kAlways;
+  return report;
+}
+
+wire::InstanceReport Spent(wire::InstanceReport report, std::int64_t tokens) {
+  wire::WorkspaceSpend spend;
+  spend.workspace = "w";
+  spend.tokens = tokens;
+  report.spends.push_back(spend);
+  return report;
+}
+
+wire::InstanceReport Aged(wire::InstanceReport report, std::int64_t age_ms,
+                          std::int64_t listed_ms) {
+  report.age_ms = age_ms;
+  report.listed_ms = listed_ms;
+  return report;
+}
+
+wire::InstanceReport Unlisted(wire::InstanceReport report) {
+  report.listed = false;
+  return report;
+}
+
+struct SpendCase {
+  std::string name;
+  std::vector<wire::InstanceReport> reports;
+  double total;
+  int instances;
+  double unknown_shares;
+};
+
+class ReportHubTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReportHubTest);
+  CPPUNIT_TEST(SumsUpWhatIsSpent);
+  CPPUNIT_TEST(TellsEachWhatOthersHave);
+  CPPUNIT_TEST(KnowsDemandFromItsFirstSecond);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A workspace floods while a partition leaves three of eight instances on
+  // their own. The larger side lists weaker ones in their place. Counted like
+  // the three, they made the side believe that it had the whole quota, and
+  // both sides together ran 4,071,922 tokens of 4,040,330 in a window.
+  void SumsUpWhatIsSpent() {
+    const double half = 1 - std::pow(0.5, 1.5);
+    const std::vector<SpendCase> cases = {
+        {"nobody", {}, 0, 0, 0},
+        {"two from the start",
+         {Spent(Report("a"), 10), Spent(Report("b"), 5)},
+         15,
+         2,
+         0},
+        {"callers are not sent to one of them, but it spends",
+         {Spent(Report("a"), 10), Unlisted(Spent(Report("b"), 5))},
+         15,
+         1,
+         0},
+        {"one that just joined has another's part",
+         {Report("a"), Aged(Report("b"), kAlways, 0)},
+         0,
+         2,
+         1},
+        {"half a window ago", {Aged(Report("b"), kAlways, 4000)}, 0, 1, half},
+        {"a new process whose past is not known",
+         {Report("a"), Aged(Report("b"), 0, kAlways)},
+         0,
+         2,
+         1},
+        {"a new process whose past was reported",
+         {Spent(Report("b"), 7), Aged(Report("b", "2"), 0, kAlways)},
+         7,
+         2,
+         0},
+        {"its past is known, but it just joined",
+         {Report("b"), Aged(Report("b", "2"), 0, 0)},
+         0,
+         2,
+         1},
+    };
+    for (const SpendCase& item : cases) {
+      ManualClock manual;
+      ReportHub hub(kWindow, Clock(&manual));
+      for (const wire::InstanceReport& report : item.reports) hub.Take(report);
+      const FleetSpend spend = hub.SpendOf("w");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.total, spend.total);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.instances, spend.instances);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(item.name, item.unknown_shares,
+                                           spend.unknown_shares, 1e-9);
+    }
+  }
+
+  void TellsEachWhatOthersHave() {
+    ManualClock manual;
+    ReportHub hub(kWindow, Clock(&manual));
+    std::vector<wire::InstanceReport> reports;
+    for (const int requests : {3, 4}) {
+      wire::InstanceReport report = Report(std::to_string(requests));
+      wire::TargetUse use;
+      use.target = "t";
+      use.requests = requests;
+      use.unread_tokens = 100 * requests;
+      report.targets.push_back(use);
+      reports.push_back(report);
+      hub.Take(report);
+    }
+    const wire::FleetSummary first = hub.SummaryFor(reports[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.targets.size());
+    CPPUNIT_ASSERT_EQUAL(4, first.targets[0].requests);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{400}, first.targets[0].unread_tokens);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, first.answers);
+    CPPUNIT_ASSERT_EQUAL(3, hub.SummaryFor(reports[1]).targets[0].requests);
+  }
+
+  // A new holder of the placing duty has no past. With an average that begins
+  // at nothing it took models in demand for idle, and took four of their
+  // copies away in its first second.
+  void KnowsDemandFromItsFirstSecond() {
+    ManualClock manual;
+    ReportHub hub(kWindow, Clock(&manual));
+    wire::InstanceReport report = Report("a");
+    wire::ModelWish wish;
+    wish.service_name = "s";
+    wish.model = "m";
+    wish.work_ms = 100;  // half an engine over the interval of 200 ms
+    report.wishes.push_back(wish);
+    for (int i = 0; i < 10; ++i) {
+      hub.Take(report);
+      report.sequence += 1;
+      manual.Advance(absl::Milliseconds(200));
+    }
+    const auto demand = hub.Demand();
+    const auto model = demand.find(ModelName{"s", "m", ""});
+    CPPUNIT_ASSERT(model != demand.end());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, model->second.load, 0.05);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ReportHubTest, "unit-report-hub");
+
+}  // namespace
+}  // namespace dragonflyglade::gateway
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -69,6 +69,17 @@
   return engine;
 }
 
+EngineHoldings Loading(EngineHoldings engine, std::string model) {
+  engine.busy = true;
+  engine.loading = std::move(model);
+  return engine;
+}
+
+EngineHoldings Keeping(EngineHoldings engine, std::set<std::string> on_disk) {
+  engine.on_disk.insert(on_disk.begin(), on_disk.end());
+  return engine;
+}
+
 class ResidencyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResidencyTest);
   CPPUNIT_TEST(PlansByTable);
@@ -141,6 +152,36 @@
          {Leaving(Engine("e1", {{"a", {}}})), Engine("e2", {})},
          9,
          "load a at e2"},
+        // Its callers would find it nowhere until the others have loaded.
+        {"the only copy that serves stays while others load",
+         {Model("a", 0.9), Model("b", 0.1)},
+         {},
+         {Engine("e1", {{"a", {}}}, 100), Engine("e2", {{"b", {}}}, 100),
+          Loading(Engine("e3", {{"b", {}}}, 100), "b")},
+         9,
+         ""},
+        {"a second copy that serves makes room while another loads",
+         {Model("a", 0.9), Model("b", 0.1)},
+         {},
+         {Engine("e1", {{"a", {}}}, 100), Engine("e2", {{"b", {}}}, 100),
+          Engine("e3", {{"b", {}}}, 100),
+          Loading(Engine("e4", {{"b", {}}}, 100), "b")},
+         9,
+         "unload b at e2"},
+        {"an engine that kept the weights loads them in a second",
+         {Model("a", 0.9)},
+         {},
+         {Engine("e1", {{"a", {}}}), Engine("e2", {}),
+          Keeping(Engine("e3", {}), {"a"})},
+         9,
+         "load a at e3"},
+        {"kept weights do not use the store's rate",
+         {Model("a", 0.9)},
+         {},
+         {Engine("e1", {{"a", {}}}), Engine("e2", {}),
+          Keeping(Engine("e3", {}), {"a"})},
+         0,
+         "load a at e3"},
         {"an adapter beside its model",
          {Model("a", 0)},
          {{"a", "x", 0, 1}},
