End a cut stream without an answer in it; say unknown of what ran

Now the connection ends without the last chunk, and a request that ran and finds no further target is answered 502. Test: NoAnswerFollowsInACutStream (failed first).

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -164,12 +164,7 @@
       co_return;
     }
     if (target == nullptr) {
-      const bool models = job.IsEngineWork();
-      Refusal refusal = MakeRefusal(
-          models ? RefusalCode::kModelNotResident : RefusalCode::kTargetsBusy,
-          "no target can take the request now",
-          models ? kRetryModel : kRetryBusy);
-      co_await this->Refuse(job, std::move(refusal));
+      co_await this->Refuse(job, this->NoTarget(job));
       co_return;
     }
     next = co_await this->Attempt(job, target);
@@ -258,7 +253,30 @@
   co_return target;
 }
 
+// A request that ran at a target which broke off is not said to have not run.
+Refusal Pipeline::NoTarget(const RequestJob& job) const {
+  constexpr const char* kWhy = "no target can take the request now";
+  if (job.runs > 0) return MakeRefusal(RefusalCode::kTargetLost, kWhy);
+  if (job.IsEngineWork()) {
+    return MakeRefusal(RefusalCode::kModelNotResident, kWhy, kRetryModel);
+  }
+  return MakeRefusal(RefusalCode::kTargetsBusy, kWhy, kRetryBusy);
+}
+
+// No answer can follow on this connection; an end without the last chunk tells
+// the caller that the stream is not whole.
+void Pipeline::BreakStream(RequestJob& job) {
+  this->Account(job, "stream broken", 0);
+  job.link.Abort();
+}
+
 asio::awaitable<void> Pipeline::Refuse(RequestJob& job, Refusal refusal) {
+  // A stream that was to go on at another target, and finds none. A refusal
+  // would stand in the middle of it, as bytes of no answer.
+  if (job.link.StreamBegun()) {
+    this->BreakStream(job);
+    co_return;
+  }
   const RefusalRule& rule = RuleOf(refusal.code);
   if (rule.ran == Ran::kNo && job.workspace != nullptr &&
       refusal.code != RefusalCode::kOverRate) {
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -81,6 +81,8 @@
                                           const WholeAnswer& answer);
   bool MayRepeat(RequestJob& job, bool has_run);
   RetryBudget& RetriesOf(std::string_view service);
+  Refusal NoTarget(const RequestJob& job) const;
+  void BreakStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
   void Account(RequestJob& job, std::string_view outcome, int status);
 
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -227,13 +227,6 @@
   if (!lost.timed_out && resumable && this->MayRepeat(job, true)) {
     co_return Next::kTryAnother;
   }
-  if (job.link.StreamBegun()) {
-    // No answer can follow on this connection; an end without the last chunk
-    // tells the caller that the stream is not whole.
-    this->Account(job, "stream broken", 0);
-    job.link.Abort();
-    co_return Next::kDone;
-  }
   Refusal refusal =
       lost.timed_out
           ? MakeRefusal(RefusalCode::kTargetTimeout, "no answer in time")
@@ -269,8 +262,7 @@
     co_return Next::kTryAnother;
   }
   if (job.link.StreamBegun()) {
-    this->Account(job, "stream broken", 0);
-    job.link.Abort();
+    this->BreakStream(job);
     co_return Next::kDone;
   }
   const bool written =
--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -10,9 +10,9 @@
 
 // Some minutes of a calm day, some seconds of a busy one; whoever is further
 // behind lists the store anew.
-constexpr std::size_t kMostBytes = 256 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
 // A summary with so many changes still fits a datagram.
-constexpr std::size_t kMostBytesAtOnce = 24 * 1024;
+constexpr std::size_t kMostBytesAtOnce = std::size_t{24} * 1024;
 
 std::size_t SizeOf(const StoreEvent& event) {
   return event.item.key.size() + event.item.value.size();
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -358,6 +358,7 @@
   CPPUNIT_TEST(RefusesWhatMayNotRun);
   CPPUNIT_TEST(GoesOnWithAStreamAtAnotherTarget);
   CPPUNIT_TEST(ACutStreamDoesNotLookWhole);
+  CPPUNIT_TEST(NoAnswerFollowsInACutStream);
   CPPUNIT_TEST(EndsTheRunWhenTheCallerLeaves);
   CPPUNIT_TEST(FollowsTheConfiguration);
   CPPUNIT_TEST(SendsNothingToALeavingTarget);
@@ -483,6 +484,22 @@
 
   // The caller closes while the target works. Without the cancel, the target
   // would work on for nobody.
+  // A stream breaks off after two events and may go on elsewhere, but the only
+  // target declines. The caller got a 503 with head and body in the middle of
+  // the chunks of its answer; it must get the end of the connection.
+  void NoAnswerFollowsInACutStream() {
+    Stage stage;
+    stage.first.Next(CutStream);
+    constexpr int kMoreThanItTries = 6;
+    for (int i = 0; i < kMoreThanItTries; ++i) stage.first.Next(Refusing);
+    const Stage::Reply reply = stage.Call("POST", "/resumed/x");
+    CPPUNIT_ASSERT_EQUAL(200, reply.status);
+    CPPUNIT_ASSERT(!reply.ended_whole);
+    CPPUNIT_ASSERT(absl::StrContains(reply.text, Event(2)));
+    CPPUNIT_ASSERT_EQUAL(reply.text.find("HTTP/1.1"),
+                         reply.text.rfind("HTTP/1.1"));
+  }
+
   void EndsTheRunWhenTheCallerLeaves() {
     Stage stage;
     stage.first.Next([](const RawRequest&) { return Script{"", false, true}; });
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -182,6 +182,7 @@
 
 std::vector<std::unique_ptr<absl::Mutex>> Mutexes(int count) {
   std::vector<std::unique_ptr<absl::Mutex>> mutexes;
+  mutexes.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     mutexes.push_back(std::make_unique<absl::Mutex>());
   }
@@ -205,12 +206,14 @@
     }
   });
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       Call(world, promises, StreamOf(options.seed, i), i, stop_callers);
     });
   }
   std::vector<std::thread> faults;
+  faults.reserve(kFaultSeries);
   for (int i = 0; i < kFaultSeries; ++i) {
     faults.emplace_back([&, i] {
       FaultSeries series(world, StreamOf(options.seed, kCallers + i), instances,
--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -127,7 +127,7 @@
       wire::TargetUse use;
       use.target = "t";
       use.requests = requests;
-      use.unread_tokens = 100 * requests;
+      use.unread_tokens = std::int64_t{100} * requests;
       report.targets.push_back(use);
       reports.push_back(report);
       hub.Take(report);
