Give an instance that is back in the list its own part of the quotas

An instance that had been listed for longer than a fleet takes to start keeps its part. Test: GivesAnInstanceThatIsBackItsPart (failed first by construction of the old rule). Ruled out: the holder's grants (left was 0 at the holder, not at one instance).

--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -23,6 +23,10 @@
 // window, eight seconds into a partition of twelve. A share that lies idle for
 // so long is a small loss: workspaces are mostly well inside their limits.
 constexpr absl::Duration kCutOff = absl::Seconds(20);
+// While a fleet starts, instances are listed that later make way for stronger
+// ones. Listed for longer than this, an instance is one of those that the
+// quotas were divided by, and its part waits for it when it is back.
+constexpr absl::Duration kFleetStarts = absl::Seconds(5);
 // Summaries come several times a second; after this the instance that sends
 // them is gone, and others may spend unheard.
 constexpr absl::Duration kSummaryHolds = absl::Milliseconds(1200);
@@ -46,7 +50,8 @@
     : allowance(allowance),
       clock(std::move(clock)),
       nothing_spent_before(nothing_spent_before),
-      started(this->clock.Now()) {}
+      started(this->clock.Now()),
+      listed_at(this->started) {}
 
 void QuotaWindows::SetInstances(int count) {
   const Instant now = this->clock.Now();
@@ -73,7 +78,14 @@
 }
 
 void QuotaWindows::SetListed(bool listed) {
-  if (listed && !this->listed) this->listed_since = this->clock.Now();
+  if (listed == this->listed) return;
+  const Instant now = this->clock.Now();
+  const bool settled = now - this->listed_at >= kFleetStarts;
+  if (!listed && settled && !this->listed_since.has_value()) {
+    this->owns_part = true;
+  }
+  if (listed) this->listed_at = now;
+  if (listed && !this->owns_part) this->listed_since = now;
   this->listed = listed;
 }
 
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -87,8 +87,8 @@
   void SetFleetSpend(std::string_view workspace, FleetSpend spend);
 
   /// Whether callers are sent to this instance. Others have no part of their
-  /// own, and one that joins gets its part over a window, since the one that it
-  /// replaces may have spent that part.
+  /// own. One that joins gets its part late, since the one that it replaces may
+  /// spend that part; one that was cut off and is back has its own.
   void SetListed(bool listed);
 
   /// For how long; unlimited if from the start of the process.
@@ -155,6 +155,8 @@
   int instances = 1;
   Instant instances_at;
   bool listed = true;
+  Instant listed_at;       ///< when that began
+  bool owns_part = false;  ///< was listed before, and not in another's place
   std::optional<Instant> listed_since;  ///< nothing: from the start
   std::map<std::string, Spending, std::less<>> spendings;
 };
--- a/tests/unit/unit-quota-grants.cc
+++ b/tests/unit/unit-quota-grants.cc
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(KeepsTheAllowanceUnderAFlood);
   CPPUNIT_TEST(GivesNothingToInstancesThatAreNotListed);
   CPPUNIT_TEST(GrowsThePartOfAnInstanceThatJoins);
+  CPPUNIT_TEST(GivesAnInstanceThatIsBackItsPart);
   CPPUNIT_TEST(CountsAGrantUntilItIsReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -209,6 +210,37 @@
     CPPUNIT_ASSERT(quotas.Take("w", kLimit, 600000).admitted);
   }
 
+  // The store turns an instance away for seven seconds and it leaves the list;
+  // nobody took its place. Taken for one that joins when it is back, it kept a
+  // seventh of all quotas idle for 28 s: of a calm fleet's requests 9 % were
+  // refused. One that was listed only while the fleet started does join.
+  void GivesAnInstanceThatIsBackItsPart() {
+    struct Case {
+      std::string name;
+      absl::Duration listed;
+      bool is_back;
+    };
+    const std::vector<Case> cases = {
+        {"listed for a while", absl::Seconds(12), true},
+        {"while the fleet started", absl::Seconds(1), false},
+    };
+    for (const Case& item : cases) {
+      ManualClock manual;
+      QuotaWindows quotas(kAllowance, true, Clock(&manual));
+      quotas.SetInstances(7);
+      quotas.SetListed(true);
+      manual.Advance(item.listed);
+      quotas.SetListed(false);
+      manual.Advance(absl::Seconds(7));
+      quotas.SetListed(true);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.name, item.is_back,
+          quotas.ListedFor() == absl::InfiniteDuration());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.is_back,
+                                   quotas.Take("w", kLimit, 1000).admitted);
+    }
+  }
+
   // The answer to a question is lost and the instance asks again, then dies.
   // The grant is booked once, and counts until its window is over, since
   // nobody can tell whether it was spent.
