Say once how many share a quota; correct a comment

The count of sharers stood three times in QuotaWindows. SetInstances said that a lower count holds after a window; since partitions are outlasted it is longer. An alias in the soak that nothing used goes.

--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -131,14 +131,17 @@
          this->clock.Now() - *spending.fleet_at < kSummaryHolds;
 }
 
+int QuotaWindows::Sharing(const FleetSpend& spend) const {
+  return std::max(this->instances, spend.instances);
+}
+
 double QuotaWindows::FleetLeft(double whole, const FleetSpend& spend) const {
-  const int sharing = std::max(this->instances, spend.instances);
   // Instances that the summary does not hear may be alive and spend their
   // parts; each side of a partition keeps to the part of its own instances.
   const double heard =
       std::min(1.0, static_cast<double>(spend.instances) / this->instances);
   // A process that was started anew may have spent its part before.
-  const double unknown = spend.unknown_shares * whole / sharing;
+  const double unknown = spend.unknown_shares * whole / this->Sharing(spend);
   return std::max(0.0, whole * heard - spend.total - unknown);
 }
 
@@ -147,10 +150,9 @@
   const double whole = this->FleetAllowance(limit);
   if (!this->IsFresh(spending)) return this->UnheardPart(spending, whole);
   if (!this->listed) return {};
-  const int sharing = std::max(this->instances, spending.fleet.instances);
   const double left = this->FleetLeft(whole, spending.fleet);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
-  return {left / sharing, since, this->allowance.at_once};
+  return {left / this->Sharing(spending.fleet), since, this->allowance.at_once};
 }
 
 // With nobody to sum up, an equal part of the limit. Until the window of the
@@ -164,8 +166,8 @@
       spending.fleet_at.has_value() &&
       this->clock.Now() - *spending.fleet_at < this->allowance.window;
   if (known) {
-    const int sharing = std::max(this->instances, spending.fleet.instances);
-    const double left = this->FleetLeft(whole, spending.fleet) / sharing;
+    const double left =
+        this->FleetLeft(whole, spending.fleet) / this->Sharing(spending.fleet);
     tokens = std::min(tokens, spending.fleet.own + left);
   }
   return {tokens, spending.sum, 1};
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -76,8 +76,8 @@
                Clock clock);
 
   /// The instances that share the quotas: those that callers are sent to. A
-  /// lower count holds only once it has stood for a window: instances vanish
-  /// from the store while they are restarted, and come back.
+  /// lower count holds only once it has stood for longer than partitions last:
+  /// instances that vanish from the store may spend on beyond one, or be back.
   void SetInstances(int count);
 
   /// The operator changed how far the fleet may exceed limits.
@@ -141,6 +141,8 @@
   };
 
   bool IsFresh(const Spending& spending) const;
+  /// How many share what the fleet has left.
+  int Sharing(const FleetSpend& spend) const;
   double FleetLeft(double whole, const FleetSpend& spend) const;
   void Spend(Spending& spending, double tokens);
   Part UnheardPart(const Spending& spending, double whole) const;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -24,8 +24,6 @@
 namespace dragonflyglade::soak {
 namespace {
 
-namespace po = boost::program_options;
-
 struct Options {
   std::string program;
   unsigned seed = 1;
