Give copies one at a time to the model that is short of them most

Change: models that are nowhere come first as before; among others only how busy their copies are counts, and each copy is given before the next is decided.

--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -153,35 +153,59 @@
   return std::move(round.changes);
 }
 
-void ResidencyPlanner::PlanModels(Round& round, int model_loads) {
-  std::vector<const WantedModel*> short_of_copies;
+bool ResidencyPlanner::WantsCopy(const Round& round,
+                                 const WantedModel& model) const {
+  const int copies = round.CopiesOf(model.name);
+  const bool busy = round.PerCopy(model) > this->options.add_above;
+  // Adapters in demand need places beside copies of their model.
+  const auto adapters = round.adapters_of.find(model.name);
+  const bool crowded =
+      adapters != round.adapters_of.end() &&
+      adapters->second > kUsedSlots * copies * round.adapter_slots;
+  return copies == 0 || busy || crowded;
+}
+
+// Models that are nowhere first, those with waiting requests before others,
+// then by how busy their copies are. Requests that wait for a copy that is
+// under way give no precedence: a rare model with a few of them would get its
+// third copy before one with most of the demand gets its second.
+bool ResidencyPlanner::IsNeedier(const Round& round, const WantedModel& one,
+                                 const WantedModel& other) const {
+  const auto key = [&](const WantedModel& model) {
+    const bool nowhere = round.CopiesOf(model.name) == 0;
+    return std::make_tuple(nowhere, nowhere ? model.waiting : 0,
+                           round.PerCopy(model));
+  };
+  return key(one) > key(other);
+}
+
+const WantedModel* ResidencyPlanner::Neediest(
+    const Round& round, const std::set<std::string_view>& stuck) const {
+  const WantedModel* best = nullptr;
   for (const auto& [name, model] : round.models) {
-    const int copies = round.CopiesOf(name);
-    const bool busy = round.PerCopy(*model) > this->options.add_above;
-    // Adapters in demand need places beside copies of their model.
-    const bool crowded =
-        round.adapters_of[name] > kUsedSlots * copies * round.adapter_slots;
-    if (copies == 0 || busy || crowded) short_of_copies.push_back(model);
+    if (stuck.count(name) > 0 || !this->WantsCopy(round, *model)) continue;
+    if (best != nullptr && !this->IsNeedier(round, *model, *best)) continue;
+    best = model;
   }
-  // Models that are nowhere first, those with waiting requests before others,
-  // then by how busy their copies are.
-  std::sort(short_of_copies.begin(), short_of_copies.end(),
-            [&](const WantedModel* one, const WantedModel* other) {
-              const auto key = [&](const WantedModel* model) {
-                return std::make_tuple(round.CopiesOf(model->name) > 0,
-                                       -model->waiting, -round.PerCopy(*model));
-              };
-              return key(one) < key(other);
-            });
+  return best;
+}
+
+// One copy at a time to the model that is short of it most, so that a model
+// with ten times the demand gets several before others get their second.
+void ResidencyPlanner::PlanModels(Round& round, int model_loads) {
   // Room that is being made is for loads that may begin soon. Without this
   // bound, every round until the first unload ends would take one copy more.
   int rooms = std::max(1, model_loads) - round.ClosingEngines();
-  for (const WantedModel* model : short_of_copies) {
+  std::set<std::string_view> stuck;
+  while (const WantedModel* model = this->Neediest(round, stuck)) {
     if (this->AddCopy(round, *model, false)) continue;
     const bool fits = this->PlaceFor(round, *model, true) != nullptr;
+    if (fits && model_loads > 0 && this->AddCopy(round, *model, true)) {
+      model_loads -= 1;
+      continue;
+    }
     if (!fits && rooms > 0 && this->MakeRoom(round, *model)) rooms -= 1;
-    if (!fits || model_loads <= 0) continue;
-    if (this->AddCopy(round, *model, true)) model_loads -= 1;
+    stuck.insert(model->name);
   }
 }
 
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -112,6 +112,11 @@
  private:
   struct Round;
 
+  bool WantsCopy(const Round& round, const WantedModel& model) const;
+  bool IsNeedier(const Round& round, const WantedModel& one,
+                 const WantedModel& other) const;
+  const WantedModel* Neediest(const Round& round,
+                              const std::set<std::string_view>& stuck) const;
   void PlanModels(Round& round, int model_loads);
   EngineHoldings* PlaceFor(Round& round, const WantedModel& model,
                            bool from_store);
