Tell instances of each send to an engine, and pace prompts

Engines read what came last before their streams go on; instances knew what others had sent from summaries some hundred milliseconds old, and sent their prompts to the same engine.

Change: each send is told to the other listed instances in a datagram, gathered over 3 ms (fleets of more than 24 listed instances go by summaries as before). What others sent is taken as read at the engines' pace.

--- a/dragonflyglade/decision/route_table.cc
+++ b/dragonflyglade/decision/route_table.cc
@@ -1,5 +1,6 @@
 #include "dragonflyglade/decision/route_table.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -45,6 +46,17 @@
   return nullptr;
 }
 
+absl::Duration RouteTable::PauseObjective(std::string_view service) const {
+  absl::Duration shortest = absl::InfiniteDuration();
+  for (const Route& route : this->routes) {
+    const bool leads = std::any_of(
+        route.services.begin(), route.services.end(),
+        [&](const WeightedService& item) { return item.service == service; });
+    if (leads) shortest = std::min(shortest, route.pause_objective);
+  }
+  return shortest;
+}
+
 std::string_view PickService(absl::Span<const WeightedService> services,
                              double draw) {
   double total = 0;
--- a/dragonflyglade/decision/route_table.h
+++ b/dragonflyglade/decision/route_table.h
@@ -33,6 +33,8 @@
   Repeatability repeatability = Repeatability::kOnce;
   absl::Duration timeout = absl::Seconds(10);  ///< of a whole request
   absl::Duration latency_objective = absl::Seconds(1);
+  /// The longest pause between events with which a stream is in time.
+  absl::Duration pause_objective = absl::InfiniteDuration();
   int priority = 0;  ///< 0 is the most urgent
   std::vector<WeightedService> services;
   int max_targets = 1;  ///< that one request may be sent to
@@ -59,6 +61,11 @@
 
   absl::Span<const Route> Routes() const { return this->routes; }
 
+  /// The shortest pause objective of the routes that lead to a service:
+  /// engines run streams of all of them beside one another.
+  /// Complexity: linear in the routes.
+  absl::Duration PauseObjective(std::string_view service) const;
+
  private:
   std::vector<Route> routes;
   absl::flat_hash_map<std::string, std::size_t> by_place;
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -8,9 +8,6 @@
 namespace dragonflyglade {
 namespace {
 
-// Prompt tokens a target reads in a millisecond. Engines of today read about
-// 39 when idle; requests that are generating take a part of it.
-constexpr double kReadPerMs = 30;
 // An output token in a batch of some dozens: a step of 6 ms over the batch.
 constexpr double kMsPerOutput = 0.35;
 // The part of shared tokens that are read anew, on the average.
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -11,6 +11,10 @@
 
 namespace dragonflyglade {
 
+/// Prompt tokens that an engine is expected to read in a millisecond, beside
+/// the requests that it generates for.
+inline constexpr double kReadPerMs = 30;
+
 /// What a request asks of a target.
 struct ChoiceRequest {
   double prompt_tokens = 0;    ///< 0 for plain services
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -35,6 +35,12 @@
 // Several orders are mostly answered within some milliseconds of one another;
 // a request that waits for an adapter loses no more than this.
 constexpr absl::Duration kPushGather = absl::Milliseconds(8);
+// Sends of this time are told in one message. Engines read a prompt in some ten
+// milliseconds, so older news would send several instances to the same engine.
+constexpr absl::Duration kSendsGather = absl::Milliseconds(3);
+// Each instance tells all others, so the messages grow with the square of the
+// instances that callers are sent to. Larger fleets go by the summaries.
+constexpr std::size_t kMostToldOfSends = 24;
 constexpr std::size_t kLargestDatagram = 65000;
 // Reports whose summary is still awaited.
 constexpr std::size_t kMostUnanswered = 32;
@@ -126,6 +132,7 @@
   if (message->__isset.summary) this->TakeSummary(message->summary);
   if (message->__isset.ask) this->desk.TakeAsk(message->ask);
   if (message->__isset.grant) this->desk.TakeGrant(message->grant);
+  if (message->__isset.note) this->TakeNote(message->note);
 }
 
 asio::awaitable<void> FleetChannel::Report() {
@@ -309,8 +316,9 @@
     if (use == uses.end()) {
       target.SetOthers(0, 0, now);
     } else {
-      target.SetOthers(use->second->requests,
-                       static_cast<double>(use->second->unread_tokens), now);
+      const auto unread = static_cast<double>(use->second->unread_tokens);
+      target.SetOthers(use->second->requests, this->TellsSends() ? 0 : unread,
+                       now);
     }
   });
 }
@@ -376,6 +384,48 @@
       this->clock.Now() - absl::Milliseconds(summary.store_age_ms));
 }
 
+bool FleetChannel::TellsSends() const {
+  return this->fleet.ListedInstances().size() <= kMostToldOfSends;
+}
+
+// The summaries of reports are some hundred milliseconds old. Instances that
+// choose by them send their prompts to the same engine until the next one
+// comes, and its running streams pause for as long as it reads.
+void FleetChannel::NoteSent(const std::string& target, double prompt_tokens) {
+  if (!this->TellsSends()) return;
+  const bool first = this->sends.empty();
+  this->sends[target] += prompt_tokens;
+  if (first) asio::co_spawn(this->context, this->TellSends(), asio::detached);
+}
+
+asio::awaitable<void> FleetChannel::TellSends() {
+  co_await Sleep(this->context, kSendsGather);
+  wire::SendNote note;
+  for (const auto& [target, tokens] : this->sends) {
+    wire::SentPrompts prompts;
+    prompts.target = target;
+    prompts.tokens = static_cast<std::int64_t>(tokens);
+    note.prompts.push_back(std::move(prompts));
+  }
+  this->sends.clear();
+  wire::FleetMessage message;
+  message.__set_note(std::move(note));
+  for (const InstanceRecord* other : this->fleet.ListedInstances()) {
+    if (other->name == this->self.name) continue;
+    this->Send(message, other->peers);
+  }
+}
+
+void FleetChannel::TakeNote(const wire::SendNote& note) {
+  const Instant now = this->clock.Now();
+  for (const wire::SentPrompts& prompts : note.prompts) {
+    const std::shared_ptr<TargetState> target =
+        this->fleet.Target(prompts.target);
+    if (target == nullptr) continue;
+    target->OthersSent(static_cast<double>(prompts.tokens), now);
+  }
+}
+
 void FleetChannel::ReportLack(std::string_view target, const ModelName& name) {
   if (this->lacks.size() >= kMostLacks) return;
   wire::TargetLack lack;
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -61,6 +61,9 @@
   /// The duty ended: what was granted as holder is not counted here any more.
   void ForgetGrants() { this->desk.Clear(); }
 
+  /// Prompts were sent to a target: tells the other instances.
+  void NoteSent(const std::string& target, double prompt_tokens);
+
   /// A target said that it lacks this.
   void ReportLack(std::string_view target, const ModelName& name);
 
@@ -71,6 +74,9 @@
   void Push(Reach reach);
   boost::asio::awaitable<void> PushGathered();
   wire::InstanceReport MakeReport();
+  bool TellsSends() const;
+  boost::asio::awaitable<void> TellSends();
+  void TakeNote(const wire::SendNote& note);
   void Take(std::string_view datagram);
   void TakeReport(const wire::InstanceReport& report);
   void TakeSummary(const wire::FleetSummary& summary);
@@ -110,6 +116,7 @@
   std::function<void(const wire::TargetLack&)> on_lack;
   std::vector<wire::TargetLack> lacks;
   bool push_pending = false;
+  std::map<std::string, double> sends;  ///< not told yet, by target
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/request_job.h"
 
@@ -227,10 +228,32 @@
   return target;
 }
 
+// Holds the request back while its target reads, and chooses again after.
+asio::awaitable<std::shared_ptr<TargetState>> Pipeline::Pace(
+    RequestJob& job, std::shared_ptr<TargetState> target) {
+  const absl::Duration objective =
+      job.config->routes.PauseObjective(job.service->name);
+  const Instant begun = this->clock.Now();
+  const Instant until = begun + LongestPacing(job.route->latency_objective);
+  Instant now = begun;
+  while (target != nullptr && now < until && !job.link.Left()) {
+    const absl::Duration hold =
+        PacingHold(target->AheadOfPace(now), job.UnreadTokens(), objective);
+    if (hold <= absl::ZeroDuration()) break;
+    co_await Sleep(this->context, std::min(hold, until - now));
+    now = this->clock.Now();
+    target = this->Choose(job);
+  }
+  job.paced += now - begun;
+  co_return target;
+}
+
 asio::awaitable<std::shared_ptr<TargetState>> Pipeline::FindTarget(
     RequestJob& job) {
   std::shared_ptr<TargetState> target = this->Choose(job);
-  if (target != nullptr || !job.IsEngineWork()) co_return target;
+  if (!job.IsEngineWork()) co_return target;
+  if (target != nullptr) target = co_await this->Pace(job, target);
+  if (target != nullptr) co_return target;
   const Instant begun = this->clock.Now();
   const Instant until =
       begun +
@@ -322,6 +345,7 @@
        {"candidates", static_cast<int>(job.candidates)},
        {"attempts", job.attempts},
        {"held_ms", job.held},
+       {"paced_ms", job.paced},
        {"expected_ms", job.expected_wait},
        {"first_ms", first},
        {"total_ms", now - job.started}});
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -58,6 +58,8 @@
   boost::asio::awaitable<void> Forward(RequestJob& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
       RequestJob& job);
+  boost::asio::awaitable<std::shared_ptr<TargetState>> Pace(
+      RequestJob& job, std::shared_ptr<TargetState> target);
   int MostAtTarget(const ServiceSpec& service) const;
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool all);
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -42,9 +42,10 @@
 // Counts a request at a target for as long as it is there.
 class InFlightGuard {
  public:
-  InFlightGuard(TargetState& target, double tokens, std::string resident)
+  InFlightGuard(TargetState& target, double tokens, std::string resident,
+                Instant now)
       : target(target), tokens(tokens), resident(std::move(resident)) {
-    this->target.Sent(tokens, this->resident);
+    this->target.Sent(tokens, this->resident, now);
   }
   ~InFlightGuard() {
     this->FirstOutput();
@@ -94,7 +95,10 @@
   TargetExchange exchange(this->context, target->connections, this->wire,
                           this->clock);
   job.exchange = &exchange;
-  InFlightGuard guard(*target, job.UnreadTokens(), job.Resident());
+  InFlightGuard guard(*target, job.UnreadTokens(), job.Resident(), now);
+  if (job.IsEngineWork()) {
+    this->channel.NoteSent(job.target, job.UnreadTokens());
+  }
   ExchangeOutcome outcome =
       co_await exchange.Run(address, job.request.id, std::move(head),
                             job.request.body, job.give_up + kAnswerOnItsWay);
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -99,7 +99,9 @@
   this->avoid_until = std::max(this->avoid_until, now + kFullHolds);
 }
 
-void TargetState::Sent(double prompt_tokens, const std::string& resident) {
+void TargetState::Sent(double prompt_tokens, const std::string& resident,
+                       Instant now) {
+  this->pace.Add(prompt_tokens, now);
   if (!resident.empty()) this->residents_in_use[resident] += 1;
   this->in_flight += 1;
   this->unread_tokens += prompt_tokens;
@@ -129,6 +131,11 @@
   this->others_at = now;
 }
 
+void TargetState::OthersSent(double prompt_tokens, Instant now) {
+  this->others_sent.Add(prompt_tokens, now);
+  this->pace.Add(prompt_tokens, now);
+}
+
 double TargetState::Requests(Instant now) const {
   if (this->others_at.has_value() && now - *this->others_at < kOthersHold) {
     return this->in_flight + this->others_requests;
@@ -142,10 +149,11 @@
 }
 
 double TargetState::Unread(Instant now) const {
+  const double known = this->unread_tokens + this->others_sent.Left(now);
   if (this->others_at.has_value() && now - *this->others_at < kOthersHold) {
-    return this->unread_tokens + this->others_unread;
+    return known + this->others_unread;
   }
-  return this->unread_tokens;
+  return known;
 }
 
 void TargetState::Learn(TargetResult result, Instant now) {
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -9,6 +9,9 @@
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/reading_queue.h"
+#include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/target_connection.h"
 
@@ -53,7 +56,7 @@
 
   /// Counts a request while it is at the target.
   /// @param adapter as ResidentKey; empty if it needs none
-  void Sent(double prompt_tokens, const std::string& resident);
+  void Sent(double prompt_tokens, const std::string& resident, Instant now);
   void FirstOutput(double prompt_tokens);
   void Ended(const std::string& resident);
   /// How many requests use each adapter.
@@ -67,10 +70,14 @@
   void Reported(const LoadReport& report, Instant now);
   /// What other instances have there, by the last summary.
   void SetOthers(double requests, double unread, Instant now);
+  /// Another instance told of prompts that it just sent there.
+  void OthersSent(double prompt_tokens, Instant now);
 
   /// Requests there, of this and all other instances, as far as known.
   double Requests(Instant now) const;
   double Unread(Instant now) const;
+  /// Prompt tokens that were sent faster than the pace; see PacingHold.
+  double AheadOfPace(Instant now) const { return this->pace.Left(now); }
 
   /// The target had no place for a request just now.
   void MarkFull(Instant now);
@@ -101,6 +108,8 @@
   double others_requests = 0;
   double others_unread = 0;
   std::optional<Instant> others_at;
+  ReadingQueue others_sent{kReadPerMs};
+  ReadingQueue pace{kPacedPerMs};  ///< of what all instances send
   double fault_share = 0;
   int unreachable_in_row = 0;
   Instant avoid_until;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -129,9 +129,21 @@
   5: i64 left
 }
 
+/** Prompts that an instance has just sent to a target. */
+struct SentPrompts {
+  1: string target
+  2: i64 tokens
+}
+
+/** Told to the other instances that callers are sent to, as it happens. */
+struct SendNote {
+  1: list<SentPrompts> prompts
+}
+
 union FleetMessage {
   1: InstanceReport report
   2: FleetSummary summary
   3: QuotaAsk ask
   4: QuotaGrant grant
+  5: SendNote note
 }
