Keep what workspaces spent in the store, so that restarts cost no quota

At 15 s a new holder denied 201 of 201 questions, and sent callers back after some milliseconds, which used up their one return. Ruled out: the flood of one workspace (all five were short).

A new holder takes it over, with three tenths more for what came after it; a process that starts reads it and spends at once what is known to be left. An instance that was listed before is back in its own place. A new holder decides once reports came in. Callers refused while nobody sums up are told to come back when a holder is likely. A stopping holder lets go of the duty also when the store is away at first.

--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace dragonflyglade {
 namespace {
@@ -40,6 +41,14 @@
                   kRestartGrowth);
 }
 
+// A fifth counts until the window is over: it covers a workspace that began to
+// flood after its spending was last written down.
+double CountedPart(absl::Duration age, absl::Duration window) {
+  constexpr double kCountedToTheEnd = 0.2;
+  if (age >= window) return 0;
+  return 1 - (1 - kCountedToTheEnd) * EarnedPart(age, window);
+}
+
 double JoinedPart(absl::Duration listed_for, absl::Duration window) {
   return EarnedPart(std::max(absl::ZeroDuration(), listed_for - kCutOff),
                     window);
@@ -65,18 +74,37 @@
 // After a restart, what may be spent of a window grows from nothing: the
 // process before may have spent up to its limit, and that leaves the window
 // only with time.
-double QuotaWindows::Earned(double whole) const {
+double QuotaWindows::EarnedAfterStart(std::string_view workspace,
+                                      double whole) const {
+  if (this->nothing_spent_before) return whole;
+  const absl::Duration age = this->clock.Now() - this->started;
+  const auto spent = this->spent_before.find(workspace);
+  if (spent == this->spent_before.end()) {
+    return whole * EarnedPart(age, this->allowance.window);
+  }
+  const double counted =
+      spent->second * CountedPart(age, this->allowance.window);
+  return std::max(0.0, whole - counted);
+}
+
+double QuotaWindows::Earned(std::string_view workspace, double whole) const {
   if (!this->listed) return 0;
   const Instant now = this->clock.Now();
-  if (!this->nothing_spent_before) {
-    whole *= EarnedPart(now - this->started, this->allowance.window);
-  }
+  whole = this->EarnedAfterStart(workspace, whole);
   if (this->listed_since.has_value()) {
     whole *= JoinedPart(now - *this->listed_since, this->allowance.window);
   }
   return whole;
 }
 
+// An instance that was listed before it was killed is back in its own place.
+void QuotaWindows::SetBefore(std::map<std::string, double, std::less<>> spent,
+                             bool owned_part) {
+  if (!this->spent_before.empty()) return;
+  this->spent_before = std::move(spent);
+  this->owns_part = this->owns_part || owned_part;
+}
+
 void QuotaWindows::SetListed(bool listed) {
   if (listed == this->listed) return;
   const Instant now = this->clock.Now();
@@ -145,10 +173,12 @@
   return std::max(0.0, whole * heard - spend.total - unknown);
 }
 
-QuotaWindows::Part QuotaWindows::OwnPart(const Spending& spending,
+QuotaWindows::Part QuotaWindows::OwnPart(std::string_view workspace,
+                                         const Spending& spending,
                                          const QuotaLimit& limit) const {
   const double whole = this->FleetAllowance(limit);
-  if (!this->IsFresh(spending)) return this->UnheardPart(spending, whole);
+  if (!this->IsFresh(spending))
+    return this->UnheardPart(workspace, spending, whole);
   if (!this->listed) return {};
   const double left = this->FleetLeft(whole, spending.fleet);
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
@@ -159,9 +189,10 @@
 // last summary is over, no more than what was left by it: some instances may
 // have been granted more than their part, and if all others then spent theirs,
 // the fleet would exceed the limit by what those have too much.
-QuotaWindows::Part QuotaWindows::UnheardPart(const Spending& spending,
+QuotaWindows::Part QuotaWindows::UnheardPart(std::string_view workspace,
+                                             const Spending& spending,
                                              double whole) const {
-  double tokens = this->Earned(whole) / this->instances;
+  double tokens = this->Earned(workspace, whole) / this->instances;
   const bool known =
       spending.fleet_at.has_value() &&
       this->clock.Now() - *spending.fleet_at < this->allowance.window;
@@ -181,7 +212,7 @@
   if (limit.rate <= 0 && limit.burst <= 0) return {};
   Spending& spending = this->Current(workspace);
   if (!this->IsFresh(spending)) return this->Take(workspace, limit, tokens);
-  const Part part = this->OwnPart(spending, limit);
+  const Part part = this->OwnPart(workspace, spending, limit);
   QuotaVerdict verdict;
   verdict.left = kPartWithoutAsking * part.tokens - part.spent;
   verdict.admitted = tokens <= verdict.left;
@@ -212,7 +243,7 @@
   QuotaVerdict verdict;
   if (limit.rate <= 0 && limit.burst <= 0) return verdict;
   Spending& spending = this->Current(workspace);
-  const Part part = this->OwnPart(spending, limit);
+  const Part part = this->OwnPart(workspace, spending, limit);
   verdict.left = part.tokens - part.spent;
   const bool fits =
       verdict.left > 0 && part.spent + tokens <= part.at_once * part.tokens;
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -54,6 +54,11 @@
 /// @param age of the process
 double EarnedPart(absl::Duration age, absl::Duration window);
 
+/// The part that still counts of what is known to have been spent before a
+/// process started, although not when within the window.
+/// @param age of the process
+double CountedPart(absl::Duration age, absl::Duration window);
+
 /// The part of its share that an instance may spend which joined those that
 /// callers are sent to. It takes the place of one that left the store's list,
 /// and that one may be alive beyond a partition and spend the same share.
@@ -83,6 +88,12 @@
   /// The operator changed how far the fleet may exceed limits.
   void SetAllowance(const QuotaAllowance& newer) { this->allowance = newer; }
 
+  /// What the fleet had spent when this process started, by workspace, and
+  /// whether the process before it had a part of its own. Counts until a window
+  /// is over. What is set first stays.
+  void SetBefore(std::map<std::string, double, std::less<>> spent,
+                 bool owned_part);
+
   /// A summary of the fleet came.
   void SetFleetSpend(std::string_view workspace, FleetSpend spend);
 
@@ -145,10 +156,13 @@
   int Sharing(const FleetSpend& spend) const;
   double FleetLeft(double whole, const FleetSpend& spend) const;
   void Spend(Spending& spending, double tokens);
-  Part UnheardPart(const Spending& spending, double whole) const;
-  Part OwnPart(const Spending& spending, const QuotaLimit& limit) const;
+  Part UnheardPart(std::string_view workspace, const Spending& spending,
+                   double whole) const;
+  Part OwnPart(std::string_view workspace, const Spending& spending,
+               const QuotaLimit& limit) const;
   std::int64_t SliceNow() const;
-  double Earned(double whole) const;
+  double EarnedAfterStart(std::string_view workspace, double whole) const;
+  double Earned(std::string_view workspace, double whole) const;
 
   QuotaAllowance allowance;
   const Clock clock;
@@ -160,6 +174,7 @@
   Instant listed_at;       ///< when that began
   bool owns_part = false;  ///< was listed before, and not in another's place
   std::optional<Instant> listed_since;  ///< nothing: from the start
+  std::map<std::string, double, std::less<>> spent_before;
   std::map<std::string, Spending, std::less<>> spendings;
 };
 
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -42,6 +42,10 @@
 
 void FleetState::Apply(const StoreItem& item) {
   if (!this->IsNewer(item.key, item.revision)) return;
+  if (item.key == kSpendsKey) {
+    this->ApplySpends(item);
+    return;
+  }
   const bool of_target = this->HasPrefix(item.key, this->wire.targets_prefix);
   const bool urgent = !of_target || this->ApplyTarget(item);
   if (item.key == this->wire.config_key) this->ApplyConfig(item);
@@ -137,6 +141,17 @@
       {{"peer", this->duty->instance.name}, {"revision", item.revision}});
 }
 
+// Only what stood there at the start counts: later, summaries tell more.
+void FleetState::ApplySpends(const StoreItem& item) {
+  if (this->listed_before) return;
+  Result<SpendRecord> record = DecodeSpendRecord(item.value);
+  if (!record.Ok() || !IsRecent(record.Value(), absl::Now())) return;
+  this->spent_before = std::move(record.Value());
+  this->log.Write("quota", "spending read",
+                  {{"revision", item.revision},
+                   {"age_ms", absl::Now() - this->spent_before->written}});
+}
+
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
   if (!this->IsNewer(key, revision)) return;
   StoreItem gone;
@@ -177,6 +192,7 @@
     this->ApplyDeleted(key, store_revision);
   }
   for (const StoreItem& item : items) this->Apply(item);
+  this->listed_before = true;
 }
 
 void FleetState::StoreReturned() { this->returned_at = this->clock.Now(); }
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -19,6 +19,7 @@
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/recent_changes.h"
 #include "dragonflyglade/gateway/signal.h"
+#include "dragonflyglade/gateway/spend_record.h"
 #include "dragonflyglade/gateway/store_types.h"
 #include "dragonflyglade/gateway/target_state.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -81,6 +82,12 @@
   /// When the duty was last taken or let go.
   std::uint64_t DutyRevision() const { return this->duty_revision; }
 
+  /// What the fleet had spent of quotas when this process first read the
+  /// store; empty if that is not known well enough.
+  const std::optional<SpendRecord>& SpentBefore() const {
+    return this->spent_before;
+  }
+
   /// The newest revision of a change that must be followed at once: all but
   /// changes of which models and adapters a target holds.
   std::uint64_t UrgentRevision() const { return this->urgent_revision; }
@@ -94,6 +101,8 @@
   /// The keys of our own.
   static std::string InstanceKey(std::string_view name);
   static constexpr std::string_view kDutyKey = "dragonflyglade/duty/placement";
+  /// See SpendRecord. Read by a new holder of the duty and at the start.
+  static constexpr std::string_view kSpendsKey = "dragonflyglade/spends";
 
  private:
   bool IsNewer(std::string_view key, std::uint64_t revision);
@@ -103,6 +112,7 @@
   bool IsUrgent(const TargetRecord& record) const;
   void ApplyInstance(const StoreItem& item);
   void ApplyDuty(const StoreItem& item);
+  void ApplySpends(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   void InstancesChanged();
@@ -122,6 +132,8 @@
       by_service;
   std::map<std::string, InstanceRecord, std::less<>> instances;
   std::vector<const InstanceRecord*> listed;  ///< of the instances
+  std::optional<SpendRecord> spent_before;
+  bool listed_before = false;  ///< a listing was applied
   std::optional<DutyHolder> duty;
   std::uint64_t duty_revision = 0;
   std::optional<Instant> returned_at;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -65,6 +65,8 @@
               this->quotas, this->desk, this->hub, this->duty, this->self,
               this->settings.first_start, this->news, this->metrics,
               this->clock),
+      spend_recorder(this->context, this->store, this->hub, this->duty,
+                     this->log, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->duty, this->hub, this->channel, this->metrics, this->log,
                 this->clock),
@@ -126,6 +128,7 @@
       [this](std::string_view path) { return this->AnswerMetrics(path); }));
   this->Spawn(this->channel.Receive());
   this->Spawn(this->channel.Report());
+  this->Spawn(this->spend_recorder.Run());
   this->Spawn(this->placement.Run());
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
@@ -294,7 +297,7 @@
   this->log.Write("process", "stopping",
                   {{"in_flight", this->pipeline.InFlight()}});
   this->pipeline.StopBy(begun + this->settings.stop_within - kStopMargin);
-  co_await this->registration.Leave();
+  this->Spawn(this->registration.Leave());
   // Callers go on coming until they have asked for instances again; after
   // that, the process ends as soon as it serves nobody.
   const absl::Duration most = this->settings.stop_within - kStopMargin;
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/registration.h"
 #include "dragonflyglade/gateway/report_hub.h"
+#include "dragonflyglade/gateway/spend_recorder.h"
 #include "dragonflyglade/gateway/store_follower.h"
 #include "dragonflyglade/gateway/store_link.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -104,6 +105,7 @@
   ReportHub hub;
   QuotaDesk desk;
   FleetChannel channel;
+  SpendRecorder spend_recorder;
   PlacementDuty placement;
   Pipeline pipeline;
   boost::asio::signal_set signals;
--- a/dragonflyglade/gateway/quota_desk.cc
+++ b/dragonflyglade/gateway/quota_desk.cc
@@ -19,6 +19,11 @@
 // A refusal answers for requests of the same size for this long: a workspace
 // that floods would otherwise cost the holder a message each.
 constexpr absl::Duration kDenialHolds = absl::Milliseconds(150);
+// A new holder has everybody's report within this time.
+constexpr absl::Duration kReportsComeIn = absl::Milliseconds(300);
+// While nobody sums up, callers that come back sooner meet the same shortage,
+// and most come back once. A holder is replaced within about a second.
+constexpr absl::Duration kHolderReturns = absl::Milliseconds(800);
 
 }  // namespace
 
@@ -39,6 +44,12 @@
       ledger(window, clock) {}
 
 void QuotaDesk::FollowInstances() {
+  const std::optional<SpendRecord>& before = this->fleet.SpentBefore();
+  if (before.has_value() && !this->knows_before) {
+    this->knows_before = true;
+    this->quotas.SetBefore(FleetSpent(*before),
+                           WasListed(*before, this->self.name));
+  }
   const int listed = static_cast<int>(this->fleet.ListedInstances().size());
   this->quotas.SetInstances(listed);
   // An instance that sees nobody in the store, itself included, is at its
@@ -66,9 +77,9 @@
                                                          : "answer=\"denied\"");
     by = answer.has_value() ? "holder" : "part, holder silent";
     verdict = answer.has_value() ? *answer
-                                 : this->quotas.Take(workspace, limit, tokens);
+                                 : this->TakeUnheard(workspace, limit, tokens);
   } else {
-    verdict = this->quotas.Take(workspace, limit, tokens);
+    verdict = this->TakeUnheard(workspace, limit, tokens);
   }
   this->log.Write("quota", verdict.admitted ? "granted" : "short",
                   {{"id", std::string(request_id)},
@@ -80,6 +91,15 @@
   co_return verdict;
 }
 
+QuotaVerdict QuotaDesk::TakeUnheard(const std::string& workspace,
+                                    const QuotaLimit& limit, double tokens) {
+  QuotaVerdict verdict = this->quotas.Take(workspace, limit, tokens);
+  if (!verdict.admitted) {
+    verdict.retry_after = std::max(verdict.retry_after, kHolderReturns);
+  }
+  return verdict;
+}
+
 bool QuotaDesk::MayAsk() const {
   if (!this->fleet.Duty().has_value()) return false;
   return !this->silent_since.has_value() ||
@@ -106,9 +126,10 @@
   const std::string address = this->fleet.Duty()->instance.peers;
   if (this->fleet.Duty()->instance.incarnation == this->self.incarnation) {
     if (!this->duty.Held()) co_return std::nullopt;
-    const QuotaVerdict verdict =
+    const std::optional<QuotaVerdict> verdict =
         this->Decide(this->self.incarnation, number, workspace, tokens);
-    if (verdict.admitted) this->quotas.Granted(workspace, tokens);
+    const bool granted = verdict.has_value() && verdict->admitted;
+    if (granted) this->quotas.Granted(workspace, tokens);
     co_return verdict;
   }
   wire::FleetMessage message;
@@ -145,22 +166,37 @@
 
 void QuotaDesk::TakeAsk(const wire::QuotaAsk& ask) {
   if (!this->duty.Held()) return;
-  const QuotaVerdict verdict =
+  const std::optional<QuotaVerdict> verdict =
       this->Decide(ask.incarnation, ask.number, ask.workspace,
                    static_cast<double>(ask.tokens));
+  if (!verdict.has_value()) return;
   wire::FleetMessage message;
   wire::QuotaGrant grant;
   grant.holder = this->self.incarnation;
   grant.number = ask.number;
-  grant.granted = verdict.admitted;
-  grant.retry_after_ms = absl::ToInt64Milliseconds(verdict.retry_after);
-  grant.left = static_cast<std::int64_t>(verdict.left);
+  grant.granted = verdict->admitted;
+  grant.retry_after_ms = absl::ToInt64Milliseconds(verdict->retry_after);
+  grant.left = static_cast<std::int64_t>(verdict->left);
   message.__set_grant(std::move(grant));
   this->send(message, ask.address);
 }
 
-QuotaVerdict QuotaDesk::Decide(const std::string& process, std::int64_t number,
-                               const std::string& workspace, double tokens) {
+// A new holder that has heard one of eight instances would deny what is owed,
+// and callers that come back at once would be refused again.
+bool QuotaDesk::HearsReports(const FleetSpend& spend) {
+  const Instant now = this->clock.Now();
+  if (this->duty_fence != this->duty.Fence()) {
+    this->duty_fence = this->duty.Fence();
+    this->duty_since = now;
+  }
+  const auto listed = static_cast<int>(this->fleet.ListedInstances().size());
+  return spend.instances >= listed || now - this->duty_since > kReportsComeIn;
+}
+
+std::optional<QuotaVerdict> QuotaDesk::Decide(const std::string& process,
+                                              std::int64_t number,
+                                              const std::string& workspace,
+                                              double tokens) {
   QuotaVerdict verdict;
   verdict.admitted = false;
   verdict.retry_after = kSilence;
@@ -171,9 +207,21 @@
   if (known == config->workspaces.end()) return verdict;
   this->FollowInstances();
   FleetSpend spend = this->hub.SpendOf(workspace);
+  if (!this->HearsReports(spend)) return std::nullopt;
   spend.total += this->ledger.Open(workspace);
   verdict = this->quotas.Grant(known->second.quota, tokens, spend);
-  if (verdict.admitted) this->ledger.Add(process, number, workspace, tokens);
+  if (verdict.admitted) {
+    this->ledger.Add(process, number, workspace, tokens);
+    return verdict;
+  }
+  this->log.Write("quota", "denied",
+                  {{"workspace", workspace},
+                   {"to", process},
+                   {"tokens", tokens},
+                   {"left", verdict.left},
+                   {"spent", spend.total},
+                   {"instances", spend.instances},
+                   {"unknown_shares", spend.unknown_shares}});
   return verdict;
 }
 
--- a/dragonflyglade/gateway/quota_desk.h
+++ b/dragonflyglade/gateway/quota_desk.h
@@ -82,13 +82,20 @@
     double tokens = 0;
   };
 
+  /// Decides while nobody sums up.
+  QuotaVerdict TakeUnheard(const std::string& workspace,
+                           const QuotaLimit& limit, double tokens);
   /// Asks the holder, and counts what it grants.
   boost::asio::awaitable<std::optional<QuotaVerdict>> Ask(std::string workspace,
                                                           double tokens);
   std::optional<QuotaVerdict> DeniedBefore(std::string_view workspace,
                                            double tokens) const;
-  QuotaVerdict Decide(const std::string& process, std::int64_t number,
-                      const std::string& workspace, double tokens);
+  /// @return nothing if too little is known yet
+  std::optional<QuotaVerdict> Decide(const std::string& process,
+                                     std::int64_t number,
+                                     const std::string& workspace,
+                                     double tokens);
+  bool HearsReports(const FleetSpend& spend);
   bool MayAsk() const;
 
   boost::asio::io_context& context;
@@ -106,6 +113,9 @@
   std::map<std::int64_t, Open> open;
   std::map<std::string, Denial, std::less<>> denials;
   std::optional<Instant> silent_since;
+  bool knows_before = false;     ///< took over what was spent before its start
+  std::uint64_t duty_fence = 0;  ///< of the duty held last
+  Instant duty_since;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -206,9 +206,18 @@
     transaction.expected.push_back({key, this->fleet.Duty()->revision});
     transaction.deletes.push_back(key);
   }
-  // An answer that is lost does not matter: the lease ends by itself.
-  StoreCall call = std::move(transaction);
-  co_await this->store.Call(std::move(call), kCallTimeout);
+  // While the store is away, leases may stand still, and the duty would stay
+  // with a process that has ended for as long as its lease runs after that.
+  // Nobody would place models meanwhile.
+  bool known = false;
+  while (!known) {
+    StoreCall call = transaction;
+    const StoreReply reply =
+        co_await this->store.Call(std::move(call), kCallTimeout);
+    known = !std::holds_alternative<StoreUnknown>(reply) &&
+            !std::holds_alternative<StoreRefused>(reply);
+    if (!known) co_await Sleep(this->context, kRetryPause);
+  }
   this->log.Write("registration", "left", {{"held_duty", held}});
 }
 
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -39,6 +39,7 @@
   if (report.sequence <= entry.report.sequence) return;
   entry.report = report;
   entry.at = this->clock.Now();
+  entry.taken_over = false;
   const bool first = !report.wishes.empty() && !this->demand_since.has_value();
   if (first) this->demand_since = entry.at;
   for (const wire::ModelWish& wish : report.wishes) {
@@ -51,6 +52,7 @@
 }
 
 bool ReportHub::IsHeard(const Entry& entry) const {
+  if (entry.taken_over) return false;
   const absl::Duration interval = absl::Milliseconds(entry.report.interval_ms);
   return this->clock.Now() - entry.at <= interval + kReportLate;
 }
@@ -105,7 +107,7 @@
   this->sums.unknown_shares = this->UnknownShares();
   for (const auto& [incarnation, entry] : this->entries) {
     for (const wire::WorkspaceSpend& spend : entry.report.spends) {
-      this->sums.spends[spend.workspace] += spend.tokens;
+      this->sums.spends[spend.workspace] += this->Counted(entry, spend.tokens);
     }
     if (!this->IsHeard(entry)) continue;
     if (entry.report.listed) this->sums.instances += 1;
@@ -118,6 +120,50 @@
   }
 }
 
+// What was taken over leaves the window at an unknown pace.
+std::int64_t ReportHub::Counted(const Entry& entry, std::int64_t tokens) const {
+  if (!entry.taken_over) return tokens;
+  const double part =
+      CountedPart(this->clock.Now() - entry.at, this->spend_window);
+  return static_cast<std::int64_t>(part * static_cast<double>(tokens));
+}
+
+std::vector<ProcessSpend> ReportHub::SpendsByProcess() {
+  this->DropOld();
+  std::vector<ProcessSpend> all;
+  for (const auto& [incarnation, entry] : this->entries) {
+    ProcessSpend process;
+    process.instance = entry.report.instance;
+    process.incarnation = incarnation;
+    process.listed = entry.report.listed;
+    for (const wire::WorkspaceSpend& spend : entry.report.spends) {
+      process.tokens[spend.workspace] = this->Counted(entry, spend.tokens);
+    }
+    all.push_back(std::move(process));
+  }
+  return all;
+}
+
+void ReportHub::TakeOver(const SpendRecord& record) {
+  for (const ProcessSpend& process : record.processes) {
+    Entry entry;
+    entry.report.instance = process.instance;
+    entry.report.incarnation = process.incarnation;
+    entry.at = this->clock.Now();
+    entry.taken_over = true;
+    for (const auto& [workspace, tokens] : process.tokens) {
+      wire::WorkspaceSpend spend;
+      spend.workspace = workspace;
+      spend.tokens = static_cast<std::int64_t>((1 + kSpentAfterRecord) *
+                                               static_cast<double>(tokens));
+      entry.report.spends.push_back(std::move(spend));
+    }
+    // What the process itself reported is newer.
+    this->entries.try_emplace(process.incarnation, std::move(entry));
+  }
+  this->sums_at.reset();
+}
+
 FleetSpend ReportHub::SpendOf(const std::string& workspace) {
   this->SumUp();
   FleetSpend spend;
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -12,6 +12,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/spend_record.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
 
 namespace dragonflyglade::gateway {
@@ -43,6 +44,13 @@
   /// What all instances spent of a workspace's quota.
   FleetSpend SpendOf(const std::string& workspace);
 
+  /// What each process spent in the window.
+  std::vector<ProcessSpend> SpendsByProcess();
+
+  /// Counts what processes spent that may have ended since, by the record of
+  /// the holder before.
+  void TakeOver(const SpendRecord& record);
+
   /// What is asked for, averaged over the last seconds.
   std::map<ModelName, FleetDemand> Demand();
 
@@ -60,6 +68,7 @@
   struct Entry {
     wire::InstanceReport report;
     Instant at;
+    bool taken_over = false;  ///< from a record, not from the process
   };
   struct Average {
     double sum_ms = 0;
@@ -76,6 +85,7 @@
   };
 
   void SumUp();
+  std::int64_t Counted(const Entry& entry, std::int64_t tokens) const;
   bool IsHeard(const Entry& entry) const;
   void DropOld();
   double UnknownShares() const;
--- /dev/null
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -0,0 +1,75 @@
+#include "dragonflyglade/gateway/spend_record.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dragonflyglade::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr absl::Duration kOldest = absl::Seconds(5);
+
+}  // namespace
+
+// The time of day may jump between writing and reading, so a record from the
+// future is as bad as an old one.
+bool IsRecent(const SpendRecord& record, absl::Time now) {
+  return absl::AbsDuration(now - record.written) <= kOldest;
+}
+
+std::map<std::string, double, std::less<>> FleetSpent(
+    const SpendRecord& record) {
+  std::map<std::string, double, std::less<>> spent;
+  for (const ProcessSpend& process : record.processes) {
+    for (const auto& [workspace, tokens] : process.tokens) {
+      spent[workspace] += (1 + kSpentAfterRecord) * static_cast<double>(tokens);
+    }
+  }
+  return spent;
+}
+
+bool WasListed(const SpendRecord& record, std::string_view instance) {
+  return std::any_of(record.processes.begin(), record.processes.end(),
+                     [&](const ProcessSpend& process) {
+                       return process.listed && process.instance == instance;
+                     });
+}
+
+std::string EncodeSpendRecord(const SpendRecord& record) {
+  json processes = json::array();
+  for (const ProcessSpend& process : record.processes) {
+    processes.push_back({{"instance", process.instance},
+                         {"incarnation", process.incarnation},
+                         {"listed", process.listed},
+                         {"tokens", process.tokens}});
+  }
+  return json{{"written_ms", absl::ToUnixMillis(record.written)},
+              {"processes", std::move(processes)}}
+      .dump();
+}
+
+Result<SpendRecord> DecodeSpendRecord(std::string_view text) {
+  try {
+    const json document = json::parse(text);
+    SpendRecord record;
+    record.written =
+        absl::FromUnixMillis(document.at("written_ms").get<std::int64_t>());
+    for (const json& item : document.at("processes")) {
+      ProcessSpend process;
+      process.instance = item.at("instance").get<std::string>();
+      process.incarnation = item.at("incarnation").get<std::string>();
+      item.at("listed").get_to(process.listed);
+      item.at("tokens").get_to(process.tokens);
+      record.processes.push_back(std::move(process));
+    }
+    return record;
+  } catch (const json::exception& error) {
+    return MakeFailure(Errc::kInvalidRecord, "read spending", "store",
+                       error.what());
+  }
+}
+
+}  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -149,7 +149,7 @@
 }
 
 double TargetState::Unread(Instant now) const {
-  const double known = this->unread_tokens + this->others_sent.Left(now);
+  const double known = this->unread_tokens + this->others_sent.Level(now);
   if (this->others_at.has_value() && now - *this->others_at < kOthersHold) {
     return known + this->others_unread;
   }
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -9,8 +9,8 @@
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
-#include "dragonflyglade/decision/reading_queue.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/target_connection.h"
@@ -77,7 +77,7 @@
   double Requests(Instant now) const;
   double Unread(Instant now) const;
   /// Prompt tokens that were sent faster than the pace; see PacingHold.
-  double AheadOfPace(Instant now) const { return this->pace.Left(now); }
+  double AheadOfPace(Instant now) const { return this->pace.Level(now); }
 
   /// The target had no place for a request just now.
   void MarkFull(Instant now);
@@ -108,8 +108,8 @@
   double others_requests = 0;
   double others_unread = 0;
   std::optional<Instant> others_at;
-  ReadingQueue others_sent{kReadPerMs};
-  ReadingQueue pace{kPacedPerMs};  ///< of what all instances send
+  LeakyBucket others_sent{kReadPerMs};
+  LeakyBucket pace{kPacedPerMs};  ///< of what all instances send
   double fault_share = 0;
   int unreachable_in_row = 0;
   Instant avoid_until;
--- a/tests/unit/unit-pacing.cc
+++ b/tests/unit/unit-pacing.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
-#include "dragonflyglade/decision/reading_queue.h"
 #include "dragonflyglade/decision/target_choice.h"
 
 namespace dragonflyglade {
@@ -103,8 +103,8 @@
       : load(load),
         knowledge(knowledge),
         engines(load.engines),
-        told(load.engines, ReadingQueue(kReadPerMs)),
-        pace(load.engines, ReadingQueue(kPacedPerMs)),
+        told(load.engines, LeakyBucket(kReadPerMs)),
+        pace(load.engines, LeakyBucket(kPacedPerMs)),
         summary(load.engines, 0),
         since_summary(kInstances, std::vector<double>(load.engines, 0)) {}
 
@@ -145,7 +145,7 @@
   void Summarise(double now) {
     if (std::fmod(now, kSummaryMs) != 0) return;
     for (int i = 0; i < this->load.engines; ++i) {
-      this->summary[i] = this->told[i].Left(At(now));
+      this->summary[i] = this->told[i].Level(At(now));
       for (auto& own : this->since_summary) own[i] = 0;
     }
   }
@@ -153,7 +153,7 @@
   double Unread(int instance, int engine, double now) const {
     return this->knowledge == Knowledge::kSummaries
                ? this->summary[engine] + this->since_summary[instance][engine]
-               : this->told[engine].Left(At(now));
+               : this->told[engine].Level(At(now));
   }
 
   int Choose(const Held& request, double now) const {
@@ -172,7 +172,7 @@
     if (this->knowledge != Knowledge::kToldAndPaced) return false;
     const absl::Duration waited = absl::Milliseconds(now - request.asked_ms);
     if (waited >= LongestPacing(kFirst)) return false;
-    return PacingHold(this->pace[engine].Left(At(now)), kPrompt, kPause) >
+    return PacingHold(this->pace[engine].Level(At(now)), kPrompt, kPause) >
            absl::ZeroDuration();
   }
 
@@ -195,8 +195,8 @@
   const Load load;
   const Knowledge knowledge;
   std::vector<PlayedEngine> engines;
-  std::vector<ReadingQueue> told;
-  std::vector<ReadingQueue> pace;
+  std::vector<LeakyBucket> told;
+  std::vector<LeakyBucket> pace;
   std::vector<double> summary;
   std::vector<std::vector<double>> since_summary;  ///< by instance
   std::vector<Held> held;
@@ -260,12 +260,13 @@
   }
 
   void ReadsInTurn() {
-    ReadingQueue queue(30);
+    LeakyBucket queue(30);
     queue.Add(3000, Instant(absl::Milliseconds(1000)));
     queue.Add(600, Instant(absl::Milliseconds(1010)));
-    CPPUNIT_ASSERT_EQUAL(3300.0, queue.Left(Instant(absl::Milliseconds(1010))));
-    CPPUNIT_ASSERT_EQUAL(300.0, queue.Left(Instant(absl::Milliseconds(1110))));
-    CPPUNIT_ASSERT_EQUAL(0.0, queue.Left(Instant(absl::Milliseconds(1200))));
+    CPPUNIT_ASSERT_EQUAL(3300.0,
+                         queue.Level(Instant(absl::Milliseconds(1010))));
+    CPPUNIT_ASSERT_EQUAL(300.0, queue.Level(Instant(absl::Milliseconds(1110))));
+    CPPUNIT_ASSERT_EQUAL(0.0, queue.Level(Instant(absl::Milliseconds(1200))));
   }
 };
 
--- a/tests/unit/unit-quota-window.cc
+++ b/tests/unit/unit-quota-window.cc
@@ -1,7 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <memory>
+#include <random>
+#include <string>
 #include <vector>
 
 #include "dragonflyglade/decision/quota_window.h"
@@ -42,11 +45,56 @@
   double expected;
 };
 
+// The most tokens that a flooding workspace spends within a window, of a fleet
+// that is killed and starts again.
+double PlayKillInAFlood(std::mt19937& random, const QuotaAllowance& allowance,
+                        const QuotaLimit& limit) {
+  constexpr int kInstances = 8;
+  constexpr double kRequest = 700;    // tokens
+  constexpr double kUsualPart = 0.5;  // of the rate
+  constexpr int kSteps = 150;         // of 200 ms
+  const auto between = [&](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  const int killed = 60 + between(0, 10);
+  const int back = killed + between(3, 10);
+  const int flood = killed - between(0, 30);
+  const int recorded = killed - between(0, 3);
+  const double times = between(3, 8);
+  ManualClock manual;
+  auto one = std::make_unique<QuotaWindows>(allowance, true, Clock(&manual));
+  std::vector<std::unique_ptr<QuotaWindows>> after;
+  double record = 0;
+  std::vector<double> spent(kSteps, 0);
+  for (int step = 0; step < kSteps; ++step) {
+    const double rate = kUsualPart * limit.rate * (step >= flood ? times : 1);
+    if (step == recorded) record = one->Spent()["w"];
+    if (step == back) {
+      for (int i = 0; i < kInstances; ++i) {
+        after.push_back(
+            std::make_unique<QuotaWindows>(allowance, false, Clock(&manual)));
+        after.back()->SetInstances(kInstances);
+        after.back()->SetBefore({{"w", 1.3 * record}}, true);
+      }
+    }
+    for (double asked = 0; asked < rate / 5; asked += kRequest) {
+      QuotaWindows* quotas = step < killed ? one.get() : nullptr;
+      if (step >= back) quotas = after[between(0, kInstances - 1)].get();
+      if (quotas == nullptr) continue;
+      if (quotas->Take("w", limit, kRequest).admitted) spent[step] += kRequest;
+    }
+    manual.Advance(absl::Milliseconds(200));
+  }
+  return MostInAWindow(spent);
+}
+
 class QuotaWindowTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuotaWindowTest);
   CPPUNIT_TEST(SpendsItsPart);
   CPPUNIT_TEST(SlidesOutOfTheWindow);
   CPPUNIT_TEST(GrowsFromNothingAfterARestart);
+  CPPUNIT_TEST(GoesOnFromWhatIsKnownToBeSpent);
+  CPPUNIT_TEST(KeepsTheAllowanceWhenAllAreKilledInAFlood);
   CPPUNIT_TEST(SaysWhenToComeBack);
   CPPUNIT_TEST(GivesBack);
   CPPUNIT_TEST(KeepsACountThatFellForAWhile);
@@ -101,6 +149,46 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(kWhole, TakeAll(quotas, 10), 10);
   }
 
+  // Callers of a workspace far inside its quota come right after all instances
+  // were killed. With the spending known they are served at once.
+  void GoesOnFromWhatIsKnownToBeSpent() {
+    struct KnownCase {
+      const char* what;
+      double spent;
+      double expected;
+    };
+    const std::vector<KnownCase> cases = {
+        {"little", kWhole / 5, kWhole * 4 / 5},
+        {"all", kWhole, 0},
+        {"more than all, with what is added for doubt", 2 * kWhole, 0},
+    };
+    for (const KnownCase& item : cases) {
+      ManualClock manual;
+      QuotaWindows quotas(kExact, false, Clock(&manual));
+      quotas.SetBefore({{"w", item.spent}}, true);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(item.what, item.expected,
+                                           TakeAll(quotas, 1), 2);
+    }
+  }
+
+  // A workspace sends several times its rate; all instances are killed at some
+  // moment, are back within two seconds and know what had been spent half a
+  // second or less before their end. Nobody sums up. What the workspace spends
+  // on both sides of that moment stays within what the fleet may exceed.
+  void KeepsTheAllowanceWhenAllAreKilledInAFlood() {
+    constexpr int kSeeds = 200;
+    const QuotaAllowance allowance{kWindow, 0.1, 7500};
+    const QuotaLimit limit{50000, 50000};
+    const double allowed = 450000 * 1.1 + 7500;
+    for (int seed = 1; seed <= kSeeds; ++seed) {
+      std::mt19937 random(seed);
+      const double most = PlayKillInAFlood(random, allowance, limit);
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(seed) + " ran " + std::to_string(most),
+          most <= allowed);
+    }
+  }
+
   void SaysWhenToComeBack() {
     ManualClock manual;
     QuotaWindows quotas(kExact, true, Clock(&manual));
--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -56,6 +56,7 @@
 class ReportHubTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReportHubTest);
   CPPUNIT_TEST(SumsUpWhatIsSpent);
+  CPPUNIT_TEST(TakesOverWhatWasSpent);
   CPPUNIT_TEST(TellsEachWhatOthersHave);
   CPPUNIT_TEST(KnowsDemandFromItsFirstSecond);
   CPPUNIT_TEST_SUITE_END();
@@ -118,6 +119,32 @@
     }
   }
 
+  // All processes are killed, and callers of workspaces far inside their
+  // quotas were refused for seconds: nobody knew what had been spent, so a new
+  // holder took all parts for spent. It goes on from the record of the holder
+  // before, in which each process's spending stands.
+  void TakesOverWhatWasSpent() {
+    ManualClock manual;
+    ReportHub before(kWindow, Clock(&manual));
+    before.Take(Spent(Report("a"), 800));
+    before.Take(Spent(Report("b"), 400));
+    SpendRecord record;
+    record.processes = before.SpendsByProcess();
+    const std::string written = EncodeSpendRecord(record);
+
+    ReportHub hub(kWindow, Clock(&manual));
+    hub.Take(Aged(Report("a", "2"), 0, kAlways));
+    hub.Take(Spent(Report("b"), 500));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, hub.SpendOf("w").unknown_shares, 1e-9);
+    hub.TakeOver(DecodeSpendRecord(written).Value());
+    const FleetSpend spend = hub.SpendOf("w");
+    CPPUNIT_ASSERT_EQUAL(800 * (1 + kSpentAfterRecord) + 500, spend.total);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, spend.unknown_shares, 1e-9);
+    CPPUNIT_ASSERT_EQUAL(2, spend.instances);
+    manual.Advance(kWindow + absl::Milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(0.0, hub.SpendOf("w").total);
+  }
+
   void TellsEachWhatOthersHave() {
     ManualClock manual;
     ReportHub hub(kWindow, Clock(&manual));
