Let go of the duty however soon the stop comes, and prove it

Nobody places models until the lease ends.

Change: the entry is deleted by the revision that the taking write returned; if somebody else holds it, only the own entry is taken back.

--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -201,9 +201,10 @@
   this->duty.Lost();
   StoreTransaction transaction;
   transaction.deletes.push_back(FleetState::InstanceKey(this->self.name));
-  if (held && this->DutyIsMine()) {
+  if (held) {
+    // Its own watch may not show the duty yet, right after it was taken.
     const std::string key(FleetState::kDutyKey);
-    transaction.expected.push_back({key, this->fleet.Duty()->revision});
+    transaction.expected.push_back({key, this->duty.Fence()});
     transaction.deletes.push_back(key);
   }
   // While the store is away, leases may stand still, and the duty would stay
@@ -214,8 +215,12 @@
     StoreCall call = transaction;
     const StoreReply reply =
         co_await this->store.Call(std::move(call), kCallTimeout);
-    known = !std::holds_alternative<StoreUnknown>(reply) &&
-            !std::holds_alternative<StoreRefused>(reply);
+    known = std::holds_alternative<StoreCommitted>(reply);
+    if (std::holds_alternative<StoreConflict>(reply)) {
+      // Somebody else holds the duty; only the own entry is taken back.
+      transaction.expected.clear();
+      transaction.deletes.resize(1);
+    }
     if (!known) co_await Sleep(this->context, kRetryPause);
   }
   this->log.Write("registration", "left", {{"held_duty", held}});
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -305,6 +305,12 @@
                  {"loads_per_s", 2}}}}}},
             {"tenants",
              {{{"name", "t1"}, {"api_keys", {"k1"}}},
+              {{"name", "large"},
+               {"api_keys", {"k3"}},
+               {"rate_per_s", 10000},
+               {"burst", 10000},
+               {"unit", "token_stream"},
+               {"plain_tokens", 100}},
               {{"name", "small"},
                {"api_keys", {"k2"}},
                {"rate_per_s", 1},
@@ -360,6 +366,8 @@
   CPPUNIT_TEST(ACutStreamDoesNotLookWhole);
   CPPUNIT_TEST(NoAnswerFollowsInACutStream);
   CPPUNIT_TEST(EndsTheRunWhenTheCallerLeaves);
+  CPPUNIT_TEST(KeepsInTheStoreWhatWasSpent);
+  CPPUNIT_TEST(LetsGoOfTheDutyWhenTheStoreIsBack);
   CPPUNIT_TEST(FollowsTheConfiguration);
   CPPUNIT_TEST(SendsNothingToALeavingTarget);
   CPPUNIT_TEST(PlacesAnAdapterThatIsAskedFor);
@@ -500,6 +508,37 @@
                          reply.text.rfind("HTTP/1.1"));
   }
 
+  // All processes may end at once, and callers come back within a second. What
+  // their workspace spent stands in the store by then.
+  void KeepsInTheStoreWhatWasSpent() {
+    Stage stage;
+    const std::string key(gateway::FleetState::kSpendsKey);
+    stage.WaitFor([&] { return stage.HoldsDuty(); });
+    CPPUNIT_ASSERT_EQUAL(200, stage.Call("GET", "/any/", "k3").status);
+    stage.WaitFor([&] { return !stage.store.Get(key).empty(); });
+    const Result<gateway::SpendRecord> record =
+        gateway::DecodeSpendRecord(stage.store.Get(key));
+    CPPUNIT_ASSERT(record.Ok());
+    const auto spent = gateway::FleetSpent(record.Value());
+    CPPUNIT_ASSERT(spent.at("large") >= 100);
+    CPPUNIT_ASSERT(gateway::WasListed(record.Value(), "one"));
+  }
+
+  // The holder is told to stop while the store turns it away. Its entries
+  // would stand until their leases end, and nobody would place models; it goes
+  // on trying to take them back while it serves its last callers.
+  void LetsGoOfTheDutyWhenTheStoreIsBack() {
+    Stage stage;
+    const std::string key(gateway::FleetState::kDutyKey);
+    stage.WaitFor([&] { return stage.HoldsDuty(); });
+    stage.store.TurnAwayWrites(true);
+    boost::asio::post(stage.gateway->Context(), [&] { stage.gateway->Stop(); });
+    stage.WaitFor([&] { return !stage.HoldsDuty(); });
+    CPPUNIT_ASSERT(!stage.store.Get(key).empty());
+    stage.store.TurnAwayWrites(false);
+    stage.WaitFor([&] { return stage.store.Get(key).empty(); });
+  }
+
   void EndsTheRunWhenTheCallerLeaves() {
     Stage stage;
     stage.first.Next([](const RawRequest&) { return Script{"", false, true}; });
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -136,6 +136,11 @@
   return found == this->items.end() ? 0 : found->second.lease;
 }
 
+void PlatformStoreStandIn::TurnAwayWrites(bool away) {
+  absl::MutexLock lock(&this->mutex);
+  this->writes_turned_away = away;
+}
+
 std::string PlatformStoreStandIn::Get(const std::string& key) const {
   absl::MutexLock lock(&this->mutex);
   const auto found = this->items.find(key);
@@ -198,6 +203,7 @@
                                    std::string& answer) {
   const json call = json::parse(body);
   absl::MutexLock lock(&this->mutex);
+  if (this->writes_turned_away) return 503;
   for (const json& condition : call.at("expected")) {
     const auto found = this->items.find(condition.at("key"));
     const std::uint64_t now =
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -32,6 +32,9 @@
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
 
+  /// Whether transactions are answered 503, and nothing is done.
+  void TurnAwayWrites(bool away);
+
   /// Ends the leases that were not renewed in their time, with their keys.
   void ExpireLeases();
   /// All leases end, as far as renewals show; their keys stay for a while.
@@ -77,6 +80,7 @@
   std::map<std::uint64_t, Lease> granted ABSL_GUARDED_BY(mutex);
   std::uint64_t ended_leases ABSL_GUARDED_BY(mutex) = 0;
   int renewals ABSL_GUARDED_BY(mutex) = 0;
+  bool writes_turned_away ABSL_GUARDED_BY(mutex) = false;
   bool closing ABSL_GUARDED_BY(mutex) = false;
   std::unique_ptr<httplib::Server> server;
   int port = 0;
