Look a service's shortest pause up; read the time of day in one place

Each engine request walked all routes for it, and configurations grow by hundreds of routes. The store's reading does not ask for the time of day any more; the quota desk, which uses the record, is given it.

--- a/dragonflyglade/decision/route_table.cc
+++ b/dragonflyglade/decision/route_table.cc
@@ -29,6 +29,13 @@
   for (std::size_t i = 0; i < this->routes.size(); ++i) {
     const Route& route = this->routes[i];
     this->by_place.emplace(PlaceKey(PlainHost(route.host), route.prefix), i);
+    for (const WeightedService& item : route.services) {
+      absl::Duration& shortest =
+          this->pause_objectives
+              .try_emplace(item.service, absl::InfiniteDuration())
+              .first->second;
+      shortest = std::min(shortest, route.pause_objective);
+    }
   }
 }
 
@@ -47,14 +54,9 @@
 }
 
 absl::Duration RouteTable::PauseObjective(std::string_view service) const {
-  absl::Duration shortest = absl::InfiniteDuration();
-  for (const Route& route : this->routes) {
-    const bool leads = std::any_of(
-        route.services.begin(), route.services.end(),
-        [&](const WeightedService& item) { return item.service == service; });
-    if (leads) shortest = std::min(shortest, route.pause_objective);
-  }
-  return shortest;
+  const auto found = this->pause_objectives.find(service);
+  return found == this->pause_objectives.end() ? absl::InfiniteDuration()
+                                               : found->second;
 }
 
 std::string_view PickService(absl::Span<const WeightedService> services,
--- a/dragonflyglade/decision/route_table.h
+++ b/dragonflyglade/decision/route_table.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_DECISION_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,12 +64,12 @@
 
   /// The shortest pause objective of the routes that lead to a service:
   /// engines run streams of all of them beside one another.
-  /// Complexity: linear in the routes.
   absl::Duration PauseObjective(std::string_view service) const;
 
  private:
   std::vector<Route> routes;
   absl::flat_hash_map<std::string, std::size_t> by_place;
+  std::map<std::string, absl::Duration, std::less<>> pause_objectives;
 };
 
 /// Picks one of the weighted services.
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -145,11 +145,13 @@
 void FleetState::ApplySpends(const StoreItem& item) {
   if (this->listed_before) return;
   Result<SpendRecord> record = DecodeSpendRecord(item.value);
-  if (!record.Ok() || !IsRecent(record.Value(), absl::Now())) return;
+  if (!record.Ok()) {
+    this->log.Write(
+        "quota", "record invalid",
+        {{"revision", item.revision}, {"why", record.Error().ToString()}});
+    return;
+  }
   this->spent_before = std::move(record.Value());
-  this->log.Write("quota", "spending read",
-                  {{"revision", item.revision},
-                   {"age_ms", absl::Now() - this->spent_before->written}});
 }
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -82,8 +82,8 @@
   /// When the duty was last taken or let go.
   std::uint64_t DutyRevision() const { return this->duty_revision; }
 
-  /// What the fleet had spent of quotas when this process first read the
-  /// store; empty if that is not known well enough.
+  /// What the store said that the fleet had spent of quotas, when this process
+  /// first read it.
   const std::optional<SpendRecord>& SpentBefore() const {
     return this->spent_before;
   }
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -60,7 +60,7 @@
       hub(this->settings.quota_allowance.window, this->clock),
       desk(this->context, this->fleet, this->quotas, this->hub, this->duty,
            this->self, this->settings.quota_allowance.window, this->metrics,
-           this->log, this->clock),
+           this->log, this->clock, absl::Now),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->desk, this->hub, this->duty, this->self,
               this->settings.first_start, this->news, this->metrics,
--- a/dragonflyglade/gateway/quota_desk.cc
+++ b/dragonflyglade/gateway/quota_desk.cc
@@ -31,7 +31,7 @@
                      QuotaWindows& quotas, ReportHub& hub,
                      const DutyLease& duty, InstanceRecord self,
                      absl::Duration window, Metrics& metrics, EventLog& log,
-                     Clock clock)
+                     Clock clock, TimeOfDay time_of_day)
     : context(context),
       fleet(fleet),
       quotas(quotas),
@@ -41,15 +41,27 @@
       metrics(metrics),
       log(log),
       clock(clock),
+      time_of_day(std::move(time_of_day)),
       ledger(window, clock) {}
 
-void QuotaDesk::FollowInstances() {
+// All processes may have been killed a moment ago. By the record, this one need
+// not wait for a holder to spend what is known to be left.
+void QuotaDesk::TakeOverSpending() {
   const std::optional<SpendRecord>& before = this->fleet.SpentBefore();
-  if (before.has_value() && !this->knows_before) {
-    this->knows_before = true;
+  if (this->looked_before || !before.has_value()) return;
+  this->looked_before = true;
+  const absl::Time now = this->time_of_day();
+  const bool recent = IsRecent(*before, now);
+  if (recent) {
     this->quotas.SetBefore(FleetSpent(*before),
                            WasListed(*before, this->self.name));
   }
+  this->log.Write("quota", recent ? "spending read" : "record too old",
+                  {{"age_ms", now - before->written}});
+}
+
+void QuotaDesk::FollowInstances() {
+  this->TakeOverSpending();
   const int listed = static_cast<int>(this->fleet.ListedInstances().size());
   this->quotas.SetInstances(listed);
   // An instance that sees nobody in the store, itself included, is at its
--- a/dragonflyglade/gateway/quota_desk.h
+++ b/dragonflyglade/gateway/quota_desk.h
@@ -28,13 +28,14 @@
 /// holder, answers such questions. One event loop.
 class QuotaDesk {
  public:
+  using TimeOfDay = std::function<absl::Time()>;
   using SendMessage = std::function<void(const wire::FleetMessage& message,
                                          const std::string& address)>;
 
   QuotaDesk(boost::asio::io_context& context, FleetState& fleet,
             QuotaWindows& quotas, ReportHub& hub, const DutyLease& duty,
             InstanceRecord self, absl::Duration window, Metrics& metrics,
-            EventLog& log, Clock clock);
+            EventLog& log, Clock clock, TimeOfDay time_of_day);
 
   void OnSend(SendMessage send) { this->send = std::move(send); }
 
@@ -90,6 +91,7 @@
                                                           double tokens);
   std::optional<QuotaVerdict> DeniedBefore(std::string_view workspace,
                                            double tokens) const;
+  void TakeOverSpending();
   /// @return nothing if too little is known yet
   std::optional<QuotaVerdict> Decide(const std::string& process,
                                      std::int64_t number,
@@ -107,13 +109,14 @@
   Metrics& metrics;
   EventLog& log;
   const Clock clock;
+  const TimeOfDay time_of_day;
   QuotaLedger ledger;
   SendMessage send;
   std::int64_t last_number = 0;
   std::map<std::int64_t, Open> open;
   std::map<std::string, Denial, std::less<>> denials;
   std::optional<Instant> silent_since;
-  bool knows_before = false;     ///< took over what was spent before its start
+  bool looked_before = false;    ///< at what was spent before its start
   std::uint64_t duty_fence = 0;  ///< of the duty held last
   Instant duty_since;
 };
--- a/tests/unit/unit-pacing.cc
+++ b/tests/unit/unit-pacing.cc
@@ -140,7 +140,7 @@
     int instance = 0;
   };
 
-  static Instant At(double ms) { return Instant(absl::Milliseconds(ms)); }
+  static Instant At(double ms) { return absl::Milliseconds(ms); }
 
   void Summarise(double now) {
     if (std::fmod(now, kSummaryMs) != 0) return;
@@ -261,12 +261,11 @@
 
   void ReadsInTurn() {
     LeakyBucket queue(30);
-    queue.Add(3000, Instant(absl::Milliseconds(1000)));
-    queue.Add(600, Instant(absl::Milliseconds(1010)));
-    CPPUNIT_ASSERT_EQUAL(3300.0,
-                         queue.Level(Instant(absl::Milliseconds(1010))));
-    CPPUNIT_ASSERT_EQUAL(300.0, queue.Level(Instant(absl::Milliseconds(1110))));
-    CPPUNIT_ASSERT_EQUAL(0.0, queue.Level(Instant(absl::Milliseconds(1200))));
+    queue.Add(3000, absl::Milliseconds(1000));
+    queue.Add(600, absl::Milliseconds(1010));
+    CPPUNIT_ASSERT_EQUAL(3300.0, queue.Level(absl::Milliseconds(1010)));
+    CPPUNIT_ASSERT_EQUAL(300.0, queue.Level(absl::Milliseconds(1110)));
+    CPPUNIT_ASSERT_EQUAL(0.0, queue.Level(absl::Milliseconds(1200)));
   }
 };
 
--- a/tests/unit/unit-route-table.cc
+++ b/tests/unit/unit-route-table.cc
@@ -34,9 +34,26 @@
   CPPUNIT_TEST_SUITE(RouteTableTest);
   CPPUNIT_TEST(FindsTheLongestPrefix);
   CPPUNIT_TEST(PicksByWeight);
+  CPPUNIT_TEST(KnowsTheShortestPauseOfAService);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void KnowsTheShortestPauseOfAService() {
+    Route chat;
+    chat.services = {{"engines", 1}, {"others", 1}};
+    chat.pause_objective = absl::Milliseconds(250);
+    Route draft;
+    draft.services = {{"engines", 1}};
+    draft.pause_objective = absl::Milliseconds(150);
+    Route plain;
+    plain.services = {{"ledger", 1}};
+    const RouteTable table({chat, draft, plain});
+    CPPUNIT_ASSERT(table.PauseObjective("engines") == absl::Milliseconds(150));
+    CPPUNIT_ASSERT(table.PauseObjective("others") == absl::Milliseconds(250));
+    CPPUNIT_ASSERT(table.PauseObjective("ledger") == absl::InfiniteDuration());
+    CPPUNIT_ASSERT(table.PauseObjective("nobody") == absl::InfiniteDuration());
+  }
+
   void FindsTheLongestPrefix() {
     const RouteTable table({MakeRoute("root", "one.example", "/"),
                             MakeRoute("a", "one.example", "/a/"),
