--- a/dragonflyglade/decision/leaky_bucket.cc
+++ b/dragonflyglade/decision/leaky_bucket.cc
@@ -15,8 +15,4 @@
   return std::max(0.0, this->amount - drained);
 }
 
-absl::Duration LeakyBucket::TimeToEmpty(Instant now) const {
-  return absl::Milliseconds(this->Level(now) / this->per_ms);
-}
-
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/leaky_bucket.h
+++ b/dragonflyglade/decision/leaky_bucket.h
@@ -17,9 +17,6 @@
   /// What has not drained yet.
   double Level(Instant now) const;
 
-  /// How long until all has drained.
-  absl::Duration TimeToEmpty(Instant now) const;
-
  private:
   double per_ms;
   double amount = 0;
