Say why a caller's connection ended, which coroutine failed, and when the loop was late

Callers saw a connection end without an answer, and no line said who ended it, why, after how long idle or under which configuration; a coroutine that ended by an exception was dropped without a word.

- 'connection ended' for each caller's connection: cause, requests, whether the last one was answered, idle time, lateness of the timer, configuration.
- The request's line names why its connection had ended, and how long its quota took to decide.
- 'task failed' and a counter for each coroutine that ends by an exception.
- 'held up' and loop_late_seconds: a loop that is late.

No decision changes. A failed read or write now closes the socket a moment before the link's destructor did.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -45,11 +45,6 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-ReadResult ResultOf(const error_code& error) {
-  if (IsHttpError(error)) return MalformedRequest{StatusOf(error)};
-  return CallerLeft{};
-}
-
 ReceivedRequest Received(Parser& parser) {
   ReceivedRequest request;
   request.head = HeadText<true>(parser.get().base(), parser.get().keep_alive());
@@ -63,8 +58,12 @@
 
 }  // namespace
 
-CallerLink::CallerLink(asio::io_context& context, tcp::socket socket)
-    : socket(std::move(socket)), timer(context) {
+CallerLink::CallerLink(asio::io_context& context, tcp::socket socket,
+                       Clock clock)
+    : socket(std::move(socket)),
+      timer(context),
+      clock(std::move(clock)),
+      wait_begun(this->clock.Now()) {
   // Failing options change timing only, never an outcome.
   error_code ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
@@ -72,35 +71,57 @@
 
 CallerLink::~CallerLink() {
   *this->alive = false;
-  this->Abort();
+  this->Abort("served");
 }
 
-void CallerLink::Abort() {
+void CallerLink::Abort(std::string_view why) {
+  if (this->ended_by.empty()) this->ended_by = why;
   error_code ignored;
   this->socket.close(ignored);
 }
 
-void CallerLink::ArmTimer(absl::Duration time) {
+absl::Duration CallerLink::Idle() const {
+  return this->wait_ended.value_or(this->clock.Now()) - this->wait_begun;
+}
+
+void CallerLink::ArmTimer(absl::Duration time, std::string_view why) {
   this->timer.expires_after(absl::ToChronoNanoseconds(time));
-  this->timer.async_wait([this, alive = this->alive](const error_code& error) {
-    if (!error && *alive) this->Abort();
-  });
+  const Instant due = this->clock.Now() + time;
+  this->timer.async_wait(
+      [this, alive = this->alive, due, why](const error_code& error) {
+        if (error || !*alive) return;
+        if (this->ended_by.empty()) this->ended_late = this->clock.Now() - due;
+        this->Abort(why);
+      });
+}
+
+ReadResult CallerLink::NotRead(const error_code& error) {
+  if (IsHttpError(error)) return MalformedRequest{StatusOf(error)};
+  const bool closed =
+      error == http::error::end_of_stream || error == asio::error::eof;
+  this->Abort(closed ? "caller closed" : "caller cut off");
+  return CallerLeft{};
 }
 
 asio::awaitable<bool> CallerLink::WaitForBytes(absl::Duration idle) {
+  this->wait_begun = this->clock.Now();
+  this->wait_ended.reset();
   if (this->buffer.size() > 0) co_return true;
-  this->ArmTimer(idle);
+  this->ArmTimer(idle, "idle");
   error_code error;
   co_await this->socket.async_wait(
       tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+  this->wait_ended = this->clock.Now();
+  if (error) this->Abort("caller cut off");
   co_return !error;
 }
 
 asio::awaitable<ReadResult> CallerLink::Read(CallerLimits limits) {
   this->stream_begun = false;
+  this->answered = false;
   const bool readable = co_await this->WaitForBytes(limits.idle_timeout);
   if (!readable) co_return CallerLeft{};
-  this->ArmTimer(limits.header_timeout);
+  this->ArmTimer(limits.header_timeout, "head not whole in time");
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
@@ -108,30 +129,33 @@
   co_await http::async_read_header(
       this->socket, this->buffer, parser,
       asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return ResultOf(error);
+  if (error) co_return this->NotRead(error);
   const auto expects = parser.get()[http::field::expect];
   if (absl::EqualsIgnoreCase({expects.data(), expects.size()},
                              "100-continue")) {
     const bool written = co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
     if (!written) co_return CallerLeft{};
   }
-  this->ArmTimer(kBodyTimeout);
+  this->ArmTimer(kBodyTimeout, "body not whole in time");
   co_await http::async_read(this->socket, this->buffer, parser,
                             asio::redirect_error(asio::use_awaitable, error));
   this->timer.cancel();
-  if (error) co_return ResultOf(error);
+  if (error) co_return this->NotRead(error);
   this->keep_alive = parser.get().keep_alive();
   co_return Received(parser);
 }
 
 asio::awaitable<bool> CallerLink::Write(std::string text) {
   if (this->left) co_return false;
-  this->ArmTimer(kWriteTimeout);
+  this->ArmTimer(kWriteTimeout, "caller takes nothing");
   error_code error;
   co_await asio::async_write(this->socket, asio::buffer(text),
                              asio::redirect_error(asio::use_awaitable, error));
   this->timer.cancel();
-  if (error) this->left = true;
+  if (error) {
+    this->left = true;
+    this->Abort("caller cut off");
+  }
   co_return !error;
 }
 
@@ -140,7 +164,8 @@
   std::string text = AnswerText(status, fields, BodyFraming::kLength,
                                 body.size(), this->keep_alive);
   text.append(body);
-  co_return co_await this->Write(std::move(text));
+  this->answered = co_await this->Write(std::move(text));
+  co_return this->answered;
 }
 
 asio::awaitable<bool> CallerLink::BeginStream(int status, HeaderFields fields,
@@ -149,7 +174,8 @@
   std::string text =
       AnswerText(status, fields, BodyFraming::kChunked, 0, this->keep_alive);
   if (!first.empty()) text += ChunkText(first);
-  co_return co_await this->Write(std::move(text));
+  this->answered = co_await this->Write(std::move(text));
+  co_return this->answered;
 }
 
 asio::awaitable<bool> CallerLink::WritePart(std::string_view bytes) {
@@ -177,6 +203,9 @@
             got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
         if (got > 0 || nothing_yet) return;
         this->left = true;
+        if (this->ended_by.empty()) {
+          this->ended_by = got == 0 ? "caller closed" : "caller cut off";
+        }
         on_left();
       });
 }
@@ -191,7 +220,7 @@
 asio::awaitable<void> CallerLink::CloseSoftly() {
   error_code error;
   this->socket.shutdown(tcp::socket::shutdown_send, error);
-  this->ArmTimer(kCloseTimeout);
+  this->ArmTimer(kCloseTimeout, "served");
   std::array<char, 4096> dropped;
   while (!error) {
     co_await this->socket.async_read_some(
@@ -199,7 +228,7 @@
         asio::redirect_error(asio::use_awaitable, error));
   }
   this->timer.cancel();
-  this->Abort();
+  this->Abort("served");
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -9,10 +9,12 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -39,7 +41,7 @@
 class CallerLink {
  public:
   CallerLink(boost::asio::io_context& context,
-             boost::asio::ip::tcp::socket socket);
+             boost::asio::ip::tcp::socket socket, Clock clock);
   ~CallerLink();
   CallerLink(const CallerLink&) = delete;
   CallerLink& operator=(const CallerLink&) = delete;
@@ -69,7 +71,16 @@
   bool StreamBegun() const { return this->stream_begun; }
 
   /// Closes at once; an unfinished answer then does not look complete.
-  void Abort();
+  void Abort(std::string_view why);
+
+  /// Why the connection ended; empty while it is open.
+  std::string_view EndedBy() const { return this->ended_by; }
+  /// How much later than due the timer fired that ended it.
+  absl::Duration EndedLate() const { return this->ended_late; }
+  /// How long the last wait for a request was.
+  absl::Duration Idle() const;
+  /// Whether the request that was read last got an answer, or its beginning.
+  bool Answered() const { return this->answered; }
 
   /// Ends the connection after the last answer, reading what is still on its
   /// way: closing with unread bytes would reset it under the answer.
@@ -78,11 +89,18 @@
  private:
   boost::asio::awaitable<bool> WaitForBytes(absl::Duration idle);
   boost::asio::awaitable<bool> Write(std::string text);
-  void ArmTimer(absl::Duration time);
+  void ArmTimer(absl::Duration time, std::string_view why);
+  ReadResult NotRead(const boost::system::error_code& error);
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   boost::asio::steady_timer timer;
+  const Clock clock;
+  std::string_view ended_by;  ///< text that is never freed
+  absl::Duration ended_late;
+  Instant wait_begun;
+  std::optional<Instant> wait_ended;
+  bool answered = false;
   bool keep_alive = true;
   bool left = false;
   bool stream_begun = false;
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
@@ -82,7 +80,8 @@
                            QuotaWindows& quotas, QuotaDesk& desk,
                            ReportHub& hub, const DutyLease& duty,
                            InstanceRecord self, bool first_start,
-                           StoreNews& news, Metrics& metrics, Clock clock)
+                           StoreNews& news, Metrics& metrics, Tasks& tasks,
+                           Clock clock)
     : context(context),
       socket(socket),
       fleet(fleet),
@@ -95,6 +94,7 @@
       first_start(first_start),
       news(news),
       metrics(metrics),
+      tasks(tasks),
       clock(std::move(clock)),
       started(this->clock.Now()),
       wake(context) {
@@ -283,7 +283,7 @@
 void FleetChannel::PushSoon() {
   if (this->push_pending) return;
   this->push_pending = true;
-  asio::co_spawn(this->context, this->PushGathered(), asio::detached);
+  this->tasks.Spawn("push summaries", this->PushGathered());
 }
 
 asio::awaitable<void> FleetChannel::PushGathered() {
@@ -395,7 +395,7 @@
   if (!this->TellsSends()) return;
   const bool first = this->sends.empty();
   this->sends[target] += prompt_tokens;
-  if (first) asio::co_spawn(this->context, this->TellSends(), asio::detached);
+  if (first) this->tasks.Spawn("tell sends", this->TellSends());
 }
 
 asio::awaitable<void> FleetChannel::TellSends() {
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -21,6 +21,7 @@
 #include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/store_news.h"
+#include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/operator/metrics.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
@@ -37,7 +38,7 @@
                ModelDemand& demand, QuotaWindows& quotas, QuotaDesk& desk,
                ReportHub& hub, const DutyLease& duty, InstanceRecord self,
                bool first_start, StoreNews& news, Metrics& metrics,
-               Clock clock);
+               Tasks& tasks, Clock clock);
 
   /// Run until the process ends.
   boost::asio::awaitable<void> Receive();
@@ -101,6 +102,7 @@
   const bool first_start;
   StoreNews& news;
   Metrics& metrics;
+  Tasks& tasks;
   const Clock clock;
   const Instant started;
   Signal wake;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -1,10 +1,9 @@
 #include "dragonflyglade/gateway/gateway.h"
 
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
@@ -43,6 +42,8 @@
       context(1),
       listeners(this->context, this->settings),
       log(this->settings.instance, this->clock),
+      tasks(this->context, this->metrics, this->log),
+      loop_watch(this->context, this->metrics, this->log, this->clock),
       fleet(this->context, this->wire, this->clock, this->log),
       quotas(this->settings.quota_allowance, this->settings.first_start,
              this->clock),
@@ -64,12 +65,12 @@
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->desk, this->hub, this->duty, this->self,
               this->settings.first_start, this->news, this->metrics,
-              this->clock),
+              this->tasks, this->clock),
       spend_recorder(this->context, this->store, this->hub, this->duty,
                      this->log, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->duty, this->hub, this->channel, this->metrics, this->log,
-                this->clock),
+                this->tasks, this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->desk, this->channel, this->metrics,
                this->log, this->clock),
@@ -110,34 +111,38 @@
   });
 }
 
-void Gateway::Spawn(asio::awaitable<void> task) {
-  asio::co_spawn(this->context, std::move(task), asio::detached);
-}
-
 Status Gateway::Run() {
   if (!this->listeners.Bound().Ok()) return this->listeners.Bound();
-  this->Spawn(this->AcceptCallers(this->listeners.callers));
-  this->Spawn(this->AcceptQuestions(
-      this->listeners.readiness,
-      [this](std::string_view path) { return this->AnswerReadiness(path); }));
-  this->Spawn(this->AcceptQuestions(
-      this->listeners.directory,
-      [this](std::string_view path) { return this->AnswerDirectory(path); }));
-  this->Spawn(this->AcceptQuestions(
-      this->listeners.metrics,
-      [this](std::string_view path) { return this->AnswerMetrics(path); }));
-  this->Spawn(this->channel.Receive());
-  this->Spawn(this->channel.Report());
-  this->Spawn(this->spend_recorder.Run());
-  this->Spawn(this->placement.Run());
+  this->tasks.Spawn("accept callers",
+                    this->AcceptCallers(this->listeners.callers));
+  this->tasks.Spawn("accept questions",
+                    this->AcceptQuestions(this->listeners.readiness,
+                                          [this](std::string_view path) {
+                                            return this->AnswerReadiness(path);
+                                          }));
+  this->tasks.Spawn("accept questions",
+                    this->AcceptQuestions(this->listeners.directory,
+                                          [this](std::string_view path) {
+                                            return this->AnswerDirectory(path);
+                                          }));
+  this->tasks.Spawn("accept questions",
+                    this->AcceptQuestions(this->listeners.metrics,
+                                          [this](std::string_view path) {
+                                            return this->AnswerMetrics(path);
+                                          }));
+  this->tasks.Spawn("watch the loop", this->loop_watch.Run());
+  this->tasks.Spawn("receive peers", this->channel.Receive());
+  this->tasks.Spawn("report to holder", this->channel.Report());
+  this->tasks.Spawn("record spending", this->spend_recorder.Run());
+  this->tasks.Spawn("place models", this->placement.Run());
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
   this->signals.add(SIGTERM);
   this->signals.add(SIGINT);
   this->signals.add(SIGHUP);
-  this->Spawn(this->WaitForSignal());
-  this->Spawn(this->follower.Run());
-  this->Spawn(this->registration.Run());
+  this->tasks.Spawn("wait for signals", this->WaitForSignal());
+  this->tasks.Spawn("follow store", this->follower.Run());
+  this->tasks.Spawn("register", this->registration.Run());
   this->log.Write("process", "started",
                   {{"callers", this->settings.callers.ToString()},
                    {"store", this->settings.store.ToString()}});
@@ -154,7 +159,7 @@
       co_await Sleep(this->context, kAcceptPause);
       continue;
     }
-    this->Spawn(this->ServeCaller(std::move(socket)));
+    this->tasks.Spawn("serve caller", this->ServeCaller(std::move(socket)));
   }
 }
 
@@ -168,7 +173,8 @@
       co_await Sleep(this->context, kAcceptPause);
       continue;
     }
-    this->Spawn(this->ServeQuestions(std::move(socket), answer));
+    this->tasks.Spawn("answer questions",
+                      this->ServeQuestions(std::move(socket), answer));
   }
 }
 
@@ -178,11 +184,33 @@
 }
 
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
-  CallerLink link(this->context, std::move(socket));
+  CallerLink link(this->context, std::move(socket), this->clock);
+  const int requests = co_await this->ServeRequests(link);
+  this->NoteClosed(link, requests);
+}
+
+void Gateway::NoteClosed(const CallerLink& link, int requests) {
+  const std::string_view why =
+      link.EndedBy().empty() ? "served" : link.EndedBy();
+  this->metrics.Count("caller_connections_ended",
+                      fmt::format("why=\"{}\"", why));
+  const auto config = this->fleet.Config();
+  this->log.Write("connection", "ended",
+                  {{"why", why},
+                   {"requests", requests},
+                   {"answered", requests == 0 || link.Answered()},
+                   {"idle_ms", link.Idle()},
+                   {"timer_late_ms", link.EndedLate()},
+                   {"config", config == nullptr ? 0 : config->version}});
+}
+
+asio::awaitable<int> Gateway::ServeRequests(CallerLink& link) {
+  int requests = 0;
   while (true) {
     const CallerLimits limits = this->Limits();
     ReadResult read = co_await link.Read(limits);
-    if (std::holds_alternative<CallerLeft>(read)) co_return;
+    if (std::holds_alternative<CallerLeft>(read)) co_return requests;
+    requests += 1;
     int malformed = 0;
     if (const auto* bad = std::get_if<MalformedRequest>(&read)) {
       malformed = bad->status;
@@ -204,16 +232,16 @@
       link.SetKeepAlive(false);
       co_await link.WriteAnswer(malformed, {}, "");
     }
-    if (link.Left()) co_return;
+    if (link.Left()) co_return requests;
     if (!link.KeepAlive()) {
       co_await link.CloseSoftly();
-      co_return;
+      co_return requests;
     }
   }
 }
 
 asio::awaitable<void> Gateway::ServeQuestions(Socket socket, Answerer answer) {
-  CallerLink link(this->context, std::move(socket));
+  CallerLink link(this->context, std::move(socket), this->clock);
   const CallerLimits limits;
   while (true) {
     const ReadResult read = co_await link.Read(limits);
@@ -289,7 +317,7 @@
 void Gateway::Stop() {
   if (this->stopping) return;
   this->stopping = true;
-  this->Spawn(this->FollowStop());
+  this->tasks.Spawn("stop", this->FollowStop());
 }
 
 asio::awaitable<void> Gateway::FollowStop() {
@@ -297,7 +325,7 @@
   this->log.Write("process", "stopping",
                   {{"in_flight", this->pipeline.InFlight()}});
   this->pipeline.StopBy(begun + this->settings.stop_within - kStopMargin);
-  this->Spawn(this->registration.Leave());
+  this->tasks.Spawn("leave", this->registration.Leave());
   // Callers go on coming until they have asked for instances again; after
   // that, the process ends as soon as it serves nobody.
   const absl::Duration most = this->settings.stop_within - kStopMargin;
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/listeners.h"
+#include "dragonflyglade/gateway/loop_watch.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/pipeline.h"
 #include "dragonflyglade/gateway/placement_duty.h"
@@ -24,6 +25,7 @@
 #include "dragonflyglade/gateway/spend_recorder.h"
 #include "dragonflyglade/gateway/store_follower.h"
 #include "dragonflyglade/gateway/store_link.h"
+#include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
 
@@ -70,11 +72,12 @@
   };
   using Answerer = std::function<PlainAnswer(std::string_view path)>;
 
-  void Spawn(boost::asio::awaitable<void> task);
   boost::asio::awaitable<void> AcceptCallers(Acceptor& acceptor);
   boost::asio::awaitable<void> AcceptQuestions(Acceptor& acceptor,
                                                Answerer answer);
   boost::asio::awaitable<void> ServeCaller(Socket socket);
+  boost::asio::awaitable<int> ServeRequests(CallerLink& link);
+  void NoteClosed(const CallerLink& link, int requests);
   boost::asio::awaitable<void> ServeQuestions(Socket socket, Answerer answer);
   boost::asio::awaitable<void> WaitForSignal();
   boost::asio::awaitable<void> FollowStop();
@@ -93,6 +96,8 @@
   Listeners listeners;
   Metrics metrics;
   EventLog log;
+  Tasks tasks;
+  LoopWatch loop_watch;
   FleetState fleet;
   ModelDemand demand;
   QuotaWindows quotas;
--- /dev/null
+++ b/dragonflyglade/gateway/loop_watch.h
@@ -0,0 +1,32 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_LOOP_WATCH_H_
+#define DRAGONFLYGLADE_GATEWAY_LOOP_WATCH_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/operator/metrics.h"
+
+namespace dragonflyglade::gateway {
+
+/// Tells when the event loop was held up, be it by a long handler or for want
+/// of processor time: a line `process` `held up`, and `loop_late_seconds`.
+class LoopWatch {
+ public:
+  LoopWatch(boost::asio::io_context& context, Metrics& metrics, EventLog& log,
+            Clock clock);
+
+  /// Runs until the process ends.
+  boost::asio::awaitable<void> Run();
+
+ private:
+  boost::asio::io_context& context;
+  Metrics& metrics;
+  EventLog& log;
+  const Clock clock;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_LOOP_WATCH_H_
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -74,6 +74,7 @@
   std::optional<Refusal> refusal = this->FindRoute(job);
   if (!refusal.has_value()) refusal = this->FindWorkspace(job);
   if (!refusal.has_value()) refusal = co_await this->TakeQuota(job);
+  job.admitted = this->clock.Now() - job.started;
   co_return refusal;
 }
 
@@ -290,7 +291,7 @@
 // the caller that the stream is not whole.
 void Pipeline::BreakStream(RequestJob& job) {
   this->Account(job, "stream broken", 0);
-  job.link.Abort();
+  job.link.Abort("stream broken");
 }
 
 asio::awaitable<void> Pipeline::Refuse(RequestJob& job, Refusal refusal) {
@@ -344,11 +345,13 @@
        {"tokens", job.request.use.Tokens()},
        {"candidates", static_cast<int>(job.candidates)},
        {"attempts", job.attempts},
+       {"quota_ms", job.admitted},
        {"held_ms", job.held},
        {"paced_ms", job.paced},
        {"expected_ms", job.expected_wait},
        {"first_ms", first},
-       {"total_ms", now - job.started}});
+       {"total_ms", now - job.started},
+       {"connection", job.link.EndedBy()}});
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -1,8 +1,6 @@
 #include "dragonflyglade/gateway/placement_duty.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
@@ -51,7 +49,7 @@
                              const WireFormat& wire, FleetState& fleet,
                              DutyLease& duty, ReportHub& hub,
                              FleetChannel& channel, Metrics& metrics,
-                             EventLog& log, Clock clock)
+                             EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -61,6 +59,7 @@
       channel(channel),
       metrics(metrics),
       log(log),
+      tasks(tasks),
       clock(clock),
       planner(ResidencyOptions(), clock),
       wake(context) {
@@ -304,7 +303,7 @@
   for (const auto& [id, engine] : this->engines) {
     if (engine->inspect && !engine->ordering) {
       engine->ordering = true;
-      asio::co_spawn(this->context, this->Inspect(engine), asio::detached);
+      this->tasks.Spawn("inspect engine", this->Inspect(engine));
     }
   }
 }
@@ -333,8 +332,7 @@
   } else {
     engine.unready.insert(PlaceOf(change));
   }
-  asio::co_spawn(this->context, this->CarryOut(found->second, change),
-                 asio::detached);
+  this->tasks.Spawn("carry out order", this->CarryOut(found->second, change));
   return true;
 }
 
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -21,6 +21,7 @@
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/target_exchange.h"
+#include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
 
@@ -38,7 +39,7 @@
                 const GatewaySettings& settings, const WireFormat& wire,
                 FleetState& fleet, DutyLease& duty, ReportHub& hub,
                 FleetChannel& channel, Metrics& metrics, EventLog& log,
-                Clock clock);
+                Tasks& tasks, Clock clock);
 
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
@@ -94,6 +95,7 @@
   FleetChannel& channel;
   Metrics& metrics;
   EventLog& log;
+  Tasks& tasks;
   const Clock clock;
   ResidencyPlanner planner;
   Signal wake;
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -40,8 +40,9 @@
   EventSplitter events;
   std::optional<Instant> first_output;
   absl::Duration expected_wait;
-  absl::Duration held;   ///< waiting for a target
-  absl::Duration paced;  ///< held back so that streams at its target go on
+  absl::Duration admitted;  ///< until its quota was decided
+  absl::Duration held;      ///< waiting for a target
+  absl::Duration paced;     ///< held back so that streams at its target go on
   std::size_t candidates = 0;
 
   RequestJob(CallerRequest request, CallerLink& link)
