--- /dev/null
+++ b/tests/platform/gateway_stage.cc
@@ -0,0 +1,264 @@
+#include "tests/platform/gateway_stage.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+namespace dragonflyglade {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using gateway::Gateway;
+using gateway::GatewaySettings;
+using nlohmann::json;
+
+namespace {
+
+// The longest that anything here may take; normally it is milliseconds.
+constexpr absl::Duration kPatience = absl::Seconds(20);
+
+json RouteTo(const std::string& prefix, const std::string& type, int attempts,
+             bool resumable) {
+  return {
+      {"name", prefix}, {"host", "h.example"},      {"prefix", prefix},
+      {"type", type},   {"timeout_ms", 5000},       {"target_latency_ms", 2000},
+      {"service", "s"}, {"max_attempts", attempts}, {"resumable", resumable}};
+}
+
+json EngineOfService() {
+  return {{"models", {{{"name", "m"}, {"weights_mb", 10}}}},
+          {"weights_mb", 100},
+          {"adapter_slots", 2},
+          {"loads_per_s", 2}};
+}
+
+json Workspaces() {
+  return {{{"name", "t1"}, {"api_keys", {"k1"}}},
+          {{"name", "large"},
+           {"api_keys", {"k3"}},
+           {"rate_per_s", 10000},
+           {"burst", 10000},
+           {"unit", "token_stream"},
+           {"plain_tokens", 100}},
+          {{"name", "small"},
+           {"api_keys", {"k2"}},
+           {"rate_per_s", 1},
+           {"burst", 1},
+           {"unit", "token_stream"},
+           {"plain_tokens", 1000}}};
+}
+
+}  // namespace
+
+std::string AnswerBytes(const RawRequest& request, const std::string& status,
+                        const std::string& body, const std::string& more) {
+  return absl::StrCat("HTTP/1.1 ", status, "\r\nX-Dragonflyglade-Attempt-Id: ",
+                      request.Field("X-Dragonflyglade-Attempt-Id"), "\r\n",
+                      more, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+PlatformTargetStandIn::Script Sound(const RawRequest& request) {
+  return {AnswerBytes(request, "200 OK", "done", kSigned)};
+}
+
+GatewayStage::Options GatewayStage::WithAnswer(
+    PlatformTargetStandIn::Answer answer) {
+  Options options;
+  options.answer = std::move(answer);
+  return options;
+}
+
+GatewayStage::GatewayStage(Options options)
+    : options(std::move(options)),
+      first(this->options.answer),
+      second(this->options.answer) {
+  this->store.Put("op/config", this->Config(1, "plain").dump());
+  this->PutTarget("i-1", this->first, "ready");
+  this->reread = this->Settings();
+  this->gateway = std::make_unique<Gateway>(
+      this->Settings(), [this] { return this->reread; }, this->options.wire);
+  this->thread = std::thread([this] { this->ran = this->gateway->Run(); });
+  this->WaitFor([this] { return this->Call("GET", "/once/").status != 503; });
+}
+
+GatewayStage::~GatewayStage() {
+  this->gateway->Context().stop();
+  this->thread.join();
+}
+
+void GatewayStage::AddSecond() {
+  this->PutTarget("i-2", this->second, "ready");
+  this->WaitFor([this] {
+    return this->Read<std::size_t>([this] {
+      return this->gateway->Fleet().Targets("s").size();
+    }) == 2;
+  });
+}
+
+void GatewayStage::NextAnywhere(PlatformTargetStandIn::Answer once,
+                                PlatformTargetStandIn::Answer later) {
+  const auto used = std::make_shared<std::atomic<bool>>(false);
+  const auto answer = [=](const RawRequest& request) {
+    return used->exchange(true) ? later(request) : once(request);
+  };
+  this->first.Next(answer);
+  this->second.Next(answer);
+}
+
+std::size_t GatewayStage::Arrivals() const {
+  return this->first.Requests().size() + this->second.Requests().size();
+}
+
+GatewayStage::Reply GatewayStage::Call(const std::string& method,
+                                       const std::string& path,
+                                       const std::string& key,
+                                       const std::string& more) {
+  return this->Send(this->Text(method, path, key, more));
+}
+
+std::string GatewayStage::Text(const std::string& method,
+                               const std::string& path, const std::string& key,
+                               const std::string& more) {
+  this->calls += 1;
+  return absl::StrCat(method, " ", path,
+                      " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+                      "X-Dragonflyglade-Attempt-Id: r",
+                      this->calls,
+                      "\r\nX-Dragonflyglade-Deadline-Ms: 5000\r\n"
+                      "Authorization: Bearer ",
+                      key, "\r\n", more, "\r\n");
+}
+
+std::string GatewayStage::KeptText(const std::string& method,
+                                   const std::string& path,
+                                   const std::string& more) {
+  this->calls += 1;
+  return absl::StrCat(method, " ", path,
+                      " HTTP/1.1\r\nHost: h.example\r\n"
+                      "X-Dragonflyglade-Attempt-Id: r",
+                      this->calls, "\r\nAuthorization: Bearer k1\r\n", more,
+                      "\r\n");
+}
+
+GatewayStage::Reply GatewayStage::Send(const std::string& text) {
+  return this->SendTo(this->gateway->Settings().callers, text);
+}
+
+GatewayStage::Reply GatewayStage::SendTo(const Endpoint& endpoint,
+                                         const std::string& text) {
+  const auto socket = this->Connect(endpoint);
+  error_code error;
+  boost::asio::write(*socket, boost::asio::buffer(text), error);
+  Reply reply;
+  char space[4096];
+  while (!error) {
+    reply.text.append(space,
+                      socket->read_some(boost::asio::buffer(space), error));
+  }
+  if (reply.text.size() > 12) reply.status = std::stoi(reply.text.substr(9));
+  const bool chunked =
+      absl::StrContains(reply.text, "Transfer-Encoding: chunked");
+  reply.ended_whole = !chunked || absl::EndsWith(reply.text, "\r\n0\r\n\r\n");
+  return reply;
+}
+
+GatewayStage::Reply GatewayStage::Ask(const Endpoint& endpoint,
+                                      const std::string& path) {
+  return this->SendTo(endpoint, "GET " + path +
+                                    " HTTP/1.1\r\nHost: x\r\n"
+                                    "Connection: close\r\n\r\n");
+}
+
+std::unique_ptr<tcp::socket> GatewayStage::Connect(const Endpoint& endpoint) {
+  auto socket = std::make_unique<tcp::socket>(this->client);
+  socket->connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                                static_cast<unsigned short>(endpoint.port)));
+  return socket;
+}
+
+void GatewayStage::WaitFor(const std::function<bool()>& holds) {
+  const absl::Time end = absl::Now() + kPatience;
+  while (!holds()) {
+    CPPUNIT_ASSERT_MESSAGE("waited in vain", absl::Now() < end);
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+}
+
+bool GatewayStage::HoldsDuty() {
+  return this->Read<bool>([this] { return this->gateway->HoldsDuty(); });
+}
+
+void GatewayStage::PutTarget(const std::string& id,
+                             const PlatformTargetStandIn& target,
+                             const std::string& state, json models) {
+  this->store.Put("servers/" + id, json{{"service", "s"},
+                                        {"address", target.Address()},
+                                        {"zone", "z"},
+                                        {"slots", 4},
+                                        {"state", state},
+                                        {"born", 1},
+                                        {"models", models}}
+                                       .dump());
+}
+
+json GatewayStage::Config(int version, const std::string& last_route) const {
+  json config = {{"version", version},
+                 {"routes",
+                  {RouteTo("/once/", "non_idempotent", 1, false),
+                   RouteTo("/any/", "idempotent", 2, false),
+                   RouteTo("/cut/", "streaming", 1, false),
+                   RouteTo("/resumed/", "streaming", 2, true),
+                   RouteTo("/" + last_route + "/", "idempotent", 1, false)}},
+                 {"services",
+                  {{{"name", "s"},
+                    {"max_connections", 50},
+                    {"engine", EngineOfService()}}}},
+                 {"tenants", Workspaces()}};
+  if (!this->options.limits.empty()) config["limits"] = this->options.limits;
+  return config;
+}
+
+void GatewayStage::PutConfig(const json& config) {
+  this->store.Put("op/config", config.dump());
+  const auto version = config.at("version").get<std::uint64_t>();
+  this->WaitFor([&] {
+    return this->Read<bool>(
+        [&] { return this->gateway->Fleet().Config()->version == version; });
+  });
+}
+
+GatewaySettings GatewayStage::Settings() const {
+  GatewaySettings settings;
+  settings.instance = "one";
+  settings.zone = "z";
+  for (Endpoint* endpoint :
+       {&settings.callers, &settings.readiness, &settings.directory,
+        &settings.metrics, &settings.peers}) {
+    *endpoint = {"127.0.0.1", 0};
+  }
+  settings.store = this->store.Address();
+  settings.quiet_between_holders = absl::Milliseconds(10);
+  settings.retry_share = 1;
+  settings.retry_slack = 100;
+  return settings;
+}
+
+LoopHold::LoopHold(GatewayStage& stage) {
+  const auto held = std::make_shared<absl::Notification>();
+  boost::asio::post(stage.gateway->Context(), [held, release = this->release] {
+    held->Notify();
+    release->WaitForNotification();
+  });
+  held->WaitForNotification();
+}
+
+LoopHold::~LoopHold() { this->release->Notify(); }
+
+}  // namespace dragonflyglade
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -4,86 +4,65 @@
 
 #include <atomic>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "dragonflyglade/gateway/gateway.h"
-#include "platform/wire.h"
-#include "tests/platform/store_stand_in.h"
-#include "tests/platform/target_stand_in.h"
+#include "tests/platform/gateway_stage.h"
 
 namespace dragonflyglade {
 namespace {
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
-using gateway::Gateway;
 using gateway::GatewaySettings;
+using Stage = GatewayStage;
 using nlohmann::json;
 using Script = PlatformTargetStandIn::Script;
 
-// The longest that anything here may take; normally it is milliseconds.
-constexpr absl::Duration kPatience = absl::Seconds(20);
-
-std::string Answer(const RawRequest& request, const std::string& status,
-                   const std::string& body, const std::string& more = "") {
-  return "HTTP/1.1 " + status + "\r\nX-Dragonflyglade-Attempt-Id: " +
-         request.Field("X-Dragonflyglade-Attempt-Id") + "\r\n" + more +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-const std::string kSigned = "X-Dragonflyglade-Server-Signature: s1\r\n";
-
-Script Sound(const RawRequest& request) {
-  return {Answer(request, "200 OK", "done", kSigned)};
-}
-
 Script Refusing(const RawRequest& request) {
-  return {
-      Answer(request, "503 Busy", "", "X-Dragonflyglade-Not-Executed: 1\r\n")};
+  return {AnswerBytes(request, "503 Busy", "",
+                      "X-Dragonflyglade-Not-Executed: 1\r\n")};
 }
 
 Script Closing(const RawRequest&) { return {"", true}; }
 
 Script Truncated(const RawRequest& request) {
-  std::string bytes = Answer(request, "200 OK", "done", kSigned);
+  std::string bytes = AnswerBytes(request, "200 OK", "done", kSigned);
   bytes.resize(bytes.size() - 2);
   return {bytes, true};
 }
 
 Script Unsigned(const RawRequest& request) {
-  return {Answer(request, "200 OK", "done")};
+  return {AnswerBytes(request, "200 OK", "done")};
 }
 
 Script Encoded(const RawRequest& request) {
-  return {Answer(request, "200 OK", "done",
-                 kSigned + "Content-Encoding: gzip\r\n")};
+  return {AnswerBytes(request, "200 OK", "done",
+                      kSigned + "Content-Encoding: gzip\r\n")};
 }
 
 Script Failing(const RawRequest& request) {
-  return {Answer(request, "500 Oops", "why", kSigned)};
+  return {AnswerBytes(request, "500 Oops", "why", kSigned)};
 }
 
 Script Unmarked(const RawRequest& request) {
-  return {Answer(request, "503 Busy", "", kSigned)};
+  return {AnswerBytes(request, "503 Busy", "", kSigned)};
 }
 
 Script LateSecond(const RawRequest& request) {
   RawRequest other = request;
   other.head = "GET / HTTP/1.1\r\nX-Dragonflyglade-Attempt-Id: other\r\n\r\n";
-  return {Answer(other, "200 OK", "not yours", kSigned) +
-          Answer(request, "200 OK", "done", kSigned)};
+  return {AnswerBytes(other, "200 OK", "not yours", kSigned) +
+          AnswerBytes(request, "200 OK", "done", kSigned)};
 }
 
 std::string Chunk(const std::string& text) {
@@ -132,223 +111,6 @@
           true};
 }
 
-// One gateway before two targets of one service, in this process.
-class Stage {
- public:
-  explicit Stage(PlatformTargetStandIn::Answer answer = Sound)
-      : first(answer), second(answer) {
-    this->store.Put("op/config", this->Config(1, "plain").dump());
-    this->PutTarget("i-1", this->first, "ready");
-    this->reread = this->Settings();
-    this->gateway = std::make_unique<Gateway>(
-        this->Settings(), [this] { return this->reread; },
-        platform::MakeWireFormat());
-    this->thread = std::thread([this] { this->ran = this->gateway->Run(); });
-    this->WaitFor([this] { return this->Call("GET", "/once/").status != 503; });
-  }
-
-  ~Stage() {
-    this->gateway->Context().stop();
-    this->thread.join();
-  }
-
-  struct Reply {
-    int status = 0;  ///< 0: the connection ended without an answer
-    std::string text;
-    bool ended_whole = false;  ///< as its framing says
-    std::string Field(const std::string& name) const {
-      return RawRequest{this->text, ""}.Field(name);
-    }
-    std::string Body() const {
-      return this->text.substr(this->text.find("\r\n\r\n") + 4);
-    }
-  };
-
-  void AddSecond() {
-    this->PutTarget("i-2", this->second, "ready");
-    this->WaitFor([this] { return this->Sees("\"target\":\"i-2\""); });
-  }
-
-  // The next request of all is answered like this, whichever target gets it.
-  void NextAnywhere(PlatformTargetStandIn::Answer once,
-                    PlatformTargetStandIn::Answer later) {
-    const auto used = std::make_shared<std::atomic<bool>>(false);
-    const auto answer = [=](const RawRequest& request) {
-      return used->exchange(true) ? later(request) : once(request);
-    };
-    this->first.Next(answer);
-    this->second.Next(answer);
-  }
-
-  std::size_t Arrivals() const {
-    return this->first.Requests().size() + this->second.Requests().size();
-  }
-
-  Reply Call(const std::string& method, const std::string& path,
-             const std::string& key = "k1", const std::string& more = "") {
-    return this->Send(this->Text(method, path, key, more));
-  }
-
-  std::string Text(const std::string& method, const std::string& path,
-                   const std::string& key = "k1",
-                   const std::string& more = "") {
-    this->calls += 1;
-    return method + " " + path +
-           " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
-           "X-Dragonflyglade-Attempt-Id: r" +
-           std::to_string(this->calls) +
-           "\r\nX-Dragonflyglade-Deadline-Ms: 5000\r\n"
-           "Authorization: Bearer " +
-           key + "\r\n" + more + "\r\n";
-  }
-
-  Reply Send(const std::string& text) {
-    return this->SendTo(this->gateway->Settings().callers, text);
-  }
-
-  Reply SendTo(const Endpoint& endpoint, const std::string& text) {
-    const auto socket = this->Connect(endpoint);
-    error_code error;
-    boost::asio::write(*socket, boost::asio::buffer(text), error);
-    Reply reply;
-    char space[4096];
-    while (!error) {
-      reply.text.append(space,
-                        socket->read_some(boost::asio::buffer(space), error));
-    }
-    if (reply.text.size() > 12) reply.status = std::stoi(reply.text.substr(9));
-    const bool chunked =
-        absl::StrContains(reply.text, "Transfer-Encoding: chunked");
-    reply.ended_whole = !chunked || absl::EndsWith(reply.text, "\r\n0\r\n\r\n");
-    return reply;
-  }
-
-  std::unique_ptr<tcp::socket> Connect(const Endpoint& endpoint) {
-    auto socket = std::make_unique<tcp::socket>(this->client);
-    socket->connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(),
-                                  static_cast<unsigned short>(endpoint.port)));
-    return socket;
-  }
-
-  Reply Ask(const Endpoint& endpoint, const std::string& path) {
-    return this->SendTo(endpoint, "GET " + path +
-                                      " HTTP/1.1\r\nHost: x\r\n"
-                                      "Connection: close\r\n\r\n");
-  }
-
-  void WaitFor(const std::function<bool()>& holds) {
-    const absl::Time end = absl::Now() + kPatience;
-    while (!holds()) {
-      CPPUNIT_ASSERT_MESSAGE("waited in vain", absl::Now() < end);
-      absl::SleepFor(absl::Milliseconds(10));
-    }
-  }
-
-  // The gateway's own state, read on its event loop.
-  template <typename T>
-  T Read(const std::function<T()>& read) {
-    std::optional<T> value;
-    absl::Notification done;
-    boost::asio::post(this->gateway->Context(), [&] {
-      value = read();
-      done.Notify();
-    });
-    done.WaitForNotification();
-    return *value;
-  }
-
-  bool HoldsDuty() {
-    return this->Read<bool>([this] { return this->gateway->HoldsDuty(); });
-  }
-
-  bool Sees(const std::string&) {
-    return this->Read<std::size_t>([this] {
-      return this->gateway->Fleet().Targets("s").size();
-    }) == 2;
-  }
-
-  void PutTarget(const std::string& id, const PlatformTargetStandIn& target,
-                 const std::string& state, json models = json::array()) {
-    this->store.Put("servers/" + id, json{{"service", "s"},
-                                          {"address", target.Address()},
-                                          {"zone", "z"},
-                                          {"slots", 4},
-                                          {"state", state},
-                                          {"born", 1},
-                                          {"models", models}}
-                                         .dump());
-  }
-
-  json Config(int version, const std::string& last_route) const {
-    const auto route = [](const std::string& prefix, const std::string& type,
-                          int attempts, bool resumable) {
-      return json{{"name", prefix},        {"host", "h.example"},
-                  {"prefix", prefix},      {"type", type},
-                  {"timeout_ms", 5000},    {"target_latency_ms", 2000},
-                  {"service", "s"},        {"max_attempts", attempts},
-                  {"resumable", resumable}};
-    };
-    return {{"version", version},
-            {"routes",
-             {route("/once/", "non_idempotent", 1, false),
-              route("/any/", "idempotent", 2, false),
-              route("/cut/", "streaming", 1, false),
-              route("/resumed/", "streaming", 2, true),
-              route("/" + last_route + "/", "idempotent", 1, false)}},
-            {"services",
-             {{{"name", "s"},
-               {"max_connections", 50},
-               {"engine",
-                {{"models", {{{"name", "m"}, {"weights_mb", 10}}}},
-                 {"weights_mb", 100},
-                 {"adapter_slots", 2},
-                 {"loads_per_s", 2}}}}}},
-            {"tenants",
-             {{{"name", "t1"}, {"api_keys", {"k1"}}},
-              {{"name", "large"},
-               {"api_keys", {"k3"}},
-               {"rate_per_s", 10000},
-               {"burst", 10000},
-               {"unit", "token_stream"},
-               {"plain_tokens", 100}},
-              {{"name", "small"},
-               {"api_keys", {"k2"}},
-               {"rate_per_s", 1},
-               {"burst", 1},
-               {"unit", "token_stream"},
-               {"plain_tokens", 1000}}}}};
-  }
-
-  PlatformStoreStandIn store;
-  PlatformTargetStandIn first;
-  PlatformTargetStandIn second;
-  std::unique_ptr<Gateway> gateway;
-  /// What the settings file holds now.
-  Result<GatewaySettings> reread = GatewaySettings();
-
- private:
-  GatewaySettings Settings() const {
-    GatewaySettings settings;
-    settings.instance = "one";
-    settings.zone = "z";
-    for (Endpoint* endpoint :
-         {&settings.callers, &settings.readiness, &settings.directory,
-          &settings.metrics, &settings.peers}) {
-      *endpoint = {"127.0.0.1", 0};
-    }
-    settings.store = this->store.Address();
-    settings.quiet_between_holders = absl::Milliseconds(10);
-    settings.retry_share = 1;
-    settings.retry_slack = 100;
-    return settings;
-  }
-
-  boost::asio::io_context client;
-  std::thread thread;
-  Status ran = Done{};
-  int calls = 0;
-};
-
 struct ExchangeCase {
   const char* what;
   const char* path;
@@ -490,8 +252,6 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stage.first.Requests().size());
   }
 
-  // The caller closes while the target works. Without the cancel, the target
-  // would work on for nobody.
   // A stream breaks off after two events and may go on elsewhere, but the only
   // target declines. The caller got a 503 with head and body in the middle of
   // the chunks of its answer; it must get the end of the connection.
@@ -539,6 +299,8 @@
     stage.WaitFor([&] { return stage.store.Get(key).empty(); });
   }
 
+  // The caller closes while the target works. Without the cancel, the target
+  // would work on for nobody.
   void EndsTheRunWhenTheCallerLeaves() {
     Stage stage;
     stage.first.Next([](const RawRequest&) { return Script{"", false, true}; });
@@ -559,7 +321,10 @@
     CPPUNIT_ASSERT_EQUAL(404, stage.Call("GET", "/plain/").status);
     stage.store.Put("op/config", "not a configuration");
     stage.PutTarget("i-2", stage.second, "ready");
-    stage.WaitFor([&] { return stage.Sees("i-2"); });
+    stage.WaitFor([&] {
+      return stage.Read<bool>(
+          [&] { return stage.gateway->Fleet().Target("i-2") != nullptr; });
+    });
     CPPUNIT_ASSERT_EQUAL(200, stage.Call("GET", "/new/").status);
   }
 
@@ -586,14 +351,14 @@
     absl::Mutex mutex;
     Stage stage([&](const RawRequest& request) {
       if (absl::StrContains(request.Line(), "/-/report")) {
-        return Script{Answer(request, "200 OK",
-                             R"({"sequence": 3, "busy": false,
+        return Script{AnswerBytes(request, "200 OK",
+                                  R"({"sequence": 3, "busy": false,
                                  "models": [{"name": "m"}]})")};
       }
       if (!absl::StrContains(request.Line(), "/-/order")) return Sound(request);
       absl::MutexLock lock(&mutex);
       order = request.body;
-      return Script{Answer(request, "202 Accepted", "")};
+      return Script{AnswerBytes(request, "202 Accepted", "")};
     });
     stage.PutTarget("i-1", stage.first, "ready",
                     {{{"name", "m"}, {"adapters", json::array()}}});
