Show a connection that is closed under a request that was read whole

A caller of a kept connection sends a whole request in time and sees the end of the connection: no answer, no refusal. The loop is held while the request arrives and the connection's timer expires; both come in the same turn. Read hands the request on, it is sent to a target, and the handler of the expired wait, which cannot be cancelled any more, closes the socket.

The test fails on the code as it is (idle: 0 for 200).

--- /dev/null
+++ b/tests/platform/platform-connections.cc
@@ -0,0 +1,105 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/clock.h"
+#include "tests/platform/gateway_stage.h"
+
+namespace dragonflyglade {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+
+constexpr int kShortLimitMs = 500;
+constexpr absl::Duration kShortLimit = absl::Milliseconds(kShortLimitMs);
+// Longer than a short limit with all that is allowed beyond it.
+constexpr absl::Duration kPastShortLimit = absl::Milliseconds(2500);
+
+// A caller that keeps its connection.
+class KeptCaller {
+ public:
+  explicit KeptCaller(GatewayStage& stage)
+      : stage(stage),
+        socket(stage.Connect(stage.gateway->Settings().callers)) {}
+
+  void Write(const std::string& text) {
+    error_code error;
+    boost::asio::write(*this->socket, boost::asio::buffer(text), error);
+  }
+
+  /// The status of the next answer; 0 if the connection ended without one.
+  int ReadStatus() {
+    RawRequest answer;
+    if (!ReadRaw(*this->socket, this->buffer, answer)) return 0;
+    return std::stoi(answer.head.substr(9));
+  }
+
+  int Call() {
+    this->Write(this->stage.KeptText("GET", "/any/"));
+    return this->ReadStatus();
+  }
+
+ private:
+  GatewayStage& stage;
+  std::unique_ptr<tcp::socket> socket;
+  std::string buffer;
+};
+
+struct HeldLoopCase {
+  const char* what;
+  json limits;
+  std::size_t bytes_before;  ///< of the request, sent before the loop is held
+};
+
+class PlatformConnectionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformConnectionsTest);
+  CPPUNIT_TEST(ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate);
+  CPPUNIT_TEST(AnIdleConnectionIsClosedInTheEnd);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The caller's connection was closed under a request that had been read.
+  void ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate() {
+    const std::vector<HeldLoopCase> cases = {
+        {"idle", {{"idle_timeout_ms", kShortLimitMs}}, 0},
+        {"within a head", {{"header_timeout_ms", kShortLimitMs}}, 10},
+    };
+    for (const HeldLoopCase& item : cases) {
+      GatewayStage::Options options;
+      options.limits = item.limits;
+      GatewayStage stage(std::move(options));
+      KeptCaller caller(stage);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
+      const std::string text = stage.KeptText("GET", "/any/");
+      caller.Write(text.substr(0, item.bytes_before));
+      absl::SleepFor(kShortLimit / 25);
+      {
+        LoopHold hold(stage);
+        caller.Write(text.substr(item.bytes_before));
+        absl::SleepFor(kPastShortLimit);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.ReadStatus());
+    }
+  }
+
+  void AnIdleConnectionIsClosedInTheEnd() {
+    GatewayStage::Options options;
+    options.limits = {{"idle_timeout_ms", kShortLimitMs}};
+    GatewayStage stage(std::move(options));
+    KeptCaller caller(stage);
+    CPPUNIT_ASSERT_EQUAL(200, caller.Call());
+    CPPUNIT_ASSERT_EQUAL(0, caller.ReadStatus());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformConnectionsTest,
+                                      "platform-connections");
+
+}  // namespace
+}  // namespace dragonflyglade
