Time out the step that a timer was started for, and read what came first

Callers of a kept connection lost a request that had been read whole and sent to a target: the connection was closed under it, without an answer.

Cause: a wait that has expired cannot be cancelled once its handler is queued. With the loop busy while the request arrives and the connection's time ends, both come in one turn: the request is read, and the handler of the step before closes the socket.

Change: StepTimer numbers the steps, and a handler of an earlier one does nothing. Before a step is timed out, the loop turns once more, and goes on to while bytes wait, 64 turns at the most; a request is not taken up on a connection that was ended in the turn of its last bytes. A look at a socket stands in one place, repeats an interrupted call, and tells an end from an error.

That this was the cause of the report is not shown: no connection was as old as its idle limit there.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -1,17 +1,15 @@
 #include "dragonflyglade/gateway/caller_link.h"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <cerrno>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "dragonflyglade/gateway/http_text.h"
+#include "dragonflyglade/gateway/socket_look.h"
 
 namespace dragonflyglade::gateway {
 
@@ -61,8 +59,9 @@
 CallerLink::CallerLink(asio::io_context& context, tcp::socket socket,
                        Clock clock)
     : socket(std::move(socket)),
-      timer(context),
       clock(std::move(clock)),
+      timer(context, this->clock,
+            [this] { return LookAt(this->socket) == SocketState::kBytes; }),
       wait_begun(this->clock.Now()) {
   // Failing options change timing only, never an outcome.
   error_code ignored;
@@ -84,15 +83,11 @@
   return this->wait_ended.value_or(this->clock.Now()) - this->wait_begun;
 }
 
-void CallerLink::ArmTimer(absl::Duration time, std::string_view why) {
-  this->timer.expires_after(absl::ToChronoNanoseconds(time));
-  const Instant due = this->clock.Now() + time;
-  this->timer.async_wait(
-      [this, alive = this->alive, due, why](const error_code& error) {
-        if (error || !*alive) return;
-        if (this->ended_by.empty()) this->ended_late = this->clock.Now() - due;
-        this->Abort(why);
-      });
+void CallerLink::StartStep(absl::Duration time, std::string_view why) {
+  this->timer.Start(time, [this, why](absl::Duration late) {
+    if (this->ended_by.empty()) this->ended_late = late;
+    this->Abort(why);
+  });
 }
 
 ReadResult CallerLink::NotRead(const error_code& error) {
@@ -107,7 +102,7 @@
   this->wait_begun = this->clock.Now();
   this->wait_ended.reset();
   if (this->buffer.size() > 0) co_return true;
-  this->ArmTimer(idle, "idle");
+  this->StartStep(idle, "idle");
   error_code error;
   co_await this->socket.async_wait(
       tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
@@ -121,7 +116,7 @@
   this->answered = false;
   const bool readable = co_await this->WaitForBytes(limits.idle_timeout);
   if (!readable) co_return CallerLeft{};
-  this->ArmTimer(limits.header_timeout, "head not whole in time");
+  this->StartStep(limits.header_timeout, "head not whole in time");
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
@@ -136,22 +131,25 @@
     const bool written = co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
     if (!written) co_return CallerLeft{};
   }
-  this->ArmTimer(kBodyTimeout, "body not whole in time");
+  this->StartStep(kBodyTimeout, "body not whole in time");
   co_await http::async_read(this->socket, this->buffer, parser,
                             asio::redirect_error(asio::use_awaitable, error));
-  this->timer.cancel();
+  this->timer.Stop();
   if (error) co_return this->NotRead(error);
+  // The last bytes may have been read in the turn that timed the step out; no
+  // answer could be written any more.
+  if (!this->ended_by.empty()) co_return CallerLeft{};
   this->keep_alive = parser.get().keep_alive();
   co_return Received(parser);
 }
 
 asio::awaitable<bool> CallerLink::Write(std::string text) {
   if (this->left) co_return false;
-  this->ArmTimer(kWriteTimeout, "caller takes nothing");
+  this->StartStep(kWriteTimeout, "caller takes nothing");
   error_code error;
   co_await asio::async_write(this->socket, asio::buffer(text),
                              asio::redirect_error(asio::use_awaitable, error));
-  this->timer.cancel();
+  this->timer.Stop();
   if (error) {
     this->left = true;
     this->Abort("caller cut off");
@@ -196,15 +194,14 @@
       [this, alive = this->alive, number = this->watch,
        on_left = std::move(on_left)](const error_code& error) {
         if (!*alive || this->watch != number || error) return;
-        char byte = 0;
-        const ssize_t got = recv(this->socket.native_handle(), &byte, 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
-        const bool nothing_yet =
-            got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (got > 0 || nothing_yet) return;
+        const SocketState state = LookAt(this->socket);
+        if (state == SocketState::kBytes || state == SocketState::kQuiet) {
+          return;
+        }
         this->left = true;
         if (this->ended_by.empty()) {
-          this->ended_by = got == 0 ? "caller closed" : "caller cut off";
+          this->ended_by = state == SocketState::kClosed ? "caller closed"
+                                                         : "caller cut off";
         }
         on_left();
       });
@@ -220,14 +217,14 @@
 asio::awaitable<void> CallerLink::CloseSoftly() {
   error_code error;
   this->socket.shutdown(tcp::socket::shutdown_send, error);
-  this->ArmTimer(kCloseTimeout, "served");
+  this->StartStep(kCloseTimeout, "served");
   std::array<char, 4096> dropped;
   while (!error) {
     co_await this->socket.async_read_some(
         asio::buffer(dropped),
         asio::redirect_error(asio::use_awaitable, error));
   }
-  this->timer.cancel();
+  this->timer.Stop();
   this->Abort("served");
 }
 
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -17,6 +16,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
 namespace dragonflyglade::gateway {
@@ -89,13 +89,13 @@
  private:
   boost::asio::awaitable<bool> WaitForBytes(absl::Duration idle);
   boost::asio::awaitable<bool> Write(std::string text);
-  void ArmTimer(absl::Duration time, std::string_view why);
+  void StartStep(absl::Duration time, std::string_view why);
   ReadResult NotRead(const boost::system::error_code& error);
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
-  boost::asio::steady_timer timer;
   const Clock clock;
+  StepTimer timer;
   std::string_view ended_by;  ///< text that is never freed
   absl::Duration ended_late;
   Instant wait_begun;
--- a/dragonflyglade/gateway/target_connection.cc
+++ b/dragonflyglade/gateway/target_connection.cc
@@ -1,11 +1,10 @@
 #include "dragonflyglade/gateway/target_connection.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
+#include "dragonflyglade/gateway/socket_look.h"
+
 namespace dragonflyglade::gateway {
 namespace {
 
@@ -22,10 +21,7 @@
 // answer, or a target that closed. Such a connection must not be used.
 bool IsQuiet(TargetConnection& connection) {
   if (connection.buffer.size() > 0) return false;
-  char byte = 0;
-  const ssize_t got = recv(connection.socket.native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return LookAt(connection.socket) == SocketState::kQuiet;
 }
 
 }  // namespace
