Deliver an answer that came in time although the loop was late

Callers got a 504 although the target's whole answer had arrived before the deadline: the loop was busy, and found the answer and the end of the time in one turn. The handler closed the connection after the first 512 bytes; the handler of the connect timeout could do the same to the exchange after it.

TargetExchange times its steps by StepTimer, which reads what waits first. The look goes on for 256 turns at the most, 128 KB of answer.

--- a/dragonflyglade/gateway/step_timer.cc
+++ b/dragonflyglade/gateway/step_timer.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// The loop reads at least some hundred bytes of a connection each turn, and at
-// most 16 KB; a connection that always has bytes must not hold its step open.
-constexpr int kMostLooks = 64;
+// Each turn reads 512 bytes or more of a connection, so answers of 128 KB are
+// read to their end. Bytes that nobody reads must not hold a step open.
+constexpr int kMostLooks = 256;
 
 }  // namespace
 
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
+#include "dragonflyglade/gateway/socket_look.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
@@ -68,25 +69,25 @@
       pool(pool),
       wire(wire),
       clock(std::move(clock)),
-      timer(context) {}
+      timer(context, this->clock, [this] { return this->BytesWait(); }) {}
 
 TargetExchange::~TargetExchange() {
-  *this->alive = false;
   if (this->connection != nullptr) {
     error_code ignored;
     this->connection->socket.close(ignored);
   }
 }
 
-void TargetExchange::ArmTimer(Instant until, std::string_view why) {
-  this->timer.expires_after(
-      absl::ToChronoNanoseconds(until - this->clock.Now()));
-  this->timer.async_wait(
-      [this, alive = this->alive, why](const error_code& error) {
-        if (error || !*alive) return;
-        this->timed_out = true;
-        this->Abort(why);
-      });
+bool TargetExchange::BytesWait() const {
+  return this->connection != nullptr &&
+         LookAt(this->connection->socket) == SocketState::kBytes;
+}
+
+void TargetExchange::StartStep(Instant until, std::string_view why) {
+  this->timer.Start(until - this->clock.Now(), [this, why](absl::Duration) {
+    this->timed_out = true;
+    this->Abort(why);
+  });
 }
 
 void TargetExchange::Abort(std::string_view why) {
@@ -113,7 +114,7 @@
   const Result<Endpoint> endpoint = ParseEndpoint(address);
   if (!endpoint.Ok()) co_return NotSent{endpoint.Error().ToString()};
   this->connection = std::make_shared<TargetConnection>(this->context);
-  this->ArmTimer(std::min(now + kConnectTimeout, give_up), "connect timeout");
+  this->StartStep(std::min(now + kConnectTimeout, give_up), "connect timeout");
   error_code error;
   const asio::ip::address ip =
       asio::ip::make_address(endpoint.Value().address, error);
@@ -122,7 +123,7 @@
                            static_cast<unsigned short>(endpoint.Value().port));
   co_await this->connection->socket.async_connect(
       peer, asio::redirect_error(asio::use_awaitable, error));
-  this->timer.cancel();
+  this->timer.Stop();
   if (!this->aborted_by.empty()) co_return NotSent{this->aborted_by};
   if (error) co_return NotSent{error.message()};
   SetOptions(this->connection->socket);
@@ -208,7 +209,7 @@
     std::string_view body, Instant give_up) {
   std::optional<NotSent> not_sent = co_await this->Connect(address, give_up);
   if (not_sent.has_value()) co_return *not_sent;
-  this->ArmTimer(give_up, "no answer in time");
+  this->StartStep(give_up, "no answer in time");
   this->StartWriting(std::move(head), body);
   std::optional<Lost> lost = co_await this->ReadHead(request_id);
   if (lost.has_value()) {
@@ -258,7 +259,7 @@
 }
 
 void TargetExchange::Finish() {
-  this->timer.cancel();
+  this->timer.Stop();
   const bool sound = this->parser->is_done() && this->written->done &&
                      !this->written->error && !this->head.closes &&
                      this->connection->buffer.size() == 0 &&
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -2,7 +2,6 @@
 #define DRAGONFLYGLADE_GATEWAY_TARGET_EXCHANGE_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
@@ -14,6 +13,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
@@ -94,7 +94,8 @@
       std::string_view request_id);
   boost::asio::awaitable<std::optional<Lost>> ReadOneHead();
   boost::asio::awaitable<std::optional<Lost>> ReadBody(std::string& body);
-  void ArmTimer(Instant until, std::string_view why);
+  void StartStep(Instant until, std::string_view why);
+  bool BytesWait() const;
   Lost LostBy(const boost::system::error_code& error) const;
   void Finish();
 
@@ -102,7 +103,7 @@
   ConnectionPool& pool;
   const WireFormat& wire;
   const Clock clock;
-  boost::asio::steady_timer timer;
+  StepTimer timer;
   std::shared_ptr<TargetConnection> connection;
   std::shared_ptr<Written> written;
   std::optional<Parser> parser;
@@ -111,8 +112,6 @@
   std::string aborted_by;  ///< empty: not aborted
   bool timed_out = false;
   bool reused = false;
-  /// Whether the exchange lives; timers hold it and check it.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace dragonflyglade::gateway
--- a/tests/platform/platform-connections.cc
+++ b/tests/platform/platform-connections.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "tests/platform/gateway_stage.h"
 
@@ -15,6 +16,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using nlohmann::json;
+using Script = PlatformTargetStandIn::Script;
 
 constexpr int kShortLimitMs = 500;
 constexpr absl::Duration kShortLimit = absl::Milliseconds(kShortLimitMs);
@@ -60,6 +62,7 @@
 class PlatformConnectionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformConnectionsTest);
   CPPUNIT_TEST(ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate);
+  CPPUNIT_TEST(AnAnswerThatCameInTimeIsDeliveredAlthoughTheLoopIsLate);
   CPPUNIT_TEST(AnIdleConnectionIsClosedInTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +91,27 @@
     }
   }
 
+  // A whole answer that waited in the socket was given up as "not in time".
+  void AnAnswerThatCameInTimeIsDeliveredAlthoughTheLoopIsLate() {
+    constexpr std::size_t kManyReads = 50000;
+    GatewayStage stage;
+    std::unique_ptr<LoopHold> hold;
+    absl::Notification held;
+    stage.first.Next([&](const RawRequest& request) {
+      hold = std::make_unique<LoopHold>(stage);
+      held.Notify();
+      return Script{AnswerBytes(request, "200 OK", std::string(kManyReads, 'x'),
+                                kSigned)};
+    });
+    KeptCaller caller(stage);
+    caller.Write(stage.KeptText("GET", "/any/",
+                                "X-Dragonflyglade-Deadline-Ms: 500\r\n"));
+    held.WaitForNotification();
+    absl::SleepFor(2 * kShortLimit);
+    hold.reset();
+    CPPUNIT_ASSERT_EQUAL(200, caller.ReadStatus());
+  }
+
   void AnIdleConnectionIsClosedInTheEnd() {
     GatewayStage::Options options;
     options.limits = {{"idle_timeout_ms", kShortLimitMs}};
