Tell callers how long a connection stays, and keep it a moment longer

A caller that used all of the idle time lost a request: it crossed the close of the connection. For a payout the caller cannot know whether it ran.

Cause: the connection was closed at the very end of the idle limit, and no answer said what the limit was. Answers now carry Keep-Alive with the limit in whole seconds, and a connection stays a second beyond it.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -23,6 +23,10 @@
 // A body of some hundred kilobytes arrives in well under a second; a caller
 // that takes longer than this has stopped sending.
 constexpr absl::Duration kBodyTimeout = absl::Seconds(10);
+// A request that a caller sends within the stated time is on its way for some
+// milliseconds, longer over a link that loses packets. Closed at the stated
+// time, the connection would cross it, and callers cannot know whether it ran.
+constexpr absl::Duration kIdleGrace = absl::Seconds(1);
 // How long a closing connection is still read from.
 constexpr absl::Duration kCloseTimeout = absl::Milliseconds(500);
 // A caller that takes nothing for so long is treated as gone.
@@ -57,8 +61,9 @@
 }  // namespace
 
 CallerLink::CallerLink(asio::io_context& context, tcp::socket socket,
-                       Clock clock)
+                       LimitsInForce limits, Clock clock)
     : socket(std::move(socket)),
+      limits(std::move(limits)),
       clock(std::move(clock)),
       timer(context, this->clock,
             [this] { return LookAt(this->socket) == SocketState::kBytes; }),
@@ -98,11 +103,11 @@
   return CallerLeft{};
 }
 
-asio::awaitable<bool> CallerLink::WaitForBytes(absl::Duration idle) {
+asio::awaitable<bool> CallerLink::WaitForBytes() {
   this->wait_begun = this->clock.Now();
   this->wait_ended.reset();
   if (this->buffer.size() > 0) co_return true;
-  this->StartStep(idle, "idle");
+  this->StartStep(this->limits().idle_timeout + kIdleGrace, "idle");
   error_code error;
   co_await this->socket.async_wait(
       tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
@@ -111,11 +116,12 @@
   co_return !error;
 }
 
-asio::awaitable<ReadResult> CallerLink::Read(CallerLimits limits) {
+asio::awaitable<ReadResult> CallerLink::Read() {
   this->stream_begun = false;
   this->answered = false;
-  const bool readable = co_await this->WaitForBytes(limits.idle_timeout);
+  const bool readable = co_await this->WaitForBytes();
   if (!readable) co_return CallerLeft{};
+  const CallerLimits limits = this->limits();
   this->StartStep(limits.header_timeout, "head not whole in time");
   Parser parser;
   parser.header_limit(limits.max_header_bytes);
@@ -143,6 +149,11 @@
   co_return Received(parser);
 }
 
+std::optional<absl::Duration> CallerLink::StatedKeepAlive() const {
+  if (!this->keep_alive) return std::nullopt;
+  return this->limits().idle_timeout;
+}
+
 asio::awaitable<bool> CallerLink::Write(std::string text) {
   if (this->left) co_return false;
   this->StartStep(kWriteTimeout, "caller takes nothing");
@@ -160,7 +171,7 @@
 asio::awaitable<bool> CallerLink::WriteAnswer(int status, HeaderFields fields,
                                               std::string_view body) {
   std::string text = AnswerText(status, fields, BodyFraming::kLength,
-                                body.size(), this->keep_alive);
+                                body.size(), this->StatedKeepAlive());
   text.append(body);
   this->answered = co_await this->Write(std::move(text));
   co_return this->answered;
@@ -169,8 +180,8 @@
 asio::awaitable<bool> CallerLink::BeginStream(int status, HeaderFields fields,
                                               std::string_view first) {
   this->stream_begun = true;
-  std::string text =
-      AnswerText(status, fields, BodyFraming::kChunked, 0, this->keep_alive);
+  std::string text = AnswerText(status, fields, BodyFraming::kChunked, 0,
+                                this->StatedKeepAlive());
   if (!first.empty()) text += ChunkText(first);
   this->answered = co_await this->Write(std::move(text));
   co_return this->answered;
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -36,17 +36,22 @@
 struct CallerLeft {};
 using ReadResult = std::variant<ReceivedRequest, MalformedRequest, CallerLeft>;
 
+/// Gives the limits of the configuration in force.
+using LimitsInForce = std::function<CallerLimits()>;
+
 /// A caller's connection: reads requests, writes answers, and notices while
 /// an answer is being made that the caller has left. One event loop.
 class CallerLink {
  public:
   CallerLink(boost::asio::io_context& context,
-             boost::asio::ip::tcp::socket socket, Clock clock);
+             boost::asio::ip::tcp::socket socket, LimitsInForce limits,
+             Clock clock);
   ~CallerLink();
   CallerLink(const CallerLink&) = delete;
   CallerLink& operator=(const CallerLink&) = delete;
 
-  boost::asio::awaitable<ReadResult> Read(CallerLimits limits);
+  /// Reads the next request, within the limits.
+  boost::asio::awaitable<ReadResult> Read();
 
   /// Writes a whole answer. False if the caller cannot be written to.
   boost::asio::awaitable<bool> WriteAnswer(int status, HeaderFields fields,
@@ -87,13 +92,15 @@
   boost::asio::awaitable<void> CloseSoftly();
 
  private:
-  boost::asio::awaitable<bool> WaitForBytes(absl::Duration idle);
+  boost::asio::awaitable<bool> WaitForBytes();
   boost::asio::awaitable<bool> Write(std::string text);
   void StartStep(absl::Duration time, std::string_view why);
+  std::optional<absl::Duration> StatedKeepAlive() const;
   ReadResult NotRead(const boost::system::error_code& error);
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
+  const LimitsInForce limits;
   const Clock clock;
   StepTimer timer;
   std::string_view ended_by;  ///< text that is never freed
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -184,7 +184,9 @@
 }
 
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
-  CallerLink link(this->context, std::move(socket), this->clock);
+  CallerLink link(
+      this->context, std::move(socket), [this] { return this->Limits(); },
+      this->clock);
   const int requests = co_await this->ServeRequests(link);
   this->NoteClosed(link, requests);
 }
@@ -207,8 +209,7 @@
 asio::awaitable<int> Gateway::ServeRequests(CallerLink& link) {
   int requests = 0;
   while (true) {
-    const CallerLimits limits = this->Limits();
-    ReadResult read = co_await link.Read(limits);
+    ReadResult read = co_await link.Read();
     if (std::holds_alternative<CallerLeft>(read)) co_return requests;
     requests += 1;
     int malformed = 0;
@@ -241,10 +242,11 @@
 }
 
 asio::awaitable<void> Gateway::ServeQuestions(Socket socket, Answerer answer) {
-  CallerLink link(this->context, std::move(socket), this->clock);
-  const CallerLimits limits;
+  CallerLink link(
+      this->context, std::move(socket), [] { return CallerLimits(); },
+      this->clock);
   while (true) {
-    const ReadResult read = co_await link.Read(limits);
+    const ReadResult read = co_await link.Read();
     const auto* received = std::get_if<ReceivedRequest>(&read);
     if (received == nullptr) co_return;
     const PlainAnswer reply = answer(received->path_and_query);
--- a/dragonflyglade/gateway/http_text.cc
+++ b/dragonflyglade/gateway/http_text.cc
@@ -45,7 +45,7 @@
 
 std::string AnswerText(int status, const HeaderFields& fields,
                        BodyFraming framing, std::size_t length,
-                       bool keep_alive) {
+                       std::optional<absl::Duration> keep_alive) {
   std::string text =
       fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonOf(status));
   AppendFields(fields, text);
@@ -54,7 +54,12 @@
   } else {
     text += fmt::format("Content-Length: {}\r\n", length);
   }
-  if (!keep_alive) text += "Connection: close\r\n";
+  if (!keep_alive.has_value()) {
+    text += "Connection: close\r\n";
+  } else if (const std::int64_t seconds = absl::ToInt64Seconds(*keep_alive);
+             seconds > 0) {
+    text += fmt::format("Keep-Alive: timeout={}\r\n", seconds);
+  }
   text += "\r\n";
   return text;
 }
--- a/dragonflyglade/gateway/http_text.h
+++ b/dragonflyglade/gateway/http_text.h
@@ -21,9 +21,11 @@
 
 /// The head of an answer as text.
 /// @param length of the body, with kLength
+/// @param keep_alive how long the connection stays for a next request; none:
+///     it ends with this answer
 std::string AnswerText(int status, const HeaderFields& fields,
                        BodyFraming framing, std::size_t length,
-                       bool keep_alive);
+                       std::optional<absl::Duration> keep_alive);
 
 /// A chunk of a body with its framing; the bytes must not be empty.
 std::string ChunkText(std::string_view bytes);
--- a/tests/platform/platform-connections.cc
+++ b/tests/platform/platform-connections.cc
@@ -35,11 +35,17 @@
     boost::asio::write(*this->socket, boost::asio::buffer(text), error);
   }
 
-  /// The status of the next answer; 0 if the connection ended without one.
-  int ReadStatus() {
+  /// The next answer; empty if the connection ended without one.
+  RawRequest Read() {
     RawRequest answer;
-    if (!ReadRaw(*this->socket, this->buffer, answer)) return 0;
-    return std::stoi(answer.head.substr(9));
+    if (!ReadRaw(*this->socket, this->buffer, answer)) return {};
+    return answer;
+  }
+
+  /// Its status; 0 if the connection ended without one.
+  int ReadStatus() {
+    const RawRequest answer = this->Read();
+    return answer.head.empty() ? 0 : std::stoi(answer.head.substr(9));
   }
 
   int Call() {
@@ -53,6 +59,9 @@
   std::string buffer;
 };
 
+// A request's way to the gateway, on a busy machine.
+constexpr absl::Duration kOnItsWay = absl::Milliseconds(200);
+
 struct HeldLoopCase {
   const char* what;
   json limits;
@@ -63,6 +72,7 @@
   CPPUNIT_TEST_SUITE(PlatformConnectionsTest);
   CPPUNIT_TEST(ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate);
   CPPUNIT_TEST(AnAnswerThatCameInTimeIsDeliveredAlthoughTheLoopIsLate);
+  CPPUNIT_TEST(ARequestWithinTheStatedIdleTimeDoesNotCrossTheClose);
   CPPUNIT_TEST(AnIdleConnectionIsClosedInTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +122,20 @@
     CPPUNIT_ASSERT_EQUAL(200, caller.ReadStatus());
   }
 
+  // Callers were not told the time, and those that used all of it lost
+  // requests.
+  void ARequestWithinTheStatedIdleTimeDoesNotCrossTheClose() {
+    GatewayStage::Options options;
+    options.limits = {{"idle_timeout_ms", 2 * kShortLimitMs}};
+    GatewayStage stage(std::move(options));
+    KeptCaller caller(stage);
+    caller.Write(stage.KeptText("GET", "/any/"));
+    const RawRequest answer = caller.Read();
+    CPPUNIT_ASSERT_EQUAL(std::string("timeout=1"), answer.Field("Keep-Alive"));
+    absl::SleepFor(2 * kShortLimit + kOnItsWay);
+    CPPUNIT_ASSERT_EQUAL(200, caller.Call());
+  }
+
   void AnIdleConnectionIsClosedInTheEnd() {
     GatewayStage::Options options;
     options.limits = {{"idle_timeout_ms", kShortLimitMs}};
