Let idle connections stay by the longest limit of their wait

Callers reuse a connection by the newest configuration. One that raised the idle limit held for later waits only, so connections that were idle already were closed under callers that rightly reused them.

At the end of its time an idle connection takes a longer limit that is in force by then; a lower one does not cut a wait that has begun.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -89,10 +89,28 @@
 }
 
 void CallerLink::StartStep(absl::Duration time, std::string_view why) {
-  this->timer.Start(time, [this, why](absl::Duration late) {
-    if (this->ended_by.empty()) this->ended_late = late;
-    this->Abort(why);
-  });
+  this->timer.Start(
+      time, [this, why](absl::Duration late) { this->TimeOut(why, late); });
+}
+
+void CallerLink::TimeOut(std::string_view why, absl::Duration late) {
+  if (this->ended_by.empty()) this->ended_late = late;
+  this->Abort(why);
+}
+
+// Callers go by the configuration of the moment at which they send, so one that
+// raises the limit holds for connections that are idle already.
+void CallerLink::StartIdleStep(absl::Duration longest_limit) {
+  const Instant end = this->wait_begun + longest_limit + kIdleGrace;
+  const auto expired = [this, longest_limit](absl::Duration late) {
+    const absl::Duration limit = this->limits().idle_timeout;
+    if (limit > longest_limit) {
+      this->StartIdleStep(limit);
+    } else {
+      this->TimeOut("idle", late);
+    }
+  };
+  this->timer.Start(end - this->clock.Now(), expired);
 }
 
 ReadResult CallerLink::NotRead(const error_code& error) {
@@ -107,7 +125,7 @@
   this->wait_begun = this->clock.Now();
   this->wait_ended.reset();
   if (this->buffer.size() > 0) co_return true;
-  this->StartStep(this->limits().idle_timeout + kIdleGrace, "idle");
+  this->StartIdleStep(this->limits().idle_timeout);
   error_code error;
   co_await this->socket.async_wait(
       tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -95,6 +95,8 @@
   boost::asio::awaitable<bool> WaitForBytes();
   boost::asio::awaitable<bool> Write(std::string text);
   void StartStep(absl::Duration time, std::string_view why);
+  void StartIdleStep(absl::Duration longest_limit);
+  void TimeOut(std::string_view why, absl::Duration late);
   std::optional<absl::Duration> StatedKeepAlive() const;
   ReadResult NotRead(const boost::system::error_code& error);
 
--- a/tests/platform/platform-connections.cc
+++ b/tests/platform/platform-connections.cc
@@ -20,6 +20,7 @@
 
 constexpr int kShortLimitMs = 500;
 constexpr absl::Duration kShortLimit = absl::Milliseconds(kShortLimitMs);
+constexpr int kLongLimitMs = 20000;
 // Longer than a short limit with all that is allowed beyond it.
 constexpr absl::Duration kPastShortLimit = absl::Milliseconds(2500);
 
@@ -68,11 +69,18 @@
   std::size_t bytes_before;  ///< of the request, sent before the loop is held
 };
 
+struct ChangedLimitCase {
+  const char* what;
+  int before_ms;
+  int after_ms;
+};
+
 class PlatformConnectionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformConnectionsTest);
   CPPUNIT_TEST(ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate);
   CPPUNIT_TEST(AnAnswerThatCameInTimeIsDeliveredAlthoughTheLoopIsLate);
   CPPUNIT_TEST(ARequestWithinTheStatedIdleTimeDoesNotCrossTheClose);
+  CPPUNIT_TEST(AConnectionMayStayIdleByTheLongestLimitOfItsWait);
   CPPUNIT_TEST(AnIdleConnectionIsClosedInTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +144,27 @@
     CPPUNIT_ASSERT_EQUAL(200, caller.Call());
   }
 
+  // A newer configuration allowed more, and callers reused connections by it
+  // that were closed by the older one.
+  void AConnectionMayStayIdleByTheLongestLimitOfItsWait() {
+    const std::vector<ChangedLimitCase> cases = {
+        {"raised", kShortLimitMs, kLongLimitMs},
+        {"lowered", kLongLimitMs, kShortLimitMs},
+    };
+    for (const ChangedLimitCase& item : cases) {
+      GatewayStage::Options options;
+      options.limits = {{"idle_timeout_ms", item.before_ms}};
+      GatewayStage stage(std::move(options));
+      KeptCaller caller(stage);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
+      json newer = stage.Config(2, "plain");
+      newer["limits"] = {{"idle_timeout_ms", item.after_ms}};
+      stage.PutConfig(newer);
+      absl::SleepFor(kPastShortLimit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
+    }
+  }
+
   void AnIdleConnectionIsClosedInTheEnd() {
     GatewayStage::Options options;
     options.limits = {{"idle_timeout_ms", kShortLimitMs}};
