Answer a request whose serving throws, and keep the long tasks running

A caller whose request met an exception got the end of its connection: the coroutine ended, the exception was dropped, and the request counted as in flight for good. The same in the tasks that run as long as the process (following the store, registering, reporting, placing, accepting) ended them without a word, while the instance looked healthy; in a plain handler it ended the process with all its callers.

Now a request that throws is answered with 500 (or its stream broken off) and counted out, a long task is run again after a pause, and the loop goes on after a handler's exception; each leaves a line 'task failed'.

--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -73,7 +73,7 @@
                 this->tasks, this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->desk, this->channel, this->metrics,
-               this->log, this->clock),
+               this->log, this->tasks, this->clock),
       signals(this->context) {
   this->AddGauges();
 }
@@ -113,43 +113,47 @@
 
 Status Gateway::Run() {
   if (!this->listeners.Bound().Ok()) return this->listeners.Bound();
-  this->tasks.Spawn("accept callers",
-                    this->AcceptCallers(this->listeners.callers));
-  this->tasks.Spawn("accept questions",
-                    this->AcceptQuestions(this->listeners.readiness,
-                                          [this](std::string_view path) {
-                                            return this->AnswerReadiness(path);
-                                          }));
-  this->tasks.Spawn("accept questions",
-                    this->AcceptQuestions(this->listeners.directory,
-                                          [this](std::string_view path) {
-                                            return this->AnswerDirectory(path);
-                                          }));
-  this->tasks.Spawn("accept questions",
-                    this->AcceptQuestions(this->listeners.metrics,
-                                          [this](std::string_view path) {
-                                            return this->AnswerMetrics(path);
-                                          }));
-  this->tasks.Spawn("watch the loop", this->loop_watch.Run());
-  this->tasks.Spawn("receive peers", this->channel.Receive());
-  this->tasks.Spawn("report to holder", this->channel.Report());
-  this->tasks.Spawn("record spending", this->spend_recorder.Run());
-  this->tasks.Spawn("place models", this->placement.Run());
+  this->tasks.Keep("accept callers", [this] {
+    return this->AcceptCallers(this->listeners.callers);
+  });
+  this->KeepAnswering(
+      "readiness", this->listeners.readiness,
+      [this](std::string_view path) { return this->AnswerReadiness(path); });
+  this->KeepAnswering(
+      "directory", this->listeners.directory,
+      [this](std::string_view path) { return this->AnswerDirectory(path); });
+  this->KeepAnswering(
+      "metrics", this->listeners.metrics,
+      [this](std::string_view path) { return this->AnswerMetrics(path); });
+  this->tasks.Keep("watch the loop", [this] { return this->loop_watch.Run(); });
+  this->tasks.Keep("receive peers", [this] { return this->channel.Receive(); });
+  this->tasks.Keep("report", [this] { return this->channel.Report(); });
+  this->tasks.Keep("record spending",
+                   [this] { return this->spend_recorder.Run(); });
+  this->tasks.Keep("place models", [this] { return this->placement.Run(); });
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
   this->signals.add(SIGTERM);
   this->signals.add(SIGINT);
   this->signals.add(SIGHUP);
-  this->tasks.Spawn("wait for signals", this->WaitForSignal());
-  this->tasks.Spawn("follow store", this->follower.Run());
-  this->tasks.Spawn("register", this->registration.Run());
+  this->tasks.Keep("wait for signals",
+                   [this] { return this->WaitForSignal(); });
+  this->tasks.Keep("follow store", [this] { return this->follower.Run(); });
+  this->tasks.Keep("register", [this] { return this->registration.Run(); });
   this->log.Write("process", "started",
                   {{"callers", this->settings.callers.ToString()},
                    {"store", this->settings.store.ToString()}});
-  this->context.run();
+  this->tasks.RunLoop();
   return Done{};
 }
 
+void Gateway::KeepAnswering(std::string_view name, Acceptor& acceptor,
+                            Answerer answer) {
+  this->tasks.Keep(name, [this, &acceptor, answer = std::move(answer)] {
+    return this->AcceptQuestions(acceptor, answer);
+  });
+}
+
 asio::awaitable<void> Gateway::AcceptCallers(Acceptor& acceptor) {
   while (true) {
     error_code error;
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
@@ -73,6 +74,8 @@
   using Answerer = std::function<PlainAnswer(std::string_view path)>;
 
   boost::asio::awaitable<void> AcceptCallers(Acceptor& acceptor);
+  void KeepAnswering(std::string_view name, Acceptor& acceptor,
+                     Answerer answer);
   boost::asio::awaitable<void> AcceptQuestions(Acceptor& acceptor,
                                                Answerer answer);
   boost::asio::awaitable<void> ServeCaller(Socket socket);
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/request_job.h"
@@ -40,7 +41,7 @@
                    const WireFormat& wire, FleetState& fleet,
                    ModelDemand& demand, QuotaDesk& quotas,
                    FleetChannel& channel, Metrics& metrics, EventLog& log,
-                   Clock clock)
+                   Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -50,6 +51,7 @@
       channel(channel),
       metrics(metrics),
       log(log),
+      tasks(tasks),
       clock(std::move(clock)) {}
 
 asio::awaitable<void> Pipeline::Serve(CallerRequest request, CallerLink& link) {
@@ -57,17 +59,39 @@
   job.started = this->clock.Now();
   job.config = this->fleet.Config();
   this->in_flight += 1;
+  const absl::Cleanup ended = [this] { this->in_flight -= 1; };
+  std::exception_ptr failure;
+  try {
+    co_await this->ServeJob(job);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  link.StopWatching();
+  if (failure != nullptr) co_await this->AnswerFailure(job, failure);
+}
+
+asio::awaitable<void> Pipeline::ServeJob(RequestJob& job) {
   std::optional<Refusal> refusal = co_await this->Admit(job);
   if (refusal.has_value()) {
     co_await this->Refuse(job, std::move(*refusal));
-  } else {
-    link.WatchForLeaving([&job] {
-      if (job.exchange != nullptr) job.exchange->Abort("caller left");
-    });
-    co_await this->Forward(job);
-    link.StopWatching();
+    co_return;
+  }
+  job.link.WatchForLeaving([&job] {
+    if (job.exchange != nullptr) job.exchange->Abort("caller left");
+  });
+  co_await this->Forward(job);
+}
+
+asio::awaitable<void> Pipeline::AnswerFailure(
+    RequestJob& job, const std::exception_ptr& failure) {
+  job.exchange = nullptr;
+  this->tasks.Failed("serve request", failure);
+  if (job.link.Answered()) {
+    this->BreakStream(job);
+    co_return;
   }
-  this->in_flight -= 1;
+  Refusal refusal = MakeRefusal(RefusalCode::kInternal, "the gateway failed");
+  co_await this->Refuse(job, std::move(refusal));
 }
 
 asio::awaitable<std::optional<Refusal>> Pipeline::Admit(RequestJob& job) {
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_GATEWAY_PIPELINE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <exception>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,7 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/target_exchange.h"
+#include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
 
@@ -34,7 +36,7 @@
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
            QuotaDesk& quotas, FleetChannel& channel, Metrics& metrics,
-           EventLog& log, Clock clock);
+           EventLog& log, Tasks& tasks, Clock clock);
 
   /// Answers a request on the link.
   boost::asio::awaitable<void> Serve(CallerRequest request, CallerLink& link);
@@ -50,6 +52,9 @@
   /// What to do after an attempt.
   enum class Next { kDone, kTryAnother };
 
+  boost::asio::awaitable<void> ServeJob(RequestJob& job);
+  boost::asio::awaitable<void> AnswerFailure(RequestJob& job,
+                                             const std::exception_ptr& failure);
   boost::asio::awaitable<std::optional<Refusal>> Admit(RequestJob& job);
   std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
@@ -97,6 +102,7 @@
   FleetChannel& channel;
   Metrics& metrics;
   EventLog& log;
+  Tasks& tasks;
   const Clock clock;
   std::map<std::string, std::unique_ptr<RetryBudget>, std::less<>> retries;
   absl::BitGen random;
--- a/dragonflyglade/gateway/tasks.cc
+++ b/dragonflyglade/gateway/tasks.cc
@@ -6,9 +6,14 @@
 #include <string>
 #include <utility>
 
+#include "dragonflyglade/gateway/signal.h"
+
 namespace dragonflyglade::gateway {
 namespace {
 
+// Long enough that a task that fails each time costs next to nothing.
+constexpr absl::Duration kPauseAfterFailure = absl::Milliseconds(200);
+
 std::string WhatOf(const std::exception_ptr& exception) {
   try {
     std::rethrow_exception(exception);
@@ -34,4 +39,36 @@
                         });
 }
 
+void Tasks::Keep(std::string_view name, TaskMaker make) {
+  this->Spawn(name, this->RunAgain(name, std::move(make)));
+}
+
+// Without this, one odd value would end the following of the store, or the
+// accepting of callers, while the process goes on and looks healthy.
+boost::asio::awaitable<void> Tasks::RunAgain(std::string_view name,
+                                             TaskMaker make) {
+  while (true) {
+    std::exception_ptr failure;
+    try {
+      co_await make();
+      co_return;
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    this->Failed(name, failure);
+    co_await Sleep(this->context, kPauseAfterFailure);
+  }
+}
+
+void Tasks::RunLoop() {
+  while (true) {
+    try {
+      this->context.run();
+      return;
+    } catch (...) {
+      this->Failed("handler", std::current_exception());
+    }
+  }
+}
+
 }  // namespace dragonflyglade::gateway
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -21,8 +21,6 @@
 namespace dragonflyglade {
 namespace {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
 using gateway::GatewaySettings;
 using Stage = GatewayStage;
 using nlohmann::json;
