Say of the last request read whether it was answered

A connection that callers closed while idle was logged as not answered: the mark was reset when the wait for a next request began.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -136,7 +136,6 @@
 
 asio::awaitable<ReadResult> CallerLink::Read() {
   this->stream_begun = false;
-  this->answered = false;
   const bool readable = co_await this->WaitForBytes();
   if (!readable) co_return CallerLeft{};
   const CallerLimits limits = this->limits();
@@ -164,6 +163,7 @@
   // answer could be written any more.
   if (!this->ended_by.empty()) co_return CallerLeft{};
   this->keep_alive = parser.get().keep_alive();
+  this->answered = false;
   co_return Received(parser);
 }
 
