Let an engine take orders after one that ended by an exception

What callers saw: a model or adapter that is not at its engine yet is refused with 503 for as long as the holder of the placing duty stays, after one order to that engine ended by an exception. One request is enough: the adapter's name comes from a caller, with any bytes, and writing the order as JSON throws for bytes that are no UTF-8.

Cause: CarryOut and Inspect cleared `ordering` in their last lines. An exception before them left the flag set, and the planner and the inspection skip engines that are being ordered.

Fix: what follows the order is done on every way out. The step runs under Caught(), which gives the exception back as a value; the engine is put back, is marked to be asked for what it holds, and the exception goes on to Tasks, which writes and counts it. A guard object would not do: at the end of the process coroutines are destroyed after the parts that it would reach.

Test: AFailedOrderHoldsUpNoLaterOne, an encoder that throws once, and a caller's adapter "a\xff".

--- /dev/null
+++ b/dragonflyglade/gateway/caught.cc
@@ -0,0 +1,29 @@
+#include "dragonflyglade/gateway/caught.h"
+
+#include <utility>
+
+namespace dragonflyglade::gateway {
+
+// Not a guard object: when the event loop ends, coroutines are destroyed after
+// the parts that a guard would put back.
+boost::asio::awaitable<std::exception_ptr> Caught(
+    boost::asio::awaitable<void> step) {
+  try {
+    co_await std::move(step);
+  } catch (...) {
+    co_return std::current_exception();
+  }
+  co_return nullptr;
+}
+
+std::string WhatOf(const std::exception_ptr& exception) {
+  try {
+    std::rethrow_exception(exception);
+  } catch (const std::exception& error) {
+    return error.what();
+  } catch (...) {
+    return "not a standard exception";
+  }
+}
+
+}  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dragonflyglade/gateway/caught.h"
 #include "dragonflyglade/gateway/http_text.h"
 
 namespace dragonflyglade::gateway {
@@ -370,8 +371,22 @@
   co_return std::nullopt;
 }
 
+// However the order ends, the engine takes others after it.
 asio::awaitable<void> PlacementDuty::CarryOut(std::shared_ptr<Engine> engine,
                                               ResidencyChange change) {
+  const std::exception_ptr fault =
+      co_await Caught(this->GiveOrder(*engine, change));
+  if (fault) engine->inspect = true;
+  engine->unready.erase(PlaceOf(change));
+  engine->settled_at = this->clock.Now();
+  engine->ordering = false;
+  this->TellHoldings();
+  this->WantPlan();
+  if (fault) std::rethrow_exception(fault);
+}
+
+asio::awaitable<void> PlacementDuty::GiveOrder(Engine& engine,
+                                               const ResidencyChange& change) {
   if (change.kind == ResidencyChange::Kind::kUnload) {
     this->TellHoldings();
     co_await Sleep(this->context, kClosingNews);
@@ -381,32 +396,27 @@
        ++attempt) {
     // Checked as late as possible: whoever lost the duty must not send.
     if (!this->duty.MayAct()) break;
-    answer = co_await this->SendOrder(*engine, change);
+    answer = co_await this->SendOrder(engine, change);
     if (!answer.has_value()) co_await Sleep(this->context, kOrderPause);
   }
   this->log.Write(
       "placement", "order",
-      {{"target", engine->id},
+      {{"target", engine.id},
        {"load", change.kind == ResidencyChange::Kind::kLoad},
        {"model", PlaceOf(change)},
        {"from_store", change.from_store},
-       {"expected", engine->orders_taken},
+       {"expected", engine.orders_taken},
        {"fence", this->duty.Fence()},
        {"answer", answer.has_value() ? static_cast<int>(*answer) : -1}});
   if (answer.has_value()) {
-    this->Settle(*engine, change, *answer);
+    this->Settle(engine, change, *answer);
   } else {
-    engine->inspect = true;
+    engine.inspect = true;
   }
   const bool adapter_loads = answer == OrderAnswer::kAccepted &&
                              !change.adapter.empty() &&
                              change.kind == ResidencyChange::Kind::kLoad;
   if (adapter_loads) co_await Sleep(this->context, kAdapterLoads);
-  engine->unready.erase(PlaceOf(change));
-  engine->settled_at = this->clock.Now();
-  engine->ordering = false;
-  this->TellHoldings();
-  this->WantPlan();
 }
 
 void PlacementDuty::Settle(Engine& engine, const ResidencyChange& change,
@@ -440,27 +450,29 @@
 }
 
 asio::awaitable<void> PlacementDuty::Inspect(std::shared_ptr<Engine> engine) {
-  // A report tells of a moment ago: asked too early, it would not yet show
-  // the last order.
-  const absl::Duration since = this->clock.Now() - engine->settled_at;
-  if (since < kReportLag) co_await Sleep(this->context, kReportLag - since);
-  const std::shared_ptr<TargetState> target = this->fleet.Target(engine->id);
-  if (target != nullptr && this->duty.MayAct()) {
-    HttpCallText call = this->wire.encode_report_call(engine->id);
-    const ExchangeOutcome outcome =
-        co_await this->Call(*target, std::move(call));
-    this->metrics.Count("engine_reports");
-    const auto* whole = std::get_if<WholeAnswer>(&outcome);
-    const bool known =
-        whole != nullptr && this->TakeReport(*engine, whole->body);
-    this->log.Write("placement", "inspected",
-                    {{"target", engine->id},
-                     {"orders_taken", engine->orders_taken},
-                     {"known", known}});
-  }
+  const std::exception_ptr fault = co_await Caught(this->AskForReport(*engine));
   engine->settled_at = this->clock.Now();
   engine->ordering = false;
   this->TellHoldings();
+  if (fault) std::rethrow_exception(fault);
+}
+
+asio::awaitable<void> PlacementDuty::AskForReport(Engine& engine) {
+  // A report tells of a moment ago: asked too early, it would not yet show
+  // the last order.
+  const absl::Duration since = this->clock.Now() - engine.settled_at;
+  if (since < kReportLag) co_await Sleep(this->context, kReportLag - since);
+  const std::shared_ptr<TargetState> target = this->fleet.Target(engine.id);
+  if (target == nullptr || !this->duty.MayAct()) co_return;
+  HttpCallText call = this->wire.encode_report_call(engine.id);
+  const ExchangeOutcome outcome = co_await this->Call(*target, std::move(call));
+  this->metrics.Count("engine_reports");
+  const auto* whole = std::get_if<WholeAnswer>(&outcome);
+  const bool known = whole != nullptr && this->TakeReport(engine, whole->body);
+  this->log.Write("placement", "inspected",
+                  {{"target", engine.id},
+                   {"orders_taken", engine.orders_taken},
+                   {"known", known}});
 }
 
 bool PlacementDuty::TakeReport(Engine& engine, std::string_view body) {
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -74,6 +74,8 @@
   bool Book(const ServiceSpec& service, const ResidencyChange& change);
   boost::asio::awaitable<void> CarryOut(std::shared_ptr<Engine> engine,
                                         ResidencyChange change);
+  boost::asio::awaitable<void> GiveOrder(Engine& engine,
+                                         const ResidencyChange& change);
   boost::asio::awaitable<ExchangeOutcome> Call(TargetState& target,
                                                HttpCallText call);
   boost::asio::awaitable<std::optional<OrderAnswer>> SendOrder(
@@ -81,6 +83,7 @@
   void Settle(Engine& engine, const ResidencyChange& change,
               OrderAnswer answer);
   boost::asio::awaitable<void> Inspect(std::shared_ptr<Engine> engine);
+  boost::asio::awaitable<void> AskForReport(Engine& engine);
   bool TakeReport(Engine& engine, std::string_view body);
   std::vector<wire::TargetHoldings> Holdings() const;
   void TellHoldings();
--- a/tests/platform/gateway_stage.cc
+++ b/tests/platform/gateway_stage.cc
@@ -123,6 +123,12 @@
   return this->Send(this->Text(method, path, key, more));
 }
 
+GatewayStage::Reply GatewayStage::CallModel(const std::string& model) {
+  return this->Call("POST", "/once/", "k1",
+                    "X-Dragonflyglade-Model: " + model +
+                        "\r\nX-Dragonflyglade-Token-Usage: 10,10\r\n");
+}
+
 std::string GatewayStage::Text(const std::string& method,
                                const std::string& path, const std::string& key,
                                const std::string& more) {
--- a/tests/platform/gateway_stage.h
+++ b/tests/platform/gateway_stage.h
@@ -73,6 +73,7 @@
   /// Sends a request on a connection of its own and reads to its end.
   Reply Call(const std::string& method, const std::string& path,
              const std::string& key = "k1", const std::string& more = "");
+  Reply CallModel(const std::string& model);
   Reply Send(const std::string& text);
   Reply SendTo(const Endpoint& endpoint, const std::string& text);
   Reply Ask(const Endpoint& endpoint, const std::string& path);
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -9,7 +9,9 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/match.h"
@@ -109,6 +111,17 @@
           true};
 }
 
+// Takes all orders and holds the model "m".
+Script Engine(const RawRequest& request) {
+  if (absl::StrContains(request.Line(), "/-/report")) {
+    return {AnswerBytes(request, "200 OK",
+                        R"({"sequence": 3, "busy": false,
+                            "models": [{"name": "m"}]})")};
+  }
+  if (!absl::StrContains(request.Line(), "/-/order")) return Sound(request);
+  return {AnswerBytes(request, "202 Accepted", "")};
+}
+
 struct ExchangeCase {
   const char* what;
   const char* path;
@@ -131,6 +144,7 @@
   CPPUNIT_TEST(FollowsTheConfiguration);
   CPPUNIT_TEST(SendsNothingToALeavingTarget);
   CPPUNIT_TEST(PlacesAnAdapterThatIsAskedFor);
+  CPPUNIT_TEST(AFailedOrderHoldsUpNoLaterOne);
   CPPUNIT_TEST(DoesNotTakeUpADutyOfAnEndedLease);
   CPPUNIT_TEST(GivesUpADutyThatAnotherHolds);
   CPPUNIT_TEST(ReloadsItsSettings);
@@ -348,25 +362,15 @@
     std::string order;
     absl::Mutex mutex;
     Stage stage([&](const RawRequest& request) {
-      if (absl::StrContains(request.Line(), "/-/report")) {
-        return Script{AnswerBytes(request, "200 OK",
-                                  R"({"sequence": 3, "busy": false,
-                                 "models": [{"name": "m"}]})")};
+      if (absl::StrContains(request.Line(), "/-/order")) {
+        absl::MutexLock lock(&mutex);
+        order = request.body;
       }
-      if (!absl::StrContains(request.Line(), "/-/order")) return Sound(request);
-      absl::MutexLock lock(&mutex);
-      order = request.body;
-      return Script{AnswerBytes(request, "202 Accepted", "")};
+      return Engine(request);
     });
     stage.PutTarget("i-1", stage.first, "ready",
                     {{{"name", "m"}, {"adapters", json::array()}}});
-    stage.WaitFor([&] {
-      return stage
-                 .Call("POST", "/once/", "k1",
-                       "X-Dragonflyglade-Model: m/a7\r\n"
-                       "X-Dragonflyglade-Token-Usage: 10,10\r\n")
-                 .status == 200;
-    });
+    stage.WaitFor([&] { return stage.CallModel("m/a7").status == 200; });
     absl::MutexLock lock(&mutex);
     const json sent = json::parse(order);
     CPPUNIT_ASSERT_EQUAL(std::string("a7"),
@@ -375,6 +379,39 @@
     CPPUNIT_ASSERT(sent.at("fencing_token").get<int>() > 0);
   }
 
+  // An exception in an order's coroutine left the engine "ordering" for good.
+  void AFailedOrderHoldsUpNoLaterOne() {
+    gateway::WireFormat throws = platform::MakeWireFormat();
+    throws.encode_order = [sound = throws.encode_order,
+                           used = std::make_shared<std::atomic<bool>>(false)](
+                              std::string_view target,
+                              const gateway::EngineOrder& order) {
+      if (!used->exchange(true)) throw std::runtime_error("not encoded");
+      return sound(target, order);
+    };
+    struct OrderCase {
+      const char* what;
+      gateway::WireFormat wire;
+      const char* first_model;
+    };
+    const std::vector<OrderCase> cases = {
+        {"the encoder throws", throws, "m/a7"},
+        {"a caller's adapter that is no text", platform::MakeWireFormat(),
+         "m/a\xff"},
+    };
+    for (const OrderCase& item : cases) {
+      Stage::Options options;
+      options.answer = Engine;
+      options.wire = item.wire;
+      Stage stage(std::move(options));
+      stage.PutTarget("i-1", stage.first, "ready",
+                      {{{"name", "m"}, {"adapters", json::array()}}});
+      stage.WaitFor([&] { return stage.HoldsDuty(); });
+      stage.CallModel(item.first_model);
+      stage.WaitFor([&] { return stage.CallModel("m/a7").status == 200; });
+    }
+  }
+
   // Engines get orders from two instances, the later ones with the lower
   // fence. The lease of the first ended while it was slow; under a new lease
   // it still saw its own old entry as holder and went on with the old fence.
