Count a failed request out in its own coroutine, by Caught

A guard on the coroutine's frame would run when the loop ends and destroys the frames of requests that are still served, after the pipeline that it counts in is gone. Caught gives the exception back as a value, so the lines after the step run on every way out, and on no other; it serves the long tasks, too.

platform-faults and platform-gateway pass as before.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
-#include "absl/cleanup/cleanup.h"
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/target_choice.h"
+#include "dragonflyglade/gateway/caught.h"
 #include "dragonflyglade/gateway/request_job.h"
 
 namespace dragonflyglade::gateway {
@@ -59,15 +59,12 @@
   job.started = this->clock.Now();
   job.config = this->fleet.Config();
   this->in_flight += 1;
-  const absl::Cleanup ended = [this] { this->in_flight -= 1; };
-  std::exception_ptr failure;
-  try {
-    co_await this->ServeJob(job);
-  } catch (...) {
-    failure = std::current_exception();
-  }
+  std::exception_ptr failure = co_await Caught(this->ServeJob(job));
+  // The watch refers to the job.
   link.StopWatching();
-  if (failure != nullptr) co_await this->AnswerFailure(job, failure);
+  if (failure) failure = co_await Caught(this->AnswerFailure(job, failure));
+  this->in_flight -= 1;
+  if (failure) std::rethrow_exception(failure);
 }
 
 asio::awaitable<void> Pipeline::ServeJob(RequestJob& job) {
--- a/dragonflyglade/gateway/tasks.cc
+++ b/dragonflyglade/gateway/tasks.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "dragonflyglade/gateway/caught.h"
 #include "dragonflyglade/gateway/signal.h"
 
 namespace dragonflyglade::gateway {
@@ -14,16 +15,6 @@
 // Long enough that a task that fails each time costs next to nothing.
 constexpr absl::Duration kPauseAfterFailure = absl::Milliseconds(200);
 
-std::string WhatOf(const std::exception_ptr& exception) {
-  try {
-    std::rethrow_exception(exception);
-  } catch (const std::exception& error) {
-    return error.what();
-  } catch (...) {
-    return "not a standard exception";
-  }
-}
-
 }  // namespace
 
 void Tasks::Failed(std::string_view name, const std::exception_ptr& exception) {
@@ -48,13 +39,8 @@
 boost::asio::awaitable<void> Tasks::RunAgain(std::string_view name,
                                              TaskMaker make) {
   while (true) {
-    std::exception_ptr failure;
-    try {
-      co_await make();
-      co_return;
-    } catch (...) {
-      failure = std::current_exception();
-    }
+    const std::exception_ptr failure = co_await Caught(make());
+    if (!failure) co_return;
     this->Failed(name, failure);
     co_await Sleep(this->context, kPauseAfterFailure);
   }
