--- a/dragonflyglade/gateway/spend_record.cc
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -46,9 +46,10 @@
                          {"listed", process.listed},
                          {"tokens", process.tokens}});
   }
-  return json{{"written_ms", absl::ToUnixMillis(record.written)},
-              {"processes", std::move(processes)}}
-      .dump();
+  const json document = {{"written_ms", absl::ToUnixMillis(record.written)},
+                         {"processes", std::move(processes)}};
+  // Names come in reports, with any bytes.
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<SpendRecord> DecodeSpendRecord(std::string_view text) {
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(WritesStoreCalls);
   CPPUNIT_TEST(ReadsStoreReplies);
   CPPUNIT_TEST(WritesOrdersAndReadsReports);
+  CPPUNIT_TEST(AnOrderForWhatIsNoTextIsWritten);
   CPPUNIT_TEST(SpeaksTheDirectory);
   CPPUNIT_TEST_SUITE_END();
 
@@ -438,6 +439,17 @@
     CPPUNIT_ASSERT(!DecodeReport("{}").Ok());
   }
 
+  // Adapters are named by callers, with any bytes; encoding them threw.
+  void AnOrderForWhatIsNoTextIsWritten() {
+    EngineOrder order;
+    order.model = "m";
+    order.adapter = "a\xff";
+    const std::string body = EncodeOrder("i-1", order).body;
+    CPPUNIT_ASSERT(body.find("\"model\":\"m\"") != std::string::npos);
+    CPPUNIT_ASSERT(body.find("\"adapter\":\"a") != std::string::npos);
+    CPPUNIT_ASSERT(body.find('\xff') == std::string::npos);
+  }
+
   void SpeaksTheDirectory() {
     const auto question = DecodeDirectoryQuestion(
         "/-/resolve?name=h.example&region=r&zone=z&more=1");
--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST_SUITE(ReportHubTest);
   CPPUNIT_TEST(SumsUpWhatIsSpent);
   CPPUNIT_TEST(TakesOverWhatWasSpent);
+  CPPUNIT_TEST(KeepsWhatWasSpentBesideNamesThatAreNoText);
   CPPUNIT_TEST(TellsEachWhatOthersHave);
   CPPUNIT_TEST(KnowsDemandFromItsFirstSecond);
   CPPUNIT_TEST_SUITE_END();
@@ -145,6 +146,22 @@
     CPPUNIT_ASSERT_EQUAL(0.0, hub.SpendOf("w").total);
   }
 
+  // Anybody can send a report; a name in it ended the recording for good.
+  void KeepsWhatWasSpentBesideNamesThatAreNoText() {
+    ManualClock manual;
+    ReportHub hub(kWindow, Clock(&manual));
+    hub.Take(Spent(Report("a"), 800));
+    hub.Take(Spent(Report("b\xff"), 400));
+    SpendRecord record;
+    record.processes = hub.SpendsByProcess();
+    const Result<SpendRecord> read =
+        DecodeSpendRecord(EncodeSpendRecord(record));
+    CPPUNIT_ASSERT(read.Ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.Value().processes.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{800},
+                         read.Value().processes[0].tokens.at("w"));
+  }
+
   void TellsEachWhatOthersHave() {
     ManualClock manual;
     ReportHub hub(kWindow, Clock(&manual));
