Go on after a round or a task of a thread that throws

What callers would see: all connections of an instance of `serve` end at once, because one of its threads' rounds or tasks threw.

Cause: Worker and TaskGroup ran their functions bare, and an exception that leaves a thread ends the process.

Fix: both catch and log it. A worker's round is done again after a second; a task counts as ended. A completion is produced in such a task, and its caller waits for the end of its stream, so the producer now ends the stream with "internal", settles the admission and frees the place on every way out.

The producer's ways out have no test of their own: no input was found that makes it throw.

--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/caller/place.h"
 #include "dragonflyglade/caller/sse.h"
@@ -137,11 +138,17 @@
 }
 
 void CompletionRunner::Produce(Job& job) {
+  // Also after an exception: the caller waits for the stream's end. A stream
+  // that has ended takes no failure.
+  const absl::Cleanup end = [this, &job] {
+    job.stream->Fail(
+        Refusal{RefusalCode::kInternal, "the request failed here"});
+    // An engine may stop early; what it did not generate is given back.
+    this->gate.Settle(
+        job.admission,
+        job.delivered == 0 ? 0 : job.request.prompt_tokens + job.delivered);
+  };
   this->TryTargets(job);
-  // An engine may stop early; what it did not generate is given back.
-  this->gate.Settle(
-      job.admission,
-      job.delivered == 0 ? 0 : job.request.prompt_tokens + job.delivered);
   this->metrics.Observe(
       "dragonflyglade_request_seconds",
       fmt::format("class=\"{}\"", NameOf(job.context.request_class)),
@@ -182,11 +189,13 @@
   Attempt attempt(place, EngineClient(Endpoint{place.address, place.port},
                                       place.target, this->call_options));
   EngineRequest request{job.path, job.request.body, job.context.request_id};
+  PlaceOutcome outcome = PlaceOutcome::kNeutral;
+  absl::Cleanup release = [&] { this->dispatcher.Release(place, outcome); };
   this->ReadFrom(job, attempt, EngineClient::RequestFor(request));
   for (int i = 0; i < kMostResumes && this->Resume(job, attempt); ++i) {
   }
-  const PlaceOutcome outcome = this->Judge(job, attempt);
-  this->dispatcher.Release(place, outcome);
+  outcome = this->Judge(job, attempt);
+  std::move(release).Invoke();
   if (attempt.complete) {
     this->targets.NotePrefix(place.pool, place.target, job.request.prefix);
     job.stream->Finish();
--- a/dragonflyglade/net/task_group.cc
+++ b/dragonflyglade/net/task_group.cc
@@ -1,9 +1,23 @@
 #include "dragonflyglade/net/task_group.h"
 
+#include <exception>
 #include <thread>
 #include <utility>
 
+#include "dragonflyglade/net/log.h"
+
 namespace dragonflyglade {
+namespace {
+
+void Do(const std::function<void()>& task) {
+  try {
+    task();
+  } catch (const std::exception& error) {
+    LogFor(LogPart::kInstance).error("A task failed: {}.", error.what());
+  }
+}
+
+}  // namespace
 
 TaskGroup::~TaskGroup() {
   absl::MutexLock lock(&this->mutex);
@@ -19,7 +33,7 @@
     ++this->running;
   }
   std::thread([this, task = std::move(task)]() mutable {
-    task();
+    Do(task);
     // What the task holds is released before it counts as done, because the
     // group's owner may go as soon as nothing runs.
     task = nullptr;
--- a/dragonflyglade/net/task_group.h
+++ b/dragonflyglade/net/task_group.h
@@ -17,7 +17,7 @@
   TaskGroup(const TaskGroup&) = delete;
   TaskGroup& operator=(const TaskGroup&) = delete;
 
-  /// Does the task in a thread of its own.
+  /// Does the task in a thread of its own. What it throws is logged.
   void Run(std::function<void()> task);
 
   /// Tasks under way.
--- a/dragonflyglade/net/worker.cc
+++ b/dragonflyglade/net/worker.cc
@@ -1,8 +1,17 @@
 #include "dragonflyglade/net/worker.h"
 
+#include <exception>
 #include <utility>
 
+#include "dragonflyglade/net/log.h"
+
 namespace dragonflyglade {
+namespace {
+
+// What made a job fail mostly lasts longer than its usual pause.
+constexpr absl::Duration kPauseAfterFault = absl::Seconds(1);
+
+}  // namespace
 
 Worker::Worker(Job job) : job(std::move(job)) {}
 
@@ -12,9 +21,18 @@
   this->thread = std::thread([this] { this->Run(); });
 }
 
+absl::Duration Worker::DoJob() const {
+  try {
+    return this->job();
+  } catch (const std::exception& error) {
+    LogFor(LogPart::kInstance).error("A round failed: {}.", error.what());
+    return kPauseAfterFault;
+  }
+}
+
 void Worker::Run() {
   while (true) {
-    const absl::Duration pause = this->job();
+    const absl::Duration pause = this->DoJob();
     absl::MutexLock lock(&this->mutex);
     const auto interrupted = [this]() ABSL_SHARED_LOCKS_REQUIRED(mutex) {
       return this->stopping || this->woken;
--- a/dragonflyglade/net/worker.h
+++ b/dragonflyglade/net/worker.h
@@ -9,7 +9,8 @@
 
 namespace dragonflyglade {
 
-/// A thread that does a job again and again, with a pause after each.
+/// A thread that does a job again and again, with a pause after each. A job
+/// that throws is logged, and done again after a second.
 class Worker {
  public:
   /// Does the job once; returns the pause until the next time.
@@ -31,6 +32,7 @@
 
  private:
   void Run();
+  absl::Duration DoJob() const;
 
   const Job job;
   mutable absl::Mutex mutex;
