Take an engine's odd answer to an order as one of unknown outcome

What callers would see: all connections of the instance that places models end at once, after one engine answered an order with a field of another type than expected, such as a number for "boot_id".

Cause: the fields were read outside the part that catches the library's exceptions, in a thread without a handler, which ends the process.

Fix: the answer is parsed and read under one handler and gives kOutcomeUnknown, as other answers that cannot be read do; the ledger then shows the order as open, and the next round repeats it.

Test: AnOddAnswerToAnOrderIsAFailure, a table of answers. Without the fix:

uncaught exception of type std::exception (or derived). - [json.exception.type_error.302] type must be string, but is number

--- a/dragonflyglade/target/engine_client.cc
+++ b/dragonflyglade/target/engine_client.cc
@@ -149,16 +149,17 @@
     return MakeFailure(Errc::kOutcomeUnknown, "order", this->peer,
                        reply.Error().ToString());
   }
-  const json document = json::parse(reply.Value().body, nullptr, false);
-  if (!document.is_object()) {
+  try {
+    const json document = json::parse(reply.Value().body);
+    OrderReply result;
+    result.done = reply.Value().head.status == kHttpOk;
+    result.boot_id = document.value("boot_id", std::string());
+    result.explanation = document.value("error", std::string());
+    return result;
+  } catch (const json::exception& error) {
     return MakeFailure(Errc::kOutcomeUnknown, "order", this->peer,
-                       "malformed answer");
+                       error.what());
   }
-  OrderReply result;
-  result.done = reply.Value().head.status == kHttpOk;
-  result.boot_id = document.value("boot_id", std::string());
-  result.explanation = document.value("error", std::string());
-  return result;
 }
 
 }  // namespace dragonflyglade
--- a/tests/unit/unit-threads.cc
+++ b/tests/unit/unit-threads.cc
@@ -1,11 +1,16 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
 
 #include <atomic>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "absl/synchronization/notification.h"
+#include "dragonflyglade/net/http_server.h"
 #include "dragonflyglade/net/task_group.h"
 #include "dragonflyglade/net/worker.h"
+#include "dragonflyglade/target/engine_client.h"
 
 namespace dragonflyglade {
 namespace {
@@ -13,10 +18,17 @@
 // The longest that anything here may take; normally it is milliseconds.
 constexpr absl::Duration kPatience = absl::Seconds(10);
 
+struct OrderCase {
+  const char* what;
+  std::string body;
+  bool understood;
+};
+
 class ThreadsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ThreadsTest);
   CPPUNIT_TEST(AJobThatThrowsIsDoneAgain);
   CPPUNIT_TEST(ATaskThatThrowsIsCountedAsEnded);
+  CPPUNIT_TEST(AnOddAnswerToAnOrderIsAFailure);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -43,6 +55,35 @@
     }
     CPPUNIT_ASSERT(ran);
   }
+
+  // Fields of another type threw in the thread that gave the order.
+  void AnOddAnswerToAnOrderIsAFailure() {
+    const std::vector<OrderCase> cases = {
+        {"as it should be", R"({"boot_id": "b", "error": ""})", true},
+        {"fields left out", "{}", true},
+        {"a number for the process", R"({"boot_id": 5})", false},
+        {"an object for the error", R"({"boot_id": "b", "error": {}})", false},
+        {"no object", "[]", false},
+        {"no JSON", "?", false},
+    };
+    for (const OrderCase& item : cases) {
+      HttpServer server({"127.0.0.1", 0}, 2);
+      server.Library().Post(
+          ".*", [&](const httplib::Request&, httplib::Response& response) {
+            response.set_content(item.body, "application/json");
+          });
+      const Result<int> port = server.Start("listen");
+      CPPUNIT_ASSERT(port.Ok());
+      const EngineClient engine({"127.0.0.1", port.Value()}, "t",
+                                TargetCallOptions());
+      const Result<OrderReply> reply = engine.Order(EngineOrder());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.understood, reply.Ok());
+      if (!item.understood) {
+        CPPUNIT_ASSERT_MESSAGE(item.what,
+                               reply.Error().code == Errc::kOutcomeUnknown);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ThreadsTest, "unit-threads");
