Answer a completion whatever its engine calls the model

What callers would see: 500 instead of a whole completion whose events name their model by something that is no text. The instance counted each such call as open from then on: it told the others a load that it did not have, and when it was told to leave it waited for its whole drain limit.

Cause: json::value() throws for a field of another type, and Answer put the count of open calls back in its last line only.

Fix: a model that is no text is replaced by the one asked for. The count is put back by a cleanup on every way out, whatever throws.

Test: AnOddNameOfTheModelFailsNoCall. Without either fix:

integration-callers.cc:216:Assertion - Expected: 0 - Actual : 15

which is the load that stays. With the cleanup alone:

integration-callers.cc:217:Assertion - Expected: 200 - Actual : 500

--- a/dragonflyglade/caller/caller_server.cc
+++ b/dragonflyglade/caller/caller_server.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "dragonflyglade/caller/sse.h"
 #include "dragonflyglade/net/http_server.h"
 #include "dragonflyglade/net/log.h"
@@ -106,6 +107,7 @@
 void CallerServer::Impl::Answer(const httplib::Request& wire,
                                 httplib::Response& response) {
   ++this->active;
+  const absl::Cleanup ended = [this] { --this->active; };
   const CallerReply reply = this->handler.Handle(RequestOf(wire));
   response.set_header("X-Request-Id", reply.request_id);
   if (this->closing) response.set_header("Connection", "close");
@@ -118,7 +120,6 @@
     response.status = whole.status;
     response.set_content(whole.body, whole.content_type);
   }
-  --this->active;
 }
 
 void CallerServer::Impl::Route() {
--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -43,6 +43,13 @@
   return delta.at("content").get<std::string>();
 }
 
+// The model as an event names it, which may be in more detail than asked for.
+std::string ModelOf(const json& event, const std::string& otherwise) {
+  const auto model = event.find("model");
+  const bool named = model != event.end() && model->is_string();
+  return named ? model->get<std::string>() : otherwise;
+}
+
 }  // namespace
 
 // One request on its way, shared by the caller's thread and the reader's.
@@ -349,7 +356,7 @@
     return Refusal{RefusalCode::kStreamEnded, "the call was ended early"};
   }
   json answer = {{"id", job.context.request_id},
-                 {"model", last.value("model", job.request.model)},
+                 {"model", ModelOf(last, job.request.model)},
                  {"object", is_chat ? "chat.completion" : "text_completion"}};
   json choice = {{"index", 0}, {"finish_reason", finish_reason}};
   if (is_chat) {
--- a/tests/integration/integration-callers.cc
+++ b/tests/integration/integration-callers.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/clock.h"
 #include "tests/fleet/caller.h"
 #include "tests/fleet/fleet.h"
 
@@ -17,6 +18,9 @@
 
 using nlohmann::json;
 
+// An instance looks at its load twice a second.
+constexpr absl::Duration kLoadIsKnown = absl::Milliseconds(1200);
+
 struct CallCase {
   const char* name;
   CallSpec spec;
@@ -67,6 +71,7 @@
 class CallersIntegration : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallersIntegration);
   CPPUNIT_TEST(EachRequestGetsItsAnswer);
+  CPPUNIT_TEST(AnOddNameOfTheModelFailsNoCall);
   CPPUNIT_TEST(ACancelReachesTheEngine);
   CPPUNIT_TEST_SUITE_END();
 
@@ -190,6 +195,31 @@
                    std::string::npos);
   }
 
+  // The call ended with 500, and counted as open for good.
+  void AnOddNameOfTheModelFailsNoCall() {
+    FleetOptions options;
+    options.instances = 1;
+    options.engines = 1;
+    options.engine.odd_model = true;
+    Fleet fleet(options);
+    fleet.WaitReady();
+    const CallerKey key = fleet.Grant("gallery");
+    const CallSpec spec =
+        Completion(R"({"model":"letters","prompt":"x","max_tokens":3})");
+    CallResult result;
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      result = CallInstance(fleet.CallerEndpoint(1), key.ToString(), spec);
+      return result.status == 200 || result.status == 500;
+    }));
+    absl::SleepFor(kLoadIsKnown);
+    const json members = fleet.Status(1).at("members");
+    CPPUNIT_ASSERT_EQUAL(0, members.at(0).at("load_permille").get<int>());
+    CPPUNIT_ASSERT_EQUAL(200, result.status);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("letters"),
+        json::parse(result.body).at("model").get<std::string>());
+  }
+
   // A caller opens a stream that would last for hours and goes away after the
   // first event. The call to the engine ends, and its place is free again.
   void ACancelReachesTheEngine() {
--- a/tests/standins/engine_stand_in.cc
+++ b/tests/standins/engine_stand_in.cc
@@ -122,6 +122,7 @@
         {{"sequence", this->cache_events.size() + 1}, {"prefix", prefix}});
   }
   const bool is_chat = body.contains("messages");
+  const json shown = this->behaviour.odd_model ? json(7) : json(model);
   for (int i = 0; i < tokens; ++i) {
     // The words tell whose answer it is, so a mix-up shows.
     const std::string word =
@@ -133,7 +134,7 @@
       choice["text"] = word;
     }
     stream->events.push_back(
-        json({{"model", model}, {"choices", json::array({choice})}}).dump());
+        json({{"model", shown}, {"choices", json::array({choice})}}).dump());
   }
   this->Play(stream, 0, response);
 }
--- a/tests/standins/engine_stand_in.h
+++ b/tests/standins/engine_stand_in.h
@@ -30,6 +30,7 @@
   absl::Duration token_delay;
   absl::Duration load_delay;  ///< of a model order
   absl::Duration report_lag;
+  bool odd_model = false;  ///< events name their model by a number
 };
 
 /// A model engine with finite memory, batches, orders and a boot id, which
