Wait for no task whose thread could not start

What callers would see: an instance of `serve` that had once been short of threads waits for its whole drain limit when it is told to leave, and does not end by itself after it.

Cause: TaskGroup counted a task before its thread was made. When none can be had, the exception goes to the one who gave the task, and the count stays.

Fix: a cleanup takes the count back unless the thread started.

Test: ATaskWithoutAThreadIsNotWaitedFor, with a default stack that no thread can have. Without the fix:

unit-threads.cc:85:Assertion Test name: ThreadsTest::ATaskWithoutAThreadIsNotWaitedFor equality assertion failed - Expected: 0 - Actual : 1

--- a/dragonflyglade/net/task_group.cc
+++ b/dragonflyglade/net/task_group.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "dragonflyglade/net/log.h"
 
 namespace dragonflyglade {
@@ -32,14 +33,20 @@
     absl::MutexLock lock(&this->mutex);
     ++this->running;
   }
+  absl::Cleanup not_started = [this] { this->Ended(); };
   std::thread([this, task = std::move(task)]() mutable {
     Do(task);
     // What the task holds is released before it counts as done, because the
     // group's owner may go as soon as nothing runs.
     task = nullptr;
-    absl::MutexLock lock(&this->mutex);
-    --this->running;
+    this->Ended();
   }).detach();
+  std::move(not_started).Cancel();
+}
+
+void TaskGroup::Ended() {
+  absl::MutexLock lock(&this->mutex);
+  --this->running;
 }
 
 int TaskGroup::Running() const {
--- a/dragonflyglade/net/task_group.h
+++ b/dragonflyglade/net/task_group.h
@@ -17,13 +17,16 @@
   TaskGroup(const TaskGroup&) = delete;
   TaskGroup& operator=(const TaskGroup&) = delete;
 
-  /// Does the task in a thread of its own. What it throws is logged.
+  /// Does the task in a thread of its own. What it throws is logged. Throws
+  /// std::system_error if no thread can be had.
   void Run(std::function<void()> task);
 
   /// Tasks under way.
   int Running() const;
 
  private:
+  void Ended();
+
   mutable absl::Mutex mutex;
   int running ABSL_GUARDED_BY(mutex) = 0;
 };
--- a/tests/unit/unit-threads.cc
+++ b/tests/unit/unit-threads.cc
@@ -1,9 +1,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <httplib.h>
+#include <pthread.h>
 
 #include <atomic>
+#include <memory>
 #include <stdexcept>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "absl/synchronization/notification.h"
@@ -28,6 +31,7 @@
   CPPUNIT_TEST_SUITE(ThreadsTest);
   CPPUNIT_TEST(AJobThatThrowsIsDoneAgain);
   CPPUNIT_TEST(ATaskThatThrowsIsCountedAsEnded);
+  CPPUNIT_TEST(ATaskWithoutAThreadIsNotWaitedFor);
   CPPUNIT_TEST(AnOddAnswerToAnOrderIsAFailure);
   CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +60,31 @@
     CPPUNIT_ASSERT(ran);
   }
 
+  // A task whose thread could not start counted as running for good.
+  void ATaskWithoutAThreadIsNotWaitedFor() {
+    constexpr std::size_t kMoreThanThereIs = std::size_t{1} << 46;
+    pthread_attr_t usual;
+    CPPUNIT_ASSERT_EQUAL(0, pthread_getattr_default_np(&usual));
+    pthread_attr_t large;
+    CPPUNIT_ASSERT_EQUAL(0, pthread_attr_init(&large));
+    CPPUNIT_ASSERT_EQUAL(0,
+                         pthread_attr_setstacksize(&large, kMoreThanThereIs));
+    auto tasks = std::make_unique<TaskGroup>();
+    CPPUNIT_ASSERT_EQUAL(0, pthread_setattr_default_np(&large));
+    bool failed = false;
+    try {
+      tasks->Run([] {});
+    } catch (const std::system_error&) {
+      failed = true;
+    }
+    CPPUNIT_ASSERT_EQUAL(0, pthread_setattr_default_np(&usual));
+    CPPUNIT_ASSERT(failed);
+    const int running = tasks->Running();
+    // Its destructor would wait for good.
+    if (running > 0) static_cast<void>(tasks.release());
+    CPPUNIT_ASSERT_EQUAL(0, running);
+  }
+
   // Fields of another type threw in the thread that gave the order.
   void AnOddAnswerToAnOrderIsAFailure() {
     const std::vector<OrderCase> cases = {
