Keep how a process of the soak ended, and where the soak itself did

Seen: the soak's program was aborted once, and nothing was kept of it; a gateway that a signal ended showed as 'ended with -1' if the soak happened to stop it later, and as 'does not recover' or not at all otherwise.

Cause: the test's Process dropped the signal, nothing looked whether a process still ran before it was killed or stopped, the place of the logs was printed at the end only, and an abort left no stack.

Now a gateway that ended by itself breaks a promise with its exit code or signal and the file of its log (which standard error goes to); the place of the logs is printed first; a signal that ends the soak is named with a stack, for addr2line.

--- a/tests/fleet/process.cc
+++ b/tests/fleet/process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstring>
 #include <stdexcept>
 
 extern char** environ;
@@ -62,7 +63,7 @@
   if (this->exit_code.has_value()) return *this->exit_code;
   int status = 0;
   waitpid(this->pid, &status, 0);
-  this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  this->Ended(status);
   return *this->exit_code;
 }
 
@@ -70,8 +71,22 @@
   if (this->exit_code.has_value()) return false;
   int status = 0;
   if (waitpid(this->pid, &status, WNOHANG) == 0) return true;
-  this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  this->Ended(status);
   return false;
 }
 
+void Process::Ended(int status) {
+  this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  this->ended_by = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+}
+
+std::string Process::HowEnded() const {
+  if (!this->exit_code.has_value()) return "not ended";
+  if (this->ended_by == 0) {
+    return "exit code " + std::to_string(*this->exit_code);
+  }
+  return "signal " + std::to_string(this->ended_by) + " (" +
+         strsignal(this->ended_by) + ")";
+}
+
 }  // namespace dragonflyglade
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -30,11 +30,16 @@
   /// Waits for its end. Returns the exit code, or -1 if a signal ended it.
   int Wait();
   bool Running();
+  /// How it ended, e.g. "exit code 1" or "signal 6 (Aborted)".
+  std::string HowEnded() const;
 
  private:
+  void Ended(int status);
+
   pid_t pid = -1;
   int output = -1;
   std::optional<int> exit_code;
+  int ended_by = 0;  ///< a signal, or 0
 };
 
 }  // namespace dragonflyglade
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,6 +1,7 @@
 // Runs real gateways as processes of their own and injects faults from outside
 // them, in overlapping series drawn from a seed, while callers go on. Checks
 // what callers and targets see. Prints the seed; exits 1 on a broken promise.
+#include <execinfo.h>
 #include <fmt/format.h>
 #include <signal.h>
 #include <unistd.h>
@@ -230,11 +231,38 @@
   promises.CheckEnd();
 }
 
+// Names the signal that ends the soak and where it was then. addr2line reads
+// the offsets.
+void SayWhereEnded(int signal) {
+  constexpr int kMostFrames = 64;
+  void* frames[kMostFrames];
+  const int count = backtrace(frames, kMostFrames);
+  dprintf(STDERR_FILENO, "the soak ended by signal %d\n", signal);
+  backtrace_symbols_fd(frames, count, STDERR_FILENO);
+  raise(signal);
+}
+
+// Signals that are handled already, by a sanitizer, stay so.
+void KeepStacks() {
+  for (const int number : {SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL}) {
+    struct sigaction action {};
+    sigaction(number, nullptr, &action);
+    if (action.sa_handler != SIG_DFL) continue;
+    action.sa_handler = SayWhereEnded;
+    action.sa_flags = static_cast<int>(SA_RESETHAND);
+    sigaction(number, &action, nullptr);
+  }
+}
+
 int Main(const Options& options) {
   const auto directory =
       std::filesystem::temp_directory_path() /
       fmt::format("dragonflyglade-soak-{}-{}", options.seed, getpid());
   std::filesystem::create_directories(directory);
+  // Said first: a soak that is aborted says nothing at its end.
+  std::cout << fmt::format("seed {}, logs while it runs: {}", options.seed,
+                           directory.string())
+            << std::endl;
   Promises promises;
   Soak(options, directory.string(), promises);
   // A soak that sees nothing served has tested nothing.
@@ -280,6 +308,7 @@
     std::cerr << error.what() << "\n" << known;
     return 2;
   }
+  dragonflyglade::soak::KeepStacks();
   signal(SIGPIPE, SIG_IGN);
   return dragonflyglade::soak::Main(options);
 }
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -123,6 +123,7 @@
     instance->name = "gateway-" + std::to_string(i);
     instance->first_port = FreePorts(kPortsOfInstance, port);
     instance->settings_file = this->directory + "/" + instance->name + ".json";
+    instance->log_file = this->directory + "/" + instance->name + ".log";
     instance->store_relay =
         std::make_unique<RelayStandIn>(this->store.Address());
     instance->store = instance->store_relay->Start();
@@ -167,7 +168,7 @@
   instance.process = std::make_unique<Process>(
       std::vector<std::string>{this->program, "gateway", "--settings",
                                instance.settings_file},
-      this->directory + "/" + instance.name + ".log", output);
+      instance.log_file, output);
   this->AwaitListening(instance);
 }
 
@@ -183,23 +184,35 @@
   this->promises.Broken(instance.name + " does not start");
 }
 
+// Only a signal of the soak's own may end a process. What it said last is in
+// its log, to which standard error goes as well.
+void World::CheckRuns(const Instance& instance) const {
+  if (instance.process->Running()) return;
+  this->promises.Broken(instance.name + " ended by itself, " +
+                        instance.process->HowEnded() + ", see " +
+                        instance.log_file);
+}
+
 void World::Kill(int index) {
-  std::unique_ptr<Process>& process = this->instances[index]->process;
-  if (process == nullptr) return;
-  process->Signal(SIGKILL);
-  process->Wait();
-  process.reset();
+  Instance& instance = *this->instances[index];
+  if (instance.process == nullptr) return;
+  this->CheckRuns(instance);
+  instance.process->Signal(SIGKILL);
+  instance.process->Wait();
+  instance.process.reset();
 }
 
 void World::Restart(int index) {
-  std::unique_ptr<Process>& process = this->instances[index]->process;
+  const Instance& instance = *this->instances[index];
+  const std::unique_ptr<Process>& process = instance.process;
   if (process == nullptr) return;
+  this->CheckRuns(instance);
   process->Signal(SIGCONT);
   process->Signal(SIGTERM);
   const int code = process->Wait();
   if (code != 0) {
-    this->promises.Broken("a process that was asked to stop ended with " +
-                          std::to_string(code));
+    this->promises.Broken(instance.name + " was asked to stop and ended with " +
+                          process->HowEnded() + ", see " + instance.log_file);
   }
   this->Start(index, false);
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -21,6 +21,7 @@
   std::string name;
   int first_port = 0;  ///< callers; the other four follow
   std::string settings_file;
+  std::string log_file;
   std::unique_ptr<RelayStandIn> store_relay;
   Endpoint store;
   std::unique_ptr<Process> process;
@@ -73,6 +74,7 @@
   PlatformTargetStandIn::Script Answer(Target& target,
                                        const RawRequest& request);
   void AwaitListening(const Instance& instance) const;
+  void CheckRuns(const Instance& instance) const;
   void WriteSettings(const Instance& instance, bool first);
 
   const std::string program;
