Let the soak see a request that was read whole and lost, and kept connections that are cut

Seen by callers: a request that a target ran got no answer; its connection ended under it, though its instance lived on. The soak could not see that: it counted each connection that ended without an answer and judged none, its callers never waited between requests, every configuration had the same limits, and a loop that is late for some ten milliseconds was none of its faults.

New: forty callers that keep connections for up to four fifths of the lowest idle limit (1 s) or for just about it, and send some heads slowly, likewise against the lowest limit of heads (500 ms); configurations that raise and lower both and the routes' timeouts, also in series; an instance that is paused for 20 to 80 ms again and again. Two checks: a request that a target had must be answered, unless its instance ended; a connection used well within every limit must not be cut, unless its instance ended or was paused since its last use. A soak that judged hardly any kept connection fails.

Versions of the configuration were counted by three threads without a lock, and could reach the store in another order; they now have one.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -6,7 +6,10 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "absl/strings/match.h"
+#include "absl/time/clock.h"
 
 namespace dragonflyglade::soak {
 namespace {
@@ -35,7 +38,7 @@
   return "/";
 }
 
-Connection::Connection(const Endpoint& to) {
+Connection::Connection(const Endpoint& to) : used(absl::Now()) {
   this->fd = socket(AF_INET, SOCK_STREAM, 0);
   setsockopt(this->fd, SOL_SOCKET, SO_RCVTIMEO, &kPatience, sizeof kPatience);
   setsockopt(this->fd, SOL_SOCKET, SO_SNDTIMEO, &kPatience, sizeof kPatience);
@@ -57,6 +60,7 @@
 
 bool Connection::Receive() {
   char space[4096];
+  errno = 0;  // an end leaves it as it was
   const ssize_t got = recv(this->fd, space, sizeof space, 0);
   if (got <= 0) return false;
   this->buffer.append(space, static_cast<std::size_t>(got));
@@ -89,41 +93,45 @@
   }
 }
 
-// Bytes that are no answer end up as an exception of the parser.
-Outcome Connection::Ask(const std::string& id, Kind kind,
-                        const std::string& key) {
-  try {
-    return this->AskOnce(id, kind, key);
-  } catch (const std::exception&) {
-    this->Close();
-    Outcome outcome;
-    outcome.status = kUnreadable;
-    outcome.body = this->buffer;
-    return outcome;
+bool Connection::Send(const std::string& text, absl::Duration pause,
+                      Outcome& outcome) {
+  const absl::Time begun = absl::Now();
+  const auto send_part = [this](const std::string& part) {
+    return send(this->fd, part.data(), part.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(part.size());
+  };
+  const std::size_t first =
+      pause > absl::ZeroDuration() ? text.size() / 2 : text.size();
+  bool sent = send_part(text.substr(0, first));
+  outcome.kept = absl::Now() - this->used;
+  if (sent && first < text.size()) {
+    absl::SleepFor(pause);
+    sent = send_part(text.substr(first));
   }
+  outcome.head = absl::Now() - begun;
+  this->used = begun;
+  return sent;
 }
 
-Outcome Connection::AskOnce(const std::string& id, Kind kind,
-                            const std::string& key) {
-  const std::string text =
-      (kind == Kind::kRepeatable ? "GET " : "POST ") + PathOf(kind) +
-      " HTTP/1.1\r\nHost: soak.example\r\nX-Dragonflyglade-Attempt-Id: " + id +
-      "\r\nX-Dragonflyglade-Deadline-Ms: 4000\r\nAuthorization: Bearer " + key +
-      "\r\nContent-Length: 0\r\n\r\n";
-  Outcome outcome;
-  const ssize_t sent = send(this->fd, text.data(), text.size(), MSG_NOSIGNAL);
-  if (sent != static_cast<ssize_t>(text.size())) {
-    this->Close();
-    return outcome;
-  }
+bool Connection::ReadHead(Outcome& outcome, std::string& head) {
   std::size_t end = 0;
   while ((end = this->buffer.find("\r\n\r\n")) == std::string::npos) {
     if (this->Receive()) continue;
-    this->Close();
-    return outcome;
+    const bool silent = errno == EAGAIN || errno == EWOULDBLOCK;
+    outcome.cut = !silent && this->buffer.empty();
+    return false;
   }
-  const std::string head = this->buffer.substr(0, end + 4);
+  head = this->buffer.substr(0, end + 4);
   this->buffer.erase(0, end + 4);
+  return true;
+}
+
+void Connection::ReadAnswer(Outcome& outcome) {
+  std::string head;
+  if (!this->ReadHead(outcome, head)) {
+    this->Close();
+    return;
+  }
   outcome.status = std::stoi(head.substr(head.find(' ') + 1));
   outcome.is_signed =
       !FieldOf(head, "X-Dragonflyglade-Server-Signature").empty();
@@ -131,6 +139,29 @@
   const bool closes =
       absl::EqualsIgnoreCase(FieldOf(head, "Connection"), "close");
   if (!outcome.whole || closes) this->Close();
+}
+
+// Bytes that are no answer end up as an exception of the parser.
+Outcome Connection::Ask(const std::string& id, Kind kind,
+                        const std::string& key, absl::Duration pause) {
+  const std::string text =
+      (kind == Kind::kRepeatable ? "GET " : "POST ") + PathOf(kind) +
+      " HTTP/1.1\r\nHost: soak.example\r\nX-Dragonflyglade-Attempt-Id: " + id +
+      "\r\nX-Dragonflyglade-Deadline-Ms: 4000\r\nAuthorization: Bearer " + key +
+      "\r\nContent-Length: 0\r\n\r\n";
+  Outcome outcome;
+  if (!this->Send(text, pause, outcome)) {
+    outcome.cut = true;
+    this->Close();
+    return outcome;
+  }
+  try {
+    this->ReadAnswer(outcome);
+  } catch (const std::exception&) {
+    this->Close();
+    outcome.status = kUnreadable;
+    outcome.body = this->buffer;
+  }
   return outcome;
 }
 
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "absl/time/time.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "tests/soak/promises.h"
 
@@ -20,15 +21,20 @@
 
   /// Sends a request and reads its answer. Closes the connection if the answer
   /// is not whole or says so.
-  Outcome Ask(const std::string& id, Kind kind, const std::string& key);
+  /// @param pause in the middle of the head
+  Outcome Ask(const std::string& id, Kind kind, const std::string& key,
+              absl::Duration pause = absl::ZeroDuration());
 
  private:
-  Outcome AskOnce(const std::string& id, Kind kind, const std::string& key);
+  bool Send(const std::string& text, absl::Duration pause, Outcome& outcome);
+  bool ReadHead(Outcome& outcome, std::string& head);
+  void ReadAnswer(Outcome& outcome);
   bool Receive();
   bool ReadBody(const std::string& head, Outcome& outcome);
   void Close();
 
   int fd = -1;
+  absl::Time used;  ///< when connecting, or the last request, began
   std::string buffer;
 };
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -19,6 +19,7 @@
 
 #include "absl/time/clock.h"
 #include "tests/soak/caller.h"
+#include "tests/soak/calls.h"
 #include "tests/soak/promises.h"
 #include "tests/soak/world.h"
 
@@ -34,10 +35,12 @@
 };
 
 constexpr int kCallers = 6;
+constexpr int kKeepers = 40;  // they mostly wait
 constexpr int kFaultSeries = 3;
+constexpr int kChanges = 8;      // of the configuration, in a series
+constexpr int kHindrances = 16;  // of an instance, in a series
 // Processes start, leases end and targets are back within this.
 constexpr absl::Duration kRecovery = absl::Seconds(20);
-constexpr const char* kKey = "secret-key-1";
 
 // Deterministic streams of one seed for each thread.
 std::mt19937 StreamOf(unsigned seed, int thread) {
@@ -45,27 +48,6 @@
   return std::mt19937(sequence);
 }
 
-int Between(std::mt19937& random, int least, int most) {
-  return std::uniform_int_distribution<int>(least, most)(random);
-}
-
-// A caller: request after request on a connection until it ends.
-void Call(const World& world, Promises& promises, std::mt19937 random,
-          int number, const std::atomic<bool>& stop) {
-  int count = 0;
-  while (!stop) {
-    const int index = Between(random, 0, world.Instances() - 1);
-    Connection connection(world.At(index).Callers());
-    for (int i = Between(random, 1, 20); i > 0 && connection.Open(); --i) {
-      const auto kind = static_cast<Kind>(Between(random, 0, 3));
-      const std::string id = fmt::format("c{}n{}", number, ++count);
-      promises.Sent(id, kind, kKey);
-      promises.Answered(id, connection.Ask(id, kind, kKey));
-    }
-    absl::SleepFor(absl::Milliseconds(Between(random, 0, 20)));
-  }
-}
-
 // Faults, one after the other; several series overlap. An instance or target
 // is in the hands of one series at a time.
 class FaultSeries {
@@ -80,13 +62,13 @@
 
   void Run(const std::atomic<bool>& stop) {
     while (!stop) {
-      const int what = Between(this->random, 0, 9);
-      if (what < 6) {
+      const int what = Between(this->random, 0, 11);
+      if (what < 7) {
         this->HarmInstance(what);
-      } else if (what < 9) {
+      } else if (what < 10) {
         this->HarmTarget(what);
       } else {
-        this->world.PutConfig();
+        this->ChangeConfig(what == 10 ? 1 : kChanges);
       }
       this->Pause(400);
     }
@@ -97,6 +79,23 @@
     absl::SleepFor(absl::Milliseconds(Between(this->random, 20, most_ms)));
   }
 
+  void ChangeConfig(int times) {
+    for (int i = 0; i < times; ++i) {
+      this->world.PutConfig();
+      this->Pause(150);
+    }
+  }
+
+  // As on a machine that others use up: bytes and timers wait for each other.
+  void Hinder(int index) {
+    for (int i = 0; i < kHindrances; ++i) {
+      this->world.Pause(index);
+      this->Pause(80);
+      this->world.Resume(index);
+      this->Pause(80);
+    }
+  }
+
   void HarmInstance(int what) {
     const int index = Between(this->random, 0, this->world.Instances() - 1);
     absl::Mutex& mutex = *this->instances[index];
@@ -111,18 +110,21 @@
         this->world.Restart(index);
         break;
       case 2:
-        this->world.Signal(index, SIGSTOP);
+        this->world.Pause(index);
         this->Pause(2500);
-        this->world.Signal(index, SIGCONT);
+        this->world.Resume(index);
         break;
       case 3:
-        this->world.Signal(index, SIGHUP);
+        this->world.Reload(index);
         break;
       case 4:
         this->world.StoreRelay(index).SetCut(true);
         this->Pause(2500);
         this->world.StoreRelay(index).SetCut(false);
         break;
+      case 5:
+        this->Hinder(index);
+        break;
       default:
         this->world.StoreRelay(index).SilenceOpen();
         break;
@@ -134,11 +136,11 @@
     const int index = Between(this->random, 0, this->world.Targets() - 1);
     absl::Mutex& mutex = *this->targets[index];
     if (!mutex.TryLock()) return;
-    if (what == 6) {
+    if (what == 7) {
       this->world.SetFaults(index, 0.4);
       this->Pause(1500);
       this->world.SetFaults(index, 0);
-    } else if (what == 7) {
+    } else if (what == 8) {
       this->world.TargetRelay(index).SetCut(true);
       this->Pause(600);
       this->world.TargetRelay(index).SetCut(false);
@@ -165,14 +167,9 @@
     const absl::Time end = absl::Now() + kRecovery;
     bool served = false;
     for (int n = 0; !served && absl::Now() < end; ++n) {
+      Session session(world, promises, i);
       const std::string id = fmt::format("recovered{}n{}", i, n);
-      promises.Sent(id, Kind::kRepeatable, kKey);
-      Connection connection(world.At(i).Callers());
-      Outcome outcome;
-      if (connection.Open())
-        outcome = connection.Ask(id, Kind::kRepeatable, kKey);
-      promises.Answered(id, outcome);
-      served = outcome.status == 200;
+      served = session.Open() && session.Ask(id, Kind::kRepeatable) == 200;
       if (!served) absl::SleepFor(absl::Milliseconds(100));
     }
     if (!served) promises.Broken(world.At(i).name + " does not recover");
@@ -205,18 +202,18 @@
     }
   });
   std::vector<std::thread> callers;
-  callers.reserve(kCallers);
-  for (int i = 0; i < kCallers; ++i) {
+  callers.reserve(kCallers + kKeepers);
+  for (int i = 0; i < kCallers + kKeepers; ++i) {
     callers.emplace_back([&, i] {
-      Call(world, promises, StreamOf(options.seed, i), i, stop_callers);
+      Calls calls(world, promises, StreamOf(options.seed, kFaultSeries + i), i);
+      i < kCallers ? calls.Hurry(stop_callers) : calls.Keep(stop_callers);
     });
   }
   std::vector<std::thread> faults;
   faults.reserve(kFaultSeries);
   for (int i = 0; i < kFaultSeries; ++i) {
     faults.emplace_back([&, i] {
-      FaultSeries series(world, StreamOf(options.seed, kCallers + i), instances,
-                         targets);
+      FaultSeries series(world, StreamOf(options.seed, i), instances, targets);
       series.Run(stop_faults);
     });
   }
@@ -270,11 +267,17 @@
   if (promises.Answers(200) < kFewestServed) {
     promises.Broken("hardly anything was served");
   }
+  constexpr int kFewestKept = 50;
+  if (promises.KeptUses() < kFewestKept) {
+    promises.Broken("hardly any connection was kept");
+  }
   std::cout << fmt::format(
-      "seed {}: {} served, {} refused, {} unknown, {} without an answer\n",
+      "seed {}: {} served, {} refused, {} unknown, {} without an answer, {} on "
+      "kept connections\n",
       options.seed, promises.Answers(200),
       promises.Answers(503) + promises.Answers(429),
-      promises.Answers(502) + promises.Answers(504), promises.Answers(0));
+      promises.Answers(502) + promises.Answers(504), promises.Answers(0),
+      promises.KeptUses());
   const std::vector<std::string> violations = promises.Violations();
   for (const std::string& violation : violations) {
     std::cout << "broken: " << violation << "\n";
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/promises.h"
 
+#include <fmt/format.h>
+
 #include "absl/strings/match.h"
 
 namespace dragonflyglade::soak {
@@ -13,6 +15,21 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Shorter ones are not kept, but used at once.
+constexpr absl::Duration kLeastKept = absl::Milliseconds(100);
+
+bool InTime(const Outcome& outcome) {
+  return outcome.kept <= kUsableShare * kLeastIdle &&
+         outcome.head <= kUsableShare * kLeastHead;
+}
+
+std::string TraceOf(const Outcome& outcome, Harm harm) {
+  return fmt::format("kept for {} ms, head in {} ms, instance {}",
+                     absl::ToInt64Milliseconds(outcome.kept),
+                     absl::ToInt64Milliseconds(outcome.head),
+                     harm == Harm::kPaused ? "paused meanwhile" : "untouched");
+}
+
 }  // namespace
 
 std::string EventOf(const std::string& id, int number) {
@@ -37,7 +54,16 @@
 
 void Promises::Sent(const std::string& id, Kind kind, const std::string& key) {
   absl::MutexLock lock(&this->mutex);
-  this->requests[id] = {kind, key};
+  Request& sent = this->requests[id];
+  sent.kind = kind;
+  sent.key = key;
+}
+
+void Promises::Reached(const RawRequest& request) {
+  const std::string id = request.Field("X-Dragonflyglade-Attempt-Id");
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->requests.find(id);
+  if (found != this->requests.end()) found->second.reached = true;
 }
 
 void Promises::Runs(const RawRequest& request) {
@@ -61,10 +87,24 @@
   }
 }
 
-void Promises::Answered(const std::string& id, const Outcome& outcome) {
+// An instance that is paused cannot keep time. With one that runs on, bytes
+// sent well within the limits were there before any limit had passed.
+void Promises::CheckKept(const std::string& id, const Outcome& outcome,
+                         Harm harm) {
+  if (harm != Harm::kNone || !InTime(outcome)) return;
+  if (outcome.kept >= kLeastKept) this->kept_uses += 1;
+  if (outcome.cut) {
+    this->Violation(id, "a kept connection was cut: " + TraceOf(outcome, harm));
+  }
+}
+
+void Promises::Answered(const std::string& id, const Outcome& outcome,
+                        Harm harm) {
   absl::MutexLock lock(&this->mutex);
   Request& sent = this->requests.at(id);
   sent.status = outcome.status;
+  if (outcome.cut && harm != Harm::kEnded) sent.cut = TraceOf(outcome, harm);
+  this->CheckKept(id, outcome, harm);
   this->answers[outcome.status] += 1;
   if (outcome.status == kUnreadable) {
     this->Violation(id, "bytes that are no answer: " + outcome.body);
@@ -79,6 +119,11 @@
 void Promises::CheckEnd() {
   absl::MutexLock lock(&this->mutex);
   for (const auto& [id, sent] : this->requests) {
+    // A target can only have what the instance has read whole. Neither a
+    // target's fault nor a limit that passes then excuses silence.
+    if (sent.reached && !sent.cut.empty()) {
+      this->Violation(id, "read whole, and cut without an answer: " + sent.cut);
+    }
     if (MayRunTwice(sent.kind) || sent.runs == 0) continue;
     if (PromisesNotRun(sent.status)) {
       this->Violation(id,
@@ -92,6 +137,11 @@
   return this->violations;
 }
 
+int Promises::KeptUses() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->kept_uses;
+}
+
 int Promises::Answers(int status) const {
   absl::MutexLock lock(&this->mutex);
   const auto found = this->answers.find(status);
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -19,6 +20,9 @@
 
 constexpr int kTargets = 3;
 constexpr int kPortsOfInstance = 5;
+// How many times the lowest limit a version's limits are.
+constexpr int kLimitFactors[] = {1, 3, 1, 2};
+constexpr int kRouteTimeoutsMs[] = {3000, 2000, 2500};
 
 // Ports that are free now, next to one another.
 int FreePorts(int count, int& from) {
@@ -80,12 +84,12 @@
 }
 
 json Route(const std::string& name, const std::string& type, int attempts,
-           bool resumable) {
+           bool resumable, int timeout_ms) {
   return {{"name", name},
           {"host", "soak.example"},
           {"prefix", "/" + name + "/"},
           {"type", type},
-          {"timeout_ms", 3000},
+          {"timeout_ms", timeout_ms},
           {"target_latency_ms", 1000},
           {"service", "s"},
           {"max_attempts", attempts},
@@ -170,6 +174,7 @@
                                instance.settings_file},
       instance.log_file, output);
   this->AwaitListening(instance);
+  instance.ends += 1;
 }
 
 // A signal that comes before the process has begun ends it, which is nobody's
@@ -197,16 +202,18 @@
   Instance& instance = *this->instances[index];
   if (instance.process == nullptr) return;
   this->CheckRuns(instance);
+  instance.ends += 1;
   instance.process->Signal(SIGKILL);
   instance.process->Wait();
   instance.process.reset();
 }
 
 void World::Restart(int index) {
-  const Instance& instance = *this->instances[index];
+  Instance& instance = *this->instances[index];
   const std::unique_ptr<Process>& process = instance.process;
   if (process == nullptr) return;
   this->CheckRuns(instance);
+  instance.ends += 1;
   process->Signal(SIGCONT);
   process->Signal(SIGTERM);
   const int code = process->Wait();
@@ -217,9 +224,32 @@
   this->Start(index, false);
 }
 
-void World::Signal(int index, int signal) {
-  const std::unique_ptr<Process>& process = this->instances[index]->process;
-  if (process != nullptr) process->Signal(signal);
+void World::Reload(int index) {
+  this->instances[index]->process->Signal(SIGHUP);
+}
+
+void World::Pause(int index) {
+  this->instances[index]->pauses += 1;
+  this->instances[index]->process->Signal(SIGSTOP);
+}
+
+void World::Resume(int index) {
+  this->instances[index]->process->Signal(SIGCONT);
+  this->instances[index]->pauses += 1;
+}
+
+Harms World::HarmsOf(int index) const {
+  const Instance& instance = *this->instances[index];
+  return {instance.ends, instance.pauses};
+}
+
+Harm World::HarmSince(int index, const Harms& before) const {
+  const Harms now = this->HarmsOf(index);
+  const auto befell = [](int from, int to) {
+    return from != to || to % 2 != 0;
+  };
+  if (befell(before.ends, now.ends)) return Harm::kEnded;
+  return befell(before.pauses, now.pauses) ? Harm::kPaused : Harm::kNone;
 }
 
 void World::PutTarget(int index, const std::string& state) {
@@ -240,15 +270,23 @@
 }
 
 void World::PutConfig() {
+  absl::MutexLock lock(&this->config_mutex);
   this->version += 1;
+  const auto number = static_cast<std::size_t>(this->version);
+  const int timeout = kRouteTimeoutsMs[number % std::size(kRouteTimeoutsMs)];
+  const int factor = kLimitFactors[number % std::size(kLimitFactors)];
+  const std::string own = "v" + std::to_string(this->version);
   const json config = {
       {"version", this->version},
       {"routes",
-       {Route("once", "non_idempotent", 1, false),
-        Route("any", "idempotent", 3, false),
-        Route("stream", "streaming", 1, false),
-        Route("resumed", "streaming", 3, true),
-        Route("v" + std::to_string(this->version), "idempotent", 1, false)}},
+       {Route("once", "non_idempotent", 1, false, timeout),
+        Route("any", "idempotent", 3, false, timeout),
+        Route("stream", "streaming", 1, false, timeout),
+        Route("resumed", "streaming", 3, true, timeout),
+        Route(own, "idempotent", 1, false, timeout)}},
+      {"limits",
+       {{"idle_timeout_ms", absl::ToInt64Milliseconds(factor * kLeastIdle)},
+        {"header_timeout_ms", absl::ToInt64Milliseconds(factor * kLeastHead)}}},
       {"services", {{{"name", "s"}, {"max_connections", 60}}}},
       {"tenants", {{{"name", "t1"}, {"api_keys", {"secret-key-1"}}}}}};
   this->store.Put("op/config", config.dump());
@@ -256,6 +294,7 @@
 
 PlatformTargetStandIn::Script World::Answer(Target& target,
                                             const RawRequest& request) {
+  this->promises.Reached(request);
   double fate = 0;
   double kind = 0;
   {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -25,6 +25,9 @@
   std::unique_ptr<RelayStandIn> store_relay;
   Endpoint store;
   std::unique_ptr<Process> process;
+  // Odd while it does not run, or not for sure; odd while it is paused.
+  std::atomic<int> ends = 1;
+  std::atomic<int> pauses = 0;
 
   Endpoint Callers() const { return {"127.0.0.1", this->first_port}; }
 };
@@ -38,6 +41,12 @@
   std::atomic<double> fault_share = 0;
 };
 
+/// How often an instance ended, and was paused, by a moment.
+struct Harms {
+  int ends = 0;
+  int pauses = 0;
+};
+
 /// Gateways, targets and a store, and the faults that can befall them.
 class World {
  public:
@@ -49,12 +58,17 @@
 
   int Instances() const { return static_cast<int>(this->instances.size()); }
   const Instance& At(int index) const { return *this->instances[index]; }
+  Harms HarmsOf(int index) const;
+  /// What befell an instance since a moment.
+  Harm HarmSince(int index, const Harms& before) const;
 
   void Start(int index, bool first);
   void Kill(int index);
   /// Asks it to stop, waits for its end, and starts it again.
   void Restart(int index);
-  void Signal(int index, int signal);
+  void Reload(int index);
+  void Pause(int index);
+  void Resume(int index);
   RelayStandIn& StoreRelay(int index) {
     return *this->instances[index]->store_relay;
   }
@@ -65,7 +79,7 @@
   }
   void PutTarget(int index, const std::string& state);
   void RemoveTarget(int index);
-  /// The operator writes the next version.
+  /// The operator writes the next version: other timeouts, limits and routes.
   void PutConfig();
   /// Leases end whose time is over.
   void ExpireLeases() { this->store.ExpireLeases(); }
@@ -83,7 +97,8 @@
   absl::Mutex mutex;
   std::mt19937 random ABSL_GUARDED_BY(mutex);
   PlatformStoreStandIn store;
-  int version = 0;
+  absl::Mutex config_mutex;  ///< versions reach the store in their order
+  int version ABSL_GUARDED_BY(config_mutex) = 0;
   std::vector<std::unique_ptr<Target>> targets;
   std::vector<std::unique_ptr<Instance>> instances;
 };
