Hold gateways to the idle time that they state, and meet them where they close

The soak judged uses within four fifths of the lowest limit only, and its late requests came a second before the moment at which timer and bytes meet.

Callers read the stated time, and a connection that is used within it must not be cut.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -22,6 +22,14 @@
   return RawRequest{head, ""}.Field(name);
 }
 
+// "Keep-Alive: timeout=SECONDS", or nothing.
+absl::Duration StatedTime(const std::string& head) {
+  const std::string field = FieldOf(head, "Keep-Alive");
+  const std::size_t equals = field.find('=');
+  if (equals == std::string::npos) return absl::ZeroDuration();
+  return absl::Seconds(std::stoi(field.substr(equals + 1)));
+}
+
 }  // namespace
 
 std::string PathOf(Kind kind) {
@@ -104,6 +112,7 @@
       pause > absl::ZeroDuration() ? text.size() / 2 : text.size();
   bool sent = send_part(text.substr(0, first));
   outcome.kept = absl::Now() - this->used;
+  outcome.stated = this->stated;
   if (sent && first < text.size()) {
     absl::SleepFor(pause);
     sent = send_part(text.substr(first));
@@ -135,6 +144,7 @@
   outcome.status = std::stoi(head.substr(head.find(' ') + 1));
   outcome.is_signed =
       !FieldOf(head, "X-Dragonflyglade-Server-Signature").empty();
+  this->stated = StatedTime(head);
   outcome.whole = this->ReadBody(head, outcome);
   const bool closes =
       absl::EqualsIgnoreCase(FieldOf(head, "Connection"), "close");
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -34,7 +34,8 @@
   void Close();
 
   int fd = -1;
-  absl::Time used;  ///< when connecting, or the last request, began
+  absl::Time used;        ///< when connecting, or the last request, began
+  absl::Duration stated;  ///< for so long it stays, by the last answer
   std::string buffer;
 };
 
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -23,9 +23,10 @@
   std::string body;    ///< without chunk framing
   bool whole = false;  ///< as the framing says
   bool is_signed = false;
-  bool cut = false;     ///< the other end closed before an answer began
-  absl::Duration kept;  ///< at most as long was the connection idle before
-  absl::Duration head;  ///< at most as long did the head take
+  bool cut = false;       ///< the other end closed before an answer began
+  absl::Duration kept;    ///< at most as long was the connection idle before
+  absl::Duration head;    ///< at most as long did the head take
+  absl::Duration stated;  ///< for so long it could be idle by the last answer
 };
 
 /// What befell an instance while a request was with it, or its connection was
@@ -33,7 +34,8 @@
 enum class Harm { kNone, kPaused, kEnded };
 
 // The lowest limits of callers in any configuration. Within four fifths of them
-// callers may use connections and send heads, whichever is in force.
+// callers may use connections and send heads, whichever is in force, and
+// connections for as long as the last answer stated.
 inline constexpr absl::Duration kLeastIdle = absl::Seconds(1);
 inline constexpr absl::Duration kLeastHead = absl::Milliseconds(500);
 inline constexpr double kUsableShare = 0.8;
