Time a step out after two looks in a row that found no bytes

A request whose head took three reads or more was still closed without an answer when it came in time while the loop was late: the last read takes the last bytes at once, its handler is queued behind the timer's, and the timer's look found an empty socket. Looks at bytes that nobody reads were bounded in turns, and held a step open for 1.4 s at turns of 5 ms.

A second quiet look comes after that handler; looking ends 100 ms after the first look at the latest. A head that a caller broke off is logged as its close.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -115,8 +115,9 @@
 
 ReadResult CallerLink::NotRead(const error_code& error) {
   if (IsHttpError(error)) return MalformedRequest{StatusOf(error)};
-  const bool closed =
-      error == http::error::end_of_stream || error == asio::error::eof;
+  const bool closed = error == http::error::end_of_stream ||
+                      error == http::error::partial_message ||
+                      error == asio::error::eof;
   this->Abort(closed ? "caller closed" : "caller cut off");
   return CallerLeft{};
 }
--- a/dragonflyglade/gateway/step_timer.cc
+++ b/dragonflyglade/gateway/step_timer.cc
@@ -6,9 +6,11 @@
 
 namespace {
 
-// Each turn reads 512 bytes or more of a connection, so answers of 128 KB are
-// read to their end. Bytes that nobody reads must not hold a step open.
-constexpr int kMostLooks = 256;
+// The handler that takes the last bytes may be queued behind a look that finds
+// none; it has run by the next one.
+constexpr int kQuietLooks = 2;
+// Bytes that nobody reads must not hold a step open.
+constexpr absl::Duration kLongestLooking = absl::Milliseconds(100);
 
 }  // namespace
 
@@ -22,7 +24,9 @@
 
 void StepTimer::Start(absl::Duration time, Expired expired) {
   *this->step += 1;
-  this->Wait(time, this->clock.Now() + time, 0, std::move(expired));
+  Looks looks;
+  looks.due = this->clock.Now() + time;
+  this->Wait(time, looks, std::move(expired));
 }
 
 void StepTimer::Stop() {
@@ -32,26 +36,28 @@
 
 // A wait that has expired cannot be cancelled once its handler is queued, so
 // the handler checks that its step is still the present one. While the loop was
-// busy, both the end of the time and the bytes of the step may have come;
-// sockets come before timers in the next turn, so one more turn shows it.
-void StepTimer::Wait(absl::Duration time, Instant due, int looks,
-                     Expired expired) {
+// busy, the end of the time and the bytes of the step may both have come; turns
+// of the loop go on until what has come is read.
+void StepTimer::Wait(absl::Duration time, Looks looks, Expired expired) {
   this->timer.expires_after(absl::ToChronoNanoseconds(time));
-  this->timer.async_wait([this, present = this->step, number = *this->step, due,
+  this->timer.async_wait([this, present = this->step, number = *this->step,
                           looks, expired = std::move(expired)](
                              const boost::system::error_code& error) mutable {
     if (error || *present != number) return;
     if (this->LooksAgain(looks)) {
-      this->Wait(absl::ZeroDuration(), due, looks + 1, std::move(expired));
+      this->Wait(absl::ZeroDuration(), looks, std::move(expired));
       return;
     }
-    expired(this->clock.Now() - due);
+    expired(this->clock.Now() - looks.due);
   });
 }
 
-bool StepTimer::LooksAgain(int looks) const {
-  if (looks == 0) return true;
-  return looks < kMostLooks && this->bytes_wait();
+bool StepTimer::LooksAgain(Looks& looks) const {
+  const Instant now = this->clock.Now();
+  if (!looks.first.has_value()) looks.first = now;
+  looks.quiet = this->bytes_wait() ? 0 : looks.quiet + 1;
+  if (looks.quiet >= kQuietLooks) return false;
+  return now - *looks.first < kLongestLooking;
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/step_timer.h
+++ b/dragonflyglade/gateway/step_timer.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/clock.h"
@@ -36,8 +37,15 @@
   void Stop();
 
  private:
-  void Wait(absl::Duration time, Instant due, int looks, Expired expired);
-  bool LooksAgain(int looks) const;
+  /// The looks at a connection whose step's time is over.
+  struct Looks {
+    Instant due;  ///< the end of the step's time
+    std::optional<Instant> first;
+    int quiet = 0;  ///< in a row that found no bytes
+  };
+
+  void Wait(absl::Duration time, Looks looks, Expired expired);
+  bool LooksAgain(Looks& looks) const;
 
   boost::asio::steady_timer timer;
   const Clock clock;
--- a/tests/platform/platform-connections.cc
+++ b/tests/platform/platform-connections.cc
@@ -20,6 +20,7 @@
 
 constexpr int kShortLimitMs = 500;
 constexpr absl::Duration kShortLimit = absl::Milliseconds(kShortLimitMs);
+constexpr int kHeadLimitMs = 1500;
 constexpr int kLongLimitMs = 20000;
 // Longer than a short limit with all that is allowed beyond it.
 constexpr absl::Duration kPastShortLimit = absl::Milliseconds(2500);
@@ -60,6 +61,8 @@
   std::string buffer;
 };
 
+// Long enough for the first bytes of a head to be read, on a busy machine.
+constexpr absl::Duration kReadSoon = absl::Milliseconds(200);
 // A request's way to the gateway, on a busy machine.
 constexpr absl::Duration kOnItsWay = absl::Milliseconds(200);
 
@@ -67,6 +70,7 @@
   const char* what;
   json limits;
   std::size_t bytes_before;  ///< of the request, sent before the loop is held
+  std::size_t padding;       ///< bytes that make its head longer
 };
 
 struct ChangedLimitCase {
@@ -88,8 +92,9 @@
   // The caller's connection was closed under a request that had been read.
   void ARequestThatComesInTimeIsAnsweredAlthoughTheLoopIsLate() {
     const std::vector<HeldLoopCase> cases = {
-        {"idle", {{"idle_timeout_ms", kShortLimitMs}}, 0},
-        {"within a head", {{"header_timeout_ms", kShortLimitMs}}, 10},
+        {"idle", {{"idle_timeout_ms", kShortLimitMs}}, 0, 0},
+        {"within a head", {{"header_timeout_ms", kHeadLimitMs}}, 10, 0},
+        {"within a long head", {{"header_timeout_ms", kHeadLimitMs}}, 10, 5000},
     };
     for (const HeldLoopCase& item : cases) {
       GatewayStage::Options options;
@@ -97,9 +102,11 @@
       GatewayStage stage(std::move(options));
       KeptCaller caller(stage);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
-      const std::string text = stage.KeptText("GET", "/any/");
+      const std::string text = stage.KeptText(
+          "GET", "/any/",
+          "X-Padding: " + std::string(item.padding, 'x') + "\r\n");
       caller.Write(text.substr(0, item.bytes_before));
-      absl::SleepFor(kShortLimit / 25);
+      absl::SleepFor(kReadSoon);
       {
         LoopHold hold(stage);
         caller.Write(text.substr(item.bytes_before));
