Take signals before anybody can see the process listen

A gateway that was told to reload or to stop right after its start ended by the signal itself, with its callers' connections: its ports were bound in the constructor, and the signals taken in Run. Between them SIGHUP and SIGTERM have their default action.

The signals are taken before the ports are bound; those that come early wait.

--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -40,6 +40,7 @@
       wire(std::move(wire)),
       clock(SteadyClock()),
       context(1),
+      signals(this->context, SIGTERM, SIGINT, SIGHUP),
       listeners(this->context, this->settings),
       log(this->settings.instance, this->clock),
       tasks(this->context, this->metrics, this->log),
@@ -73,8 +74,7 @@
                 this->tasks, this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->desk, this->channel, this->metrics,
-               this->log, this->tasks, this->clock),
-      signals(this->context) {
+               this->log, this->tasks, this->clock) {
   this->AddGauges();
 }
 
@@ -133,9 +133,6 @@
   this->tasks.Keep("place models", [this] { return this->placement.Run(); });
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
-  this->signals.add(SIGTERM);
-  this->signals.add(SIGINT);
-  this->signals.add(SIGHUP);
   this->tasks.Keep("wait for signals",
                    [this] { return this->WaitForSignal(); });
   this->tasks.Keep("follow store", [this] { return this->follower.Run(); });
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -96,6 +96,8 @@
   const WireFormat wire;
   const Clock clock;
   boost::asio::io_context context;
+  // Before the listeners: who sees the process listen may signal it.
+  boost::asio::signal_set signals;
   Listeners listeners;
   Metrics metrics;
   EventLog log;
@@ -116,7 +118,6 @@
   SpendRecorder spend_recorder;
   PlacementDuty placement;
   Pipeline pipeline;
-  boost::asio::signal_set signals;
   bool stopping = false;
 };
 
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -174,6 +174,8 @@
                                instance.settings_file},
       instance.log_file, output);
   this->AwaitListening(instance);
+  // Whoever sees it listen may signal it: it must not end by that.
+  instance.process->Signal(SIGHUP);
   instance.ends += 1;
 }
 
