--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -81,12 +81,8 @@
 
 asio::awaitable<void> Pipeline::AnswerFailure(
     RequestJob& job, const std::exception_ptr& failure) {
-  job.exchange = nullptr;
   this->tasks.Failed("serve request", failure);
-  if (job.link.Answered()) {
-    this->BreakStream(job);
-    co_return;
-  }
+  if (job.link.Answered() && !job.link.StreamBegun()) co_return;
   Refusal refusal = MakeRefusal(RefusalCode::kInternal, "the gateway failed");
   co_await this->Refuse(job, std::move(refusal));
 }
