Give the new parts the field's names; watch again after a wake for nothing

PeekSocket, LoopBlocker, KeepAliveClient, KeepAliveTimeout and KeepRunning say what they are. A watch for a caller's leaving that finds the socket quiet goes on; before, the caller's end would not have been noticed any more.

--- a/dragonflyglade/gateway/caller_link.cc
+++ b/dragonflyglade/gateway/caller_link.cc
@@ -9,7 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "dragonflyglade/gateway/http_text.h"
-#include "dragonflyglade/gateway/socket_look.h"
+#include "dragonflyglade/gateway/peek_socket.h"
 
 namespace dragonflyglade::gateway {
 
@@ -66,7 +66,7 @@
       limits(std::move(limits)),
       clock(std::move(clock)),
       timer(context, this->clock,
-            [this] { return LookAt(this->socket) == SocketState::kBytes; }),
+            [this] { return PeekSocket(this->socket) == SocketState::kBytes; }),
       wait_begun(this->clock.Now()) {
   // Failing options change timing only, never an outcome.
   error_code ignored;
@@ -168,7 +168,7 @@
   co_return Received(parser);
 }
 
-std::optional<absl::Duration> CallerLink::StatedKeepAlive() const {
+std::optional<absl::Duration> CallerLink::KeepAliveTimeout() const {
   if (!this->keep_alive) return std::nullopt;
   return this->limits().idle_timeout;
 }
@@ -190,7 +190,7 @@
 asio::awaitable<bool> CallerLink::WriteAnswer(int status, HeaderFields fields,
                                               std::string_view body) {
   std::string text = AnswerText(status, fields, BodyFraming::kLength,
-                                body.size(), this->StatedKeepAlive());
+                                body.size(), this->KeepAliveTimeout());
   text.append(body);
   this->answered = co_await this->Write(std::move(text));
   co_return this->answered;
@@ -200,7 +200,7 @@
                                               std::string_view first) {
   this->stream_begun = true;
   std::string text = AnswerText(status, fields, BodyFraming::kChunked, 0,
-                                this->StatedKeepAlive());
+                                this->KeepAliveTimeout());
   if (!first.empty()) text += ChunkText(first);
   this->answered = co_await this->Write(std::move(text));
   co_return this->answered;
@@ -219,13 +219,19 @@
   // Bytes of a next request hide the end of the connection.
   if (this->buffer.size() > 0) return;
   this->watch = ++this->watches;
+  this->Watch(std::move(on_left));
+}
+
+void CallerLink::Watch(std::function<void()> on_left) {
   this->socket.async_wait(
       tcp::socket::wait_read,
       [this, alive = this->alive, number = this->watch,
-       on_left = std::move(on_left)](const error_code& error) {
+       on_left = std::move(on_left)](const error_code& error) mutable {
         if (!*alive || this->watch != number || error) return;
-        const SocketState state = LookAt(this->socket);
-        if (state == SocketState::kBytes || state == SocketState::kQuiet) {
+        const SocketState state = PeekSocket(this->socket);
+        if (state == SocketState::kBytes) return;
+        if (state == SocketState::kQuiet) {
+          this->Watch(std::move(on_left));
           return;
         }
         this->left = true;
--- a/dragonflyglade/gateway/caller_link.h
+++ b/dragonflyglade/gateway/caller_link.h
@@ -93,11 +93,12 @@
 
  private:
   boost::asio::awaitable<bool> WaitForBytes();
+  void Watch(std::function<void()> on_left);
   boost::asio::awaitable<bool> Write(std::string text);
   void StartStep(absl::Duration time, std::string_view why);
   void StartIdleStep(absl::Duration longest_limit);
   void TimeOut(std::string_view why, absl::Duration late);
-  std::optional<absl::Duration> StatedKeepAlive() const;
+  std::optional<absl::Duration> KeepAliveTimeout() const;
   ReadResult NotRead(const boost::system::error_code& error);
 
   boost::asio::ip::tcp::socket socket;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -113,7 +113,7 @@
 
 Status Gateway::Run() {
   if (!this->listeners.Bound().Ok()) return this->listeners.Bound();
-  this->tasks.Keep("accept callers", [this] {
+  this->tasks.KeepRunning("accept callers", [this] {
     return this->AcceptCallers(this->listeners.callers);
   });
   this->KeepAnswering(
@@ -125,18 +125,23 @@
   this->KeepAnswering(
       "metrics", this->listeners.metrics,
       [this](std::string_view path) { return this->AnswerMetrics(path); });
-  this->tasks.Keep("watch the loop", [this] { return this->loop_watch.Run(); });
-  this->tasks.Keep("receive peers", [this] { return this->channel.Receive(); });
-  this->tasks.Keep("report", [this] { return this->channel.Report(); });
-  this->tasks.Keep("record spending",
-                   [this] { return this->spend_recorder.Run(); });
-  this->tasks.Keep("place models", [this] { return this->placement.Run(); });
+  this->tasks.KeepRunning("watch the loop",
+                          [this] { return this->loop_watch.Run(); });
+  this->tasks.KeepRunning("receive peers",
+                          [this] { return this->channel.Receive(); });
+  this->tasks.KeepRunning("report", [this] { return this->channel.Report(); });
+  this->tasks.KeepRunning("record spending",
+                          [this] { return this->spend_recorder.Run(); });
+  this->tasks.KeepRunning("place models",
+                          [this] { return this->placement.Run(); });
   // A caller or target that closes its end must not end the process.
   signal(SIGPIPE, SIG_IGN);
-  this->tasks.Keep("wait for signals",
-                   [this] { return this->WaitForSignal(); });
-  this->tasks.Keep("follow store", [this] { return this->follower.Run(); });
-  this->tasks.Keep("register", [this] { return this->registration.Run(); });
+  this->tasks.KeepRunning("wait for signals",
+                          [this] { return this->WaitForSignal(); });
+  this->tasks.KeepRunning("follow store",
+                          [this] { return this->follower.Run(); });
+  this->tasks.KeepRunning("register",
+                          [this] { return this->registration.Run(); });
   this->log.Write("process", "started",
                   {{"callers", this->settings.callers.ToString()},
                    {"store", this->settings.store.ToString()}});
@@ -146,7 +151,7 @@
 
 void Gateway::KeepAnswering(std::string_view name, Acceptor& acceptor,
                             Answerer answer) {
-  this->tasks.Keep(name, [this, &acceptor, answer = std::move(answer)] {
+  this->tasks.KeepRunning(name, [this, &acceptor, answer = std::move(answer)] {
     return this->AcceptQuestions(acceptor, answer);
   });
 }
--- a/dragonflyglade/gateway/http_text.h
+++ b/dragonflyglade/gateway/http_text.h
@@ -3,10 +3,12 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "absl/time/time.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
--- a/dragonflyglade/gateway/peek_socket.cc
+++ b/dragonflyglade/gateway/peek_socket.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/gateway/socket_look.h"
+#include "dragonflyglade/gateway/peek_socket.h"
 
 #include <sys/socket.h>
 
@@ -6,7 +6,7 @@
 
 namespace dragonflyglade::gateway {
 
-SocketState LookAt(boost::asio::ip::tcp::socket& socket) {
+SocketState PeekSocket(boost::asio::ip::tcp::socket& socket) {
   if (!socket.is_open()) return SocketState::kFailed;
   char byte = 0;
   ssize_t got = -1;
--- a/dragonflyglade/gateway/peek_socket.h
+++ b/dragonflyglade/gateway/peek_socket.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_GATEWAY_SOCKET_LOOK_H_
-#define DRAGONFLYGLADE_GATEWAY_SOCKET_LOOK_H_
+#ifndef DRAGONFLYGLADE_GATEWAY_PEEK_SOCKET_H_
+#define DRAGONFLYGLADE_GATEWAY_PEEK_SOCKET_H_
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -14,8 +14,8 @@
 };
 
 /// Looks at a socket without reading from it or waiting.
-SocketState LookAt(boost::asio::ip::tcp::socket& socket);
+SocketState PeekSocket(boost::asio::ip::tcp::socket& socket);
 
 }  // namespace dragonflyglade::gateway
 
-#endif  // DRAGONFLYGLADE_GATEWAY_SOCKET_LOOK_H_
+#endif  // DRAGONFLYGLADE_GATEWAY_PEEK_SOCKET_H_
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -5,6 +5,7 @@
 #include <exception>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
--- a/dragonflyglade/gateway/target_connection.cc
+++ b/dragonflyglade/gateway/target_connection.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "dragonflyglade/gateway/socket_look.h"
+#include "dragonflyglade/gateway/peek_socket.h"
 
 namespace dragonflyglade::gateway {
 namespace {
@@ -21,7 +21,7 @@
 // answer, or a target that closed. Such a connection must not be used.
 bool IsQuiet(TargetConnection& connection) {
   if (connection.buffer.size() > 0) return false;
-  return LookAt(connection.socket) == SocketState::kQuiet;
+  return PeekSocket(connection.socket) == SocketState::kQuiet;
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -13,7 +13,7 @@
 #include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
-#include "dragonflyglade/gateway/socket_look.h"
+#include "dragonflyglade/gateway/peek_socket.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
@@ -80,7 +80,7 @@
 
 bool TargetExchange::BytesWait() const {
   return this->connection != nullptr &&
-         LookAt(this->connection->socket) == SocketState::kBytes;
+         PeekSocket(this->connection->socket) == SocketState::kBytes;
 }
 
 void TargetExchange::StartStep(Instant until, std::string_view why) {
--- a/dragonflyglade/gateway/tasks.cc
+++ b/dragonflyglade/gateway/tasks.cc
@@ -30,7 +30,7 @@
                         });
 }
 
-void Tasks::Keep(std::string_view name, TaskMaker make) {
+void Tasks::KeepRunning(std::string_view name, TaskMaker make) {
   this->Spawn(name, this->RunAgain(name, std::move(make)));
 }
 
--- a/tests/platform/gateway_stage.cc
+++ b/tests/platform/gateway_stage.cc
@@ -256,7 +256,7 @@
   return settings;
 }
 
-LoopHold::LoopHold(GatewayStage& stage) {
+LoopBlocker::LoopBlocker(GatewayStage& stage) {
   const auto held = std::make_shared<absl::Notification>();
   boost::asio::post(stage.gateway->Context(), [held, release = this->release] {
     held->Notify();
@@ -265,6 +265,6 @@
   held->WaitForNotification();
 }
 
-LoopHold::~LoopHold() { this->release->Notify(); }
+LoopBlocker::~LoopBlocker() { this->release->Notify(); }
 
 }  // namespace dragonflyglade
--- a/tests/platform/gateway_stage.h
+++ b/tests/platform/gateway_stage.h
@@ -136,13 +136,13 @@
 };
 
 /// Keeps the gateway's event loop busy for as long as this lives.
-class LoopHold {
+class LoopBlocker {
  public:
   /// Returns once the loop does nothing else.
-  explicit LoopHold(GatewayStage& stage);
-  ~LoopHold();
-  LoopHold(const LoopHold&) = delete;
-  LoopHold& operator=(const LoopHold&) = delete;
+  explicit LoopBlocker(GatewayStage& stage);
+  ~LoopBlocker();
+  LoopBlocker(const LoopBlocker&) = delete;
+  LoopBlocker& operator=(const LoopBlocker&) = delete;
 
  private:
   // Shared with the handler, which may still return after this is gone.
--- a/tests/platform/platform-connections.cc
+++ b/tests/platform/platform-connections.cc
@@ -26,9 +26,9 @@
 constexpr absl::Duration kPastShortLimit = absl::Milliseconds(2500);
 
 // A caller that keeps its connection.
-class KeptCaller {
+class KeepAliveClient {
  public:
-  explicit KeptCaller(GatewayStage& stage)
+  explicit KeepAliveClient(GatewayStage& stage)
       : stage(stage),
         socket(stage.Connect(stage.gateway->Settings().callers)) {}
 
@@ -100,7 +100,7 @@
       GatewayStage::Options options;
       options.limits = item.limits;
       GatewayStage stage(std::move(options));
-      KeptCaller caller(stage);
+      KeepAliveClient caller(stage);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
       const std::string text = stage.KeptText(
           "GET", "/any/",
@@ -108,7 +108,7 @@
       caller.Write(text.substr(0, item.bytes_before));
       absl::SleepFor(kReadSoon);
       {
-        LoopHold hold(stage);
+        LoopBlocker hold(stage);
         caller.Write(text.substr(item.bytes_before));
         absl::SleepFor(kPastShortLimit);
       }
@@ -120,15 +120,15 @@
   void AnAnswerThatCameInTimeIsDeliveredAlthoughTheLoopIsLate() {
     constexpr std::size_t kManyReads = 50000;
     GatewayStage stage;
-    std::unique_ptr<LoopHold> hold;
+    std::unique_ptr<LoopBlocker> hold;
     absl::Notification held;
     stage.first.Next([&](const RawRequest& request) {
-      hold = std::make_unique<LoopHold>(stage);
+      hold = std::make_unique<LoopBlocker>(stage);
       held.Notify();
       return Script{AnswerBytes(request, "200 OK", std::string(kManyReads, 'x'),
                                 kSigned)};
     });
-    KeptCaller caller(stage);
+    KeepAliveClient caller(stage);
     caller.Write(stage.KeptText("GET", "/any/",
                                 "X-Dragonflyglade-Deadline-Ms: 500\r\n"));
     held.WaitForNotification();
@@ -143,7 +143,7 @@
     GatewayStage::Options options;
     options.limits = {{"idle_timeout_ms", 2 * kShortLimitMs}};
     GatewayStage stage(std::move(options));
-    KeptCaller caller(stage);
+    KeepAliveClient caller(stage);
     caller.Write(stage.KeptText("GET", "/any/"));
     const RawRequest answer = caller.Read();
     CPPUNIT_ASSERT_EQUAL(std::string("timeout=1"), answer.Field("Keep-Alive"));
@@ -162,7 +162,7 @@
       GatewayStage::Options options;
       options.limits = {{"idle_timeout_ms", item.before_ms}};
       GatewayStage stage(std::move(options));
-      KeptCaller caller(stage);
+      KeepAliveClient caller(stage);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, 200, caller.Call());
       json newer = stage.Config(2, "plain");
       newer["limits"] = {{"idle_timeout_ms", item.after_ms}};
@@ -176,7 +176,7 @@
     GatewayStage::Options options;
     options.limits = {{"idle_timeout_ms", kShortLimitMs}};
     GatewayStage stage(std::move(options));
-    KeptCaller caller(stage);
+    KeepAliveClient caller(stage);
     CPPUNIT_ASSERT_EQUAL(200, caller.Call());
     CPPUNIT_ASSERT_EQUAL(0, caller.ReadStatus());
   }
--- a/tests/unit/unit-peek-socket.cc
+++ b/tests/unit/unit-peek-socket.cc
@@ -7,13 +7,13 @@
 #include <functional>
 #include <vector>
 
-#include "dragonflyglade/gateway/socket_look.h"
+#include "dragonflyglade/gateway/peek_socket.h"
 
 namespace dragonflyglade {
 namespace {
 
 using boost::asio::ip::tcp;
-using gateway::LookAt;
+using gateway::PeekSocket;
 using gateway::SocketState;
 
 struct LookCase {
@@ -27,8 +27,8 @@
   socket.close();
 }
 
-class UnitSocketLookTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(UnitSocketLookTest);
+class UnitPeekSocketTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UnitPeekSocketTest);
   CPPUNIT_TEST(TellsAnEndFromNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -65,12 +65,12 @@
       other.connect(acceptor.local_endpoint());
       tcp::socket own = acceptor.accept();
       item.happens(own, other);
-      CPPUNIT_ASSERT_MESSAGE(item.what, item.state == LookAt(own));
+      CPPUNIT_ASSERT_MESSAGE(item.what, item.state == PeekSocket(own));
     }
   }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(UnitSocketLookTest, "unit-socket-look");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(UnitPeekSocketTest, "unit-peek-socket");
 
 }  // namespace
 }  // namespace dragonflyglade
