Hand changes of the store on through few followers, packed

On the large site instances were away from a healthy store for up to ten seconds and served by old configurations (CONFIG, DENIED, DRAIN). A configuration of 39 KB never fitted into a summary (24 KB), so that all 295 read it from the store in the same moment. A reply had one time limit for the whole, 1.2 s; whoever missed it asked again for more. The record of spending, 45 KB each second, was in each of these replies, as one watch takes all keys.

Urgent changes are compressed (zlib) and handed on with the holder's summary, or as a digest of their own to instances that stand by, in parts where they are too long. An instance that is led reads nothing; after it was led it goes on from the revision that it was told. While the holder is silent it asks the next followers: in fleets of 40 and more the strongest instances beside the holder follow the store, too. Only where nobody speaks does it read itself, and more seldom the larger the fleet. A reply of the store is waited for while bytes come. The record of spending is compressed and leaves out who stands by. Whoever comes to follow the store lists it anew, as adapters and kept weights were left out while it was led.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -1,8 +1,5 @@
 #include "dragonflyglade/gateway/fleet_channel.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
@@ -11,13 +8,13 @@
 #include <set>
 #include <utility>
 
+#include "dragonflyglade/gateway/caught.h"
+#include "dragonflyglade/gateway/thrift_text.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
 
 namespace asio = boost::asio;
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
 using asio::ip::udp;
 using boost::system::error_code;
 
@@ -40,6 +37,10 @@
 // instances that callers are sent to. Larger fleets go by the summaries.
 constexpr std::size_t kMostToldOfSends = 24;
 constexpr std::size_t kLargestDatagram = 65000;
+// How many instances are told of a change in one go, and the pause after that:
+// with a configuration of 8 KB, a link of 200 Mbit/s is then half full.
+constexpr int kToldAtOnce = 16;
+constexpr absl::Duration kToldPause = absl::Milliseconds(10);
 // Reports whose summary is still awaited.
 constexpr std::size_t kMostUnanswered = 32;
 // News of targets that lack something; more are told in later reports.
@@ -50,27 +51,10 @@
   return report.targets.empty() && report.wishes.empty();
 }
 
-std::string Encode(const wire::FleetMessage& message) {
-  const auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocol protocol(buffer);
-  message.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
-std::optional<wire::FleetMessage> Decode(std::string_view datagram) {
-  try {
-    const auto buffer = std::make_shared<TMemoryBuffer>(
-        reinterpret_cast<std::uint8_t*>(const_cast<char*>(datagram.data())),
-        static_cast<std::uint32_t>(datagram.size()));
-    TCompactProtocol protocol(buffer);
-    wire::FleetMessage message;
-    message.read(&protocol);
-    return message;
-  } catch (const std::exception&) {
-    // Anybody can send to the port; what cannot be read is counted by the
-    // caller and dropped.
-    return std::nullopt;
-  }
+// Callers are not sent there and it has none: it needs the store's changes and
+// nothing else, and so do most instances of a large fleet.
+bool StandsBy(const wire::InstanceReport& report) {
+  return IsIdle(report) && !report.listed;
 }
 
 }  // namespace
@@ -80,8 +64,8 @@
                            QuotaWindows& quotas, QuotaDesk& desk,
                            ReportHub& hub, const DutyLease& duty,
                            InstanceRecord self, bool first_start,
-                           StoreNews& news, Metrics& metrics, Tasks& tasks,
-                           Clock clock)
+                           StoreNews& news, StoreRelay& relay, Metrics& metrics,
+                           Tasks& tasks, Clock clock)
     : context(context),
       socket(socket),
       fleet(fleet),
@@ -93,17 +77,20 @@
       self(std::move(self)),
       first_start(first_start),
       news(news),
+      relay(relay),
       metrics(metrics),
       tasks(tasks),
       clock(std::move(clock)),
       started(this->clock.Now()),
       wake(context) {
   this->demand.OnFirstWait([this] { this->wake.Notify(); });
-  this->desk.OnSend(
-      [this](const wire::FleetMessage& message, const std::string& address) {
-        this->Send(message, address);
-      });
-  this->news.on_urgent = [this] { this->Push(Reach::kAll); };
+  const auto send = [this](const wire::FleetMessage& message,
+                           const std::string& address) {
+    this->Send(message, address);
+  };
+  this->desk.OnSend(send);
+  this->relay.OnSend(send);
+  this->news.OnUrgent([this] { this->TellUrgent(); });
 }
 
 asio::awaitable<void> FleetChannel::Receive() {
@@ -123,7 +110,7 @@
 }
 
 void FleetChannel::Take(std::string_view datagram) {
-  const std::optional<wire::FleetMessage> message = Decode(datagram);
+  const auto message = DecodeThrift<wire::FleetMessage>(datagram);
   if (!message.has_value()) {
     this->metrics.Count("unreadable_datagrams");
     return;
@@ -133,6 +120,10 @@
   if (message->__isset.ask) this->desk.TakeAsk(message->ask);
   if (message->__isset.grant) this->desk.TakeGrant(message->grant);
   if (message->__isset.note) this->TakeNote(message->note);
+  if (message->__isset.store) this->relay.TakeDigest(message->store);
+  if (message->__isset.store_question) {
+    this->relay.TakeQuestion(message->store_question);
+  }
 }
 
 asio::awaitable<void> FleetChannel::Report() {
@@ -191,7 +182,7 @@
     spend.tokens = static_cast<std::int64_t>(tokens);
     report.spends.push_back(std::move(spend));
   }
-  report.store_revision = static_cast<std::int64_t>(this->news.urgent_through);
+  report.store_revision = static_cast<std::int64_t>(this->news.KnownThrough());
   // An instance without requests must know since when it is listed, too: its
   // part counts by that at the holder.
   this->desk.FollowInstances();
@@ -222,7 +213,19 @@
   if (this->on_lack) {
     for (const wire::TargetLack& lack : report.lacks) this->on_lack(lack);
   }
-  this->SendSummary(report);
+  this->Answer(report);
+}
+
+void FleetChannel::Answer(const wire::InstanceReport& report) {
+  if (!StandsBy(report)) {
+    this->SendSummary(report);
+    return;
+  }
+  if (report.incarnation == this->self.incarnation) return;
+  wire::FleetMessage message;
+  message.__set_store(
+      this->relay.DigestFor(static_cast<std::uint64_t>(report.store_revision)));
+  this->Send(message, report.address);
 }
 
 void FleetChannel::SendSummary(const wire::InstanceReport& report) {
@@ -234,15 +237,12 @@
   }
   summary.holder = this->self.incarnation;
   summary.fence = static_cast<std::int64_t>(this->duty.Fence());
-  summary.urgent_revision =
-      static_cast<std::int64_t>(this->news.urgent_revision);
-  summary.store_age_ms =
-      absl::ToInt64Milliseconds(this->clock.Now() - this->news.confirmed_at);
+  summary.store =
+      this->relay.DigestFor(static_cast<std::uint64_t>(report.store_revision));
   summary.holdings_version = this->holdings.Version();
   summary.holdings = this->holdings.Since(
       report.holdings_of == this->self.incarnation ? report.holdings_version
                                                    : 0);
-  this->AddStoreNews(report, summary);
   message.__set_summary(std::move(summary));
   if (report.incarnation == this->self.incarnation) {
     this->TakeSummary(message.summary);
@@ -251,32 +251,39 @@
   }
 }
 
-// The report acknowledges what its instance knows, so a lost summary is made
-// good by the next one.
-void FleetChannel::AddStoreNews(const wire::InstanceReport& report,
-                                wire::FleetSummary& summary) const {
-  const std::optional<std::vector<StoreEvent>> events =
-      this->fleet.Recent().Since(
-          static_cast<std::uint64_t>(report.store_revision));
-  if (!events.has_value()) return;
-  for (const StoreEvent& event : *events) {
-    wire::StoreChange change;
-    change.key = event.item.key;
-    change.value = event.item.value;
-    change.revision = static_cast<std::int64_t>(event.item.revision);
-    change.lease = static_cast<std::int64_t>(event.item.lease);
-    change.deleted = event.deleted;
-    summary.changes.push_back(std::move(change));
+void FleetChannel::TellUrgent() {
+  if (!this->duty.Held()) {
+    this->relay.TellAskers();
+    return;
   }
-  summary.changes_through =
-      static_cast<std::int64_t>(this->news.watched_through);
+  this->tell_again = true;
+  if (this->telling_everyone) return;
+  this->telling_everyone = true;
+  this->tasks.Spawn("tell everyone", this->TellEveryone());
 }
 
-void FleetChannel::Push(Reach reach) {
-  if (!this->duty.Held()) return;
-  for (const wire::InstanceReport& report : this->hub.Reporters()) {
-    if (reach == Reach::kBusy && IsIdle(report)) continue;
-    this->SendSummary(report);
+asio::awaitable<void> FleetChannel::TellEveryone() {
+  const std::exception_ptr fault = co_await Caught(this->TellInParts());
+  this->telling_everyone = false;
+  if (fault) std::rethrow_exception(fault);
+}
+
+// In parts, so that a fleet of hundreds does not keep this instance's requests
+// waiting, and a large change does not fill its link, where datagrams are lost.
+// What is lost all the same comes with the answer to the next report.
+asio::awaitable<void> FleetChannel::TellInParts() {
+  while (this->tell_again && this->duty.Held()) {
+    this->tell_again = false;
+    std::vector<wire::InstanceReport> reporters = this->hub.Reporters();
+    std::stable_partition(
+        reporters.begin(), reporters.end(),
+        [](const wire::InstanceReport& one) { return !StandsBy(one); });
+    int told = 0;
+    for (const wire::InstanceReport& report : reporters) {
+      this->Answer(report);
+      told += 1;
+      if (told % kToldAtOnce == 0) co_await Sleep(this->context, kToldPause);
+    }
   }
 }
 
@@ -289,7 +296,10 @@
 asio::awaitable<void> FleetChannel::PushGathered() {
   co_await Sleep(this->context, kPushGather);
   this->push_pending = false;
-  this->Push(Reach::kBusy);
+  if (!this->duty.Held()) co_return;
+  for (const wire::InstanceReport& report : this->hub.Reporters()) {
+    if (!IsIdle(report)) this->SendSummary(report);
+  }
 }
 
 void FleetChannel::TakeSummary(const wire::FleetSummary& summary) {
@@ -303,7 +313,7 @@
   this->TakeUses(summary);
   this->TakeHoldings(summary);
   this->TakeSpends(summary);
-  if (!own) this->TakeStoreNews(summary);
+  if (!own) this->relay.TakeDigest(summary.store);
   this->fleet.Changed().Notify();
 }
 
@@ -362,28 +372,6 @@
   }
 }
 
-void FleetChannel::TakeStoreNews(const wire::FleetSummary& summary) {
-  for (const wire::StoreChange& change : summary.changes) {
-    const auto revision = static_cast<std::uint64_t>(change.revision);
-    if (change.deleted) {
-      this->fleet.ApplyDeleted(change.key, revision);
-      continue;
-    }
-    StoreItem item;
-    item.key = change.key;
-    item.value = change.value;
-    item.revision = revision;
-    item.lease = static_cast<std::uint64_t>(change.lease);
-    this->fleet.Apply(item);
-  }
-  this->news.urgent_through =
-      std::max(this->news.urgent_through,
-               static_cast<std::uint64_t>(summary.changes_through));
-  this->news.HeardOfHolder(
-      static_cast<std::uint64_t>(summary.urgent_revision),
-      this->clock.Now() - absl::Milliseconds(summary.store_age_ms));
-}
-
 bool FleetChannel::TellsSends() const {
   return this->fleet.ListedInstances().size() <= kMostToldOfSends;
 }
@@ -444,7 +432,7 @@
       asio::ip::make_address(endpoint.Value().address, error),
       static_cast<unsigned short>(endpoint.Value().port));
   if (error) return;
-  const std::string datagram = Encode(message);
+  const std::string datagram = EncodeThrift(message);
   this->socket.send_to(asio::buffer(datagram), place, 0, error);
   this->metrics.Count("peer_datagrams",
                       error ? "result=\"failed\"" : "result=\"sent\"");
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -21,6 +21,7 @@
 #include "dragonflyglade/gateway/quota_desk.h"
 #include "dragonflyglade/gateway/report_hub.h"
 #include "dragonflyglade/gateway/store_news.h"
+#include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/net/endpoint.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -37,8 +38,8 @@
                boost::asio::ip::udp::socket& socket, FleetState& fleet,
                ModelDemand& demand, QuotaWindows& quotas, QuotaDesk& desk,
                ReportHub& hub, const DutyLease& duty, InstanceRecord self,
-               bool first_start, StoreNews& news, Metrics& metrics,
-               Tasks& tasks, Clock clock);
+               bool first_start, StoreNews& news, StoreRelay& relay,
+               Metrics& metrics, Tasks& tasks, Clock clock);
 
   /// Run until the process ends.
   boost::asio::awaitable<void> Receive();
@@ -69,11 +70,11 @@
   void ReportLack(std::string_view target, const ModelName& name);
 
  private:
-  /// Whom to push a summary to.
-  enum class Reach { kBusy, kAll };
-
-  void Push(Reach reach);
   boost::asio::awaitable<void> PushGathered();
+  void TellUrgent();
+  boost::asio::awaitable<void> TellEveryone();
+  boost::asio::awaitable<void> TellInParts();
+  void Answer(const wire::InstanceReport& report);
   wire::InstanceReport MakeReport();
   bool TellsSends() const;
   boost::asio::awaitable<void> TellSends();
@@ -82,12 +83,9 @@
   void TakeReport(const wire::InstanceReport& report);
   void TakeSummary(const wire::FleetSummary& summary);
   void SendSummary(const wire::InstanceReport& report);
-  void AddStoreNews(const wire::InstanceReport& report,
-                    wire::FleetSummary& summary) const;
   void TakeUses(const wire::FleetSummary& summary);
   void TakeHoldings(const wire::FleetSummary& summary);
   void TakeSpends(const wire::FleetSummary& summary);
-  void TakeStoreNews(const wire::FleetSummary& summary);
   void Send(const wire::FleetMessage& message, const std::string& address);
 
   boost::asio::io_context& context;
@@ -101,6 +99,7 @@
   const InstanceRecord self;
   const bool first_start;
   StoreNews& news;
+  StoreRelay& relay;
   Metrics& metrics;
   Tasks& tasks;
   const Clock clock;
@@ -118,6 +117,8 @@
   std::function<void(const wire::TargetLack&)> on_lack;
   std::vector<wire::TargetLack> lacks;
   bool push_pending = false;
+  bool telling_everyone = false;
+  bool tell_again = false;  ///< something came while everyone was told
   std::map<std::string, double> sends;  ///< not told yet, by target
 };
 
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -10,6 +10,11 @@
 constexpr std::string_view kInstancesPrefix = "dragonflyglade/instances/";
 // Living targets are back in the store within this time of its return.
 constexpr absl::Duration kGraceAfterReturn = absl::Seconds(2);
+// A follower beside the holder costs some calls a second throughout. It saves
+// some calls of each other instance whenever the holder is lost, so that it
+// pays from some tens of instances on. A second one covers the first.
+constexpr std::size_t kInstancesPerFollower = 40;
+constexpr std::size_t kMostFollowers = 2;  // beside the holder
 
 }  // namespace
 
@@ -136,6 +141,7 @@
   this->duty =
       DutyHolder{std::move(decoded.Value()), item.lease, item.revision};
   this->duty_revision = item.revision;
+  this->ChooseFollowers();
   this->log.Write(
       "duty", "holder",
       {{"peer", this->duty->instance.name}, {"revision", item.revision}});
@@ -175,6 +181,7 @@
   if (key == kDutyKey) {
     this->duty.reset();
     this->duty_revision = revision;
+    this->ChooseFollowers();
     this->log.Write("duty", "no holder", {{"revision", revision}});
   }
   this->changed.Notify();
@@ -275,6 +282,28 @@
 
 void FleetState::InstancesChanged() {
   this->listed = this->Records(ChooseInstances(this->Offers()));
+  this->ChooseFollowers();
+}
+
+void FleetState::ChooseFollowers() {
+  this->followers.clear();
+  const std::string holder =
+      this->duty.has_value() ? this->duty->instance.name : std::string();
+  const auto known = this->instances.find(holder);
+  if (known != this->instances.end()) this->followers.push_back(&known->second);
+  const std::size_t others =
+      std::min(kMostFollowers, this->instances.size() / kInstancesPerFollower);
+  const std::size_t most = this->followers.size() + others;
+  for (const InstanceRecord* record : this->InstancesByStrength(kDutyKey)) {
+    if (this->followers.size() >= most) break;
+    if (record->name != holder) this->followers.push_back(record);
+  }
+}
+
+bool FleetState::FollowsStore(std::string_view instance) const {
+  return std::any_of(
+      this->followers.begin(), this->followers.end(),
+      [&](const InstanceRecord* record) { return record->name == instance; });
 }
 
 bool FleetState::IsListed(std::string_view instance) const {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -75,6 +75,12 @@
     return this->listed;
   }
   bool IsListed(std::string_view instance) const;
+  /// The instances that follow the store for all others: the holder of the
+  /// placing duty, and in a large fleet the strongest ones beside it.
+  const std::vector<const InstanceRecord*>& Followers() const {
+    return this->followers;
+  }
+  bool FollowsStore(std::string_view instance) const;
   /// All instances by strength; ties are broken by a hash with the key.
   std::vector<const InstanceRecord*> InstancesByStrength(
       std::string_view key) const;
@@ -116,6 +122,7 @@
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   void InstancesChanged();
+  void ChooseFollowers();
   std::vector<InstanceOffer> Offers() const;
   std::vector<const InstanceRecord*> Records(
       absl::Span<const std::size_t> order) const;
@@ -131,7 +138,8 @@
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
   std::map<std::string, InstanceRecord, std::less<>> instances;
-  std::vector<const InstanceRecord*> listed;  ///< of the instances
+  std::vector<const InstanceRecord*> listed;     ///< of the instances
+  std::vector<const InstanceRecord*> followers;  ///< of the instances
   std::optional<SpendRecord> spent_before;
   bool listed_before = false;  ///< a listing was applied
   std::optional<DutyHolder> duty;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -50,9 +50,9 @@
              this->clock),
       store(this->context, this->settings.store, this->wire, this->metrics,
             this->clock),
-      news(this->context),
-      follower(this->context, this->store, this->fleet, this->news, this->log,
-               this->clock),
+      news(this->context, this->clock),
+      follower(this->context, this->store, this->fleet, this->news,
+               this->settings.instance, this->log, this->clock),
       duty({this->settings.quiet_between_holders}, ReadLocalTime),
       self(this->MakeSelf()),
       registration(
@@ -63,10 +63,12 @@
       desk(this->context, this->fleet, this->quotas, this->hub, this->duty,
            this->self, this->settings.quota_allowance.window, this->metrics,
            this->log, this->clock, absl::Now),
+      relay(this->context, this->fleet, this->news, this->self, this->metrics,
+            this->log, this->clock),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->desk, this->hub, this->duty, this->self,
-              this->settings.first_start, this->news, this->metrics,
-              this->tasks, this->clock),
+              this->settings.first_start, this->news, this->relay,
+              this->metrics, this->tasks, this->clock),
       spend_recorder(this->context, this->store, this->hub, this->duty,
                      this->log, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
@@ -129,6 +131,8 @@
                           [this] { return this->loop_watch.Run(); });
   this->tasks.KeepRunning("receive peers",
                           [this] { return this->channel.Receive(); });
+  this->tasks.KeepRunning("ask followers",
+                          [this] { return this->relay.AskWhileSilent(); });
   this->tasks.KeepRunning("report", [this] { return this->channel.Report(); });
   this->tasks.KeepRunning("record spending",
                           [this] { return this->spend_recorder.Run(); });
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -26,6 +26,8 @@
 #include "dragonflyglade/gateway/spend_recorder.h"
 #include "dragonflyglade/gateway/store_follower.h"
 #include "dragonflyglade/gateway/store_link.h"
+#include "dragonflyglade/gateway/store_news.h"
+#include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -114,6 +116,7 @@
   Registration registration;
   ReportHub hub;
   QuotaDesk desk;
+  StoreRelay relay;
   FleetChannel channel;
   SpendRecorder spend_recorder;
   PlacementDuty placement;
--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -8,11 +8,10 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-// Some minutes of a calm day, some seconds of a busy one; whoever is further
-// behind lists the store anew.
-constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
-// A summary with so many changes still fits a datagram.
-constexpr std::size_t kMostBytesAtOnce = std::size_t{24} * 1024;
+// Some minutes of a calm day; a configuration may have a hundred kilobytes and
+// be followed by others within seconds. Whoever is further behind reads the
+// store.
+constexpr std::size_t kMostBytes = std::size_t{1024} * 1024;
 
 std::size_t SizeOf(const StoreEvent& event) {
   return event.item.key.size() + event.item.value.size();
@@ -26,6 +25,7 @@
 
 void RecentChanges::Add(StoreEvent event) {
   this->bytes += SizeOf(event);
+  this->version += 1;
   this->events.push_back(std::move(event));
   while (this->bytes > kMostBytes) {
     const StoreEvent& oldest = this->events.front();
@@ -51,12 +51,11 @@
     }
   }
   std::vector<StoreEvent> changes;
-  std::size_t size = 0;
-  for (const auto& [key, event] : newest) {
-    size += SizeOf(*event);
-    if (size > kMostBytesAtOnce) return std::nullopt;
-    changes.push_back(*event);
-  }
+  for (const auto& [key, event] : newest) changes.push_back(*event);
+  std::sort(changes.begin(), changes.end(),
+            [](const StoreEvent& one, const StoreEvent& other) {
+              return one.item.revision < other.item.revision;
+            });
   return changes;
 }
 
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -132,6 +132,8 @@
   this->DropOld();
   std::vector<ProcessSpend> all;
   for (const auto& [incarnation, entry] : this->entries) {
+    // Most instances of a large fleet stand by.
+    if (entry.report.spends.empty() && !entry.report.listed) continue;
     ProcessSpend process;
     process.instance = entry.report.instance;
     process.incarnation = incarnation;
--- a/dragonflyglade/gateway/spend_record.cc
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "dragonflyglade/gateway/deflate.h"
+
 namespace dragonflyglade::gateway {
 
 using nlohmann::json;
@@ -11,6 +14,7 @@
 namespace {
 
 constexpr absl::Duration kOldest = absl::Seconds(5);
+constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -49,12 +53,17 @@
   const json document = {{"written_ms", absl::ToUnixMillis(record.written)},
                          {"processes", std::move(processes)}};
   // Names come in reports, with any bytes.
-  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+  return Deflate(document.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
-Result<SpendRecord> DecodeSpendRecord(std::string_view text) {
+Result<SpendRecord> DecodeSpendRecord(std::string_view packed) {
+  const std::optional<std::string> text = Inflate(packed, kMostBytes);
+  if (!text.has_value()) {
+    return MakeFailure(Errc::kInvalidRecord, "read spending", "store",
+                       "the record cannot be unpacked");
+  }
   try {
-    const json document = json::parse(text);
+    const json document = json::parse(*text);
     SpendRecord record;
     record.written =
         absl::FromUnixMillis(document.at("written_ms").get<std::int64_t>());
--- a/dragonflyglade/gateway/spend_record.h
+++ b/dragonflyglade/gateway/spend_record.h
@@ -42,10 +42,12 @@
 /// See FleetSpent.
 inline constexpr double kSpentAfterRecord = 0.3;
 
+/// As compressed JSON: a few kilobytes for some tens of processes, which each
+/// instance that follows the store reads at each change.
 std::string EncodeSpendRecord(const SpendRecord& record);
 
 /// Errors: kInvalidRecord.
-Result<SpendRecord> DecodeSpendRecord(std::string_view text);
+Result<SpendRecord> DecodeSpendRecord(std::string_view packed);
 
 }  // namespace dragonflyglade::gateway
 
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -17,24 +17,19 @@
 constexpr absl::Duration kWatchWait = absl::Milliseconds(900);
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
 // After changes the next watch waits a little, so that one call brings what
-// many targets write at about the same time.
-constexpr absl::Duration kGatherPause = absl::Milliseconds(250);
-// The holder's word counts if it heard the store this lately. Its own watch
-// may be silent for 1.2 s before it notices; with the datagram's way and a
-// call of our own a change is still in force within two seconds.
-constexpr absl::Duration kHolderHeard = absl::Milliseconds(1500);
-// Changes that need not be followed at once are read after this. The holder's
-// summaries bring all others; what is read here is which adapters targets say
-// they hold, for when there is no holder.
-constexpr absl::Duration kLedWait = absl::Seconds(8);
+// many targets write at about the same time. Without anybody to follow the
+// store for them, or while it does not answer, all instances together make
+// some hundred calls a second. Its return is noticed within the two seconds
+// that living targets have to enter themselves again.
+constexpr absl::Duration kShortestPause = absl::Milliseconds(250);
+constexpr absl::Duration kPausePerInstance = absl::Milliseconds(3);
+constexpr absl::Duration kLongestPause = absl::Seconds(1);
+// How often a led instance looks at what is due by time.
+constexpr absl::Duration kLedLook = absl::Milliseconds(250);
 // A page of some hundred entries.
 constexpr absl::Duration kListTimeout = absl::Seconds(1);
 // Living targets are in the store again within two seconds of its return.
 constexpr absl::Duration kEntriesBack = absl::Milliseconds(2500);
-// Between calls while the store does not answer: all instances together stay
-// far below its rates, and its return is noticed within the two seconds that
-// living targets have to enter themselves again.
-constexpr absl::Duration kRetryPause = absl::Milliseconds(250);
 
 // Everything: targets, configuration and our own keys in one watch, since
 // each waiting call counts.
@@ -53,12 +48,13 @@
 }  // namespace
 
 StoreFollower::StoreFollower(asio::io_context& context, StoreLink& store,
-                             FleetState& fleet, StoreNews& news, EventLog& log,
-                             Clock clock)
+                             FleetState& fleet, StoreNews& news,
+                             std::string self, EventLog& log, Clock clock)
     : context(context),
       store(store),
       fleet(fleet),
       news(news),
+      self(std::move(self)),
       log(log),
       clock(std::move(clock)) {}
 
@@ -71,7 +67,9 @@
       history_kept = co_await this->Watch();
       this->fleet.Sweep();
     }
-    this->log.Write("store", "history gone", {{"revision", this->revision}});
+    this->log.Write(
+        "store", "listing anew",
+        {{"revision", this->revision}, {"lacks_details", this->lacks_details}});
   }
 }
 
@@ -98,37 +96,51 @@
   }
   this->Heard();
   this->revision = *first_revision;
+  this->lacks_details = false;
   this->fleet.ApplyListing(items, this->revision);
-  this->news.Watched(this->revision, this->fleet.UrgentRevision(),
-                     this->clock.Now());
+  this->news.Read(this->revision, this->fleet.UrgentRevision());
   this->log.Write("store", "listed",
                   {{"revision", this->revision},
                    {"items", static_cast<int>(items.size())}});
   co_return true;
 }
 
-bool StoreFollower::HolderKnows() const {
-  return this->clock.Now() - this->news.holder_confirmed_at < kHolderHeard;
+// Those that follow the store for others read it themselves.
+bool StoreFollower::IsLed() const {
+  return this->news.IsLed() && !this->fleet.FollowsStore(this->self);
 }
 
-asio::awaitable<void> StoreFollower::WaitForHolder() {
-  const Instant begun = this->clock.Now();
-  while (this->HolderKnows() &&
-         this->news.holder_revision <= this->news.urgent_through &&
-         this->clock.Now() - begun < kLedWait) {
-    co_await this->news.changed.Wait(kGatherPause);
+asio::awaitable<void> StoreFollower::WaitWhileLed() {
+  while (this->IsLed() && !this->news.MustRead()) {
+    co_await this->news.Changed().Wait(kLedLook);
     // Targets whose time of grace ends while nothing is read.
     this->fleet.Sweep();
   }
 }
 
+absl::Duration StoreFollower::PauseBetweenReads() const {
+  if (this->fleet.FollowsStore(this->self)) return kShortestPause;
+  const auto instances = static_cast<double>(this->fleet.Instances().size());
+  return std::clamp(kPausePerInstance * instances, kShortestPause,
+                    kLongestPause);
+}
+
+// What others' word brought need not be read again. That leaves out what is not
+// urgent: adapters and kept weights of targets. Whoever follows the store may
+// come to give orders, and must know these.
+void StoreFollower::SkipWhatIsKnown() {
+  if (this->news.KnownThrough() <= this->revision) return;
+  this->revision = this->news.KnownThrough();
+  this->lacks_details = true;
+}
+
 asio::awaitable<bool> StoreFollower::Watch() {
-  co_await this->WaitForHolder();
-  // With the holder's word there is something to read, or the time for a look
-  // has come; nothing is waited for then.
-  const absl::Duration wait =
-      this->HolderKnows() ? absl::ZeroDuration() : kWatchWait;
-  StoreCall call = StoreWatch{kAllKeys, this->revision, wait};
+  co_await this->WaitWhileLed();
+  if (this->lacks_details && this->fleet.FollowsStore(this->self)) {
+    co_return false;
+  }
+  this->SkipWhatIsKnown();
+  StoreCall call = StoreWatch{kAllKeys, this->revision, kWatchWait};
   const StoreReply reply =
       co_await this->store.Call(std::move(call), kWatchWait + kAnswerTime);
   if (std::holds_alternative<StoreCompacted>(reply)) {
@@ -149,11 +161,10 @@
     }
   }
   this->revision = std::max(this->revision, events->store_revision);
-  const std::uint64_t urgent = this->fleet.UrgentRevision();
-  const bool is_new = urgent > this->news.urgent_revision;
-  this->news.Watched(this->revision, urgent, this->clock.Now());
-  if (is_new && this->news.on_urgent) this->news.on_urgent();
-  if (!events->events.empty()) co_await Sleep(this->context, kGatherPause);
+  this->news.Read(this->revision, this->fleet.UrgentRevision());
+  if (!events->events.empty()) {
+    co_await Sleep(this->context, this->PauseBetweenReads());
+  }
   co_return true;
 }
 
@@ -167,11 +178,11 @@
 }
 
 // Entries lapse only while the store is away for all. If it turned away just
-// this instance and answered the holder throughout, what is missing is gone,
-// and believing in it for longer would send requests to a target that left.
+// this instance and answered those that follow it throughout, what is missing
+// is gone, and believing in it for longer would send requests to a target that
+// left.
 bool StoreFollower::StoreStayed() const {
-  return this->HolderKnows() &&
-         this->clock.Now() - this->news.holder_steady_since > kEntriesBack;
+  return this->news.SteadyFor() > kEntriesBack;
 }
 
 asio::awaitable<void> StoreFollower::NotHeard(std::string_view why) {
@@ -180,7 +191,7 @@
     this->log.Write("store", "lost",
                     {{"why", why}, {"revision", this->revision}});
   }
-  co_await Sleep(this->context, kRetryPause);
+  co_await Sleep(this->context, this->PauseBetweenReads());
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/store_follower.h
+++ b/dragonflyglade/gateway/store_follower.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
@@ -20,28 +21,31 @@
 ///
 /// Waits are short. A watch on a connection that went silent looks like a
 /// store where nothing happens, and only an answer that fails to come tells
-/// the two apart. While the holder of the placing duty follows the store and
-/// says so, this instance asks only when the holder has seen a change, or
-/// after a longer while: calls then grow with changes, not with instances
-/// times time. One event loop.
+/// the two apart. While an instance that follows the store speaks, and brings
+/// the urgent changes, this one reads nothing: calls then do not grow with the
+/// instances. One event loop.
 class StoreFollower {
  public:
+  /// @param self the name of this instance
   StoreFollower(boost::asio::io_context& context, StoreLink& store,
-                FleetState& fleet, StoreNews& news, EventLog& log, Clock clock);
+                FleetState& fleet, StoreNews& news, std::string self,
+                EventLog& log, Clock clock);
 
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
   /// Whether the last call was answered.
   bool InContact() const { return !this->away_since.has_value(); }
-  /// The revision that the state stands at.
+  /// The revision that the state stands at, but for details of targets.
   std::uint64_t Revision() const { return this->revision; }
 
  private:
   boost::asio::awaitable<bool> List();
   boost::asio::awaitable<bool> Watch();
-  boost::asio::awaitable<void> WaitForHolder();
-  bool HolderKnows() const;
+  boost::asio::awaitable<void> WaitWhileLed();
+  bool IsLed() const;
+  void SkipWhatIsKnown();
+  absl::Duration PauseBetweenReads() const;
   bool StoreStayed() const;
   void Heard();
   boost::asio::awaitable<void> NotHeard(std::string_view why);
@@ -50,9 +54,12 @@
   StoreLink& store;
   FleetState& fleet;
   StoreNews& news;
+  const std::string self;
   EventLog& log;
   const Clock clock;
   std::uint64_t revision = 0;
+  /// Changes that are not urgent were left out up to the revision.
+  bool lacks_details = false;
   std::optional<Instant> away_since;
 };
 
--- a/dragonflyglade/gateway/store_link.cc
+++ b/dragonflyglade/gateway/store_link.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
+#include <variant>
 
 #include "dragonflyglade/gateway/http_text.h"
 #include "dragonflyglade/gateway/target_exchange.h"
@@ -11,6 +13,29 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// An answer that has begun may be long, and many instances may ask at the same
+// moment: it is waited for while bytes come. With one limit for the whole, an
+// instance on a slow link asked again for ever more, and got nothing.
+constexpr absl::Duration kStalled = absl::Milliseconds(400);
+
+/// The calls by kind, as the metrics name them.
+struct KindOfCall {
+  std::string_view operator()(const StoreList&) const { return "list"; }
+  std::string_view operator()(const StoreWatch&) const { return "watch"; }
+  std::string_view operator()(const StoreTransaction&) const {
+    return "transaction";
+  }
+  std::string_view operator()(const StoreGrant&) const { return "grant"; }
+  std::string_view operator()(const StoreRenewal&) const { return "renewal"; }
+  std::string_view operator()(const StoreLeaseEnd&) const {
+    return "lease end";
+  }
+};
+
+}  // namespace
+
 StoreLink::StoreLink(asio::io_context& context, Endpoint store,
                      const WireFormat& wire, Metrics& metrics, Clock clock)
     : context(context),
@@ -26,11 +51,14 @@
                           this->clock);
   const Instant begun = this->clock.Now();
   std::string head = RequestText(text, this->address);
+  exchange.WaitWhileBytesCome(kStalled);
   const ExchangeOutcome outcome = co_await exchange.Run(
       this->address, "", std::move(head), text.body, begun + timeout);
   StoreReply reply = StoreUnknown{};
   std::string_view result = "unknown";
+  std::size_t bytes = 0;
   if (const auto* whole = std::get_if<WholeAnswer>(&outcome)) {
+    bytes = whole->body.size();
     reply =
         this->wire.decode_store_reply(call, whole->head.status, whole->body);
     result = "answered";
@@ -40,7 +68,11 @@
     reply = StoreRefused{};
     result = "not sent";
   }
-  this->metrics.Count("store_calls", fmt::format("result=\"{}\"", result));
+  const std::string_view kind = std::visit(KindOfCall(), call);
+  this->metrics.Count("store_calls",
+                      fmt::format("kind=\"{}\",result=\"{}\"", kind, result));
+  this->metrics.Count("store_bytes", fmt::format("kind=\"{}\"", kind),
+                      static_cast<double>(bytes));
   co_return reply;
 }
 
--- a/dragonflyglade/gateway/store_link.h
+++ b/dragonflyglade/gateway/store_link.h
@@ -21,6 +21,7 @@
   StoreLink(boost::asio::io_context& context, Endpoint store,
             const WireFormat& wire, Metrics& metrics, Clock clock);
 
+  /// @param timeout until the answer begins; it goes on while bytes come
   /// @return StoreUnknown if the call may have been carried out unheard
   boost::asio::awaitable<StoreReply> Call(StoreCall call,
                                           absl::Duration timeout);
--- a/dragonflyglade/gateway/store_news.h
+++ b/dragonflyglade/gateway/store_news.h
@@ -1,59 +1,91 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_STORE_NEWS_H_
 #define DRAGONFLYGLADE_GATEWAY_STORE_NEWS_H_
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/signal.h"
 
 namespace dragonflyglade::gateway {
 
-/// What is known of the store's newest changes, by this instance's own watch
-/// and by word of the instance that holds the placing duty. One event loop.
-struct StoreNews {
-  explicit StoreNews(boost::asio::io_context& context) : changed(context) {}
+/// What an instance that follows the store says of it.
+struct StoreWord {
+  /// The newest revision with an urgent change: of the configuration, of which
+  /// targets and instances there are, or of the duty.
+  std::uint64_t urgent_revision = 0;
+  /// Through which the changes that came with the word are all; 0: they are
+  /// not.
+  std::uint64_t changes_through = 0;
+  /// When the store last said that there is nothing newer.
+  Instant confirmed_at;
+};
+
+/// What this instance knows of the store, and how old that is: by its own
+/// reads, and by the word of instances that follow the store. One event loop.
+class StoreNews {
+ public:
+  StoreNews(boost::asio::io_context& context, Clock clock);
+
+  /// An own read brought all changes up to a revision.
+  /// @param urgent the newest revision with an urgent change
+  void Read(std::uint64_t revision, std::uint64_t urgent);
+
+  /// Another instance's word came, and its changes were applied.
+  void Told(const StoreWord& word);
+
+  /// Called when an own read brought an urgent change.
+  void OnUrgent(std::function<void()> act) { this->on_urgent = std::move(act); }
+
+  /// By own reads: the newest urgent change, the revision through which all
+  /// changes are known, and when the store said so.
+  std::uint64_t UrgentRevision() const { return this->urgent_revision; }
+  std::uint64_t ReadThrough() const { return this->read_through; }
+  Instant ConfirmedAt() const { return this->confirmed_at; }
+
+  /// The revision through which all urgent changes are known, by own reads or
+  /// by others' word.
+  std::uint64_t KnownThrough() const { return this->known_through; }
 
-  /// The newest revision with a change that must be followed at once: of the
-  /// configuration, of which targets and instances there are, or of the duty.
+  /// Whether an instance that follows the store spoke lately enough to rely on
+  /// its word.
+  bool IsLed() const;
+
+  /// Whether others know of urgent changes that this instance lacks.
+  bool IsBehind() const { return this->behind_since.has_value(); }
+
+  /// Whether it has lacked them for so long that they must be read.
+  bool MustRead() const;
+
+  /// For how long the store has answered those that follow it, without a
+  /// pause; zero if nobody speaks for it.
+  absl::Duration SteadyFor() const;
+
+  /// When a word last came; nothing before the first.
+  std::optional<Instant> ToldAt() const { return this->told_at; }
+
+  /// Notified at each word.
+  Signal& Changed() { return this->changed; }
+
+ private:
+  void LookBehind(bool progress);
+
+  const Clock clock;
   std::uint64_t urgent_revision = 0;
-  /// The revision through which this instance's own watch brought all changes.
-  std::uint64_t watched_through = 0;
-  /// The same for urgent changes, by its own watch or by the holder's word.
-  std::uint64_t urgent_through = 0;
-  /// When this instance last heard that it had all changes.
+  std::uint64_t read_through = 0;
   Instant confirmed_at;
+  std::uint64_t known_through = 0;
+
+  std::uint64_t told_revision = 0;  ///< urgent, by others' word
+  std::optional<Instant> told_at;
+  std::optional<Instant> told_confirmed_at;
+  Instant told_steady_since;
+  std::optional<Instant> behind_since;
 
-  /// The same by the holder's word.
-  std::uint64_t holder_revision = 0;
-  Instant holder_confirmed_at;
   Signal changed;
-  /// Called when the own watch brought a change that must be followed at once.
   std::function<void()> on_urgent;
-
-  /// The own watch brought all changes up to a revision.
-  void Watched(std::uint64_t revision, std::uint64_t urgent, Instant now) {
-    this->watched_through = revision;
-    this->urgent_through = std::max(this->urgent_through, revision);
-    this->urgent_revision = urgent;
-    this->confirmed_at = now;
-  }
-
-  /// Since when the holder has been in contact with the store throughout.
-  Instant holder_steady_since;
-
-  void HeardOfHolder(std::uint64_t revision, Instant confirmed) {
-    // The holder's own watch answers at least once a second.
-    constexpr absl::Duration kSteady = absl::Milliseconds(1500);
-    if (confirmed - this->holder_confirmed_at > kSteady) {
-      this->holder_steady_since = confirmed;
-    }
-    this->holder_revision = revision;
-    this->holder_confirmed_at = confirmed;
-    this->changed.Notify();
-  }
 };
 
 }  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/store_relay.h
@@ -0,0 +1,92 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_STORE_RELAY_H_
+#define DRAGONFLYGLADE_GATEWAY_STORE_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/store_news.h"
+#include "dragonflyglade/operator/metrics.h"
+#include "dragonflyglade/peer/generated/fleet_types.h"
+
+namespace dragonflyglade::gateway {
+
+/// Hands the store's urgent changes on from the instances that follow it to
+/// all others, so that reads of the store do not grow with the fleet.
+///
+/// The holder of the placing duty gives a digest with each summary. While it
+/// is silent, instances ask the other followers, which are few and strong, and
+/// read the store themselves only when none of these speaks. One event loop.
+class StoreRelay {
+ public:
+  using SendMessage = std::function<void(const wire::FleetMessage& message,
+                                         const std::string& address)>;
+
+  StoreRelay(boost::asio::io_context& context, FleetState& fleet,
+             StoreNews& news, InstanceRecord self, Metrics& metrics,
+             EventLog& log, Clock clock);
+
+  /// How messages leave; set once, before anything else is called.
+  void OnSend(SendMessage send) { this->send = std::move(send); }
+
+  /// What an instance lacks that knows all urgent changes through a revision.
+  wire::StoreDigest DigestFor(std::uint64_t known);
+
+  /// Applies what another instance says.
+  void TakeDigest(const wire::StoreDigest& digest);
+
+  /// Answers an instance that asks.
+  void TakeQuestion(const wire::StoreQuestion& question);
+
+  /// Tells those that asked lately what is new.
+  void TellAskers();
+
+  /// Asks other followers while nobody speaks; runs until the process ends.
+  boost::asio::awaitable<void> AskWhileSilent();
+
+ private:
+  /// Changes packed for all that know the same revision.
+  struct Packed {
+    std::string bytes;
+    std::uint64_t last = 0;  ///< revision of the last change in it
+    bool whole = true;       ///< no change had to be left out
+  };
+  struct Asker {
+    std::uint64_t known = 0;
+    Instant at;
+  };
+
+  const Packed* ChangesSince(std::uint64_t known);
+  void SendDigest(std::uint64_t known, const std::string& address);
+  void Ask();
+  bool NobodySpeaks() const;
+  bool IsFollower() const;
+
+  boost::asio::io_context& context;
+  FleetState& fleet;
+  StoreNews& news;
+  const InstanceRecord self;
+  Metrics& metrics;
+  EventLog& log;
+  const Clock clock;
+  const Instant started;
+  SendMessage send;
+  std::uint64_t packed_version = 0;
+  std::map<std::uint64_t, Packed> packed;  ///< by the known revision
+  std::map<std::string, Asker> askers;     ///< by address
+  std::size_t turn = 0;                    ///< whom to ask next
+  bool led = false;                        ///< as logged last
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_STORE_RELAY_H_
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -90,6 +91,12 @@
   });
 }
 
+void TargetExchange::BytesCame() {
+  if (!this->stalled.has_value()) return;
+  const Instant next = this->clock.Now() + *this->stalled;
+  this->StartStep(std::max(this->give_up, next), "the answer stalled");
+}
+
 void TargetExchange::Abort(std::string_view why) {
   if (!this->aborted_by.empty()) return;
   this->aborted_by = std::string(why);
@@ -199,6 +206,7 @@
     if (error && error != http::error::need_buffer) {
       co_return this->LostBy(error);
     }
+    this->BytesCame();
     if (body.size() > kMostBodyBytes) co_return Lost{"answer too long", false};
   }
   co_return std::nullopt;
@@ -209,6 +217,7 @@
     std::string_view body, Instant give_up) {
   std::optional<NotSent> not_sent = co_await this->Connect(address, give_up);
   if (not_sent.has_value()) co_return *not_sent;
+  this->give_up = give_up;
   this->StartStep(give_up, "no answer in time");
   this->StartWriting(std::move(head), body);
   std::optional<Lost> lost = co_await this->ReadHead(request_id);
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -73,6 +73,10 @@
                                               std::string_view body,
                                               Instant give_up);
 
+  /// From the head on, Run waits past its end for as long as bytes of the
+  /// answer come, none later than this after the one before. Called before Run.
+  void WaitWhileBytesCome(absl::Duration stalled) { this->stalled = stalled; }
+
   /// The next part of a stream, after Run gave a StreamHead.
   boost::asio::awaitable<StreamPiece> Read();
 
@@ -95,6 +99,7 @@
   boost::asio::awaitable<std::optional<Lost>> ReadOneHead();
   boost::asio::awaitable<std::optional<Lost>> ReadBody(std::string& body);
   void StartStep(Instant until, std::string_view why);
+  void BytesCame();
   bool BytesWait() const;
   Lost LostBy(const boost::system::error_code& error) const;
   void Finish();
@@ -110,6 +115,8 @@
   std::string piece;
   AnswerHead head;
   std::string aborted_by;  ///< empty: not aborted
+  Instant give_up;
+  std::optional<absl::Duration> stalled;
   bool timed_out = false;
   bool reused = false;
 };
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -82,6 +82,33 @@
   4: i64 born_ms
 }
 
+/** Changes that belong together, as they are packed. */
+struct StoreChanges {
+  1: list<StoreChange> changes
+}
+
+/** What the store says, as an instance knows that follows it. */
+struct StoreDigest {
+  /** The newest revision at which something changed that must be followed at
+      once. */
+  1: i64 urgent_revision
+  /** Since the sender last heard the store say that there is nothing newer. */
+  2: i64 age_ms
+  /** Urgent changes since the revision that the receiver named, as packed
+      StoreChanges; empty: none. */
+  3: binary changes
+  /** The revision through which the changes are all; 0: some may be missing. */
+  4: i64 changes_through
+}
+
+/** Asks an instance that follows the store for what is new there. */
+struct StoreQuestion {
+  /** Where to send the digest. */
+  1: string address
+  /** The revision through which all urgent changes are known. */
+  2: i64 known
+}
+
 struct FleetSummary {
   1: string holder
   2: i64 fence
@@ -96,15 +123,7 @@
   /** Of those, instances that were started anew within the window and whose spending
       before is not known, each weighted by the part of the window. */
   8: double unknown_shares
-  /** The newest revision of the store at which something changed that must be
-      followed at once. */
-  9: i64 urgent_revision
-  /** Since the holder last heard the store say that there is nothing newer. */
-  10: i64 store_age_ms
-  /** Urgent changes since the revision that the report names. */
-  11: list<StoreChange> changes
-  /** The revision through which the changes are all; 0: they are not. */
-  12: i64 changes_through
+  9: StoreDigest store
   /** 0: the holder does not know what targets hold. */
   13: i64 holdings_version
 }
@@ -146,4 +165,7 @@
   3: QuotaAsk ask
   4: QuotaGrant grant
   5: SendNote note
+  /** For an instance that needs nothing else of a summary. */
+  6: StoreDigest store
+  7: StoreQuestion store_question
 }
--- a/tests/platform/platform-follower.cc
+++ b/tests/platform/platform-follower.cc
@@ -38,8 +38,8 @@
 class Following {
  public:
   Following()
-      : following(this->context, this->link, this->fleet, this->news, this->log,
-                  this->clock) {
+      : following(this->context, this->link, this->fleet, this->news, "i",
+                  this->log, this->clock) {
     this->store.Put("servers/i-1", TargetEntry());
     asio::co_spawn(this->context, this->following.Run(), asio::detached);
   }
@@ -52,7 +52,7 @@
     const Instant end = this->clock.Now() + at_most;
     while (!condition() && this->clock.Now() < end) {
       if (this->holder_in_contact) {
-        this->news.HeardOfHolder(0, this->clock.Now());
+        this->news.Told({0, 0, this->clock.Now()});
       }
       this->context.run_for(std::chrono::milliseconds(20));
     }
@@ -70,7 +70,7 @@
   Metrics metrics;
   gateway::EventLog log{"follower", this->clock};
   FleetState fleet{this->context, this->wire, this->clock, this->log};
-  StoreNews news{this->context};
+  StoreNews news{this->context, this->clock};
   gateway::StoreLink link{this->context, this->store.Address(), this->wire,
                           this->metrics, this->clock};
   StoreFollower following;
