--- a/dragonflyglade/decision/instance_choice.cc
+++ b/dragonflyglade/decision/instance_choice.cc
@@ -24,9 +24,9 @@
 constexpr double kStrongShare = 0.5;
 // So that a zone whose only strong instance fails still has one nearby.
 constexpr int kFewestInZone = 2;
-// Demand grows tenfold within an hour and instances fail in groups; the fleet
-// as a whole is sized for that, and a quarter of it carries ordinary days.
-constexpr double kLeastPartOfCapacity = 0.25;
+// Demand grows tenfold within an hour. The whole fleet is sized for that, so a
+// tenth of it carries ordinary days, and twice as much while some have failed.
+constexpr double kLeastPartOfCapacity = 0.2;
 
 constexpr std::string_view kOrderKey = "callers";
 
--- a/dragonflyglade/decision/instance_choice.h
+++ b/dragonflyglade/decision/instance_choice.h
@@ -23,7 +23,7 @@
 
 /// The instances that callers are sent to: those of at least half of the
 /// strongest one's capacity, the two strongest of each zone, and as many more
-/// as it takes for a quarter of the fleet's capacity.
+/// as it takes for a fifth of the fleet's capacity.
 ///
 /// All instances choose the same from the same offers.
 /// @return indexes into the offers, the strongest first
