Ask for the right lease at once

An instance that starts did not know whether callers are sent to it, asked for a lease of 2 s, and for one of 8 s as soon as it saw the list: two calls more for each of 277 instances at each start of the fleet.

The first lease waits for the first listing, at most 3 s.

--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -50,6 +50,9 @@
   void ApplyListing(absl::Span<const StoreItem> items,
                     std::uint64_t store_revision);
 
+  /// Whether a listing was applied since the start of the process.
+  bool WasListed() const { return this->listed_before; }
+
   /// The store answers again after it did not. Targets that are then missing
   /// are believed in for a moment: entries lapse while the store is away, and
   /// living targets enter themselves again.
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -17,6 +17,9 @@
 constexpr absl::Duration kRetryPause = absl::Milliseconds(200);
 // Renewals in one lease: three may fail before it ends.
 constexpr int kRenewalsInLease = 4;
+// Of the whole store, by a fleet whose processes all start at once.
+constexpr absl::Duration kListingTakes = absl::Seconds(3);
+constexpr absl::Duration kListingLook = absl::Milliseconds(20);
 // Between looks at whether the duty is vacant.
 constexpr absl::Duration kDutyLook = absl::Milliseconds(250);
 // How much later each further candidate tries: one store call more than the
@@ -45,7 +48,18 @@
       log(log),
       clock(std::move(clock)) {}
 
+// Whether callers are sent here shows in the listing. Without it, each instance
+// of a large fleet would ask for a short lease, and for a long one at once.
+asio::awaitable<void> Registration::WaitForListing() {
+  const Instant begun = this->clock.Now();
+  while (!this->fleet.WasListed() && !this->leaving &&
+         this->clock.Now() - begun < kListingTakes) {
+    co_await Sleep(this->context, kListingLook);
+  }
+}
+
 asio::awaitable<void> Registration::Run() {
+  co_await this->WaitForListing();
   Instant next_renewal = this->clock.Now();
   while (!this->leaving) {
     const Instant now = this->clock.Now();
@@ -136,10 +150,8 @@
 }
 
 absl::Duration Registration::WantedLease() const {
-  const bool alone = this->fleet.Instances().empty();
-  return alone || this->fleet.IsListed(this->self.name)
-             ? this->lease_times.listed
-             : this->lease_times.unlisted;
+  return this->fleet.IsListed(this->self.name) ? this->lease_times.listed
+                                               : this->lease_times.unlisted;
 }
 
 // The lease that the duty stands under must not change: orders carry it.
--- a/dragonflyglade/gateway/registration.h
+++ b/dragonflyglade/gateway/registration.h
@@ -39,6 +39,7 @@
   boost::asio::awaitable<void> Leave();
 
  private:
+  boost::asio::awaitable<void> WaitForListing();
   boost::asio::awaitable<void> Grant();
   boost::asio::awaitable<void> Enter();
   boost::asio::awaitable<void> Renew();
