Load elsewhere at once what a dead target held

After engines crashed, a request whose model was only there tried the same dead target five times in 5 ms, connection refused each time, and was answered 503. Its entry stands in the store for three heartbeats; until then the planner counted its copies and loaded nothing elsewhere.

A target that a request could not reach is not asked by it again; the request waits for its model as if it were nowhere. A refused connection is reported to the holder of the placing duty at once, and what the target holds does not count for 4 s after the last one.

Test. platform-gateway, LoadsElsewhereWhatADeadTargetHeld.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -154,6 +154,8 @@
   const absl::Duration age = this->clock.Now() - this->started;
   report.age_ms = absl::ToInt64Milliseconds(this->first_start ? kAgeless : age);
   report.lacks.swap(this->lacks);
+  report.refusing.assign(this->refusing.begin(), this->refusing.end());
+  this->refusing.clear();
   this->fleet.ForEachTarget([&](const TargetState& target) {
     if (target.InFlight() == 0) return;
     wire::TargetUse use;
@@ -213,6 +215,9 @@
   if (this->on_lack) {
     for (const wire::TargetLack& lack : report.lacks) this->on_lack(lack);
   }
+  if (this->on_refusing) {
+    for (const std::string& target : report.refusing) this->on_refusing(target);
+  }
   this->Answer(report);
 }
 
@@ -414,6 +419,13 @@
   }
 }
 
+// Told at once: until the target's entry lapses, seconds later, models that are
+// there only look served, and nobody loads them elsewhere.
+void FleetChannel::ReportRefusing(const std::string& target) {
+  const bool first = this->refusing.insert(target).second;
+  if (first) this->wake.Notify();
+}
+
 void FleetChannel::ReportLack(std::string_view target, const ModelName& name) {
   if (this->lacks.size() >= kMostLacks) return;
   wire::TargetLack lack;
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,14 @@
   /// Prompts were sent to a target: tells the other instances.
   void NoteSent(const std::string& target, double prompt_tokens);
 
+  /// As holder: called for a target that refused a connection somewhere.
+  void OnRefusing(std::function<void(const std::string& target)> act) {
+    this->on_refusing = std::move(act);
+  }
+
+  /// A target refused a connection: nobody listens there any more.
+  void ReportRefusing(const std::string& target);
+
   /// A target said that it lacks this.
   void ReportLack(std::string_view target, const ModelName& name);
 
@@ -115,7 +124,9 @@
   std::int64_t told_version = 0;
   std::function<void()> waiting;
   std::function<void(const wire::TargetLack&)> on_lack;
+  std::function<void(const std::string&)> on_refusing;
   std::vector<wire::TargetLack> lacks;
+  std::set<std::string> refusing;  ///< not reported yet
   bool push_pending = false;
   bool telling_everyone = false;
   bool tell_again = false;  ///< something came while everyone was told
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -208,6 +208,7 @@
   for (const auto& target : this->fleet.Targets(job.service->name)) {
     const TargetRecord& record = target->Record();
     if (record.leaving || target->InFlight() >= most) continue;
+    if (job.unreachable.count(record.id) > 0) continue;
     if (!use.model.empty() && !target->Holds(use.model, use.adapter, now)) {
       continue;
     }
@@ -239,7 +240,10 @@
 std::shared_ptr<TargetState> Pipeline::Choose(RequestJob& job) {
   std::shared_ptr<TargetState> target = this->ChooseAmong(job, false);
   // Where every target is avoided or was tried, the least bad is asked: all
-  // being avoided tells more of this instance's links than of the targets.
+  // being avoided tells more of this instance's links than of the targets. One
+  // that this request could not reach is not asked again: the request would
+  // spend all its tries there in some milliseconds, while a copy of its model
+  // is about to be loaded elsewhere.
   if (target == nullptr && job.attempts < 2) {
     target = this->ChooseAmong(job, true);
   }
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -168,6 +168,8 @@
       "request", "not sent",
       {{"id", job.request.id}, {"target", job.target}, {"why", not_sent.why}});
   job.not_sent += 1;
+  job.unreachable.insert(job.target);
+  if (not_sent.refused) this->channel.ReportRefusing(job.target);
   const bool time_left = job.give_up - this->clock.Now() >= kLeastForAttempt;
   if (time_left && job.not_sent < kMostAttempts) co_return Next::kTryAnother;
   Refusal refusal = MakeRefusal(job.runs > 0 ? RefusalCode::kTargetLost
--- a/dragonflyglade/gateway/placement_duty.cc
+++ b/dragonflyglade/gateway/placement_duty.cc
@@ -38,6 +38,8 @@
 // A load that is not seen to end by this many times its usual time is looked
 // into: loads slow down in proportion to how many run.
 constexpr int kLoadPatience = 4;
+// The entry of an engine whose process ended is removed after three heartbeats.
+constexpr absl::Duration kEntryLapses = absl::Seconds(4);
 
 std::string PlaceOf(const ResidencyChange& change) {
   return ResidentKey(change.model, change.adapter);
@@ -67,6 +69,8 @@
   this->channel.OnWaiting([this] { this->WantPlan(); });
   this->channel.OnLack(
       [this](const wire::TargetLack& lack) { this->TakeLack(lack); });
+  this->channel.OnRefusing(
+      [this](const std::string& target) { this->TakeRefusing(target); });
 }
 
 asio::awaitable<void> PlacementDuty::Run() {
@@ -115,6 +119,24 @@
   engine.inspect = true;
 }
 
+// Its entry stands for some heartbeats more. Counted until then, its copies
+// keep the planner from loading their models elsewhere.
+void PlacementDuty::TakeRefusing(const std::string& target) {
+  const auto found = this->engines.find(target);
+  if (found == this->engines.end()) return;
+  Engine& engine = *found->second;
+  if (!this->HasEnded(engine)) {
+    this->log.Write("placement", "refusing", {{"target", engine.id}});
+    this->WantPlan();
+  }
+  engine.refused_at = this->clock.Now();
+}
+
+bool PlacementDuty::HasEnded(const Engine& engine) const {
+  return engine.refused_at.has_value() &&
+         this->clock.Now() - *engine.refused_at < kEntryLapses;
+}
+
 void PlacementDuty::Forget() {
   this->acting = false;
   this->engines.clear();
@@ -283,7 +305,8 @@
     item.models = engine->models;
     const auto in_use = residents_in_use.find(id);
     if (in_use != residents_in_use.end()) item.in_use = in_use->second;
-    item.usable = target != nullptr && !target->Record().leaving;
+    item.usable = target != nullptr && !target->Record().leaving &&
+                  !this->HasEnded(*engine);
     item.answers = target != nullptr && !target->Avoided(this->clock.Now());
     item.loading = engine->loading.value_or("");
     // What it kept before its last order may have made way for that since.
--- a/dragonflyglade/gateway/placement_duty.h
+++ b/dragonflyglade/gateway/placement_duty.h
@@ -60,9 +60,13 @@
     bool ordering = false;  ///< an order is being sent
     bool inspect = false;   ///< what it holds must be asked for
     Instant settled_at;     ///< when the last order was answered
+    /// When it last refused an instance's connection.
+    std::optional<Instant> refused_at;
   };
 
   void TakeLack(const wire::TargetLack& lack);
+  void TakeRefusing(const std::string& target);
+  bool HasEnded(const Engine& engine) const;
   void Forget();
   void Follow();
   void FollowEngine(const TargetState& target);
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -35,6 +35,7 @@
   int runs = 0;      ///< targets where it may have run
   int not_sent = 0;  ///< targets that it could not be sent to
   std::set<std::string> tried;
+  std::set<std::string> unreachable;  ///< targets that it could not reach
   std::string target;
   TargetExchange* exchange = nullptr;
   EventSplitter events;
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -132,7 +132,10 @@
       peer, asio::redirect_error(asio::use_awaitable, error));
   this->timer.Stop();
   if (!this->aborted_by.empty()) co_return NotSent{this->aborted_by};
-  if (error) co_return NotSent{error.message()};
+  if (error) {
+    const bool refused = error == asio::error::connection_refused;
+    co_return NotSent{error.message(), refused};
+  }
   SetOptions(this->connection->socket);
   co_return std::nullopt;
 }
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -22,6 +22,7 @@
 /// Not one byte of the request left this instance: it did not run.
 struct NotSent {
   std::string why;
+  bool refused = false;  ///< nobody listens there: the process has ended
 };
 /// The target says itself that it did not run the request.
 struct Declined {
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -62,6 +62,9 @@
   15: i64 grants_through
   /** For how long; many hours if from the start of the process. */
   16: i64 listed_ms
+  /** Targets that refused a connection since the last report: their processes
+      have ended. */
+  17: list<string> refusing
 }
 
 /** A change of the store that must be followed at once. */
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(SendsNothingToALeavingTarget);
   CPPUNIT_TEST(PlacesAnAdapterThatIsAskedFor);
   CPPUNIT_TEST(AFailedOrderHoldsUpNoLaterOne);
+  CPPUNIT_TEST(LoadsElsewhereWhatADeadTargetHeld);
   CPPUNIT_TEST(DoesNotTakeUpADutyOfAnEndedLease);
   CPPUNIT_TEST(GivesUpADutyThatAnotherHolds);
   CPPUNIT_TEST(ReloadsItsSettings);
@@ -379,6 +380,43 @@
     CPPUNIT_ASSERT(sent.at("fencing_token").get<int>() > 0);
   }
 
+  // An engine has crashed and its entry stands for some seconds. Requests for
+  // its model spent all their tries there within milliseconds, and the model
+  // was loaded nowhere else until the entry lapsed.
+  void LoadsElsewhereWhatADeadTargetHeld() {
+    std::atomic<bool> ordered = false;
+    Stage stage([&](const RawRequest& request) -> Script {
+      if (absl::StrContains(request.Line(), "/-/report")) {
+        return {AnswerBytes(request, "200 OK",
+                            R"({"sequence": 0, "busy": false, "models": []})")};
+      }
+      const bool loads = absl::StrContains(request.Line(), "/-/order") &&
+                         absl::StrContains(request.body, "\"load\"");
+      if (loads) ordered = true;
+      return Engine(request);
+    });
+    stage.store.Put("servers/i-dead", json{{"service", "s"},
+                                           {"address", "127.0.0.1:1"},
+                                           {"zone", "z"},
+                                           {"slots", 4},
+                                           {"state", "ready"},
+                                           {"born", 1},
+                                           {"models", {{{"name", "m"}}}}}
+                                          .dump());
+    stage.WaitFor([&] { return stage.HoldsDuty(); });
+    stage.WaitFor([&] {
+      return stage.Read<bool>(
+          [&] { return stage.gateway->Fleet().Target("i-dead") != nullptr; });
+    });
+    const Stage::Reply reply = stage.CallModel("m");
+    CPPUNIT_ASSERT_EQUAL(503, reply.status);
+    CPPUNIT_ASSERT(absl::StrContains(reply.Body(), "model_not_resident"));
+    stage.WaitFor([&] {
+      stage.CallModel("m");
+      return ordered.load();
+    });
+  }
+
   // An exception in an order's coroutine left the engine "ordering" for good.
   void AFailedOrderHoldsUpNoLaterOne() {
     gateway::WireFormat throws = platform::MakeWireFormat();
