Keep no quota for instances that still report what they spend

A list that had been longer for a moment closed as much again for 28 s, since the number of instances falls late.

Ruled out: the quota itself (what was "not owed" stayed as before).

QuotaOwners (decision/) follows who was listed in the last 28 s. The holder keeps a part only for those of them that do not report. FleetSpend carries that as missing_part, in place of the share of instances that were heard. What is left may be negative, and callers are told to come back when that much has left the window.

--- a/dragonflyglade/decision/quota_window.cc
+++ b/dragonflyglade/decision/quota_window.cc
@@ -19,15 +19,6 @@
 constexpr double kRestartGrowth = 1.5;
 // The part of its share that an instance spends without asking.
 constexpr double kPartWithoutAsking = 0.5;
-// How long instances may be cut off from the store and from others and go on.
-// With a share at once, two sides ran 4,250,280 tokens of 4,040,330 in a
-// window, eight seconds into a partition of twelve. A share that lies idle for
-// so long is a small loss: workspaces are mostly well inside their limits.
-constexpr absl::Duration kCutOff = absl::Seconds(20);
-// While a fleet starts, instances are listed that later make way for stronger
-// ones. Listed for longer than this, an instance is one of those that the
-// quotas were divided by, and its part waits for it when it is back.
-constexpr absl::Duration kFleetStarts = absl::Seconds(5);
 // Summaries come several times a second; after this the instance that sends
 // them is gone, and others may spend unheard.
 constexpr absl::Duration kSummaryHolds = absl::Milliseconds(1200);
@@ -163,14 +154,11 @@
   return std::max(this->instances, spend.instances);
 }
 
+// Below zero, the fleet must wait until as much has left the window.
 double QuotaWindows::FleetLeft(double whole, const FleetSpend& spend) const {
-  // Instances that the summary does not hear may be alive and spend their
-  // parts; each side of a partition keeps to the part of its own instances.
-  const double heard =
-      std::min(1.0, static_cast<double>(spend.instances) / this->instances);
   // A process that was started anew may have spent its part before.
   const double unknown = spend.unknown_shares * whole / this->Sharing(spend);
-  return std::max(0.0, whole * heard - spend.total - unknown);
+  return whole * (1 - spend.missing_part) - spend.total - unknown;
 }
 
 QuotaWindows::Part QuotaWindows::OwnPart(std::string_view workspace,
@@ -180,7 +168,7 @@
   if (!this->IsFresh(spending))
     return this->UnheardPart(workspace, spending, whole);
   if (!this->listed) return {};
-  const double left = this->FleetLeft(whole, spending.fleet);
+  const double left = std::max(0.0, this->FleetLeft(whole, spending.fleet));
   const double since = std::max(0.0, spending.sum - spending.fleet.own);
   return {left / this->Sharing(spending.fleet), since, this->allowance.at_once};
 }
@@ -197,9 +185,9 @@
       spending.fleet_at.has_value() &&
       this->clock.Now() - *spending.fleet_at < this->allowance.window;
   if (known) {
-    const double left =
-        this->FleetLeft(whole, spending.fleet) / this->Sharing(spending.fleet);
-    tokens = std::min(tokens, spending.fleet.own + left);
+    const double left = std::max(0.0, this->FleetLeft(whole, spending.fleet));
+    tokens = std::min(
+        tokens, spending.fleet.own + left / this->Sharing(spending.fleet));
   }
   return {tokens, spending.sum, 1};
 }
--- a/dragonflyglade/decision/quota_window.h
+++ b/dragonflyglade/decision/quota_window.h
@@ -44,11 +44,24 @@
   double total = 0;   ///< of all instances, this one among them
   double own = 0;     ///< what the total counts of this instance
   int instances = 1;  ///< that the total counts
-  /// Instances whose spending in the window is not in the total, each
-  /// weighted by the part of the window that is not known.
+  /// Instances that were started anew and whose spending before is not in the
+  /// total, each weighted by the part of the window that is not known.
   double unknown_shares = 0;
+  /// The part of the quota that instances may be spending which the total does
+  /// not hear; see QuotaOwners.
+  double missing_part = 0;
 };
 
+/// How long instances may be cut off from the store and from others and go on.
+/// Two sides of a cut of twelve seconds ran more than the limit where this was
+/// shorter. A share that lies idle for so long is a small loss: workspaces are
+/// mostly well inside their limits.
+inline constexpr absl::Duration kCutOff = absl::Seconds(20);
+/// While a fleet starts, instances are listed that later make way for stronger
+/// ones. Listed for longer than this, an instance is one of those that the
+/// quotas were divided by, and its part waits for it when it is back.
+inline constexpr absl::Duration kFleetStarts = absl::Seconds(5);
+
 /// The part of a window that a process may spend again after a restart, when
 /// what was spent before it is not known.
 /// @param age of the process
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -107,6 +107,7 @@
   LoopWatch loop_watch;
   FleetState fleet;
   ModelDemand demand;
+  QuotaOwners quota_owners;
   QuotaWindows quotas;
   StoreLink store;
   StoreNews news;
--- a/dragonflyglade/gateway/quota_desk.cc
+++ b/dragonflyglade/gateway/quota_desk.cc
@@ -28,12 +28,13 @@
 }  // namespace
 
 QuotaDesk::QuotaDesk(asio::io_context& context, FleetState& fleet,
-                     QuotaWindows& quotas, ReportHub& hub,
+                     QuotaOwners& owners, QuotaWindows& quotas, ReportHub& hub,
                      const DutyLease& duty, InstanceRecord self,
                      absl::Duration window, Metrics& metrics, EventLog& log,
                      Clock clock, TimeOfDay time_of_day)
     : context(context),
       fleet(fleet),
+      owners(owners),
       quotas(quotas),
       hub(hub),
       duty(duty),
@@ -62,7 +63,12 @@
 
 void QuotaDesk::FollowInstances() {
   this->TakeOverSpending();
-  const int listed = static_cast<int>(this->fleet.ListedInstances().size());
+  std::vector<std::string_view> names;
+  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
+    names.push_back(record->name);
+  }
+  this->owners.Follow(names);
+  const int listed = static_cast<int>(names.size());
   this->quotas.SetInstances(listed);
   // An instance that sees nobody in the store, itself included, is at its
   // start; the age of its process limits it then.
@@ -233,7 +239,8 @@
                    {"left", verdict.left},
                    {"spent", spend.total},
                    {"instances", spend.instances},
-                   {"unknown_shares", spend.unknown_shares}});
+                   {"unknown_shares", spend.unknown_shares},
+                   {"missing_part", spend.missing_part}});
   return verdict;
 }
 
--- a/dragonflyglade/gateway/quota_desk.h
+++ b/dragonflyglade/gateway/quota_desk.h
@@ -12,6 +12,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/duty_lease.h"
 #include "dragonflyglade/decision/quota_ledger.h"
+#include "dragonflyglade/decision/quota_owners.h"
 #include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
@@ -33,9 +34,10 @@
                                          const std::string& address)>;
 
   QuotaDesk(boost::asio::io_context& context, FleetState& fleet,
-            QuotaWindows& quotas, ReportHub& hub, const DutyLease& duty,
-            InstanceRecord self, absl::Duration window, Metrics& metrics,
-            EventLog& log, Clock clock, TimeOfDay time_of_day);
+            QuotaOwners& owners, QuotaWindows& quotas, ReportHub& hub,
+            const DutyLease& duty, InstanceRecord self, absl::Duration window,
+            Metrics& metrics, EventLog& log, Clock clock,
+            TimeOfDay time_of_day);
 
   void OnSend(SendMessage send) { this->send = std::move(send); }
 
@@ -102,6 +104,7 @@
 
   boost::asio::io_context& context;
   FleetState& fleet;
+  QuotaOwners& owners;
   QuotaWindows& quotas;
   ReportHub& hub;
   const DutyLease& duty;
--- a/dragonflyglade/gateway/report_hub.cc
+++ b/dragonflyglade/gateway/report_hub.cc
@@ -24,8 +24,9 @@
 
 }  // namespace
 
-ReportHub::ReportHub(absl::Duration spend_window, Clock clock)
-    : spend_window(spend_window), clock(std::move(clock)) {}
+ReportHub::ReportHub(const QuotaOwners& owners, absl::Duration spend_window,
+                     Clock clock)
+    : owners(owners), spend_window(spend_window), clock(std::move(clock)) {}
 
 void ReportHub::Decay(Average& average) const {
   const Instant now = this->clock.Now();
@@ -72,20 +73,21 @@
   double shares = 0;
   for (const auto& [incarnation, entry] : this->entries) {
     if (!entry.report.listed || !this->IsHeard(entry)) continue;
-    const double earned =
-        this->IsSuccessor(incarnation, entry)
-            ? 1
-            : EarnedPart(absl::Milliseconds(entry.report.age_ms),
-                         this->spend_window);
-    // A side of a partition lists others in place of those that it misses,
-    // and would count them as all that there are.
-    const double joined = JoinedPart(absl::Milliseconds(entry.report.listed_ms),
-                                     this->spend_window);
-    shares += 1 - std::min(earned, joined);
+    if (this->IsSuccessor(incarnation, entry)) continue;
+    shares += 1 - EarnedPart(absl::Milliseconds(entry.report.age_ms),
+                             this->spend_window);
   }
   return shares;
 }
 
+double ReportHub::MissingPart() const {
+  std::set<std::string_view> heard;
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (this->IsHeard(entry)) heard.insert(entry.report.instance);
+  }
+  return this->owners.MissingPart(heard);
+}
+
 // Whether what the process before it spent is known from its reports.
 bool ReportHub::IsSuccessor(std::string_view incarnation,
                             const Entry& entry) const {
@@ -105,6 +107,7 @@
   this->DropOld();
   this->sums = Sums();
   this->sums.unknown_shares = this->UnknownShares();
+  this->sums.missing_part = this->MissingPart();
   for (const auto& [incarnation, entry] : this->entries) {
     for (const wire::WorkspaceSpend& spend : entry.report.spends) {
       this->sums.spends[spend.workspace] += this->Counted(entry, spend.tokens);
@@ -175,6 +178,7 @@
   }
   spend.instances = this->sums.instances;
   spend.unknown_shares = this->sums.unknown_shares;
+  spend.missing_part = this->sums.missing_part;
   return spend;
 }
 
@@ -183,6 +187,7 @@
   wire::FleetSummary summary;
   summary.instances = this->sums.instances;
   summary.unknown_shares = this->sums.unknown_shares;
+  summary.missing_part = this->sums.missing_part;
   // The sums may be older than the last report: what counts is the part of
   // this instance that is in them.
   const auto counted = this->sums.answers.find(report.incarnation);
--- a/dragonflyglade/gateway/report_hub.h
+++ b/dragonflyglade/gateway/report_hub.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/quota_owners.h"
 #include "dragonflyglade/decision/quota_window.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/spend_record.h"
@@ -29,8 +30,10 @@
 /// reports. One event loop.
 class ReportHub {
  public:
+  /// @param owners who spends quotas, which others keep up to date
   /// @param spend_window how long what an instance spent still counts
-  ReportHub(absl::Duration spend_window, Clock clock);
+  ReportHub(const QuotaOwners& owners, absl::Duration spend_window,
+            Clock clock);
 
   /// Takes a report in. Older ones than the last from the process are dropped.
   void Take(const wire::InstanceReport& report);
@@ -82,6 +85,7 @@
     std::map<std::string, std::int64_t> answers;  ///< by incarnation
     int instances = 0;
     double unknown_shares = 0;
+    double missing_part = 0;
   };
 
   void SumUp();
@@ -89,9 +93,11 @@
   bool IsHeard(const Entry& entry) const;
   void DropOld();
   double UnknownShares() const;
+  double MissingPart() const;
   bool IsSuccessor(std::string_view incarnation, const Entry& entry) const;
   void Decay(Average& average) const;
 
+  const QuotaOwners& owners;
   const absl::Duration spend_window;
   const Clock clock;
   /// By incarnation: an instance that was started anew has forgotten what it
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -127,6 +127,8 @@
       before is not known, each weighted by the part of the window. */
   8: double unknown_shares
   9: StoreDigest store
+  /** The part of each quota that instances may be spending unheard, 0 to 1. */
+  10: double missing_part
   /** 0: the holder does not know what targets hold. */
   13: i64 holdings_version
 }
