Let followers of the store not list it anew; announce a new holder

Whoever follows the store skips nothing. The others are asked when the newest word is older than 1.15 s, from when its sender heard the store. A new holder tells all instances of its duty, and whoever hears of it reports at once; it denies no quota in its first second unless it has all reports, and askers keep to their parts meanwhile. Followers' reads wait 0.6 s. Gauges store_led and store_behind.

Tests, each seen to fail without its change: platform-follower ListsAnewOnlyWhenItComesToFollow (5 listings for 2), unit-store-relay AsksAnotherWhileTheHolderHearsNoStore. That a new holder waits a second for reports has no test of its own.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -90,6 +90,7 @@
   };
   this->desk.OnSend(send);
   this->relay.OnSend(send);
+  this->relay.OnTaken([this] { this->FollowDuty(); });
   this->news.OnUrgent([this] { this->TellUrgent(); });
 }
 
@@ -256,7 +257,41 @@
   }
 }
 
+bool FleetChannel::IsHolder() const {
+  const std::optional<DutyHolder>& holder = this->fleet.Duty();
+  return this->duty.Held() && holder.has_value() &&
+         holder->instance.incarnation == this->self.incarnation;
+}
+
+// A new holder knows nothing until it has everybody's report.
+void FleetChannel::FollowDuty() {
+  if (this->fleet.DutyRevision() == this->duty_revision) return;
+  this->duty_revision = this->fleet.DutyRevision();
+  this->wake.Notify();
+  if (!this->IsHolder()) return;
+  this->tasks.Spawn("announce duty", this->AnnounceDuty());
+}
+
+// Instances that were led by the holder before would hear of this one only
+// when its word has grown old.
+asio::awaitable<void> FleetChannel::AnnounceDuty() {
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : this->fleet.Instances()) {
+    if (name != this->self.name) addresses.push_back(record.peers);
+  }
+  int told = 0;
+  for (const std::string& address : addresses) {
+    if (!this->IsHolder()) co_return;
+    wire::FleetMessage message;
+    message.__set_store(this->relay.DutyDigest());
+    this->Send(message, address);
+    told += 1;
+    if (told % kToldAtOnce == 0) co_await Sleep(this->context, kToldPause);
+  }
+}
+
 void FleetChannel::TellUrgent() {
+  this->FollowDuty();
   if (!this->duty.Held()) {
     this->relay.TellAskers();
     return;
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -81,6 +81,9 @@
  private:
   boost::asio::awaitable<void> PushGathered();
   void TellUrgent();
+  void FollowDuty();
+  bool IsHolder() const;
+  boost::asio::awaitable<void> AnnounceDuty();
   boost::asio::awaitable<void> TellEveryone();
   boost::asio::awaitable<void> TellInParts();
   void Answer(const wire::InstanceReport& report);
@@ -126,7 +129,8 @@
   std::function<void(const wire::TargetLack&)> on_lack;
   std::function<void(const std::string&)> on_refusing;
   std::vector<wire::TargetLack> lacks;
-  std::set<std::string> refusing;  ///< not reported yet
+  std::set<std::string> refusing;   ///< not reported yet
+  std::uint64_t duty_revision = 0;  ///< that was followed
   bool push_pending = false;
   bool telling_everyone = false;
   bool tell_again = false;  ///< something came while everyone was told
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -106,6 +106,10 @@
   this->metrics.AddGauge("store_in_contact", [this] {
     return this->follower.InContact() ? 1.0 : 0.0;
   });
+  this->metrics.AddGauge("store_led",
+                         [this] { return this->news.IsLed() ? 1.0 : 0.0; });
+  this->metrics.AddGauge("store_behind",
+                         [this] { return this->news.IsBehind() ? 1.0 : 0.0; });
   this->metrics.AddGauge("instances", [this] {
     return static_cast<double>(this->fleet.Instances().size());
   });
--- a/dragonflyglade/gateway/quota_desk.cc
+++ b/dragonflyglade/gateway/quota_desk.cc
@@ -19,8 +19,9 @@
 // A refusal answers for requests of the same size for this long: a workspace
 // that floods would otherwise cost the holder a message each.
 constexpr absl::Duration kDenialHolds = absl::Milliseconds(150);
-// A new holder has everybody's report within this time.
-constexpr absl::Duration kReportsComeIn = absl::Milliseconds(300);
+// A new holder has the report of whoever is alive within this time: news of it
+// takes some hundred milliseconds, and the next report half a second more.
+constexpr absl::Duration kReportsComeIn = absl::Seconds(1);
 // While nobody sums up, callers that come back sooner meet the same shortage,
 // and most come back once. A holder is replaced within about a second.
 constexpr absl::Duration kHolderReturns = absl::Milliseconds(800);
--- a/dragonflyglade/gateway/store_follower.cc
+++ b/dragonflyglade/gateway/store_follower.cc
@@ -16,6 +16,8 @@
 // more calls, which the store counts.
 constexpr absl::Duration kWatchWait = absl::Milliseconds(900);
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
+// Others go by this instance's word, which is as old as its last answer.
+constexpr absl::Duration kFollowersWait = absl::Milliseconds(600);
 // After changes the next watch waits a little, so that one call brings what
 // many targets write at about the same time. Without anybody to follow the
 // store for them, or while it does not answer, all instances together make
@@ -129,6 +131,7 @@
 // urgent: adapters and kept weights of targets. Whoever follows the store may
 // come to give orders, and must know these.
 void StoreFollower::SkipWhatIsKnown() {
+  if (this->fleet.FollowsStore(this->self)) return;
   if (this->news.KnownThrough() <= this->revision) return;
   this->revision = this->news.KnownThrough();
   this->lacks_details = true;
@@ -140,9 +143,11 @@
     co_return false;
   }
   this->SkipWhatIsKnown();
-  StoreCall call = StoreWatch{kAllKeys, this->revision, kWatchWait};
+  const absl::Duration wait =
+      this->fleet.FollowsStore(this->self) ? kFollowersWait : kWatchWait;
+  StoreCall call = StoreWatch{kAllKeys, this->revision, wait};
   const StoreReply reply =
-      co_await this->store.Call(std::move(call), kWatchWait + kAnswerTime);
+      co_await this->store.Call(std::move(call), wait + kAnswerTime);
   if (std::holds_alternative<StoreCompacted>(reply)) {
     this->Heard();
     co_return false;
--- a/dragonflyglade/gateway/store_news.cc
+++ b/dragonflyglade/gateway/store_news.cc
@@ -32,11 +32,9 @@
 }
 
 void StoreNews::Told(const StoreWord& word) {
-  const Instant now = this->clock.Now();
   const bool progress = word.changes_through > this->known_through;
   this->known_through = std::max(this->known_through, word.changes_through);
   this->told_revision = std::max(this->told_revision, word.urgent_revision);
-  this->told_at = now;
   const bool first = !this->told_confirmed_at.has_value();
   if (first || word.confirmed_at - *this->told_confirmed_at > kSteady) {
     this->told_steady_since = word.confirmed_at;
@@ -57,11 +55,13 @@
   }
 }
 
-bool StoreNews::IsLed() const {
-  return this->told_confirmed_at.has_value() &&
-         this->clock.Now() - *this->told_confirmed_at < kWordHolds;
+absl::Duration StoreNews::WordAge() const {
+  if (!this->told_confirmed_at.has_value()) return absl::InfiniteDuration();
+  return this->clock.Now() - *this->told_confirmed_at;
 }
 
+bool StoreNews::IsLed() const { return this->WordAge() < kWordHolds; }
+
 bool StoreNews::MustRead() const {
   return this->behind_since.has_value() &&
          this->clock.Now() - *this->behind_since > kBehindAtMost;
--- a/dragonflyglade/gateway/store_news.h
+++ b/dragonflyglade/gateway/store_news.h
@@ -63,8 +63,9 @@
   /// pause; zero if nobody speaks for it.
   absl::Duration SteadyFor() const;
 
-  /// When a word last came; nothing before the first.
-  std::optional<Instant> ToldAt() const { return this->told_at; }
+  /// How old the newest word is, from when its sender heard the store;
+  /// unlimited if none came.
+  absl::Duration WordAge() const;
 
   /// Notified at each word.
   Signal& Changed() { return this->changed; }
@@ -79,7 +80,6 @@
   std::uint64_t known_through = 0;
 
   std::uint64_t told_revision = 0;  ///< urgent, by others' word
-  std::optional<Instant> told_at;
   std::optional<Instant> told_confirmed_at;
   Instant told_steady_since;
   std::optional<Instant> behind_since;
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -16,9 +16,10 @@
 
 // A summary of 160 engines has some 24 KB beside it, and a datagram 64.
 constexpr std::size_t kMostPackedBytes = std::size_t{32} * 1024;
-// The holder's summaries come each half a second at the latest; one may be
-// lost. Another follower's word is then here before the last one is too old.
-constexpr absl::Duration kSilence = absl::Milliseconds(700);
+// The holder reads the store each 0.6 s and speaks each half a second. When its
+// word is older than that, it is lost, or the store is lost to it, and another
+// follower's word is here before this one is too old.
+constexpr absl::Duration kOldWord = absl::Milliseconds(1150);
 constexpr absl::Duration kAskEvery = absl::Milliseconds(250);
 // Who asked this lately is told of changes as they come.
 constexpr absl::Duration kAskerStays = absl::Milliseconds(1000);
@@ -34,8 +35,7 @@
       self(std::move(self)),
       metrics(metrics),
       log(log),
-      clock(std::move(clock)),
-      started(this->clock.Now()) {}
+      clock(std::move(clock)) {}
 
 // Most instances know the same revision, and packing costs some milliseconds
 // of a small machine for a large configuration.
@@ -93,6 +93,23 @@
   // Not all fitted into one datagram.
   const bool more = this->news.IsBehind() && this->news.KnownThrough() > known;
   if (more) this->Ask();
+  if (this->on_taken) this->on_taken();
+}
+
+// That its changes are all there is not said: the receiver may lack others.
+wire::StoreDigest StoreRelay::DutyDigest() {
+  wire::StoreDigest digest;
+  digest.urgent_revision =
+      static_cast<std::int64_t>(this->news.UrgentRevision());
+  digest.age_ms =
+      absl::ToInt64Milliseconds(this->clock.Now() - this->news.ConfirmedAt());
+  auto changes = this->fleet.Recent().Since(this->fleet.DutyRevision() - 1);
+  if (!changes.has_value()) return digest;
+  std::erase_if(*changes, [](const StoreEvent& event) {
+    return event.item.key != FleetState::kDutyKey;
+  });
+  digest.changes = PackChanges(*changes, kMostPackedBytes).bytes;
+  return digest;
 }
 
 void StoreRelay::SendDigest(std::uint64_t known, const std::string& address) {
@@ -123,15 +140,10 @@
   return this->fleet.FollowsStore(this->self.name);
 }
 
-bool StoreRelay::NobodySpeaks() const {
-  const Instant last = this->news.ToldAt().value_or(this->started);
-  return this->clock.Now() - last > kSilence;
-}
-
 asio::awaitable<void> StoreRelay::AskWhileSilent() {
   while (true) {
     co_await Sleep(this->context, kAskEvery);
-    if (!this->IsFollower() && this->NobodySpeaks()) this->Ask();
+    if (!this->IsFollower() && this->news.WordAge() > kOldWord) this->Ask();
     if (this->news.IsLed() == this->led) continue;
     this->led = this->news.IsLed();
     this->log.Write("store", this->led ? "led" : "not led",
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -37,6 +37,8 @@
 
   /// How messages leave; set once, before anything else is called.
   void OnSend(SendMessage send) { this->send = std::move(send); }
+  /// Called after another instance's word was applied.
+  void OnTaken(std::function<void()> act) { this->on_taken = std::move(act); }
 
   /// What an instance lacks that knows all urgent changes through a revision.
   wire::StoreDigest DigestFor(std::uint64_t known);
@@ -50,6 +52,10 @@
   /// Tells those that asked lately what is new.
   void TellAskers();
 
+  /// Who holds the placing duty, for instances of which it is not known what
+  /// else they know.
+  wire::StoreDigest DutyDigest();
+
   /// Asks other followers while nobody speaks; runs until the process ends.
   boost::asio::awaitable<void> AskWhileSilent();
 
@@ -68,7 +74,6 @@
   const Packed* ChangesSince(std::uint64_t known);
   void SendDigest(std::uint64_t known, const std::string& address);
   void Ask();
-  bool NobodySpeaks() const;
   bool IsFollower() const;
 
   boost::asio::io_context& context;
@@ -78,8 +83,8 @@
   Metrics& metrics;
   EventLog& log;
   const Clock clock;
-  const Instant started;
   SendMessage send;
+  std::function<void()> on_taken;
   std::uint64_t packed_version = 0;
   std::map<std::uint64_t, Packed> packed;  ///< by the known revision
   std::map<std::string, Asker> askers;     ///< by address
--- a/tests/platform/platform-follower.cc
+++ b/tests/platform/platform-follower.cc
@@ -8,6 +8,7 @@
 #include "absl/time/clock.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/store_follower.h"
 #include "dragonflyglade/gateway/store_link.h"
 #include "dragonflyglade/gateway/store_news.h"
@@ -52,7 +53,7 @@
     const Instant end = this->clock.Now() + at_most;
     while (!condition() && this->clock.Now() < end) {
       if (this->holder_in_contact) {
-        this->news.Told({0, 0, this->clock.Now()});
+        this->news.Told({0, this->told_through, this->clock.Now()});
       }
       this->context.run_for(std::chrono::milliseconds(20));
     }
@@ -75,11 +76,14 @@
                           this->metrics, this->clock};
   StoreFollower following;
   bool holder_in_contact = true;
+  /// The revision through which the holder brought all urgent changes.
+  std::uint64_t told_through = 0;
 };
 
 class PlatformFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformFollowerTest);
   CPPUNIT_TEST(DropsAMissingTargetAlthoughNothingIsRead);
+  CPPUNIT_TEST(ListsAnewOnlyWhenItComesToFollow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,6 +103,38 @@
     CPPUNIT_ASSERT(
         stage.Until([&] { return !stage.Knows("i-1"); }, absl::Seconds(4)));
   }
+
+  // While an instance was led it left out what is not urgent, so that it lists
+  // the store once when it comes to follow it for others. One that follows
+  // hears others, too, and listed the whole store each second.
+  void ListsAnewOnlyWhenItComesToFollow() {
+    Following stage;
+    const auto listings = [&](int count) {
+      return stage.Until([&] { return stage.store.Listings() >= count; },
+                         absl::Seconds(10));
+    };
+    CPPUNIT_ASSERT(listings(1));
+    stage.told_through = 1000;
+    stage.holder_in_contact = true;
+    stage.Until([] { return false; }, absl::Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(1, stage.store.Listings());
+    // The holder falls silent, and this instance takes the duty.
+    stage.holder_in_contact = false;
+    stage.Until([] { return false; }, absl::Seconds(2));
+    gateway::InstanceRecord self;
+    self.name = "i";
+    self.incarnation = "1";
+    const std::string record = gateway::EncodeInstanceRecord(self);
+    constexpr std::uint64_t kLater = 2000;
+    stage.fleet.Apply({FleetState::InstanceKey("i"), record, kLater, 1});
+    stage.fleet.Apply(
+        {std::string(FleetState::kDutyKey), record, kLater + 1, 1});
+    CPPUNIT_ASSERT(listings(2));
+    stage.holder_in_contact = true;
+    stage.told_through = kLater + 2;
+    stage.Until([] { return false; }, absl::Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(2, stage.store.Listings());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformFollowerTest,
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -125,6 +125,11 @@
   this->ended_leases = this->leases;
 }
 
+int PlatformStoreStandIn::Listings() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->listings;
+}
+
 int PlatformStoreStandIn::Renewals() const {
   absl::MutexLock lock(&this->mutex);
   return this->renewals;
@@ -157,8 +162,9 @@
   return keys;
 }
 
-std::string PlatformStoreStandIn::List(const std::string& prefix) const {
+std::string PlatformStoreStandIn::List(const std::string& prefix) {
   absl::MutexLock lock(&this->mutex);
+  this->listings += 1;
   json listed = json::array();
   for (const auto& [key, item] : this->items) {
     if (!Begins(key, prefix)) continue;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -39,6 +39,8 @@
   void ExpireLeases();
   /// All leases end, as far as renewals show; their keys stay for a while.
   void EndLeases();
+  /// Listings that were answered.
+  int Listings() const;
   /// Renewals that were answered with success.
   int Renewals() const;
   /// The lease that a key is under; 0 if there is none.
@@ -67,7 +69,7 @@
   void Record(const std::string& key, const std::string& value,
               std::uint64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   void Remove(const std::string& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-  std::string List(const std::string& prefix) const;
+  std::string List(const std::string& prefix);
   std::string Watch(const std::string& prefix, std::uint64_t after,
                     int wait_ms) const;
   int Transact(const std::string& body, std::string& answer);
@@ -80,6 +82,7 @@
   std::map<std::uint64_t, Lease> granted ABSL_GUARDED_BY(mutex);
   std::uint64_t ended_leases ABSL_GUARDED_BY(mutex) = 0;
   int renewals ABSL_GUARDED_BY(mutex) = 0;
+  int listings ABSL_GUARDED_BY(mutex) = 0;
   bool writes_turned_away ABSL_GUARDED_BY(mutex) = false;
   bool closing ABSL_GUARDED_BY(mutex) = false;
   std::unique_ptr<httplib::Server> server;
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -10,6 +10,10 @@
 #include "absl/strings/str_cat.h"
 #include "dragonflyglade/gateway/change_codec.h"
 #include "dragonflyglade/gateway/store_relay.h"
+// After the gateway's headers, which include what Asio's leave out.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
 
 namespace dragonflyglade::gateway {
 namespace {
@@ -134,6 +138,8 @@
   CPPUNIT_TEST_SUITE(StoreRelayTest);
   CPPUNIT_TEST(HandsOnWhatAnInstanceLacks);
   CPPUNIT_TEST(AnswersWhoAsksAndTellsThemOfChanges);
+  CPPUNIT_TEST(AsksAnotherWhileTheHolderHearsNoStore);
+  CPPUNIT_TEST(TellsOfANewHolderAndClaimsNoMore);
   CPPUNIT_TEST(DropsBytesThatAreNoChanges);
   CPPUNIT_TEST(PacksAsManyChangesAsFit);
   CPPUNIT_TEST_SUITE_END();
@@ -224,6 +230,64 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.sent.size());
   }
 
+  // The holder is cut off from the store and goes on speaking. Its word grows
+  // old, and 295 instances turned to the store although two others follow it.
+  void AsksAnotherWhileTheHolderHearsNoStore() {
+    struct Case {
+      std::string name;
+      absl::Duration age;  ///< of the holder's word
+      bool asks;
+    };
+    const std::vector<Case> cases = {
+        {"it hears the store", absl::Milliseconds(600), false},
+        {"it does not", absl::Milliseconds(1300), true},
+    };
+    for (const Case& item : cases) {
+      Fleet fleet(1);
+      Fleet::Instance& instance = *fleet.instances[0];
+      std::vector<StoreItem> items = {
+          Item(std::string(FleetState::kDutyKey), 1,
+               EncodeInstanceRecord(Fleet::Record("i1")))};
+      for (std::uint64_t i = 0; i < 80; ++i) {
+        // The first one is too weak to follow the store for others.
+        InstanceRecord record = Fleet::Record(absl::StrCat("i", i));
+        record.capacity = i == 0 ? 0.1 : 1;
+        items.push_back(Item(FleetState::InstanceKey(record.name), i + 2,
+                             EncodeInstanceRecord(record)));
+      }
+      fleet.Reads(0, items, 100);
+      fleet.time.Advance(absl::Seconds(10));
+      boost::asio::co_spawn(fleet.context, instance.relay.AskWhileSilent(),
+                            boost::asio::detached);
+      instance.news.Told({1, 100, fleet.clock.Now() - item.age});
+      fleet.context.run_for(std::chrono::milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.asks, !fleet.sent.empty());
+      if (!item.asks) continue;
+      CPPUNIT_ASSERT(fleet.sent[0].message.__isset.store_question);
+      CPPUNIT_ASSERT(instance.state.FollowsStore(fleet.sent[0].address));
+    }
+  }
+
+  // Instances must report to a new holder at once, and must not take what came
+  // with that news for all that there is.
+  void TellsOfANewHolderAndClaimsNoMore() {
+    Fleet fleet(2);
+    fleet.Reads(0, {}, 1);
+    fleet.Reads(1, {}, 1);
+    fleet.Reads(
+        0,
+        {Item("k", 2, "v"), Item(std::string(FleetState::kDutyKey), 3,
+                                 EncodeInstanceRecord(Fleet::Record("i0")))},
+        3);
+    const Fleet::Instance& told = *fleet.instances[1];
+    fleet.instances[1]->relay.TakeDigest(
+        fleet.instances[0]->relay.DutyDigest());
+    CPPUNIT_ASSERT(told.state.Duty().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("i0"), told.state.Duty()->instance.name);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, told.news.KnownThrough());
+    CPPUNIT_ASSERT(told.news.IsBehind());
+  }
+
   // Anybody can send to the port; what cannot be read must change nothing.
   void DropsBytesThatAreNoChanges() {
     const std::vector<std::string> cases = {
