--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -51,6 +51,7 @@
     }
   }
   std::vector<StoreEvent> changes;
+  changes.reserve(newest.size());
   for (const auto& [key, event] : newest) changes.push_back(*event);
   std::sort(changes.begin(), changes.end(),
             [](const StoreEvent& one, const StoreEvent& other) {
--- /dev/null
+++ b/tests/unit/spending_by_steps.h
@@ -0,0 +1,27 @@
+#ifndef DRAGONFLYGLADE_TESTS_UNIT_SPENDING_BY_STEPS_H_
+#define DRAGONFLYGLADE_TESTS_UNIT_SPENDING_BY_STEPS_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace dragonflyglade {
+
+/// The most that was spent in any span of a window.
+/// @param spent in each step
+/// @param steps of a window
+inline double MostInAWindow(const std::vector<double>& spent,
+                            std::size_t steps) {
+  double most = 0;
+  for (std::size_t first = 0; first < spent.size(); ++first) {
+    double sum = 0;
+    const std::size_t end = std::min(spent.size(), first + steps);
+    for (std::size_t i = first; i < end; ++i) sum += spent[i];
+    most = std::max(most, sum);
+  }
+  return most;
+}
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_TESTS_UNIT_SPENDING_BY_STEPS_H_
--- a/tests/unit/unit-quota-grants.cc
+++ b/tests/unit/unit-quota-grants.cc
@@ -8,6 +8,7 @@
 
 #include "dragonflyglade/decision/quota_ledger.h"
 #include "dragonflyglade/decision/quota_window.h"
+#include "tests/unit/spending_by_steps.h"
 
 namespace dragonflyglade {
 namespace {
@@ -81,16 +82,8 @@
     this->SumUp();
   }
 
-  double MostInAWindow() const {
-    const auto window = static_cast<std::size_t>(kWindow / kStep);
-    double most = 0;
-    for (std::size_t first = 0; first < this->spent.size(); ++first) {
-      double sum = 0;
-      const std::size_t end = std::min(this->spent.size(), first + window);
-      for (std::size_t i = first; i < end; ++i) sum += this->spent[i];
-      most = std::max(most, sum);
-    }
-    return most;
+  double MostSpentInAWindow() const {
+    return MostInAWindow(this->spent, kWindow / kStep);
   }
 
  private:
@@ -172,8 +165,8 @@
         fleet.Step();
       }
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " +
-                                 std::to_string(fleet.MostInAWindow()),
-                             fleet.MostInAWindow() <= kAllowed);
+                                 std::to_string(fleet.MostSpentInAWindow()),
+                             fleet.MostSpentInAWindow() <= kAllowed);
     }
   }
 
--- a/tests/unit/unit-quota-window.cc
+++ b/tests/unit/unit-quota-window.cc
@@ -10,6 +10,7 @@
 
 #include "dragonflyglade/decision/quota_owners.h"
 #include "dragonflyglade/decision/quota_window.h"
+#include "tests/unit/spending_by_steps.h"
 
 namespace dragonflyglade {
 namespace {
@@ -26,20 +27,6 @@
   return taken;
 }
 
-// The most that was spent in any window, from sums of 200 ms each.
-double MostInAWindow(const std::vector<double>& spent) {
-  const auto window =
-      static_cast<std::size_t>(kWindow / absl::Milliseconds(200));
-  double most = 0;
-  for (std::size_t first = 0; first < spent.size(); ++first) {
-    double sum = 0;
-    const std::size_t end = std::min(spent.size(), first + window);
-    for (std::size_t i = first; i < end; ++i) sum += spent[i];
-    most = std::max(most, sum);
-  }
-  return most;
-}
-
 struct ShareCase {
   const char* what;
   int listed;
@@ -87,7 +74,7 @@
     }
     manual.Advance(absl::Milliseconds(200));
   }
-  return MostInAWindow(spent);
+  return MostInAWindow(spent, kWindow / absl::Milliseconds(200));
 }
 
 class QuotaWindowTest : public CppUnit::TestFixture {
@@ -273,7 +260,8 @@
         }
         manual.Advance(absl::Milliseconds(200));
       }
-      RC_ASSERT(MostInAWindow(spent) <= kWhole);
+      RC_ASSERT(MostInAWindow(spent, kWindow / absl::Milliseconds(200)) <=
+                kWhole);
     });
     CPPUNIT_ASSERT(kept);
   }
@@ -330,7 +318,8 @@
         }
         manual.Advance(absl::Milliseconds(200));
       }
-      RC_ASSERT(MostInAWindow(spent) <= allowed);
+      RC_ASSERT(MostInAWindow(spent, kWindow / absl::Milliseconds(200)) <=
+                allowed);
     });
     CPPUNIT_ASSERT(kept);
   }
