--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -16,6 +16,13 @@
 constexpr std::size_t kInstancesPerFollower = 40;
 constexpr std::size_t kMostFollowers = 2;  // beside the holder
 
+bool HasName(const std::vector<const InstanceRecord*>& records,
+             std::string_view name) {
+  return std::any_of(
+      records.begin(), records.end(),
+      [&](const InstanceRecord* record) { return record->name == name; });
+}
+
 }  // namespace
 
 FleetState::FleetState(boost::asio::io_context& context, const WireFormat& wire,
@@ -132,7 +139,7 @@
       {{"peer", decoded.Value().name}, {"revision", item.revision}});
   this->instances[item.key.substr(kInstancesPrefix.size())] =
       std::move(decoded.Value());
-  this->InstancesChanged();
+  this->choice.reset();
 }
 
 void FleetState::ApplyDuty(const StoreItem& item) {
@@ -141,7 +148,7 @@
   this->duty =
       DutyHolder{std::move(decoded.Value()), item.lease, item.revision};
   this->duty_revision = item.revision;
-  this->ChooseFollowers();
+  this->choice.reset();
   this->log.Write(
       "duty", "holder",
       {{"peer", this->duty->instance.name}, {"revision", item.revision}});
@@ -176,12 +183,12 @@
                     {{"peer", name}, {"revision", revision}});
     const auto found = this->instances.find(name);
     if (found != this->instances.end()) this->instances.erase(found);
-    this->InstancesChanged();
+    this->choice.reset();
   }
   if (key == kDutyKey) {
     this->duty.reset();
     this->duty_revision = revision;
-    this->ChooseFollowers();
+    this->choice.reset();
     this->log.Write("duty", "no holder", {{"revision", revision}});
   }
   this->changed.Notify();
@@ -280,36 +287,36 @@
   return result;
 }
 
-void FleetState::InstancesChanged() {
-  this->listed = this->Records(ChooseInstances(this->Offers()));
-  this->ChooseFollowers();
+const FleetState::Choice& FleetState::Chosen() const {
+  if (!this->choice.has_value()) {
+    this->choice = Choice{this->Records(ChooseInstances(this->Offers())),
+                          this->ChooseFollowers()};
+  }
+  return *this->choice;
 }
 
-void FleetState::ChooseFollowers() {
-  this->followers.clear();
+std::vector<const InstanceRecord*> FleetState::ChooseFollowers() const {
+  std::vector<const InstanceRecord*> followers;
   const std::string holder =
       this->duty.has_value() ? this->duty->instance.name : std::string();
   const auto known = this->instances.find(holder);
-  if (known != this->instances.end()) this->followers.push_back(&known->second);
+  if (known != this->instances.end()) followers.push_back(&known->second);
   const std::size_t others =
       std::min(kMostFollowers, this->instances.size() / kInstancesPerFollower);
-  const std::size_t most = this->followers.size() + others;
+  const std::size_t most = followers.size() + others;
   for (const InstanceRecord* record : this->InstancesByStrength(kDutyKey)) {
-    if (this->followers.size() >= most) break;
-    if (record->name != holder) this->followers.push_back(record);
+    if (followers.size() >= most) break;
+    if (record->name != holder) followers.push_back(record);
   }
+  return followers;
 }
 
 bool FleetState::FollowsStore(std::string_view instance) const {
-  return std::any_of(
-      this->followers.begin(), this->followers.end(),
-      [&](const InstanceRecord* record) { return record->name == instance; });
+  return HasName(this->Followers(), instance);
 }
 
 bool FleetState::IsListed(std::string_view instance) const {
-  return std::any_of(
-      this->listed.begin(), this->listed.end(),
-      [&](const InstanceRecord* record) { return record->name == instance; });
+  return HasName(this->ListedInstances(), instance);
 }
 
 std::vector<const InstanceRecord*> FleetState::InstancesByStrength(
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -75,13 +75,13 @@
   }
   /// The instances that callers are sent to, the strongest first.
   const std::vector<const InstanceRecord*>& ListedInstances() const {
-    return this->listed;
+    return this->Chosen().listed;
   }
   bool IsListed(std::string_view instance) const;
   /// The instances that follow the store for all others: the holder of the
   /// placing duty, and in a large fleet the strongest ones beside it.
   const std::vector<const InstanceRecord*>& Followers() const {
-    return this->followers;
+    return this->Chosen().followers;
   }
   bool FollowsStore(std::string_view instance) const;
   /// All instances by strength; ties are broken by a hash with the key.
@@ -124,8 +124,14 @@
   void ApplySpends(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
-  void InstancesChanged();
-  void ChooseFollowers();
+  /// Instances chosen from all that there are.
+  struct Choice {
+    std::vector<const InstanceRecord*> listed;
+    std::vector<const InstanceRecord*> followers;
+  };
+
+  const Choice& Chosen() const;
+  std::vector<const InstanceRecord*> ChooseFollowers() const;
   std::vector<InstanceOffer> Offers() const;
   std::vector<const InstanceRecord*> Records(
       absl::Span<const std::size_t> order) const;
@@ -141,8 +147,9 @@
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
   std::map<std::string, InstanceRecord, std::less<>> instances;
-  std::vector<const InstanceRecord*> listed;     ///< of the instances
-  std::vector<const InstanceRecord*> followers;  ///< of the instances
+  /// Made when asked for, since a listing brings hundreds of instances one by
+  /// one; nothing after a change of the instances or of the duty.
+  mutable std::optional<Choice> choice;
   std::optional<SpendRecord> spent_before;
   bool listed_before = false;  ///< a listing was applied
   std::optional<DutyHolder> duty;
