--- a/tests/unit/spending_by_steps.h
+++ b/tests/unit/spending_by_steps.h
@@ -3,10 +3,16 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <random>
 #include <vector>
 
 namespace dragonflyglade {
 
+/// A number that is drawn evenly, both ends included.
+inline int Between(std::mt19937& random, int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(random);
+}
+
 /// The most that was spent in any span of a window.
 /// @param spent in each step
 /// @param steps of a window
--- a/tests/unit/unit-quota-grants.cc
+++ b/tests/unit/unit-quota-grants.cc
@@ -22,10 +22,6 @@
 // Schedules that are played of each kind; a failure names the seed.
 constexpr int kSeeds = 20;
 
-int Between(std::mt19937& random, int least, int most) {
-  return std::uniform_int_distribution<int>(least, most)(random);
-}
-
 // A fleet whose instances report each step to the one that sums up, and ask
 // it for what is beyond their parts. Messages take no time.
 class Fleet {
--- a/tests/unit/unit-quota-owners.cc
+++ b/tests/unit/unit-quota-owners.cc
@@ -28,10 +28,6 @@
 constexpr int kLeaseSteps = 10;
 constexpr int kSeeds = 20;
 
-int Between(std::mt19937& random, int least, int most) {
-  return std::uniform_int_distribution<int>(least, most)(random);
-}
-
 // Strong instances that callers are sent to, and weak ones that are listed
 // where strong ones leave the store's list. The first one sums up.
 class Fleet {
