Pack a new holder's news once, and say each thing of the relay in one place

Telling reporters and announcing share one loop in parts, a digest is built and sent by the relay alone, and one bound serves what is unpacked. StoreNews needs no case for the first word. The test of the announcement builds the digest from the two calls, with its assertions as they were.

--- a/dragonflyglade/gateway/change_codec.cc
+++ b/dragonflyglade/gateway/change_codec.cc
@@ -9,9 +9,6 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-// What a damaged or foreign datagram may make a process unpack.
-constexpr std::size_t kMostUnpackedBytes = std::size_t{4} * 1024 * 1024;
-
 std::string Pack(absl::Span<const StoreEvent> changes) {
   wire::StoreChanges list;
   for (const StoreEvent& event : changes) {
@@ -40,7 +37,7 @@
 }
 
 std::optional<std::vector<StoreEvent>> UnpackChanges(std::string_view packed) {
-  const std::optional<std::string> text = Inflate(packed, kMostUnpackedBytes);
+  const std::optional<std::string> text = Inflate(packed);
   if (!text.has_value()) return std::nullopt;
   const auto list = DecodeThrift<wire::StoreChanges>(*text);
   if (!list.has_value()) return std::nullopt;
--- a/dragonflyglade/gateway/deflate.cc
+++ b/dragonflyglade/gateway/deflate.cc
@@ -4,12 +4,15 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <stdexcept>
 
 namespace dragonflyglade::gateway {
 namespace {
 
 constexpr std::size_t kChunkBytes = 16384;
+// What damaged or foreign bytes may make a process unpack.
+constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;
 
 // zlib's interface takes bytes that it does not change as mutable.
 Bytef* BytesOf(std::string_view text) {
@@ -42,8 +45,7 @@
   return compressed;
 }
 
-std::optional<std::string> Inflate(std::string_view compressed,
-                                   std::size_t most) {
+std::optional<std::string> Inflate(std::string_view compressed) {
   InflateStream stream;
   if (!stream.usable) return std::nullopt;
   stream.state.next_in = BytesOf(compressed);
@@ -51,14 +53,14 @@
   std::string text;
   std::array<char, kChunkBytes> chunk;
   int result = Z_OK;
-  while (result == Z_OK && text.size() <= most) {
+  while (result == Z_OK && text.size() <= kMostBytes) {
     stream.state.next_out = reinterpret_cast<Bytef*>(chunk.data());
     stream.state.avail_out = static_cast<uInt>(chunk.size());
     result = inflate(&stream.state, Z_NO_FLUSH);
     text.append(chunk.data(), chunk.size() - stream.state.avail_out);
   }
   const bool whole = result == Z_STREAM_END && stream.state.avail_in == 0;
-  if (!whole || text.size() > most) return std::nullopt;
+  if (!whole || text.size() > kMostBytes) return std::nullopt;
   return text;
 }
 
--- a/dragonflyglade/gateway/deflate.h
+++ b/dragonflyglade/gateway/deflate.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_DEFLATE_H_
 #define DRAGONFLYGLADE_GATEWAY_DEFLATE_H_
 
-#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,10 +10,9 @@
 /// Compressed text, in zlib's format.
 std::string Deflate(std::string_view text);
 
-/// @return nothing for bytes that are no compressed text, or one longer than
-///   `most` bytes
-std::optional<std::string> Inflate(std::string_view compressed,
-                                   std::size_t most);
+/// @return nothing for bytes that are no compressed text, or a text that no
+///   sound sender makes as long
+std::optional<std::string> Inflate(std::string_view compressed);
 
 }  // namespace dragonflyglade::gateway
 
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -39,7 +39,7 @@
 constexpr std::size_t kLargestDatagram = 65000;
 // How many instances are told of a change in one go, and the pause after that:
 // with a configuration of 8 KB, a link of 200 Mbit/s is then half full.
-constexpr int kToldAtOnce = 16;
+constexpr std::size_t kToldAtOnce = 16;
 constexpr absl::Duration kToldPause = absl::Milliseconds(10);
 // Reports whose summary is still awaited.
 constexpr std::size_t kMostUnanswered = 32;
@@ -228,10 +228,8 @@
     return;
   }
   if (report.incarnation == this->self.incarnation) return;
-  wire::FleetMessage message;
-  message.__set_store(
-      this->relay.DigestFor(static_cast<std::uint64_t>(report.store_revision)));
-  this->Send(message, report.address);
+  this->relay.SendDigest(static_cast<std::uint64_t>(report.store_revision),
+                         report.address);
 }
 
 void FleetChannel::SendSummary(const wire::InstanceReport& report) {
@@ -279,14 +277,24 @@
   for (const auto& [name, record] : this->fleet.Instances()) {
     if (name != this->self.name) addresses.push_back(record.peers);
   }
-  int told = 0;
-  for (const std::string& address : addresses) {
-    if (!this->IsHolder()) co_return;
+  const std::string duty = this->relay.PackDuty();
+  const std::function<void(std::size_t)> tell = [&](std::size_t index) {
+    if (!this->IsHolder()) return;
     wire::FleetMessage message;
-    message.__set_store(this->relay.DutyDigest());
-    this->Send(message, address);
-    told += 1;
-    if (told % kToldAtOnce == 0) co_await Sleep(this->context, kToldPause);
+    message.__set_store(this->relay.DigestOf(duty));
+    this->Send(message, addresses[index]);
+  };
+  co_await this->InParts(addresses.size(), tell);
+}
+
+// So that a fleet of hundreds does not keep this instance's requests waiting,
+// and a large change does not fill its link, where datagrams are lost. What is
+// lost all the same comes with the answer to the next report.
+asio::awaitable<void> FleetChannel::InParts(
+    std::size_t count, const std::function<void(std::size_t)>& tell) {
+  for (std::size_t i = 0; i < count; ++i) {
+    tell(i);
+    if ((i + 1) % kToldAtOnce == 0) co_await Sleep(this->context, kToldPause);
   }
 }
 
@@ -303,27 +311,22 @@
 }
 
 asio::awaitable<void> FleetChannel::TellEveryone() {
-  const std::exception_ptr fault = co_await Caught(this->TellInParts());
+  const std::exception_ptr fault = co_await Caught(this->TellReporters());
   this->telling_everyone = false;
   if (fault) std::rethrow_exception(fault);
 }
 
-// In parts, so that a fleet of hundreds does not keep this instance's requests
-// waiting, and a large change does not fill its link, where datagrams are lost.
-// What is lost all the same comes with the answer to the next report.
-asio::awaitable<void> FleetChannel::TellInParts() {
+asio::awaitable<void> FleetChannel::TellReporters() {
   while (this->tell_again && this->duty.Held()) {
     this->tell_again = false;
     std::vector<wire::InstanceReport> reporters = this->hub.Reporters();
     std::stable_partition(
         reporters.begin(), reporters.end(),
         [](const wire::InstanceReport& one) { return !StandsBy(one); });
-    int told = 0;
-    for (const wire::InstanceReport& report : reporters) {
-      this->Answer(report);
-      told += 1;
-      if (told % kToldAtOnce == 0) co_await Sleep(this->context, kToldPause);
-    }
+    const std::function<void(std::size_t)> tell = [&](std::size_t index) {
+      this->Answer(reporters[index]);
+    };
+    co_await this->InParts(reporters.size(), tell);
   }
 }
 
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -85,7 +86,9 @@
   bool IsHolder() const;
   boost::asio::awaitable<void> AnnounceDuty();
   boost::asio::awaitable<void> TellEveryone();
-  boost::asio::awaitable<void> TellInParts();
+  boost::asio::awaitable<void> TellReporters();
+  boost::asio::awaitable<void> InParts(
+      std::size_t count, const std::function<void(std::size_t)>& tell);
   void Answer(const wire::InstanceReport& report);
   wire::InstanceReport MakeReport();
   bool TellsSends() const;
--- a/dragonflyglade/gateway/spend_record.cc
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr absl::Duration kOldest = absl::Seconds(5);
-constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -57,7 +56,7 @@
 }
 
 Result<SpendRecord> DecodeSpendRecord(std::string_view packed) {
-  const std::optional<std::string> text = Inflate(packed, kMostBytes);
+  const std::optional<std::string> text = Inflate(packed);
   if (!text.has_value()) {
     return MakeFailure(Errc::kInvalidRecord, "read spending", "store",
                        "the record cannot be unpacked");
--- a/dragonflyglade/gateway/store_news.cc
+++ b/dragonflyglade/gateway/store_news.cc
@@ -35,14 +35,12 @@
   const bool progress = word.changes_through > this->known_through;
   this->known_through = std::max(this->known_through, word.changes_through);
   this->told_revision = std::max(this->told_revision, word.urgent_revision);
-  const bool first = !this->told_confirmed_at.has_value();
-  if (first || word.confirmed_at - *this->told_confirmed_at > kSteady) {
+  if (word.confirmed_at - this->told_confirmed_at > kSteady) {
     this->told_steady_since = word.confirmed_at;
   }
   // Several speak, and some heard the store earlier than others.
-  if (first || word.confirmed_at > *this->told_confirmed_at) {
-    this->told_confirmed_at = word.confirmed_at;
-  }
+  this->told_confirmed_at =
+      std::max(this->told_confirmed_at, word.confirmed_at);
   this->LookBehind(progress);
   this->changed.Notify();
 }
@@ -56,8 +54,7 @@
 }
 
 absl::Duration StoreNews::WordAge() const {
-  if (!this->told_confirmed_at.has_value()) return absl::InfiniteDuration();
-  return this->clock.Now() - *this->told_confirmed_at;
+  return this->clock.Now() - this->told_confirmed_at;
 }
 
 bool StoreNews::IsLed() const { return this->WordAge() < kWordHolds; }
--- a/dragonflyglade/gateway/store_news.h
+++ b/dragonflyglade/gateway/store_news.h
@@ -80,7 +80,7 @@
   std::uint64_t known_through = 0;
 
   std::uint64_t told_revision = 0;  ///< urgent, by others' word
-  std::optional<Instant> told_confirmed_at;
+  Instant told_confirmed_at = -absl::InfiniteDuration();
   Instant told_steady_since;
   std::optional<Instant> behind_since;
 
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -56,14 +56,9 @@
 }
 
 wire::StoreDigest StoreRelay::DigestFor(std::uint64_t known) {
-  wire::StoreDigest digest;
-  digest.urgent_revision =
-      static_cast<std::int64_t>(this->news.UrgentRevision());
-  digest.age_ms =
-      absl::ToInt64Milliseconds(this->clock.Now() - this->news.ConfirmedAt());
   const Packed* changes = this->ChangesSince(known);
-  if (changes == nullptr) return digest;
-  digest.changes = changes->bytes;
+  if (changes == nullptr) return this->DigestOf("");
+  wire::StoreDigest digest = this->DigestOf(changes->bytes);
   digest.changes_through = static_cast<std::int64_t>(
       changes->whole ? this->news.ReadThrough() : changes->last);
   return digest;
@@ -96,19 +91,23 @@
   if (this->on_taken) this->on_taken();
 }
 
+std::string StoreRelay::PackDuty() const {
+  auto changes = this->fleet.Recent().Since(this->fleet.DutyRevision() - 1);
+  if (!changes.has_value()) return "";
+  std::erase_if(*changes, [](const StoreEvent& event) {
+    return event.item.key != FleetState::kDutyKey;
+  });
+  return PackChanges(*changes, kMostPackedBytes).bytes;
+}
+
 // That its changes are all there is not said: the receiver may lack others.
-wire::StoreDigest StoreRelay::DutyDigest() {
+wire::StoreDigest StoreRelay::DigestOf(std::string changes) const {
   wire::StoreDigest digest;
   digest.urgent_revision =
       static_cast<std::int64_t>(this->news.UrgentRevision());
   digest.age_ms =
       absl::ToInt64Milliseconds(this->clock.Now() - this->news.ConfirmedAt());
-  auto changes = this->fleet.Recent().Since(this->fleet.DutyRevision() - 1);
-  if (!changes.has_value()) return digest;
-  std::erase_if(*changes, [](const StoreEvent& event) {
-    return event.item.key != FleetState::kDutyKey;
-  });
-  digest.changes = PackChanges(*changes, kMostPackedBytes).bytes;
+  digest.changes = std::move(changes);
   return digest;
 }
 
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -52,9 +52,13 @@
   /// Tells those that asked lately what is new.
   void TellAskers();
 
-  /// Who holds the placing duty, for instances of which it is not known what
-  /// else they know.
-  wire::StoreDigest DutyDigest();
+  /// Sends an instance what it lacks.
+  void SendDigest(std::uint64_t known, const std::string& address);
+
+  /// Who holds the placing duty, packed, for any number of DigestOf.
+  std::string PackDuty() const;
+  /// Packed changes for instances of which it is not known what else they know.
+  wire::StoreDigest DigestOf(std::string changes) const;
 
   /// Asks other followers while nobody speaks; runs until the process ends.
   boost::asio::awaitable<void> AskWhileSilent();
@@ -72,7 +76,6 @@
   };
 
   const Packed* ChangesSince(std::uint64_t known);
-  void SendDigest(std::uint64_t known, const std::string& address);
   void Ask();
   bool IsFollower() const;
 
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -285,8 +285,8 @@
                                  EncodeInstanceRecord(Fleet::Record("i0")))},
         3);
     const Fleet::Instance& told = *fleet.instances[1];
-    fleet.instances[1]->relay.TakeDigest(
-        fleet.instances[0]->relay.DutyDigest());
+    const StoreRelay& holder = fleet.instances[0]->relay;
+    fleet.instances[1]->relay.TakeDigest(holder.DigestOf(holder.PackDuty()));
     CPPUNIT_ASSERT(told.state.Duty().has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("i0"), told.state.Duty()->instance.name);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, told.news.KnownThrough());
