Keep a load order open until the target responds to it

Cause: a load order whose response was lost was closed by the next report that showed the model. Ruled out: orders across restarts (none before the failure) and concurrent planners (there is one).

Change: a report makes the copy loaded and leaves its order open, so that the memory stays reserved after the unload until the target responds or restarts. At a target without fencing a lost response costs the memory of a model that is unloaded later.

--- a/dragonflyglade/decision/target_ledger.cc
+++ b/dragonflyglade/decision/target_ledger.cc
@@ -236,6 +236,10 @@
 // not yet arrived, and its memory may be released too early. So a report counts
 // only if it was made after the newest order was recorded, and it confirms a
 // load only if a single load order can have loaded the copy.
+//
+// Failure: a load order is executed twice, the second time after a report has
+// confirmed the load and the model has been unloaded. Only a response closes an
+// order; a report shows that it was executed, not that it will not be again.
 void ApplyResidencyReport(TargetLedger& ledger, std::string_view boot_id,
                           const std::set<std::string>& resident,
                           bool made_after_newest_order) {
@@ -247,10 +251,7 @@
     const bool is_confirmed = copy.state == CopyState::kLoading &&
                               is_resident && copy.open_loads.size() <= 1 &&
                               !copy.repeated;
-    if (is_confirmed) {
-      copy.state = CopyState::kLoaded;
-      copy.open_loads.clear();
-    }
+    if (is_confirmed) copy.state = CopyState::kLoaded;
     const bool is_unloaded = copy.state == CopyState::kUnloading &&
                              !is_resident && copy.open_loads.empty();
     if (!is_unloaded) kept_copies.push_back(std::move(copy));
--- a/tests/unit/unit-placement.cc
+++ b/tests/unit/unit-placement.cc
@@ -50,6 +50,8 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(ReservesMemoryBeforeOrdering);
   CPPUNIT_TEST(KeepsMemoryReservedWhileLoadIsOpen);
+  CPPUNIT_TEST(KeepsMemoryReservedAfterAReportConfirmsALoad);
+  CPPUNIT_TEST(NeverOvercommitsMemoryIfALoadIsExecutedTwice);
   CPPUNIT_TEST(ReservesMemoryForUnorderedCopy);
   CPPUNIT_TEST(RestartClosesOldOrders);
   CPPUNIT_TEST(RefusesStalePlanner);
@@ -94,6 +96,43 @@
     }
   }
 
+  // Guards against an overcommit by a load order that a target executes twice:
+  // its response is lost, a report confirms the load, and the second execution
+  // follows after the model was unloaded.
+  void KeepsMemoryReservedAfterAReportConfirmsALoad() {
+    TargetLedger ledger = Ledger();
+    CPPUNIT_ASSERT(BeginLoad(ledger, Spec("a", 60), 1).Ok());
+    ApplyResidencyReport(ledger, "boot-1", {"a"}, true);
+    CPPUNIT_ASSERT(FindCopy(ledger, "a")->state == CopyState::kLoaded);
+    CPPUNIT_ASSERT(BeginUnload(ledger, "a", 1).Ok());
+    ApplyResidencyReport(ledger, "boot-1", {}, true);
+    FinishUnload(ledger, Outcome("t-2", "a", true), false);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{60}, ReservedBytes(ledger));
+    CPPUNIT_ASSERT(!BeginLoad(ledger, Spec("b", 60), 1).Ok());
+    FinishLoad(ledger, Outcome("t-1", "a", true), false);
+    CPPUNIT_ASSERT(BeginUnload(ledger, "a", 1).Ok());
+    FinishUnload(ledger, Outcome("t-3", "a", true), false);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, ReservedBytes(ledger));
+  }
+
+  // Guards against an overcommit in a run that the random ones below seldom
+  // meet: a load order is executed twice, 41 s apart.
+  void NeverOvercommitsMemoryIfALoadIsExecutedTwice() {
+    PlacementRun run;
+    run.seed = 4595082726;
+    run.targets = 4;
+    run.models = 9;
+    run.lost = 0.5;
+    run.late = 0.4;
+    run.restarts = 0.001;
+    run.pauses = 0.05;
+    run.swing = 100;
+    run.tokens_per_second = 20'000;
+    run.length = absl::Minutes(3);
+    run.plan.drop_after = absl::Seconds(5);
+    CPPUNIT_ASSERT_EQUAL(0, PlacementFleet(run).Run().worst_over);
+  }
+
   // An engine had a model in memory before its ledger existed. Memory for it is
   // reserved when a report shows it, so a load that does not fit is refused.
   void ReservesMemoryForUnorderedCopy() {
