Send nothing to the targets of an evacuated availability zone

Change: each instance keeps the set of evacuated zones from listings, watches and relays, each by its revision. No target there is chosen, for new, waiting, paced or repeated requests; running ones end. The planner takes the zone's engines for unusable, so that their models are loaded elsewhere in the order of its priorities. If all targets of a service are evacuated, its requests are refused at once with zones_evacuated and Retry-After. Gauge evacuated_zones, log events of part zones.

--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -28,6 +28,7 @@
   kModelNotResident,
   kTargetsBusy,
   kTargetsUnreachable,
+  kZonesEvacuated,
   kQueueFull,
   kClaimServiceUnavailable,
   kClaimInDoubt,
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -64,6 +64,9 @@
   if (item.key == this->wire.config_key) this->ApplyConfig(item);
   if (this->HasPrefix(item.key, kInstanceKeyPrefix)) this->ApplyInstance(item);
   if (item.key == kLeaderKey) this->ApplyLeader(item);
+  if (this->HasPrefix(item.key, this->wire.evacuations_prefix)) {
+    this->ApplyEvacuation(item);
+  }
   if (urgent) this->AddUrgentChange({item, false});
   this->changed.Notify();
 }
@@ -155,6 +158,34 @@
       {{"peer", this->leader->instance.name}, {"revision", item.revision}});
 }
 
+// The key alone names the zone. A record with an unreadable value is in force,
+// too: if it were ignored, requests would go on to a zone that is going down.
+void FleetState::ApplyEvacuation(const StoreItem& item) {
+  const std::string_view zone =
+      std::string_view(item.key).substr(this->wire.evacuations_prefix.size());
+  if (zone.empty() || zone.find('/') != std::string_view::npos) {
+    this->log.Write("zones", "evacuation record without a zone",
+                    {{"key", item.key}, {"revision", item.revision}});
+    return;
+  }
+  int targets = 0;
+  this->ForEachTarget([&](const TargetState& target) {
+    if (target.Record().zone == zone) targets += 1;
+  });
+  this->evacuated_zones.emplace(zone);
+  this->log.Write(
+      "zones", "evacuated",
+      {{"zone", zone}, {"targets", targets}, {"revision", item.revision}});
+}
+
+void FleetState::EndEvacuation(std::string_view zone, std::uint64_t revision) {
+  const auto found = this->evacuated_zones.find(zone);
+  if (found == this->evacuated_zones.end()) return;
+  this->evacuated_zones.erase(found);
+  this->log.Write("zones", "evacuation ended",
+                  {{"zone", zone}, {"revision", revision}});
+}
+
 // Only the record found by the first listing is used; after that the leader's
 // summaries are newer.
 void FleetState::ApplySpends(const StoreItem& item) {
@@ -179,6 +210,10 @@
     this->DropTarget(key.substr(this->wire.targets_prefix.size()),
                      "entry removed");
   }
+  if (this->HasPrefix(key, this->wire.evacuations_prefix)) {
+    this->EndEvacuation(key.substr(this->wire.evacuations_prefix.size()),
+                        revision);
+  }
   if (this->HasPrefix(key, kInstanceKeyPrefix)) {
     const std::string_view name = key.substr(kInstanceKeyPrefix.size());
     this->log.Write("instances", "gone",
@@ -269,6 +304,14 @@
   for (const auto& [id, target] : this->targets) visit(*target);
 }
 
+bool FleetState::IsServiceEvacuated(std::string_view service) const {
+  const auto targets = this->Targets(service);
+  return !targets.empty() &&
+         std::all_of(targets.begin(), targets.end(), [&](const auto& target) {
+           return this->IsEvacuated(target->Record().zone);
+         });
+}
+
 std::shared_ptr<TargetState> FleetState::Target(std::string_view id) const {
   const auto found = this->targets.find(id);
   return found == this->targets.end() ? nullptr : found->second;
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -70,6 +70,17 @@
   std::shared_ptr<TargetState> Target(std::string_view id) const;
   void ForEachTarget(const std::function<void(TargetState&)>& visit) const;
 
+  /// Whether the operator has evacuated the availability zone: no request may
+  /// be sent to its targets.
+  bool IsEvacuated(std::string_view zone) const {
+    return this->evacuated_zones.count(zone) > 0;
+  }
+  const std::set<std::string, std::less<>>& EvacuatedZones() const {
+    return this->evacuated_zones;
+  }
+  /// Whether the service has targets and all of them are in evacuated zones.
+  bool IsServiceEvacuated(std::string_view service) const;
+
   const std::map<std::string, InstanceRecord, std::less<>>& Instances() const {
     return this->instances;
   }
@@ -123,6 +134,8 @@
   bool IsUrgent(const TargetRecord& record) const;
   void ApplyInstance(const StoreItem& item);
   void ApplyLeader(const StoreItem& item);
+  void ApplyEvacuation(const StoreItem& item);
+  void EndEvacuation(std::string_view zone, std::uint64_t revision);
   void ApplySpends(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
@@ -149,6 +162,7 @@
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
   std::map<std::string, InstanceRecord, std::less<>> instances;
+  std::set<std::string, std::less<>> evacuated_zones;
   /// Computed on demand, since a listing adds hundreds of instances one by one.
   /// Reset when the instances or the leader change.
   mutable std::optional<Choice> choice;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -113,6 +113,9 @@
   this->metrics.AddGauge("instances", [this] {
     return static_cast<double>(this->fleet.Instances().size());
   });
+  this->metrics.AddGauge("evacuated_zones", [this] {
+    return static_cast<double>(this->fleet.EvacuatedZones().size());
+  });
   this->metrics.AddGauge("holds_placing_duty", [this] {
     return this->duty.MayIssueOrders() ? 1.0 : 0.0;
   });
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -219,6 +219,7 @@
   for (const auto& target : this->fleet.Targets(job.service->name)) {
     const TargetRecord& record = target->Record();
     if (record.leaving || target->InFlight() >= max_in_flight) continue;
+    if (this->fleet.IsEvacuated(record.zone)) continue;
     if (job.unreachable.count(record.id) > 0) continue;
     if (!use.model.empty() && !target->Holds(use.model, use.adapter, now)) {
       continue;
@@ -290,6 +291,7 @@
   if (!job.NeedsModel()) co_return target;
   if (target != nullptr) target = co_await this->DelayForPacing(job, target);
   if (target != nullptr) co_return target;
+  if (this->fleet.IsServiceEvacuated(job.service->name)) co_return nullptr;
   const Instant wait_start = this->clock.Now();
   const Instant until =
       wait_start + std::min(kMaxModelWaitShare * job.route->latency_objective,
@@ -318,6 +320,11 @@
 Refusal Pipeline::NoTargetRefusal(const RequestJob& job) const {
   constexpr const char* kText = "no target can take the request now";
   if (job.executions > 0) return MakeRefusal(RefusalCode::kTargetLost, kText);
+  if (this->fleet.IsServiceEvacuated(job.service->name)) {
+    return MakeRefusal(RefusalCode::kZonesEvacuated,
+                       "all availability zones of the service are evacuated",
+                       kRetryAfterEvacuation);
+  }
   if (job.NeedsModel()) {
     return MakeRefusal(RefusalCode::kModelNotResident, kText,
                        kRetryAfterModelLoad);
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -295,6 +295,7 @@
     const auto in_use = residents_in_use.find(id);
     if (in_use != residents_in_use.end()) item.in_use = in_use->second;
     item.usable = target != nullptr && !target->Record().leaving &&
+                  !this->fleet.IsEvacuated(target->Record().zone) &&
                   !this->IsTerminated(*engine);
     item.responsive =
         target != nullptr && !target->IsAvoided(this->clock.Now());
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -76,6 +76,8 @@
 inline constexpr absl::Duration kRetryAfterBusy = absl::Milliseconds(500);
 /// The model has to be loaded first.
 inline constexpr absl::Duration kRetryAfterModelLoad = absl::Seconds(2);
+/// The operator has to end the evacuation of an availability zone first.
+inline constexpr absl::Duration kRetryAfterEvacuation = absl::Seconds(2);
 /// The instance has no configuration yet.
 inline constexpr absl::Duration kRetryAfterNotReady = absl::Seconds(1);
 /// Another instance can serve the request at once.
--- a/dragonflyglade/gateway/wire_format.h
+++ b/dragonflyglade/gateway/wire_format.h
@@ -54,6 +54,9 @@
   // Records in the store.
   std::string config_key;
   std::string targets_prefix;
+  /// A key with this prefix ends with the name of an evacuated availability
+  /// zone. The value says nothing more.
+  std::string evacuations_prefix;
   std::function<Result<GatewayConfig>(std::string_view value)> decode_config;
   /// @param key the full store key, which ends with the target's id
   std::function<Result<TargetRecord>(std::string_view key,
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(ReleasesTheLeaderLeaseOnceTheStoreAccepts);
   CPPUNIT_TEST(AppliesNewConfigurations);
   CPPUNIT_TEST(SendsNoRequestsToADrainingTarget);
+  CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
   CPPUNIT_TEST(ReloadsItsSettings);
   CPPUNIT_TEST(ServesRequestsDuringShutdown);
   CPPUNIT_TEST_SUITE_END();
@@ -343,6 +344,30 @@
     CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/new/").status);
   }
 
+  // Guards against requests to targets of an evacuated availability zone, and
+  // against callers who wait for them. Once it is taken back they are served.
+  void SendsNothingToAnEvacuatedZone() {
+    Harness harness;
+    const auto evacuated = [&] {
+      return harness.Read<bool>(
+          [&] { return harness.gateway->Fleet().IsEvacuated("z"); });
+    };
+    harness.store.Put("op/evacuate/z", "{}");
+    harness.WaitFor(evacuated);
+    const std::size_t before = harness.first.Requests().size();
+    for (const char* path : {"/any/", "/once/", "/cut/"}) {
+      const Harness::Reply reply = harness.Call("POST", path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 503, reply.status);
+      CPPUNIT_ASSERT(absl::StrContains(reply.Body(), "zones_evacuated"));
+      CPPUNIT_ASSERT(!reply.Field("Retry-After").empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(503, harness.CallModel("m").status);
+    CPPUNIT_ASSERT_EQUAL(before, harness.first.Requests().size());
+    harness.store.Delete("op/evacuate/z");
+    harness.WaitFor([&] { return !evacuated(); });
+    CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
+  }
+
   void SendsNoRequestsToADrainingTarget() {
     Harness harness;
     harness.AddSecond();
