Start slowly with targets that warm up

Cause: a target that has just started, or whose zone was evacuated, takes only some requests a second from all instances together and crashes beyond.

The requests of the last second count also if they were sent before the warm-up was known. An instance that has just started waits a second. A record that says that a target warms up is urgent, and the targets of a zone warm up when its evacuation ends.

--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -99,6 +99,7 @@
   };
   return old.leaving != record.leaving || old.address != record.address ||
          old.service != record.service || old.born_ms != record.born_ms ||
+         old.warm_up_remaining < record.warm_up_remaining ||
          names(old) != names(record);
 }
 
@@ -178,10 +179,25 @@
       {{"zone", zone}, {"targets", targets}, {"revision", item.revision}});
 }
 
+// Failure: the targets of a zone crash when its evacuation ends. They may have
+// been restarted shortly before, and their records that say so arrive later
+// than the end of the evacuation.
+void FleetState::BeginWarmUp(std::string_view zone) {
+  if (this->config == nullptr) return;
+  const Instant now = this->clock.Now();
+  this->ForEachTarget([&](TargetState& target) {
+    if (target.Record().zone != zone) return;
+    const auto service = this->config->services.find(target.Record().service);
+    if (service == this->config->services.end()) return;
+    target.WarmUp().Begin(service->second.slow_start.duration, now);
+  });
+}
+
 void FleetState::EndEvacuation(std::string_view zone, std::uint64_t revision) {
   const auto found = this->evacuated_zones.find(zone);
   if (found == this->evacuated_zones.end()) return;
   this->evacuated_zones.erase(found);
+  this->BeginWarmUp(zone);
   this->log.Write("zones", "evacuation ended",
                   {{"zone", zone}, {"revision", revision}});
 }
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -136,6 +136,7 @@
   void ApplyLeader(const StoreItem& item);
   void ApplyEvacuation(const StoreItem& item);
   void EndEvacuation(std::string_view zone, std::uint64_t revision);
+  void BeginWarmUp(std::string_view zone);
   void ApplySpends(const StoreItem& item);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -59,7 +59,9 @@
                     {"retry_share", NumberSchema()},
                     {"retry_slack", NumberSchema()},
                     {"load_window_s", NumberSchema()},
-                    {"load_overage", NumberSchema()}},
+                    {"load_overage", NumberSchema()},
+                    {"slow_start_overage", NumberSchema()},
+                    {"slow_start_slack", NumberSchema()}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -118,6 +120,8 @@
   ReadNumber(limits, "retry_slack", settings.retry_slack);
   ReadTime(limits, "load_window_s", s, settings.load_window);
   ReadNumber(limits, "load_overage", settings.load_overage);
+  ReadNumber(limits, "slow_start_overage", settings.slow_start_overage);
+  ReadNumber(limits, "slow_start_slack", settings.slow_start_slack);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -44,6 +44,9 @@
   /// Window in which loads from the weight storage are counted.
   absl::Duration load_window = absl::Seconds(5);
   double load_overage = 1;  ///< factor on the loads that a window permits
+  /// Of the requests to a target that warms up; see SlowStartLimit.
+  double slow_start_overage = 1;
+  double slow_start_slack = 0;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/decision/route_table.h"
+#include "dragonflyglade/decision/slow_start.h"
 
 namespace dragonflyglade::gateway {
 
@@ -106,6 +107,8 @@
   std::string name;
   int max_connections = 64;  ///< to one target, from all instances
   std::optional<EngineLimits> engine;
+  /// Without the overage and slack, which are in the settings.
+  SlowStartLimit slow_start;
 };
 
 /// A workspace of the configuration.
@@ -151,6 +154,8 @@
   int slots = 1;
   bool leaving = false;
   std::int64_t born_ms = 0;  ///< start time; a change means a restart
+  /// How long the target goes on warming up; see SlowStart.
+  absl::Duration warm_up_remaining;
   std::vector<ResidentModel> models;
   /// Models whose weights the target caches without serving them.
   std::vector<std::string> in_memory;
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -32,6 +32,9 @@
 // them. The rest is for instances that callers with an outdated list still use.
 constexpr double kListedInstancesShare = 0.9;
 constexpr double kMaxRetryAfterSeconds = 60;
+// For this long after its start, the instance sends nothing to targets that
+// warm up: their limit is one for a second.
+constexpr absl::Duration kSlowStartRestartPause = absl::Milliseconds(1100);
 
 std::string_view PathWithoutQuery(std::string_view path_and_query) {
   return path_and_query.substr(0, path_and_query.find('?'));
@@ -54,7 +57,8 @@
       metrics(metrics),
       log(log),
       tasks(tasks),
-      clock(std::move(clock)) {}
+      clock(std::move(clock)),
+      started(this->clock.Now()) {}
 
 asio::awaitable<void> Pipeline::Serve(CallerRequest request,
                                       CallerConnection& connection) {
@@ -209,6 +213,29 @@
                                       std::max(1.0, listed_instances)));
 }
 
+int Pipeline::SlowStartLimitAt(const ServiceSpec& service,
+                               std::string_view target) const {
+  SlowStartLimit limit = service.slow_start;
+  limit.overage = this->settings.slow_start_overage;
+  limit.slack = this->settings.slow_start_slack;
+  std::vector<std::string> listed;
+  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
+    listed.push_back(record->name);
+  }
+  return SlowStartRequestsPerSecond(limit, target, this->settings.instance,
+                                    listed);
+}
+
+// An earlier process of this instance may have sent requests until its end.
+bool Pipeline::MayTake(const ServiceSpec& service, TargetState& target,
+                       Instant now) const {
+  if (!service.slow_start.Applies()) return true;
+  if (!target.WarmUp().IsWarmingUp(now)) return true;
+  if (now - this->started < kSlowStartRestartPause) return false;
+  const int limit = this->SlowStartLimitAt(service, target.Record().id);
+  return target.WarmUp().MaySend(limit, now);
+}
+
 std::shared_ptr<TargetState> Pipeline::ChooseAmong(RequestJob& job,
                                                    bool last_resort) {
   const Instant now = this->clock.Now();
@@ -220,6 +247,7 @@
     const TargetRecord& record = target->Record();
     if (record.leaving || target->InFlight() >= max_in_flight) continue;
     if (this->fleet.IsEvacuated(record.zone)) continue;
+    if (!this->MayTake(*job.service, *target, now)) continue;
     if (job.unreachable.count(record.id) > 0) continue;
     if (!use.model.empty() && !target->Holds(use.model, use.adapter, now)) {
       continue;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -69,6 +69,12 @@
   boost::asio::awaitable<std::shared_ptr<TargetState>> DelayForPacing(
       RequestJob& job, std::shared_ptr<TargetState> target);
   int MaxInFlightAtTarget(const ServiceSpec& service) const;
+  /// The requests that this instance may send in a second to a target that
+  /// warms up.
+  int SlowStartLimitAt(const ServiceSpec& service,
+                       std::string_view target) const;
+  bool MayTake(const ServiceSpec& service, TargetState& target,
+               Instant now) const;
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
@@ -112,6 +118,7 @@
   std::map<std::string, std::unique_ptr<RetryBudget>, std::less<>>
       retry_budgets;
   absl::BitGen random;
+  const Instant started;
   int in_flight = 0;
   std::optional<Instant> shutdown_start;
   std::optional<Instant> shutdown_deadline;
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -36,7 +36,9 @@
 }
 
 TargetState::TargetState(TargetRecord record, Instant now)
-    : record(std::move(record)), updated_at(now) {}
+    : record(std::move(record)), updated_at(now) {
+  this->slow_start.Begin(this->record.warm_up_remaining, now);
+}
 
 void TargetState::Update(TargetRecord newer, Instant now) {
   const bool restarted = newer.born_ms != this->record.born_ms ||
@@ -44,6 +46,7 @@
   this->record = std::move(newer);
   this->updated_at = now;
   this->missing_since.reset();
+  this->slow_start.Begin(this->record.warm_up_remaining, now);
   if (!restarted) return;
   this->placed_adapters.clear();
   this->closing_models.clear();
@@ -105,6 +108,7 @@
 void TargetState::RecordSent(double prompt_tokens, const std::string& resident,
                              Instant now) {
   this->pace.Add(prompt_tokens, now);
+  this->slow_start.RecordSent(now);
   if (!resident.empty()) this->residents_in_use[resident] += 1;
   this->in_flight += 1;
   this->unread_tokens += prompt_tokens;
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -11,6 +11,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/slow_start.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/target_connection.h"
@@ -72,6 +73,8 @@
     return this->residents_in_use;
   }
   int InFlight() const { return this->in_flight; }
+  /// The requests sent to the target, and whether it warms up.
+  SlowStart& WarmUp() { return this->slow_start; }
   double UnreadTokens() const { return this->unread_tokens; }
 
   /// Stores the load that the target stated in a response.
@@ -117,6 +120,7 @@
   int in_flight = 0;
   std::map<std::string, int> residents_in_use;
   double unread_tokens = 0;
+  SlowStart slow_start;
   std::optional<LoadReport> report;
   Instant reported_at;
   int in_flight_at_report = 0;
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "platform/types.h"
 #include "platform/wire.h"
 
@@ -92,6 +93,7 @@
   CPPUNIT_TEST(RejectsMalformedConfigurations);
   CPPUNIT_TEST(DecodesTargets);
   CPPUNIT_TEST(RejectsMalformedTargets);
+  CPPUNIT_TEST(ClampsWarmUpTimes);
   CPPUNIT_TEST(DecodesCallerRequests);
   CPPUNIT_TEST(EncodesTargetRequests);
   CPPUNIT_TEST(DecodesTargetResponses);
@@ -165,6 +167,42 @@
     CPPUNIT_ASSERT(target.models[0].adapters == adapters);
   }
 
+  // Guards against a target that is never used, or used at its full rate too
+  // early, after a nonsensical warm-up time.
+  void ClampsWarmUpTimes() {
+    struct WarmUpCase {
+      const char* field;  ///< of the target's record
+      absl::Duration expected;
+    };
+    const std::vector<WarmUpCase> cases = {
+        {R"("new": 1)", absl::ZeroDuration()},
+        {R"("cold_remaining_ms": null)", absl::ZeroDuration()},
+        {R"("cold_remaining_ms": 2500)", absl::Milliseconds(2500)},
+        {R"("cold_remaining_ms": -1)", absl::ZeroDuration()},
+        {R"("cold_remaining_ms": -1e308)", absl::ZeroDuration()},
+        {R"("cold_remaining_ms": 1e308)", absl::Minutes(1)},
+    };
+    for (const WarmUpCase& item : cases) {
+      const Result<TargetRecord> target = DecodeTarget(
+          "servers/i-1", absl::StrCat(R"({"service": "s", "address": "a",
+              "slots": 1, "state": "ready", )",
+                                      item.field, "}"));
+      CPPUNIT_ASSERT_MESSAGE(item.field, target.Ok());
+      CPPUNIT_ASSERT_MESSAGE(item.field,
+                             target.Value().warm_up_remaining == item.expected);
+    }
+    const GatewayConfig config = DecodeConfig(R"({"version": 1, "routes": [],
+        "services": [{"name": "old"},
+                     {"name": "s", "cold_start_s": 3, "cold_per_s": 6.5},
+                     {"name": "odd", "cold_start_s": -3, "cold_per_s": -1}]})")
+                                     .Value();
+    CPPUNIT_ASSERT(!config.services.at("old").slow_start.Applies());
+    CPPUNIT_ASSERT(config.services.at("s").slow_start.Applies());
+    CPPUNIT_ASSERT(config.services.at("s").slow_start.duration ==
+                   absl::Seconds(3));
+    CPPUNIT_ASSERT(!config.services.at("odd").slow_start.Applies());
+  }
+
   // Failure: a malformed store entry, which any writer may have left there,
   // terminates the process or is used as a target. It has to be rejected with
   // an error, so that the remaining entries stay usable.
@@ -181,6 +219,9 @@
          R"({"service": "s", "address": "a", "slots": 1, "state": "ready",
              "models": 5})"},
         {"a list in place of an object", "[1]"},
+        {"a warm-up time of another type",
+         R"({"service": "s", "address": "a", "slots": 1, "state": "ready",
+             "cold_remaining_ms": "3000"})"},
     };
     for (const MalformedCase& item : cases) {
       CPPUNIT_ASSERT_MESSAGE(item.description,
--- a/tests/unit/unit-evacuation.cc
+++ b/tests/unit/unit-evacuation.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(EvacuationTest);
   CPPUNIT_TEST(FollowsTheOrderOfEvents);
   CPPUNIT_TEST(RefusesOnlyIfAllZonesAreEvacuated);
+  CPPUNIT_TEST(TargetsWarmUpAfterAnEvacuation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,6 +130,24 @@
     CPPUNIT_ASSERT(fleet.IsServiceEvacuated("s"));
   }
 
+  // Guards against a crash of the targets of a zone whose evacuation ends: they
+  // may have restarted meanwhile, and their records still say that they are
+  // warm.
+  void TargetsWarmUpAfterAnEvacuation() {
+    Instance instance;
+    FleetState& fleet = instance.fleet;
+    fleet.Apply(Item("op/config", 1, kConfig));
+    fleet.Apply(TargetItem("t1", "a", 2));
+    fleet.Apply(TargetItem("t2", "b", 3));
+    fleet.Apply(Item("op/evacuate/a", 4));
+    instance.clock.Advance(absl::Seconds(20));
+    fleet.ApplyDeleted("op/evacuate/a", 5);
+    const Instant now = instance.clock.Now();
+    CPPUNIT_ASSERT(fleet.Target("t1")->WarmUp().IsWarmingUp(now));
+    CPPUNIT_ASSERT(!fleet.Target("t2")->WarmUp().IsWarmingUp(now));
+    CPPUNIT_ASSERT(
+        !fleet.Target("t1")->WarmUp().IsWarmingUp(now + absl::Seconds(3)));
+  }
 
  private:
   struct Instance {
