Resume broken streams until the partition of their target ends

Cause: scenario-two-failures failed when the cut met a letter between its first and last event. The two resumes that a broken stream got followed at once, within milliseconds, met the same cut, and the caller got stream_ended although the engine went on generating. On an idle machine the four callers run in step and the cut falls between their letters; beside load it doesn't. Ruled out: the engine's memory of the stream (a resume after the cut gets the rest).

Change: a broken stream is resumed with pauses of 20 to 250 ms until it is complete, for 10 s after its last event; at once no more if the target answers that it does not have the stream, and after two connects that fail.

--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -2,11 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "absl/cleanup/cleanup.h"
+#include "absl/time/clock.h"
 #include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/caller/reservation.h"
 #include "dragonflyglade/caller/sse.h"
@@ -18,7 +20,15 @@
 using nlohmann::json;
 
 constexpr int kMaxAttempts = 3;
-constexpr int kMaxResumes = 2;
+// A resume may fail at once without a connection: the target has terminated, or
+// is behind a partition that drops packets.
+constexpr int kMaxFailedConnects = 2;
+// A target that cannot be reached goes on generating, and its stream is
+// complete when the partition ends. Callers have waited for about this long for
+// the first event of a silent target, too.
+constexpr absl::Duration kMaxResumeTime = absl::Seconds(10);
+constexpr absl::Duration kFirstResumePause = absl::Milliseconds(20);
+constexpr absl::Duration kMaxResumePause = absl::Milliseconds(250);
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpTooManyRequests = 429;
@@ -211,8 +221,7 @@
     this->dispatcher.Release(reservation, outcome);
   };
   this->ReadStream(job, attempt, EngineClient::MakeCompletionRequest(request));
-  for (int i = 0; i < kMaxResumes && this->Resume(job, attempt); ++i) {
-  }
+  this->ResumeUntilComplete(job, attempt);
   outcome = this->OutcomeOf(job, attempt);
   std::move(release).Invoke();
   if (attempt.complete) {
@@ -300,22 +309,41 @@
   }
 }
 
-// Resumes a broken stream where it stopped. Returns true if the resumed stream
-// broke as well and may be resumed again.
-bool CompletionRunner::Resume(Job& job, Attempt& attempt) {
-  if (attempt.complete || attempt.caller_disconnected ||
-      job.delivered_events == 0) {
-    return false;
-  }
-  if (job.stream->Cancelled() || !attempt.failure.has_value()) return false;
-  const int events_before = job.delivered_events;
-  this->ReadStream(
-      job, attempt,
-      EngineClient::MakeResumeRequest(job.context.request_id, events_before));
-  if (attempt.complete) {
-    this->metrics.Count("dragonflyglade_streams_resumed_total");
+bool CompletionRunner::MayResume(const Job& job, const Attempt& attempt) const {
+  if (attempt.complete || attempt.caller_disconnected) return false;
+  if (job.stream->Cancelled() || job.delivered_events == 0) return false;
+  // Without a failure, the target responded that it does not have the stream.
+  return attempt.failure.has_value() && attempt.status == kHttpOk;
+}
+
+// Failure: a partition between the instance and a target cuts streams that have
+// begun, and their callers get the error stream_ended although the target has
+// the rest of the stream a second later. Resuming for some seconds bridges it;
+// it stops at once if the target does not know the stream any more.
+void CompletionRunner::ResumeUntilComplete(Job& job, Attempt& attempt) {
+  Instant last_event = this->clock.Now();
+  absl::Duration pause = kFirstResumePause;
+  int failed_connects = 0;
+  while (this->MayResume(job, attempt)) {
+    const int events_before = job.delivered_events;
+    this->ReadStream(
+        job, attempt,
+        EngineClient::MakeResumeRequest(job.context.request_id, events_before));
+    if (attempt.complete) {
+      this->metrics.Count("dragonflyglade_streams_resumed_total");
+      return;
+    }
+    const bool progressed = job.delivered_events > events_before;
+    if (progressed) last_event = this->clock.Now();
+    const bool connect_failed = attempt.failure.has_value() &&
+                                attempt.failure->code == Errc::kConnectFailed;
+    failed_connects = connect_failed ? failed_connects + 1 : 0;
+    if (failed_connects >= kMaxFailedConnects) return;
+    if (this->clock.Now() - last_event >= kMaxResumeTime) return;
+    absl::SleepFor(pause);
+    pause =
+        progressed ? kFirstResumePause : std::min(2 * pause, kMaxResumePause);
   }
-  return !attempt.complete && attempt.status == kHttpOk;
 }
 
 RequestOutcome CompletionRunner::OutcomeOf(Job& job, const Attempt& attempt) {
--- a/dragonflyglade/caller/completion_runner.h
+++ b/dragonflyglade/caller/completion_runner.h
@@ -48,7 +48,8 @@
   void TryTargets(Job& job);
   bool RunAttempt(Job& job, const TargetReservation& reservation);
   void ReadStream(Job& job, Attempt& attempt, const HttpRequest& request);
-  bool Resume(Job& job, Attempt& attempt);
+  bool MayResume(const Job& job, const Attempt& attempt) const;
+  void ResumeUntilComplete(Job& job, Attempt& attempt);
   RequestOutcome OutcomeOf(Job& job, const Attempt& attempt);
   bool MayRetry(const Job& job, const Attempt& attempt);
   std::variant<TargetReservation, Refusal> Reserve(Job& job);
