Let pacing follow the pauses that streams have

Cause: prompts were held by a share of the sheet's objective for pauses.

Change: each instance keeps the share of its streams whose longest pause exceeded the objective, about the last fifty. Below 2 in 100 the backlog limit grows, above 4 in 100 it shrinks to the limit that stood before. The longest pause stands in each request's line and in the metric longest_pause_seconds.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -302,8 +302,9 @@
       wait_start + MaxPacingDelay(job.route->latency_objective);
   Instant now = wait_start;
   while (target != nullptr && now < until && !job.connection.IsDisconnected()) {
-    const absl::Duration hold = PacingDelay(target->TokensAheadOfPace(now),
-                                            job.UnreadTokens(), objective);
+    const absl::Duration hold =
+        PacingDelay(target->TokensAheadOfPace(now), job.UnreadTokens(),
+                    objective, this->pacing[job.service->name].BacklogFactor());
     if (hold <= absl::ZeroDuration()) break;
     co_await Sleep(this->context, std::min(hold, until - now));
     now = this->clock.Now();
@@ -343,6 +344,14 @@
   co_return target;
 }
 
+void Pipeline::RecordPauses(const RequestJob& job) {
+  if (!job.NeedsModel()) return;
+  this->metrics.Observe("longest_pause_seconds", "",
+                        absl::ToDoubleSeconds(job.longest_pause));
+  this->pacing[job.service->name].RecordStream(job.longest_pause,
+                                               job.route->event_gap_objective);
+}
+
 // If a target may have executed the request, the refusal must not tell the
 // caller that it did not run.
 Refusal Pipeline::NoTargetRefusal(const RequestJob& job) const {
@@ -425,6 +434,7 @@
        {"paced_ms", job.pacing_time},
        {"expected_ms", job.expected_first_output_delay},
        {"first_ms", first},
+       {"longest_pause_ms", job.longest_pause},
        {"total_ms", now - job.started},
        {"connection", job.connection.EndReason()}});
 }
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -11,6 +11,7 @@
 
 #include "absl/random/random.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/gateway/awaitable.h"
@@ -100,6 +101,7 @@
   bool MayRetry(RequestJob& job, bool may_have_run);
   RetryBudget& RetryBudgetOf(std::string_view service);
   Refusal NoTargetRefusal(const RequestJob& job) const;
+  void RecordPauses(const RequestJob& job);
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
   void RecordOutcome(RequestJob& job, std::string_view outcome, int status);
@@ -117,6 +119,8 @@
   const Clock clock;
   std::map<std::string, std::unique_ptr<RetryBudget>, std::less<>>
       retry_budgets;
+  /// By service.
+  std::map<std::string, PacingControl, std::less<>> pacing;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -264,7 +264,7 @@
   const bool failed = head.status >= 500;
   target.RecordResult(failed ? TargetResult::kFailure : TargetResult::kSuccess,
                       now);
-  job.first_output = now;
+  job.RecordOutput(now);
   if (failed && this->MayRetry(job, true)) {
     this->log.Write("request", "failed at target",
                     {{"id", job.request.id},
@@ -315,6 +315,7 @@
     }
     if (!ended) continue;
     target.RecordResult(TargetResult::kSuccess, this->clock.Now());
+    this->RecordPauses(job);
     this->RecordOutcome(job, "answered", head.status);
     co_return NextStep::kDone;
   }
@@ -324,9 +325,7 @@
                                             const ResponseHead& head,
                                             std::string_view events,
                                             bool ended) {
-  if (!events.empty() && !job.first_output.has_value()) {
-    job.first_output = this->clock.Now();
-  }
+  if (!events.empty()) job.RecordOutput(this->clock.Now());
   bool written = !job.connection.IsDisconnected();
   if (!job.connection.StreamStarted() && (!events.empty() || ended)) {
     written = co_await job.connection.BeginStream(
--- a/dragonflyglade/gateway/request_job.cc
+++ b/dragonflyglade/gateway/request_job.cc
@@ -21,6 +21,15 @@
   return parts.size() < 2 ? std::string_view() : parts[parts.size() - 2].id;
 }
 
+void RequestJob::RecordOutput(Instant now) {
+  if (!this->first_output.has_value()) this->first_output = now;
+  if (this->last_output.has_value()) {
+    this->longest_pause =
+        std::max(this->longest_pause, now - *this->last_output);
+  }
+  this->last_output = now;
+}
+
 double RequestJob::UnreadTokens() const {
   return ExpectedPrefillTokens(this->request.use.prompt_tokens,
                                this->SharedTokens());
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -40,6 +40,8 @@
   TargetExchange* exchange = nullptr;
   EventSplitter events;
   std::optional<Instant> first_output;
+  std::optional<Instant> last_output;
+  absl::Duration longest_pause;  ///< between two events of the stream
   absl::Duration expected_first_output_delay;  ///< at the chosen target
   absl::Duration admission_time;  ///< time until the quota decision
   absl::Duration target_wait;     ///< time spent waiting for a target
@@ -65,6 +67,8 @@
     const ModelUse& use = this->request.use;
     return this->NeedsModel() ? ResidentKey(use.model, use.adapter) : "";
   }
+  /// Records output of the target for the caller.
+  void RecordOutput(Instant now);
   /// Prompt tokens that the target is expected to process, cached ones not
   /// counted.
   double UnreadTokens() const;
--- a/tests/unit/unit-pacing.cc
+++ b/tests/unit/unit-pacing.cc
@@ -209,6 +209,7 @@
   CPPUNIT_TEST_SUITE(PacingTest);
   CPPUNIT_TEST(ComputesDelays);
   CPPUNIT_TEST(KeepsEventGapsOfStreams);
+  CPPUNIT_TEST(DelaysOnlyWherePausesAreLate);
   CPPUNIT_TEST(LeakyBucketDrains);
   CPPUNIT_TEST_SUITE_END();
 
@@ -268,6 +269,46 @@
     }
   }
 
+  // Guards against delays that postpone first outputs although no stream pauses
+  // for too long, and against stalls after a calm time in which the limit grew.
+  void DelaysOnlyWherePausesAreLate() {
+    struct Phase {
+      int streams;
+      int late_of_hundred;
+    };
+    struct Case {
+      const char* name;
+      std::vector<Phase> phases;
+      bool delayed;
+    };
+    const std::vector<Case> cases = {
+        {"nothing is known", {}, true},
+        {"no stream is late", {{200, 0}}, false},
+        {"one in a hundred is late", {{400, 1}}, false},
+        {"one in ten is late", {{400, 10}}, true},
+        {"a calm time, then one in ten is late", {{200, 0}, {200, 10}}, true},
+        {"one in ten was late, then a calm time", {{200, 10}, {400, 0}}, false},
+    };
+    constexpr double kManyTokens = 10'000;
+    for (const Case& item : cases) {
+      PacingControl control;
+      for (const Phase& phase : item.phases) {
+        for (int i = 0; i < phase.streams; ++i) {
+          const bool late =
+              i % 100 * phase.late_of_hundred % 100 < phase.late_of_hundred;
+          control.RecordStream((late ? 1.5 : 0.9) * kEventGapObjective,
+                               kEventGapObjective);
+        }
+      }
+      const absl::Duration delay =
+          PacingDelay(kManyTokens, kPromptTokens, kEventGapObjective,
+                      control.BacklogFactor());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(item.name) + ", late share " +
+                                       std::to_string(control.LateShare()),
+                                   item.delayed, delay > absl::ZeroDuration());
+    }
+  }
+
   void LeakyBucketDrains() {
     LeakyBucket queue(30);
     queue.Add(3000, absl::Milliseconds(1000));
