Keep the platform's words out of the unit tests, and lint clean

unit-evacuation used keys and fields of the users' platform, which stand in platform/ and tests/platform/ only; it is platform-evacuation now, with the same checks.

--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -162,8 +162,9 @@
 // The key alone names the zone. A record with an unreadable value is in force,
 // too: if it were ignored, requests would go on to a zone that is going down.
 void FleetState::ApplyEvacuation(const StoreItem& item) {
+  const std::string_view key = item.key;
   const std::string_view zone =
-      std::string_view(item.key).substr(this->wire.evacuations_prefix.size());
+      key.substr(this->wire.evacuations_prefix.size());
   if (zone.empty() || zone.find('/') != std::string_view::npos) {
     this->log.Write("zones", "evacuation record without a zone",
                     {{"key", item.key}, {"revision", item.revision}});
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -16,9 +16,9 @@
 // 90 engines, and events that wake the planner arrive every few milliseconds.
 // An adapter takes some ten milliseconds to load in any case.
 constexpr absl::Duration kMinPlanPause = absl::Milliseconds(20);
-// The pause is this many times the duration of the last round. So planning takes
-// at most a sixth of the leader's time and does not delay its requests and
-// reports.
+// The pause is this many times the duration of the last round. So planning
+// takes at most a sixth of the leader's time and does not delay its requests
+// and reports.
 constexpr int kPausePerPlanTime = 5;
 // The store removes the entry of a terminated engine after three heartbeats.
 constexpr absl::Duration kEntryExpiry = absl::Seconds(4);
--- a/tests/unit/unit-evacuation.cc
+++ b/tests/platform/platform-evacuation.cc
@@ -159,7 +159,7 @@
   };
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(EvacuationTest, "unit-evacuation");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(EvacuationTest, "platform-evacuation");
 
 }  // namespace
 }  // namespace dragonflyglade::gateway
