Take the slow start's limit from the service alone, and test it at the gateway

Found on reading the change as a newcomer. A target's limit was cut to 32 requests a second of all instances and to 8 senders, numbers that fit one sheet: a service that takes some hundred while it warms up would have got 32. A rate beyond any integer was cast to one, which is undefined. No test failed if requests ignored the slow start, or if a warm-up was not passed on by relays.

Change: the limit is bounded only against overflow; requests are kept for a second instead of the last 32. Tests: limits of some hundred and of 1e300, a gateway before a target that warms up, and the urgency of a warm-up. One term: SlowStartState, MaySendTo.

Measured: unit-slow-start, platform-evacuation and platform-gateway pass.

--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -24,8 +24,8 @@
 // is behind a partition that drops packets.
 constexpr int kMaxFailedConnects = 2;
 // A target that cannot be reached goes on generating, and its stream is
-// complete when the partition ends. Callers have waited for about this long for
-// the first event of a silent target, too.
+// complete when the partition ends. As long as the default wait for a silent
+// target.
 constexpr absl::Duration kMaxResumeTime = absl::Seconds(10);
 constexpr absl::Duration kFirstResumePause = absl::Milliseconds(20);
 constexpr absl::Duration kMaxResumePause = absl::Milliseconds(250);
--- a/dragonflyglade/decision/slow_start.cc
+++ b/dragonflyglade/decision/slow_start.cc
@@ -1,7 +1,6 @@
 #include "dragonflyglade/decision/slow_start.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "dragonflyglade/decision/rendezvous.h"
 
@@ -12,12 +11,11 @@
 // changes, some instances still go by the older list, and the senders of both
 // lists add up.
 constexpr double kUsedShare = 0.6;
-constexpr int kMaxSenders = 8;
 // A second, and the time by which a request may be delayed between the decision
 // to send it and its arrival.
 constexpr absl::Duration kWindow = absl::Milliseconds(1100);
-// No instance sends more than this in a window.
-constexpr std::size_t kMaxCounted = 32;
+// Above this the limit does not bind: a target takes less when it is warm.
+constexpr double kMaxBudget = 1e6;
 
 }  // namespace
 
@@ -29,10 +27,9 @@
                                std::string_view target, std::string_view self,
                                absl::Span<const std::string> listed) {
   const double most = limit.requests_per_second * limit.overage + limit.slack;
-  const int budget = std::min<int>(
-      kMaxCounted, std::max(1, static_cast<int>(kUsedShare * most)));
-  const int senders =
-      std::min({kMaxSenders, budget, static_cast<int>(listed.size())});
+  const int budget =
+      static_cast<int>(std::clamp(kUsedShare * most, 1.0, kMaxBudget));
+  const int senders = std::min(budget, static_cast<int>(listed.size()));
   if (senders == 0) return 0;
   const bool sends =
       senders == static_cast<int>(listed.size())
@@ -47,8 +44,10 @@
 }
 
 void SlowStart::RecordSent(Instant now) {
+  while (!this->sent.empty() && now - this->sent.front() >= kWindow) {
+    this->sent.pop_front();
+  }
   this->sent.push_back(now);
-  if (this->sent.size() > kMaxCounted) this->sent.pop_front();
 }
 
 bool SlowStart::MaySend(int requests_per_second, Instant now) const {
--- a/dragonflyglade/decision/slow_start.h
+++ b/dragonflyglade/decision/slow_start.h
@@ -27,8 +27,8 @@
 /// the target warms up.
 ///
 /// The senders of a target are chosen by rendezvous hashing among the instances
-/// that callers are sent to, so they need no messages. Together they use about
-/// half of what the target takes.
+/// that callers are sent to, so they need no messages. Together they use a good
+/// half of what the target takes; at least one request a second is sent.
 /// @param listed names of the instances that callers are sent to
 /// @return zero if other instances are the senders
 /// Complexity: linear in the listed instances, with their hashes if they are
@@ -56,7 +56,7 @@
 
  private:
   Instant warm_at = -absl::InfiniteDuration();
-  std::deque<Instant> sent;  ///< the latest requests, oldest first
+  std::deque<Instant> sent;  ///< requests of the last second, oldest first
 };
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -190,7 +190,7 @@
     if (target.Record().zone != zone) return;
     const auto service = this->config->services.find(target.Record().service);
     if (service == this->config->services.end()) return;
-    target.WarmUp().Begin(service->second.slow_start.duration, now);
+    target.SlowStartState().Begin(service->second.slow_start.duration, now);
   });
 }
 
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -33,7 +33,8 @@
 constexpr double kListedInstancesShare = 0.9;
 constexpr double kMaxRetryAfterSeconds = 60;
 // For this long after its start, the instance sends nothing to targets that
-// warm up: their limit is one for a second.
+// warm up: the requests of its earlier process still count in their last
+// second.
 constexpr absl::Duration kSlowStartRestartPause = absl::Milliseconds(1100);
 
 std::string_view PathWithoutQuery(std::string_view path_and_query) {
@@ -226,14 +227,13 @@
                                     listed);
 }
 
-// An earlier process of this instance may have sent requests until its end.
-bool Pipeline::MayTake(const ServiceSpec& service, TargetState& target,
-                       Instant now) const {
+bool Pipeline::MaySendTo(const ServiceSpec& service, TargetState& target,
+                         Instant now) const {
   if (!service.slow_start.Applies()) return true;
-  if (!target.WarmUp().IsWarmingUp(now)) return true;
+  if (!target.SlowStartState().IsWarmingUp(now)) return true;
   if (now - this->started < kSlowStartRestartPause) return false;
   const int limit = this->SlowStartLimitAt(service, target.Record().id);
-  return target.WarmUp().MaySend(limit, now);
+  return target.SlowStartState().MaySend(limit, now);
 }
 
 std::shared_ptr<TargetState> Pipeline::ChooseAmong(RequestJob& job,
@@ -247,7 +247,7 @@
     const TargetRecord& record = target->Record();
     if (record.leaving || target->InFlight() >= max_in_flight) continue;
     if (this->fleet.IsEvacuated(record.zone)) continue;
-    if (!this->MayTake(*job.service, *target, now)) continue;
+    if (!this->MaySendTo(*job.service, *target, now)) continue;
     if (job.unreachable.count(record.id) > 0) continue;
     if (!use.model.empty() && !target->Holds(use.model, use.adapter, now)) {
       continue;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -74,8 +74,9 @@
   /// warms up.
   int SlowStartLimitAt(const ServiceSpec& service,
                        std::string_view target) const;
-  bool MayTake(const ServiceSpec& service, TargetState& target,
-               Instant now) const;
+  /// Whether the slow start of the target allows another request now.
+  bool MaySendTo(const ServiceSpec& service, TargetState& target,
+                 Instant now) const;
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -74,7 +74,7 @@
   }
   int InFlight() const { return this->in_flight; }
   /// The requests sent to the target, and whether it warms up.
-  SlowStart& WarmUp() { return this->slow_start; }
+  SlowStart& SlowStartState() { return this->slow_start; }
   double UnreadTokens() const { return this->unread_tokens; }
 
   /// Stores the load that the target stated in a response.
--- a/tests/platform/platform-evacuation.cc
+++ b/tests/platform/platform-evacuation.cc
@@ -20,10 +20,11 @@
 }
 
 StoreItem TargetItem(const std::string& id, const std::string& zone,
-                     std::uint64_t revision) {
+                     std::uint64_t revision, int warm_up_ms = 0) {
   return Item("servers/" + id, revision,
               R"({"service": "s", "address": "10.0.0.1:80", "zone": ")" + zone +
-                  R"(", "slots": 4, "state": "ready"})");
+                  R"(", "slots": 4, "state": "ready", "cold_remaining_ms": )" +
+                  std::to_string(warm_up_ms) + "}");
 }
 
 // An instance's copy of the store, without a network.
@@ -32,6 +33,7 @@
   CPPUNIT_TEST(FollowsTheOrderOfEvents);
   CPPUNIT_TEST(RefusesOnlyIfAllZonesAreEvacuated);
   CPPUNIT_TEST(TargetsWarmUpAfterAnEvacuation);
+  CPPUNIT_TEST(PassesOnThatATargetWarmsUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,10 +145,24 @@
     instance.clock.Advance(absl::Seconds(20));
     fleet.ApplyDeleted("op/evacuate/a", 5);
     const Instant now = instance.clock.Now();
-    CPPUNIT_ASSERT(fleet.Target("t1")->WarmUp().IsWarmingUp(now));
-    CPPUNIT_ASSERT(!fleet.Target("t2")->WarmUp().IsWarmingUp(now));
-    CPPUNIT_ASSERT(
-        !fleet.Target("t1")->WarmUp().IsWarmingUp(now + absl::Seconds(3)));
+    CPPUNIT_ASSERT(fleet.Target("t1")->SlowStartState().IsWarmingUp(now));
+    CPPUNIT_ASSERT(!fleet.Target("t2")->SlowStartState().IsWarmingUp(now));
+    CPPUNIT_ASSERT(!fleet.Target("t1")->SlowStartState().IsWarmingUp(
+        now + absl::Seconds(3)));
+  }
+
+  // Guards against instances that rely on a relay and hear of a warm-up only
+  // when it is over: a target may become slow without a restart.
+  void PassesOnThatATargetWarmsUp() {
+    Instance instance;
+    FleetState& fleet = instance.fleet;
+    fleet.Apply(TargetItem("t1", "a", 2));
+    fleet.Apply(TargetItem("t1", "a", 3, 3000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fleet.UrgentRevision());
+    const Instant now = instance.clock.Now();
+    CPPUNIT_ASSERT(fleet.Target("t1")->SlowStartState().IsWarmingUp(now));
+    fleet.Apply(TargetItem("t1", "a", 4, 1000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fleet.UrgentRevision());
   }
 
  private:
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -132,6 +132,7 @@
   CPPUNIT_TEST(AppliesNewConfigurations);
   CPPUNIT_TEST(SendsNoRequestsToADrainingTarget);
   CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
+  CPPUNIT_TEST(SendsFewRequestsToATargetThatWarmsUp);
   CPPUNIT_TEST(ReloadsItsSettings);
   CPPUNIT_TEST(ServesRequestsDuringShutdown);
   CPPUNIT_TEST_SUITE_END();
@@ -344,6 +345,44 @@
     CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/new/").status);
   }
 
+  // Guards against a crash of the only target, which warms up and takes two
+  // requests a second: of many, one reaches it, and the others are refused.
+  void SendsFewRequestsToATargetThatWarmsUp() {
+    Harness harness;
+    nlohmann::json config = harness.Config(2, "last");
+    config["services"][0]["cold_per_s"] = 2;
+    config["services"][0]["cold_start_s"] = 60;
+    harness.PutConfig(config);
+    harness.store.Put("servers/i-1",
+                      nlohmann::json{{"service", "s"},
+                                     {"address", harness.first.Address()},
+                                     {"zone", "z"},
+                                     {"slots", 4},
+                                     {"state", "ready"},
+                                     {"born", 1},
+                                     {"cold_remaining_ms", 60000},
+                                     {"models", nlohmann::json::array()}}
+                          .dump());
+    harness.WaitFor([&] {
+      return harness.Read<bool>([&] {
+        const auto target = harness.gateway->Fleet().Target("i-1");
+        return target->Record().warm_up_remaining > absl::ZeroDuration();
+      });
+    });
+    harness.WaitFor([&] { return harness.Call("GET", "/any/").status == 200; });
+    const std::size_t before = harness.first.Requests().size();
+    const absl::Time begin = absl::Now();
+    constexpr int kCalls = 10;
+    int refused = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      refused += harness.Call("GET", "/any/").status == 503 ? 1 : 0;
+    }
+    const double seconds = absl::ToDoubleSeconds(absl::Now() - begin);
+    const std::size_t sent = harness.first.Requests().size() - before;
+    CPPUNIT_ASSERT(sent <= static_cast<std::size_t>(1 + seconds));
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kCalls - refused), sent);
+  }
+
   // Guards against requests to targets of an evacuated availability zone, and
   // against callers who wait for them. Once it is taken back they are served.
   void SendsNothingToAnEvacuatedZone() {
--- a/tests/unit/unit-slow-start.cc
+++ b/tests/unit/unit-slow-start.cc
@@ -113,7 +113,9 @@
         {"more than the parts", Limit(6.5, 1.5, 5), 64, 8, 8},
         {"a limit of about one request", Limit(1, 1, 0), 8, 1, 1},
         {"a limit below one request", Limit(0.1, 1, 0), 8, 1, 1},
-        {"a huge limit", Limit(1e9, 1.5, 5), 8, 8, 32},
+        {"a limit of some hundred requests", Limit(400, 1, 0), 8, 200, 240},
+        {"a limit beyond any number of requests", Limit(1e300, 1.5, 5), 8, 8,
+         1'000'000},
     };
     for (const Case& item : cases) {
       const int all =
