Log since when an instance lacks changes of the store, and how they came

New: store "behind" and "caught up" with revisions and time; config "in force" has bytes and source. Messages that concern the store have one entry point and the check of the relays no longer needs a timer, so that a test can play both.

No decision changes. unit-store-relay, unit-store-news, platform-follower pass.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -126,10 +126,7 @@
   if (message->__isset.grant)
     this->quota_admission.ReceiveGrant(message->grant);
   if (message->__isset.note) this->ReceiveSendNote(message->note);
-  if (message->__isset.store) this->relay.ReceiveDigest(message->store);
-  if (message->__isset.store_question) {
-    this->relay.ReceiveQuestion(message->store_question);
-  }
+  this->relay.Receive(*message);
 }
 
 asio::awaitable<void> FleetChannel::Report() {
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -53,7 +53,7 @@
   return true;
 }
 
-void FleetState::Apply(const StoreItem& item) {
+void FleetState::Apply(const StoreItem& item, ChangeSource source) {
   if (!this->IsNewer(item.key, item.revision)) return;
   if (item.key == kSpendRecordKey) {
     this->ApplySpends(item);
@@ -61,7 +61,7 @@
   }
   const bool of_target = this->HasPrefix(item.key, this->wire.targets_prefix);
   const bool urgent = !of_target || this->ApplyTarget(item);
-  if (item.key == this->wire.config_key) this->ApplyConfig(item);
+  if (item.key == this->wire.config_key) this->ApplyConfig(item, source);
   if (this->HasPrefix(item.key, kInstanceKeyPrefix)) this->ApplyInstance(item);
   if (item.key == kLeaderKey) this->ApplyLeader(item);
   if (this->HasPrefix(item.key, this->wire.evacuations_prefix)) {
@@ -71,7 +71,7 @@
   this->changed.Notify();
 }
 
-void FleetState::ApplyConfig(const StoreItem& item) {
+void FleetState::ApplyConfig(const StoreItem& item, ChangeSource source) {
   Result<GatewayConfig> decoded = this->wire.decode_config(item.value);
   if (!decoded.Ok()) {
     this->log.Write(
@@ -85,7 +85,9 @@
       "config", "in force",
       {{"version", this->config->version},
        {"revision", item.revision},
-       {"routes", static_cast<int>(this->config->routes.Routes().size())}});
+       {"routes", static_cast<int>(this->config->routes.Routes().size())},
+       {"bytes", static_cast<int>(item.value.size())},
+       {"source", source == ChangeSource::kRelay ? "relay" : "store"}});
 }
 
 bool FleetState::IsUrgent(const TargetRecord& record) const {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -33,6 +33,9 @@
   std::uint64_t revision = 0;
 };
 
+/// How a change of the store reached this instance.
+enum class ChangeSource { kStore, kRelay };
+
 /// This instance's copy of the store: configuration, targets, instances and
 /// leader. Each key changes only to a newer revision. Used by one event loop.
 class FleetState {
@@ -42,7 +45,8 @@
 
   /// Applies a key that was read or changed. A revision that is not newer than
   /// the last one applied to the key has no effect.
-  void Apply(const StoreItem& item);
+  /// @param source how the change reached this instance, for the log
+  void Apply(const StoreItem& item, ChangeSource source = ChangeSource::kStore);
   void ApplyDeleted(std::string_view key, std::uint64_t revision);
 
   /// Applies a complete listing; keys that are missing from it count as
@@ -128,7 +132,7 @@
 
  private:
   bool IsNewer(std::string_view key, std::uint64_t revision);
-  void ApplyConfig(const StoreItem& item);
+  void ApplyConfig(const StoreItem& item, ChangeSource source);
   bool ApplyTarget(const StoreItem& item);
   void AddUrgentChange(StoreEvent event);
   bool IsUrgent(const TargetRecord& record) const;
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -85,7 +85,7 @@
       if (event.deleted) {
         this->fleet.ApplyDeleted(event.item.key, event.item.revision);
       } else {
-        this->fleet.Apply(event.item);
+        this->fleet.Apply(event.item, ChangeSource::kRelay);
       }
     }
   }
@@ -148,18 +148,49 @@
   return this->fleet.IsRelayInstance(this->self.name);
 }
 
+void StoreRelay::Receive(const wire::FleetMessage& message) {
+  if (message.__isset.store) this->ReceiveDigest(message.store);
+  if (message.__isset.store_question) {
+    this->ReceiveQuestion(message.store_question);
+  }
+}
+
 asio::awaitable<void> StoreRelay::QueryRelaysWhileStale() {
   while (true) {
     co_await Sleep(this->context, kQueryInterval);
-    if (!this->IsRelay() && this->sync_state.DigestAge() > kDigestStaleAfter)
-      this->QueryNextRelay();
-    if (this->sync_state.HasLiveRelay() == this->had_live_relay) continue;
+    this->CheckRelays();
+  }
+}
+
+void StoreRelay::CheckRelays() {
+  if (!this->IsRelay() && this->sync_state.DigestAge() > kDigestStaleAfter)
+    this->QueryNextRelay();
+  this->LogChanges();
+}
+
+void StoreRelay::LogChanges() {
+  const Instant now = this->clock.Now();
+  if (this->sync_state.HasLiveRelay() != this->had_live_relay) {
     this->had_live_relay = this->sync_state.HasLiveRelay();
     this->log.Write("store",
                     this->had_live_relay ? "relay live" : "no live relay",
                     {{"known_through", this->sync_state.KnownThrough()},
                      {"behind", this->sync_state.IsBehind()}});
   }
+  if (this->sync_state.IsBehind() == this->logged_behind_since.has_value()) {
+    return;
+  }
+  if (!this->logged_behind_since.has_value()) {
+    this->logged_behind_since = now;
+    this->log.Write("store", "behind",
+                    {{"known_through", this->sync_state.KnownThrough()},
+                     {"announced", this->sync_state.AnnouncedRevision()}});
+    return;
+  }
+  this->log.Write("store", "caught up",
+                  {{"known_through", this->sync_state.KnownThrough()},
+                   {"behind_ms", now - *this->logged_behind_since}});
+  this->logged_behind_since.reset();
 }
 
 // Queries the relays in turn, since one may have terminated or be unreachable
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -69,10 +70,16 @@
   /// known here.
   wire::StoreDigest DigestWithChanges(std::string changes) const;
 
-  /// Queries the relays while the newest digest is stale; runs until the
-  /// process ends.
+  /// Handles a message of another instance if it concerns the store.
+  void Receive(const wire::FleetMessage& message);
+
+  /// Calls CheckRelays at a fixed interval; runs until the process ends.
   boost::asio::awaitable<void> QueryRelaysWhileStale();
 
+  /// Queries a relay if the newest digest is stale, and logs what changed since
+  /// the last call.
+  void CheckRelays();
+
  private:
   /// Changes packed for all receivers that know the same revision.
   struct PackedDigestChanges {
@@ -89,6 +96,7 @@
   const PackedDigestChanges* PackedChangesSince(std::uint64_t known);
   void QueryNextRelay();
   bool IsRelay() const;
+  void LogChanges();
 
   boost::asio::io_context& context;
   FleetState& fleet;
@@ -105,6 +113,8 @@
   std::map<std::string, Subscriber> subscribers;  ///< by address
   std::size_t next_relay = 0;   ///< index of the next relay to query
   bool had_live_relay = false;  ///< as last logged
+  /// Since when this instance lacks urgent changes, if that was logged.
+  std::optional<Instant> logged_behind_since;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -52,6 +52,11 @@
   /// by digests.
   std::uint64_t KnownThrough() const { return this->known_through; }
 
+  /// The newest urgent revision that relays have announced.
+  std::uint64_t AnnouncedRevision() const {
+    return this->relay_urgent_revision;
+  }
+
   /// Whether the newest digest is recent enough to get updates from relays
   /// instead of the store.
   bool HasLiveRelay() const;
