Add a failing test: large configurations do not reach refused instances

What callers see: an instance serves by a configuration that was replaced many seconds ago. The order of events, played without a network: a leader or another instance reads a new configuration that packs to more than 32 KB; all others can't read the store, and get messages only.

The instances that exchange messages in memory move from unit-store-relay into a header that both tests use.

--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -2,14 +2,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "dragonflyglade/gateway/change_codec.h"
 #include "dragonflyglade/gateway/store_relay.h"
+#include "tests/unit/relay_fleet.h"
 // After the gateway's headers, which include what Asio's leave out.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,18 +17,11 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-constexpr const char* kConfigKey = "configuration";
+constexpr const char* kConfigKey = kTestConfigKey;
+using Fleet = RelayFleet;
 // Enough for the relay's timer to run on a busy machine.
 constexpr int kMaxRunAttempts = 50;
 
-// Bytes that cannot be compressed.
-std::string RandomBytes(std::size_t bytes, unsigned seed) {
-  std::mt19937 random(seed);
-  std::string text(bytes, '\0');
-  for (char& c : text) c = static_cast<char>(random());
-  return text;
-}
-
 // A configuration that compresses as well as a real one, whose model entries
 // differ little. With 300 models it is as large as that of a site of 224
 // models.
@@ -43,105 +35,6 @@
   return text;
 }
 
-StoreItem Item(const std::string& key, std::uint64_t revision,
-               std::string value) {
-  return {key, std::move(value), revision, 0};
-}
-
-WireFormat TestWire() {
-  WireFormat wire;
-  wire.config_key = kConfigKey;
-  wire.targets_prefix = "targets/";
-  wire.decode_config = [](std::string_view text) -> Result<GatewayConfig> {
-    GatewayConfig config;
-    config.version = text.size();
-    return config;
-  };
-  return wire;
-}
-
-// Instances whose relays exchange digests without a network.
-class Fleet {
- public:
-  struct Instance {
-    Instance(Fleet& fleet, const std::string& name)
-        : state(fleet.context, fleet.wire, fleet.clock, fleet.log),
-          sync_state(fleet.context, fleet.clock),
-          relay(fleet.context, state, sync_state, Record(name), fleet.metrics,
-                fleet.log, fleet.clock) {
-      this->relay.OnSend(
-          [&fleet](const wire::FleetMessage& message, const std::string& to) {
-            fleet.Send(message, to);
-          });
-    }
-    FleetState state;
-    StoreSyncState sync_state;
-    StoreRelay relay;
-  };
-
-  explicit Fleet(int count) {
-    for (int i = 0; i < count; ++i) {
-      this->instances.push_back(
-          std::make_unique<Instance>(*this, absl::StrCat("i", i)));
-    }
-  }
-
-  static InstanceRecord Record(const std::string& name) {
-    InstanceRecord record;
-    record.name = name;
-    record.zone = "a";
-    record.peer_address = name;
-    record.incarnation = name;
-    record.capacity = 1;
-    return record;
-  }
-
-  /// Applies items as if the instance had read them from the store.
-  void ApplyRead(int instance, const std::vector<StoreItem>& items,
-                 std::uint64_t revision) {
-    Instance& reader = *this->instances[instance];
-    if (!this->listed) reader.state.ApplyListing({}, 0);
-    for (const StoreItem& item : items) reader.state.Apply(item);
-    reader.sync_state.RecordRead(revision, reader.state.UrgentRevision());
-  }
-
-  /// Passes digests from one instance to another until the receiver is up to
-  /// date or makes no progress.
-  /// @return number of digests
-  int CatchUp(int instance, int from) {
-    Instance& receiver = *this->instances[instance];
-    int digests = 0;
-    std::uint64_t known = 0;
-    do {
-      known = receiver.sync_state.KnownThrough();
-      receiver.relay.ReceiveDigest(
-          this->instances[from]->relay.DigestSince(known));
-      digests += 1;
-    } while (receiver.sync_state.KnownThrough() > known &&
-             receiver.sync_state.IsBehind());
-    return digests;
-  }
-
-  void Send(const wire::FleetMessage& message, const std::string& address) {
-    this->sent.push_back({message, address});
-  }
-
-  struct Sent {
-    wire::FleetMessage message;
-    std::string address;
-  };
-
-  boost::asio::io_context context;
-  ManualClock time;
-  const Clock clock{&this->time};
-  Metrics metrics;
-  EventLog log{"relay", this->clock};
-  const WireFormat wire = TestWire();
-  const bool listed = false;
-  std::vector<std::unique_ptr<Instance>> instances;
-  std::vector<Sent> sent;
-};
-
 class StoreRelayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreRelayTest);
   CPPUNIT_TEST(PassesMissingChangesOn);
