Hand large changes of the store on in parts, by any instance that has them

What callers saw: instances served by configurations that had been replaced many seconds before. Cause: a change above 32 KB packed fitted no digest, so all instances read it from the store at the same time; one that the store refused had no other way to it, although its neighbors had it. Class: a transfer whose way changes or ends at a fixed size.

Now a digest announces what is too large for it, and the receiver requests the parts: from the sender of the digest, then from a relay and any other instance until parts arrive. Parts are sent at half of the sender's link at most, lost ones are requested again, and a change that goes on meanwhile does not send them twice. Also mended, of the same class: a relay that cannot read the store queries other relays; an instance whose reads fail while no relay is live queries any other instance; progress no longer postpones an instance's own read forever (1.6 s in all); versions of a large configuration no longer push all else out of the recent changes (one per key, 4 MB). Fields are added to the messages, none changes; an older instance ignores them and reads the store as before.

In unit-store-relay a change of 20 KB now travels in parts, so the row of several digests has four changes of 11 KB; in unit-fleet-news the evicted changes are larger than the new bound, and a row is added.

--- a/dragonflyglade/gateway/change_codec.cc
+++ b/dragonflyglade/gateway/change_codec.cc
@@ -25,6 +25,8 @@
 
 }  // namespace
 
+std::string PackChange(const StoreEvent& change) { return Pack({&change, 1}); }
+
 PackedChanges PackChanges(absl::Span<const StoreEvent> changes,
                           std::size_t max_bytes) {
   std::size_t count = changes.size();
--- a/dragonflyglade/gateway/change_codec.h
+++ b/dragonflyglade/gateway/change_codec.h
@@ -18,6 +18,9 @@
   std::size_t count = 0;  ///< number of the given changes that are packed
 };
 
+/// Packs one change of any size.
+std::string PackChange(const StoreEvent& change);
+
 /// Packs the given changes, or else their first half, quarter and so on, until
 /// they fit; packs none if the first one alone does not fit.
 PackedChanges PackChanges(absl::Span<const StoreEvent> changes,
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -53,6 +53,11 @@
   return true;
 }
 
+std::uint64_t FleetState::AppliedRevision(std::string_view key) const {
+  const auto found = this->revisions.find(key);
+  return found == this->revisions.end() ? 0 : found->second;
+}
+
 void FleetState::Apply(const StoreItem& item, ChangeSource source) {
   if (!this->IsNewer(item.key, item.revision)) return;
   if (item.key == kSpendRecordKey) {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -54,6 +54,9 @@
   void ApplyListing(absl::Span<const StoreItem> items,
                     std::uint64_t store_revision);
 
+  /// The newest revision applied to a key; 0 if there is none.
+  std::uint64_t AppliedRevision(std::string_view key) const;
+
   /// Whether a listing was applied since the start of the process.
   bool HasListing() const { return this->has_listing; }
 
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -68,7 +68,7 @@
                       this->self, this->settings.quota_allowance.window,
                       this->metrics, this->log, this->clock, absl::Now),
       relay(this->context, this->fleet, this->sync_state, this->self,
-            this->metrics, this->log, this->clock),
+            this->settings.link_mbps, this->metrics, this->log, this->clock),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->quota_admission, this->aggregator,
               this->leader_lease, this->self, this->settings.first_start,
@@ -148,6 +148,11 @@
                                [this] { return this->channel.Receive(); });
   this->tasks.SpawnWithRestart(
       "ask followers", [this] { return this->relay.QueryRelaysWhileStale(); });
+  this->tasks.SpawnWithRestart(
+      "send parts", [this] { return this->relay.SendRequestedParts(); });
+  this->tasks.SpawnWithRestart("request parts", [this] {
+    return this->relay.RequestPartsWhileMissing();
+  });
   this->tasks.SpawnWithRestart("report",
                                [this] { return this->channel.Report(); });
   this->tasks.SpawnWithRestart("record spending",
--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -1,17 +1,14 @@
 #include "dragonflyglade/gateway/recent_changes.h"
 
 #include <algorithm>
-#include <map>
-#include <string_view>
 #include <utility>
 
 namespace dragonflyglade::gateway {
 namespace {
 
-// Enough for some minutes of ordinary changes. A configuration may have a
-// hundred kilobytes, and several may follow one another within seconds.
-// Instances that lack older changes read the store.
-constexpr std::size_t kMaxBytes = std::size_t{1024} * 1024;
+// Enough for some minutes of ordinary changes beside a configuration of the
+// largest size. Instances that lack older changes read the store.
+constexpr std::size_t kMaxBytes = std::size_t{4} * 1024 * 1024;
 
 std::size_t SizeOf(const StoreEvent& event) {
   return event.item.key.size() + event.item.value.size();
@@ -24,40 +21,50 @@
 }
 
 void RecentChanges::Add(StoreEvent event) {
-  this->bytes += SizeOf(event);
   this->version += 1;
-  this->events.push_back(std::move(event));
+  const std::string key = event.item.key;
+  const std::uint64_t revision = event.item.revision;
+  const auto known = this->newest.find(key);
+  if (known != this->newest.end()) {
+    if (known->second >= revision) return;
+    this->Remove(this->events.find({known->second, key}));
+  }
+  this->bytes += SizeOf(event);
+  this->newest[key] = revision;
+  this->events.emplace(RevisionAndKey(revision, key), std::move(event));
   while (this->bytes > kMaxBytes) {
-    const StoreEvent& oldest = this->events.front();
-    this->bytes -= SizeOf(oldest);
     if (this->complete_after.has_value()) {
       this->complete_after =
-          std::max(*this->complete_after, oldest.item.revision);
+          std::max(*this->complete_after, this->events.begin()->first.first);
     }
-    this->events.pop_front();
+    this->Remove(this->events.begin());
   }
 }
 
+void RecentChanges::Remove(
+    std::map<RevisionAndKey, StoreEvent>::iterator event) {
+  this->bytes -= SizeOf(event->second);
+  this->newest.erase(event->first.second);
+  this->events.erase(event);
+}
+
 std::optional<std::vector<StoreEvent>> RecentChanges::Since(
     std::uint64_t revision) const {
   if (!this->complete_after.has_value()) return std::nullopt;
   if (revision < *this->complete_after) return std::nullopt;
-  std::map<std::string_view, const StoreEvent*> newest;
-  for (const StoreEvent& event : this->events) {
-    if (event.item.revision <= revision) continue;
-    const StoreEvent*& known = newest[event.item.key];
-    if (known == nullptr || known->item.revision < event.item.revision) {
-      known = &event;
-    }
-  }
   std::vector<StoreEvent> changes;
-  changes.reserve(newest.size());
-  for (const auto& [key, event] : newest) changes.push_back(*event);
-  std::sort(changes.begin(), changes.end(),
-            [](const StoreEvent& one, const StoreEvent& other) {
-              return one.item.revision < other.item.revision;
-            });
+  const auto first = this->events.lower_bound({revision + 1, std::string()});
+  for (auto event = first; event != this->events.end(); ++event) {
+    changes.push_back(event->second);
+  }
   return changes;
 }
 
+const StoreEvent* RecentChanges::Find(std::string_view key,
+                                      std::uint64_t revision) const {
+  const auto found =
+      this->events.find(RevisionAndKey(revision, std::string(key)));
+  return found == this->events.end() ? nullptr : &found->second;
+}
+
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/recent_changes.h
+++ b/dragonflyglade/gateway/recent_changes.h
@@ -3,22 +3,27 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "dragonflyglade/gateway/store_types.h"
 
 namespace dragonflyglade::gateway {
 
-/// The latest urgent changes of the store that this instance received, kept to
-/// pass them on to instances that lack them. Used by one event loop.
+/// The latest urgent change of each key of the store that this instance
+/// received, kept to pass them on to instances that lack them. Used by one
+/// event loop.
 class RecentChanges {
  public:
   /// Declares that all changes after this revision will be added. Only the
   /// first call has an effect.
   void CompleteAfter(std::uint64_t revision);
 
+  /// Adds a change, which replaces an older one of the same key.
   void Add(StoreEvent event);
 
   /// The changes after a revision, ordered by revision and without those that
@@ -27,11 +32,20 @@
   ///   the store must be read
   std::optional<std::vector<StoreEvent>> Since(std::uint64_t revision) const;
 
+  /// The change of a key at a revision; null if it is not here.
+  const StoreEvent* Find(std::string_view key, std::uint64_t revision) const;
+
   /// Grows with each change.
   std::uint64_t Version() const { return this->version; }
 
  private:
-  std::deque<StoreEvent> events;
+  using RevisionAndKey = std::pair<std::uint64_t, std::string>;
+
+  void Remove(std::map<RevisionAndKey, StoreEvent>::iterator event);
+
+  /// A transaction gives several keys the same revision.
+  std::map<RevisionAndKey, StoreEvent> events;
+  std::map<std::string, std::uint64_t, std::less<>> newest;  ///< by key
   std::size_t bytes = 0;
   std::uint64_t version = 0;
   /// The revision after which no change is missing; nothing before the first
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -1,6 +1,9 @@
 #include "dragonflyglade/gateway/store_relay.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -17,12 +20,20 @@
 // A datagram takes 64 KB, and a summary of 160 engines has some 24 KB besides
 // the packed changes.
 constexpr std::size_t kMaxPackedBytes = std::size_t{32} * 1024;
+// A larger change is sent once to each instance that requests it, and not with
+// each digest until the receiver's next report.
+constexpr std::size_t kMaxDigestChangeBytes = std::size_t{12} * 1024;
 // The leader gets a response of the store every 0.6 s and sends a digest every
 // 0.5 s. An older digest means that the leader is unreachable, or that the
 // store is unreachable for it. Another relay's digest then arrives before the
 // last one is too old to be used.
 constexpr absl::Duration kDigestStaleAfter = absl::Milliseconds(1150);
 constexpr absl::Duration kQueryInterval = absl::Milliseconds(250);
+constexpr absl::Duration kPartCheckInterval = absl::Milliseconds(50);
+// Of an instance that relies on a neighbor: within the time for which its
+// query subscribes it there.
+constexpr absl::Duration kNeighborQueryInterval = absl::Milliseconds(500);
+constexpr std::size_t kNeighborsPerQuery = 2;
 // A query subscribes its sender to changes for this long.
 constexpr absl::Duration kSubscriptionDuration = absl::Milliseconds(1000);
 
@@ -30,14 +41,24 @@
 
 StoreRelay::StoreRelay(asio::io_context& context, FleetState& fleet,
                        StoreSyncState& sync_state, InstanceRecord self,
-                       Metrics& metrics, EventLog& log, Clock clock)
+                       double link_mbps, Metrics& metrics, EventLog& log,
+                       Clock clock)
     : context(context),
       fleet(fleet),
       sync_state(sync_state),
       self(std::move(self)),
       metrics(metrics),
       log(log),
-      clock(std::move(clock)) {}
+      clock(std::move(clock)),
+      large_sender(context, fleet, link_mbps, metrics, this->clock),
+      large_receiver(fleet, this->self, this->clock),
+      parts_missing(context),
+      next_neighbor(std::hash<std::string>()(this->self.name)) {}
+
+void StoreRelay::OnSend(SendMessage send) {
+  this->send = std::move(send);
+  this->large_sender.OnSend(this->send);
+}
 
 // Packed changes are cached by revision: most instances know the same one, and
 // packing a large configuration takes some milliseconds on a small machine.
@@ -48,9 +69,15 @@
   this->packed_version = recent.Version();
   const auto found = this->packed.find(known);
   if (found != this->packed.end()) return &found->second;
-  const std::optional<std::vector<StoreEvent>> changes = recent.Since(known);
+  std::optional<std::vector<StoreEvent>> changes = recent.Since(known);
   if (!changes.has_value()) return nullptr;
   PackedDigestChanges packed;
+  std::erase_if(*changes, [&](const StoreEvent& event) {
+    std::optional<wire::LargeChange> large = this->DescribeIfLarge(event);
+    if (!large.has_value()) return false;
+    packed.large_changes.push_back(*std::move(large));
+    return true;
+  });
   PackedChanges bytes = PackChanges(*changes, kMaxPackedBytes);
   packed.complete = bytes.count == changes->size();
   if (bytes.count > 0) packed.last = (*changes)[bytes.count - 1].item.revision;
@@ -58,12 +85,32 @@
   return &this->packed.emplace(known, std::move(packed)).first->second;
 }
 
+std::optional<wire::LargeChange> StoreRelay::DescribeIfLarge(
+    const StoreEvent& event) {
+  if (event.item.value.size() <= kMaxDigestChangeBytes) return std::nullopt;
+  const std::shared_ptr<const PackedChange> packed =
+      this->large_sender.Pack(event);
+  if (packed->Bytes().size() <= kMaxDigestChangeBytes) return std::nullopt;
+  wire::LargeChange large;
+  large.key = event.item.key;
+  large.revision = static_cast<std::int64_t>(event.item.revision);
+  large.checksum = static_cast<std::int64_t>(packed->Checksum());
+  large.parts = static_cast<std::int32_t>(packed->Parts());
+  return large;
+}
+
 wire::StoreDigest StoreRelay::DigestSince(std::uint64_t known) {
   const PackedDigestChanges* changes = this->PackedChangesSince(known);
   if (changes == nullptr) return this->DigestWithChanges("");
   wire::StoreDigest digest = this->DigestWithChanges(changes->bytes);
-  digest.changes_through = static_cast<std::int64_t>(
+  digest.through_with_large_changes = static_cast<std::int64_t>(
       changes->complete ? this->sync_state.ReadThrough() : changes->last);
+  digest.changes_through = digest.through_with_large_changes;
+  digest.large_changes = changes->large_changes;
+  for (const wire::LargeChange& large : digest.large_changes) {
+    digest.changes_through =
+        std::min(digest.changes_through, large.revision - 1);
+  }
   return digest;
 }
 
@@ -89,15 +136,60 @@
       }
     }
   }
+  if (this->large_receiver.Announce(digest) && !digest.large_changes.empty()) {
+    relay_digest.changes_through =
+        static_cast<std::uint64_t>(digest.through_with_large_changes);
+  }
+  if (this->clock.Now() - relay_digest.confirmed_at <
+      this->sync_state.DigestAge()) {
+    this->freshest_source = digest.address;
+  }
   const std::uint64_t known = this->sync_state.KnownThrough();
   this->sync_state.ApplyDigest(relay_digest);
+  this->RequestMissingParts();
+  if (this->large_receiver.HasMissing()) this->parts_missing.Notify();
   // The changes did not all fit into one datagram; the next query gets more.
-  const bool more_available =
-      this->sync_state.IsBehind() && this->sync_state.KnownThrough() > known;
+  const bool more_available = this->sync_state.IsBehind() &&
+                              !this->large_receiver.HasMissing() &&
+                              this->sync_state.KnownThrough() > known;
   if (more_available) this->QueryNextRelay();
   if (this->on_digest_applied) this->on_digest_applied();
 }
 
+void StoreRelay::RequestMissingParts() {
+  for (LargeChangeReceiver::AddressedRequest& next :
+       this->large_receiver.NextRequests()) {
+    wire::FleetMessage message;
+    message.__set_part_request(std::move(next.request));
+    this->send(message, next.address);
+    this->metrics.Count("change_part_requests");
+  }
+}
+
+asio::awaitable<void> StoreRelay::RequestPartsWhileMissing() {
+  while (true) {
+    if (this->large_receiver.HasMissing()) {
+      co_await Sleep(this->context, kPartCheckInterval);
+    } else {
+      co_await this->parts_missing.Wait(absl::Seconds(1));
+    }
+    this->RequestMissingParts();
+  }
+}
+
+void StoreRelay::ReceivePart(const wire::ChangePart& part) {
+  const std::optional<StoreEvent> change = this->large_receiver.Receive(part);
+  if (this->large_receiver.LastProgress() == this->clock.Now()) {
+    this->sync_state.RecordProgress();
+  }
+  if (!change.has_value()) return;
+  this->fleet.Apply(change->item, ChangeSource::kRelay);
+  if (!this->large_receiver.HasMissing()) {
+    this->sync_state.RecordComplete(this->large_receiver.CompleteThrough());
+  }
+  this->RequestMissingParts();
+}
+
 std::string StoreRelay::PackLeaderRecord() const {
   auto changes =
       this->fleet.RecentUrgentChanges().Since(this->fleet.LeaderRevision() - 1);
@@ -116,6 +208,7 @@
   digest.age_ms = absl::ToInt64Milliseconds(this->clock.Now() -
                                             this->sync_state.ConfirmedAt());
   digest.changes = std::move(changes);
+  digest.address = this->self.peer_address;
   return digest;
 }
 
@@ -153,6 +246,10 @@
   if (message.__isset.store_question) {
     this->ReceiveQuestion(message.store_question);
   }
+  if (message.__isset.part_request) {
+    this->large_sender.Receive(message.part_request);
+  }
+  if (message.__isset.change_part) this->ReceivePart(message.change_part);
 }
 
 asio::awaitable<void> StoreRelay::QueryRelaysWhileStale() {
@@ -163,8 +260,16 @@
 }
 
 void StoreRelay::CheckRelays() {
-  if (!this->IsRelay() && this->sync_state.DigestAge() > kDigestStaleAfter)
-    this->QueryNextRelay();
+  const absl::Duration own_age =
+      this->clock.Now() - this->sync_state.ConfirmedAt();
+  const absl::Duration digest_age = this->sync_state.DigestAge();
+  const bool reads_itself = this->IsRelay() && own_age <= kDigestStaleAfter;
+  if (!reads_itself && digest_age > kDigestStaleAfter) this->QueryNextRelay();
+  const absl::Duration query_after =
+      this->ReliesOnNeighbor() ? kNeighborQueryInterval : kDigestStaleAfter;
+  if (this->sync_state.ReadsFail() && digest_age > query_after) {
+    this->QueryNeighbors();
+  }
   this->LogChanges();
 }
 
@@ -201,12 +306,41 @@
   if (relays.empty()) return;
   const InstanceRecord* relay = relays[this->next_relay % relays.size()];
   this->next_relay += 1;
+  if (relay->name != this->self.name) this->Query(relay->peer_address);
+}
+
+// The store refuses this instance, and perhaps all relays. The others then read
+// the store themselves, and any of them may be up to date.
+void StoreRelay::QueryNeighbors() {
+  if (!this->freshest_source.empty()) this->Query(this->freshest_source);
+  const auto& instances = this->fleet.Instances();
+  if (instances.empty() || this->sync_state.HasLiveRelay()) return;
+  for (std::size_t i = 0; i < kNeighborsPerQuery; ++i) {
+    this->next_neighbor += 1;
+    const auto neighbor = std::next(
+        instances.begin(),
+        static_cast<std::ptrdiff_t>(this->next_neighbor % instances.size()));
+    if (neighbor->second.name != this->self.name) {
+      this->Query(neighbor->second.peer_address);
+    }
+  }
+}
+
+bool StoreRelay::ReliesOnNeighbor() const {
+  const auto& relays = this->fleet.RelayInstances();
+  return std::none_of(relays.begin(), relays.end(),
+                      [this](const InstanceRecord* relay) {
+                        return relay->peer_address == this->freshest_source;
+                      });
+}
+
+void StoreRelay::Query(const std::string& address) {
   wire::FleetMessage message;
   wire::StoreQuestion question;
   question.address = this->self.peer_address;
   question.known = static_cast<std::int64_t>(this->sync_state.KnownThrough());
   message.__set_store_question(std::move(question));
-  this->send(message, relay->peer_address);
+  this->send(message, address);
   this->metrics.Count("store_questions");
 }
 
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -9,12 +9,15 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/large_change_receiver.h"
+#include "dragonflyglade/gateway/large_change_sender.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/operator/metrics.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
@@ -27,19 +30,23 @@
 ///
 /// The leader sends a digest with each summary. While the leader is
 /// unresponsive, instances query the other relays, which are few and of high
-/// capacity, and read the store themselves only when no relay responds. Used by
-/// one event loop.
+/// capacity, and read the store themselves only when no relay responds. An
+/// instance whose own reads fail, too, queries any other instance.
+///
+/// A digest contains small changes, and announces those that are too large for
+/// it. The receiver requests their parts from the sender of the digest, and
+/// from any other instance if that does not respond. Used by one event loop.
 class StoreRelay {
  public:
-  using SendMessage = std::function<void(const wire::FleetMessage& message,
-                                         const std::string& address)>;
+  using SendMessage = LargeChangeSender::SendMessage;
 
+  /// @param link_mbps network bandwidth of this instance in Mbit/s
   StoreRelay(boost::asio::io_context& context, FleetState& fleet,
-             StoreSyncState& sync_state, InstanceRecord self, Metrics& metrics,
-             EventLog& log, Clock clock);
+             StoreSyncState& sync_state, InstanceRecord self, double link_mbps,
+             Metrics& metrics, EventLog& log, Clock clock);
 
   /// Sets the function that sends messages; to be called before all others.
-  void OnSend(SendMessage send) { this->send = std::move(send); }
+  void OnSend(SendMessage send);
   /// Called after a digest of another instance was applied.
   void OnDigestApplied(std::function<void()> callback) {
     this->on_digest_applied = std::move(callback);
@@ -80,12 +87,28 @@
   /// the last call.
   void CheckRelays();
 
+  /// Calls RequestMissingParts while parts of announced changes are missing;
+  /// runs until the process ends.
+  boost::asio::awaitable<void> RequestPartsWhileMissing();
+
+  /// Requests parts of announced changes that do not arrive.
+  void RequestMissingParts();
+
+  /// Sends the parts of large changes that other instances have requested; runs
+  /// until the process ends.
+  boost::asio::awaitable<void> SendRequestedParts() {
+    return this->large_sender.Run();
+  }
+  /// Sends those that are due.
+  void SendDueParts() { this->large_sender.SendDue(); }
+
  private:
   /// Changes packed for all receivers that know the same revision.
   struct PackedDigestChanges {
     std::string bytes;
     std::uint64_t last = 0;  ///< revision of the last packed change
-    bool complete = true;    ///< whether all changes fit
+    bool complete = true;    ///< whether all small changes fit
+    std::vector<wire::LargeChange> large_changes;
   };
   /// An instance that queried this one recently.
   struct Subscriber {
@@ -94,8 +117,13 @@
   };
 
   const PackedDigestChanges* PackedChangesSince(std::uint64_t known);
+  std::optional<wire::LargeChange> DescribeIfLarge(const StoreEvent& event);
+  void ReceivePart(const wire::ChangePart& part);
   void QueryNextRelay();
+  void QueryNeighbors();
+  void Query(const std::string& address);
   bool IsRelay() const;
+  bool ReliesOnNeighbor() const;
   void LogChanges();
 
   boost::asio::io_context& context;
@@ -106,12 +134,18 @@
   EventLog& log;
   const Clock clock;
   SendMessage send;
+  LargeChangeSender large_sender;
+  LargeChangeReceiver large_receiver;
+  AsyncCondition parts_missing;
   std::function<void()> on_digest_applied;
   std::uint64_t packed_version = 0;
   /// By the known revision.
   std::map<std::uint64_t, PackedDigestChanges> packed;
   std::map<std::string, Subscriber> subscribers;  ///< by address
-  std::size_t next_relay = 0;   ///< index of the next relay to query
+  std::size_t next_relay = 0;  ///< index of the next relay to query
+  std::size_t next_neighbor;
+  /// Address of the instance whose digest was the newest when it arrived.
+  std::string freshest_source;
   bool had_live_relay = false;  ///< as last logged
   /// Since when this instance lacks urgent changes, if that was logged.
   std::optional<Instant> logged_behind_since;
--- a/dragonflyglade/gateway/store_sync_state.cc
+++ b/dragonflyglade/gateway/store_sync_state.cc
@@ -15,9 +15,15 @@
 // confirmations means that it was unavailable.
 constexpr absl::Duration kMaxConfirmationGap = absl::Milliseconds(1500);
 // Digests arrive at least every half second, and the next one contains at least
-// some of the missing changes. If the second one does not, either the changes
-// do not fit into a datagram or each datagram is lost.
-constexpr absl::Duration kMaxLag = absl::Milliseconds(800);
+// some of the missing changes. If the second one does not, each datagram is
+// lost.
+constexpr absl::Duration kMaxTimeWithoutProgress = absl::Milliseconds(800);
+// Changes that go on would otherwise count as progress forever while one of
+// them does not arrive. With the time of a read it still takes effect within
+// two seconds.
+constexpr absl::Duration kMaxLag = absl::Milliseconds(1600);
+// Further announcements count as the last one.
+constexpr std::size_t kMaxAnnouncements = 64;
 
 }  // namespace
 
@@ -29,31 +35,48 @@
   this->read_through = std::max(this->read_through, revision);
   this->urgent_revision = std::max(this->urgent_revision, urgent);
   this->confirmed_at = this->clock.Now();
+  this->reads_fail = false;
   this->known_through = std::max(this->known_through, revision);
-  this->UpdateLag(true);
+  this->UpdateLag();
   if (is_new && this->on_urgent_change) this->on_urgent_change();
 }
 
 void StoreSyncState::ApplyDigest(const RelayDigest& digest) {
-  const bool progress = digest.changes_through > this->known_through;
+  if (digest.changes_through > this->known_through) this->RecordProgress();
   this->known_through = std::max(this->known_through, digest.changes_through);
-  this->relay_urgent_revision =
-      std::max(this->relay_urgent_revision, digest.urgent_revision);
+  if (digest.urgent_revision > this->relay_urgent_revision) {
+    this->relay_urgent_revision = digest.urgent_revision;
+    if (this->announced.size() >= kMaxAnnouncements) {
+      this->announced.back().revision = digest.urgent_revision;
+    } else {
+      this->announced.push_back({digest.urgent_revision, this->clock.Now()});
+    }
+  }
   if (digest.confirmed_at - this->relay_confirmed_at > kMaxConfirmationGap) {
     this->store_up_since = digest.confirmed_at;
   }
   // Digests of several relays arrive, and their confirmations differ in age.
   this->relay_confirmed_at =
       std::max(this->relay_confirmed_at, digest.confirmed_at);
-  this->UpdateLag(progress);
+  this->UpdateLag();
+  this->changed.Notify();
+}
+
+void StoreSyncState::RecordProgress() {
+  this->last_progress = this->clock.Now();
+}
+
+void StoreSyncState::RecordComplete(std::uint64_t through) {
+  this->known_through = std::max(this->known_through, through);
+  this->RecordProgress();
+  this->UpdateLag();
   this->changed.Notify();
 }
 
-void StoreSyncState::UpdateLag(bool progress) {
-  if (this->relay_urgent_revision <= this->known_through) {
-    this->behind_since.reset();
-  } else if (progress || !this->behind_since.has_value()) {
-    this->behind_since = this->clock.Now();
+void StoreSyncState::UpdateLag() {
+  while (!this->announced.empty() &&
+         this->announced.front().revision <= this->known_through) {
+    this->announced.pop_front();
   }
 }
 
@@ -66,8 +89,12 @@
 }
 
 bool StoreSyncState::MustReadStore() const {
-  return this->behind_since.has_value() &&
-         this->clock.Now() - *this->behind_since > kMaxLag;
+  if (this->announced.empty()) return false;
+  const Instant now = this->clock.Now();
+  const Instant behind_since = this->announced.front().at;
+  return now - behind_since > kMaxLag ||
+         now - std::max(behind_since, this->last_progress) >
+             kMaxTimeWithoutProgress;
 }
 
 absl::Duration StoreSyncState::StoreUptime() const {
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -3,8 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
-#include <optional>
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/async_condition.h"
@@ -33,9 +33,18 @@
   /// @param urgent the newest revision with an urgent change
   void RecordRead(std::uint64_t revision, std::uint64_t urgent);
 
+  /// Records that the store did not respond to a read of this instance.
+  void RecordReadFailure() { this->reads_fail = true; }
+
   /// Records a digest of a relay, after its changes were applied.
   void ApplyDigest(const RelayDigest& digest);
 
+  /// Records that parts of missing changes have arrived.
+  void RecordProgress();
+
+  /// Records that all changes through a revision have arrived in parts.
+  void RecordComplete(std::uint64_t through);
+
   /// Called when this instance's own read contained an urgent change.
   void OnUrgentChange(std::function<void()> callback) {
     this->on_urgent_change = std::move(callback);
@@ -48,6 +57,10 @@
   std::uint64_t ReadThrough() const { return this->read_through; }
   Instant ConfirmedAt() const { return this->confirmed_at; }
 
+  /// Whether this instance's last read failed. It reads nothing while a relay
+  /// is live.
+  bool ReadsFail() const { return this->reads_fail; }
+
   /// The revision through which all urgent changes are known, by own reads or
   /// by digests.
   std::uint64_t KnownThrough() const { return this->known_through; }
@@ -62,7 +75,7 @@
   bool HasLiveRelay() const;
 
   /// Whether relays have announced urgent changes that this instance lacks.
-  bool IsBehind() const { return this->behind_since.has_value(); }
+  bool IsBehind() const { return !this->announced.empty(); }
 
   /// Whether it has lacked them for so long that it must read the store.
   bool MustReadStore() const;
@@ -79,18 +92,27 @@
   AsyncCondition& Changed() { return this->changed; }
 
  private:
-  void UpdateLag(bool progress);
+  /// An urgent revision that a digest announced.
+  struct Announcement {
+    std::uint64_t revision = 0;
+    Instant at;
+  };
+
+  void UpdateLag();
 
   const Clock clock;
   std::uint64_t urgent_revision = 0;
   std::uint64_t read_through = 0;
   Instant confirmed_at;
+  bool reads_fail = false;
   std::uint64_t known_through = 0;
 
   std::uint64_t relay_urgent_revision = 0;  ///< by digests
   Instant relay_confirmed_at = -absl::InfiniteDuration();
   Instant store_up_since;
-  std::optional<Instant> behind_since;
+  /// The announced revisions that this instance lacks, oldest first.
+  std::deque<Announcement> announced;
+  Instant last_progress;
 
   AsyncCondition changed;
   std::function<void()> on_urgent_change;
--- a/dragonflyglade/gateway/store_watcher.cc
+++ b/dragonflyglade/gateway/store_watcher.cc
@@ -196,6 +196,7 @@
 }
 
 asio::awaitable<void> StoreWatcher::HandleStoreFailure(std::string_view why) {
+  this->sync_state.RecordReadFailure();
   if (!this->unreachable_since.has_value()) {
     this->unreachable_since = this->clock.Now();
     this->log.Write("store", "lost",
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -99,6 +99,34 @@
   1: list<StoreChange> changes
 }
 
+/** Describes a change that is too large for a digest and is requested in
+    parts. */
+struct LargeChange {
+  1: string key
+  2: i64 revision
+  /** The XXH64 hash of the serialized change, which its parts make up. */
+  3: i64 checksum
+  4: i32 parts
+}
+
+/** Asks for parts of a large change. */
+struct PartRequest {
+  /** The address to send the parts to. */
+  1: string address
+  2: string key
+  3: i64 revision
+  4: i64 checksum
+  /** The numbers of the requested parts, from 0. */
+  5: list<i32> parts
+}
+
+/** A part of a large change. */
+struct ChangePart {
+  1: i64 checksum
+  2: i32 number
+  3: binary bytes
+}
+
 /** The state of the store as a relay instance knows it. */
 struct StoreDigest {
   /** The newest revision with an urgent change. */
@@ -112,6 +140,13 @@
   /** The revision up to which the changes are complete; 0 if some may be
       missing. */
   4: i64 changes_through
+  /** Changes since that revision that are too large for the digest. */
+  5: list<LargeChange> large_changes
+  /** The revision up to which the changes are complete for a receiver that has
+      the large changes, too. */
+  6: i64 through_with_large_changes
+  /** The address to request large changes from. */
+  7: string address
 }
 
 /** Asks a relay instance for the state of the store. */
@@ -197,4 +232,6 @@
   /** For an instance that needs no other field of the summary. */
   6: StoreDigest store
   7: StoreQuestion store_question
+  8: PartRequest part_request
+  9: ChangePart change_part
 }
--- a/tests/unit/relay_fleet.h
+++ b/tests/unit/relay_fleet.h
@@ -20,6 +20,7 @@
 namespace dragonflyglade::gateway {
 
 inline constexpr const char* kTestConfigKey = "configuration";
+inline constexpr double kTestLinkMbps = 200;
 
 /// Bytes that cannot be compressed.
 inline std::string RandomBytes(std::size_t bytes, unsigned seed) {
@@ -56,8 +57,8 @@
     Instance(RelayFleet& fleet, const std::string& name)
         : state(fleet.context, fleet.wire, fleet.clock, fleet.log),
           sync_state(fleet.context, fleet.clock),
-          relay(fleet.context, state, sync_state, Record(name), fleet.metrics,
-                fleet.log, fleet.clock) {
+          relay(fleet.context, state, sync_state, Record(name), kTestLinkMbps,
+                fleet.metrics, fleet.log, fleet.clock) {
       this->relay.OnSend(
           [&fleet](const wire::FleetMessage& message, const std::string& to) {
             fleet.sent.push_back({message, to});
--- a/tests/unit/unit-fleet-news.cc
+++ b/tests/unit/unit-fleet-news.cc
@@ -54,14 +54,21 @@
         {"a large change that is known", 10, {Change("a", 11, 300000)}, 11, 0},
         {"the oldest changes were evicted",
          10,
-         {Change("a", 11, 800000), Change("b", 12, 800000), Change("c", 13)},
+         {Change("a", 11, 3000000), Change("b", 12, 3000000), Change("c", 13)},
          10,
          {}},
         {"after the evicted changes",
          10,
-         {Change("a", 11, 800000), Change("b", 12, 800000), Change("c", 13)},
+         {Change("a", 11, 3000000), Change("b", 12, 3000000), Change("c", 13)},
          12,
          1},
+        {"versions of a large configuration evict nothing else",
+         10,
+         {Change("a", 11), Change("b", 12, 1000000), Change("b", 13, 1000000),
+          Change("b", 14, 1000000), Change("b", 15, 1000000),
+          Change("b", 16, 1000000)},
+         10,
+         2},
     };
     for (const Case& item : cases) {
       RecentChanges recent;
--- a/tests/unit/unit-large-changes.cc
+++ b/tests/unit/unit-large-changes.cc
@@ -1,12 +1,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdint>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
+#include "dragonflyglade/gateway/change_parts.h"
 #include "dragonflyglade/gateway/store_relay.h"
 #include "tests/unit/relay_fleet.h"
 
@@ -18,6 +20,7 @@
 constexpr std::uint64_t kFirstRevision = 100;
 constexpr absl::Duration kStep = absl::Milliseconds(10);
 constexpr absl::Duration kCheckInterval = absl::Milliseconds(250);
+constexpr absl::Duration kPartCheckInterval = absl::Milliseconds(50);
 constexpr absl::Duration kReportInterval = absl::Milliseconds(500);
 // Within which a change of the configuration must be in force.
 constexpr absl::Duration kConfigBound = absl::Seconds(2);
@@ -80,10 +83,14 @@
         this->fleet.ApplyRead(reader, {this->config}, this->revision);
       }
       this->started = this->fleet.clock.Now();
+      this->SendDigests();
     }
     this->RunFor(kConfigBound);
   }
 
+  /// Part messages, lost ones included.
+  int PartsSent() const { return this->parts_sent; }
+
   /// The instances that are not silent and serve by an older version.
   std::string Stale() const {
     std::string stale;
@@ -108,6 +115,19 @@
     return !this->refused || this->test_case.readers.count(instance) > 0;
   }
 
+  // Reads that nothing has changed. An instance that the store refuses tries to
+  // read unless a relay is live.
+  void ReadStore(int instance) {
+    RelayFleet::Instance& reader = *this->fleet.instances[instance];
+    if (this->Reads(instance)) {
+      reader.sync_state.RecordRead(this->revision,
+                                   reader.state.UrgentRevision());
+    } else if (!reader.sync_state.HasLiveRelay() ||
+               reader.sync_state.MustReadStore()) {
+      reader.sync_state.RecordReadFailure();
+    }
+  }
+
   void RunFor(absl::Duration time) {
     const Instant end = this->fleet.clock.Now() + time;
     while (this->fleet.clock.Now() < end) this->Step();
@@ -124,11 +144,10 @@
     for (int i = 0; i < kInstances; ++i) {
       if (this->IsSilent(i)) continue;
       RelayFleet::Instance& instance = *this->fleet.instances[i];
-      if (is_due(kReportInterval) && this->Reads(i)) {
-        instance.sync_state.RecordRead(this->revision,
-                                       instance.state.UrgentRevision());
-      }
+      if (is_due(kReportInterval)) this->ReadStore(i);
       if (is_due(kCheckInterval)) instance.relay.CheckRelays();
+      if (is_due(kPartCheckInterval)) instance.relay.RequestMissingParts();
+      instance.relay.SendDueParts();
     }
     if (is_due(kReportInterval) && !this->IsSilent(0)) this->SendDigests();
     this->Deliver();
@@ -142,7 +161,7 @@
     }
   }
 
-  // The leader responds to the instances' reports.
+  // The leader responds to reports, and at once if it reads a change.
   void SendDigests() {
     for (int i = 1; i < kInstances; ++i) {
       this->fleet.instances[0]->relay.SendDigest(
@@ -156,8 +175,9 @@
       const RelayFleet::Sent sent = std::move(this->fleet.sent.front());
       this->fleet.sent.pop_front();
       const int to = std::stoi(sent.address.substr(1));
-      this->datagrams += 1;
-      const bool lost = this->datagrams * 7 % 10 < this->test_case.lost_in_ten;
+      if (sent.message.__isset.change_part) this->parts_sent += 1;
+      const bool lost =
+          static_cast<int>(this->random() % 10) < this->test_case.lost_in_ten;
       if (lost || this->IsSilent(to)) continue;
       this->fleet.instances[to]->relay.Receive(sent.message);
     }
@@ -169,12 +189,15 @@
   StoreItem config;
   Instant started = absl::ZeroDuration();  ///< of the last version
   bool refused = false;
-  int datagrams = 0;
+  int parts_sent = 0;
+  std::mt19937 random{1};
 };
 
 class LargeChangesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LargeChangesTest);
   CPPUNIT_TEST(ReachInstancesThatCannotReadTheStore);
+  CPPUNIT_TEST(AreNotSentAgainWithEachChange);
+  CPPUNIT_TEST(ForeignPartsAndRequestsHaveNoEffect);
   CPPUNIT_TEST_SUITE_END();
 
   // Failure: an instance serves by a configuration that was replaced many
@@ -225,6 +248,75 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
+
+  // Failure: the leader's link is saturated, since each further change makes it
+  // send a large one to all instances again.
+  void AreNotSentAgainWithEachChange() {
+    constexpr int kParts = 5;
+    const Case item = {.name = "other keys change meanwhile",
+                       .bytes = 80000,
+                       .other_changes = absl::Milliseconds(50)};
+    ChangingFleet fleet(item);
+    fleet.Play();
+    CPPUNIT_ASSERT_EQUAL(std::string(), fleet.Stale());
+    // Some are requested from a second instance while the leader is busy.
+    CPPUNIT_ASSERT(fleet.PartsSent() <= 2 * kParts * (kInstances - 1));
+  }
+
+  // Failure: datagrams that any process can send make an instance apply what
+  // the store does not contain, or end it.
+  void ForeignPartsAndRequestsHaveNoEffect() {
+    const StoreEvent change{
+        Item(kTestConfigKey, kFirstRevision, RandomBytes(40000, 1)), false};
+    const PackedChange packed(change);
+    RelayFleet fleet(2);
+    fleet.ApplyRead(0, {change.item}, kFirstRevision);
+    fleet.ApplyRead(1, {}, 1);
+    StoreRelay& receiver = fleet.instances[1]->relay;
+    receiver.ReceiveDigest(fleet.instances[0]->relay.DigestSince(1));
+    const auto checksum = static_cast<std::int64_t>(packed.Checksum());
+    const auto receive_part = [&](std::int64_t of, std::int32_t number,
+                                  const std::string& bytes) {
+      wire::ChangePart part;
+      part.checksum = of;
+      part.number = number;
+      part.bytes = bytes;
+      wire::FleetMessage message;
+      message.__set_change_part(part);
+      receiver.Receive(message);
+    };
+    receive_part(checksum, -1, "x");
+    receive_part(checksum, 1000, "x");
+    receive_part(checksum + 1, 0, std::string(packed.Part(0)));
+    for (std::int32_t i = 0; i < 3; ++i) receive_part(checksum, i, "foreign");
+    CPPUNIT_ASSERT(fleet.instances[1]->state.Config() == nullptr);
+    // The right parts still complete the change.
+    for (std::int32_t i = 0; i < 3; ++i) {
+      receive_part(checksum, i,
+                   std::string(packed.Part(static_cast<std::size_t>(i))));
+    }
+    CPPUNIT_ASSERT(fleet.instances[1]->state.Config() != nullptr);
+    CPPUNIT_ASSERT_EQUAL(kFirstRevision,
+                         fleet.instances[1]->sync_state.KnownThrough());
+
+    fleet.sent.clear();
+    wire::PartRequest request;
+    request.address = "i1";
+    request.key = kTestConfigKey;
+    request.revision = static_cast<std::int64_t>(kFirstRevision);
+    request.checksum = checksum;
+    request.parts = {-1, 3, 1000000};
+    wire::FleetMessage message;
+    message.__set_part_request(request);
+    fleet.instances[0]->relay.Receive(message);
+    request.parts = {0};
+    request.checksum += 1;
+    message.__set_part_request(request);
+    fleet.instances[0]->relay.Receive(message);
+    fleet.time.Advance(absl::Seconds(1));
+    fleet.instances[0]->relay.SendDueParts();
+    CPPUNIT_ASSERT(fleet.sent.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(LargeChangesTest, "unit-large-changes");
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -57,7 +57,7 @@
     };
     constexpr int kModels = 300;
     constexpr int kManyModels = 2000;
-    constexpr std::size_t kRandomBytes = 20000;
+    constexpr std::size_t kRandomBytes = 11000;
     const std::vector<Case> cases = {
         {"nothing new", {}, true, 1},
         {"a small change", {Item("k", 2, "v")}, true, 1},
@@ -78,11 +78,12 @@
         {"changes that need several messages",
          {Item("a", 2, RandomBytes(kRandomBytes, 1)),
           Item("b", 3, RandomBytes(kRandomBytes, 2)),
-          Item("c", 4, RandomBytes(kRandomBytes, 3))},
+          Item("c", 4, RandomBytes(kRandomBytes, 3)),
+          Item("d", 5, RandomBytes(kRandomBytes, 4))},
          true,
          4},
         {"a change that fits into no message",
-         {Item("a", 2, RandomBytes(4 * kRandomBytes, 1))},
+         {Item("a", 2, RandomBytes(8 * kRandomBytes, 1))},
          false,
          1},
     };
