Keep the limit that a target names, over all instances together

What targets saw: one in need named the requests a second that it takes, and got as many as before. Cause: no code read the field. Class: what a target says in its responses and only the instance that got it knows.

Each response's head now states a limit or none, by target and time; failures and unreadable fields do not end one. Reports and summaries pass the newest statement of each target on with its age, at once if it changed. What all instances may send in four seconds (longer below one request) is divided among the listed ones: equal parts, and the remainder to instances that rendezvous hashing chooses, so that a limit of one a second can be divided among six. First sends, repeats, resumed streams and requests that waited pass the same check. A request that only limited targets could serve is refused at once as targets_limited with the time until a place comes, unless that is within its wait. The planner takes copies at a severely limited engine for none if the model is in demand.

The slow start uses the same division and history with its own window, in place of a second scheme; its tests keep their cases and bounds.

--- a/dragonflyglade/decision/refusal.cc
+++ b/dragonflyglade/decision/refusal.cc
@@ -38,6 +38,8 @@
      WasExecuted::kNo, kRetryLater},
     {RefusalCode::kZonesEvacuated, "zones_evacuated", 503, WasExecuted::kNo,
      kRetryLater},
+    {RefusalCode::kTargetsLimited, "targets_limited", 503, WasExecuted::kNo,
+     kRetryLater},
     {RefusalCode::kQueueFull, "queue_full", 503, WasExecuted::kNo, kRetryLater},
     {RefusalCode::kClaimServiceUnavailable, "claim_service_unavailable", 503,
      WasExecuted::kNo, kRetryLater},
--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -29,6 +29,7 @@
   kTargetsBusy,
   kTargetsUnreachable,
   kZonesEvacuated,
+  kTargetsLimited,
   kQueueFull,
   kClaimServiceUnavailable,
   kClaimInDoubt,
--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -148,6 +148,7 @@
   for (const EngineResidency& engine : round.engines) {
     if (!engine.usable) continue;
     for (const auto& [name, resident_adapters] : engine.models) {
+      if (engine.limited && round.ModelLoad(name) > 0) continue;
       round.copies[name] += 1;
       const bool serves = name != engine.loading && engine.responsive;
       if (serves) round.ready_copies[name] += 1;
@@ -239,7 +240,7 @@
   EngineResidency* best = nullptr;
   double best_cost = 0;
   for (EngineResidency& engine : round.engines) {
-    if (!engine.usable || engine.has_open_order) continue;
+    if (!engine.usable || engine.limited || engine.has_open_order) continue;
     if (engine.models.count(model.name) > 0) continue;
     if (!from_store && !KeepsWeights(engine, model.name)) continue;
     if (round.UsedMb(engine) + model.memory_mb > engine.memory_mb) continue;
@@ -328,7 +329,7 @@
   std::string best_victim;
   double best_cost = std::numeric_limits<double>::max();
   for (EngineResidency& engine : round.engines) {
-    if (!engine.usable || engine.has_open_order) continue;
+    if (!engine.usable || engine.limited || engine.has_open_order) continue;
     if (engine.models.count(model.name) > 0) continue;
     const double missing_mb =
         round.UsedMb(engine) + model.memory_mb - engine.memory_mb;
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -56,6 +56,9 @@
   bool usable = true;  ///< running and not leaving
   /// False while requests to the engine fail: it may have lost its models.
   bool responsive = true;
+  /// Whether it takes so few requests that its copies serve only models that
+  /// nobody asks for.
+  bool limited = false;
   bool has_open_order = false;  ///< cannot take another order for a model now
   bool unloading = false;       ///< a model is being unloaded
 };
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -49,6 +49,11 @@
 constexpr std::size_t kMaxPendingReports = 32;
 // Further ones are left to later reports.
 constexpr std::size_t kMaxMissingModelsPerReport = 32;
+// For this long the reports tell that a target states no limit any more:
+// several reports, any of which may be lost.
+constexpr absl::Duration kEndedLimitReportTime = absl::Seconds(10);
+// Stands for a target that states no limit.
+constexpr double kNoLimit = -1;
 // Stands for an unlimited age in reports.
 constexpr absl::Duration kUnlimitedAge = absl::Hours(24);
 
@@ -190,6 +195,7 @@
     spend.tokens = static_cast<std::int64_t>(tokens);
     report.spends.push_back(std::move(spend));
   }
+  report.limits = this->TargetLimits();
   report.store_revision =
       static_cast<std::int64_t>(this->sync_state.KnownThrough());
   // An instance without requests must know for how long it has been listed,
@@ -228,6 +234,7 @@
     for (const std::string& target : report.refusing)
       this->on_connection_refused(target);
   }
+  if (this->ApplyTargetLimits(report.limits)) this->SchedulePush();
   this->RespondToReport(report);
 }
 
@@ -256,6 +263,7 @@
   summary.holdings = this->holdings.Since(
       report.holdings_of == this->self.incarnation ? report.holdings_version
                                                    : 0);
+  summary.limits = this->TargetLimits();
   message.__set_summary(std::move(summary));
   if (report.incarnation == this->self.incarnation) {
     this->ReceiveSummary(message.summary);
@@ -370,6 +378,7 @@
   this->ApplyTargetUses(summary);
   this->ApplyHoldings(summary);
   this->ApplyFleetSpends(summary);
+  this->ApplyTargetLimits(summary.limits);
   if (!own) this->relay.ReceiveDigest(summary.store);
   this->fleet.Changed().Notify();
 }
@@ -431,6 +440,48 @@
   }
 }
 
+std::vector<wire::TargetLimit> FleetChannel::TargetLimits() const {
+  const Instant now = this->clock.Now();
+  std::vector<wire::TargetLimit> limits;
+  this->fleet.ForEachTarget([&](const TargetState& target) {
+    const TargetRateLimit& rate_limit = target.RateLimit();
+    if (!rate_limit.StatedAt().has_value()) return;
+    const absl::Duration age = now - *rate_limit.StatedAt();
+    const bool in_force = rate_limit.Limit().has_value();
+    if (!in_force && age > kEndedLimitReportTime) return;
+    if (!in_force && !rate_limit.EverLimited()) return;
+    wire::TargetLimit limit;
+    limit.target = target.Record().id;
+    limit.born_ms = target.Record().born_ms;
+    limit.requests_per_second = rate_limit.Limit().value_or(kNoLimit);
+    limit.age_ms = absl::ToInt64Milliseconds(age);
+    limits.push_back(std::move(limit));
+  });
+  return limits;
+}
+
+// Returns whether the limit of any target changed.
+bool FleetChannel::ApplyTargetLimits(
+    const std::vector<wire::TargetLimit>& limits) {
+  const Instant now = this->clock.Now();
+  bool changed = false;
+  for (const wire::TargetLimit& limit : limits) {
+    const std::shared_ptr<TargetState> target =
+        this->fleet.Target(limit.target);
+    if (target == nullptr || target->Record().born_ms != limit.born_ms) {
+      continue;
+    }
+    const std::optional<double> rate =
+        limit.requests_per_second >= 0
+            ? std::optional<double>(limit.requests_per_second)
+            : std::nullopt;
+    const absl::Duration age =
+        absl::Milliseconds(std::max<std::int64_t>(0, limit.age_ms));
+    changed |= target->RateLimit().Record(rate, now - age);
+  }
+  return changed;
+}
+
 bool FleetChannel::BroadcastsSentPrompts() const {
   return this->fleet.ListedInstances().size() <= kMaxSentPromptRecipients;
 }
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -83,6 +83,9 @@
   /// no process listens there any more.
   void ReportConnectionRefused(const std::string& target);
 
+  /// Reports to the leader at once that a target states another limit.
+  void ReportLimitChange() { this->wake.Notify(); }
+
   /// Reports to the leader that a target responded that it lacks the model or
   /// adapter.
   void ReportMissingModel(std::string_view target, const ModelName& name);
@@ -109,6 +112,8 @@
   void ApplyTargetUses(const wire::FleetSummary& summary);
   void ApplyHoldings(const wire::FleetSummary& summary);
   void ApplyFleetSpends(const wire::FleetSummary& summary);
+  std::vector<wire::TargetLimit> TargetLimits() const;
+  bool ApplyTargetLimits(const std::vector<wire::TargetLimit>& limits);
   void Send(const wire::FleetMessage& message, const std::string& address);
 
   boost::asio::io_context& context;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -120,6 +120,13 @@
   this->metrics.AddGauge("evacuated_zones", [this] {
     return static_cast<double>(this->fleet.EvacuatedZones().size());
   });
+  this->metrics.AddGauge("limited_targets", [this] {
+    int limited = 0;
+    this->fleet.ForEachTarget([&](const TargetState& target) {
+      if (target.RateLimit().Limit().has_value()) limited += 1;
+    });
+    return static_cast<double>(limited);
+  });
   this->metrics.AddGauge("holds_placing_duty", [this] {
     return this->leader_lease.MayIssueOrders() ? 1.0 : 0.0;
   });
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -80,7 +80,10 @@
   bool closes = false;  ///< the connection ends after this response
   std::optional<absl::Duration> keep_alive;  ///< idle timeout of the target
   std::optional<LoadReport> load;
-  HeaderFields forwarded_fields;  ///< end-to-end fields
+  /// The requests a second that the target takes from all instances together.
+  std::optional<double> rate_limit;
+  bool has_rate_limit_field = false;  ///< readable or not
+  HeaderFields forwarded_fields;      ///< end-to-end fields
 };
 
 /// A model that an engine serves.
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -214,26 +214,59 @@
                                       std::max(1.0, listed_instances)));
 }
 
-int Pipeline::SlowStartLimitAt(const ServiceSpec& service,
-                               std::string_view target) const {
+SendAllowance Pipeline::SlowStartAllowanceOf(const ServiceSpec& service) const {
   SlowStartLimit limit = service.slow_start;
   limit.overage = this->settings.slow_start_overage;
   limit.slack = this->settings.slow_start_slack;
+  return SlowStartAllowance(limit);
+}
+
+absl::Duration Pipeline::UntilTargetAllows(const ServiceSpec& service,
+                                           TargetState& target,
+                                           Instant now) const {
+  const bool warms_up =
+      service.slow_start.Applies() && target.SlowStartState().IsWarmingUp(now);
+  const std::optional<double> limit = target.RateLimit().Limit();
+  if (!warms_up && !limit.has_value()) return absl::ZeroDuration();
   std::vector<std::string> listed;
   for (const InstanceRecord* record : this->fleet.ListedInstances()) {
     listed.push_back(record->name);
   }
-  return SlowStartRequestsPerSecond(limit, target, this->settings.instance,
-                                    listed);
+  absl::Duration until = absl::ZeroDuration();
+  const auto apply = [&](const SendAllowance& allowance) {
+    const SendAllowance part = DivideAllowance(allowance, target.Record().id,
+                                               this->settings.instance, listed);
+    until = std::max(until, target.Sent().UntilAllowed(part, now));
+  };
+  if (warms_up) {
+    apply(this->SlowStartAllowanceOf(service));
+    const absl::Duration age = now - this->started;
+    until = std::max(until, kSlowStartRestartPause - age);
+  }
+  if (limit.has_value()) apply(RateLimitAllowance(*limit));
+  return until;
 }
 
-bool Pipeline::MaySendTo(const ServiceSpec& service, TargetState& target,
-                         Instant now) const {
-  if (!service.slow_start.Applies()) return true;
-  if (!target.SlowStartState().IsWarmingUp(now)) return true;
-  if (now - this->started < kSlowStartRestartPause) return false;
-  const int limit = this->SlowStartLimitAt(service, target.Record().id);
-  return target.SlowStartState().MaySend(limit, now);
+bool Pipeline::CanServe(const RequestJob& job, TargetState& target,
+                        Instant now) const {
+  const TargetRecord& record = target.Record();
+  if (record.leaving || this->fleet.IsEvacuated(record.zone)) return false;
+  if (job.unreachable.count(record.id) > 0) return false;
+  const ModelUse& use = job.request.use;
+  return use.model.empty() || target.Holds(use.model, use.adapter, now);
+}
+
+std::optional<absl::Duration> Pipeline::UntilSomeTargetAllows(
+    const RequestJob& job) const {
+  const Instant now = this->clock.Now();
+  std::optional<absl::Duration> least;
+  for (const auto& target : this->fleet.Targets(job.service->name)) {
+    if (!this->CanServe(job, *target, now)) continue;
+    const absl::Duration until =
+        this->UntilTargetAllows(*job.service, *target, now);
+    least = std::min(least.value_or(until), until);
+  }
+  return least;
 }
 
 std::shared_ptr<TargetState> Pipeline::ChooseAmong(RequestJob& job,
@@ -245,11 +278,10 @@
   std::vector<TargetCandidate> candidates;
   for (const auto& target : this->fleet.Targets(job.service->name)) {
     const TargetRecord& record = target->Record();
-    if (record.leaving || target->InFlight() >= max_in_flight) continue;
-    if (this->fleet.IsEvacuated(record.zone)) continue;
-    if (!this->MaySendTo(*job.service, *target, now)) continue;
-    if (job.unreachable.count(record.id) > 0) continue;
-    if (!use.model.empty() && !target->Holds(use.model, use.adapter, now)) {
+    if (target->InFlight() >= max_in_flight) continue;
+    if (!this->CanServe(job, *target, now)) continue;
+    if (this->UntilTargetAllows(*job.service, *target, now) >
+        absl::ZeroDuration()) {
       continue;
     }
     if (!last_resort &&
@@ -325,6 +357,13 @@
   const Instant until =
       wait_start + std::min(kMaxModelWaitShare * job.route->latency_objective,
                             job.deadline - wait_start);
+  // Waiting would not help: a place comes later, and here or at another
+  // instance.
+  const std::optional<absl::Duration> until_allowed =
+      this->UntilSomeTargetAllows(job);
+  if (until_allowed.has_value() && wait_start + *until_allowed > until) {
+    co_return nullptr;
+  }
   const ModelName name{job.service->name, job.request.use.model,
                        job.request.use.adapter};
   this->demand.BeginWait(name);
@@ -362,6 +401,16 @@
                        "all availability zones of the service are evacuated",
                        kRetryAfterEvacuation);
   }
+  const std::optional<absl::Duration> until_allowed =
+      this->UntilSomeTargetAllows(job);
+  if (until_allowed > absl::ZeroDuration()) {
+    // If other instances have all of the places, the next caller to come may
+    // well reach one of them.
+    const absl::Duration retry_after =
+        std::min(*until_allowed, kMaxRetryAfterLimit);
+    return MakeRefusal(RefusalCode::kTargetsLimited,
+                       "the targets limit their requests", retry_after);
+  }
   if (job.NeedsModel()) {
     return MakeRefusal(RefusalCode::kModelNotResident, kText,
                        kRetryAfterModelLoad);
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -14,6 +14,7 @@
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
+#include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_log.h"
@@ -70,13 +71,18 @@
   boost::asio::awaitable<std::shared_ptr<TargetState>> DelayForPacing(
       RequestJob& job, std::shared_ptr<TargetState> target);
   int MaxInFlightAtTarget(const ServiceSpec& service) const;
-  /// The requests that this instance may send in a second to a target that
-  /// warms up.
-  int SlowStartLimitAt(const ServiceSpec& service,
-                       std::string_view target) const;
-  /// Whether the slow start of the target allows another request now.
-  bool MaySendTo(const ServiceSpec& service, TargetState& target,
-                 Instant now) const;
+  SendAllowance SlowStartAllowanceOf(const ServiceSpec& service) const;
+  /// How long the slow start and the limit of the target allow this instance no
+  /// further request; zero if they allow one now.
+  absl::Duration UntilTargetAllows(const ServiceSpec& service,
+                                   TargetState& target, Instant now) const;
+  /// The time until UntilTargetAllows() allows the request at some target.
+  /// @return nothing if no such target could serve it
+  std::optional<absl::Duration> UntilSomeTargetAllows(
+      const RequestJob& job) const;
+  /// Whether the target can serve the request, now or when it has a place.
+  bool CanServe(const RequestJob& job, TargetState& target, Instant now) const;
+  void RecordResponseHead(TargetState& target, const ResponseHead& head);
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -132,6 +132,22 @@
   co_return next;
 }
 
+void Pipeline::RecordResponseHead(TargetState& target,
+                                  const ResponseHead& head) {
+  const Instant now = this->clock.Now();
+  if (head.load.has_value()) target.SetLoadReport(*head.load, now);
+  if (head.wrong_target) return;
+  // A failure may come from a part of the target that knows no limit.
+  const bool states_no_limit =
+      !head.has_rate_limit_field && head.is_signed && IsSuccess(head.status);
+  if (!head.rate_limit.has_value() && !states_no_limit) return;
+  if (!target.RateLimit().Record(head.rate_limit, now)) return;
+  this->log.Write("targets", head.rate_limit ? "limit stated" : "limit ended",
+                  {{"target", target.Record().id},
+                   {"requests_per_s", head.rate_limit.value_or(0)}});
+  this->channel.ReportLimitChange();
+}
+
 bool Pipeline::MayRetry(RequestJob& job, bool may_have_run) {
   const Instant now = this->clock.Now();
   if (job.deadline - now < kMinAttemptTime) return false;
@@ -190,9 +206,7 @@
     this->RecordOutcome(job, "caller left", 0);
     co_return NextStep::kDone;
   }
-  if (declined.head.load.has_value()) {
-    target.SetLoadReport(*declined.head.load, now);
-  }
+  this->RecordResponseHead(target, declined.head);
   const ModelUse& use = job.request.use;
   if (!declined.head.wrong_target) {
     target.MarkFull(now);
@@ -248,7 +262,7 @@
     RequestJob& job, TargetState& target, const CompleteResponse& response) {
   const Instant now = this->clock.Now();
   const ResponseHead& head = response.head;
-  if (head.load.has_value()) target.SetLoadReport(*head.load, now);
+  this->RecordResponseHead(target, head);
   const bool invalid =
       head.encoded || (IsSuccess(head.status) &&
                        (!head.is_signed || job.connection.StreamStarted()));
@@ -285,9 +299,7 @@
 asio::awaitable<Pipeline::NextStep> Pipeline::RelayStream(
     RequestJob& job, TargetState& target, TargetExchange& exchange,
     const ResponseHead& head) {
-  if (head.load.has_value()) {
-    target.SetLoadReport(*head.load, this->clock.Now());
-  }
+  this->RecordResponseHead(target, head);
   if (!IsSuccess(head.status) || !head.is_signed || head.encoded) {
     const OutcomeUnknown unknown{
         "stream is not signed, is encoded or has an error status"};
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -22,6 +22,15 @@
 constexpr int kPausePerPlanTime = 5;
 // The store removes the entry of a terminated engine after three heartbeats.
 constexpr absl::Duration kEntryExpiry = absl::Seconds(4);
+// Requests a second and slot below which a limit binds: requests take seconds,
+// so that an engine in demand starts more of them.
+constexpr double kSevereLimitPerSlot = 0.125;
+
+bool IsSeverelyLimited(const TargetState& target) {
+  const std::optional<double> limit = target.RateLimit().Limit();
+  return limit.has_value() &&
+         *limit < kSevereLimitPerSlot * target.Record().slots;
+}
 
 }  // namespace
 
@@ -297,6 +306,7 @@
                   !this->IsTerminated(*engine);
     item.responsive =
         target != nullptr && !target->IsAvoided(this->clock.Now());
+    item.limited = target != nullptr && IsSeverelyLimited(*target);
     item.loading = engine->loading.value_or("");
     // Weights that were cached before the last order may have been evicted for
     // it.
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -80,6 +80,9 @@
 inline constexpr absl::Duration kRetryAfterBusy = absl::Milliseconds(500);
 /// The model has to be loaded first.
 inline constexpr absl::Duration kRetryAfterModelLoad = absl::Seconds(2);
+/// The longest time until a target's limit allows another request: a copy of
+/// the model can be loaded elsewhere by then.
+inline constexpr absl::Duration kMaxRetryAfterLimit = absl::Seconds(2);
 /// The operator has to end the evacuation of an availability zone first.
 inline constexpr absl::Duration kRetryAfterEvacuation = absl::Seconds(2);
 /// The instance has no configuration yet.
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -54,6 +54,7 @@
   this->absent_until.clear();
   this->connections.Clear();
   this->report.reset();
+  this->rate_limit = TargetRateLimit();
   this->failure_rate = 0;
   this->unreachable_in_row = 0;
   this->avoid_until = absl::ZeroDuration();
@@ -108,7 +109,7 @@
 void TargetState::RecordSent(double prompt_tokens, const std::string& resident,
                              Instant now) {
   this->pace.Add(prompt_tokens, now);
-  this->slow_start.RecordSent(now);
+  this->sent.RecordSent(now);
   if (!resident.empty()) this->residents_in_use[resident] += 1;
   this->in_flight += 1;
   this->unread_tokens += prompt_tokens;
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -11,8 +11,10 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/decision/slow_start.h"
 #include "dragonflyglade/decision/target_choice.h"
+#include "dragonflyglade/decision/target_rate_limit.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/target_connection.h"
 
@@ -73,8 +75,13 @@
     return this->residents_in_use;
   }
   int InFlight() const { return this->in_flight; }
-  /// The requests sent to the target, and whether it warms up.
+  /// Whether the target warms up.
   SlowStart& SlowStartState() { return this->slow_start; }
+  /// The requests that this instance sent to the target.
+  const SendHistory& Sent() const { return this->sent; }
+  /// The limit that the target states.
+  TargetRateLimit& RateLimit() { return this->rate_limit; }
+  const TargetRateLimit& RateLimit() const { return this->rate_limit; }
   double UnreadTokens() const { return this->unread_tokens; }
 
   /// Stores the load that the target stated in a response.
@@ -121,6 +128,8 @@
   std::map<std::string, int> residents_in_use;
   double unread_tokens = 0;
   SlowStart slow_start;
+  SendHistory sent;
+  TargetRateLimit rate_limit;
   std::optional<LoadReport> report;
   Instant reported_at;
   int in_flight_at_report = 0;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -38,6 +38,18 @@
   3: string adapter
 }
 
+/** A target's statement on the rate of requests that it takes from all
+    instances together. */
+struct TargetLimit {
+  1: string target
+  /** The start time of the target process that made it. */
+  2: i64 born_ms
+  /** Negative if the target no longer states a limit. */
+  3: double requests_per_second
+  /** Time since the target made the statement. */
+  4: i64 age_ms
+}
+
 /** An instance's periodic report to the leader. */
 struct InstanceReport {
   1: string instance
@@ -73,6 +85,8 @@
   /** Targets that refused a connection since the last report, so their
       processes have terminated. */
   17: list<string> refusing
+  /** The newest statements of targets that state a limit, or did lately. */
+  18: list<TargetLimit> limits
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
@@ -185,6 +199,8 @@
   /** The version of all holdings; 0 if the leader does not know what targets
       hold. */
   13: i64 holdings_version
+  /** As in the reports, of all instances. */
+  14: list<TargetLimit> limits
 }
 
 /** Asks the leader to admit a request that exceeds the instance's own share of
--- a/tests/platform/platform-limits.cc
+++ b/tests/platform/platform-limits.cc
@@ -1,17 +1,29 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "dragonflyglade/gateway/thrift_codec.h"
+#include "dragonflyglade/peer/generated/fleet_types.h"
 #include "tests/platform/gateway_harness.h"
 
 namespace dragonflyglade {
 namespace {
 
+using boost::asio::ip::udp;
+
 constexpr absl::Duration kWindow = absl::Seconds(4);
 
 // A target that names its limit in each response and records its requests.
@@ -47,9 +59,57 @@
   std::vector<absl::Time> arrivals;
 };
 
+// Another instance that reports to the gateway, which is the leader.
+class Peer {
+ public:
+  explicit Peer(GatewayHarness& harness)
+      : leader(boost::asio::ip::address_v4::loopback(),
+               static_cast<unsigned short>(
+                   harness.gateway->Settings().peers.port)),
+        socket(this->context,
+               udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {}
+
+  void Report(std::vector<wire::TargetLimit> limits) {
+    wire::FleetMessage message;
+    wire::InstanceReport report;
+    report.instance = "two";
+    report.incarnation = "two-1";
+    report.address =
+        absl::StrCat("127.0.0.1:", this->socket.local_endpoint().port());
+    report.sequence = 1;
+    report.listed = true;
+    report.interval_ms = 200;
+    report.limits = std::move(limits);
+    message.__set_report(std::move(report));
+    this->socket.send_to(boost::asio::buffer(gateway::EncodeThrift(message)),
+                         this->leader);
+  }
+
+  /// The limits of the next summary.
+  std::vector<wire::TargetLimit> ReceiveLimits() {
+    std::string buffer(65000, '\0');
+    while (true) {
+      const std::size_t size =
+          this->socket.receive(boost::asio::buffer(buffer));
+      const auto message = gateway::DecodeThrift<wire::FleetMessage>(
+          std::string_view(buffer.data(), size));
+      CPPUNIT_ASSERT(message.has_value());
+      if (message->__isset.summary) return message->summary.limits;
+    }
+  }
+
+ private:
+  boost::asio::io_context context;
+  const udp::endpoint leader;
+  udp::socket socket;
+};
+
 class LimitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LimitsTest);
   CPPUNIT_TEST(KeepsTheLimitThatATargetNames);
+  CPPUNIT_TEST(UsesTheTargetAgainWhenItNamesNoLimit);
+  CPPUNIT_TEST(RefusesAtOnceIfTheLimitOfTheOnlyTargetIsReached);
+  CPPUNIT_TEST(PassesLimitsOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +134,107 @@
                              most > 0);
     }
   }
+
+  // Failure: a target that has recovered gets next to nothing.
+  void UsesTheTargetAgainWhenItNamesNoLimit() {
+    GatewayHarness harness;
+    WaitUntilListed(harness);
+    LimitedTarget limited("Server-Limit: 2");
+    harness.first.EnqueueAnswer(
+        [&](const RawRequest& request) { return limited.Answer(request); });
+    CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
+    CPPUNIT_ASSERT(LimitOf(harness) == 2.0);
+    CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
+    CPPUNIT_ASSERT(!LimitOf(harness).has_value());
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
+    }
+  }
+
+  // Failure: requests that no target can take wait until their callers give up.
+  void RefusesAtOnceIfTheLimitOfTheOnlyTargetIsReached() {
+    LimitedTarget limited("Server-Limit: 1");
+    const auto answer = [&](const RawRequest& request) {
+      return limited.Answer(request);
+    };
+    GatewayHarness harness(answer);
+    harness.PutTarget("i-1", harness.first, "ready",
+                      {{{"name", "m"}, {"version", 1}}});
+    WaitUntilListed(harness);
+    harness.WaitFor([&] { return harness.CallModel("m").status != 503; });
+    for (int i = 0; i < 6; ++i) harness.Call("GET", "/any/");
+    const std::size_t before = harness.RequestCount();
+    for (const bool with_model : {false, true}) {
+      const absl::Time start = absl::Now();
+      const GatewayHarness::Reply reply =
+          with_model ? harness.CallModel("m") : harness.Call("GET", "/any/");
+      CPPUNIT_ASSERT_EQUAL(503, reply.status);
+      CPPUNIT_ASSERT(absl::StrContains(reply.text, "targets_limited"));
+      CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(500));
+      const double retry_after = std::stod(reply.Field("Retry-After"));
+      CPPUNIT_ASSERT(retry_after > 0 && retry_after <= 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, harness.RequestCount());
+  }
+
+  // Failure: six instances that each learn of the limit from their own
+  // responses send six times as much until then.
+  void PassesLimitsOn() {
+    struct Case {
+      std::string name;
+      std::vector<wire::TargetLimit> reported;
+      std::optional<double> limit;
+    };
+    constexpr std::int64_t kBorn = 1;
+    const std::vector<Case> cases = {
+        {"a limit", {Limit("i-1", kBorn, 2.5, 100)}, 2.5},
+        {"of another process", {Limit("i-1", 7, 2.5, 100)}, {}},
+        {"of an unknown target", {Limit("i-9", kBorn, 2.5, 100)}, {}},
+        {"stated in the future", {Limit("i-1", kBorn, 2.5, -9999)}, 2.5},
+        {"ended",
+         {Limit("i-1", kBorn, 2.5, 500), Limit("i-1", kBorn, -1, 10)},
+         {}},
+        {"not a number",
+         {Limit("i-1", kBorn, std::numeric_limits<double>::quiet_NaN(), 10)},
+         {}},
+    };
+    for (const Case& item : cases) {
+      GatewayHarness harness;
+      harness.WaitFor([&] { return harness.HoldsLeaderLease(); });
+      Peer peer(harness);
+      peer.Report(item.reported);
+      const std::vector<wire::TargetLimit> summary = peer.ReceiveLimits();
+      CPPUNIT_ASSERT_MESSAGE(item.name, LimitOf(harness) == item.limit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.name, item.limit.has_value(),
+          !summary.empty() && summary[0].requests_per_second >= 0);
+    }
+  }
+
+ private:
+  static wire::TargetLimit Limit(const std::string& target, std::int64_t born,
+                                 double rate, std::int64_t age_ms) {
+    wire::TargetLimit limit;
+    limit.target = target;
+    limit.born_ms = born;
+    limit.requests_per_second = rate;
+    limit.age_ms = age_ms;
+    return limit;
+  }
+
+  // Only listed instances send to a target with a limit.
+  static void WaitUntilListed(GatewayHarness& harness) {
+    harness.WaitFor([&] {
+      return harness.Read<bool>(
+          [&] { return harness.gateway->Fleet().IsListed("one"); });
+    });
+  }
+
+  static std::optional<double> LimitOf(GatewayHarness& harness) {
+    return harness.Read<std::optional<double>>([&] {
+      return harness.gateway->Fleet().Target("i-1")->RateLimit().Limit();
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(LimitsTest, "platform-limits");
--- a/tests/unit/unit-slow-start.cc
+++ b/tests/unit/unit-slow-start.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/decision/slow_start.h"
 
 namespace dragonflyglade {
@@ -26,7 +27,8 @@
                          const std::vector<std::string>& listed) {
   int total = 0;
   for (const std::string& self : listed) {
-    total += SlowStartRequestsPerSecond(limit, target, self, listed);
+    total += DivideAllowance(SlowStartAllowance(limit), target, self, listed)
+                 .requests;
   }
   return total;
 }
@@ -37,7 +39,7 @@
   Crowd(SlowStartLimit limit, int instances) : limit(limit) {
     for (const std::string& name : Names(0, instances)) {
       this->views[name] = Names(0, instances);
-      this->senders[name].Begin(absl::Hours(1), this->now);
+      this->senders.emplace(name, SendHistory());
     }
   }
 
@@ -45,16 +47,17 @@
   // for the first time starts to send.
   void ShowList(const std::string& self, std::vector<std::string> listed) {
     this->views[self] = std::move(listed);
-    this->senders[self].Begin(absl::Hours(1), this->now);
+    this->senders.emplace(self, SendHistory());
   }
 
   void Play(absl::Duration time) {
     const Instant end = this->now + time;
     for (; this->now < end; this->now += kStep) {
       for (auto& [name, sender] : this->senders) {
-        const int most = SlowStartRequestsPerSecond(this->limit, kTarget, name,
-                                                    this->views.at(name));
-        while (sender.MaySend(most, this->now)) {
+        const SendAllowance part =
+            DivideAllowance(SlowStartAllowance(this->limit), kTarget, name,
+                            this->views.at(name));
+        while (sender.UntilAllowed(part, this->now) == absl::ZeroDuration()) {
           sender.RecordSent(this->now);
           this->sent.push_back(this->now);
         }
@@ -80,7 +83,7 @@
   const SlowStartLimit limit;
   Instant now = absl::Seconds(10);
   std::map<std::string, std::vector<std::string>> views;
-  std::map<std::string, SlowStart> senders;
+  std::map<std::string, SendHistory> senders;
   std::vector<Instant> sent;
 };
 
@@ -94,6 +97,7 @@
   CPPUNIT_TEST(KeepsTheLimitWhileListsDiffer);
   CPPUNIT_TEST(ServesACrowdDuringTheWarmUp);
   CPPUNIT_TEST(CountsWhatWasSentBeforeTheWarmUpWasKnown);
+  CPPUNIT_TEST(AShorterWarmUpDoesNotEndALongerOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,17 +163,26 @@
   // Guards against a full second's requests on top of those that were sent just
   // before the instance learned that the target warms up.
   void CountsWhatWasSentBeforeTheWarmUpWasKnown() {
-    SlowStart sender;
-    Instant now = absl::Seconds(10);
+    const Instant now = absl::Seconds(10);
+    SendHistory sender;
     for (int i = 0; i < 5; ++i) sender.RecordSent(now);
+    const auto may_send = [&](int requests, absl::Duration after) {
+      return sender.UntilAllowed({requests, absl::Milliseconds(1100)},
+                                 now + after) == absl::ZeroDuration();
+    };
+    CPPUNIT_ASSERT(!may_send(1, absl::ZeroDuration()));
+    CPPUNIT_ASSERT(!may_send(5, absl::Milliseconds(900)));
+    CPPUNIT_ASSERT(may_send(6, absl::ZeroDuration()));
+    CPPUNIT_ASSERT(may_send(1, absl::Milliseconds(1200)));
+    CPPUNIT_ASSERT(!may_send(0, absl::Seconds(2)));
+  }
+
+  void AShorterWarmUpDoesNotEndALongerOne() {
+    const Instant now = absl::Seconds(10);
+    SlowStart sender;
     CPPUNIT_ASSERT(!sender.IsWarmingUp(now));
     sender.Begin(absl::Seconds(3), now);
     CPPUNIT_ASSERT(sender.IsWarmingUp(now));
-    CPPUNIT_ASSERT(!sender.MaySend(1, now));
-    CPPUNIT_ASSERT(!sender.MaySend(5, now + absl::Milliseconds(900)));
-    CPPUNIT_ASSERT(sender.MaySend(6, now));
-    CPPUNIT_ASSERT(sender.MaySend(1, now + absl::Milliseconds(1200)));
-    CPPUNIT_ASSERT(!sender.MaySend(0, now + absl::Seconds(2)));
     // A shorter time does not end a warm-up that is known to last longer.
     sender.Begin(absl::Seconds(1), now);
     CPPUNIT_ASSERT(sender.IsWarmingUp(now + absl::Milliseconds(2900)));
