Use more of a target's limit, and spare the other engines if most are limited

Two causes by reading. Each instance's part was one request in four seconds, and it has a request for a given target about every three: more than a third of the limit stayed unused. And with most engines limited the planner would have taken nearly all models for missing, and loaded them at the few others in turn; from a third of the engines on, limits no longer decide where copies are.

--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -93,6 +93,20 @@
     return model.load / std::max(1, this->CopyCount(model.name));
   }
 
+  // If many engines are limited, the others have no room for all models in
+  // demand, and would load and unload them in turn.
+  void IgnoreCommonLimits() {
+    constexpr std::ptrdiff_t kMaxLimitedPart = 3;  // one in so many
+    const auto limited = std::count_if(
+        this->engines.begin(), this->engines.end(),
+        [](const auto& one) { return one.usable && one.limited; });
+    const auto usable =
+        std::count_if(this->engines.begin(), this->engines.end(),
+                      [](const auto& one) { return one.usable; });
+    if (limited * kMaxLimitedPart <= usable) return;
+    for (EngineResidency& engine : this->engines) engine.limited = false;
+  }
+
   int UnloadingEngines() const {
     return static_cast<int>(
         std::count_if(this->engines.begin(), this->engines.end(),
@@ -145,6 +159,7 @@
   for (const EngineResidency& engine : engines) {
     round.adapter_slots = std::max(round.adapter_slots, engine.adapter_slots);
   }
+  round.IgnoreCommonLimits();
   for (const EngineResidency& engine : round.engines) {
     if (!engine.usable) continue;
     for (const auto& [name, resident_adapters] : engine.models) {
--- a/dragonflyglade/decision/send_allowance.cc
+++ b/dragonflyglade/decision/send_allowance.cc
@@ -1,10 +1,19 @@
 #include "dragonflyglade/decision/send_allowance.h"
 
 #include <algorithm>
+#include <cstddef>
 
 #include "dragonflyglade/decision/rendezvous.h"
 
 namespace dragonflyglade {
+namespace {
+
+// Requests that are older are forgotten but for the last few, since a long
+// window belongs to a low rate.
+constexpr absl::Duration kMaxAge = absl::Seconds(10);
+constexpr std::size_t kAlwaysKept = 16;
+
+}  // namespace
 
 SendAllowance DivideAllowance(const SendAllowance& fleet,
                               std::string_view target, std::string_view self,
@@ -24,7 +33,8 @@
 }
 
 void SendHistory::RecordSent(Instant now) {
-  while (!this->sent.empty() && now - this->sent.front() >= kMaxSendWindow) {
+  while (this->sent.size() >= kAlwaysKept &&
+         now - this->sent.front() >= kMaxAge) {
     this->sent.pop_front();
   }
   this->sent.push_back(now);
--- a/dragonflyglade/decision/send_allowance.h
+++ b/dragonflyglade/decision/send_allowance.h
@@ -14,12 +14,9 @@
 /// How many requests may be sent to a target in any span of a length.
 struct SendAllowance {
   int requests = 0;
-  absl::Duration window = absl::Seconds(1);  ///< at most kMaxSendWindow
+  absl::Duration window = absl::Seconds(1);
 };
 
-/// The longest window for which a SendHistory remembers all requests.
-inline constexpr absl::Duration kMaxSendWindow = absl::Seconds(10);
-
 /// One instance's part of what all instances together may send to a target.
 ///
 /// Requests of the window are divided equally, and the remainder goes to the
@@ -45,7 +42,7 @@
                               Instant now) const;
 
  private:
-  std::deque<Instant> sent;  ///< of the last kMaxSendWindow, oldest first
+  std::deque<Instant> sent;  ///< oldest first
 };
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/target_rate_limit.cc
+++ b/dragonflyglade/decision/target_rate_limit.cc
@@ -6,23 +6,23 @@
 namespace dragonflyglade {
 namespace {
 
-// Long enough that a limit of one request a second can be divided among a few
-// instances.
-constexpr absl::Duration kWindow = absl::Seconds(4);
+// The window lasts until the rate makes up for this many seconds and further
+// requests. The longer it is, the more of the rate is used: the instances among
+// which it is divided do not have requests for the target at regular intervals.
+constexpr double kWindowSeconds = 4;
+constexpr double kFurtherRequests = 3;
+// Three requests in half a minute.
+constexpr double kLeastRequestsPerSecond = 0.1;
 // Above this no limit binds.
-constexpr double kMaxRequests = 1e6;
+constexpr double kMaxRequestsPerSecond = 1e5;
 
 }  // namespace
 
 SendAllowance RateLimitAllowance(double requests_per_second) {
-  const double window_s = absl::ToDoubleSeconds(kWindow);
-  const double requests = requests_per_second * window_s;
-  if (requests >= 1) {
-    return {static_cast<int>(std::min(requests, kMaxRequests)), kWindow};
-  }
-  const double max_window_s = absl::ToDoubleSeconds(kMaxSendWindow);
-  const bool is_tiny = requests_per_second * max_window_s <= 1;
-  return {1, is_tiny ? kMaxSendWindow : absl::Seconds(1 / requests_per_second)};
+  const double rate = std::clamp(requests_per_second, kLeastRequestsPerSecond,
+                                 kMaxRequestsPerSecond);
+  const double requests = std::floor(kWindowSeconds * rate + kFurtherRequests);
+  return {static_cast<int>(requests), absl::Seconds(requests / rate)};
 }
 
 bool TargetRateLimit::Record(std::optional<double> requests_per_second,
--- a/dragonflyglade/decision/target_rate_limit.h
+++ b/dragonflyglade/decision/target_rate_limit.h
@@ -9,8 +9,8 @@
 namespace dragonflyglade {
 
 /// How many requests all instances together may send to a target that states
-/// the rate it takes. At least one request in kMaxSendWindow is allowed: only
-/// its response can tell that the limit has ended.
+/// the rate it takes. A few are allowed whatever the rate is: only a response
+/// can tell that the limit has ended.
 /// @param requests_per_second not negative
 SendAllowance RateLimitAllowance(double requests_per_second);
 
--- a/tests/platform/platform-limits.cc
+++ b/tests/platform/platform-limits.cc
@@ -162,7 +162,7 @@
                       {{{"name", "m"}, {"version", 1}}});
     WaitUntilListed(harness);
     harness.WaitFor([&] { return harness.CallModel("m").status != 503; });
-    for (int i = 0; i < 6; ++i) harness.Call("GET", "/any/");
+    for (int i = 0; i < 10; ++i) harness.Call("GET", "/any/");
     const std::size_t before = harness.RequestCount();
     for (const bool with_model : {false, true}) {
       const absl::Time start = absl::Now();
--- a/tests/unit/unit-target-limits.cc
+++ b/tests/unit/unit-target-limits.cc
@@ -154,9 +154,11 @@
     SendHistory sender;
     for (int i = 0; i < 20; ++i) sender.RecordSent(now);
     const SendAllowance allowance = RateLimitAllowance(1);
-    CPPUNIT_ASSERT(sender.UntilAllowed(allowance, now + absl::Seconds(3)) ==
+    CPPUNIT_ASSERT(allowance.window >= kWindow);
+    CPPUNIT_ASSERT(sender.UntilAllowed(
+                       allowance, now + allowance.window - absl::Seconds(1)) ==
                    absl::Seconds(1));
-    CPPUNIT_ASSERT(sender.UntilAllowed(allowance, now + kWindow) ==
+    CPPUNIT_ASSERT(sender.UntilAllowed(allowance, now + allowance.window) ==
                    absl::ZeroDuration());
     CPPUNIT_ASSERT(sender.UntilAllowed({0, kWindow}, now) ==
                    absl::InfiniteDuration());
@@ -198,14 +200,15 @@
   void AModelInDemandGetsACopyElsewhere() {
     struct Case {
       std::string name;
-      bool limited;
+      int limited;  ///< engines, the one with the copy first
       double load;
       bool loads;
     };
     const std::vector<Case> cases = {
-        {"no limit", false, 0.1, false},
-        {"in demand", true, 0.1, true},
-        {"nobody asks", true, 0, false},
+        {"no limit", 0, 0.1, false},
+        {"in demand", 1, 0.1, true},
+        {"nobody asks", 1, 0, false},
+        {"most engines are limited", 3, 0.1, false},
     };
     for (const Case& item : cases) {
       ManualClock clock;
@@ -214,18 +217,17 @@
       model.name = "m";
       model.memory_mb = 10;
       model.load = item.load;
-      std::vector<EngineResidency> engines(2);
+      std::vector<EngineResidency> engines(4);
       for (std::size_t i = 0; i < engines.size(); ++i) {
         engines[i].id = absl::StrCat("e", i);
         engines[i].memory_mb = 100;
+        engines[i].limited = static_cast<int>(i) < item.limited;
       }
       engines[0].models["m"] = {};
-      engines[0].limited = item.limited;
       const auto changes = planner.Plan({&model, 1}, {}, engines, 1);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.loads, !changes.empty());
       if (changes.empty()) continue;
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::string("e1"),
-                                   changes[0].target);
+      CPPUNIT_ASSERT_MESSAGE(item.name, changes[0].target != "e0");
     }
   }
 };
