Take the rotation over neighbors into a class, and mend two lint findings

Two places went through the other instances in turn with the same loop. A change whose announced number of parts is implausible now leaves the receiver behind instead of counting as known.

--- a/dragonflyglade/gateway/change_parts.cc
+++ b/dragonflyglade/gateway/change_parts.cc
@@ -27,7 +27,7 @@
 }
 
 std::string_view PackedChange::Part(std::size_t number) const {
-  return std::string_view(this->bytes).substr(number * kPartBytes, kPartBytes);
+  return std::string_view{this->bytes}.substr(number * kPartBytes, kPartBytes);
 }
 
 PartAssembler::PartAssembler(std::uint64_t checksum, std::size_t parts)
--- a/dragonflyglade/gateway/large_change_receiver.cc
+++ b/dragonflyglade/gateway/large_change_receiver.cc
@@ -1,8 +1,6 @@
 #include "dragonflyglade/gateway/large_change_receiver.h"
 
 #include <algorithm>
-#include <functional>
-#include <iterator>
 #include <utility>
 
 namespace dragonflyglade::gateway {
@@ -28,8 +26,7 @@
     : fleet(fleet),
       self(std::move(self)),
       clock(std::move(clock)),
-      // Instances start at different neighbors, so that not all ask the same.
-      next_neighbor(std::hash<std::string>()(this->self.name)) {}
+      neighbors(fleet, this->self.name) {}
 
 bool LargeChangeReceiver::IsKnown(const wire::LargeChange& change) const {
   return this->fleet.AppliedRevision(change.key) >=
@@ -39,9 +36,9 @@
 bool LargeChangeReceiver::Announce(const wire::StoreDigest& digest) {
   std::vector<wire::LargeChange> missing;
   for (const wire::LargeChange& change : digest.large_changes) {
-    if (!this->IsKnown(change) && IsPlausible(change)) {
-      missing.push_back(change);
-    }
+    if (this->IsKnown(change)) continue;
+    if (!IsPlausible(change)) return false;
+    missing.push_back(change);
   }
   if (missing.empty()) return true;
   const auto through =
@@ -121,7 +118,8 @@
   if (!this->requested || responds) return this->sources;
   std::vector<std::string> sources;
   this->AddNextRelay(sources);
-  this->AddNextNeighbor(sources);
+  std::optional<std::string> neighbor = this->neighbors.NextAddress();
+  if (neighbor.has_value()) sources.push_back(*std::move(neighbor));
   return sources;
 }
 
@@ -136,19 +134,6 @@
   }
 }
 
-void LargeChangeReceiver::AddNextNeighbor(std::vector<std::string>& sources) {
-  const auto& instances = this->fleet.Instances();
-  for (std::size_t i = 0; i < instances.size(); ++i) {
-    this->next_neighbor += 1;
-    const auto neighbor = std::next(
-        instances.begin(),
-        static_cast<std::ptrdiff_t>(this->next_neighbor % instances.size()));
-    if (neighbor->second.name == this->self.name) continue;
-    sources.push_back(neighbor->second.peer_address);
-    return;
-  }
-}
-
 std::optional<StoreEvent> LargeChangeReceiver::Receive(
     const wire::ChangePart& part) {
   for (Transfer& transfer : this->transfers) {
--- a/dragonflyglade/gateway/large_change_receiver.h
+++ b/dragonflyglade/gateway/large_change_receiver.h
@@ -12,6 +12,7 @@
 #include "dragonflyglade/gateway/change_parts.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
+#include "dragonflyglade/gateway/neighbor_rotation.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
 
 namespace dragonflyglade::gateway {
@@ -60,7 +61,6 @@
   bool IsRequestDue() const;
   std::vector<std::string> NextSources();
   void AddNextRelay(std::vector<std::string>& sources);
-  void AddNextNeighbor(std::vector<std::string>& sources);
 
   const FleetState& fleet;
   const InstanceRecord self;
@@ -71,7 +71,7 @@
   std::vector<std::string> sources;
   bool requested = false;  ///< whether any part was requested
   std::size_t next_relay = 0;
-  std::size_t next_neighbor;
+  NeighborRotation neighbors;
   Instant last_request = -absl::InfiniteDuration();
   Instant last_progress = -absl::InfiniteDuration();
 };
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -1,8 +1,6 @@
 #include "dragonflyglade/gateway/store_relay.h"
 
 #include <algorithm>
-#include <functional>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -53,7 +51,7 @@
       large_sender(context, fleet, link_mbps, metrics, this->clock),
       large_receiver(fleet, this->self, this->clock),
       parts_missing(context),
-      next_neighbor(std::hash<std::string>()(this->self.name)) {}
+      neighbors(fleet, this->self.name) {}
 
 void StoreRelay::OnSend(SendMessage send) {
   this->send = std::move(send);
@@ -178,8 +176,9 @@
 }
 
 void StoreRelay::ReceivePart(const wire::ChangePart& part) {
+  const Instant last_progress = this->large_receiver.LastProgress();
   const std::optional<StoreEvent> change = this->large_receiver.Receive(part);
-  if (this->large_receiver.LastProgress() == this->clock.Now()) {
+  if (this->large_receiver.LastProgress() > last_progress) {
     this->sync_state.RecordProgress();
   }
   if (!change.has_value()) return;
@@ -313,16 +312,10 @@
 // the store themselves, and any of them may be up to date.
 void StoreRelay::QueryNeighbors() {
   if (!this->freshest_source.empty()) this->Query(this->freshest_source);
-  const auto& instances = this->fleet.Instances();
-  if (instances.empty() || this->sync_state.HasLiveRelay()) return;
+  if (this->sync_state.HasLiveRelay()) return;
   for (std::size_t i = 0; i < kNeighborsPerQuery; ++i) {
-    this->next_neighbor += 1;
-    const auto neighbor = std::next(
-        instances.begin(),
-        static_cast<std::ptrdiff_t>(this->next_neighbor % instances.size()));
-    if (neighbor->second.name != this->self.name) {
-      this->Query(neighbor->second.peer_address);
-    }
+    const std::optional<std::string> address = this->neighbors.NextAddress();
+    if (address.has_value()) this->Query(*address);
   }
 }
 
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -18,6 +18,7 @@
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/large_change_receiver.h"
 #include "dragonflyglade/gateway/large_change_sender.h"
+#include "dragonflyglade/gateway/neighbor_rotation.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/operator/metrics.h"
 #include "dragonflyglade/peer/generated/fleet_types.h"
@@ -143,7 +144,7 @@
   std::map<std::uint64_t, PackedDigestChanges> packed;
   std::map<std::string, Subscriber> subscribers;  ///< by address
   std::size_t next_relay = 0;  ///< index of the next relay to query
-  std::size_t next_neighbor;
+  NeighborRotation neighbors;
   /// Address of the instance whose digest was the newest when it arrived.
   std::string freshest_source;
   bool had_live_relay = false;  ///< as last logged
--- a/tests/unit/unit-target-limits.cc
+++ b/tests/unit/unit-target-limits.cc
@@ -22,6 +22,7 @@
 
 std::vector<std::string> Names(int from, int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) names.push_back(absl::StrCat("i", from + i));
   return names;
 }
