--- a/tests/platform/platform-limits.cc
+++ b/tests/platform/platform-limits.cc
@@ -113,8 +113,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Failure: a target in need gets as many requests as before it named the rate
-  // that it takes.
+  // Guards against as many requests as before the target named its limit.
   void KeepsTheLimitThatATargetNames() {
     for (const char* field :
          {"Server-Limit: 1", "X-Dragonflyglade-Server-Limit: 1.0"}) {
@@ -135,7 +134,7 @@
     }
   }
 
-  // Failure: a target that has recovered gets next to nothing.
+  // Guards against next to no requests for a target that has recovered.
   void UsesTheTargetAgainWhenItNamesNoLimit() {
     GatewayHarness harness;
     WaitUntilListed(harness);
@@ -151,7 +150,7 @@
     }
   }
 
-  // Failure: requests that no target can take wait until their callers give up.
+  // Guards against requests that wait until their callers give up.
   void RefusesAtOnceIfTheLimitOfTheOnlyTargetIsReached() {
     LimitedTarget limited("Server-Limit: 1");
     const auto answer = [&](const RawRequest& request) {
@@ -177,8 +176,7 @@
     CPPUNIT_ASSERT_EQUAL(before, harness.RequestCount());
   }
 
-  // Failure: six instances that each learn of the limit from their own
-  // responses send six times as much until then.
+  // Guards against instances that learn of a limit from own responses only.
   void PassesLimitsOn() {
     struct Case {
       std::string name;
--- a/tests/unit/unit-large-changes.cc
+++ b/tests/unit/unit-large-changes.cc
@@ -200,9 +200,7 @@
   CPPUNIT_TEST(ForeignPartsAndRequestsHaveNoEffect);
   CPPUNIT_TEST_SUITE_END();
 
-  // Failure: an instance serves by a configuration that was replaced many
-  // seconds ago, because the new one is too large for a digest and the store
-  // refuses the instance's own reads.
+  // Guards against serving by a configuration that was replaced long ago.
   void ReachInstancesThatCannotReadTheStore() {
     constexpr std::size_t kSmall = 2000;
     constexpr std::size_t kLarge = 80000;
@@ -249,8 +247,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
 
-  // Failure: the leader's link is saturated, since each further change makes it
-  // send a large one to all instances again.
+  // Guards against a saturated link of the leader.
   void AreNotSentAgainWithEachChange() {
     constexpr int kParts = 5;
     const Case item = {.name = "other keys change meanwhile",
@@ -263,8 +260,7 @@
     CPPUNIT_ASSERT(fleet.PartsSent() <= 2 * kParts * (kInstances - 1));
   }
 
-  // Failure: datagrams that any process can send make an instance apply what
-  // the store does not contain, or end it.
+  // Guards against changes that the store does not contain.
   void ForeignPartsAndRequestsHaveNoEffect() {
     const StoreEvent change{
         Item(kTestConfigKey, kFirstRevision, RandomBytes(40000, 1)), false};
--- a/tests/unit/unit-target-limits.cc
+++ b/tests/unit/unit-target-limits.cc
@@ -102,9 +102,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Failure: instances send a limited target more than it takes, since each
-  // keeps to the limit alone; or they send nothing, so that callers are not
-  // served and no response can end the limit.
+  // Guards against instances that each keep to the limit alone, or send
+  // nothing.
   void ACrowdGetsWhatTheTargetTakes() {
     struct Case {
       double limit;
@@ -133,6 +132,7 @@
     CPPUNIT_ASSERT(RateLimitAllowance(huge).requests > 100000);
   }
 
+  // Guards against the parts of an older and a newer list that add up.
   void KeepsTheLimitWhileInstancesAreReplaced() {
     const bool passed = rc::check("limit kept", [] {
       const double limit = *rc::gen::inRange(1, 40) / 4.0;
@@ -148,8 +148,7 @@
     CPPUNIT_ASSERT(passed);
   }
 
-  // Failure: the target gets a whole window's requests on top of those that
-  // were sent just before it named its limit.
+  // Guards against a whole window's requests on top of those just sent.
   void CountsWhatWasSentBeforeTheLimitWasKnown() {
     const Instant now = absl::Seconds(100);
     SendHistory sender;
@@ -165,8 +164,7 @@
                    absl::InfiniteDuration());
   }
 
-  // Failure: a message that was delayed sets a limit again that the target has
-  // ended, or ends one that it has stated since.
+  // Guards against a delayed message that revives a limit or ends a new one.
   void TheNewestStatementCounts() {
     struct Statement {
       std::optional<double> limit;
@@ -196,8 +194,7 @@
     }
   }
 
-  // Failure: callers of a model are refused for as long as its only copy is at
-  // a target that takes one request a second.
+  // Guards against a model whose only copy is at a target that takes little.
   void AModelInDemandGetsACopyElsewhere() {
     struct Case {
       std::string name;
