Bound the targets' limits in a message, and word three comments more clearly

Found in the last read of the change: reports and summaries listed the limits of all targets in one datagram. Now a message has 256, and the others follow in turn.

platform-limits, DividesManyLimitsAmongMessages, with 600 limited targets: fails without the bound, passes with it.

--- a/dragonflyglade/decision/target_rate_limit.cc
+++ b/dragonflyglade/decision/target_rate_limit.cc
@@ -6,9 +6,9 @@
 namespace dragonflyglade {
 namespace {
 
-// The window lasts until the rate makes up for this many seconds and further
-// requests. The longer it is, the more of the rate is used: the instances among
-// which it is divided do not have requests for the target at regular intervals.
+// The window allows the requests of this many seconds and a few more, and lasts
+// as long as the rate takes for all of them. In a longer window more of the
+// rate is used, since an instance's requests for a target come irregularly.
 constexpr double kWindowSeconds = 4;
 constexpr double kFurtherRequests = 3;
 // Three requests in half a minute.
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -52,6 +52,9 @@
 // For this long the reports tell that a target states no limit any more:
 // several reports, any of which may be lost.
 constexpr absl::Duration kEndedLimitReportTime = absl::Seconds(10);
+// Further ones follow in the next messages: a datagram has room for no more
+// beside the other fields of a summary.
+constexpr std::size_t kMaxLimitsPerMessage = 256;
 // Stands for a target that states no limit.
 constexpr double kNoLimit = -1;
 // Stands for an unlimited age in reports.
@@ -440,7 +443,7 @@
   }
 }
 
-std::vector<wire::TargetLimit> FleetChannel::TargetLimits() const {
+std::vector<wire::TargetLimit> FleetChannel::TargetLimits() {
   const Instant now = this->clock.Now();
   std::vector<wire::TargetLimit> limits;
   this->fleet.ForEachTarget([&](const TargetState& target) {
@@ -457,6 +460,13 @@
     limit.age_ms = absl::ToInt64Milliseconds(age);
     limits.push_back(std::move(limit));
   });
+  if (limits.size() <= kMaxLimitsPerMessage) return limits;
+  const std::size_t first = this->next_limit % limits.size();
+  this->next_limit += kMaxLimitsPerMessage;
+  std::rotate(limits.begin(),
+              limits.begin() + static_cast<std::ptrdiff_t>(first),
+              limits.end());
+  limits.resize(kMaxLimitsPerMessage);
   return limits;
 }
 
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -112,7 +112,7 @@
   void ApplyTargetUses(const wire::FleetSummary& summary);
   void ApplyHoldings(const wire::FleetSummary& summary);
   void ApplyFleetSpends(const wire::FleetSummary& summary);
-  std::vector<wire::TargetLimit> TargetLimits() const;
+  std::vector<wire::TargetLimit> TargetLimits();
   bool ApplyTargetLimits(const std::vector<wire::TargetLimit>& limits);
   void Send(const wire::FleetMessage& message, const std::string& address);
 
@@ -148,6 +148,7 @@
   std::vector<wire::TargetLack> missing_models;
   std::set<std::string> refusing_targets;  ///< not reported yet
   std::uint64_t leader_revision = 0;       ///< of the last handled change
+  std::size_t next_limit = 0;  ///< position of the next limit to send
   bool push_pending = false;
   bool notifying_reporters = false;
   bool notify_again = false;  ///< a change is not sent to all reporters yet
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -22,8 +22,8 @@
 constexpr int kPausePerPlanTime = 5;
 // The store removes the entry of a terminated engine after three heartbeats.
 constexpr absl::Duration kEntryExpiry = absl::Seconds(4);
-// Requests a second and slot below which a limit binds: requests take seconds,
-// so that an engine in demand starts more of them.
+// Requests a second and slot. An engine in demand starts more, since its
+// requests take a few seconds at most; a lower limit binds.
 constexpr double kSevereLimitPerSlot = 0.125;
 
 bool IsSeverelyLimited(const TargetState& target) {
--- a/tests/platform/platform-limits.cc
+++ b/tests/platform/platform-limits.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,7 +77,7 @@
     report.incarnation = "two-1";
     report.address =
         absl::StrCat("127.0.0.1:", this->socket.local_endpoint().port());
-    report.sequence = 1;
+    report.sequence = ++this->sequence;
     report.listed = true;
     report.interval_ms = 200;
     report.limits = std::move(limits);
@@ -102,6 +103,7 @@
   boost::asio::io_context context;
   const udp::endpoint leader;
   udp::socket socket;
+  std::int64_t sequence = 0;
 };
 
 class LimitsTest : public CppUnit::TestFixture {
@@ -110,6 +112,7 @@
   CPPUNIT_TEST(UsesTheTargetAgainWhenItNamesNoLimit);
   CPPUNIT_TEST(RefusesAtOnceIfTheLimitOfTheOnlyTargetIsReached);
   CPPUNIT_TEST(PassesLimitsOn);
+  CPPUNIT_TEST(DividesManyLimitsAmongMessages);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +212,34 @@
     }
   }
 
+  // Guards against a summary that is too long for a datagram and never arrives.
+  void DividesManyLimitsAmongMessages() {
+    constexpr std::size_t kTargets = 600;
+    constexpr std::size_t kMostPerMessage = 256;
+    GatewayHarness harness;
+    harness.WaitFor([&] { return harness.HoldsLeaderLease(); });
+    std::vector<wire::TargetLimit> limits;
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      const std::string id = absl::StrCat("many-", i);
+      harness.PutTarget(id, harness.first, "ready");
+      limits.push_back(Limit(id, 1, 2.5, 0));
+    }
+    harness.WaitFor([&] {
+      return harness.Read<std::size_t>([&] {
+        return harness.gateway->Fleet().Targets("s").size();
+      }) > kTargets;
+    });
+    Peer peer(harness);
+    std::set<std::string> seen;
+    harness.WaitFor([&] {
+      peer.Report(limits);
+      const auto summary = peer.ReceiveLimits();
+      CPPUNIT_ASSERT(summary.size() <= kMostPerMessage);
+      for (const wire::TargetLimit& limit : summary) seen.insert(limit.target);
+      return seen.size() >= kTargets;
+    });
+  }
+
  private:
   static wire::TargetLimit Limit(const std::string& target, std::int64_t born,
                                  double rate, std::int64_t age_ms) {
