--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -241,9 +241,9 @@
   });
 }
 
-GatewaySettings GatewayHarness::Settings() const {
+GatewaySettings GatewayHarness::Settings(const std::string& instance) const {
   GatewaySettings settings;
-  settings.instance = "one";
+  settings.instance = instance;
   settings.zone = "z";
   for (Endpoint* endpoint :
        {&settings.callers, &settings.readiness, &settings.directory,
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -123,6 +123,9 @@
   /// Writes the configuration and waits until the gateway has applied it.
   void PutConfig(const nlohmann::json& config);
 
+  /// The settings of an instance that uses the same store.
+  gateway::GatewaySettings Settings(const std::string& instance = "one") const;
+
   const Options options;
   PlatformStoreStandIn store;
   PlatformTargetStandIn first;
@@ -133,7 +136,6 @@
 
  private:
   static Options WithAnswer(PlatformTargetStandIn::Answer answer);
-  gateway::GatewaySettings Settings() const;
 
   boost::asio::io_context client;
   std::thread thread;
