--- /dev/null
+++ b/dragonflyglade/decision/target_reachability.h
@@ -0,0 +1,92 @@
+#ifndef DRAGONFLYGLADE_DECISION_TARGET_REACHABILITY_H_
+#define DRAGONFLYGLADE_DECISION_TARGET_REACHABILITY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "dragonflyglade/decision/clock.h"
+
+namespace dragonflyglade {
+
+/// Whether a failed connection attempt was answered.
+enum class ConnectError {
+  kTimedOut,  ///< no answer
+  kRefused,   ///< no process listens, or a device on the path reset it
+};
+
+/// Decides from the outcomes of one instance's own connection attempts whether
+/// a target failed or the instance lost its network paths. Not synchronised.
+///
+/// The instance is isolated when attempts to several targets have failed in a
+/// row and none has succeeded since. A successful attempt to any target ends
+/// that.
+class TargetReachability {
+ public:
+  /// Records that a new connection to the target was established.
+  /// @return the targets that refused a connection before, and of which the
+  ///   success at this other target shows that their processes ended
+  std::vector<std::string> RecordConnected(std::string_view target,
+                                           Instant now);
+
+  /// Records that a connection attempt failed.
+  /// @return whether the instance is isolated from now on
+  bool RecordConnectFailed(std::string_view target, ConnectError error,
+                           Instant now);
+
+  /// Whether this instance has no path to any target, as far as it knows.
+  bool IsIsolated() const { return this->isolated_since.has_value(); }
+  /// Since when it is isolated; nothing if it is not.
+  std::optional<Instant> IsolatedSince() const { return this->isolated_since; }
+
+  /// Whether a connection attempt to the target is likely to succeed.
+  bool HasPath(std::string_view target, Instant now) const;
+
+  /// Whether an attempt to connect to the target is among the failed ones since
+  /// the last success of any.
+  bool FailedLately(std::string_view target) const {
+    return this->failed_at.find(target) != this->failed_at.end();
+  }
+
+  /// Records a request that is written to an established connection.
+  void RecordSent(Instant now) { this->waiting_since.insert(now); }
+  /// Records that a request which was sent then waits no longer.
+  void RecordEnded(Instant sent_at);
+  /// Records that bytes of a response arrived from some target.
+  void RecordReceived(Instant now) { this->last_received = now; }
+
+  /// The number of targets to which to open a connection now to learn about the
+  /// paths: after a refusal that no other attempt has explained yet, while
+  /// requests wait and nothing arrives from any target, and at intervals while
+  /// the instance is isolated. Records the probes.
+  int BeginProbes(Instant now);
+  /// The same after the instance lost its paths to other targets.
+  int BeginSuspicionProbes(Instant now);
+
+ private:
+  void RemoveOldFailures(Instant now);
+  bool IsSilent(Instant now) const;
+  int BeginProbes(int probes, Instant now);
+
+  /// The last failure of each target since the last success of any.
+  std::map<std::string, Instant, std::less<>> failed_at;
+  /// A target that could not be connected to since its own last success.
+  struct Unreachable {
+    int failures = 0;
+    Instant until;  ///< when an attempt is worthwhile again
+  };
+  std::map<std::string, Unreachable, std::less<>> unreachable;
+  std::set<std::string, std::less<>> unexplained_refusals;
+  std::optional<Instant> isolated_since;
+  std::optional<Instant> last_probe;
+  std::multiset<Instant> waiting_since;  ///< when each request was sent
+  Instant last_received;
+};
+
+}  // namespace dragonflyglade
+
+#endif  // DRAGONFLYGLADE_DECISION_TARGET_REACHABILITY_H_
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -56,11 +56,6 @@
               this->settings.instance, this->log, this->clock),
       leader_lease({this->settings.leader_handover_delay}, ReadClocks),
       self(this->MakeInstanceRecord()),
-      registration(
-          this->context, this->store, this->fleet, this->leader_lease,
-          this->self,
-          {this->settings.lease_ttl, this->settings.unlisted_lease_ttl},
-          this->log, this->clock),
       aggregator(this->quota_owners, this->settings.quota_allowance.window,
                  this->clock),
       quota_admission(this->context, this->fleet, this->quota_owners,
@@ -74,13 +69,23 @@
               this->leader_lease, this->self, this->settings.first_start,
               this->sync_state, this->relay, this->metrics, this->tasks,
               this->clock),
+      paths(this->context, this->wire, this->fleet, this->channel, this->self,
+            this->metrics, this->log, this->tasks, this->clock),
+      tunnel_server(this->context, this->fleet, this->paths, this->metrics,
+                    this->tasks, this->clock),
+      registration(
+          this->context, this->store, this->fleet, this->leader_lease,
+          this->paths, this->self,
+          {this->settings.lease_ttl, this->settings.unlisted_lease_ttl},
+          this->log, this->clock),
       spend_recorder(this->context, this->store, this->aggregator,
                      this->leader_lease, this->log, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->leader_lease, this->aggregator, this->channel,
-                this->metrics, this->log, this->tasks, this->clock),
+                this->paths, this->metrics, this->log, this->tasks,
+                this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
-               this->demand, this->quota_admission, this->channel,
+               this->demand, this->quota_admission, this->channel, this->paths,
                this->metrics, this->log, this->tasks, this->clock) {
   this->AddGauges();
 }
@@ -127,6 +132,12 @@
     });
     return static_cast<double>(limited);
   });
+  this->metrics.AddGauge("isolated_from_targets", [this] {
+    return this->paths.IsolatedSince().has_value() ? 1.0 : 0.0;
+  });
+  this->metrics.AddGauge("tunnels_busy", [this] {
+    return static_cast<double>(this->tunnel_server.Busy());
+  });
   this->metrics.AddGauge("holds_placing_duty", [this] {
     return this->leader_lease.MayIssueOrders() ? 1.0 : 0.0;
   });
@@ -149,6 +160,9 @@
   this->ServeEndpoint(
       "metrics", this->listeners.metrics,
       [this](std::string_view path) { return this->HandleMetrics(path); });
+  this->tasks.SpawnWithRestart("accept tunnels", [this] {
+    return this->tunnel_server.Accept(this->listeners.tunnels);
+  });
   this->tasks.SpawnWithRestart("watch the loop",
                                [this] { return this->loop_watch.Run(); });
   this->tasks.SpawnWithRestart("receive peers",
@@ -370,6 +384,7 @@
                   {{"in_flight", this->pipeline.InFlight()}});
   this->pipeline.BeginShutdown(start + this->settings.stop_within -
                                kStopMargin);
+  this->tunnel_server.BeginShutdown();
   this->tasks.Spawn("leave", this->registration.Leave());
   // Callers keep sending requests until their cached list of instances expires.
   // After that, the process ends as soon as no request is in progress.
@@ -381,7 +396,9 @@
   while (true) {
     const absl::Duration elapsed = this->clock.Now() - start;
     if (elapsed >= max_shutdown_time) break;
-    if (elapsed >= cache_time && this->pipeline.InFlight() == 0) break;
+    const bool idle =
+        this->pipeline.InFlight() == 0 && this->tunnel_server.Busy() == 0;
+    if (elapsed >= cache_time && idle) break;
     co_await Sleep(this->context, kStopPollInterval);
   }
   this->log.Write("process", "stopped",
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -28,7 +28,9 @@
 #include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/store_watcher.h"
+#include "dragonflyglade/gateway/target_paths.h"
 #include "dragonflyglade/gateway/tasks.h"
+#include "dragonflyglade/gateway/tunnel_server.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
 
@@ -116,11 +118,13 @@
   StoreWatcher watcher;
   LeaderLease leader_lease;
   const InstanceRecord self;
-  Registration registration;
   ReportAggregator aggregator;
   QuotaAdmission quota_admission;
   StoreRelay relay;
   FleetChannel channel;
+  TargetPaths paths;
+  TunnelServer tunnel_server;
+  Registration registration;
   SpendRecorder spend_recorder;
   PlacementController placement;
   Pipeline pipeline;
--- a/dragonflyglade/gateway/listeners.cc
+++ b/dragonflyglade/gateway/listeners.cc
@@ -20,12 +20,14 @@
       readiness(context),
       directory(context),
       metrics(context),
-      peers(context) {
+      peers(context),
+      tunnels(context) {
   this->Listen(settings.callers, this->callers);
   this->Listen(settings.readiness, this->readiness);
   this->Listen(settings.directory, this->directory);
   this->Listen(settings.metrics, this->metrics);
   this->BindPeers(settings.peers);
+  this->Listen(settings.peers, this->tunnels);
 }
 
 void Listeners::Listen(Endpoint& endpoint, tcp::acceptor& acceptor) {
--- a/dragonflyglade/gateway/listeners.h
+++ b/dragonflyglade/gateway/listeners.h
@@ -25,6 +25,8 @@
   boost::asio::ip::tcp::acceptor directory;
   boost::asio::ip::tcp::acceptor metrics;
   boost::asio::ip::udp::socket peers;
+  /// Listens at the same port as the datagrams of other instances.
+  boost::asio::ip::tcp::acceptor tunnels;
 
  private:
   void Listen(Endpoint& endpoint, boost::asio::ip::tcp::acceptor& acceptor);
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -32,6 +32,9 @@
 // them. The rest is for instances that callers with an outdated list still use.
 constexpr double kListedInstancesShare = 0.9;
 constexpr double kMaxRetryAfterSeconds = 60;
+// When this instance loses its paths to the targets, requests without a sign
+// for this long are sent again over other paths.
+constexpr absl::Duration kSilenceToRetry = absl::Milliseconds(300);
 // For this long after its start, the instance sends nothing to targets that
 // warm up: the requests of its earlier process still count in their last
 // second.
@@ -46,8 +49,8 @@
 Pipeline::Pipeline(asio::io_context& context, const GatewaySettings& settings,
                    const WireFormat& wire, FleetState& fleet,
                    ModelDemand& demand, QuotaAdmission& quotas,
-                   FleetChannel& channel, Metrics& metrics, EventLog& log,
-                   Tasks& tasks, Clock clock)
+                   FleetChannel& channel, TargetPaths& paths, Metrics& metrics,
+                   EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -55,11 +58,15 @@
       demand(demand),
       quotas(quotas),
       channel(channel),
+      paths(paths),
       metrics(metrics),
       log(log),
       tasks(tasks),
       clock(std::move(clock)),
-      started(this->clock.Now()) {}
+      started(this->clock.Now()) {
+  this->paths.OnIsolated(
+      [this](std::string_view service) { this->RetryOnOtherPaths(service); });
+}
 
 asio::awaitable<void> Pipeline::Serve(CallerRequest request,
                                       CallerConnection& connection) {
@@ -67,7 +74,9 @@
   job.started = this->clock.Now();
   job.config = this->fleet.Config();
   this->in_flight += 1;
+  this->jobs.insert(&job);
   std::exception_ptr failure = co_await CatchException(this->ServeJob(job));
+  this->jobs.erase(&job);
   // The disconnect callback holds a reference to the job.
   connection.StopWatching();
   if (failure)
@@ -88,6 +97,20 @@
   co_await this->Forward(job);
 }
 
+// A response that was on its way over a lost path arrives late or never. What
+// may run once only goes on waiting.
+void Pipeline::RetryOnOtherPaths(std::string_view service) {
+  const Instant now = this->clock.Now();
+  for (RequestJob* job : this->jobs) {
+    if (job->exchange == nullptr || !job->uses_own_path) continue;
+    if (job->service->name != service || !job->MayReexecute()) continue;
+    const Instant last_sign = std::max(
+        job->attempt_started, job->last_output.value_or(job->attempt_started));
+    if (now - last_sign < kSilenceToRetry) continue;
+    job->exchange->Abort("no own path");
+  }
+}
+
 asio::awaitable<void> Pipeline::RespondToFailure(
     RequestJob& job, const std::exception_ptr& failure) {
   this->tasks.ReportFailure("serve request", failure);
@@ -348,6 +371,7 @@
 
 asio::awaitable<std::shared_ptr<TargetState>> Pipeline::FindTarget(
     RequestJob& job) {
+  if (!this->paths.AnyPath(job.service->name)) co_return nullptr;
   std::shared_ptr<TargetState> target = this->Choose(job);
   if (!job.NeedsModel()) co_return target;
   if (target != nullptr) target = co_await this->DelayForPacing(job, target);
@@ -393,9 +417,13 @@
 
 // If a target may have executed the request, the refusal must not tell the
 // caller that it did not run.
-Refusal Pipeline::NoTargetRefusal(const RequestJob& job) const {
+Refusal Pipeline::NoTargetRefusal(const RequestJob& job) {
   constexpr const char* kText = "no target can take the request now";
   if (job.executions > 0) return MakeRefusal(RefusalCode::kTargetLost, kText);
+  if (!this->paths.AnyPath(job.service->name)) {
+    return MakeRefusal(RefusalCode::kTargetsUnreachable,
+                       "no target could be reached");
+  }
   if (this->fleet.IsServiceEvacuated(job.service->name)) {
     return MakeRefusal(RefusalCode::kZonesEvacuated,
                        "all availability zones of the service are evacuated",
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,7 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/target_exchange.h"
+#include "dragonflyglade/gateway/target_paths.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -39,8 +41,8 @@
  public:
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
-           QuotaAdmission& quotas, FleetChannel& channel, Metrics& metrics,
-           EventLog& log, Tasks& tasks, Clock clock);
+           QuotaAdmission& quotas, FleetChannel& channel, TargetPaths& paths,
+           Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
 
   /// Serves the request and responds on the caller's connection.
   boost::asio::awaitable<void> Serve(CallerRequest request,
@@ -97,7 +99,11 @@
                                            std::string_view events, bool ended);
   boost::asio::awaitable<NextStep> AfterNotSent(RequestJob& job,
                                                 TargetState& target,
+                                                const TargetPath& path,
                                                 const NotSent& not_sent);
+  void RetryOnOtherPaths(std::string_view service);
+  void RecordUnreachable(RequestJob& job, TargetState& target,
+                         const TargetPath& path, const NotSent& not_sent);
   boost::asio::awaitable<NextStep> AfterDeclined(RequestJob& job,
                                                  TargetState& target,
                                                  const Declined& declined);
@@ -107,7 +113,7 @@
       RequestJob& job, TargetState& target, const CompleteResponse& response);
   bool MayRetry(RequestJob& job, bool may_have_run);
   RetryBudget& RetryBudgetOf(std::string_view service);
-  Refusal NoTargetRefusal(const RequestJob& job) const;
+  Refusal NoTargetRefusal(const RequestJob& job);
   void RecordPauses(const RequestJob& job);
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
@@ -120,6 +126,7 @@
   ModelDemand& demand;
   QuotaAdmission& quotas;
   FleetChannel& channel;
+  TargetPaths& paths;
   Metrics& metrics;
   EventLog& log;
   Tasks& tasks;
@@ -131,6 +138,7 @@
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
+  std::set<RequestJob*> jobs;  ///< the requests that are being forwarded
   std::optional<Instant> shutdown_start;
   std::optional<Instant> shutdown_deadline;
 };
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -95,9 +95,17 @@
   std::string head = RequestHeadText(call, job.request.host);
   job.request.body = std::move(call.body);
   const std::string address = target->Record().address;
-  TargetExchange exchange(this->context, target->connections, this->wire,
-                          this->clock);
+  const TargetPath path = this->paths.PathTo(*target);
+  const auto* tunnel = std::get_if<TunnelPath>(&path);
+  TargetExchange exchange(
+      this->context, tunnel == nullptr ? target->connections : target->tunnels,
+      this->wire, this->clock);
+  this->paths.Use(path, *target, exchange);
   job.exchange = &exchange;
+  job.attempt_started = now;
+  job.uses_own_path = tunnel == nullptr;
+  const TargetPaths::RequestGuard waiting(this->paths, job.service->name,
+                                          job.uses_own_path);
   InFlightGuard guard(*target, job.UnreadTokens(), job.Resident(), now);
   if (job.NeedsModel()) {
     this->channel.BroadcastSentPrompt(job.target, job.UnreadTokens());
@@ -106,11 +114,15 @@
       address, job.request.id, std::move(head), job.request.body,
       job.deadline + kResponseTravelTime);
   guard.RecordFirstOutput();
+  if (job.uses_own_path && !std::holds_alternative<NotSent>(outcome) &&
+      !std::holds_alternative<OutcomeUnknown>(outcome)) {
+    this->paths.RecordReceived(job.service->name);
+  }
   this->metrics.Count(exchange.Reused() ? "target_connections_reused"
                                         : "target_connections");
   NextStep next = NextStep::kDone;
   if (const auto* not_sent = std::get_if<NotSent>(&outcome)) {
-    next = co_await this->AfterNotSent(job, *target, *not_sent);
+    next = co_await this->AfterNotSent(job, *target, path, *not_sent);
   } else if (const auto* declined = std::get_if<Declined>(&outcome)) {
     job.attempts += 1;
     next = co_await this->AfterDeclined(job, *target, *declined);
@@ -176,19 +188,43 @@
               .first->second;
 }
 
+// A failure of this instance's own path says nothing about the target while the
+// instance is isolated; another instance may reach the target then, and also if
+// only the path between these two is lost.
+void Pipeline::RecordUnreachable(RequestJob& job, TargetState& target,
+                                 const TargetPath& path,
+                                 const NotSent& not_sent) {
+  if (not_sent.peer_failed) {
+    job.tried.erase(job.target);
+    return;
+  }
+  const bool tunneled = std::holds_alternative<TunnelPath>(path);
+  if (tunneled || !this->paths.IsIsolated(job.service->name)) {
+    target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
+  }
+  if (tunneled && not_sent.connect_error == ConnectError::kRefused) {
+    this->channel.ReportConnectionRefused(job.target);
+  }
+  const bool other_path = !tunneled && !std::holds_alternative<DirectPath>(
+                                           this->paths.PathTo(target));
+  if (!other_path) job.unreachable.insert(job.target);
+}
+
 asio::awaitable<Pipeline::NextStep> Pipeline::AfterNotSent(
-    RequestJob& job, TargetState& target, const NotSent& not_sent) {
+    RequestJob& job, TargetState& target, const TargetPath& path,
+    const NotSent& not_sent) {
   if (job.connection.IsDisconnected()) {
     this->RecordOutcome(job, "caller left", 0);
     co_return NextStep::kDone;
   }
-  target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
-  this->log.Write(
-      "request", "not sent",
-      {{"id", job.request.id}, {"target", job.target}, {"why", not_sent.why}});
+  const auto* tunnel = std::get_if<TunnelPath>(&path);
+  this->log.Write("request", "not sent",
+                  {{"id", job.request.id},
+                   {"target", job.target},
+                   {"peer", tunnel == nullptr ? "" : tunnel->peer},
+                   {"why", not_sent.why}});
   job.not_sent += 1;
-  job.unreachable.insert(job.target);
-  if (not_sent.refused) this->channel.ReportConnectionRefused(job.target);
+  this->RecordUnreachable(job, target, path, not_sent);
   const bool time_left = job.deadline - this->clock.Now() >= kMinAttemptTime;
   if (time_left && job.not_sent < kMaxAttempts) co_return NextStep::kTryAnother;
   Refusal refusal =
@@ -310,6 +346,7 @@
     if (const auto* unknown = std::get_if<OutcomeUnknown>(&result)) {
       co_return co_await this->AfterOutcomeUnknown(job, target, *unknown);
     }
+    if (job.uses_own_path) this->paths.RecordReceived(job.service->name);
     const bool ended = std::holds_alternative<EndOfStream>(result);
     const std::string_view events =
         ended ? std::string_view()
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -37,8 +37,8 @@
 PlacementController::PlacementController(
     asio::io_context& context, const GatewaySettings& settings,
     const WireFormat& wire, FleetState& fleet, LeaderLease& leader_lease,
-    ReportAggregator& aggregator, FleetChannel& channel, Metrics& metrics,
-    EventLog& log, Tasks& tasks, Clock clock)
+    ReportAggregator& aggregator, FleetChannel& channel, TargetPaths& paths,
+    Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -46,6 +46,7 @@
       leader_lease(leader_lease),
       aggregator(aggregator),
       channel(channel),
+      paths(paths),
       metrics(metrics),
       log(log),
       tasks(tasks),
--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -21,6 +21,7 @@
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
 #include "dragonflyglade/gateway/target_exchange.h"
+#include "dragonflyglade/gateway/target_paths.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
@@ -39,8 +40,8 @@
                       const GatewaySettings& settings, const WireFormat& wire,
                       FleetState& fleet, LeaderLease& leader_lease,
                       ReportAggregator& aggregator, FleetChannel& channel,
-                      Metrics& metrics, EventLog& log, Tasks& tasks,
-                      Clock clock);
+                      TargetPaths& paths, Metrics& metrics, EventLog& log,
+                      Tasks& tasks, Clock clock);
 
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
@@ -102,6 +103,7 @@
   LeaderLease& leader_lease;
   ReportAggregator& aggregator;
   FleetChannel& channel;
+  TargetPaths& paths;
   Metrics& metrics;
   EventLog& log;
   Tasks& tasks;
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -73,6 +73,8 @@
   TargetExchange exchange(this->context, target.connections, this->wire,
                           this->clock);
   const Instant deadline = this->clock.Now() + kOrderTimeout;
+  // Orders take no tunnel: to the engine, each instance is another holder.
+  this->paths.Use(DirectPath{}, target, exchange);
   co_return co_await exchange.Run(address, "", std::move(head), call.body,
                                   deadline);
 }
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -26,6 +26,12 @@
 // than a store call takes, so that normally only the first one writes.
 constexpr absl::Duration kCandidacyStep = absl::Milliseconds(100);
 constexpr int kMaxCandidacySteps = 10;
+// A leader without a path to the targets can neither inspect nor order them. A
+// new leader has to wait before it may, so that a short loss is borne.
+constexpr absl::Duration kStepDownDelay = absl::Seconds(1);
+// Instances with a path try first. Without any, an isolated one still divides
+// the quotas.
+constexpr absl::Duration kIsolatedCandidacyDelay = absl::Seconds(2);
 
 }  // namespace
 
@@ -37,12 +43,14 @@
 
 Registration::Registration(asio::io_context& context, StoreClient& store,
                            FleetState& fleet, LeaderLease& leader_lease,
-                           InstanceRecord self, LeaseDurations lease_durations,
-                           EventLog& log, Clock clock)
+                           const TargetPaths& paths, InstanceRecord self,
+                           LeaseDurations lease_durations, EventLog& log,
+                           Clock clock)
     : context(context),
       store(store),
       fleet(fleet),
       leader_lease(leader_lease),
+      paths(paths),
       self(std::move(self)),
       lease_durations(lease_durations),
       log(log),
@@ -73,7 +81,10 @@
       next_renewal = now + this->granted_ttl / kRenewalsPerLease;
       co_await this->Renew();
     }
-    if (this->is_registered && !this->leaving) co_await this->TryBecomeLeader();
+    if (this->is_registered && !this->leaving) {
+      if (this->ShouldStepDown()) co_await this->StepDown();
+      co_await this->TryBecomeLeader();
+    }
     co_await Sleep(this->context,
                    this->is_registered ? kLeaderCheckInterval : kRetryPause);
   }
@@ -176,7 +187,36 @@
       order.begin(), order.end(),
       [&](const auto* record) { return record->name == this->self.name; });
   const int steps = static_cast<int>(position - order.begin());
-  return std::min(steps, kMaxCandidacySteps) * kCandidacyStep;
+  const absl::Duration isolated = this->paths.IsolatedLately()
+                                      ? kIsolatedCandidacyDelay
+                                      : absl::ZeroDuration();
+  return isolated + std::min(steps, kMaxCandidacySteps) * kCandidacyStep;
+}
+
+// Once in an isolation: if this instance became leader again, no other could.
+bool Registration::ShouldStepDown() const {
+  if (!this->leader_lease.IsLeader() || !this->HoldsLeaderEntry()) return false;
+  const std::optional<Instant> since = this->paths.IsolatedSince();
+  if (!since.has_value() || this->stepped_down_in == since) return false;
+  return this->fleet.Instances().size() > 1 &&
+         this->clock.Now() - *since >= kStepDownDelay;
+}
+
+asio::awaitable<void> Registration::StepDown() {
+  const std::uint64_t revision = this->fleet.Leader()->revision;
+  this->stepped_down_in = this->paths.IsolatedSince();
+  this->abandoned_revision = revision;
+  this->leader_lease.OnLeaseLost();
+  StoreTransaction transaction;
+  const std::string key(FleetState::kLeaderKey);
+  transaction.preconditions.push_back({key, revision});
+  transaction.deletes.push_back(key);
+  StoreCall call = std::move(transaction);
+  const StoreResponse response =
+      co_await this->store.Call(std::move(call), kCallTimeout);
+  const bool confirmed = std::holds_alternative<StoreCommitted>(response);
+  this->log.Write("duty", "given up",
+                  {{"why", "no path to targets"}, {"confirmed", confirmed}});
 }
 
 asio::awaitable<void> Registration::TryBecomeLeader() {
@@ -188,7 +228,8 @@
     // succeeded. An entry under an earlier lease of this instance does not
     // count, since it is about to expire: this instance would give orders with
     // an old fencing token while the next leader gives orders, too.
-    if (this->HoldsLeaderEntry() && !this->leader_lease.IsLeader()) {
+    if (this->HoldsLeaderEntry() && !this->leader_lease.IsLeader() &&
+        this->fleet.Leader()->revision != this->abandoned_revision) {
       this->leader_lease.OnLeaseAcquired(this->fleet.Leader()->revision,
                                          this->renewed_at, this->granted_ttl);
     }
--- a/dragonflyglade/gateway/registration.h
+++ b/dragonflyglade/gateway/registration.h
@@ -12,6 +12,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/store_client.h"
+#include "dragonflyglade/gateway/target_paths.h"
 
 namespace dragonflyglade::gateway {
 
@@ -31,8 +32,8 @@
  public:
   Registration(boost::asio::io_context& context, StoreClient& store,
                FleetState& fleet, LeaderLease& leader_lease,
-               InstanceRecord self, LeaseDurations lease_durations,
-               EventLog& log, Clock clock);
+               const TargetPaths& paths, InstanceRecord self,
+               LeaseDurations lease_durations, EventLog& log, Clock clock);
 
   /// Runs until Leave.
   boost::asio::awaitable<void> Run();
@@ -47,6 +48,8 @@
   boost::asio::awaitable<void> WriteEntry();
   boost::asio::awaitable<void> Renew();
   boost::asio::awaitable<void> TryBecomeLeader();
+  bool ShouldStepDown() const;
+  boost::asio::awaitable<void> StepDown();
   bool HoldsLeaderEntry() const;
   void CheckLeadership();
   absl::Duration CandidacyDelay() const;
@@ -58,6 +61,7 @@
   StoreClient& store;
   FleetState& fleet;
   LeaderLease& leader_lease;
+  const TargetPaths& paths;
   const InstanceRecord self;
   const LeaseDurations lease_durations;
   EventLog& log;
@@ -69,6 +73,9 @@
   bool is_registered = false;
   bool leaving = false;
   std::optional<Instant> leaderless_since;
+  /// The start of the isolation in which this instance gave up leadership.
+  std::optional<Instant> stepped_down_in;
+  std::uint64_t abandoned_revision = 0;  ///< of the leader's entry given up
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -39,6 +39,8 @@
   std::string target;                 ///< id of the last target
   TargetExchange* exchange = nullptr;
   EventSplitter events;
+  Instant attempt_started;
+  bool uses_own_path = true;  ///< the current attempt, not through a tunnel
   std::optional<Instant> first_output;
   std::optional<Instant> last_output;
   absl::Duration longest_pause;  ///< between two events of the stream
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -1,38 +1,30 @@
 #include "dragonflyglade/gateway/target_exchange.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
 #include <utility>
 
 #include "dragonflyglade/gateway/http_text.h"
 #include "dragonflyglade/gateway/peek_socket.h"
-#include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/gateway/target_socket.h"
 
 namespace dragonflyglade::gateway {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-// A target in the same region accepts a connection within milliseconds. TCP
-// retransmits a lost SYN packet after a second; trying another target is
-// faster.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(400);
-// The kernel closes a connection whose sent bytes stay unacknowledged for this
-// long. Otherwise a target that lost power would look like a slow one.
-constexpr absl::Duration kTcpUserTimeout = absl::Seconds(2);
+// The other instance responds after its own attempt to connect to the target.
+constexpr absl::Duration kTunnelTimeout = absl::Milliseconds(600);
 // Interim responses and responses to other requests that are skipped before the
 // connection is given up. A single late duplicate may precede the expected
 // response; more of them mean that the connection is unusable.
@@ -42,16 +34,6 @@
 // Responses of services without engines are some kilobytes long.
 constexpr std::uint64_t kMaxBodyBytes = 16u << 20;
 
-void SetSocketOptions(tcp::socket& socket) {
-  // Errors are ignored: the options affect timing only, not the outcome.
-  error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  const int timeout_ms =
-      static_cast<int>(absl::ToInt64Milliseconds(kTcpUserTimeout));
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-             sizeof timeout_ms);
-}
-
 }  // namespace
 
 // State of the write operation of the request. It is shared with the write's
@@ -121,28 +103,84 @@
     this->reused = true;
     co_return std::nullopt;
   }
-  const Result<Endpoint> endpoint = ParseEndpoint(address);
-  if (!endpoint.Ok()) co_return NotSent{endpoint.Error().ToString()};
+  co_return co_await this->ConnectAnew(address, deadline);
+}
+
+asio::awaitable<std::optional<NotSent>> TargetExchange::ConnectAnew(
+    std::string_view address, Instant deadline) {
+  std::optional<NotSent> failure = co_await this->TryConnect(address, deadline);
+  const bool is_evidence = !failure.has_value() || failure->peer_failed ||
+                           failure->connect_error.has_value();
+  if (this->observer && is_evidence) {
+    this->observer(failure.has_value() ? &*failure : nullptr);
+  }
+  co_return failure;
+}
+
+asio::awaitable<std::optional<NotSent>> TargetExchange::TryConnect(
+    std::string_view address, Instant deadline) {
+  const bool tunneled = this->tunnel.has_value();
   this->connection = std::make_shared<TargetConnection>(this->context);
-  this->StartStep(std::min(now + kConnectTimeout, deadline), "connect timeout");
+  const std::optional<ConnectFailure> failure = co_await ConnectTargetSocket(
+      this->connection->socket, tunneled ? this->tunnel->peer : address,
+      this->timer, deadline - this->clock.Now());
+  if (!this->aborted_by.empty()) co_return NotSent{this->aborted_by, {}, false};
+  if (failure.has_value()) {
+    co_return NotSent{failure->why, failure->error, tunneled};
+  }
+  if (!tunneled) co_return std::nullopt;
+  co_return co_await this->EstablishTunnel(deadline);
+}
+
+asio::awaitable<std::optional<NotSent>> TargetExchange::EstablishTunnel(
+    Instant deadline) {
+  this->StartStep(std::min(this->clock.Now() + kTunnelTimeout, deadline),
+                  "tunnel timeout");
+  const std::string request = RequestHeadText(
+      {"CONNECT", this->tunnel->target, {}, ""}, this->tunnel->target);
   error_code error;
-  const asio::ip::address ip =
-      asio::ip::make_address(endpoint.Value().address, error);
-  if (error) co_return NotSent{error.message()};
-  const tcp::endpoint peer(ip,
-                           static_cast<unsigned short>(endpoint.Value().port));
-  co_await this->connection->socket.async_connect(
-      peer, asio::redirect_error(asio::use_awaitable, error));
+  co_await asio::async_write(this->connection->socket, asio::buffer(request),
+                             asio::redirect_error(asio::use_awaitable, error));
+  http::response_parser<http::empty_body> response;
+  response.skip(true);
+  if (!error) {
+    co_await http::async_read_header(
+        this->connection->socket, this->connection->buffer, response,
+        asio::redirect_error(asio::use_awaitable, error));
+  }
   this->timer.Stop();
-  if (!this->aborted_by.empty()) co_return NotSent{this->aborted_by};
-  if (error) {
-    const bool refused = error == asio::error::connection_refused;
-    co_return NotSent{error.message(), refused};
+  if (!this->aborted_by.empty()) {
+    co_return NotSent{this->aborted_by, {}, this->timed_out};
+  }
+  if (error) co_return NotSent{error.message(), {}, true};
+  switch (response.get().result()) {
+    case http::status::ok:
+      co_return std::nullopt;
+    case http::status::bad_gateway:
+      co_return NotSent{"refused", ConnectError::kRefused, false};
+    case http::status::gateway_timeout:
+      co_return NotSent{"connect timeout", ConnectError::kTimedOut, false};
+    default:
+      co_return NotSent{"no tunnel", {}, true};
   }
-  SetSocketOptions(this->connection->socket);
+}
+
+asio::awaitable<std::optional<NotSent>> TargetExchange::OpenConnection(
+    std::string_view address, Instant deadline) {
+  std::optional<NotSent> failure =
+      co_await this->ConnectAnew(address, deadline);
+  if (failure.has_value()) co_return failure;
+  this->pool.Release(std::move(this->connection), std::nullopt,
+                     this->clock.Now());
   co_return std::nullopt;
 }
 
+// The response's end is the end of the connection. If the other instance's
+// process is killed, the connection ends in the same way.
+bool TargetExchange::EndsWithoutProof() const {
+  return this->tunnel.has_value() && this->parser->get().need_eof();
+}
+
 void TargetExchange::StartWriting(std::string head, std::string_view body) {
   this->write = std::make_shared<RequestWrite>();
   this->write->connection = this->connection;
@@ -217,6 +255,9 @@
     if (body.size() > kMaxBodyBytes)
       co_return OutcomeUnknown{"answer body too large", false};
   }
+  if (this->EndsWithoutProof()) {
+    co_return OutcomeUnknown{"answer's end is not certain", false};
+  }
   co_return std::nullopt;
 }
 
@@ -231,7 +272,7 @@
   std::optional<OutcomeUnknown> failure = co_await this->ReadHead(request_id);
   if (failure.has_value()) {
     if (this->write->done && this->write->bytes == 0) {
-      co_return NotSent{"nothing could be written: " + failure->why};
+      co_return NotSent{"nothing could be written: " + failure->why, {}, false};
     }
     co_return *failure;
   }
@@ -252,6 +293,9 @@
 
 asio::awaitable<StreamReadResult> TargetExchange::Read() {
   if (this->parser->is_done()) {
+    if (this->EndsWithoutProof()) {
+      co_return OutcomeUnknown{"answer's end is not certain", false};
+    }
     this->Finish();
     co_return EndOfStream{};
   }
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -4,13 +4,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/target_reachability.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/step_timer.h"
@@ -22,7 +25,11 @@
 /// No byte of the request was sent, so the target did not execute it.
 struct NotSent {
   std::string why;
-  bool refused = false;  ///< connection refused: no process listens there
+  /// How the connection attempt failed, if that is why.
+  std::optional<ConnectError> connect_error;
+  /// The instance that was to forward the request failed, or has no path
+  /// either. That says nothing about the target.
+  bool peer_failed = false;
 };
 /// The target states that it did not execute the request.
 struct Declined {
@@ -78,6 +85,28 @@
                                               std::string_view body,
                                               Instant deadline);
 
+  /// Makes Run connect to the target through another instance; see
+  /// TunnelServer. To be called before Run.
+  /// @param peer IP address and port of the other instance's tunnels
+  /// @param target id of the target
+  void UseTunnel(std::string peer, std::string target) {
+    this->tunnel = Tunnel{std::move(peer), std::move(target)};
+  }
+
+  using ConnectObserver = std::function<void(const NotSent* failure)>;
+  /// Sets a function that is called with the outcome of each attempt to connect
+  /// or to open a tunnel, as soon as it is known; null if it succeeded. It is
+  /// not called if this instance ended the attempt itself. To be called before
+  /// Run.
+  void ObserveConnect(ConnectObserver observer) {
+    this->observer = std::move(observer);
+  }
+
+  /// Connects and adds the connection to the pool without using it.
+  /// @return nothing if it was established
+  boost::asio::awaitable<std::optional<NotSent>> OpenConnection(
+      std::string_view address, Instant deadline);
+
   /// Lets Run continue past its deadline while the response's body arrives, as
   /// long as the gap between two reads is no longer than this timeout. To be
   /// called before Run.
@@ -99,9 +128,20 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   struct RequestWrite;
+  struct Tunnel {
+    std::string peer;
+    std::string target;
+  };
 
   boost::asio::awaitable<std::optional<NotSent>> Connect(
       std::string_view address, Instant deadline);
+  boost::asio::awaitable<std::optional<NotSent>> ConnectAnew(
+      std::string_view address, Instant deadline);
+  boost::asio::awaitable<std::optional<NotSent>> TryConnect(
+      std::string_view address, Instant deadline);
+  boost::asio::awaitable<std::optional<NotSent>> EstablishTunnel(
+      Instant deadline);
+  bool EndsWithoutProof() const;
   void StartWriting(std::string head, std::string_view body);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadHead(
       std::string_view request_id);
@@ -126,6 +166,8 @@
   std::string read_buffer;
   ResponseHead head;
   std::string aborted_by;  ///< empty: not aborted
+  std::optional<Tunnel> tunnel;
+  ConnectObserver observer;
   Instant deadline;
   std::optional<absl::Duration> stall_timeout;
   bool timed_out = false;
--- /dev/null
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -0,0 +1,225 @@
+#include "dragonflyglade/gateway/target_paths.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A target in the same region accepts a connection within milliseconds.
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(400);
+
+// Paths that are back may be lost again.
+constexpr absl::Duration kUnstableTime = absl::Seconds(5);
+
+}  // namespace
+
+TargetPaths::TargetPaths(asio::io_context& context, const WireFormat& wire,
+                         FleetState& fleet, FleetChannel& channel,
+                         InstanceRecord self, Metrics& metrics, EventLog& log,
+                         Tasks& tasks, Clock clock)
+    : context(context),
+      wire(wire),
+      fleet(fleet),
+      channel(channel),
+      self(std::move(self)),
+      metrics(metrics),
+      log(log),
+      tasks(tasks),
+      clock(std::move(clock)) {}
+
+TargetPaths::RequestGuard::RequestGuard(TargetPaths& paths,
+                                        std::string_view service, bool direct)
+    : reachability(paths.ReachabilityOf(service)),
+      sent_at(direct ? std::optional(paths.clock.Now()) : std::nullopt) {
+  if (direct) this->reachability.RecordSent(*this->sent_at);
+}
+
+TargetPaths::RequestGuard::~RequestGuard() {
+  if (this->sent_at.has_value()) this->reachability.RecordEnded(*this->sent_at);
+}
+
+TargetReachability& TargetPaths::ReachabilityOf(std::string_view service) {
+  const auto found = this->reachability.find(service);
+  if (found != this->reachability.end()) return found->second;
+  return this->reachability[std::string(service)];
+}
+
+void TargetPaths::RecordReceived(std::string_view service) {
+  this->ReachabilityOf(service).RecordReceived(this->clock.Now());
+}
+
+bool TargetPaths::IsIsolated(std::string_view service) const {
+  const auto found = this->reachability.find(service);
+  return found != this->reachability.end() && found->second.IsIsolated();
+}
+
+std::optional<Instant> TargetPaths::IsolatedSince() const {
+  std::optional<Instant> first;
+  for (const auto& [service, reachability] : this->reachability) {
+    const std::optional<Instant> since = reachability.IsolatedSince();
+    if (since.has_value()) first = std::min(first.value_or(*since), *since);
+  }
+  return first;
+}
+
+bool TargetPaths::IsolatedLately() const {
+  if (this->IsolatedSince().has_value()) return true;
+  return this->last_isolation_end.has_value() &&
+         this->clock.Now() - *this->last_isolation_end < kUnstableTime;
+}
+
+TargetPath TargetPaths::PathTo(const TargetState& target) {
+  const Instant now = this->clock.Now();
+  const std::string& service = target.Record().service;
+  this->ProbeIfDue(service);
+  if (this->ReachabilityOf(service).HasPath(target.Record().id, now)) {
+    return DirectPath{};
+  }
+  const std::vector<TunnelPeerCandidate> candidates = this->Peers();
+  const std::optional<std::size_t> choice =
+      this->peers.Choose(candidates, this->self.zone, target.Record().zone,
+                         absl::Uniform<double>(this->random, 0, 1),
+                         absl::Uniform<double>(this->random, 0, 1), now);
+  if (choice.has_value()) {
+    const auto peer = this->fleet.Instances().find(candidates[*choice].name);
+    return TunnelPath{peer->second.name, peer->second.peer_address};
+  }
+  // Nothing shows that an own attempt would fail again.
+  if (!this->IsIsolated(service)) return DirectPath{};
+  return NoPath{};
+}
+
+bool TargetPaths::AnyPath(std::string_view service) {
+  this->ProbeIfDue(service);
+  return !this->IsIsolated(service) ||
+         this->peers.AnyUsable(this->Peers(), this->clock.Now());
+}
+
+// Instances that get callers are the strong ones; the others serve if none of
+// these can be used.
+std::vector<TunnelPeerCandidate> TargetPaths::Peers() const {
+  std::vector<TunnelPeerCandidate> candidates;
+  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
+    if (record->name == this->self.name) continue;
+    candidates.push_back({record->name, record->zone});
+  }
+  if (this->peers.AnyUsable(candidates, this->clock.Now())) return candidates;
+  candidates.clear();
+  for (const auto& [name, record] : this->fleet.Instances()) {
+    if (name == this->self.name) continue;
+    candidates.push_back({record.name, record.zone});
+  }
+  return candidates;
+}
+
+void TargetPaths::RecordConnected(const TargetState& target) {
+  const TargetRecord& record = target.Record();
+  const bool was_isolated = this->IsIsolated(record.service);
+  const std::vector<std::string> ended =
+      this->ReachabilityOf(record.service)
+          .RecordConnected(record.id, this->clock.Now());
+  for (const std::string& refused : ended) {
+    this->channel.ReportConnectionRefused(refused);
+  }
+  if (!was_isolated) return;
+  this->last_isolation_end = this->clock.Now();
+  this->log.Write("targets", "own path again",
+                  {{"service", record.service}, {"target", record.id}});
+  for (const auto& each : this->fleet.Targets(record.service)) {
+    each->tunnels.Clear();
+  }
+}
+
+void TargetPaths::RecordConnectFailed(const TargetState& target,
+                                      ConnectError error) {
+  const TargetRecord& record = target.Record();
+  const bool was_isolated = this->IsIsolated(record.service);
+  const bool isolated =
+      this->ReachabilityOf(record.service)
+          .RecordConnectFailed(record.id, error, this->clock.Now());
+  if (isolated && !was_isolated) this->HandleIsolation(record.service);
+  this->ProbeIfDue(record.service);
+}
+
+// What this instance knows of the targets' availability was learned over paths
+// that are lost. Idle connections are closed: a request that is written into a
+// lost path may have run. The paths to other services may be lost, too.
+void TargetPaths::HandleIsolation(std::string_view service) {
+  this->metrics.Count("isolations");
+  this->log.Write("targets", "no own path",
+                  {{"service", service},
+                   {"peers", static_cast<int>(this->Peers().size())}});
+  for (const auto& each : this->fleet.Targets(service)) {
+    each->ForgetUnreachable();
+    each->connections.Clear();
+  }
+  if (this->on_isolated) this->on_isolated(service);
+  for (auto& [other, reachability] : this->reachability) {
+    const int due = reachability.BeginSuspicionProbes(this->clock.Now());
+    this->ProbeTargets(other, due);
+  }
+}
+
+void TargetPaths::Use(TargetPath path, const TargetState& target,
+                      TargetExchange& exchange) {
+  if (const auto* tunnel = std::get_if<TunnelPath>(&path)) {
+    exchange.UseTunnel(tunnel->address, target.Record().id);
+    exchange.ObserveConnect([this, peer = tunnel->peer](const NotSent* failed) {
+      this->RecordTunnel(peer, failed == nullptr || !failed->peer_failed);
+    });
+    return;
+  }
+  exchange.ObserveConnect([this, &target](const NotSent* failed) {
+    if (failed == nullptr) {
+      this->RecordConnected(target);
+    } else if (failed->connect_error.has_value()) {
+      this->RecordConnectFailed(target, *failed->connect_error);
+    }
+  });
+}
+
+void TargetPaths::RecordTunnel(const std::string& peer, bool established) {
+  if (established) {
+    this->peers.RecordConnected(peer);
+  } else {
+    this->peers.RecordFailed(peer, this->clock.Now());
+  }
+  this->metrics.Count(
+      "tunnels", established ? "result=\"established\"" : "result=\"failed\"");
+}
+
+void TargetPaths::ProbeIfDue(std::string_view service) {
+  const int due = this->ReachabilityOf(service).BeginProbes(this->clock.Now());
+  this->ProbeTargets(service, due);
+}
+
+void TargetPaths::ProbeTargets(std::string_view service, int count) {
+  if (count == 0) return;
+  std::vector<std::shared_ptr<TargetState>> failed;
+  std::vector<std::shared_ptr<TargetState>> others;
+  const TargetReachability& known = this->ReachabilityOf(service);
+  for (const auto& target : this->fleet.Targets(service)) {
+    const bool has_failed = known.FailedLately(target->Record().id);
+    (has_failed ? failed : others).push_back(target);
+  }
+  auto& choice = others.empty() ? failed : others;
+  std::shuffle(choice.begin(), choice.end(), this->random);
+  if (choice.size() > static_cast<std::size_t>(count)) choice.resize(count);
+  for (const std::shared_ptr<TargetState>& target : choice) {
+    this->tasks.Spawn("probe path", this->Probe(target));
+  }
+}
+
+asio::awaitable<void> TargetPaths::Probe(std::shared_ptr<TargetState> target) {
+  TargetExchange exchange(this->context, target->connections, this->wire,
+                          this->clock);
+  this->Use(DirectPath{}, *target, exchange);
+  co_await exchange.OpenConnection(target->Record().address,
+                                   this->clock.Now() + kProbeTimeout);
+}
+
+}  // namespace dragonflyglade::gateway
--- /dev/null
+++ b/dragonflyglade/gateway/target_paths.h
@@ -0,0 +1,121 @@
+#ifndef DRAGONFLYGLADE_GATEWAY_TARGET_PATHS_H_
+#define DRAGONFLYGLADE_GATEWAY_TARGET_PATHS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/target_reachability.h"
+#include "dragonflyglade/decision/tunnel_peers.h"
+#include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/fleet_channel.h"
+#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/target_exchange.h"
+#include "dragonflyglade/gateway/tasks.h"
+#include "dragonflyglade/gateway/wire_format.h"
+#include "dragonflyglade/operator/metrics.h"
+
+namespace dragonflyglade::gateway {
+
+/// Connect to the target.
+struct DirectPath {};
+/// Connect to the target through another instance.
+struct TunnelPath {
+  std::string peer;     ///< name of the other instance
+  std::string address;  ///< IP address and port of its tunnels
+};
+/// This instance is isolated from the service, and no other can be used.
+struct NoPath {};
+using TargetPath = std::variant<DirectPath, TunnelPath, NoPath>;
+
+/// Knows by which paths this instance reaches the targets of each service. Used
+/// on one event loop.
+class TargetPaths {
+ public:
+  /// Marks a request as waiting for a response during its lifetime.
+  class RequestGuard {
+   public:
+    /// @param direct whether the request uses a direct path; others do not
+    /// count
+    RequestGuard(TargetPaths& paths, std::string_view service, bool direct);
+    ~RequestGuard();
+    RequestGuard(const RequestGuard&) = delete;
+    RequestGuard& operator=(const RequestGuard&) = delete;
+
+   private:
+    TargetReachability& reachability;
+    const std::optional<Instant> sent_at;
+  };
+
+  TargetPaths(boost::asio::io_context& context, const WireFormat& wire,
+              FleetState& fleet, FleetChannel& channel, InstanceRecord self,
+              Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
+
+  /// The path to use for the next connection to the target.
+  TargetPath PathTo(const TargetState& target);
+
+  /// Whether there is a path to some target of the service.
+  bool AnyPath(std::string_view service);
+
+  /// Records the outcome of a connection attempt to the target.
+  void RecordConnected(const TargetState& target);
+  void RecordConnectFailed(const TargetState& target, ConnectError error);
+  /// Makes the exchange use the path, and records the outcomes of its
+  /// connection attempts.
+  void Use(TargetPath path, const TargetState& target,
+           TargetExchange& exchange);
+
+  /// Records that bytes of a response arrived over a direct path.
+  void RecordReceived(std::string_view service);
+
+  /// Sets a function that is called when this instance becomes isolated from a
+  /// service.
+  void OnIsolated(std::function<void(std::string_view service)> callback) {
+    this->on_isolated = std::move(callback);
+  }
+
+  /// Whether this instance has no path of its own to the service's targets.
+  bool IsIsolated(std::string_view service) const;
+  /// Since when this instance is isolated from some service; nothing if it has
+  /// a path to each.
+  std::optional<Instant> IsolatedSince() const;
+  /// Whether this instance is isolated from some service, or was lately.
+  bool IsolatedLately() const;
+
+ private:
+  TargetReachability& ReachabilityOf(std::string_view service);
+  std::vector<TunnelPeerCandidate> Peers() const;
+  void RecordTunnel(const std::string& peer, bool established);
+  void HandleIsolation(std::string_view service);
+  void ProbeIfDue(std::string_view service);
+  void ProbeTargets(std::string_view service, int count);
+  boost::asio::awaitable<void> Probe(std::shared_ptr<TargetState> target);
+
+  boost::asio::io_context& context;
+  const WireFormat& wire;
+  FleetState& fleet;
+  FleetChannel& channel;
+  const InstanceRecord self;
+  Metrics& metrics;
+  EventLog& log;
+  Tasks& tasks;
+  const Clock clock;
+  absl::BitGen random;
+  std::map<std::string, TargetReachability, std::less<>> reachability;
+  TunnelPeers peers;
+  std::optional<Instant> last_isolation_end;
+  std::function<void(std::string_view)> on_isolated;
+};
+
+}  // namespace dragonflyglade::gateway
+
+#endif  // DRAGONFLYGLADE_GATEWAY_TARGET_PATHS_H_
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -53,6 +53,7 @@
   this->placed_at.reset();
   this->absent_until.clear();
   this->connections.Clear();
+  this->tunnels.Clear();
   this->report.reset();
   this->rate_limit = TargetRateLimit();
   this->failure_rate = 0;
@@ -169,6 +170,13 @@
   return known;
 }
 
+void TargetState::ForgetUnreachable() {
+  if (this->unreachable_in_row == 0) return;
+  this->unreachable_in_row = 0;
+  this->failure_rate = 0;
+  this->avoid_until = absl::ZeroDuration();
+}
+
 void TargetState::RecordResult(TargetResult result, Instant now) {
   const double failed = result == TargetResult::kSuccess ? 0 : 1;
   this->failure_rate += kFailureWeight * (failed - this->failure_rate);
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -109,13 +109,19 @@
   /// Whether requests should go elsewhere for now: the target is full or was
   /// unreachable.
   bool IsAvoided(Instant now) const { return now < this->avoid_until; }
+  /// Forgets that the target was unreachable, if it was, and how often its
+  /// requests failed.
+  void ForgetUnreachable();
   /// Moving average of the share of requests that failed, from 0 to 1.
   double FailureRate() const { return this->failure_rate; }
 
   /// Set when the target's record left the store while the target may still be
   /// running.
   std::optional<Instant> missing_since;
+  /// Connections over this instance's own path.
   ConnectionPool connections;
+  /// Connections through other instances; see TunnelServer.
+  ConnectionPool tunnels;
 
  private:
   TargetRecord record;
--- /dev/null
+++ b/dragonflyglade/gateway/tunnel_server.cc
@@ -0,0 +1,226 @@
+#include "dragonflyglade/gateway/tunnel_server.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dragonflyglade/gateway/async_condition.h"
+#include "dragonflyglade/gateway/http_text.h"
+#include "dragonflyglade/gateway/peek_socket.h"
+#include "dragonflyglade/gateway/step_timer.h"
+#include "dragonflyglade/gateway/target_socket.h"
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
+constexpr absl::Duration kRequestTimeout = absl::Seconds(1);
+constexpr std::uint32_t kMaxRequestBytes = 4096;
+constexpr std::size_t kReadBytes = 16384;
+// Two file descriptors each.
+constexpr std::size_t kMaxTunnels = 512;
+// Without bytes for this long, a tunnel with an open response has a target that
+// is still computing; the caller gives such a stream up after two seconds.
+constexpr absl::Duration kBusyTime = absl::Seconds(2);
+// After the target has closed, the instance may go on reading for this long.
+constexpr absl::Duration kHalfOpenTime = absl::Seconds(5);
+
+// A response that establishes a tunnel has no body, and no field that frames
+// one.
+constexpr std::string_view kEstablishedHead =
+    "HTTP/1.1 200 Connection Established\r\n\r\n";
+
+enum Status : int {
+  kEstablished = 200,
+  kUnknownTarget = 404,
+  kTargetRefused = 502,
+  kUnavailable = 503,
+  kTargetTimedOut = 504,
+};
+
+}  // namespace
+
+struct TunnelServer::Tunnel {
+  Tunnel(asio::io_context& context, Socket accepted, const Clock& clock)
+      : instance(std::move(accepted)),
+        target(context),
+        last_bytes(clock.Now()),
+        timer(context, clock, [this] {
+          return PeekSocket(this->instance) == SocketState::kBytes;
+        }) {}
+
+  void Close() {
+    error_code ignored;
+    this->instance.close(ignored);
+    this->target.close(ignored);
+  }
+
+  // An end that looks regular would make an incomplete response look complete.
+  void Reset() {
+    error_code ignored;
+    const asio::socket_base::linger reset(true, 0);
+    this->instance.set_option(reset, ignored);
+    this->target.set_option(reset, ignored);
+    this->Close();
+  }
+
+  Socket instance;
+  Socket target;
+  boost::beast::flat_buffer buffer;
+  Instant last_bytes;
+  bool awaits_response = false;  ///< the last bytes went to the target
+  StepTimer timer;
+};
+
+TunnelServer::TunnelServer(asio::io_context& context, FleetState& fleet,
+                           TargetPaths& paths, Metrics& metrics, Tasks& tasks,
+                           Clock clock)
+    : context(context),
+      fleet(fleet),
+      paths(paths),
+      metrics(metrics),
+      tasks(tasks),
+      clock(std::move(clock)) {}
+
+asio::awaitable<void> TunnelServer::Accept(asio::ip::tcp::acceptor& acceptor) {
+  while (true) {
+    error_code error;
+    Socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await Sleep(this->context, kAcceptRetryDelay);
+      continue;
+    }
+    auto tunnel =
+        std::make_shared<Tunnel>(this->context, std::move(socket), this->clock);
+    this->tunnels.remove_if(
+        [](const std::weak_ptr<Tunnel>& each) { return each.expired(); });
+    this->tunnels.push_back(tunnel);
+    this->tasks.Spawn("serve tunnel", this->Serve(std::move(tunnel)));
+  }
+}
+
+int TunnelServer::Busy() const {
+  const Instant now = this->clock.Now();
+  return static_cast<int>(std::count_if(
+      this->tunnels.begin(), this->tunnels.end(),
+      [now](const std::weak_ptr<Tunnel>& each) {
+        const std::shared_ptr<Tunnel> tunnel = each.lock();
+        return tunnel != nullptr && (tunnel->awaits_response ||
+                                     now - tunnel->last_bytes < kBusyTime);
+      }));
+}
+
+asio::awaitable<void> TunnelServer::Serve(std::shared_ptr<Tunnel> tunnel) {
+  ConfigureTargetSocket(tunnel->instance);
+  const int status = co_await this->Establish(*tunnel);
+  this->metrics.Count("tunnels_served", status == kEstablished
+                                            ? "result=\"established\""
+                                            : "result=\"refused\"");
+  const std::string head =
+      status == kEstablished
+          ? std::string(kEstablishedHead)
+          : ResponseHeadText(status, {}, BodyFraming::kLength, 0, std::nullopt);
+  error_code error;
+  co_await asio::async_write(tunnel->instance, asio::buffer(head),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error || status != kEstablished) co_return;
+  this->tasks.Spawn("tunnel to target", this->Forward(tunnel, true));
+  co_await this->Forward(tunnel, false);
+}
+
+asio::awaitable<int> TunnelServer::Establish(Tunnel& tunnel) {
+  http::request_parser<http::empty_body> parser;
+  parser.header_limit(kMaxRequestBytes);
+  error_code error;
+  const auto close = [&tunnel](absl::Duration) { tunnel.Close(); };
+  tunnel.timer.Start(kRequestTimeout, close);
+  co_await http::async_read_header(
+      tunnel.instance, tunnel.buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  tunnel.timer.Stop();
+  if (error || parser.get().method() != http::verb::connect ||
+      tunnel.buffer.size() > 0) {
+    co_return kUnknownTarget;
+  }
+  if (this->stopping || this->tunnels.size() > kMaxTunnels) {
+    co_return kUnavailable;
+  }
+  const std::string id(parser.get().target());
+  const std::shared_ptr<TargetState> target = this->fleet.Target(id);
+  if (target == nullptr || target->Record().leaving ||
+      this->fleet.IsEvacuated(target->Record().zone)) {
+    co_return kUnknownTarget;
+  }
+  const std::string& service = target->Record().service;
+  if (this->paths.IsIsolated(service)) co_return kUnavailable;
+  const std::optional<ConnectFailure> failure = co_await ConnectTargetSocket(
+      tunnel.target, target->Record().address, tunnel.timer);
+  if (!failure.has_value()) {
+    this->paths.RecordConnected(*target);
+    co_return kEstablished;
+  }
+  if (!failure->error.has_value()) co_return kUnknownTarget;
+  this->paths.RecordConnectFailed(*target, *failure->error);
+  if (this->paths.IsIsolated(service)) co_return kUnavailable;
+  co_return *failure->error == ConnectError::kRefused ? kTargetRefused
+                                                      : kTargetTimedOut;
+}
+
+asio::awaitable<void> TunnelServer::Forward(std::shared_ptr<Tunnel> tunnel,
+                                            bool to_target) {
+  Socket& from = to_target ? tunnel->instance : tunnel->target;
+  Socket& to = to_target ? tunnel->target : tunnel->instance;
+  std::vector<char> bytes(kReadBytes);
+  while (true) {
+    error_code error;
+    const std::size_t count = co_await from.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != asio::error::eof) break;
+    if (error) {
+      this->HandleEnd(tunnel, to_target);
+      co_return;
+    }
+    tunnel->last_bytes = this->clock.Now();
+    tunnel->awaits_response = to_target;
+    co_await asio::async_write(
+        to, asio::buffer(bytes.data(), count),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) break;
+  }
+  tunnel->Reset();
+}
+
+// An instance that closes its side has given the request up, and the target
+// stops work when its connection closes. A target that closes may not have read
+// all that the instance sends, and its response is still on the way.
+void TunnelServer::HandleEnd(const std::shared_ptr<Tunnel>& tunnel,
+                             bool instance_ended) {
+  tunnel->awaits_response = false;
+  if (instance_ended) {
+    tunnel->Close();
+    return;
+  }
+  error_code ignored;
+  tunnel->instance.shutdown(Socket::shutdown_send, ignored);
+  Tunnel& closing = *tunnel;
+  tunnel->timer.Start(kHalfOpenTime,
+                      [&closing](absl::Duration) { closing.Close(); });
+}
+
+}  // namespace dragonflyglade::gateway
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -133,11 +132,11 @@
                                  const std::string& path,
                                  const std::string& key,
                                  const std::string& more) {
-  this->calls += 1;
+  const int call = ++this->calls;
   return absl::StrCat(method, " ", path,
                       " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
                       "X-Dragonflyglade-Attempt-Id: r",
-                      this->calls,
+                      call,
                       "\r\nX-Dragonflyglade-Deadline-Ms: 5000\r\n"
                       "Authorization: Bearer ",
                       key, "\r\n", more, "\r\n");
@@ -146,12 +145,11 @@
 std::string GatewayHarness::KeepAliveRequestText(const std::string& method,
                                                  const std::string& path,
                                                  const std::string& more) {
-  this->calls += 1;
+  const int call = ++this->calls;
   return absl::StrCat(method, " ", path,
                       " HTTP/1.1\r\nHost: h.example\r\n"
                       "X-Dragonflyglade-Attempt-Id: r",
-                      this->calls, "\r\nAuthorization: Bearer k1\r\n", more,
-                      "\r\n");
+                      call, "\r\nAuthorization: Bearer k1\r\n", more, "\r\n");
 }
 
 GatewayHarness::Reply GatewayHarness::Send(const std::string& text) {
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYGLADE_TESTS_PLATFORM_GATEWAY_HARNESS_H_
 #define DRAGONFLYGLADE_TESTS_PLATFORM_GATEWAY_HARNESS_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -140,7 +141,7 @@
   boost::asio::io_context client;
   std::thread thread;
   Status ran = Done{};
-  int calls = 0;
+  std::atomic<int> calls = 0;
 };
 
 /// Blocks the gateway's event loop during its lifetime.
--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -1,11 +1,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdint>
+#include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "tests/platform/gateway_harness.h"
@@ -18,22 +26,23 @@
 
 // The time after a cut from which on the callers' service counts.
 constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
+constexpr absl::Duration kCallInterval = absl::Milliseconds(50);
 
-// Two instances in front of two targets. The paths from the first instance to
-// the targets can be cut.
+// Two instances in front of two targets. The paths from each instance to the
+// targets can be cut.
 class TwoInstances {
  public:
   explicit TwoInstances(
       PlatformTargetStandIn::Answer answer = SuccessfulResponse)
       : target_one(answer),
         target_two(std::move(answer)),
-        path_one(this->target_one.Address()),
-        path_two(this->target_two.Address()),
+        first_paths(this->MakePaths()),
+        second_paths(this->MakePaths()),
         harness(this->MakeOptions()),
         second(std::make_unique<gateway::Gateway>(
             this->harness.Settings("two"),
             [this] { return this->harness.Settings("two"); },
-            platform::MakeWireFormat())),
+            this->WireOver(this->second_paths))),
         thread([this] { this->ran = this->second->Run(); }) {
     for (const auto& [id, target] : this->Targets()) {
       this->harness.PutTarget(
@@ -51,13 +60,32 @@
   }
 
   ~TwoInstances() {
-    this->second->Context().stop();
-    this->thread.join();
+    if (this->second != nullptr) this->StopSecond();
+  }
+
+  using Paths = std::vector<std::unique_ptr<PathStandIn>>;
+
+  static void Set(const Paths& paths, PathState state) {
+    for (const auto& path : paths) path->Set(state);
+  }
+
+  // Cuts the first instance off, and waits until it has noticed.
+  void Isolate() {
+    Set(this->first_paths, PathState::kRefusesNew);
+    Set(this->first_paths, PathState::kResets);
+    this->harness.WaitFor([this] {
+      this->Call("");
+      return this->harness
+                 .Ask(this->harness.gateway->Settings().metrics, "/metrics")
+                 .text.find("isolated_from_targets 1") != std::string::npos;
+    });
   }
 
-  void SetPaths(PathState state) {
-    this->path_one.Set(state);
-    this->path_two.Set(state);
+  // Ends the second instance's process.
+  void StopSecond() {
+    this->second->Context().stop();
+    this->thread.join();
+    this->second.reset();
   }
 
   GatewayHarness::Reply CallSecond(const std::string& path = "/any/") {
@@ -65,10 +93,45 @@
                                 this->harness.Text("GET", path));
   }
 
+  /// Calls the first instance, for a model unless it is empty.
+  GatewayHarness::Reply Call(const std::string& model) {
+    return model.empty() ? this->harness.Call("GET", "/any/")
+                         : this->harness.CallModel(model);
+  }
+
+  /// Calls the first instance at a steady rate for two stability windows.
+  /// @return the statuses of the calls in the second window
+  std::vector<int> CallAfterCut(const std::string& model) {
+    const absl::Time cut = absl::Now();
+    std::vector<std::future<int>> calls;
+    std::size_t uncounted = 0;
+    while (absl::Now() < cut + 2 * kStabilityWindow) {
+      if (absl::Now() < cut + kStabilityWindow) uncounted += 1;
+      calls.push_back(std::async(std::launch::async, [this, model] {
+        return this->Call(model).status;
+      }));
+      absl::SleepFor(kCallInterval);
+    }
+    std::vector<int> statuses;
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+      const int status = calls[i].get();
+      if (i >= uncounted) statuses.push_back(status);
+    }
+    return statuses;
+  }
+
   std::vector<std::pair<std::string, PlatformTargetStandIn*>> Targets() {
     return {{"i-1", &this->target_one}, {"i-2", &this->target_two}};
   }
 
+  bool SecondLeads() {
+    std::promise<bool> leads;
+    boost::asio::post(this->second->Context(), [&] {
+      leads.set_value(this->second->HoldsLeaderLease());
+    });
+    return leads.get_future().get();
+  }
+
   std::size_t RequestCount() const {
     return this->target_one.Requests().size() +
            this->target_two.Requests().size();
@@ -76,27 +139,40 @@
 
   PlatformTargetStandIn target_one;
   PlatformTargetStandIn target_two;
-  PathStandIn path_one;
-  PathStandIn path_two;
+  const Paths first_paths;
+  const Paths second_paths;
   GatewayHarness harness;
   std::unique_ptr<gateway::Gateway> second;
 
  private:
-  // The first instance knows the targets by the addresses of its paths.
-  GatewayHarness::Options MakeOptions() {
-    GatewayHarness::Options options;
-    const auto decode = options.wire.decode_target;
-    options.wire.decode_target = [this, decode](std::string_view key,
-                                                std::string_view value) {
+  Paths MakePaths() const {
+    Paths paths;
+    paths.push_back(std::make_unique<PathStandIn>(this->target_one.Address()));
+    paths.push_back(std::make_unique<PathStandIn>(this->target_two.Address()));
+    return paths;
+  }
+
+  // An instance knows the targets by the addresses of its paths.
+  gateway::WireFormat WireOver(const Paths& paths) {
+    gateway::WireFormat wire = platform::MakeWireFormat();
+    wire.decode_target = [this, &paths, decode = wire.decode_target](
+                             std::string_view key, std::string_view value) {
       auto record = decode(key, value);
       if (!record.Ok()) return record;
       std::string& address = record.Value().address;
-      if (address == this->target_one.Address())
-        address = this->path_one.Address();
-      if (address == this->target_two.Address())
-        address = this->path_two.Address();
+      if (address == this->target_one.Address()) {
+        address = paths[0]->Address();
+      } else if (address == this->target_two.Address()) {
+        address = paths[1]->Address();
+      }
       return record;
     };
+    return wire;
+  }
+
+  GatewayHarness::Options MakeOptions() {
+    GatewayHarness::Options options;
+    options.wire = this->WireOver(this->first_paths);
     return options;
   }
 
@@ -107,6 +183,12 @@
 class ReachabilityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReachabilityTest);
   CPPUNIT_TEST(ServesCallersOfAnInstanceWithoutPathsToTargets);
+  CPPUNIT_TEST(RefusesAtOnceIfNoInstanceHasAPath);
+  CPPUNIT_TEST(NeverRepeatsWhatMayHaveRunBehindATunnel);
+  CPPUNIT_TEST(TakesNoEndOfATunnelForTheEndOfAnAnswer);
+  CPPUNIT_TEST(EndsWorkBehindATunnelWhenTheCallerLeaves);
+  CPPUNIT_TEST(UsesItsOwnPathsAgain);
+  CPPUNIT_TEST(GivesLeadershipToAnInstanceWithAPath);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,28 +210,148 @@
     };
     for (const Case& item : cases) {
       TwoInstances pair;
-      const auto call = [&] {
-        return item.model.empty() ? pair.harness.Call("GET", "/any/")
-                                  : pair.harness.CallModel(item.model);
-      };
-      pair.harness.WaitFor([&] { return call().status == 200; });
-      pair.SetPaths(item.state);
-      const absl::Time cut = absl::Now();
-      int first_tries = 0;
-      int served = 0;
-      while (absl::Now() < cut + 2 * kStabilityWindow) {
-        const bool counts = absl::Now() >= cut + kStabilityWindow;
-        const int status = call().status;
-        first_tries += counts ? 1 : 0;
-        served += counts && status == 200 ? 1 : 0;
-        absl::SleepFor(absl::Milliseconds(50));
-      }
+      pair.harness.WaitFor([&] { return pair.Call(item.model).status == 200; });
+      TwoInstances::Set(pair.first_paths, item.state);
+      const std::vector<int> statuses = pair.CallAfterCut(item.model);
+      const auto served = std::count(statuses.begin(), statuses.end(), 200);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200, pair.CallSecond().status);
       CPPUNIT_ASSERT_MESSAGE(
-          absl::StrCat(item.name, ": served ", served, " of ", first_tries),
-          first_tries > 0 && 3 * served >= 2 * first_tries);
+          absl::StrCat(item.name, ": served ", served, " of ", statuses.size()),
+          3 * served >= 2 * static_cast<std::int64_t>(statuses.size()));
     }
   }
+
+  // Guards against callers who are held while two isolated instances hand
+  // their requests to each other, and against a false cause and time to return.
+  void RefusesAtOnceIfNoInstanceHasAPath() {
+    TwoInstances pair;
+    TwoInstances::Set(pair.second_paths, PathState::kResets);
+    pair.Isolate();
+    for (int i = 0; i < 10; ++i) pair.CallSecond();
+    const std::size_t before = pair.RequestCount();
+    for (const char* model : {"", "m"}) {
+      const absl::Time start = absl::Now();
+      const GatewayHarness::Reply reply = pair.Call(model);
+      CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(503, reply.status);
+      CPPUNIT_ASSERT(absl::StrContains(reply.text, "targets_unreachable"));
+      const double retry_after = std::stod(reply.Field("Retry-After"));
+      CPPUNIT_ASSERT(retry_after > 0 && retry_after <= 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, pair.RequestCount());
+  }
+
+  // Guards against a payment that is made twice when the instance that forwards
+  // it ends, and against a refusal that says it was not made.
+  void NeverRepeatsWhatMayHaveRunBehindATunnel() {
+    std::atomic<bool> hangs = false;
+    TwoInstances pair([&hangs](const RawRequest& request) {
+      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+      if (hangs) script = {"", false, true};
+      return script;
+    });
+    pair.Isolate();
+    hangs = true;
+    const std::size_t before = pair.RequestCount();
+    auto call = std::async(std::launch::async, [&pair] {
+      return pair.harness.Call("POST", "/once/").status;
+    });
+    pair.harness.WaitFor([&] { return pair.RequestCount() > before; });
+    pair.StopSecond();
+    CPPUNIT_ASSERT_EQUAL(502, call.get());
+    CPPUNIT_ASSERT_EQUAL(before + 1, pair.RequestCount());
+  }
+
+  // Guards against half of an answer that looks whole, since its end is the end
+  // of a connection and the forwarding instance's process ended.
+  void TakesNoEndOfATunnelForTheEndOfAnAnswer() {
+    std::atomic<bool> hangs = false;
+    TwoInstances pair([&hangs](const RawRequest& request) {
+      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+      if (hangs) {
+        script = {absl::StrCat("HTTP/1.1 200 OK\r\n", kSigned,
+                               "X-Dragonflyglade-Attempt-Id: ",
+                               request.Field("X-Dragonflyglade-Attempt-Id"),
+                               "\r\n\r\nhalf"),
+                  false, true};
+      }
+      return script;
+    });
+    pair.Isolate();
+    hangs = true;
+    const std::size_t before = pair.RequestCount();
+    auto call = std::async(std::launch::async, [&pair] {
+      return pair.harness.Call("POST", "/once/").status;
+    });
+    pair.harness.WaitFor([&] { return pair.RequestCount() > before; });
+    absl::SleepFor(absl::Milliseconds(100));
+    pair.StopSecond();
+    CPPUNIT_ASSERT_EQUAL(502, call.get());
+  }
+
+  // Guards against work for callers who have left.
+  void EndsWorkBehindATunnelWhenTheCallerLeaves() {
+    std::atomic<bool> hangs = false;
+    TwoInstances pair([&hangs](const RawRequest& request) {
+      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+      if (hangs) script = {"", false, true};
+      return script;
+    });
+    pair.Isolate();
+    hangs = true;
+    const std::size_t before = pair.RequestCount();
+    const auto ended = [&pair] {
+      return pair.target_one.ConnectionsClosedByPeer() +
+             pair.target_two.ConnectionsClosedByPeer();
+    };
+    const int ended_before = ended();
+    auto socket =
+        pair.harness.Connect(pair.harness.gateway->Settings().callers);
+    boost::asio::write(
+        *socket, boost::asio::buffer(pair.harness.Text("POST", "/once/")));
+    pair.harness.WaitFor([&] { return pair.RequestCount() > before; });
+    const absl::Time left = absl::Now();
+    socket.reset();
+    pair.harness.WaitFor([&] { return ended() > ended_before; });
+    CPPUNIT_ASSERT(absl::Now() - left < absl::Milliseconds(500));
+  }
+
+  // Guards against tunnels that go on after the paths are back.
+  void UsesItsOwnPathsAgain() {
+    TwoInstances pair;
+    pair.Isolate();
+    CPPUNIT_ASSERT_EQUAL(200, pair.Call("").status);
+    TwoInstances::Set(pair.first_paths, PathState::kOpen);
+    const auto forwarded = [&pair] {
+      return pair.first_paths[0]->Connections() +
+             pair.first_paths[1]->Connections();
+    };
+    const int before = forwarded();
+    pair.harness.WaitFor([&] {
+      CPPUNIT_ASSERT_EQUAL(200, pair.Call("").status);
+      return forwarded() >= before + 2;
+    });
+  }
+
+  // Guards against a leader that cannot reach a single engine.
+  void GivesLeadershipToAnInstanceWithAPath() {
+    TwoInstances pair;
+    const auto leads = [&pair](bool first) {
+      return first ? pair.harness.HoldsLeaderLease() : pair.SecondLeads();
+    };
+    pair.harness.WaitFor([&] { return leads(true) || leads(false); });
+    const bool first_led = leads(true);
+    TwoInstances::Set(first_led ? pair.first_paths : pair.second_paths,
+                      PathState::kResets);
+    pair.harness.WaitFor([&] {
+      if (first_led) {
+        pair.Call("");
+      } else {
+        pair.CallSecond();
+      }
+      return leads(!first_led);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ReachabilityTest,
