Keep brittle targets from falling over

Instances sent each request to the least loaded target as they knew it, after a decline again 60 ms later, and the declined request to the next brittle target.

Change: the listed instances share the slots of a brittle service's targets without messages (ShareOfSlots), and half as many after each further decline. Statement and declines reach all instances with reports and summaries. A target that has declined gets nothing of this instance for a second, and no request that it declined comes back. What finds no room waits here for an eighth of its objective, then it is refused at once.

The log names the spelling of the field that targets used, for this statement and for rate limits.

--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -83,8 +83,9 @@
   /// no process listens there any more.
   void ReportConnectionRefused(const std::string& target);
 
-  /// Reports to the leader at once that a target states another limit.
-  void ReportLimitChange() { this->wake.Notify(); }
+  /// Reports to the leader at once that a target states another limit or
+  /// another brittleness, or that a brittle target declined a request.
+  void ReportStatementChange() { this->wake.Notify(); }
 
   /// Reports to the leader that a target responded that it lacks the model or
   /// adapter.
@@ -114,6 +115,8 @@
   void ApplyFleetSpends(const wire::FleetSummary& summary);
   std::vector<wire::TargetLimit> TargetLimits();
   bool ApplyTargetLimits(const std::vector<wire::TargetLimit>& limits);
+  std::vector<wire::TargetBrittleness> BrittleTargets();
+  bool ApplyBrittleTargets(const std::vector<wire::TargetBrittleness>& brittle);
   void Send(const wire::FleetMessage& message, const std::string& address);
 
   boost::asio::io_context& context;
@@ -148,7 +151,8 @@
   std::vector<wire::TargetLack> missing_models;
   std::set<std::string> refusing_targets;  ///< not reported yet
   std::uint64_t leader_revision = 0;       ///< of the last handled change
-  std::size_t next_limit = 0;  ///< position of the next limit to send
+  std::size_t next_limit = 0;    ///< position of the next limit to send
+  std::size_t next_brittle = 0;  ///< the same of the brittle targets
   bool push_pending = false;
   bool notifying_reporters = false;
   bool notify_again = false;  ///< a change is not sent to all reporters yet
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -83,7 +83,13 @@
   /// The requests a second that the target takes from all instances together.
   std::optional<double> rate_limit;
   bool has_rate_limit_field = false;  ///< readable or not
-  HeaderFields forwarded_fields;      ///< end-to-end fields
+  /// The requests a second that the target can decline without failing.
+  std::optional<double> declines_per_second;
+  bool has_brittle_field = false;  ///< readable or not
+  /// The names of the two fields as the target spelled them, for the log.
+  std::string rate_limit_field;
+  std::string brittle_field;
+  HeaderFields forwarded_fields;  ///< end-to-end fields
 };
 
 /// A model that an engine serves.
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -22,6 +22,10 @@
 // limited to this share of the route's latency objective; after that the caller
 // does better to retry later.
 constexpr double kMaxModelWaitShare = 0.5;
+// A request waits for room at a brittle target for at most this share of the
+// route's latency objective.
+constexpr double kMaxBrittleWaitShare = 0.125;
+constexpr absl::Duration kBrittlePollInterval = absl::Milliseconds(5);
 // Interval at which a waiting request checks whether its caller has
 // disconnected.
 constexpr absl::Duration kCallerCheckInterval = absl::Milliseconds(100);
@@ -251,10 +255,7 @@
       service.slow_start.Applies() && target.SlowStartState().IsWarmingUp(now);
   const std::optional<double> limit = target.RateLimit().Limit();
   if (!warms_up && !limit.has_value()) return absl::ZeroDuration();
-  std::vector<std::string> listed;
-  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
-    listed.push_back(record->name);
-  }
+  const std::vector<std::string> listed = this->ListedNames();
   absl::Duration until = absl::ZeroDuration();
   const auto apply = [&](const SendAllowance& allowance) {
     const SendAllowance part = DivideAllowance(allowance, target.Record().id,
@@ -279,6 +280,29 @@
   return use.model.empty() || target.Holds(use.model, use.adapter, now);
 }
 
+// A target that has just declined is not tried as a last resort either.
+bool Pipeline::HasBrittleRoom(const ServiceSpec& service,
+                              const TargetState& target, Instant now) const {
+  const BrittleTarget& brittleness = target.Brittleness();
+  if (!brittleness.IsBrittle()) return true;
+  if (target.IsAvoided(now)) return false;
+  std::vector<SlotOwner> owners;
+  for (const auto& each : this->fleet.Targets(service.name)) {
+    owners.push_back({each->Record().id, each->Record().slots});
+  }
+  const SlotShare share = ShareOfSlots(
+      target.Record().id, owners, this->settings.instance, this->ListedNames());
+  return target.InFlight() < brittleness.MaxInFlight(share, now);
+}
+
+std::vector<std::string> Pipeline::ListedNames() const {
+  std::vector<std::string> names;
+  for (const InstanceRecord* record : this->fleet.ListedInstances()) {
+    names.push_back(record->name);
+  }
+  return names;
+}
+
 std::optional<absl::Duration> Pipeline::UntilSomeTargetAllows(
     const RequestJob& job) const {
   const Instant now = this->clock.Now();
@@ -302,6 +326,7 @@
   for (const auto& target : this->fleet.Targets(job.service->name)) {
     const TargetRecord& record = target->Record();
     if (target->InFlight() >= max_in_flight) continue;
+    if (!this->HasBrittleRoom(*job.service, *target, now)) continue;
     if (!this->CanServe(job, *target, now)) continue;
     if (this->UntilTargetAllows(*job.service, *target, now) >
         absl::ZeroDuration()) {
@@ -369,10 +394,35 @@
   co_return target;
 }
 
+// A brittle target's queue is short, so that this instance queues for it. The
+// wait is too short to keep a caller from trying elsewhere.
+asio::awaitable<std::shared_ptr<TargetState>> Pipeline::AwaitBrittleRoom(
+    RequestJob& job) {
+  const auto targets = this->fleet.Targets(job.service->name);
+  const bool any_brittle = std::any_of(
+      targets.begin(), targets.end(),
+      [](const auto& target) { return target->Brittleness().IsBrittle(); });
+  if (!any_brittle) co_return nullptr;
+  const Instant wait_start = this->clock.Now();
+  const Instant until =
+      wait_start + std::min(kMaxBrittleWaitShare * job.route->latency_objective,
+                            job.deadline - wait_start);
+  std::shared_ptr<TargetState> target;
+  Instant now = wait_start;
+  while (target == nullptr && now < until && !job.connection.IsDisconnected()) {
+    co_await Sleep(this->context, std::min(kBrittlePollInterval, until - now));
+    now = this->clock.Now();
+    target = this->Choose(job);
+  }
+  job.target_wait += now - wait_start;
+  co_return target;
+}
+
 asio::awaitable<std::shared_ptr<TargetState>> Pipeline::FindTarget(
     RequestJob& job) {
   if (!this->paths.AnyPath(job.service->name)) co_return nullptr;
   std::shared_ptr<TargetState> target = this->Choose(job);
+  if (target == nullptr) target = co_await this->AwaitBrittleRoom(job);
   if (!job.NeedsModel()) co_return target;
   if (target != nullptr) target = co_await this->DelayForPacing(job, target);
   if (target != nullptr) co_return target;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/random/random.h"
 #include "dragonflyglade/decision/clock.h"
@@ -85,6 +86,14 @@
   /// Whether the target can serve the request, now or when it has a place.
   bool CanServe(const RequestJob& job, TargetState& target, Instant now) const;
   void RecordResponseHead(TargetState& target, const ResponseHead& head);
+  void RecordBrittleness(TargetState& target, const ResponseHead& head);
+  /// Whether this instance may send the brittle target another request now. A
+  /// target that is not brittle has no room of this kind to keep to.
+  bool HasBrittleRoom(const ServiceSpec& service, const TargetState& target,
+                      Instant now) const;
+  std::vector<std::string> ListedNames() const;
+  boost::asio::awaitable<std::shared_ptr<TargetState>> AwaitBrittleRoom(
+      RequestJob& job);
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -149,6 +149,7 @@
   const Instant now = this->clock.Now();
   if (head.load.has_value()) target.SetLoadReport(*head.load, now);
   if (head.wrong_target) return;
+  this->RecordBrittleness(target, head);
   // A failure may come from a part of the target that knows no limit.
   const bool states_no_limit =
       !head.has_rate_limit_field && head.is_signed && IsSuccess(head.status);
@@ -156,8 +157,27 @@
   if (!target.RateLimit().Record(head.rate_limit, now)) return;
   this->log.Write("targets", head.rate_limit ? "limit stated" : "limit ended",
                   {{"target", target.Record().id},
+                   {"field", head.rate_limit_field},
                    {"requests_per_s", head.rate_limit.value_or(0)}});
-  this->channel.ReportLimitChange();
+  this->channel.ReportStatementChange();
+}
+
+void Pipeline::RecordBrittleness(TargetState& target,
+                                 const ResponseHead& head) {
+  const bool states_none =
+      !head.has_brittle_field && head.is_signed && IsSuccess(head.status);
+  if (!head.declines_per_second.has_value() && !states_none) return;
+  BrittleTarget& brittleness = target.Brittleness();
+  if (!brittleness.RecordStatement(head.declines_per_second,
+                                   this->clock.Now())) {
+    return;
+  }
+  this->log.Write("targets",
+                  brittleness.IsBrittle() ? "brittle" : "no longer brittle",
+                  {{"target", target.Record().id},
+                   {"field", head.brittle_field},
+                   {"declines_per_s", head.declines_per_second.value_or(0)}});
+  this->channel.ReportStatementChange();
 }
 
 bool Pipeline::MayRetry(RequestJob& job, bool may_have_run) {
@@ -246,6 +266,7 @@
   const ModelUse& use = job.request.use;
   if (!declined.head.wrong_target) {
     target.MarkFull(now);
+    if (target.Brittleness().IsBrittle()) this->channel.ReportStatementChange();
   } else if (job.NeedsModel()) {
     target.MarkNotResident(use.model, use.adapter, now);
     const ModelName name{job.service->name, use.model, use.adapter};
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -18,6 +18,8 @@
 // How long a full target is avoided. Requests of services without engines take
 // some tens of milliseconds, so it may have room again after this time.
 constexpr absl::Duration kFullBackoff = absl::Milliseconds(60);
+// A brittle target's declines are counted by the second.
+constexpr absl::Duration kBrittleBackoff = absl::Seconds(1);
 // The weight of a request in the moving average of failures: about the last ten
 // requests count, so that a target which fails two in five stands out within a
 // second.
@@ -56,6 +58,7 @@
   this->tunnels.Clear();
   this->report.reset();
   this->rate_limit = TargetRateLimit();
+  this->brittleness = BrittleTarget();
   this->failure_rate = 0;
   this->unreachable_in_row = 0;
   this->avoid_until = absl::ZeroDuration();
@@ -104,7 +107,10 @@
 }
 
 void TargetState::MarkFull(Instant now) {
-  this->avoid_until = std::max(this->avoid_until, now + kFullBackoff);
+  const bool brittle = this->brittleness.IsBrittle();
+  const absl::Duration backoff = brittle ? kBrittleBackoff : kFullBackoff;
+  this->avoid_until = std::max(this->avoid_until, now + backoff);
+  if (brittle) this->brittleness.RecordDeclined(now);
 }
 
 void TargetState::RecordSent(double prompt_tokens, const std::string& resident,
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "absl/time/time.h"
+#include "dragonflyglade/decision/brittle_target.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
@@ -82,6 +83,9 @@
   /// The limit that the target states.
   TargetRateLimit& RateLimit() { return this->rate_limit; }
   const TargetRateLimit& RateLimit() const { return this->rate_limit; }
+  /// Whether the target states that it is brittle, and its declines.
+  BrittleTarget& Brittleness() { return this->brittleness; }
+  const BrittleTarget& Brittleness() const { return this->brittleness; }
   double UnreadTokens() const { return this->unread_tokens; }
 
   /// Stores the load that the target stated in a response.
@@ -136,6 +140,7 @@
   SlowStart slow_start;
   SendHistory sent;
   TargetRateLimit rate_limit;
+  BrittleTarget brittleness;
   std::optional<LoadReport> report;
   Instant reported_at;
   int in_flight_at_report = 0;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -50,6 +50,20 @@
   4: i64 age_ms
 }
 
+/** A target's statement on the requests that it can decline, from all instances
+    together, without failing. */
+struct TargetBrittleness {
+  1: string target
+  /** The start time of the target process that made it. */
+  2: i64 born_ms
+  /** Negative if the target no longer states one. */
+  3: double declines_per_second
+  /** Time since the target made the statement. */
+  4: i64 age_ms
+  /** Time since the target declined a request; negative if it has not. */
+  5: i64 declined_ago_ms
+}
+
 /** An instance's periodic report to the leader. */
 struct InstanceReport {
   1: string instance
@@ -87,6 +101,8 @@
   17: list<string> refusing
   /** The newest statements of targets that state a limit, or did lately. */
   18: list<TargetLimit> limits
+  /** The newest statements of brittle targets, and of those that were lately. */
+  19: list<TargetBrittleness> brittle
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
@@ -201,6 +217,8 @@
   13: i64 holdings_version
   /** As in the reports, of all instances. */
   14: list<TargetLimit> limits
+  /** As in the reports, of all instances. */
+  15: list<TargetBrittleness> brittle
 }
 
 /** Asks the leader to admit a request that exceeds the instance's own share of
