--- a/dragonflyglade/decision/target_reachability.cc
+++ b/dragonflyglade/decision/target_reachability.cc
@@ -27,7 +27,7 @@
 }  // namespace
 
 std::vector<std::string> TargetReachability::RecordConnected(
-    std::string_view target, Instant) {
+    std::string_view target) {
   const auto refused = this->unexplained_refusals.find(target);
   if (refused != this->unexplained_refusals.end()) {
     this->unexplained_refusals.erase(refused);
--- a/dragonflyglade/decision/target_reachability.h
+++ b/dragonflyglade/decision/target_reachability.h
@@ -30,8 +30,7 @@
   /// Records that a new connection to the target was established.
   /// @return the targets that refused a connection before, and of which the
   ///   success at this other target shows that their processes ended
-  std::vector<std::string> RecordConnected(std::string_view target,
-                                           Instant now);
+  std::vector<std::string> RecordConnected(std::string_view target);
 
   /// Records that a connection attempt failed.
   /// @return whether the instance is isolated from now on
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -69,13 +69,11 @@
   bool prompt_done = false;
 };
 
-}  // namespace
-
-asio::awaitable<Pipeline::NextStep> Pipeline::Attempt(
-    RequestJob& job, std::shared_ptr<TargetState> target) {
-  const Instant now = this->clock.Now();
+// The values that the request carries to its target.
+ForwardingContext MakeForwardingContext(const RequestJob& job,
+                                        std::string target, Instant now) {
   ForwardingContext stamp;
-  stamp.target = target->Record().id;
+  stamp.target = std::move(target);
   stamp.time_left = job.deadline - now;
   stamp.resume_after = job.events.LastId().empty()
                            ? job.request.resume_after
@@ -86,6 +84,16 @@
         job.route->priority,
         job.workspace == nullptr ? std::nullopt : job.workspace->priority);
   }
+  return stamp;
+}
+
+}  // namespace
+
+asio::awaitable<Pipeline::NextStep> Pipeline::Attempt(
+    RequestJob& job, std::shared_ptr<TargetState> target) {
+  const Instant now = this->clock.Now();
+  const ForwardingContext stamp =
+      MakeForwardingContext(job, target->Record().id, now);
   job.target = stamp.target;
   job.tried.insert(stamp.target);
   OutgoingHttpRequest call{job.request.method, job.request.path_and_query,
--- a/dragonflyglade/gateway/target_paths.cc
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -120,8 +120,7 @@
   const TargetRecord& record = target.Record();
   const bool was_isolated = this->IsIsolated(record.service);
   const std::vector<std::string> ended =
-      this->ReachabilityOf(record.service)
-          .RecordConnected(record.id, this->clock.Now());
+      this->ReachabilityOf(record.service).RecordConnected(record.id);
   for (const std::string& refused : ended) {
     this->channel.ReportConnectionRefused(refused);
   }
--- a/dragonflyglade/net/socket_options.cc
+++ b/dragonflyglade/net/socket_options.cc
@@ -11,7 +11,10 @@
 constexpr int kKeepAliveIdleSeconds = 5;
 constexpr int kKeepAliveProbeSeconds = 2;
 constexpr int kKeepAliveProbes = 3;
-constexpr unsigned kUserTimeoutMilliseconds = 10'000;
+// Once set, the user timeout also decides when the probes give up, whatever
+// their count: it is the time that all of them take.
+constexpr unsigned kUserTimeoutMilliseconds =
+    1000 * (kKeepAliveIdleSeconds + kKeepAliveProbes * kKeepAliveProbeSeconds);
 
 void SetOption(int socket, int level, int option, int value) {
   setsockopt(socket, level, option, &value, sizeof(value));
--- a/tests/platform/platform-brittle.cc
+++ b/tests/platform/platform-brittle.cc
@@ -105,6 +105,7 @@
       const absl::Time start = absl::Now();
       std::atomic<int> served = 0;
       std::vector<std::thread> callers;
+      callers.reserve(kCallers);
       for (int i = 0; i < kCallers; ++i) {
         callers.emplace_back([&] {
           while (absl::Now() < start + 3 * kStabilityWindow) {
@@ -124,8 +125,8 @@
       CPPUNIT_ASSERT_MESSAGE(absl::StrCat(field, ": fell over ", falls),
                              falls <= 2 + kTargets / 10);
       // A quarter of what the targets' slots can run.
-      const double possible =
-          kTargets * kSlots * (3 * kStabilityWindow / kWork) / 4;
+      const double possible = kTargets * kSlots / 4 *
+                              absl::FDivDuration(3 * kStabilityWindow, kWork);
       CPPUNIT_ASSERT_MESSAGE(absl::StrCat(field, ": served ", served.load()),
                              served >= possible);
     }
--- a/tests/unit/unit-brittle-target.cc
+++ b/tests/unit/unit-brittle-target.cc
@@ -101,10 +101,13 @@
     int avoid_until = 0;
   };
   std::vector<std::string> names;
+  names.reserve(load.instances);
   for (int i = 0; i < load.instances; ++i) names.push_back(std::to_string(i));
   std::vector<std::string> ids;
+  ids.reserve(load.targets);
   for (int t = 0; t < load.targets; ++t) ids.push_back("t" + std::to_string(t));
   std::vector<SlotOwner> owners;
+  owners.reserve(load.targets);
   for (const std::string& id : ids) owners.push_back({id, load.slots});
   std::vector<FragileTarget> targets(
       load.targets,
@@ -260,6 +263,7 @@
     };
     for (const Case& item : cases) {
       std::vector<std::string> listed;
+      listed.reserve(item.instances);
       for (int i = 0; i < item.instances; ++i) {
         listed.push_back(std::to_string(i));
       }
--- a/tests/unit/unit-reachability.cc
+++ b/tests/unit/unit-reachability.cc
@@ -269,7 +269,7 @@
                                         const ConnectAttempt& attempt) {
     const Instant now = At(attempt.at_ms);
     if (attempt.connected) {
-      return reachability.RecordConnected(attempt.target, now);
+      return reachability.RecordConnected(attempt.target);
     }
     reachability.RecordConnectFailed(attempt.target, attempt.error, now);
     return {};
