End the count of waiting requests without a guard object

Cause, by reading: when the loop ends, the coroutines of requests in flight are destroyed after TargetPaths, and a guard object in them erased its entry from a set that was gone. CONTRIBUTING.md warns of just this.

Change: the pipeline ends the count after the attempt, and after an exception in Serve; a destroyed coroutine touches nothing. platform-reachability ends an instance with 20 requests in flight. Whether that test fails on the code before was not shown.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -62,6 +62,7 @@
   this->jobs.insert(&job);
   std::exception_ptr failure = co_await CatchException(this->ServeJob(job));
   this->jobs.erase(&job);
+  this->RecordAttemptEnded(job);
   // The disconnect callback holds a reference to the job.
   connection.StopWatching();
   if (failure)
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -111,6 +111,7 @@
                                                 const TargetPath& path,
                                                 const NotSent& not_sent);
   void RetryOnOtherPaths(std::string_view service);
+  void RecordAttemptEnded(RequestJob& job);
   void RecordUnreachable(RequestJob& job, TargetState& target,
                          const TargetPath& path, const NotSent& not_sent);
   boost::asio::awaitable<NextStep> AfterDeclined(RequestJob& job,
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -112,8 +112,9 @@
   job.exchange = &exchange;
   job.attempt_started = now;
   job.uses_own_path = tunnel == nullptr;
-  const TargetPaths::RequestGuard waiting(this->paths, job.service->name,
-                                          job.uses_own_path);
+  if (job.uses_own_path) {
+    job.sent_over_own_path = this->paths.RecordSent(job.service->name);
+  }
   InFlightGuard guard(*target, job.UnreadTokens(), job.Resident(), now);
   if (job.NeedsModel()) {
     this->channel.BroadcastSentPrompt(job.target, job.UnreadTokens());
@@ -149,9 +150,16 @@
                                       std::get<StreamHead>(outcome).head);
   }
   job.exchange = nullptr;
+  this->RecordAttemptEnded(job);
   co_return next;
 }
 
+void Pipeline::RecordAttemptEnded(RequestJob& job) {
+  if (!job.sent_over_own_path.has_value()) return;
+  this->paths.RecordEnded(job.service->name, *job.sent_over_own_path);
+  job.sent_over_own_path.reset();
+}
+
 void Pipeline::RecordResponseHead(TargetState& target,
                                   const ResponseHead& head) {
   const Instant now = this->clock.Now();
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -41,6 +41,8 @@
   EventSplitter events;
   Instant attempt_started;
   bool uses_own_path = true;  ///< the current attempt, not through a tunnel
+  /// When the current attempt was sent over the instance's own path.
+  std::optional<Instant> sent_over_own_path;
   std::optional<Instant> first_output;
   std::optional<Instant> last_output;
   absl::Duration longest_pause;  ///< between two events of the stream
--- a/dragonflyglade/gateway/target_paths.cc
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -31,23 +31,22 @@
       tasks(tasks),
       clock(std::move(clock)) {}
 
-TargetPaths::RequestGuard::RequestGuard(TargetPaths& paths,
-                                        std::string_view service, bool direct)
-    : reachability(paths.ReachabilityOf(service)),
-      sent_at(direct ? std::optional(paths.clock.Now()) : std::nullopt) {
-  if (direct) this->reachability.RecordSent(*this->sent_at);
-}
-
-TargetPaths::RequestGuard::~RequestGuard() {
-  if (this->sent_at.has_value()) this->reachability.RecordEnded(*this->sent_at);
-}
-
 TargetReachability& TargetPaths::ReachabilityOf(std::string_view service) {
   const auto found = this->reachability.find(service);
   if (found != this->reachability.end()) return found->second;
   return this->reachability[std::string(service)];
 }
 
+Instant TargetPaths::RecordSent(std::string_view service) {
+  const Instant now = this->clock.Now();
+  this->ReachabilityOf(service).RecordSent(now);
+  return now;
+}
+
+void TargetPaths::RecordEnded(std::string_view service, Instant sent_at) {
+  this->ReachabilityOf(service).RecordEnded(sent_at);
+}
+
 void TargetPaths::RecordReceived(std::string_view service) {
   this->ReachabilityOf(service).RecordReceived(this->clock.Now());
 }
--- a/dragonflyglade/gateway/target_paths.h
+++ b/dragonflyglade/gateway/target_paths.h
@@ -41,21 +41,6 @@
 /// on one event loop.
 class TargetPaths {
  public:
-  /// Marks a request as waiting for a response during its lifetime.
-  class RequestGuard {
-   public:
-    /// @param direct whether the request uses a direct path; others do not
-    /// count
-    RequestGuard(TargetPaths& paths, std::string_view service, bool direct);
-    ~RequestGuard();
-    RequestGuard(const RequestGuard&) = delete;
-    RequestGuard& operator=(const RequestGuard&) = delete;
-
-   private:
-    TargetReachability& reachability;
-    const std::optional<Instant> sent_at;
-  };
-
   TargetPaths(boost::asio::io_context& context, const WireFormat& wire,
               FleetState& fleet, FleetChannel& channel, InstanceRecord self,
               Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
@@ -74,6 +59,11 @@
   void Use(TargetPath path, const TargetState& target,
            TargetExchange& exchange);
 
+  /// Records a request that is sent over a direct path now.
+  /// @return when it was sent, for RecordEnded
+  Instant RecordSent(std::string_view service);
+  /// Records that such a request has ended.
+  void RecordEnded(std::string_view service, Instant sent_at);
   /// Records that bytes of a response arrived over a direct path.
   void RecordReceived(std::string_view service);
 
--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -187,6 +187,7 @@
   CPPUNIT_TEST(NeverRepeatsWhatMayHaveRunBehindATunnel);
   CPPUNIT_TEST(TakesNoEndOfATunnelForTheEndOfAnAnswer);
   CPPUNIT_TEST(EndsWorkBehindATunnelWhenTheCallerLeaves);
+  CPPUNIT_TEST(EndsWithRequestsInFlight);
   CPPUNIT_TEST(UsesItsOwnPathsAgain);
   CPPUNIT_TEST(GivesLeadershipToAnInstanceWithAPath);
   CPPUNIT_TEST_SUITE_END();
@@ -316,6 +317,29 @@
     CPPUNIT_ASSERT(absl::Now() - left < absl::Milliseconds(500));
   }
 
+  // Guards against a process that does not end, since what its requests refer
+  // to is destroyed before them.
+  void EndsWithRequestsInFlight() {
+    constexpr std::size_t kRequests = 20;
+    std::atomic<bool> hangs = false;
+    TwoInstances pair([&hangs](const RawRequest& request) {
+      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+      if (hangs) script = {"", false, true};
+      return script;
+    });
+    hangs = true;
+    const std::size_t before = pair.RequestCount();
+    std::vector<std::future<GatewayHarness::Reply>> calls;
+    calls.reserve(kRequests);
+    for (std::size_t i = 0; i < kRequests; ++i) {
+      calls.push_back(std::async(std::launch::async,
+                                 [&pair] { return pair.CallSecond(); }));
+    }
+    pair.harness.WaitFor([&] { return pair.RequestCount() > before; });
+    pair.StopSecond();
+    for (auto& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
+  }
+
   // Guards against tunnels that go on after the paths are back.
   void UsesItsOwnPathsAgain() {
     TwoInstances pair;
