Choose one free port for the datagrams and tunnels of the instances

Change: the port is chosen for both, and chosen anew if it is taken for one. Fixed ports behave as before.

--- a/dragonflyglade/gateway/listeners.h
+++ b/dragonflyglade/gateway/listeners.h
@@ -29,8 +29,10 @@
   boost::asio::ip::tcp::acceptor tunnels;
 
  private:
-  void Listen(Endpoint& endpoint, boost::asio::ip::tcp::acceptor& acceptor);
-  void BindPeers(Endpoint& endpoint);
+  static boost::system::error_code Listen(
+      Endpoint& endpoint, boost::asio::ip::tcp::acceptor& acceptor);
+  boost::system::error_code BindPeers(Endpoint& endpoint);
+  boost::system::error_code ListenToPeers(Endpoint& endpoint);
   void RecordError(const boost::system::error_code& error,
                    const Endpoint& endpoint);
 
