--- a/dragonflyglade/decision/target_reachability.h
+++ b/dragonflyglade/decision/target_reachability.h
@@ -51,7 +51,7 @@
     return this->failed_at.find(target) != this->failed_at.end();
   }
 
-  /// Records a request that is written to an established connection.
+  /// Records a request that is sent over a path of this instance.
   void RecordSent(Instant now) { this->waiting_since.insert(now); }
   /// Records that a request which was sent then waits no longer.
   void RecordEnded(Instant sent_at);
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -38,9 +38,8 @@
 }  // namespace
 
 // The listed instances divide a target's connections among them. A division by
-// all instances, listed or not, gives each too few: in a fleet of 61 instances
-// with 8 listed, an instance had 11 at a target of 64, and requests for a model
-// with one replica were refused although the target had room.
+// all instances, most of which get no callers, would leave each so few that
+// requests for a model with one replica are refused although it has room.
 int Pipeline::MaxInFlightAtTarget(const ServiceSpec& service) const {
   const double shared_connections =
       kListedInstancesShare * service.max_connections;
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -10,7 +10,7 @@
 
 namespace dragonflyglade {
 
-/// Command-line options of the benchmark program.
+/// Command-line options of the measuring program.
 struct MeasureOptions {
   std::uint64_t seed = 1;
   std::size_t instances = 0;  ///< number of instances; 0: the topic's own sizes
