End all requests while the parts of an instance exist

Callers saw nothing, operators a stopping process that used a core and did not end: coroutines that had not ended were destroyed by the event loop's destructor, after the log and all parts, and locals in them reached parts that were gone.

Gateway::Run now destroys the coroutines when the loop has ended, before it returns (EventLoop::DestroyTasks). A wait on an AsyncCondition leaves its list when it is destroyed, so that a late Notify reaches no timer that is gone. StopDeadline ends the process 200 ms before the platform would kill it, whatever the loop and the destructors do.

--- a/dragonflyglade/gateway/async_condition.cc
+++ b/dragonflyglade/gateway/async_condition.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace dragonflyglade::gateway {
 
@@ -22,15 +23,34 @@
   co_await WaitFor(timer);
 }
 
+// A timer of a coroutine that waits. A coroutine may be destroyed while it
+// waits, when the process ends; Notify would then reach a timer that is gone.
+class AsyncCondition::WaitingTimer {
+ public:
+  WaitingTimer(asio::io_context& context, absl::Duration timeout,
+               std::shared_ptr<Timers> timers)
+      : timer(context, absl::ToChronoNanoseconds(timeout)),
+        timers(std::move(timers)),
+        position(this->timers->insert(this->timers->end(), &this->timer)) {}
+  ~WaitingTimer() { this->timers->erase(this->position); }
+  WaitingTimer(const WaitingTimer&) = delete;
+  WaitingTimer& operator=(const WaitingTimer&) = delete;
+
+  asio::steady_timer& Timer() { return this->timer; }
+
+ private:
+  asio::steady_timer timer;
+  const std::shared_ptr<Timers> timers;
+  const Timers::iterator position;
+};
+
 asio::awaitable<void> AsyncCondition::Wait(absl::Duration timeout) {
-  asio::steady_timer timer(this->context, absl::ToChronoNanoseconds(timeout));
-  const auto position = this->waiting.insert(this->waiting.end(), &timer);
-  co_await WaitFor(timer);
-  this->waiting.erase(position);
+  WaitingTimer waiting_timer(this->context, timeout, this->waiting);
+  co_await WaitFor(waiting_timer.Timer());
 }
 
 void AsyncCondition::Notify() {
-  for (asio::steady_timer* timer : this->waiting) timer->cancel();
+  for (asio::steady_timer* timer : *this->waiting) timer->cancel();
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/async_condition.h
+++ b/dragonflyglade/gateway/async_condition.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <list>
+#include <memory>
 
 #include "absl/time/time.h"
 #include "dragonflyglade/gateway/awaitable.h"
@@ -22,15 +23,19 @@
       : context(context) {}
 
   /// Waits for the next Notify.
-  /// @param at_most timeout, after which Wait returns without a Notify
+  /// @param timeout time after which Wait returns without a Notify
   boost::asio::awaitable<void> Wait(absl::Duration timeout);
 
   /// Wakes all coroutines that wait at present.
   void Notify();
 
  private:
+  using Timers = std::list<boost::asio::steady_timer*>;
+  class WaitingTimer;
+
   boost::asio::io_context& context;
-  std::list<boost::asio::steady_timer*> waiting;
+  /// Shared with the coroutines that wait, which may be destroyed after this.
+  const std::shared_ptr<Timers> waiting = std::make_shared<Timers>();
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -34,9 +34,11 @@
 
 }  // namespace
 
-Gateway::Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire)
+Gateway::Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire,
+                 OnStopping on_stopping)
     : settings(std::move(settings)),
       reread(std::move(reread)),
+      on_stopping(std::move(on_stopping)),
       wire(std::move(wire)),
       clock(SteadyClock()),
       context(1),
@@ -192,6 +194,10 @@
                   {{"callers", this->settings.callers.ToString()},
                    {"store", this->settings.store.ToString()}});
   this->tasks.RunLoop();
+  // The context is destroyed after all parts. Destructors of locals in the
+  // coroutines that it still holds would then reach parts that are gone: a
+  // stopped process crashed or stayed in a loop for ever.
+  this->context.DestroyTasks();
   return Done{};
 }
 
@@ -375,6 +381,7 @@
 void Gateway::Stop() {
   if (this->stopping) return;
   this->stopping = true;
+  if (this->on_stopping) this->on_stopping(this->settings.stop_within);
   this->tasks.Spawn("stop", this->Shutdown());
 }
 
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_H_
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
@@ -12,6 +11,7 @@
 #include "dragonflyglade/decision/leader_lease.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
+#include "dragonflyglade/gateway/event_loop.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
@@ -42,10 +42,16 @@
  public:
   using ReadSettings = std::function<Result<GatewaySettings>()>;
 
+  /// Called when the shutdown begins.
+  /// @param stop_within time in which the process has to end
+  using OnStopping = std::function<void(absl::Duration stop_within)>;
+
   /// @param reread reads the settings again, on SIGHUP
-  Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire);
+  Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire,
+          OnStopping on_stopping = nullptr);
 
-  /// Listens and serves until a shutdown by SIGTERM or SIGINT is complete.
+  /// Listens and serves until a shutdown by SIGTERM or SIGINT is complete. When
+  /// it returns, all requests and connections of this instance have ended.
   /// Errors: kConnectFailed if it cannot listen on an address.
   Status Run();
 
@@ -59,7 +65,7 @@
   /// Begins the shutdown, as SIGTERM does. To be called on the event loop.
   void Stop();
 
-  boost::asio::io_context& Context() { return this->context; }
+  EventLoop& Context() { return this->context; }
   /// Waits for the log to be written, after Run; see EventLog::Drain.
   bool DrainLog(absl::Duration at_most) { return this->log.Drain(at_most); }
   /// This instance's view of the fleet; to be read on the event loop.
@@ -98,9 +104,10 @@
 
   GatewaySettings settings;
   const ReadSettings reread;
+  const OnStopping on_stopping;
   const WireFormat wire;
   const Clock clock;
-  boost::asio::io_context context;
+  EventLoop context;
   // Constructed before the listeners: a process that sees this one listen may
   // send it a signal.
   boost::asio::signal_set signals;
--- a/dragonflyglade/gateway/gateway_command.cc
+++ b/dragonflyglade/gateway/gateway_command.cc
@@ -4,10 +4,12 @@
 #include <fmt/ostream.h>
 #include <unistd.h>
 
+#include <string_view>
 #include <utility>
 #include <variant>
 
 #include "dragonflyglade/gateway/gateway.h"
+#include "dragonflyglade/gateway/stop_deadline.h"
 #include "dragonflyglade/operator/settings_options.h"
 
 namespace dragonflyglade::gateway {
@@ -19,6 +21,18 @@
 // Time to write the last log lines; a reader that works takes milliseconds.
 constexpr absl::Duration kLogDrainTimeout = absl::Milliseconds(300);
 
+// How long before the platform would kill the process it ends by itself.
+constexpr absl::Duration kForcedExitMargin = absl::Milliseconds(200);
+
+// Writes to the file itself: the log's thread may be what hangs.
+void ForceExit() {
+  constexpr std::string_view kLine =
+      "the process has not ended in time after the signal to stop\n";
+  [[maybe_unused]] const ssize_t written =
+      write(STDERR_FILENO, kLine.data(), kLine.size());
+  _exit(kExitFailed);
+}
+
 }  // namespace
 
 int RunGatewayCommand(const std::vector<std::string>& arguments,
@@ -40,7 +54,12 @@
   const auto reread = [&options] {
     return ReadGatewaySettings(options.settings);
   };
-  Gateway gateway(settings.Value(), reread, std::move(wire));
+  // Ends after the gateway, whose destructor it watches, too.
+  StopDeadline stop_deadline(ForceExit);
+  Gateway gateway(settings.Value(), reread, std::move(wire),
+                  [&stop_deadline](absl::Duration stop_within) {
+                    stop_deadline.Start(stop_within - kForcedExitMargin);
+                  });
   const Status ran = gateway.Run();
   if (!ran.Ok()) fmt::print(output.err, "{}\n", ran.Error().ToString());
   const int exit_code = ran.Ok() ? kExitDone : kExitFailed;
--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -81,10 +81,15 @@
     });
   }
 
-  // Ends the second instance's process.
-  void StopSecond() {
+  // Ends the second instance's event loop, and waits until Run has returned.
+  void EndSecondLoop() {
     this->second->Context().stop();
     this->thread.join();
+  }
+
+  // Ends the second instance's process.
+  void StopSecond() {
+    this->EndSecondLoop();
     this->second.reset();
   }
 
@@ -188,6 +193,7 @@
   CPPUNIT_TEST(TakesNoEndOfATunnelForTheEndOfAnAnswer);
   CPPUNIT_TEST(EndsWorkBehindATunnelWhenTheCallerLeaves);
   CPPUNIT_TEST(EndsWithRequestsInFlight);
+  CPPUNIT_TEST(EndsItsRequestsBeforeRunReturns);
   CPPUNIT_TEST(UsesItsOwnPathsAgain);
   CPPUNIT_TEST(GivesLeadershipToAnInstanceWithAPath);
   CPPUNIT_TEST_SUITE_END();
@@ -335,11 +341,43 @@
       calls.push_back(std::async(std::launch::async,
                                  [&pair] { return pair.CallSecond(); }));
     }
-    pair.harness.WaitFor([&] { return pair.RequestCount() > before; });
+    // A caller that connects later would look for an instance that has ended.
+    pair.harness.WaitFor(
+        [&] { return pair.RequestCount() >= before + kRequests; });
     pair.StopSecond();
     for (auto& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
   }
 
+  // Guards against requests that outlive the parts of their instance, and reach
+  // them when they are destroyed.
+  void EndsItsRequestsBeforeRunReturns() {
+    constexpr int kRequests = 10;
+    std::atomic<bool> hangs = false;
+    TwoInstances pair([&hangs](const RawRequest& request) {
+      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+      if (hangs) script = {"", false, true};
+      return script;
+    });
+    hangs = true;
+    const std::size_t before = pair.RequestCount();
+    std::vector<std::future<GatewayHarness::Reply>> calls;
+    calls.reserve(kRequests);
+    for (int i = 0; i < kRequests; ++i) {
+      calls.push_back(std::async(std::launch::async,
+                                 [&pair] { return pair.CallSecond(); }));
+    }
+    pair.harness.WaitFor(
+        [&] { return pair.RequestCount() >= before + kRequests; });
+    pair.EndSecondLoop();
+    for (auto& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
+    pair.harness.WaitFor([&pair] {
+      return pair.target_one.ConnectionsClosedByPeer() +
+                 pair.target_two.ConnectionsClosedByPeer() >=
+             kRequests;
+    });
+    pair.second.reset();
+  }
+
   // Guards against tunnels that go on after the paths are back.
   void UsesItsOwnPathsAgain() {
     TwoInstances pair;
