Preload adapters into free slots

Callers of adapters that no engine held were refused for the seconds without a leader: an adapter was loaded only when a request asked for it, by the leader's order.

The planner now loads each adapter that no engine holds where a slot stays free, the memory keeps room for as many models, and the engine answers; eight in a round. They have no load, so they are the first to be evicted.

--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -32,6 +32,9 @@
                      });
 }
 
+// Engine load that each resident adapter adds when engines are compared.
+constexpr double kLoadPerAdapter = 0.05;
+
 int AdapterCount(const EngineResidency& engine) {
   int count = 0;
   for (const auto& [model, adapters] : engine.models) {
@@ -117,6 +120,52 @@
     return this->engine_loads[&engine - this->engines.data()];
   }
 
+  // Cost of another adapter at the engine, in engine load.
+  double AdapterPlacementCost(const EngineResidency& engine) const {
+    return this->EngineLoad(engine) + kLoadPerAdapter * AdapterCount(engine);
+  }
+
+  // Whether the engine can hold as many models with another adapter as
+  // without it.
+  bool KeepsRoomForModels(const EngineResidency& engine,
+                          double adapter_mb) const {
+    const double free_mb = engine.memory_mb - this->UsedMb(engine);
+    const double left_mb = free_mb - adapter_mb;
+    return left_mb >= 0 &&
+           std::none_of(
+               this->models.begin(), this->models.end(), [&](const auto& item) {
+                 const DemandedModel& model = *item.second;
+                 return engine.models.count(model.name) == 0 &&
+                        model.memory_mb <= free_mb && model.memory_mb > left_mb;
+               });
+  }
+
+  // Whether a slot is left after another adapter, so that an adapter in demand
+  // need not wait until one is unloaded.
+  bool MayPreload(const EngineResidency& engine,
+                  const DemandedModel& model) const {
+    return engine.responsive && !engine.limited && !engine.has_open_order &&
+           AdapterCount(engine) + 1 < engine.adapter_slots &&
+           this->KeepsRoomForModels(engine, model.adapter_mb);
+  }
+
+  // Adapters of the model that no engine holds.
+  std::vector<std::string_view> MissingAdapters(
+      const DemandedModel& model) const {
+    std::set<std::string_view> resident;
+    const auto engines = this->engines_by_model.find(model.name);
+    if (engines == this->engines_by_model.end()) return {};
+    for (const EngineResidency* engine : engines->second) {
+      const auto& adapters = engine->models.at(model.name);
+      resident.insert(adapters.begin(), adapters.end());
+    }
+    std::vector<std::string_view> missing;
+    for (const std::string& adapter : model.adapters) {
+      if (resident.count(adapter) == 0) missing.push_back(adapter);
+    }
+    return missing;
+  }
+
   void CountEngineLoads() {
     this->engine_loads.clear();
     for (const EngineResidency& engine : this->engines) {
@@ -173,6 +222,7 @@
   this->RecordLoading(round);
   this->PlanModels(round, model_loads);
   this->PlanAdapters(round);
+  this->PreloadAdapters(round);
   return std::move(round.changes);
 }
 
@@ -410,7 +460,7 @@
               const auto key = [&](const EngineResidency* engine) {
                 return std::make_pair(
                     AdapterCount(*engine) >= engine->adapter_slots,
-                    round.EngineLoad(*engine) + 0.05 * AdapterCount(*engine));
+                    round.AdapterPlacementCost(*engine));
               };
               return key(one) < key(other);
             });
@@ -470,4 +520,39 @@
   return true;
 }
 
+// Without a leader no adapter can be loaded, and requests for one that no
+// engine holds are refused. Preloaded adapters are the first to be evicted,
+// since they have no load.
+void ResidencyPlanner::PreloadAdapters(Round& round) {
+  std::vector<const DemandedModel*> models;
+  for (const auto& [name, model] : round.models) models.push_back(model);
+  std::stable_sort(models.begin(), models.end(),
+                   [](const DemandedModel* one, const DemandedModel* other) {
+                     return one->load > other->load;
+                   });
+  int preloads = this->options.max_preloads;
+  for (const DemandedModel* model : models) {
+    const std::vector<std::string_view> missing = round.MissingAdapters(*model);
+    if (missing.empty()) continue;
+    std::vector<EngineResidency*> engines;
+    for (EngineResidency* engine : round.engines_by_model[model->name]) {
+      if (round.MayPreload(*engine, *model)) engines.push_back(engine);
+    }
+    std::sort(engines.begin(), engines.end(),
+              [&](const EngineResidency* one, const EngineResidency* other) {
+                return round.AdapterPlacementCost(*one) <
+                       round.AdapterPlacementCost(*other);
+              });
+    for (std::size_t i = 0; i < std::min(missing.size(), engines.size()); ++i) {
+      if (preloads == 0) return;
+      preloads -= 1;
+      const std::string adapter(missing[i]);
+      engines[i]->models[model->name].insert(adapter);
+      engines[i]->has_open_order = true;
+      round.changes.push_back(
+          {ResidencyChange::Kind::kLoad, engines[i]->id, model->name, adapter});
+    }
+  }
+}
+
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -26,6 +26,8 @@
   absl::Duration load_time_from_store = absl::Seconds(5);
   absl::Duration load_time_from_disk = absl::Seconds(1);
   absl::Duration load_time_from_memory = absl::Milliseconds(400);
+  /// All its adapters, also those that nobody asks for.
+  std::vector<std::string> adapters;
 };
 
 /// An adapter and the current demand for it.
@@ -96,14 +98,18 @@
   double unload_in_use_penalty = 0.3;
   /// How long a loaded adapter is not evicted.
   absl::Duration min_adapter_residency = absl::Seconds(2);
+  /// Adapters that are preloaded in one round. Limits how many engines are busy
+  /// with such orders when an adapter in demand needs one.
+  int max_preloads = 8;
 };
 
 /// Decides which models and adapters each engine loads. Not thread-safe.
 ///
 /// Every model keeps at least one copy. A copy is evicted only to make room for
-/// another model. Adapters load in milliseconds, so they are loaded when
-/// requests need them. Models take seconds, so copies are added when load
-/// rises, before requests wait.
+/// another model. Models take seconds to load, so copies are added when load
+/// rises, before requests wait. Adapters load in milliseconds and are loaded
+/// when requests need them; free adapter slots get those that no engine holds,
+/// for the seconds in which there is no leader to order a load.
 class ResidencyPlanner {
  public:
   ResidencyPlanner(ResidencyOptions options, Clock clock);
@@ -144,6 +150,7 @@
   void AddAdapter(Round& round, const DemandedAdapter& wanted);
   bool EvictAdapter(Round& round, EngineResidency& engine,
                     const DemandedAdapter& wanted);
+  void PreloadAdapters(Round& round);
 
   const ResidencyOptions options;
   const Clock clock;
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -99,7 +99,7 @@
   absl::Duration load_time = absl::Seconds(5);  ///< from the weight storage
   absl::Duration disk_load_time = absl::Seconds(5);
   absl::Duration memory_load_time = absl::Seconds(5);
-  int adapters = 0;
+  std::vector<std::string> adapters;  ///< names of all its adapters
   double adapter_mb = 0;
 };
 
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -277,6 +277,7 @@
     model.load_time_from_store = served.load_time;
     model.load_time_from_disk = served.disk_load_time;
     model.load_time_from_memory = served.memory_load_time;
+    model.adapters = served.adapters;
     const auto found_demand = demand.find({service.name, served.name, ""});
     if (found_demand != demand.end()) {
       model.load = found_demand->second.load;
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -120,7 +120,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("s2"), once.services.front().service);
     const ServiceSpec& engines = config.services.find("s1")->second;
     CPPUNIT_ASSERT_EQUAL(200000.0, engines.engine->memory_mb);
-    CPPUNIT_ASSERT_EQUAL(34300.0, engines.engine->models[0].memory_mb);
+    const ServedModel& model = engines.engine->models[0];
+    CPPUNIT_ASSERT_EQUAL(34300.0, model.memory_mb);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{63}, model.adapters.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a1"), model.adapters.front());
+    CPPUNIT_ASSERT_EQUAL(std::string("a63"), model.adapters.back());
     CPPUNIT_ASSERT(!config.services.find("s2")->second.engine.has_value());
     CPPUNIT_ASSERT(config.requires_keys);
     CPPUNIT_ASSERT_EQUAL(std::string("t1"),
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "dragonflyglade/decision/residency_planner.h"
 
 namespace dragonflyglade {
@@ -24,7 +25,19 @@
 }
 
 DemandedModel Model(std::string name, double load, int waiting = 0) {
-  return {std::move(name), 100, 1, load, waiting};
+  DemandedModel model;
+  model.name = std::move(name);
+  model.memory_mb = 100;
+  model.adapter_mb = 1;
+  model.load = load;
+  model.waiting_requests = waiting;
+  return model;
+}
+
+DemandedModel WithAdapters(DemandedModel model,
+                           std::vector<std::string> adapters) {
+  model.adapters = std::move(adapters);
+  return model;
 }
 
 std::string Describe(const std::vector<ResidencyChange>& changes) {
@@ -75,6 +88,11 @@
   return engine;
 }
 
+EngineResidency WithSlots(EngineResidency engine, int adapter_slots) {
+  engine.adapter_slots = adapter_slots;
+  return engine;
+}
+
 EngineResidency Unresponsive(EngineResidency engine) {
   engine.responsive = false;
   return engine;
@@ -91,6 +109,7 @@
   CPPUNIT_TEST(PlansChanges);
   CPPUNIT_TEST(DoesNotEvictNewCopy);
   CPPUNIT_TEST(NeverExceedsMemoryOrSlots);
+  CPPUNIT_TEST(HoldsEachAdapterBeforeItIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -262,6 +281,51 @@
           Engine("e2", {})},
          9,
          "load a at e2"},
+        {"an adapter that nobody asks for is preloaded",
+         {WithAdapters(Model("a", 0), {"x"})},
+         {},
+         {Engine("e1", {{"a", {}}})},
+         9,
+         "load a/x at e1"},
+        {"a resident adapter is not preloaded elsewhere",
+         {WithAdapters(Model("a", 0), {"x"})},
+         {},
+         {Engine("e1", {{"a", {"x"}}}), Engine("e2", {{"a", {}}})},
+         9,
+         ""},
+        {"preloading leaves a slot for an adapter in demand",
+         {WithAdapters(Model("a", 0), {"x", "y"})},
+         {},
+         {Engine("e1", {{"a", {"x"}}})},
+         9,
+         ""},
+        {"preloading leaves the memory for another model",
+         {WithAdapters(Model("a", 0), {"x"}), Model("b", 0)},
+         {},
+         {Engine("e1", {{"a", {}}}), Engine("e2", {{"b", {}}}, 100)},
+         9,
+         ""},
+        {"preloaded adapters are spread over the model's copies",
+         {WithAdapters(Model("a", 0), {"x", "y", "z"})},
+         {},
+         {WithSlots(Engine("e1", {{"a", {"x"}}}), 8),
+          WithSlots(Engine("e2", {{"a", {}}}), 8),
+          WithSlots(Engine("e3", {{"a", {}}}), 8)},
+         9,
+         "load a/y at e2, load a/z at e3"},
+        {"nothing is preloaded at engines that fail or leave",
+         {WithAdapters(Model("a", 0), {"x"})},
+         {},
+         {Unresponsive(Engine("e1", {{"a", {}}})),
+          Leaving(Engine("e2", {{"a", {}}})), Busy(Engine("e3", {{"a", {}}}))},
+         9,
+         ""},
+        {"a preloaded adapter gives way to one in demand",
+         {WithAdapters(Model("a", 0), {"x", "y", "z"})},
+         {{"a", "x", 0, 1}, {"a", "y", 0.1, 0}},
+         {Engine("e1", {{"a", {"y", "z"}}})},
+         9,
+         "unload a/z at e1"},
     };
     for (const PlanCase& item : cases) {
       ManualClock manual;
@@ -299,6 +363,56 @@
                          Describe(planner.Plan(models, {}, engines, 9)));
   }
 
+  // Guards against refused requests for adapters while no leader can load them.
+  void HoldsEachAdapterBeforeItIsAskedFor() {
+    struct FleetSize {
+      int engines;
+      int models;
+      int adapters_per_model;
+    };
+    for (const FleetSize size : {FleetSize{18, 9, 4}, FleetSize{120, 30, 12},
+                                 FleetSize{1900, 400, 10}}) {
+      ManualClock manual;
+      ResidencyPlanner planner{ResidencyOptions(), Clock(&manual)};
+      std::vector<std::string> adapters;
+      for (int i = 1; i <= size.adapters_per_model; ++i) {
+        adapters.push_back(absl::StrCat("a", i));
+      }
+      std::vector<DemandedModel> models;
+      for (int i = 0; i < size.models; ++i) {
+        models.push_back(
+            WithAdapters(Model(absl::StrCat("m", i), 0), adapters));
+      }
+      std::vector<EngineResidency> engines;
+      for (int i = 0; i < size.engines; ++i) {
+        engines.push_back(Engine(absl::StrCat("e", i),
+                                 {{models[i % size.models].name, {}}}, 150));
+        engines.back().adapter_slots = 5;
+      }
+      const int all = size.models * size.adapters_per_model;
+      for (int round = 0; round < all; ++round) {
+        const auto changes = planner.Plan(models, {}, engines, 0);
+        for (const ResidencyChange& change : changes) {
+          for (EngineResidency& engine : engines) {
+            if (engine.id != change.target) continue;
+            engine.models.at(change.model).insert(change.adapter);
+          }
+        }
+        if (changes.empty()) break;
+      }
+      std::set<std::string> resident;
+      for (const EngineResidency& engine : engines) {
+        for (const auto& [model, held] : engine.models) {
+          CPPUNIT_ASSERT(held.size() < 5);
+          for (const std::string& adapter : held) {
+            resident.insert(absl::StrCat(model, "/", adapter));
+          }
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(all), resident.size());
+    }
+  }
+
   // Failure: an engine that is ordered to load more than fits terminates, and
   // all its requests fail. Demand is random here and engines are busy at
   // random, so each round builds on the changes of earlier ones.
@@ -316,6 +430,7 @@
         for (const std::string& name : names) {
           models.push_back(Model(name, *rc::gen::inRange(0, 100) / 100.0));
           models.back().memory_mb = 60 + 10 * (name[0] - 'a');
+          models.back().adapters = {"x", "y", "z"};
           for (const char* adapter : {"x", "y", "z"}) {
             adapters.push_back({name, adapter, *rc::gen::inRange(0, 20) / 100.0,
                                 *rc::gen::inRange(0, 2)});
