Keep a new leader of many engines from losing its own lease

After a leader was killed in a fleet of 100 instances before 1,002 targets, callers were refused for 20 s: over_rate up to 4,892 in a second, since no leader granted quota, and model_not_resident.

Cause: the leader inspected all engines at once, and after each inspection computed the holdings of all. Late for the renewal, it forgot all engines, and began again.

Now an inspection or order updates the holdings of its engine only; at most 16 inspections run at once, those first whose models requests wait for and those last that did not answer; and a leader that was late keeps what it knows while the lease has the same fencing token, since no other instance gave orders meanwhile.

--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -1,6 +1,7 @@
 #include "dragonflyglade/gateway/placement_controller.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace dragonflyglade::gateway {
@@ -22,6 +23,9 @@
 constexpr int kPausePerPlanTime = 5;
 // The store removes the entry of a terminated engine after three heartbeats.
 constexpr absl::Duration kEntryExpiry = absl::Seconds(4);
+// A new leader inspects all engines. If it began with all of some hundred at
+// once, its event loop would be busy for longer than its lease is valid.
+constexpr int kMaxInspections = 16;
 // Requests a second and slot. An engine in demand starts more, since its
 // requests take a few seconds at most; a lower limit binds.
 constexpr double kSevereLimitPerSlot = 0.125;
@@ -70,17 +74,13 @@
     if (!this->leader_lease.MayIssueOrders()) {
       if (this->acting) this->StopActing();
       if (!this->leader_lease.IsLeader()) {
+        if (this->engines_fence.has_value()) this->ForgetEngines();
         this->aggregator.Clear();
         this->channel.ClearGrants();
       }
       continue;
     }
-    if (!this->acting) {
-      this->acting = true;
-      this->load_limiters.clear();
-      this->log.Write("placement", "acting",
-                      {{"fence", this->leader_lease.FencingToken()}});
-    }
+    if (!this->acting) this->StartActing();
     const Instant started_at = this->clock.Now();
     this->UpdateEngines();
     this->Plan();
@@ -127,14 +127,34 @@
          this->clock.Now() - *engine.connection_refused_at < kEntryExpiry;
 }
 
+// If this instance was late to renew its lease and no other instance became
+// leader meanwhile, the engines are as it left them. Inspecting them all again
+// would make it late for the next renewal, too.
+void PlacementController::StartActing() {
+  const std::uint64_t fence = this->leader_lease.FencingToken();
+  if (this->engines_fence != fence) this->ForgetEngines();
+  this->acting = true;
+  this->engines_fence = fence;
+  this->log.Write("placement", "acting",
+                  {{"fence", fence},
+                   {"known_engines", static_cast<int>(this->engines.size())}});
+}
+
 void PlacementController::StopActing() {
   this->acting = false;
-  this->engines.clear();
-  this->channel.Holdings().Clear();
+  if (!this->leader_lease.IsLeader()) this->ForgetEngines();
   this->log.Write("placement", "not acting",
                   {{"held", this->leader_lease.IsLeader()}});
 }
 
+void PlacementController::ForgetEngines() {
+  this->engines.clear();
+  this->uninspected.clear();
+  this->load_limiters.clear();
+  this->channel.Holdings().Clear();
+  this->engines_fence.reset();
+}
+
 void PlacementController::UpdateEngines() {
   std::set<std::string> present;
   this->fleet.ForEachTarget([&](const TargetState& target) {
@@ -211,22 +231,27 @@
   }
 }
 
+wire::TargetHoldings PlacementController::HoldingsOf(const Engine& engine) {
+  wire::TargetHoldings holdings;
+  holdings.target = engine.id;
+  holdings.born_ms = engine.born_ms;
+  for (const auto& [model, adapters] : engine.models) {
+    for (const std::string& adapter : adapters) {
+      std::string key = ResidentKey(model, adapter);
+      if (engine.changing_adapters.count(key) > 0) continue;
+      holdings.adapters.push_back(std::move(key));
+    }
+  }
+  holdings.closing_models.assign(engine.unloading.begin(),
+                                 engine.unloading.end());
+  return holdings;
+}
+
 std::vector<wire::TargetHoldings> PlacementController::CurrentHoldings() const {
   std::vector<wire::TargetHoldings> all;
+  all.reserve(this->engines.size());
   for (const auto& [id, engine] : this->engines) {
-    wire::TargetHoldings holdings;
-    holdings.target = id;
-    holdings.born_ms = engine->born_ms;
-    for (const auto& [model, adapters] : engine->models) {
-      for (const std::string& adapter : adapters) {
-        std::string key = ResidentKey(model, adapter);
-        if (engine->changing_adapters.count(key) > 0) continue;
-        holdings.adapters.push_back(std::move(key));
-      }
-    }
-    holdings.closing_models.assign(engine->unloading.begin(),
-                                   engine->unloading.end());
-    all.push_back(std::move(holdings));
+    all.push_back(HoldingsOf(*engine));
   }
   return all;
 }
@@ -236,8 +261,15 @@
   this->wake.Notify();
 }
 
-void PlacementController::PublishHoldings() {
-  this->channel.Holdings().Set(this->CurrentHoldings());
+// A new leader inspects all engines at once. If each inspection computed the
+// holdings of all of them, a fleet of some hundred engines would stop the event
+// loop for seconds.
+void PlacementController::PublishHoldings(const Engine& engine) {
+  const auto current = this->engines.find(engine.id);
+  if (current == this->engines.end()) return;
+  // The target restarted while the order was in progress.
+  if (current->second->born_ms != engine.born_ms) return;
+  this->channel.Holdings().Update(HoldingsOf(engine));
   this->channel.SchedulePush();
 }
 
@@ -247,6 +279,7 @@
   for (const auto& [name, service] : config->services) {
     if (service.engine.has_value()) this->PlanService(service, demand);
   }
+  this->QueueInspections(demand);
 }
 
 ModelLoadLimiter& PlacementController::LoadLimiterOf(
@@ -329,11 +362,46 @@
       limiter.RemainingLoads(service.engine->loads_per_second));
   for (const ResidencyChange& change : changes)
     this->ScheduleOrder(service, change);
+}
+
+// Engines that hold a model which requests wait for go first. Engines that did
+// not answer go last: they would take up all inspections.
+void PlacementController::QueueInspections(
+    const std::map<ModelName, FleetDemand>& demand) {
+  std::set<std::string_view> awaited;
+  for (const auto& [name, found] : demand) {
+    if (found.waiting > 0) awaited.insert(name.model);
+  }
+  const auto is_awaited = [&](const Engine& engine) {
+    return std::any_of(
+        engine.models.begin(), engine.models.end(),
+        [&](const auto& model) { return awaited.count(model.first) > 0; });
+  };
+  this->uninspected.clear();
   for (const auto& [id, engine] : this->engines) {
-    if (engine->needs_inspection && !engine->is_busy) {
-      engine->is_busy = true;
-      this->tasks.Spawn("inspect engine", this->InspectEngine(engine));
-    }
+    if (!engine->needs_inspection || engine->is_busy) continue;
+    this->uninspected.push_back(engine);
+  }
+  const auto order = [&](const Engine& engine) {
+    const bool was_inspected = engine.last_order_ended_at != Instant();
+    return std::make_tuple(was_inspected, !is_awaited(engine),
+                           engine.last_order_ended_at);
+  };
+  std::sort(this->uninspected.begin(), this->uninspected.end(),
+            [&](const auto& one, const auto& other) {
+              return order(*one) < order(*other);
+            });
+  this->BeginInspections();
+}
+
+void PlacementController::BeginInspections() {
+  while (!this->uninspected.empty() && this->inspections < kMaxInspections) {
+    const std::shared_ptr<Engine> engine = this->uninspected.front();
+    this->uninspected.pop_front();
+    if (!engine->needs_inspection || engine->is_busy) continue;
+    engine->is_busy = true;
+    this->inspections += 1;
+    this->tasks.Spawn("inspect engine", this->InspectEngine(engine));
   }
 }
 
--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -70,13 +71,17 @@
   void HandleMissingModel(const wire::TargetLack& lack);
   void HandleConnectionRefused(const std::string& target);
   bool IsTerminated(const Engine& engine) const;
+  void StartActing();
   void StopActing();
+  void ForgetEngines();
   void UpdateEngines();
   void UpdateEngine(const TargetState& target);
   void ApplyTargetRecord(Engine& engine, const TargetState& target);
   void Plan();
   void PlanService(const ServiceSpec& service,
                    const std::map<ModelName, FleetDemand>& demand);
+  void QueueInspections(const std::map<ModelName, FleetDemand>& demand);
+  void BeginInspections();
   ModelLoadLimiter& LoadLimiterOf(const ServiceSpec& service);
   bool ScheduleOrder(const ServiceSpec& service, const ResidencyChange& change);
   boost::asio::awaitable<void> ExecuteOrder(std::shared_ptr<Engine> engine,
@@ -92,8 +97,9 @@
   boost::asio::awaitable<void> InspectEngine(std::shared_ptr<Engine> engine);
   boost::asio::awaitable<void> FetchEngineReport(Engine& engine);
   bool ApplyEngineReport(Engine& engine, std::string_view body);
+  static wire::TargetHoldings HoldingsOf(const Engine& engine);
   std::vector<wire::TargetHoldings> CurrentHoldings() const;
-  void PublishHoldings();
+  void PublishHoldings(const Engine& engine);
   void RequestPlan();
 
   boost::asio::io_context& context;
@@ -113,6 +119,11 @@
   bool acting = false;
   bool plan_requested = false;
   std::map<std::string, std::shared_ptr<Engine>> engines;
+  /// The fencing token of the lease under which the engines are known.
+  std::optional<std::uint64_t> engines_fence;
+  /// Engines that need an inspection, in the order in which they get it.
+  std::deque<std::shared_ptr<Engine>> uninspected;
+  int inspections = 0;  ///< in progress
   /// By service.
   std::map<std::string, ModelLoadLimiter, std::less<>> load_limiters;
 };
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -113,7 +113,7 @@
   engine->changing_adapters.erase(ResidentKeyOf(change));
   engine->last_order_ended_at = this->clock.Now();
   engine->is_busy = false;
-  this->PublishHoldings();
+  this->PublishHoldings(*engine);
   this->RequestPlan();
   if (exception) std::rethrow_exception(exception);
 }
@@ -121,7 +121,7 @@
 asio::awaitable<void> PlacementController::DeliverOrder(
     Engine& engine, const ResidencyChange& change) {
   if (change.kind == ResidencyChange::Kind::kUnload) {
-    this->PublishHoldings();
+    this->PublishHoldings(engine);
     co_await Sleep(this->context, kUnloadNoticeDelay);
   }
   std::optional<OrderResponse> response;
@@ -190,7 +190,9 @@
       co_await CatchException(this->FetchEngineReport(*engine));
   engine->last_order_ended_at = this->clock.Now();
   engine->is_busy = false;
-  this->PublishHoldings();
+  this->inspections -= 1;
+  this->BeginInspections();
+  this->PublishHoldings(*engine);
   if (exception) std::rethrow_exception(exception);
 }
 
--- a/dragonflyglade/gateway/versioned_holdings.cc
+++ b/dragonflyglade/gateway/versioned_holdings.cc
@@ -19,6 +19,13 @@
   this->items = std::move(newer);
 }
 
+void VersionedHoldings::Update(wire::TargetHoldings holdings) {
+  Item& item = this->items[holdings.target];
+  if (item.changed > 0 && item.holdings == holdings) return;
+  item.changed = ++this->version;
+  item.holdings = std::move(holdings);
+}
+
 void VersionedHoldings::Clear() { this->items.clear(); }
 
 std::vector<wire::TargetHoldings> VersionedHoldings::Since(
--- a/dragonflyglade/gateway/versioned_holdings.h
+++ b/dragonflyglade/gateway/versioned_holdings.h
@@ -20,6 +20,10 @@
   /// Complexity: O(n log n) in the targets.
   void Set(std::vector<wire::TargetHoldings> all);
 
+  /// Replaces the residency of one target.
+  /// Complexity: O(log n) in the targets.
+  void Update(wire::TargetHoldings holdings);
+
   /// Forgets all targets, after the leader lease ended. Later versions continue
   /// from the last one.
   void Clear();
