Hold requests while a new process gets its first configuration

In the first second of a process a request now waits for it, for a quarter of its deadline at most; after that it is refused at once, as before.

Test: platform-gateway HoldsRequestsUntilTheFirstConfiguration; without the change the first case was answered 503.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -21,6 +21,11 @@
 // callers that have just queried the directory may be about to connect.
 constexpr absl::Duration kStopGracePeriod = absl::Milliseconds(2500);
 constexpr double kMaxRetryAfterSeconds = 60;
+// A process has its first configuration within this time of its start, unless
+// the store is away.
+constexpr absl::Duration kFirstConfigTime = absl::Seconds(1);
+// The share of a caller's deadline for which a request waits for it.
+constexpr double kMaxFirstConfigWaitShare = 0.25;
 // When this instance loses its paths to the targets, requests without a sign
 // for this long are sent again over other paths.
 constexpr absl::Duration kSilenceToRetry = absl::Milliseconds(300);
@@ -72,6 +77,7 @@
 }
 
 asio::awaitable<void> Pipeline::ServeJob(RequestJob& job) {
+  co_await this->AwaitFirstConfig(job);
   std::optional<Refusal> refusal = co_await this->Admit(job);
   if (refusal.has_value()) {
     co_await this->Refuse(job, std::move(*refusal));
@@ -83,6 +89,22 @@
   co_await this->Forward(job);
 }
 
+// When all instances restart at once, callers are refused by every instance
+// that they try, although each of them could serve a moment later.
+asio::awaitable<void> Pipeline::AwaitFirstConfig(RequestJob& job) {
+  const absl::Duration deadline =
+      job.request.deadline.value_or(absl::InfiniteDuration());
+  const Instant until =
+      std::min(this->started + kFirstConfigTime,
+               job.started + kMaxFirstConfigWaitShare * deadline);
+  Instant now = job.started;
+  while (job.config == nullptr && now < until) {
+    co_await this->fleet.Changed().Wait(until - now);
+    now = this->clock.Now();
+    job.config = this->fleet.Config();
+  }
+}
+
 // A response that was on its way over a lost path arrives late or never. What
 // may run once only goes on waiting.
 void Pipeline::RetryOnOtherPaths(std::string_view service) {
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -63,6 +63,7 @@
   boost::asio::awaitable<void> ServeJob(RequestJob& job);
   boost::asio::awaitable<void> RespondToFailure(
       RequestJob& job, const std::exception_ptr& failure);
+  boost::asio::awaitable<void> AwaitFirstConfig(RequestJob& job);
   boost::asio::awaitable<std::optional<Refusal>> Admit(RequestJob& job);
   std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -7,9 +7,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -110,6 +112,28 @@
           true};
 }
 
+// Runs another instance in this process until the end of its lifetime.
+class RunningInstance {
+ public:
+  explicit RunningInstance(const GatewaySettings& settings)
+      : gateway(
+            settings, [settings] { return settings; },
+            platform::MakeWireFormat()),
+        thread([this] { this->gateway.Run(); }) {}
+  ~RunningInstance() {
+    this->gateway.Context().stop();
+    this->thread.join();
+  }
+  RunningInstance(const RunningInstance&) = delete;
+  RunningInstance& operator=(const RunningInstance&) = delete;
+
+  Endpoint Callers() const { return this->gateway.Settings().callers; }
+
+ private:
+  gateway::Gateway gateway;
+  std::thread thread;
+};
+
 struct ExchangeCase {
   const char* what;
   const char* path;
@@ -134,6 +158,7 @@
   CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
   CPPUNIT_TEST(SendsFewRequestsToATargetThatWarmsUp);
   CPPUNIT_TEST(ReloadsItsSettings);
+  CPPUNIT_TEST(HoldsRequestsUntilTheFirstConfiguration);
   CPPUNIT_TEST(ServesRequestsDuringShutdown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -450,6 +475,45 @@
     CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
   }
 
+  // Guards against refusals by all instances after all of them restarted, while
+  // each has its configuration a moment later.
+  void HoldsRequestsUntilTheFirstConfiguration() {
+    Harness harness;
+    struct Case {
+      std::string name;
+      absl::Duration config_after;
+      int status;
+    };
+    const std::vector<Case> cases = {
+        {"soon", absl::Milliseconds(200), 200},
+        {"never", absl::InfiniteDuration(), 503},
+    };
+    for (const Case& item : cases) {
+      PlatformStoreStandIn store;
+      GatewaySettings settings = harness.Settings("two");
+      settings.store = store.Address();
+      const RunningInstance second(settings);
+      const absl::Time start = absl::Now();
+      auto call = std::async(std::launch::async, [&] {
+        return harness.SendTo(second.Callers(), harness.Text("GET", "/any/"));
+      });
+      if (item.config_after < absl::InfiniteDuration()) {
+        absl::SleepFor(item.config_after);
+        store.Put("servers/i-1", harness.store.Get("servers/i-1"));
+        store.Put("op/config", harness.Config(1, "plain").dump());
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.status, call.get().status);
+      CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(1500));
+      if (item.status == 503) {
+        const absl::Time again = absl::Now();
+        const Harness::Reply reply =
+            harness.SendTo(second.Callers(), harness.Text("GET", "/any/"));
+        CPPUNIT_ASSERT_EQUAL(503, reply.status);
+        CPPUNIT_ASSERT(absl::Now() - again < absl::Milliseconds(300));
+      }
+    }
+  }
+
   // A process that shuts down must report that it is not ready and leave the
   // list of instances, but still serve requests, since callers cache the list
   // for seconds.
