Keep the adapters of the last summary while there is no leader

Callers of adapters that an engine held were refused (model_not_resident) for some three seconds after the leader was killed.

Cause: an instance dropped the leader's summary after 1.5 s and used the target's record, which may be as old as its process, since changes of adapters alone are not passed on.

Now an old summary's adapters stay known beside the record's. A target that lacks an adapter declines without running.

--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -70,6 +70,10 @@
       [&](const ResidentModel& item) { return item.name == model; });
 }
 
+// Without a leader nobody loads or unloads adapters, so that what the last one
+// reported stays right until the next one acts. The record may be as old as
+// this process: changes of adapters alone are not passed on. If this instance
+// only lost contact with the leader, a target that lacks the adapter says so.
 bool TargetState::Holds(std::string_view model, std::string_view adapter,
                         Instant now) const {
   const std::string key = ResidentKey(model, adapter);
@@ -81,7 +85,8 @@
   for (const ResidentModel& item : this->record.models) {
     if (item.name != model) continue;
     if (adapter.empty()) return true;
-    if (fresh) return this->placed_adapters.count(key) > 0;
+    const bool placed = this->placed_adapters.count(key) > 0;
+    if (fresh || placed) return placed;
     return std::find(item.adapters.begin(), item.adapters.end(), adapter) !=
            item.adapters.end();
   }
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -56,7 +56,8 @@
   /// @return false if none was reported since the target's process started
   bool RefreshPlacement(Instant now);
   /// Stores the residency that the leader reported. While it is recent it
-  /// overrides the target's record, which lags by a heartbeat.
+  /// overrides the target's record, which lags by a heartbeat; later it adds to
+  /// the record.
   /// @param adapters the resident adapters, each as ResidentKey
   /// @param closing_models models that are about to be unloaded
   void SetPlacement(std::set<std::string> adapters,
