Let streams go on only at the software version that began them

Targets of several versions may serve side by side, and none checks whose stream it goes on with. Callers got events of two versions: within a response whose target broke off, and when they took a stream up again.

The version of the target that sends the first event is the stream's. Within a response it is kept with the request. Over a caller's tries the instances remember it: while several versions serve, the instance tells two others, in two availability zones, before it sends the request to its target; another instance asks five by the same hash. What nobody knows is refused at once (stream_origin_unknown), and so is a stream of whose version no target serves (stream_version_unavailable). With one version for twice the route's timeout any target goes on; the leader keeps in the store since when that holds, so that it is known after all instances were killed.

--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -30,6 +30,8 @@
   kTargetsUnreachable,
   kZonesEvacuated,
   kTargetsLimited,
+  kStreamOriginUnknown,
+  kStreamVersionUnavailable,
   kQueueFull,
   kClaimServiceUnavailable,
   kClaimInDoubt,
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -116,6 +116,7 @@
       first_start(first_start),
       sync_state(sync_state),
       relay(relay),
+      stream_origins(stream_origins),
       metrics(metrics),
       tasks(tasks),
       clock(std::move(clock)),
@@ -128,6 +129,7 @@
   };
   this->quota_admission.OnSend(send);
   this->relay.OnSend(send);
+  this->stream_origins.OnSend(send);
   this->relay.OnDigestApplied([this] { this->CheckLeaderChange(); });
   this->sync_state.OnUrgentChange([this] { this->SendUrgentChanges(); });
 }
@@ -160,6 +162,7 @@
   if (message->__isset.grant)
     this->quota_admission.ReceiveGrant(message->grant);
   if (message->__isset.note) this->ReceiveSendNote(message->note);
+  this->stream_origins.Receive(*message);
   this->relay.Receive(*message);
 }
 
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -23,6 +23,7 @@
 #include "dragonflyglade/gateway/report_aggregator.h"
 #include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
+#include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/versioned_holdings.h"
 #include "dragonflyglade/net/endpoint.h"
@@ -43,7 +44,8 @@
                QuotaAdmission& quota_admission, ReportAggregator& aggregator,
                const LeaderLease& leader_lease, InstanceRecord self,
                bool first_start, StoreSyncState& sync_state, StoreRelay& relay,
-               Metrics& metrics, Tasks& tasks, Clock clock);
+               StreamOrigins& stream_origins, Metrics& metrics, Tasks& tasks,
+               Clock clock);
 
   /// Receives datagrams; runs until the process ends.
   boost::asio::awaitable<void> Receive();
@@ -132,6 +134,7 @@
   const bool first_start;
   StoreSyncState& sync_state;
   StoreRelay& relay;
+  StreamOrigins& stream_origins;
   Metrics& metrics;
   Tasks& tasks;
   const Clock clock;
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -27,7 +27,11 @@
 
 FleetState::FleetState(boost::asio::io_context& context, const WireFormat& wire,
                        Clock clock, EventLog& log)
-    : wire(wire), clock(std::move(clock)), log(log), changed(context) {}
+    : wire(wire),
+      clock(std::move(clock)),
+      started(this->clock.Now()),
+      log(log),
+      changed(context) {}
 
 std::string FleetState::InstanceKey(std::string_view name) {
   std::string key(kInstanceKeyPrefix);
@@ -64,6 +68,10 @@
     this->ApplySpends(item);
     return;
   }
+  if (item.key == kVersionRecordKey) {
+    this->ApplyVersions(item);
+    return;
+  }
   const bool of_target = this->HasPrefix(item.key, this->wire.targets_prefix);
   const bool urgent = !of_target || this->ApplyTarget(item);
   if (item.key == this->wire.config_key) this->ApplyConfig(item, source);
@@ -106,6 +114,7 @@
   };
   return old.leaving != record.leaving || old.address != record.address ||
          old.service != record.service || old.born_ms != record.born_ms ||
+         old.version != record.version ||
          old.warm_up_remaining < record.warm_up_remaining ||
          names(old) != names(record);
 }
@@ -128,7 +137,9 @@
   this->log.Write("targets", record.leaving ? "leaving" : "entry",
                   {{"target", record.id},
                    {"service", record.service},
+                   {"version", record.version.value_or("none")},
                    {"revision", item.revision}});
+  this->RecordVersion(record);
   const auto known = this->targets.find(record.id);
   if (known != this->targets.end() &&
       known->second->Record().service == record.service) {
@@ -224,6 +235,55 @@
   this->initial_spend_record = std::move(record.Value());
 }
 
+// As ApplySpends.
+void FleetState::ApplyVersions(const StoreItem& item) {
+  if (this->has_listing) return;
+  Result<VersionRecord> record = DecodeVersionRecord(item.value);
+  if (!record.Ok()) {
+    this->log.Write(
+        "streams", "version record invalid",
+        {{"revision", item.revision}, {"why", record.Error().ToString()}});
+    return;
+  }
+  this->initial_version_record = std::move(record.Value());
+}
+
+ServedVersions& FleetState::VersionsOf(std::string_view service) {
+  return this->served_versions
+      .try_emplace(std::string(service), ServedVersions(this->started))
+      .first->second;
+}
+
+void FleetState::RecordVersion(const TargetRecord& record) {
+  const bool is_second = this->VersionsOf(record.service)
+                             .Record(record.version, this->clock.Now());
+  if (is_second && this->on_second_version)
+    this->on_second_version(record.service);
+}
+
+absl::Duration FleetState::SingleVersionFor(std::string_view service) {
+  const Instant now = this->clock.Now();
+  ServedVersions& versions = this->VersionsOf(service);
+  for (const auto& target : this->Targets(service)) {
+    versions.Record(target->Record().version, now);
+  }
+  return versions.SingleFor(now);
+}
+
+std::optional<SoftwareVersion> FleetState::LatestVersion(
+    std::string_view service) const {
+  const auto found = this->served_versions.find(service);
+  if (found == this->served_versions.end()) return std::nullopt;
+  return found->second.Latest();
+}
+
+void FleetState::SetSingleVersionSince(const std::string& service,
+                                       const SoftwareVersion& version,
+                                       Instant since) {
+  this->SingleVersionFor(service);
+  this->VersionsOf(service).SetSingleSince(version, since);
+}
+
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
   if (!this->IsNewer(key, revision)) return;
   StoreItem removed;
@@ -295,6 +355,7 @@
   const auto found = this->targets.find(id);
   if (found == this->targets.end()) return;
   const std::shared_ptr<TargetState> target = found->second;
+  this->RecordVersion(target->Record());
   auto& peers = this->by_service[target->Record().service];
   peers.erase(std::remove(peers.begin(), peers.end(), target), peers.end());
   this->targets.erase(found);
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/types/span.h"
@@ -22,6 +23,7 @@
 #include "dragonflyglade/gateway/spend_record.h"
 #include "dragonflyglade/gateway/store_types.h"
 #include "dragonflyglade/gateway/target_state.h"
+#include "dragonflyglade/gateway/version_record.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
 namespace dragonflyglade::gateway {
@@ -116,6 +118,28 @@
     return this->initial_spend_record;
   }
 
+  /// For how long all targets of the service have had the same software
+  /// version; zero while they have several.
+  /// Complexity: linear in the targets of the service.
+  absl::Duration SingleVersionFor(std::string_view service);
+  /// The software version of the service's targets, or one of several; nothing
+  /// if no target is known.
+  std::optional<SoftwareVersion> LatestVersion(std::string_view service) const;
+  /// Sets since when, before this process started, a service's targets have had
+  /// the same version.
+  void SetSingleVersionSince(const std::string& service,
+                             const SoftwareVersion& version, Instant since);
+  /// Sets a function that is called when targets of a service begin to serve
+  /// that have another version than the ones before.
+  void OnSecondVersion(std::function<void(std::string_view service)> callback) {
+    this->on_second_version = std::move(callback);
+  }
+  /// The versions that served alone as the store had them when this process
+  /// listed the store for the first time.
+  const std::optional<VersionRecord>& InitialVersionRecord() const {
+    return this->initial_version_record;
+  }
+
   /// The revision of the newest urgent change. A change is urgent unless it
   /// only concerns the adapters and the cached weights of a target.
   std::uint64_t UrgentRevision() const { return this->urgent_revision; }
@@ -132,6 +156,9 @@
       "dragonflyglade/duty/placement";
   /// Key of the SpendRecord, read by a new leader and at the process's start.
   static constexpr std::string_view kSpendRecordKey = "dragonflyglade/spends";
+  /// Key of the VersionRecord, read at the process's start.
+  static constexpr std::string_view kVersionRecordKey =
+      "dragonflyglade/versions";
 
  private:
   bool IsNewer(std::string_view key, std::uint64_t revision);
@@ -145,6 +172,9 @@
   void EndEvacuation(std::string_view zone, std::uint64_t revision);
   void BeginWarmUp(std::string_view zone);
   void ApplySpends(const StoreItem& item);
+  void ApplyVersions(const StoreItem& item);
+  ServedVersions& VersionsOf(std::string_view service);
+  void RecordVersion(const TargetRecord& record);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   /// Roles derived from the list of instances and the leader.
@@ -162,6 +192,7 @@
 
   const WireFormat& wire;
   const Clock clock;
+  const Instant started;
   EventLog& log;
   AsyncCondition changed;
   std::shared_ptr<const GatewayConfig> config;
@@ -175,6 +206,10 @@
   /// Reset when the instances or the leader change.
   mutable std::optional<Choice> choice;
   std::optional<SpendRecord> initial_spend_record;
+  std::optional<VersionRecord> initial_version_record;
+  /// By service.
+  std::map<std::string, ServedVersions, std::less<>> served_versions;
+  std::function<void(std::string_view)> on_second_version;
   bool has_listing = false;  ///< whether a listing was applied
   std::optional<LeaderRecord> leader;
   std::uint64_t leader_revision = 0;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -66,11 +66,13 @@
                       this->metrics, this->log, this->clock, absl::Now),
       relay(this->context, this->fleet, this->sync_state, this->self,
             this->settings.link_mbps, this->metrics, this->log, this->clock),
+      stream_origins(this->context, this->fleet, this->sync_state, this->self,
+                     this->metrics, this->log, this->clock, absl::Now),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->quota_admission, this->aggregator,
               this->leader_lease, this->self, this->settings.first_start,
-              this->sync_state, this->relay, this->metrics, this->tasks,
-              this->clock),
+              this->sync_state, this->relay, this->stream_origins,
+              this->metrics, this->tasks, this->clock),
       paths(this->context, this->wire, this->fleet, this->channel, this->self,
             this->metrics, this->log, this->tasks, this->clock),
       tunnel_server(this->context, this->fleet, this->paths, this->metrics,
@@ -82,13 +84,16 @@
           this->log, this->clock),
       spend_recorder(this->context, this->store, this->aggregator,
                      this->leader_lease, this->log, absl::Now),
+      version_recorder(this->context, this->store, this->fleet,
+                       this->leader_lease, this->clock, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->leader_lease, this->aggregator, this->channel,
                 this->paths, this->metrics, this->log, this->tasks,
                 this->clock),
       pipeline(this->context, this->settings, this->wire, this->fleet,
-               this->demand, this->quota_admission, this->channel, this->paths,
-               this->metrics, this->log, this->tasks, this->clock) {
+               this->demand, this->quota_admission, this->channel,
+               this->stream_origins, this->paths, this->metrics, this->log,
+               this->tasks, this->clock) {
   this->AddGauges();
 }
 
@@ -180,6 +185,8 @@
                                [this] { return this->channel.Report(); });
   this->tasks.SpawnWithRestart("record spending",
                                [this] { return this->spend_recorder.Run(); });
+  this->tasks.SpawnWithRestart("record versions",
+                               [this] { return this->version_recorder.Run(); });
   this->tasks.SpawnWithRestart("place models",
                                [this] { return this->placement.Run(); });
   // A write to a connection that the peer has closed must not end the process.
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -28,9 +28,11 @@
 #include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/store_watcher.h"
+#include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/target_paths.h"
 #include "dragonflyglade/gateway/tasks.h"
 #include "dragonflyglade/gateway/tunnel_server.h"
+#include "dragonflyglade/gateway/version_recorder.h"
 #include "dragonflyglade/gateway/wire_format.h"
 #include "dragonflyglade/operator/metrics.h"
 
@@ -128,11 +130,13 @@
   ReportAggregator aggregator;
   QuotaAdmission quota_admission;
   StoreRelay relay;
+  StreamOrigins stream_origins;
   FleetChannel channel;
   TargetPaths paths;
   TunnelServer tunnel_server;
   Registration registration;
   SpendRecorder spend_recorder;
+  VersionRecorder version_recorder;
   PlacementController placement;
   Pipeline pipeline;
   bool stopping = false;
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -13,6 +13,7 @@
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/decision/route_table.h"
 #include "dragonflyglade/decision/slow_start.h"
+#include "dragonflyglade/decision/stream_versions.h"
 
 namespace dragonflyglade::gateway {
 
@@ -46,6 +47,9 @@
   std::optional<absl::Duration> deadline;  ///< time that the caller waits
   ModelUse use;
   std::optional<std::string> resume_after;  ///< id of the last event received
+  /// Id of the caller's attempt that brought the first event of the stream that
+  /// this request takes up; empty if it names none.
+  std::string taken_up_stream;
   /// End-to-end fields, without those that the gateway sets.
   HeaderFields forwarded_fields;
   std::string body;
@@ -160,6 +164,7 @@
   std::string service;
   std::string address;  ///< IP address and port
   std::string zone;
+  SoftwareVersion version;
   int slots = 1;
   bool leaving = false;
   std::int64_t born_ms = 0;  ///< start time; a change means a restart
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -39,8 +39,9 @@
 Pipeline::Pipeline(asio::io_context& context, const GatewaySettings& settings,
                    const WireFormat& wire, FleetState& fleet,
                    ModelDemand& demand, QuotaAdmission& quotas,
-                   FleetChannel& channel, TargetPaths& paths, Metrics& metrics,
-                   EventLog& log, Tasks& tasks, Clock clock)
+                   FleetChannel& channel, StreamOrigins& stream_origins,
+                   TargetPaths& paths, Metrics& metrics, EventLog& log,
+                   Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -48,6 +49,7 @@
       demand(demand),
       quotas(quotas),
       channel(channel),
+      stream_origins(stream_origins),
       paths(paths),
       metrics(metrics),
       log(log),
@@ -130,6 +132,7 @@
 asio::awaitable<std::optional<Refusal>> Pipeline::Admit(RequestJob& job) {
   std::optional<Refusal> refusal = this->FindRoute(job);
   if (!refusal.has_value()) refusal = this->FindWorkspace(job);
+  if (!refusal.has_value()) refusal = co_await this->FindStreamOrigin(job);
   if (!refusal.has_value()) refusal = co_await this->AdmitToQuota(job);
   job.admission_time = this->clock.Now() - job.started;
   co_return refusal;
@@ -232,14 +235,6 @@
   }
 }
 
-void Pipeline::RecordPauses(const RequestJob& job) {
-  if (!job.NeedsModel()) return;
-  this->metrics.Observe("longest_pause_seconds", "",
-                        absl::ToDoubleSeconds(job.longest_pause));
-  this->pacing[job.service->name].RecordStream(job.longest_pause,
-                                               job.route->event_gap_objective);
-}
-
 // If a target may have executed the request, the refusal must not tell the
 // caller that it did not run.
 Refusal Pipeline::NoTargetRefusal(const RequestJob& job) {
@@ -254,6 +249,11 @@
                        "all availability zones of the service are evacuated",
                        kRetryAfterEvacuation);
   }
+  if (!this->HasTargetOfStreamVersion(job)) {
+    return MakeRefusal(RefusalCode::kStreamVersionUnavailable,
+                       "no target of the version that began the stream serves",
+                       kRetryAfterStreamVersion);
+  }
   const std::optional<absl::Duration> until_allowed =
       this->UntilSomeTargetAllows(job);
   if (until_allowed > absl::ZeroDuration()) {
@@ -271,13 +271,6 @@
   return MakeRefusal(RefusalCode::kTargetsBusy, kText, kRetryAfterBusy);
 }
 
-// No other response can follow on this connection. Closing it without the last
-// chunk tells the caller that the stream is incomplete.
-void Pipeline::AbortStream(RequestJob& job) {
-  this->RecordOutcome(job, "stream broken", 0);
-  job.connection.Abort("stream broken");
-}
-
 asio::awaitable<void> Pipeline::Refuse(RequestJob& job, Refusal refusal) {
   // The caller has received a part of the stream, and no target can resume it.
   // A refusal sent now would appear as bytes in the middle of the stream.
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -25,6 +25,7 @@
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_admission.h"
+#include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 #include "dragonflyglade/gateway/target_paths.h"
 #include "dragonflyglade/gateway/tasks.h"
@@ -42,8 +43,9 @@
  public:
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
-           QuotaAdmission& quotas, FleetChannel& channel, TargetPaths& paths,
-           Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
+           QuotaAdmission& quotas, FleetChannel& channel,
+           StreamOrigins& stream_origins, TargetPaths& paths, Metrics& metrics,
+           EventLog& log, Tasks& tasks, Clock clock);
 
   /// Serves the request and responds on the caller's connection.
   boost::asio::awaitable<void> Serve(CallerRequest request,
@@ -68,6 +70,11 @@
   std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
   boost::asio::awaitable<std::optional<Refusal>> AdmitToQuota(RequestJob& job);
+  boost::asio::awaitable<std::optional<Refusal>> FindStreamOrigin(
+      RequestJob& job);
+  void RecordStreamSent(RequestJob& job);
+  /// Whether a target of the version that began the stream serves.
+  bool HasTargetOfStreamVersion(const RequestJob& job) const;
   bool OutlastsShutdown(const RequestJob& job) const;
   boost::asio::awaitable<void> Forward(RequestJob& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
@@ -137,6 +144,7 @@
   ModelDemand& demand;
   QuotaAdmission& quotas;
   FleetChannel& channel;
+  StreamOrigins& stream_origins;
   TargetPaths& paths;
   Metrics& metrics;
   EventLog& log;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -95,6 +95,7 @@
   const ForwardingContext stamp =
       MakeForwardingContext(job, target->Record().id, now);
   job.target = stamp.target;
+  job.target_version = target->Record().version;
   job.tried.insert(stamp.target);
   OutgoingHttpRequest call{job.request.method, job.request.path_and_query,
                            this->wire.target_request_fields(job.request, stamp),
@@ -102,6 +103,7 @@
   call.body = std::move(job.request.body);
   std::string head = RequestHeadText(call, job.request.host);
   job.request.body = std::move(call.body);
+  this->RecordStreamSent(job);
   const std::string address = target->Record().address;
   const TargetPath path = this->paths.PathTo(*target);
   const auto* tunnel = std::get_if<TunnelPath>(&path);
@@ -369,58 +371,4 @@
   co_return NextStep::kDone;
 }
 
-asio::awaitable<Pipeline::NextStep> Pipeline::RelayStream(
-    RequestJob& job, TargetState& target, TargetExchange& exchange,
-    const ResponseHead& head) {
-  this->RecordResponseHead(target, head);
-  if (!IsSuccess(head.status) || !head.is_signed || head.encoded) {
-    const OutcomeUnknown unknown{
-        "stream is not signed, is encoded or has an error status"};
-    co_return co_await this->AfterOutcomeUnknown(job, target, unknown);
-  }
-  while (true) {
-    const StreamReadResult result = co_await exchange.Read();
-    if (const auto* unknown = std::get_if<OutcomeUnknown>(&result)) {
-      co_return co_await this->AfterOutcomeUnknown(job, target, *unknown);
-    }
-    if (job.uses_own_path) this->paths.RecordReceived(job.service->name);
-    const bool ended = std::holds_alternative<EndOfStream>(result);
-    const std::string_view events =
-        ended ? std::string_view()
-              : job.events.Add(std::get<StreamBytes>(result).bytes);
-    if (job.events.OutOfOrder() || (ended && job.events.HasPartial())) {
-      exchange.Abort("stream events out of order or incomplete");
-      const OutcomeUnknown broken{"stream events out of order or incomplete"};
-      co_return co_await this->AfterOutcomeUnknown(job, target, broken);
-    }
-    const bool written = co_await this->RelayEvents(job, head, events, ended);
-    if (!written) {
-      exchange.Abort("caller left");
-      this->RecordOutcome(job, "caller left", head.status);
-      co_return NextStep::kDone;
-    }
-    if (!ended) continue;
-    target.RecordResult(TargetResult::kSuccess, this->clock.Now());
-    this->RecordPauses(job);
-    this->RecordOutcome(job, "answered", head.status);
-    co_return NextStep::kDone;
-  }
-}
-
-asio::awaitable<bool> Pipeline::RelayEvents(RequestJob& job,
-                                            const ResponseHead& head,
-                                            std::string_view events,
-                                            bool ended) {
-  if (!events.empty()) job.RecordOutput(this->clock.Now());
-  bool written = !job.connection.IsDisconnected();
-  if (!job.connection.StreamStarted() && (!events.empty() || ended)) {
-    written = co_await job.connection.BeginStream(
-        head.status, head.forwarded_fields, events);
-  } else if (!events.empty()) {
-    written = co_await job.connection.WritePart(events);
-  }
-  if (written && ended) written = co_await job.connection.EndStream();
-  co_return written;
-}
-
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -84,6 +84,7 @@
   const TargetRecord& record = target.Record();
   if (record.leaving || this->fleet.IsEvacuated(record.zone)) return false;
   if (job.unreachable.count(record.id) > 0) return false;
+  if (!job.MayUse(record)) return false;
   const ModelUse& use = job.request.use;
   return use.model.empty() || target.Holds(use.model, use.adapter, now);
 }
@@ -229,6 +230,7 @@
 asio::awaitable<std::shared_ptr<TargetState>> Pipeline::FindTarget(
     RequestJob& job) {
   if (!this->paths.AnyPath(job.service->name)) co_return nullptr;
+  if (!this->HasTargetOfStreamVersion(job)) co_return nullptr;
   std::shared_ptr<TargetState> target = this->Choose(job);
   if (target == nullptr) target = co_await this->AwaitBrittleRoom(job);
   if (!job.NeedsModel()) co_return target;
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -37,6 +37,10 @@
   std::set<std::string> tried;  ///< ids of targets
   std::set<std::string> unreachable;  ///< ids of targets
   std::string target;                 ///< id of the last target
+  SoftwareVersion target_version;     ///< of the last target
+  /// Where the stream began that the caller takes up, or that the response has
+  /// events of. It must go on at this version.
+  std::optional<StreamOrigin> origin;
   TargetExchange* exchange = nullptr;
   EventSplitter events;
   Instant attempt_started;
@@ -61,6 +65,10 @@
   bool MayReexecute() const {
     return this->route->MayReexecute() || this->route->resumable;
   }
+  /// Whether the target has the version that the stream must go on at.
+  bool MayUse(const TargetRecord& record) const {
+    return !this->origin.has_value() || record.version == this->origin->version;
+  }
   /// Tokens of the prompt prefix that other requests share.
   double SharedTokens() const;
   /// Id of the shared prompt prefix; empty if there is none.
@@ -87,6 +95,11 @@
 /// The longest time until a target's limit allows another request: a copy of
 /// the model can be loaded elsewhere by then.
 inline constexpr absl::Duration kMaxRetryAfterLimit = absl::Seconds(2);
+/// It is not known where the stream began; an instance that knows it may not
+/// have answered.
+inline constexpr absl::Duration kRetryAfterStreamOrigin = absl::Seconds(1);
+/// No target of the version that began the stream serves.
+inline constexpr absl::Duration kRetryAfterStreamVersion = absl::Seconds(2);
 /// The operator has to end the evacuation of an availability zone first.
 inline constexpr absl::Duration kRetryAfterEvacuation = absl::Seconds(2);
 /// The instance has no configuration yet.
--- /dev/null
+++ b/dragonflyglade/gateway/stream_origins.cc
@@ -0,0 +1,272 @@
+#include "dragonflyglade/gateway/stream_origins.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace dragonflyglade::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An answer takes 1 to 3 ms within a region, plus the time that the asked
+// instances spend on other work. The second round covers lost datagrams.
+constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(45);
+constexpr int kRounds = 2;
+// Longer ids belong to no caller that keeps to the interface, and would fill
+// the memory.
+constexpr std::size_t kMaxStreamIdBytes = 128;
+// Some ten kilobytes, of which a lost datagram loses few.
+constexpr std::size_t kMaxOriginsPerNote = 200;
+// With an older view of the store, this instance may not know a target that
+// others send to.
+constexpr absl::Duration kMaxStoreAge = absl::Seconds(2);
+
+wire::StreamOrigin ToWire(std::string_view stream, const StreamOrigin& origin,
+                          absl::Duration lifetime) {
+  wire::StreamOrigin encoded;
+  encoded.stream = std::string(stream);
+  if (origin.version.has_value()) encoded.__set_version(*origin.version);
+  encoded.attempt = origin.attempt;
+  encoded.lifetime_ms = absl::ToInt64Milliseconds(lifetime);
+  return encoded;
+}
+
+StreamOrigin FromWire(const wire::StreamOrigin& encoded) {
+  StreamOrigin origin;
+  if (encoded.__isset.version) origin.version = encoded.version;
+  origin.attempt = encoded.attempt;
+  return origin;
+}
+
+bool IsUsableId(std::string_view stream) {
+  return !stream.empty() && stream.size() <= kMaxStreamIdBytes;
+}
+
+// For the log and the metrics.
+struct DecisionText {
+  std::string_view operator()(const AnyVersion&) const { return "one version"; }
+  std::string_view operator()(const OnlyVersion&) const { return "known"; }
+  std::string_view operator()(const UnknownVersion&) const { return "unknown"; }
+};
+
+}  // namespace
+
+StreamOrigins::StreamOrigins(asio::io_context& context, FleetState& fleet,
+                             const StoreSyncState& sync_state,
+                             InstanceRecord self, Metrics& metrics,
+                             EventLog& log, Clock clock, TimeOfDay time_of_day)
+    : context(context),
+      fleet(fleet),
+      sync_state(sync_state),
+      self(std::move(self)),
+      metrics(metrics),
+      log(log),
+      clock(clock),
+      time_of_day(std::move(time_of_day)),
+      streams(clock) {
+  this->fleet.OnSecondVersion([this](std::string_view service) {
+    this->log.Write("streams", "second version",
+                    {{"service", std::string(service)}});
+    this->TellAllOwners();
+  });
+}
+
+// All processes may have been killed a moment ago. With the record, this one
+// knows that no stream can have begun at another version.
+void StreamOrigins::ApplyVersionRecord() {
+  const std::optional<VersionRecord>& record =
+      this->fleet.InitialVersionRecord();
+  if (this->version_record_applied || !record.has_value()) return;
+  this->version_record_applied = true;
+  for (const auto& [service, single] : *record) {
+    const absl::Duration age = this->time_of_day() - single.since;
+    this->fleet.SetSingleVersionSince(service, single.version,
+                                      this->clock.Now() - age);
+  }
+}
+
+std::vector<StreamOwnerCandidate> StreamOrigins::Candidates() const {
+  std::vector<StreamOwnerCandidate> candidates;
+  for (const auto& [name, record] : this->fleet.Instances()) {
+    if (name != this->self.name) candidates.push_back({name, record.zone});
+  }
+  return candidates;
+}
+
+bool StreamOrigins::MayHaveSeveralVersions(std::string_view service,
+                                           absl::Duration lifetime) {
+  this->ApplyVersionRecord();
+  return this->fleet.SingleVersionFor(service) < lifetime;
+}
+
+bool StreamOrigins::IsUpToDate() const {
+  const absl::Duration own_age =
+      this->clock.Now() - this->sync_state.ConfirmedAt();
+  return !this->sync_state.IsBehind() &&
+         std::min(own_age, this->sync_state.DigestAge()) <= kMaxStoreAge;
+}
+
+void StreamOrigins::RecordSent(const StreamQuery& query,
+                               const StreamOrigin& origin) {
+  if (!IsUsableId(query.stream)) return;
+  this->streams.Record(query.stream, origin, query.lifetime);
+  if (this->MayHaveSeveralVersions(query.service, query.lifetime)) {
+    this->TellOwners(query.stream, origin, query.lifetime);
+  }
+}
+
+void StreamOrigins::TellOwners(std::string_view stream,
+                               const StreamOrigin& origin,
+                               absl::Duration lifetime) {
+  const std::vector<StreamOwnerCandidate> candidates = this->Candidates();
+  for (const std::size_t owner : StreamOwners(stream, candidates)) {
+    this->SendNote({ToWire(stream, origin, lifetime)}, candidates[owner].name);
+  }
+}
+
+void StreamOrigins::TellAllOwners() {
+  const std::vector<StreamOwnerCandidate> candidates = this->Candidates();
+  std::map<std::string, std::vector<wire::StreamOrigin>> notes;
+  this->streams.ForEach([&](std::string_view stream, const StreamOrigin& origin,
+                            absl::Duration lifetime) {
+    for (const std::size_t owner : StreamOwners(stream, candidates)) {
+      auto& note = notes[candidates[owner].name];
+      note.push_back(ToWire(stream, origin, lifetime));
+      if (note.size() < kMaxOriginsPerNote) continue;
+      this->SendNote(std::move(note), candidates[owner].name);
+      note.clear();
+    }
+  });
+  for (auto& [owner, note] : notes) this->SendNote(std::move(note), owner);
+}
+
+void StreamOrigins::SendNote(std::vector<wire::StreamOrigin> origins,
+                             const std::string& instance) {
+  const auto found = this->fleet.Instances().find(instance);
+  if (found == this->fleet.Instances().end() || origins.empty()) return;
+  wire::FleetMessage message;
+  wire::StreamOriginNote note;
+  note.origins = std::move(origins);
+  message.__set_stream_note(std::move(note));
+  this->send(message, found->second.peer_address);
+}
+
+asio::awaitable<ContinuationDecision> StreamOrigins::Decide(StreamQuery query) {
+  const Instant start = this->clock.Now();
+  ContinuationFacts facts;
+  facts.origin = this->streams.Find(query.stream);
+  std::string_view source = "own";
+  if (!facts.origin.has_value()) {
+    source = "others";
+    if (IsUsableId(query.stream)) facts = co_await this->Ask(query);
+    facts.several_versions |=
+        this->MayHaveSeveralVersions(query.service, query.lifetime);
+    facts.up_to_date = this->IsUpToDate();
+  }
+  const ContinuationDecision decision = DecideContinuation(facts);
+  const std::string_view text = std::visit(DecisionText(), decision);
+  this->metrics.Count("stream_continuations",
+                      "decision=\"" + std::string(text) + "\"");
+  this->log.Write(
+      "stream", "continuation",
+      {{"id", query.request_id},
+       {"stream", query.stream},
+       {"decision", text},
+       {"source", source},
+       {"version",
+        facts.origin.has_value() ? facts.origin->version.value_or("none") : ""},
+       {"answers", facts.answers},
+       {"up_to_date", facts.up_to_date},
+       {"waited_ms", this->clock.Now() - start}});
+  co_return decision;
+}
+
+asio::awaitable<ContinuationFacts> StreamOrigins::Ask(
+    const StreamQuery& query) {
+  const std::vector<StreamOwnerCandidate> candidates = this->Candidates();
+  const std::int64_t number = ++this->last_number;
+  wire::FleetMessage message;
+  wire::StreamOriginQuestion question;
+  question.number = number;
+  question.address = this->self.peer_address;
+  question.stream = std::string(query.stream);
+  question.service_name = std::string(query.service);
+  question.lifetime_ms = absl::ToInt64Milliseconds(query.lifetime);
+  message.__set_stream_question(std::move(question));
+  PendingQuestion& asked =
+      this->pending.try_emplace(number, this->context).first->second;
+  for (const std::size_t owner : AskedStreamOwners(query.stream, candidates)) {
+    asked.silent.insert(candidates[owner].name);
+  }
+  for (int round = 0; round < kRounds && !asked.IsDecided(); ++round) {
+    for (const std::string& name : asked.silent) {
+      const auto instance = this->fleet.Instances().find(name);
+      if (instance == this->fleet.Instances().end()) continue;
+      this->send(message, instance->second.peer_address);
+    }
+    const Instant until = this->clock.Now() + kAnswerTimeout;
+    while (!asked.IsDecided() && this->clock.Now() < until) {
+      co_await asked.answered.Wait(until - this->clock.Now());
+    }
+  }
+  ContinuationFacts facts = asked.facts;
+  this->pending.erase(number);
+  if (facts.origin.has_value()) {
+    this->streams.Record(query.stream, *facts.origin, query.lifetime);
+  }
+  co_return facts;
+}
+
+void StreamOrigins::Receive(const wire::FleetMessage& message) {
+  if (message.__isset.stream_note) this->ReceiveNote(message.stream_note);
+  if (message.__isset.stream_question) {
+    this->ReceiveQuestion(message.stream_question);
+  }
+  if (message.__isset.stream_answer) this->ReceiveAnswer(message.stream_answer);
+}
+
+void StreamOrigins::ReceiveNote(const wire::StreamOriginNote& note) {
+  for (const wire::StreamOrigin& item : note.origins) {
+    if (!IsUsableId(item.stream)) continue;
+    this->streams.Record(item.stream, FromWire(item),
+                         absl::Milliseconds(item.lifetime_ms));
+  }
+}
+
+void StreamOrigins::ReceiveQuestion(
+    const wire::StreamOriginQuestion& question) {
+  const absl::Duration lifetime = absl::Milliseconds(question.lifetime_ms);
+  wire::StreamOriginAnswer answer;
+  answer.number = question.number;
+  answer.instance = this->self.name;
+  answer.several_versions =
+      this->MayHaveSeveralVersions(question.service_name, lifetime);
+  const std::optional<StreamOrigin> origin =
+      this->streams.Find(question.stream);
+  if (origin.has_value()) {
+    answer.__set_origin(ToWire(question.stream, *origin, lifetime));
+  }
+  wire::FleetMessage message;
+  message.__set_stream_answer(std::move(answer));
+  this->send(message, question.address);
+}
+
+void StreamOrigins::ReceiveAnswer(const wire::StreamOriginAnswer& answer) {
+  const auto found = this->pending.find(answer.number);
+  if (found == this->pending.end()) return;
+  if (found->second.silent.erase(answer.instance) == 0) return;
+  ContinuationFacts& facts = found->second.facts;
+  facts.answers += 1;
+  facts.several_versions |= answer.several_versions;
+  if (answer.__isset.origin) {
+    const StreamOrigin origin = FromWire(answer.origin);
+    const bool newer =
+        !facts.origin.has_value() || origin.attempt > facts.origin->attempt;
+    if (newer) facts.origin = origin;
+  }
+  found->second.answered.Notify();
+}
+
+}  // namespace dragonflyglade::gateway
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -257,6 +257,48 @@
   1: list<SentPrompts> prompts
 }
 
+/** The software version of the target that sends a stream. */
+struct StreamOrigin {
+  /** The id of the caller's attempt that the stream began with. */
+  1: string stream
+  /** Not set if the target states no version. */
+  2: optional string version
+  /** The number of the target within the caller's attempt; the highest counts. */
+  3: i32 attempt
+  /** For how long a caller may take the stream up. */
+  4: i64 lifetime_ms
+}
+
+/** Tells the receiver to remember where streams began. */
+struct StreamOriginNote {
+  1: list<StreamOrigin> origins
+}
+
+/** Asks where a stream began. */
+struct StreamOriginQuestion {
+  /** Increases within a process. */
+  1: i64 number
+  /** The address to send the answer to. */
+  2: string address
+  3: string stream
+  /** The service of the stream's targets. */
+  4: string service_name
+  /** For how long a caller may take such a stream up. */
+  5: i64 lifetime_ms
+}
+
+struct StreamOriginAnswer {
+  /** The number of the question. */
+  1: i64 number
+  /** Not set if the sender does not know the stream. */
+  2: optional StreamOrigin origin
+  /** Whether the sender has seen targets of several versions within the
+      lifetime. */
+  3: bool several_versions
+  /** The name of the answering instance. */
+  4: string instance
+}
+
 union FleetMessage {
   1: InstanceReport report
   2: FleetSummary summary
@@ -268,4 +310,7 @@
   7: StoreQuestion store_question
   8: PartRequest part_request
   9: ChangePart change_part
+  10: StreamOriginNote stream_note
+  11: StreamOriginQuestion stream_question
+  12: StreamOriginAnswer stream_answer
 }
--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -16,8 +16,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "tests/platform/gateway_harness.h"
-#include "tests/platform/path_stand_in.h"
+#include "tests/platform/two_instances.h"
 
 namespace dragonflyglade {
 namespace {
@@ -28,162 +27,26 @@
 constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
 constexpr absl::Duration kCallInterval = absl::Milliseconds(50);
 
-// Two instances in front of two targets. The paths from each instance to the
-// targets can be cut.
-class TwoInstances {
- public:
-  explicit TwoInstances(
-      PlatformTargetStandIn::Answer answer = SuccessfulResponse)
-      : target_one(answer),
-        target_two(std::move(answer)),
-        first_paths(this->MakePaths()),
-        second_paths(this->MakePaths()),
-        harness(this->MakeOptions()),
-        second(std::make_unique<gateway::Gateway>(
-            this->harness.Settings("two"),
-            [this] { return this->harness.Settings("two"); },
-            this->WireOver(this->second_paths))),
-        thread([this] { this->ran = this->second->Run(); }) {
-    for (const auto& [id, target] : this->Targets()) {
-      this->harness.PutTarget(
-          id, *target, "ready",
-          {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}});
-    }
-    this->harness.WaitFor([this] {
-      return this->harness.Read<bool>([this] {
-        const gateway::FleetState& fleet = this->harness.gateway->Fleet();
-        return fleet.ListedInstances().size() == 2 &&
-               fleet.Targets("s").size() == 2;
-      });
-    });
-    this->harness.WaitFor([this] { return this->CallSecond().status == 200; });
-  }
-
-  ~TwoInstances() {
-    if (this->second != nullptr) this->StopSecond();
-  }
-
-  using Paths = std::vector<std::unique_ptr<PathStandIn>>;
-
-  static void Set(const Paths& paths, PathState state) {
-    for (const auto& path : paths) path->Set(state);
-  }
-
-  // Cuts the first instance off, and waits until it has noticed.
-  void Isolate() {
-    Set(this->first_paths, PathState::kRefusesNew);
-    Set(this->first_paths, PathState::kResets);
-    this->harness.WaitFor([this] {
-      this->Call("");
-      return this->harness
-                 .Ask(this->harness.gateway->Settings().metrics, "/metrics")
-                 .text.find("isolated_from_targets 1") != std::string::npos;
-    });
-  }
-
-  // Ends the second instance's event loop, and waits until Run has returned.
-  void EndSecondLoop() {
-    this->second->Context().stop();
-    this->thread.join();
-  }
-
-  // Ends the second instance's process.
-  void StopSecond() {
-    this->EndSecondLoop();
-    this->second.reset();
-  }
-
-  GatewayHarness::Reply CallSecond(const std::string& path = "/any/") {
-    return this->harness.SendTo(this->second->Settings().callers,
-                                this->harness.Text("GET", path));
-  }
-
-  /// Calls the first instance, for a model unless it is empty.
-  GatewayHarness::Reply Call(const std::string& model) {
-    return model.empty() ? this->harness.Call("GET", "/any/")
-                         : this->harness.CallModel(model);
-  }
-
-  /// Calls the first instance at a steady rate for two stability windows.
-  /// @return the statuses of the calls in the second window
-  std::vector<int> CallAfterCut(const std::string& model) {
-    const absl::Time cut = absl::Now();
-    std::vector<std::future<int>> calls;
-    std::size_t uncounted = 0;
-    while (absl::Now() < cut + 2 * kStabilityWindow) {
-      if (absl::Now() < cut + kStabilityWindow) uncounted += 1;
-      calls.push_back(std::async(std::launch::async, [this, model] {
-        return this->Call(model).status;
-      }));
-      absl::SleepFor(kCallInterval);
-    }
-    std::vector<int> statuses;
-    for (std::size_t i = 0; i < calls.size(); ++i) {
-      const int status = calls[i].get();
-      if (i >= uncounted) statuses.push_back(status);
-    }
-    return statuses;
-  }
-
-  std::vector<std::pair<std::string, PlatformTargetStandIn*>> Targets() {
-    return {{"i-1", &this->target_one}, {"i-2", &this->target_two}};
-  }
-
-  bool SecondLeads() {
-    std::promise<bool> leads;
-    boost::asio::post(this->second->Context(), [&] {
-      leads.set_value(this->second->HoldsLeaderLease());
-    });
-    return leads.get_future().get();
-  }
-
-  std::size_t RequestCount() const {
-    return this->target_one.Requests().size() +
-           this->target_two.Requests().size();
+// Calls the first instance at a steady rate for two stability windows.
+// @return the statuses of the calls in the second window
+std::vector<int> CallAfterCut(TwoInstances& pair, const std::string& model) {
+  const absl::Time cut = absl::Now();
+  std::vector<std::future<int>> calls;
+  std::size_t uncounted = 0;
+  while (absl::Now() < cut + 2 * kStabilityWindow) {
+    if (absl::Now() < cut + kStabilityWindow) uncounted += 1;
+    calls.push_back(std::async(std::launch::async, [&pair, model] {
+      return pair.Call(model).status;
+    }));
+    absl::SleepFor(kCallInterval);
   }
-
-  PlatformTargetStandIn target_one;
-  PlatformTargetStandIn target_two;
-  const Paths first_paths;
-  const Paths second_paths;
-  GatewayHarness harness;
-  std::unique_ptr<gateway::Gateway> second;
-
- private:
-  Paths MakePaths() const {
-    Paths paths;
-    paths.push_back(std::make_unique<PathStandIn>(this->target_one.Address()));
-    paths.push_back(std::make_unique<PathStandIn>(this->target_two.Address()));
-    return paths;
-  }
-
-  // An instance knows the targets by the addresses of its paths.
-  gateway::WireFormat WireOver(const Paths& paths) {
-    gateway::WireFormat wire = platform::MakeWireFormat();
-    wire.decode_target = [this, &paths, decode = wire.decode_target](
-                             std::string_view key, std::string_view value) {
-      auto record = decode(key, value);
-      if (!record.Ok()) return record;
-      std::string& address = record.Value().address;
-      if (address == this->target_one.Address()) {
-        address = paths[0]->Address();
-      } else if (address == this->target_two.Address()) {
-        address = paths[1]->Address();
-      }
-      return record;
-    };
-    return wire;
-  }
-
-  GatewayHarness::Options MakeOptions() {
-    GatewayHarness::Options options;
-    options.wire = this->WireOver(this->first_paths);
-    return options;
+  std::vector<int> statuses;
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    const int status = calls[i].get();
+    if (i >= uncounted) statuses.push_back(status);
   }
-
-  Status ran = Done{};
-  std::thread thread;
-};
+  return statuses;
+}
 
 class ReachabilityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReachabilityTest);
@@ -219,7 +82,7 @@
       TwoInstances pair;
       pair.harness.WaitFor([&] { return pair.Call(item.model).status == 200; });
       TwoInstances::Set(pair.first_paths, item.state);
-      const std::vector<int> statuses = pair.CallAfterCut(item.model);
+      const std::vector<int> statuses = CallAfterCut(pair, item.model);
       const auto served = std::count(statuses.begin(), statuses.end(), 200);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200, pair.CallSecond().status);
       CPPUNIT_ASSERT_MESSAGE(
