Push summaries only for changed holdings, and leave time between pushes

Each inspection scheduled a push of summaries to all instances, 8 ms later, also if it had found nothing new; a push to a hundred takes longer than that, so that the leader did little else.

Now an inspection or order pushes only if the holdings changed, and a push is followed by a pause of four times its duration.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -35,6 +35,9 @@
 // another, and one push covers them all. A request that waits for an adapter is
 // delayed by at most this long.
 constexpr absl::Duration kPushDelay = absl::Milliseconds(8);
+// The pause after a push is this many times its duration, so that pushes to a
+// hundred instances leave the leader time for their reports and questions.
+constexpr int kPausePerPushTime = 4;
 // Prompts sent within this time go into one message. Engines prefill a prompt
 // in some ten milliseconds, so with a longer delay several instances would
 // choose the same engine.
@@ -400,12 +403,16 @@
 }
 
 asio::awaitable<void> FleetChannel::PushSummaries() {
-  co_await Sleep(this->context, kPushDelay);
+  co_await Sleep(this->context,
+                 std::max(kPushDelay, this->next_push - this->clock.Now()));
   this->push_pending = false;
   if (!this->leader_lease.IsLeader()) co_return;
+  const Instant start = this->clock.Now();
   for (const wire::InstanceReport& report : this->aggregator.RecentReports()) {
     if (!IsIdle(report)) this->SendSummary(report);
   }
+  const Instant end = this->clock.Now();
+  this->next_push = end + kPausePerPushTime * (end - start);
 }
 
 void FleetChannel::ReceiveSummary(const wire::FleetSummary& summary) {
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -53,7 +53,8 @@
   boost::asio::awaitable<void> Report();
 
   /// As leader: sends the summary to each reporting instance that has requests,
-  /// a few milliseconds from now. Calls until then are merged into one push.
+  /// a few milliseconds from now, or later if that takes long. Calls until then
+  /// are merged into one push.
   void SchedulePush();
 
   /// As leader: the residency of the targets, for the summaries.
@@ -158,6 +159,7 @@
   std::size_t next_limit = 0;    ///< position of the next limit to send
   std::size_t next_brittle = 0;  ///< the same of the brittle targets
   bool push_pending = false;
+  Instant next_push;  ///< the earliest time of the next push
   bool notifying_reporters = false;
   bool notify_again = false;  ///< a change is not sent to all reporters yet
   /// Tokens of prompts that other instances are not notified of yet, by target.
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -269,8 +269,8 @@
   if (current == this->engines.end()) return;
   // The target restarted while the order was in progress.
   if (current->second->born_ms != engine.born_ms) return;
-  this->channel.Holdings().Update(HoldingsOf(engine));
-  this->channel.SchedulePush();
+  const bool changed = this->channel.Holdings().Update(HoldingsOf(engine));
+  if (changed) this->channel.SchedulePush();
 }
 
 void PlacementController::Plan() {
--- a/dragonflyglade/gateway/versioned_holdings.cc
+++ b/dragonflyglade/gateway/versioned_holdings.cc
@@ -19,11 +19,12 @@
   this->items = std::move(newer);
 }
 
-void VersionedHoldings::Update(wire::TargetHoldings holdings) {
+bool VersionedHoldings::Update(wire::TargetHoldings holdings) {
   Item& item = this->items[holdings.target];
-  if (item.changed > 0 && item.holdings == holdings) return;
+  if (item.changed > 0 && item.holdings == holdings) return false;
   item.changed = ++this->version;
   item.holdings = std::move(holdings);
+  return true;
 }
 
 void VersionedHoldings::Clear() { this->items.clear(); }
--- a/dragonflyglade/gateway/versioned_holdings.h
+++ b/dragonflyglade/gateway/versioned_holdings.h
@@ -21,8 +21,9 @@
   void Set(std::vector<wire::TargetHoldings> all);
 
   /// Replaces the residency of one target.
+  /// @return whether it changed
   /// Complexity: O(log n) in the targets.
-  void Update(wire::TargetHoldings holdings);
+  bool Update(wire::TargetHoldings holdings);
 
   /// Forgets all targets, after the leader lease ended. Later versions continue
   /// from the last one.
--- a/tests/unit/unit-fleet-news.cc
+++ b/tests/unit/unit-fleet-news.cc
@@ -112,9 +112,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("t1"), holdings.Since(first).at(0).target);
     CPPUNIT_ASSERT(holdings.Version() > first);
     const std::int64_t second = holdings.Version();
-    holdings.Update(MakeHoldings("t2", {}));
+    CPPUNIT_ASSERT(!holdings.Update(MakeHoldings("t2", {})));
     CPPUNIT_ASSERT_EQUAL(second, holdings.Version());
-    holdings.Update(MakeHoldings("t2", {"m/a3"}));
+    CPPUNIT_ASSERT(holdings.Update(MakeHoldings("t2", {"m/a3"})));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, holdings.Since(second).size());
     CPPUNIT_ASSERT_EQUAL(std::string("t2"),
                          holdings.Since(second).at(0).target);
