Know at the first start that no version served before

Also: rows of the codecs for software versions and taken-up streams, and two findings of the linter.

Test: platform-versions, row 'no version before'.

--- a/dragonflyglade/decision/stream_versions.cc
+++ b/dragonflyglade/decision/stream_versions.cc
@@ -22,6 +22,7 @@
   }
   std::sort(weights.rbegin(), weights.rend());
   std::vector<std::size_t> order;
+  order.reserve(weights.size());
   for (const auto& [weight, index] : weights) order.push_back(index);
   return order;
 }
@@ -123,12 +124,11 @@
   const std::vector<std::size_t> order = RankCandidates(stream, candidates);
   if (order.size() <= 2) return order;
   // Those that are asked must include the owners.
-  const auto end = order.begin() + std::min(order.size(), kAskedOwners - 1);
-  const auto other_zone =
-      std::find_if(order.begin() + 1, end, [&](std::size_t index) {
-        return candidates[index].zone != candidates[order.front()].zone;
-      });
-  return {order.front(), other_zone == end ? order[1] : *other_zone};
+  for (std::size_t i = 1; i < std::min(order.size(), kAskedOwners - 1); ++i) {
+    if (candidates[order[i]].zone == candidates[order.front()].zone) continue;
+    return {order.front(), order[i]};
+  }
+  return {order[0], order[1]};
 }
 
 std::vector<std::size_t> AskedStreamOwners(
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -29,7 +29,7 @@
                        Clock clock, EventLog& log)
     : wire(wire),
       clock(std::move(clock)),
-      started(this->clock.Now()),
+      known_since(this->clock.Now()),
       log(log),
       changed(context) {}
 
@@ -250,7 +250,7 @@
 
 ServedVersions& FleetState::VersionsOf(std::string_view service) {
   return this->served_versions
-      .try_emplace(std::string(service), ServedVersions(this->started))
+      .try_emplace(std::string(service), ServedVersions(this->known_since))
       .first->second;
 }
 
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -129,6 +129,9 @@
   /// the same version.
   void SetSingleVersionSince(const std::string& service,
                              const SoftwareVersion& version, Instant since);
+  /// Sets that no target served before this process started, since the whole
+  /// system starts for the first time. To be called before all others.
+  void SetFirstStart() { this->known_since = -absl::InfiniteDuration(); }
   /// Sets a function that is called when targets of a service begin to serve
   /// that have another version than the ones before.
   void OnSecondVersion(std::function<void(std::string_view service)> callback) {
@@ -192,7 +195,7 @@
 
   const WireFormat& wire;
   const Clock clock;
-  const Instant started;
+  Instant known_since;  ///< from when on the targets are known
   EventLog& log;
   AsyncCondition changed;
   std::shared_ptr<const GatewayConfig> config;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -94,6 +94,7 @@
                this->demand, this->quota_admission, this->channel,
                this->stream_origins, this->paths, this->metrics, this->log,
                this->tasks, this->clock) {
+  if (this->settings.first_start) this->fleet.SetFirstStart();
   this->AddGauges();
 }
 
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(RejectsMalformedConfigurations);
   CPPUNIT_TEST(DecodesTargets);
   CPPUNIT_TEST(RejectsMalformedTargets);
+  CPPUNIT_TEST(DecodesSoftwareVersions);
   CPPUNIT_TEST(ClampsWarmUpTimes);
   CPPUNIT_TEST(DecodesCallerRequests);
   CPPUNIT_TEST(EncodesTargetRequests);
@@ -171,6 +172,28 @@
     CPPUNIT_ASSERT(target.models[0].adapters == adapters);
   }
 
+  // Guards against versions that are taken for the same, or end the process.
+  void DecodesSoftwareVersions() {
+    struct VersionCase {
+      const char* field;  ///< of the target's record
+      SoftwareVersion expected;
+    };
+    const std::vector<VersionCase> cases = {
+        {R"("new": 1)", std::nullopt}, {R"("version": null)", std::nullopt},
+        {R"("version": "")", ""},      {R"("version": "v1")", "v1"},
+        {R"("version": 7)", "7"},      {R"("version": ["v1"])", R"(["v1"])"},
+    };
+    for (const VersionCase& item : cases) {
+      const Result<TargetRecord> target = DecodeTarget(
+          "servers/i-1", absl::StrCat(R"({"service": "s", "address": "a",
+              "slots": 1, "state": "ready", )",
+                                      item.field, "}"));
+      CPPUNIT_ASSERT_MESSAGE(item.field, target.Ok());
+      CPPUNIT_ASSERT_MESSAGE(item.field,
+                             target.Value().version == item.expected);
+    }
+  }
+
   // Guards against a target that is never used, or used at its full rate too
   // early, after a nonsensical warm-up time.
   void ClampsWarmUpTimes() {
@@ -240,6 +263,20 @@
          [](const auto& r) {
            return r.key == "k1" && r.forwarded_fields.size() == 1;
          }},
+        {"the stream that is taken up",
+         {{"Resumes", "r0"}, {"Last-Event-Id", "3"}},
+         [](const auto& r) {
+           return r.taken_up_stream == "r0" && r.resume_after == "3";
+         }},
+        {"the same stream twice",
+         {{"resumes", "r0"}, {"X-Dragonflyglade-Resumes", "r0"}},
+         [](const auto& r) { return r.taken_up_stream == "r0"; }},
+        {"two streams",
+         {{"Resumes", "r0"}, {"Resumes", "r1"}},
+         [](const auto& r) { return r.taken_up_stream == "r0, r1"; }},
+        {"no stream",
+         {{"Resumes", ""}},
+         [](const auto& r) { return r.taken_up_stream.empty(); }},
         {"no key with a scheme other than Bearer",
          {{"Authorization", "Basic x"}},
          [](const auto& r) { return r.key.empty(); }},
--- a/tests/platform/platform-versions.cc
+++ b/tests/platform/platform-versions.cc
@@ -300,12 +300,14 @@
       std::string name;
       std::string recorded_version;
       absl::Duration since;
+      bool first_start;
       int status;
     };
     const std::vector<Case> cases = {
-        {"alone for an hour", "v1", absl::Hours(1), 200},
-        {"alone for a second", "v1", absl::Seconds(1), 503},
-        {"another version before", "v0", absl::Hours(1), 503},
+        {"alone for an hour", "v1", absl::Hours(1), false, 200},
+        {"alone for a second", "v1", absl::Seconds(1), false, 503},
+        {"another version before", "v0", absl::Hours(1), false, 503},
+        {"no version before", "v1", absl::Seconds(1), true, 200},
     };
     GatewayHarness harness([](const RawRequest& request) {
       return StreamOf(request, "v1", kLastEvent);
@@ -323,6 +325,7 @@
       store.Put("op/config", harness.Config(1, "plain").dump());
       gateway::GatewaySettings settings = harness.Settings("restarted");
       settings.store = store.Address();
+      settings.first_start = item.first_start;
       gateway::Gateway restarted(
           settings, [&settings] { return settings; },
           platform::MakeWireFormat());
