Inspect an engine that does not answer at the planner's pace

An engine without an answer for which an order was planned was planned for again at once. Seen when platform-limits, whose stand-in counts inspections, failed once beside load (12 requests in 4 s, 11 allowed).

--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -198,10 +198,11 @@
   engine->last_order_ended_at = this->clock.Now();
   engine->is_busy = false;
   this->PublishHoldings(*engine);
-  if (engine->has_planned_order) {
-    engine->has_planned_order = false;
+  // An engine that does not answer is inspected again at the planner's pace.
+  if (engine->has_planned_order && !engine->needs_inspection) {
     this->RequestPlan();
   }
+  engine->has_planned_order = false;
   if (exception) std::rethrow_exception(exception);
 }
 
