Ask an engine that gives no report less and less often

Trace: five requests, and seven inspections by the leader, one every 0.6 s without end, since the stand-in's answer is no report. With a limit, each of them takes a place from callers.

The pause doubles with each inspection in a row that brings no report, up to 2 s. The check is unchanged.

--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -62,6 +62,7 @@
     Instant loading_deadline;            ///< after it, the engine is inspected
     bool is_busy = false;  ///< an order or an inspection is in progress
     bool needs_inspection = false;   ///< its residency is unknown
+    int failed_inspections = 0;      ///< in a row
     bool has_planned_order = false;  ///< which the inspection delays
     Instant last_order_ended_at;  ///< when the last order or inspection ended
     /// When an instance's connection was last refused.
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -1,6 +1,7 @@
 // The part of PlacementController that sends orders to engines and reads their
 // residency when the outcome of an order is unknown.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "dragonflyglade/gateway/catch_exception.h"
@@ -26,6 +27,8 @@
 constexpr absl::Duration kUnloadNoticeDelay = absl::Milliseconds(60);
 // Engine reports show the state of some hundred milliseconds ago.
 constexpr absl::Duration kReportLag = absl::Milliseconds(600);
+// The pause doubles with each inspection in a row that fails, up to this.
+constexpr absl::Duration kMaxInspectionPause = absl::Seconds(2);
 // An engine is inspected when a load has not ended after this many times its
 // usual time: loads slow down in proportion to the number that run at once.
 constexpr int kLoadTimeoutFactor = 4;
@@ -210,13 +213,16 @@
   // Reports lag behind: one that is read too early does not show the effect of
   // the last order.
   const absl::Duration since = this->clock.Now() - engine.last_order_ended_at;
-  if (since < kReportLag) co_await Sleep(this->context, kReportLag - since);
+  const absl::Duration pause = std::min(
+      std::exp2(engine.failed_inspections) * kReportLag, kMaxInspectionPause);
+  if (since < pause) co_await Sleep(this->context, pause - since);
   const std::shared_ptr<TargetState> target = this->fleet.Target(engine.id);
   if (target == nullptr || !this->leader_lease.MayIssueOrders()) co_return;
   OutgoingHttpRequest call = this->wire.encode_report_call(engine.id);
   const ExchangeOutcome outcome =
       co_await this->CallEngine(*target, std::move(call));
   this->metrics.Count("engine_reports");
+  engine.failed_inspections += 1;
   const auto* whole = std::get_if<CompleteResponse>(&outcome);
   const bool is_known =
       whole != nullptr && this->ApplyEngineReport(engine, whole->body);
@@ -229,7 +235,9 @@
 bool PlacementController::ApplyEngineReport(Engine& engine,
                                             std::string_view body) {
   const Result<EngineReport> decoded = this->wire.decode_report(body);
-  if (!decoded.Ok() || decoded.Value().busy) return false;
+  if (!decoded.Ok()) return false;
+  engine.failed_inspections = 0;
+  if (decoded.Value().busy) return false;
   const EngineReport& report = decoded.Value();
   engine.needs_inspection = false;
   engine.orders_taken = report.orders_taken;
