--- a/tests/unit/unit-stream-versions.cc
+++ b/tests/unit/unit-stream-versions.cc
@@ -47,9 +47,6 @@
   }
 
   void Kill(int instance) { this->dead.insert(this->all[instance].name); }
-  bool IsDead(int instance) const {
-    return this->dead.count(this->all[instance].name) > 0;
-  }
 
   // What an instance finds out about a stream.
   // @param knows_dead whether its view still has the dead instances
@@ -179,6 +176,7 @@
   void ChoosesOwnersInTwoZones() {
     for (const int instances : {0, 1, 2, 3, 6, 82, 300}) {
       std::vector<StreamOwnerCandidate> candidates;
+      candidates.reserve(static_cast<std::size_t>(instances));
       for (int i = 0; i < instances; ++i) {
         candidates.push_back({absl::StrCat("i", i), absl::StrCat("z", i % 3)});
       }
