--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -82,7 +82,8 @@
     for (int step = 0; step < 500; ++step) {
       manual.Advance(absl::Milliseconds(random() % 20));
       const std::string name = absl::StrCat("i", random() % kInstances);
-      wire::InstanceReport report = Spent(Report(name), random() % 1000);
+      wire::InstanceReport report =
+          Spent(Report(name), static_cast<std::int64_t>(random() % 1000));
       report.sequence = step + 1;
       report.listed = random() % 4 != 0;
       for (int target = 0; target < kTargets; ++target) {
@@ -90,7 +91,7 @@
         wire::TargetUse use;
         use.target = absl::StrCat("t", target);
         use.requests = static_cast<int>(random() % 5);
-        use.unread_tokens = random() % 100;
+        use.unread_tokens = static_cast<std::int64_t>(random() % 100);
         report.targets.push_back(use);
       }
       newest[name] = report;
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -379,6 +379,7 @@
         adapters.push_back(absl::StrCat("a", i));
       }
       std::vector<DemandedModel> models;
+      models.reserve(static_cast<std::size_t>(size.models));
       for (int i = 0; i < size.models; ++i) {
         models.push_back(
             WithAdapters(Model(absl::StrCat("m", i), 0), adapters));
