--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -24,8 +24,8 @@
 // older reports are of little use. A shorter interval costs CPU time for each
 // report and its summary.
 constexpr absl::Duration kReportInterval = absl::Milliseconds(200);
-// Reports of listed instances that the leader answers in a second. Each costs
-// it some hundred microseconds, of a fraction of a core.
+// Reports of listed instances that the leader answers in a second. More would
+// take all of a small machine's time.
 constexpr double kMaxReportsPerSecond = 250;
 // An instance without requests has nothing to report but must receive changes.
 // In a fleet of 82 instances most are idle, and the leader spends its time on
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -241,7 +241,7 @@
   Result<VersionRecord> record = DecodeVersionRecord(item.value);
   if (!record.Ok()) {
     this->log.Write(
-        "streams", "version record invalid",
+        "stream", "version record invalid",
         {{"revision", item.revision}, {"why", record.Error().ToString()}});
     return;
   }
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -203,8 +203,8 @@
                    {"store", this->settings.store.ToString()}});
   this->tasks.RunLoop();
   // The context is destroyed after all parts. Destructors of locals in the
-  // coroutines that it still holds would then reach parts that are gone: a
-  // stopped process crashed or stayed in a loop for ever.
+  // coroutines that it still holds would then reach parts that are gone, and a
+  // stopping process could crash or stay in a loop for ever.
   this->context.DestroyTasks();
   return Done{};
 }
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -23,9 +23,9 @@
 constexpr int kPausePerPlanTime = 5;
 // The store removes the entry of a terminated engine after three heartbeats.
 constexpr absl::Duration kEntryExpiry = absl::Seconds(4);
-// Of those that no order is planned for. A new leader has to inspect all
-// engines and takes some hundred microseconds for each: with some hundred at
-// once, it would answer no questions and miss the renewal of its lease.
+// Of those that no order is planned for. A new leader that inspected some
+// hundred engines at once would answer no questions and miss the renewal of its
+// lease.
 constexpr std::size_t kInspectionsPerRound = 8;
 // Requests a second and slot. An engine in demand starts more, since its
 // requests take a few seconds at most; a lower limit binds.
@@ -261,7 +261,7 @@
   this->wake.Notify();
 }
 
-// A new leader inspects all engines at once. If each inspection computed the
+// A new leader inspects all engines. If each inspection computed the
 // holdings of all of them, a fleet of some hundred engines would stop the event
 // loop for seconds.
 void PlacementController::PublishHoldings(const Engine& engine) {
--- a/dragonflyglade/gateway/stream_origins.cc
+++ b/dragonflyglade/gateway/stream_origins.cc
@@ -67,7 +67,7 @@
       time_of_day(std::move(time_of_day)),
       streams(clock) {
   this->fleet.OnSecondVersion([this](std::string_view service) {
-    this->log.Write("streams", "second version",
+    this->log.Write("stream", "second version",
                     {{"service", std::string(service)}});
     this->TellAllOwners();
   });
