Log what lost requests shared, and when they were sent

A target that ends takes requests with it; the log named them, but not what they held, so that a crash by one part of a prompt looked like one by overload.

--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -317,6 +317,8 @@
                    {"target", job.target},
                    {"why", unknown.why},
                    {"last_event", job.events.LastId()},
+                   {"shared_parts", job.SharedPartIds()},
+                   {"sent_ago_ms", this->clock.Now() - job.attempt_started},
                    {"attempts", job.attempts}});
   job.events.Restart();
   // A stream whose events have no ids cannot be resumed.
--- a/dragonflyglade/gateway/request_job.cc
+++ b/dragonflyglade/gateway/request_job.cc
@@ -3,22 +3,34 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "dragonflyglade/decision/target_choice.h"
 
 namespace dragonflyglade::gateway {
 
 // The last part of a prompt belongs to the request or its session; other
 // requests share the parts before it.
+absl::Span<const PromptPart> RequestJob::SharedParts() const {
+  const absl::Span<const PromptPart> parts = this->request.use.parts;
+  return parts.subspan(0, parts.empty() ? 0 : parts.size() - 1);
+}
+
 double RequestJob::SharedTokens() const {
-  const auto& parts = this->request.use.parts;
   double tokens = 0;
-  for (std::size_t i = 0; i + 1 < parts.size(); ++i) tokens += parts[i].tokens;
+  for (const PromptPart& part : this->SharedParts()) tokens += part.tokens;
   return std::min(tokens, this->request.use.prompt_tokens);
 }
 
+std::string RequestJob::SharedPartIds() const {
+  return absl::StrJoin(this->SharedParts(), ",",
+                       [](std::string* text, const PromptPart& part) {
+                         text->append(part.id);
+                       });
+}
+
 std::string_view RequestJob::SharedId() const {
-  const auto& parts = this->request.use.parts;
-  return parts.size() < 2 ? std::string_view() : parts[parts.size() - 2].id;
+  const absl::Span<const PromptPart> parts = this->SharedParts();
+  return parts.empty() ? std::string_view() : parts.back().id;
 }
 
 void RequestJob::RecordOutput(Instant now) {
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/time/time.h"
+#include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/gateway/caller_connection.h"
@@ -73,6 +74,10 @@
   double SharedTokens() const;
   /// Id of the shared prompt prefix; empty if there is none.
   std::string_view SharedId() const;
+  /// The parts of the prompt that other requests share.
+  absl::Span<const PromptPart> SharedParts() const;
+  /// The ids of these parts, separated by commas, for the log.
+  std::string SharedPartIds() const;
   /// ResidentKey of the model or adapter that the request needs; empty if the
   /// service has no engines.
   std::string Resident() const {
