A failing test: a part that crashes targets is sent to the next ones

Callers see targets end one after the other, since a request with the part that ended five of them is sent to the next one.

--- /dev/null
+++ b/tests/platform/platform-crashing-parts.cc
@@ -0,0 +1,215 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "tests/platform/gateway_harness.h"
+
+namespace dragonflyglade {
+namespace {
+
+using nlohmann::json;
+using Reply = GatewayHarness::Reply;
+using Script = PlatformTargetStandIn::Script;
+
+// The users' bounds: this long after the fifth crash, three more requests with
+// the part may reach targets, for ever.
+constexpr int kBoundingCrashes = 5;
+constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
+constexpr int kMaxFurtherRequests = 3;
+constexpr int kTargets = 3;
+
+// Ends as soon as it begins to answer a request with a part "bad", unless that
+// is the last one.
+Script AnswerOrCrash(const RawRequest& request) {
+  const std::string parts = request.Field("X-Dragonflyglade-Prompt-Prefix");
+  const std::size_t bad = parts.find("bad");
+  const bool crashes =
+      bad != std::string::npos && parts.find(',', bad) != std::string::npos;
+  if (!crashes) return SuccessfulResponse(request);
+  Script script;
+  script.crash = true;
+  return script;
+}
+
+// An instance that runs on a thread of its own.
+class RunningInstance {
+ public:
+  RunningInstance(const GatewayHarness& harness, const std::string& name)
+      : gateway(
+            harness.Settings(name),
+            [&harness, name] { return harness.Settings(name); },
+            platform::MakeWireFormat()),
+        thread([this] { this->gateway.Run(); }) {}
+  ~RunningInstance() {
+    this->gateway.Context().stop();
+    this->thread.join();
+  }
+  RunningInstance(const RunningInstance&) = delete;
+  RunningInstance& operator=(const RunningInstance&) = delete;
+
+  gateway::Gateway gateway;
+
+ private:
+  std::thread thread;
+};
+
+// Two instances in front of targets that a part of a prompt may crash. A target
+// that has crashed comes back under another id.
+class CrashingFleet {
+ public:
+  explicit CrashingFleet(PlatformTargetStandIn::Answer answer = AnswerOrCrash)
+      : answer(std::move(answer)),
+        second(std::make_unique<RunningInstance>(this->harness, "two")) {
+    this->harness.store.Delete("servers/i-1");
+    this->ReplaceCrashed();
+  }
+
+  // Starts targets in place of those that crashed, and waits until both
+  // instances know them and no others.
+  void ReplaceCrashed() {
+    for (const auto& target : this->targets) {
+      if (target->stand_in.HasCrashed()) this->Remove(*target);
+    }
+    while (this->Serving() < kTargets) this->Add();
+    this->harness.WaitFor([this] {
+      return this->Knows(*this->harness.gateway) &&
+             this->Knows(this->second->gateway);
+    });
+  }
+
+  Reply Call(int instance, const std::string& parts) {
+    const Endpoint& endpoint =
+        instance == 0 ? this->harness.gateway->Settings().callers
+                      : this->second->gateway.Settings().callers;
+    return this->harness.SendTo(
+        endpoint, this->harness.Text(
+                      "POST", "/once/", "k1",
+                      absl::StrCat("X-Dragonflyglade-Model: m\r\n"
+                                   "X-Dragonflyglade-Token-Usage: 100,10\r\n"
+                                   "X-Dragonflyglade-Prompt-Prefix: ",
+                                   parts, "\r\n")));
+  }
+
+  int Crashes() const {
+    int crashes = 0;
+    for (const auto& target : this->targets) {
+      crashes += target->stand_in.HasCrashed() ? 1 : 0;
+    }
+    return crashes;
+  }
+
+  GatewayHarness harness;
+
+ private:
+  struct Target {
+    std::string id;
+    bool serves = true;
+    PlatformTargetStandIn stand_in;
+
+    Target(std::string id, PlatformTargetStandIn::Answer answer)
+        : id(std::move(id)), stand_in(std::move(answer)) {}
+  };
+
+  void Add() {
+    const std::string id = absl::StrCat("t-", this->targets.size());
+    this->targets.push_back(std::make_unique<Target>(id, this->answer));
+    this->harness.PutTarget(
+        id, this->targets.back()->stand_in, "ready",
+        {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}});
+  }
+
+  void Remove(Target& target) {
+    if (target.serves) this->harness.store.Delete("servers/" + target.id);
+    target.serves = false;
+  }
+
+  int Serving() const {
+    int serving = 0;
+    for (const auto& target : this->targets) serving += target->serves ? 1 : 0;
+    return serving;
+  }
+
+  bool Knows(gateway::Gateway& instance) {
+    bool knows = false;
+    absl::Notification done;
+    boost::asio::post(instance.Context(), [&] {
+      const auto known = instance.Fleet().Targets("s");
+      knows = known.size() == kTargets;
+      for (const auto& target : this->targets) {
+        const auto found = instance.Fleet().Target(target->id);
+        knows = knows && (found != nullptr) == target->serves;
+      }
+      done.Notify();
+    });
+    done.WaitForNotification();
+    return knows;
+  }
+
+  const PlatformTargetStandIn::Answer answer;
+  std::vector<std::unique_ptr<Target>> targets;
+
+ public:
+  std::unique_ptr<RunningInstance> second;
+};
+
+class CrashingPartsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashingPartsTest);
+  CPPUNIT_TEST(RefusesPartsThatCrashTargets);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against targets that end one after the other, since requests with
+  // the part that ended the last one are sent to the next.
+  void RefusesPartsThatCrashTargets() {
+    struct Case {
+      std::string name;
+      std::string parts;
+      std::string sound;  ///< shares parts with it
+    };
+    const std::vector<Case> cases = {
+        {"the first part", "bad:100", "x:100"},
+        {"behind a shared part", "p:50,bad:100", "p:50"},
+        {"before a shared part", "bad:50,q:100", "q:100"},
+        {"between shared parts", "p:50,bad:20,q:10", "p:50,q:10"},
+    };
+    for (const Case& item : cases) {
+      CrashingFleet fleet;
+      int number = 0;
+      const auto call = [&](const std::string& parts) {
+        const std::string last = absl::StrCat(",own", ++number, ":10");
+        return fleet.Call(number % 2, parts + last);
+      };
+      while (fleet.Crashes() < kBoundingCrashes && number < 40) {
+        CPPUNIT_ASSERT_EQUAL(200, call(item.sound).status);
+        call(item.parts);
+        fleet.ReplaceCrashed();
+      }
+      absl::SleepFor(kStabilityWindow);
+      const int before = fleet.Crashes();
+      for (int i = 0; i < 10; ++i) {
+        const Reply reply = call(item.parts);
+        fleet.ReplaceCrashed();
+        if (fleet.Crashes() > before) continue;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 503, reply.status);
+        CPPUNIT_ASSERT(absl::StrContains(reply.text, "\"ran\":\"no\""));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200, call(item.sound).status);
+      }
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(item.name, ": ", fleet.Crashes() - before),
+          fleet.Crashes() - before <= kMaxFurtherRequests);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CrashingPartsTest,
+                                      "platform-crashing-parts");
+
+}  // namespace
+}  // namespace dragonflyglade
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -79,6 +79,7 @@
     this->acceptor.accept(*socket, error);
     if (error) return;
     absl::MutexLock lock(&this->mutex);
+    if (this->crashed) return;
     this->sockets.push_back(socket);
     this->threads.emplace_back([this, socket] { this->Serve(socket); });
   }
@@ -91,6 +92,10 @@
     const Script script = this->ScriptFor(request);
     error_code error;
     boost::asio::write(*socket, boost::asio::buffer(script.bytes), error);
+    if (script.crash) {
+      this->Crash();
+      return;
+    }
     if (script.hang) {
       char byte = 0;
       socket->read_some(boost::asio::buffer(&byte, 1), error);
@@ -129,6 +134,20 @@
   return this->requests;
 }
 
+void PlatformTargetStandIn::Crash() {
+  absl::MutexLock lock(&this->mutex);
+  this->crashed = true;
+  shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+  for (const auto& socket : this->sockets) {
+    shutdown(socket->native_handle(), SHUT_RDWR);
+  }
+}
+
+bool PlatformTargetStandIn::HasCrashed() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->crashed;
+}
+
 int PlatformTargetStandIn::ConnectionsClosedByPeer() const {
   absl::MutexLock lock(&this->mutex);
   return this->hangups;
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -37,6 +37,7 @@
     std::string bytes;   ///< sent as they are
     bool close = false;  ///< close the connection after the bytes
     bool hang = false;   ///< after the bytes, wait until the client closes
+    bool crash = false;  ///< after the bytes, end as a killed process does
   };
   using Answer = std::function<Script(const RawRequest&)>;
 
@@ -50,6 +51,9 @@
   void EnqueueAnswer(Answer answer);
 
   std::vector<RawRequest> Requests() const;
+  /// Ends all connections and refuses new ones, for good.
+  void Crash();
+  bool HasCrashed() const;
   /// The number of connections that the client closed while the target was
   /// hanging.
   int ConnectionsClosedByPeer() const;
@@ -68,6 +72,7 @@
   std::deque<Answer> queued_answers ABSL_GUARDED_BY(mutex);
   std::vector<RawRequest> requests ABSL_GUARDED_BY(mutex);
   int hangups ABSL_GUARDED_BY(mutex) = 0;
+  bool crashed ABSL_GUARDED_BY(mutex) = false;
   std::vector<std::shared_ptr<Socket>> sockets ABSL_GUARDED_BY(mutex);
   std::vector<std::thread> threads ABSL_GUARDED_BY(mutex);
   std::thread accept_thread;
