Tell parts that crash targets from targets that fail for other reasons

A sound part that is blamed stays refused until an operator removes its record.

A target's entry may be removed a moment after it crashed; the connection ended while it had one, which is enough to probe it.

--- a/dragonflyglade/decision/part_crashes.cc
+++ b/dragonflyglade/decision/part_crashes.cc
@@ -1,6 +1,7 @@
 #include "dragonflyglade/decision/part_crashes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflyglade {
 namespace {
@@ -14,9 +15,37 @@
 constexpr absl::Duration kCrashLifetime = absl::Hours(24);
 // Targets of a failed domain end within this time of one another.
 constexpr absl::Duration kSameCauseTime = absl::Milliseconds(120);
+// Two parts that crash targets at the same time have half of the crashes each.
+constexpr double kMinCrashShare = 0.4;
+constexpr std::size_t kMaxRecentCrashes = 1000;
+// By then, a sound part that many requests share was answered on.
+constexpr absl::Duration kAnsweredWithin = absl::Seconds(5);
+// A sound part of a fifth of the requests is among so many answers.
+constexpr std::size_t kAnswersToCompare = 20;
+constexpr std::size_t kAnswersAmidFailures = 100;
+// There may be no other requests.
+constexpr absl::Duration kMaxAnswerWait = absl::Seconds(2);
+constexpr std::size_t kCertainCrashes = 5;
+constexpr std::size_t kMaxAnswers = 4000;
 
 }  // namespace
 
+PartVerdict JudgePart(const PartEvidence& evidence) {
+  if (evidence.counted < kCrashesToConfirm) return PartVerdict::kNotEnough;
+  const auto all = static_cast<double>(evidence.all_crashes);
+  const bool in_few =
+      static_cast<double>(evidence.crashes) < kMinCrashShare * all;
+  if (in_few && evidence.age < kAnsweredWithin) return PartVerdict::kNotEnough;
+  const bool most_failed = 2 * evidence.all_crashes > evidence.targets;
+  const std::size_t needed =
+      most_failed ? kAnswersAmidFailures : kAnswersToCompare;
+  if (evidence.answers >= needed) return PartVerdict::kCrashesTargets;
+  if (evidence.waited < kMaxAnswerWait) return PartVerdict::kOpen;
+  const bool certain = evidence.crashes >= kCertainCrashes &&
+                       evidence.counted > kCrashesToConfirm;
+  return certain ? PartVerdict::kCrashesTargets : PartVerdict::kNotEnough;
+}
+
 PartCrashes::PartCrashes(Clock clock) : clock(std::move(clock)) {}
 
 PartCrashes::Rank PartCrashes::RankOf(std::string_view part,
@@ -97,8 +126,35 @@
   return found == this->by_part.end() ? Crashes() : found->second;
 }
 
+RecentCrashes::RecentCrashes(Clock clock) : clock(std::move(clock)) {}
+
+void RecentCrashes::Record(const TargetCrash& crash) {
+  this->crashes.emplace_back(this->clock.Now(), crash);
+  if (this->crashes.size() > kMaxRecentCrashes) this->crashes.pop_front();
+}
+
+std::vector<TargetCrash> RecentCrashes::Within(absl::Duration time) const {
+  const Instant now = this->clock.Now();
+  std::vector<TargetCrash> recent;
+  for (const auto& [at, crash] : this->crashes) {
+    if (now - at <= time) recent.push_back(crash);
+  }
+  return recent;
+}
+
 SurvivedParts::SurvivedParts(Clock clock) : clock(std::move(clock)) {}
 
+void SurvivedParts::RecordAnswer() {
+  this->answers.push_back(this->clock.Now());
+  if (this->answers.size() > kMaxAnswers) this->answers.pop_front();
+}
+
+std::size_t SurvivedParts::AnswersWithin(absl::Duration time) const {
+  const Instant since = this->clock.Now() - time;
+  return this->answers.end() -
+         std::lower_bound(this->answers.begin(), this->answers.end(), since);
+}
+
 void SurvivedParts::Record(std::string_view part,
                            const SoftwareVersion& version) {
   const Instant now = this->clock.Now();
--- a/dragonflyglade/decision/part_crashes.h
+++ b/dragonflyglade/decision/part_crashes.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -24,11 +25,34 @@
   SoftwareVersion version;   ///< of the target's software
 };
 
-/// So many crashes of a part, with no answer on it in between, show that it
-/// crashes targets.
-inline constexpr std::size_t kCrashesToConfirm = 3;
 /// From so many crashes on, a part is suspect.
 inline constexpr std::size_t kCrashesToSuspect = 2;
+/// From so many crashes on, it may be confirmed.
+inline constexpr std::size_t kCrashesToConfirm = 3;
+
+/// What is known about a part that is suspect, since its first crash.
+struct PartEvidence {
+  std::size_t counted = 0;      ///< see PartCrashes::Count
+  std::size_t crashes = 0;      ///< of the part, without an answer on it since
+  std::size_t all_crashes = 0;  ///< of all targets
+  std::size_t targets = 0;      ///< all that there are
+  std::size_t answers = 0;  ///< requests with other parts that were answered
+  absl::Duration age;       ///< of the part's first crash
+  absl::Duration waited;    ///< since there were enough crashes
+};
+
+enum class PartVerdict {
+  kCrashesTargets,
+  kOpen,       ///< answers have to be awaited
+  kNotEnough,  ///< until the part's next crash
+};
+
+/// Decides whether a part crashes targets: it was in several crashes, in a
+/// large part of all crashes meanwhile, and not among many answers. Where
+/// targets end one after the other for a reason of their own, a part that many
+/// requests share is in some of the crashes, and among the answers of the
+/// targets that are left or come back.
+PartVerdict JudgePart(const PartEvidence& evidence);
 
 /// The evidence that parts of prompts crash targets. A part that a target
 /// answered on loses the crashes before that at targets of the same software
@@ -77,13 +101,33 @@
   std::set<Rank> ranks;
 };
 
+/// The crashes of targets that one instance has seen lately. Not synchronised.
+class RecentCrashes {
+ public:
+  explicit RecentCrashes(Clock clock);
+
+  void Record(const TargetCrash& crash);
+
+  /// The crashes within the time until now.
+  std::vector<TargetCrash> Within(absl::Duration time) const;
+
+ private:
+  const Clock clock;
+  std::deque<std::pair<Instant, TargetCrash>> crashes;
+};
+
 /// The parts of prompts that targets answered on lately. Not synchronised.
 class SurvivedParts {
  public:
   explicit SurvivedParts(Clock clock);
 
+  /// Counts a request that was answered on.
+  void RecordAnswer();
   void Record(std::string_view part, const SoftwareVersion& version);
 
+  /// The number of answers within the time until now, some thousand at most.
+  std::size_t AnswersWithin(absl::Duration time) const;
+
   /// When targets last answered on the part, by their software version.
   std::map<SoftwareVersion, Instant> Find(std::string_view part) const;
 
@@ -93,6 +137,7 @@
   const Clock clock;
   std::map<Key, Instant> last;
   std::set<std::pair<Instant, Key>> by_age;
+  std::deque<Instant> answers;
 };
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/gateway/crashing_parts.cc
+++ b/dragonflyglade/gateway/crashing_parts.cc
@@ -20,6 +20,7 @@
 // An answer takes 1 to 3 ms within a region, plus the time that the asked
 // instances spend on other work.
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(80);
+constexpr absl::Duration kAskAgainTime = absl::Milliseconds(200);
 // A suspect part crashes another target within seconds, or is innocent.
 constexpr absl::Duration kSuspicionTime = absl::Seconds(10);
 // Messages from before a removal arrive within this time.
@@ -38,6 +39,9 @@
 // Bounds the memory, and what is read from the store at each start.
 constexpr std::size_t kMaxRefusedParts = 1000;
 constexpr std::size_t kMaxSuspects = 1000;
+// Some kilobytes.
+constexpr std::size_t kMaxCrashesPerAnswer = 100;
+constexpr std::size_t kMaxCrashesPerJudgement = 10000;
 
 bool IsUsablePart(std::string_view part) {
   return !part.empty() && part.size() <= kMaxPartBytes &&
@@ -85,6 +89,7 @@
       time_of_day(std::move(time_of_day)),
       crashes(clock),
       survived(clock),
+      recent(clock),
       confirmed(context) {
   this->fleet.OnCrashingPartRemoved(
       [this](std::string_view part) { this->HandleRemoval(part); });
@@ -125,6 +130,7 @@
 
 void CrashingParts::RecordCrash(const TargetCrash& crash,
                                 const std::set<std::string>& parts) {
+  this->recent.Record(crash);
   std::map<std::string, wire::PartCrashNote> notes;
   for (const std::string& part : parts) {
     if (!IsUsablePart(part) || this->IsRefused(part)) continue;
@@ -150,6 +156,7 @@
 void CrashingParts::RecordSurvival(absl::Span<const PromptPart> parts,
                                    const SoftwareVersion& version) {
   const Instant now = this->clock.Now();
+  if (!parts.empty()) this->survived.RecordAnswer();
   for (const PromptPart& part : parts) {
     if (!IsUsablePart(part.id)) continue;
     this->survived.Record(part.id, version);
@@ -161,11 +168,11 @@
   if (message.__isset.part_crash_note) {
     this->ReceiveCrashNote(message.part_crash_note);
   }
-  if (message.__isset.part_survival_question) {
-    this->ReceiveQuestion(message.part_survival_question);
+  if (message.__isset.part_question) {
+    this->ReceiveQuestion(message.part_question);
   }
-  if (message.__isset.part_survival_answer) {
-    this->ReceiveAnswer(message.part_survival_answer);
+  if (message.__isset.part_answer) {
+    this->ReceiveAnswer(message.part_answer);
   }
   if (message.__isset.crashing_part_note) {
     this->ReceiveConfirmed(message.crashing_part_note);
@@ -185,7 +192,7 @@
                      {"target", crash.target},
                      {"crashes", static_cast<int>(count)}});
     const int rank = i < note.owner_ranks.size() ? note.owner_ranks[i] : 0;
-    if (!this->judged.insert(part).second) continue;
+    if (!this->judged.try_emplace(part).second) continue;
     this->tasks.Spawn("judge part", this->JudgeInTurn(part, rank));
   }
 }
@@ -196,6 +203,41 @@
   this->judged.erase(part);
 }
 
+absl::Duration CrashingParts::AgeOfFirstCrash(const std::string& part) const {
+  return this->clock.Now() - this->crashes.CrashesOf(part).front().at;
+}
+
+PartEvidence CrashingParts::EvidenceOn(const std::string& part) {
+  PartEvidence evidence;
+  evidence.counted = this->crashes.Count(part);
+  if (evidence.counted == 0) return evidence;
+  const Instant now = this->clock.Now();
+  Judgement& judgement = this->judged.at(part);
+  const std::vector<PartCrashes::Crash> own = this->crashes.CrashesOf(part);
+  evidence.crashes = own.size();
+  evidence.age = now - own.front().at;
+  for (const PartCrashes::Crash& known : own) {
+    judgement.crashes.emplace(known.crash.target, known.crash.born_ms);
+  }
+  for (const TargetCrash& crash : this->recent.Within(evidence.age)) {
+    judgement.crashes.emplace(crash.target, crash.born_ms);
+  }
+  evidence.all_crashes = judgement.crashes.size();
+  evidence.answers = this->survived.AnswersWithin(evidence.age);
+  for (const auto& [instance, answers] : judgement.answers) {
+    evidence.answers += answers;
+  }
+  this->fleet.ForEachTarget(
+      [&evidence](const TargetState&) { evidence.targets += 1; });
+  if (evidence.counted < kCrashesToConfirm) {
+    judgement.enough_since.reset();
+  } else if (!judgement.enough_since.has_value()) {
+    judgement.enough_since = now;
+  }
+  evidence.waited = now - judgement.enough_since.value_or(now);
+  return evidence;
+}
+
 // Counts only crashes that the other instances were asked about: a request with
 // the part may have been answered anywhere since.
 asio::awaitable<void> CrashingParts::Judge(std::string part, int rank) {
@@ -205,13 +247,23 @@
     if (asked < kCrashesToSuspect) co_return;
     this->AskAll(part);
     co_await Sleep(this->context, kAnswerTime);
-    const std::size_t left = this->crashes.Count(part);
+    const PartEvidence evidence = this->EvidenceOn(part);
     if (this->IsRefused(part)) co_return;
-    if (asked >= kCrashesToConfirm && left >= kCrashesToConfirm) {
-      this->Confirm(part, rank);
-      co_return;
+    if (evidence.counted > asked) continue;
+    const PartVerdict verdict = JudgePart(evidence);
+    if (verdict == PartVerdict::kOpen) {
+      co_await Sleep(this->context, kAskAgainTime);
+      continue;
     }
-    if (left <= asked) co_return;
+    this->log.Write("parts", "judged",
+                    {{"prompt_part", part},
+                     {"counted", static_cast<int>(evidence.counted)},
+                     {"crashes", static_cast<int>(evidence.crashes)},
+                     {"all_crashes", static_cast<int>(evidence.all_crashes)},
+                     {"answers", static_cast<int>(evidence.answers)},
+                     {"waited_ms", evidence.waited}});
+    if (verdict == PartVerdict::kCrashesTargets) this->Confirm(part, rank);
+    co_return;
   }
 }
 
@@ -222,15 +274,13 @@
 }
 
 void CrashingParts::AskAll(const std::string& part) {
-  const Instant now = this->clock.Now();
-  const Instant since = this->crashes.CrashesOf(part).front().at;
   this->MarkSuspect(part);
   wire::FleetMessage message;
-  wire::PartSurvivalQuestion question;
+  wire::PartQuestion question;
   question.address = this->self.peer_address;
   question.part = part;
-  question.since_ms = absl::ToInt64Milliseconds(now - since);
-  message.__set_part_survival_question(std::move(question));
+  question.since_ms = absl::ToInt64Milliseconds(this->AgeOfFirstCrash(part));
+  message.__set_part_question(std::move(question));
   this->TellAll(message);
 }
 
@@ -245,28 +295,42 @@
   }
 }
 
-void CrashingParts::ReceiveQuestion(
-    const wire::PartSurvivalQuestion& question) {
+void CrashingParts::ReceiveQuestion(const wire::PartQuestion& question) {
   if (!IsUsablePart(question.part)) return;
   const Instant now = this->clock.Now();
+  const absl::Duration since = absl::Milliseconds(question.since_ms);
   this->MarkSuspect(question.part);
-  wire::PartSurvivalAnswer answer;
+  wire::PartAnswer answer;
   answer.part = question.part;
   for (const auto& [version, at] : this->survived.Find(question.part)) {
-    if (now - at > absl::Milliseconds(question.since_ms)) continue;
+    if (now - at > since) continue;
     wire::PartSurvival survival;
     if (version.has_value()) survival.__set_version(*version);
     survival.age_ms = absl::ToInt64Milliseconds(now - at);
     answer.survivals.push_back(std::move(survival));
   }
-  if (answer.survivals.empty()) return;
+  for (const TargetCrash& crash : this->recent.Within(since)) {
+    if (answer.crashes.size() >= kMaxCrashesPerAnswer) break;
+    answer.crashes.push_back(ToWire(crash));
+  }
+  answer.answers = static_cast<int>(this->survived.AnswersWithin(since));
+  answer.instance = this->self.name;
   wire::FleetMessage message;
-  message.__set_part_survival_answer(std::move(answer));
+  message.__set_part_answer(std::move(answer));
   this->send(message, question.address);
 }
 
-void CrashingParts::ReceiveAnswer(const wire::PartSurvivalAnswer& answer) {
+void CrashingParts::ReceiveAnswer(const wire::PartAnswer& answer) {
   const Instant now = this->clock.Now();
+  const auto judgement = this->judged.find(answer.part);
+  if (judgement == this->judged.end()) return;
+  auto& crashes_told = judgement->second.crashes;
+  for (const wire::TargetCrash& crash : answer.crashes) {
+    if (crashes_told.size() >= kMaxCrashesPerJudgement) break;
+    crashes_told.emplace(crash.target, crash.born_ms);
+  }
+  judgement->second.answers[answer.instance] =
+      static_cast<std::size_t>(std::max(0, answer.answers));
   for (const wire::PartSurvival& survival : answer.survivals) {
     SoftwareVersion version;
     if (survival.__isset.version) version = survival.version;
--- a/dragonflyglade/gateway/crashing_parts.h
+++ b/dragonflyglade/gateway/crashing_parts.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -85,11 +86,20 @@
     std::optional<Instant> written;
   };
 
+  /// What other instances told of a part while it is being judged.
+  struct Judgement {
+    std::set<std::pair<std::string, std::int64_t>> crashes;  ///< of all targets
+    std::map<std::string, std::size_t> answers;              ///< by instance
+    std::optional<Instant> enough_since;  ///< since there are enough crashes
+  };
+
   bool IsRefused(std::string_view part) const;
+  PartEvidence EvidenceOn(const std::string& part);
+  absl::Duration AgeOfFirstCrash(const std::string& part) const;
   std::vector<std::string> OwnersOf(std::string_view part) const;
   void ReceiveCrashNote(const wire::PartCrashNote& note);
-  void ReceiveQuestion(const wire::PartSurvivalQuestion& question);
-  void ReceiveAnswer(const wire::PartSurvivalAnswer& answer);
+  void ReceiveQuestion(const wire::PartQuestion& question);
+  void ReceiveAnswer(const wire::PartAnswer& answer);
   void ReceiveConfirmed(const wire::CrashingPartNote& note);
   boost::asio::awaitable<void> Judge(std::string part, int rank);
   boost::asio::awaitable<void> JudgeInTurn(std::string part, int rank);
@@ -120,7 +130,8 @@
   SendMessage send;
   PartCrashes crashes;
   SurvivedParts survived;
-  std::set<std::string> judged;  ///< parts that are being judged
+  RecentCrashes recent;
+  std::map<std::string, Judgement, std::less<>> judged;
   std::map<std::string, Unrecorded, std::less<>> unrecorded;
   std::map<std::string, Instant, std::less<>> suspect_until;
   std::map<std::string, Instant, std::less<>> removed_at;
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -39,51 +39,53 @@
 // A target that is leaving ends its process at some moment, whatever it runs.
 void TargetCrashDetector::RecordEnded(const TargetRecord& target,
                                       EndedExchange exchange) {
-  if (target.leaving) return;
+  const std::shared_ptr<TargetState> state = this->fleet.Target(target.id);
+  if (target.leaving || state == nullptr) return;
+  if (state->Record().born_ms != target.born_ms) return;
   const TargetProcess process(target.id, target.born_ms);
   const bool is_first = this->examined.count(process) == 0;
   this->examined[process].push_back(std::move(exchange));
-  if (!is_first) return;
-  this->tasks.Spawn("examine target", this->Examine(process, target.version));
+  if (is_first) this->tasks.Spawn("examine target", this->Examine(state));
 }
 
-asio::awaitable<void> TargetCrashDetector::Examine(TargetProcess process,
-                                                   SoftwareVersion version) {
+asio::awaitable<void> TargetCrashDetector::Examine(
+    std::shared_ptr<TargetState> target) {
+  const TargetRecord& record = target->Record();
+  const TargetCrash process{record.id, record.born_ms, record.version};
   co_await Sleep(this->context, kGatherTime);
-  const Verdict verdict = co_await this->Probe(process);
-  const std::vector<EndedExchange> ended = std::move(this->examined[process]);
-  this->examined.erase(process);
+  const Verdict verdict = co_await this->Probe(*target, process.born_ms);
+  const auto found = this->examined.find({process.target, process.born_ms});
+  const std::vector<EndedExchange> ended = std::move(found->second);
+  this->examined.erase(found);
   if (verdict == Verdict::kCrashed) {
-    this->HandleCrash({process.first, process.second, version}, ended);
+    this->HandleCrash(*target, process, ended);
   } else if (verdict == Verdict::kLives) {
-    this->HandleLives(process, version, ended);
+    this->HandleLives(process, ended);
   }
 }
 
-// One lost answer, or a connection that was reset, proves nothing. An entry
-// that is gone may have expired.
+// One lost answer, or a connection that was reset, proves nothing, nor does an
+// entry that is gone: it may have expired.
 asio::awaitable<TargetCrashDetector::Verdict> TargetCrashDetector::Probe(
-    const TargetProcess& process) {
-  const std::shared_ptr<TargetState> target = this->fleet.Target(process.first);
-  if (target == nullptr || target->Record().leaving)
-    co_return Verdict::kUnknown;
-  if (target->Record().born_ms != process.second) co_return Verdict::kCrashed;
-  const TargetPath path = this->paths.PathTo(*target);
+    TargetState& target, std::int64_t born_ms) {
+  if (target.Record().leaving) co_return Verdict::kUnknown;
+  if (target.Record().born_ms != born_ms) co_return Verdict::kCrashed;
+  const TargetPath path = this->paths.PathTo(target);
   const bool tunneled = std::holds_alternative<TunnelPath>(path);
   TargetExchange exchange(this->context,
-                          tunneled ? target->tunnels : target->connections,
+                          tunneled ? target.tunnels : target.connections,
                           this->wire, this->clock);
-  if (tunneled) this->paths.Use(path, *target, exchange);
-  const std::string address = target->Record().address;
+  if (tunneled) this->paths.Use(path, target, exchange);
+  const std::string address = target.Record().address;
   const std::optional<NotSent> failure = co_await exchange.OpenConnection(
       address, this->clock.Now() + kProbeTimeout);
   if (!failure.has_value()) co_return Verdict::kLives;
-  co_return failure->connect_error == ConnectError::kRefused
-      ? Verdict::kCrashed
-      : Verdict::kUnknown;
+  const bool refused = failure->connect_error == ConnectError::kRefused;
+  co_return refused ? Verdict::kCrashed : Verdict::kUnknown;
 }
 
-void TargetCrashDetector::HandleCrash(const TargetCrash& crash,
+void TargetCrashDetector::HandleCrash(TargetState& target,
+                                      const TargetCrash& crash,
                                       const std::vector<EndedExchange>& ended) {
   std::set<std::string> suspects;
   std::vector<std::string> requests;
@@ -103,26 +105,24 @@
                    {"prompt_parts", absl::StrJoin(suspects, ",")}});
   this->parts.RecordCrash(crash, suspects);
   this->channel.ReportConnectionRefused(crash.target);
-  const std::shared_ptr<TargetState> target = this->fleet.Target(crash.target);
-  if (target != nullptr && target->Record().born_ms == crash.born_ms) {
-    target->RecordResult(TargetResult::kUnreachable, this->clock.Now());
+  if (target.Record().born_ms == crash.born_ms) {
+    target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
   }
 }
 
-void TargetCrashDetector::HandleLives(const TargetProcess& process,
-                                      const SoftwareVersion& version,
+void TargetCrashDetector::HandleLives(const TargetCrash& process,
                                       const std::vector<EndedExchange>& ended) {
   int lost = 0;
   for (const EndedExchange& exchange : ended) {
     if (exchange.may_be_complete) {
-      this->parts.RecordSurvival(exchange.shared_parts, version);
+      this->parts.RecordSurvival(exchange.shared_parts, process.version);
     } else {
       lost += 1;
     }
   }
   if (lost == 0) return;
   this->log.Write("targets", "broke off and lives",
-                  {{"target", process.first}, {"requests", lost}});
+                  {{"target", process.target}, {"requests", lost}});
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,19 +44,20 @@
                       Metrics& metrics, EventLog& log, Tasks& tasks,
                       Clock clock);
 
-  /// Records that a connection ended. Has no effect if the target is leaving.
+  /// Records that a connection to the target ended. Has no effect if the target
+  /// is leaving or has no entry any more.
   void RecordEnded(const TargetRecord& target, EndedExchange exchange);
 
  private:
   using TargetProcess = std::pair<std::string, std::int64_t>;  ///< id, born_ms
   enum class Verdict { kCrashed, kLives, kUnknown };
 
-  boost::asio::awaitable<void> Examine(TargetProcess process,
-                                       SoftwareVersion version);
-  boost::asio::awaitable<Verdict> Probe(const TargetProcess& process);
-  void HandleCrash(const TargetCrash& crash,
+  boost::asio::awaitable<void> Examine(std::shared_ptr<TargetState> target);
+  boost::asio::awaitable<Verdict> Probe(TargetState& target,
+                                        std::int64_t born_ms);
+  void HandleCrash(TargetState& target, const TargetCrash& crash,
                    const std::vector<EndedExchange>& ended);
-  void HandleLives(const TargetProcess& process, const SoftwareVersion& version,
+  void HandleLives(const TargetCrash& process,
                    const std::vector<EndedExchange>& ended);
 
   boost::asio::io_context& context;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -317,12 +317,12 @@
   3: list<i32> owner_ranks
 }
 
-/** Asks when targets last answered on a part that is suspect. */
-struct PartSurvivalQuestion {
+/** Asks what is known about a part that is suspect. */
+struct PartQuestion {
   /** The address to send the answer to. */
   1: string address
   2: string part
-  /** Answers on the part before this time do not matter. */
+  /** The age of the part's first crash. */
   3: i64 since_ms
 }
 
@@ -333,9 +333,16 @@
   2: i64 age_ms
 }
 
-struct PartSurvivalAnswer {
+struct PartAnswer {
   1: string part
+  /** Since the part's first crash. */
   2: list<PartSurvival> survivals
+  /** All crashes of targets since then that the sender has seen. */
+  3: list<TargetCrash> crashes
+  /** The number of requests that were answered since then. */
+  4: i32 answers
+  /** The name of the answering instance. */
+  5: string instance
 }
 
 /** Tells the receiver to refuse requests with a part that crashes targets. */
@@ -360,7 +367,7 @@
   11: StreamOriginQuestion stream_question
   12: StreamOriginAnswer stream_answer
   13: PartCrashNote part_crash_note
-  14: PartSurvivalQuestion part_survival_question
-  15: PartSurvivalAnswer part_survival_answer
+  14: PartQuestion part_question
+  15: PartAnswer part_answer
   16: CrashingPartNote crashing_part_note
 }
--- a/measure/topics.cc
+++ b/measure/topics.cc
@@ -24,6 +24,10 @@
       {"placement", {MeasurePlacement, {}, {}}},
       {"residency", {MeasureResidency, {}, {}}},
       {"capacity", {MeasureCapacity, {}, {}}},
+      {"crashes",
+       {MeasureCrashes,
+        {},
+        {"nothing", "three_crashes", "answered_since", "share"}}},
       {"once", {MeasureOnce, {}, {"claims", "plain_retries"}}},
   };
   return topics;
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -50,6 +50,8 @@
 void MeasurePlacement(const MeasureOptions& options);
 /// CPU time and memory of single decisions.
 void MeasureCapacity(const MeasureOptions& options);
+/// Parts of prompts that crash targets: ways to find them.
+void MeasureCrashes(const MeasureOptions& options);
 /// Calls that must not run twice, with claims and with plain retries.
 void MeasureOnce(const MeasureOptions& options);
 
--- a/tests/platform/platform-crashing-parts.cc
+++ b/tests/platform/platform-crashing-parts.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <boost/asio/post.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,6 +10,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "tests/platform/gateway_harness.h"
 
@@ -23,7 +26,8 @@
 constexpr int kBoundingCrashes = 5;
 constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
 constexpr int kMaxFurtherRequests = 3;
-constexpr int kTargets = 3;
+constexpr int kTargets = 8;
+constexpr int kSoundPerCrash = 12;
 
 // Ends as soon as it begins to answer a request with a part "bad", unless that
 // is the last one.
@@ -105,6 +109,38 @@
     return crashes;
   }
 
+  // Sends requests with a part that crashes targets until both instances refuse
+  // it.
+  void CrashUntilRefused() {
+    for (int i = 0; i < 2 * kBoundingCrashes; ++i) {
+      const int status = this->Call(i % 2, "bad:10,own:1").status;
+      if (status == 503) break;
+      this->ReplaceCrashed();
+      for (int n = 0; n < kSoundPerCrash; ++n) this->Call(n % 2, "x:10,own:1");
+      absl::SleepFor(absl::Milliseconds(300));
+    }
+    CPPUNIT_ASSERT(this->Crashes() <= kBoundingCrashes);
+  }
+
+  // How many parts the instance knows from the store.
+  std::size_t RefusedParts(int instance) {
+    gateway::Gateway& one =
+        instance == 0 ? *this->harness.gateway : this->second->gateway;
+    std::size_t count = 0;
+    absl::Notification done;
+    boost::asio::post(one.Context(), [&] {
+      count = one.Fleet().CrashingParts().size();
+      done.Notify();
+    });
+    done.WaitForNotification();
+    return count;
+  }
+
+  // The store's keys of parts that crash targets.
+  std::vector<std::string> RecordedParts() const {
+    return this->harness.store.Keys("dragonflyglade/crashing-parts/");
+  }
+
   GatewayHarness harness;
 
  private:
@@ -162,6 +198,11 @@
 class CrashingPartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingPartsTest);
   CPPUNIT_TEST(RefusesPartsThatCrashTargets);
+  CPPUNIT_TEST(KnowsThemWhileTheStoreIsAway);
+  CPPUNIT_TEST(KnowsThemAfterAllInstancesEnded);
+  CPPUNIT_TEST(ServesThemAfterTheOperatorTookThemBack);
+  CPPUNIT_TEST(RefusesPartsThatAnOperatorNamed);
+  CPPUNIT_TEST(BlamesNoPartForOtherFailures);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -207,6 +248,112 @@
           fleet.Crashes() - before <= kMaxFurtherRequests);
     }
   }
+
+  // Guards against targets that crash at the instances that were not told, as
+  // long as the store takes no writes.
+  void KnowsThemWhileTheStoreIsAway() {
+    CrashingFleet fleet;
+    fleet.harness.store.RejectWrites(true);
+    fleet.CrashUntilRefused();
+    const int before = fleet.Crashes();
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(503, fleet.Call(i % 2, "bad:10,own:1").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, fleet.Crashes());
+    fleet.harness.store.RejectWrites(false);
+    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
+  }
+
+  // Guards against new crashes after a restart of all instances, which forget
+  // what they had seen.
+  void KnowsThemAfterAllInstancesEnded() {
+    CrashingFleet fleet;
+    fleet.CrashUntilRefused();
+    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
+    fleet.second.reset();
+    fleet.second = std::make_unique<RunningInstance>(fleet.harness, "three");
+    const int before = fleet.Crashes();
+    fleet.harness.WaitFor(
+        [&] { return fleet.Call(1, "x:10,own:1").status == 200; });
+    const Reply reply = fleet.Call(1, "bad:10,own:1");
+    CPPUNIT_ASSERT_EQUAL(503, reply.status);
+    CPPUNIT_ASSERT(absl::StrContains(reply.text, "crashing_part"));
+    CPPUNIT_ASSERT_EQUAL(before, fleet.Crashes());
+  }
+
+  // Guards against a part that stays refused although its record was removed.
+  void ServesThemAfterTheOperatorTookThemBack() {
+    std::atomic<bool> crashes = true;
+    CrashingFleet fleet([&crashes](const RawRequest& request) {
+      return crashes ? AnswerOrCrash(request) : SuccessfulResponse(request);
+    });
+    fleet.CrashUntilRefused();
+    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
+    crashes = false;
+    fleet.harness.store.Delete(fleet.RecordedParts().front());
+    for (int instance : {0, 1}) {
+      fleet.harness.WaitFor(
+          [&] { return fleet.Call(instance, "bad:10,own:1").status == 200; });
+    }
+    absl::SleepFor(absl::Seconds(1));
+    CPPUNIT_ASSERT(fleet.RecordedParts().empty());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(0, "bad:10,own:1").status);
+  }
+
+  // Guards against a part that an operator knows of, and targets crash on all
+  // the same; an unreadable record is in force, too.
+  void RefusesPartsThatAnOperatorNamed() {
+    for (const char* value : {R"({"by": "operator", "why": "seen"})", "?"}) {
+      CrashingFleet fleet;
+      fleet.harness.store.Put("dragonflyglade/crashing-parts/bad", value);
+      for (int instance : {0, 1}) {
+        fleet.harness.WaitFor(
+            [&] { return fleet.RefusedParts(instance) == 1; });
+        CPPUNIT_ASSERT_EQUAL(503,
+                             fleet.Call(instance, "q:1,bad:10,own:1").status);
+      }
+      CPPUNIT_ASSERT_EQUAL(0, fleet.Crashes());
+      const Reply reply = fleet.Call(0, "bad:10,own:1");
+      CPPUNIT_ASSERT(std::stod(reply.Field("Retry-After")) >= 30);
+      // Requests do not share their last part.
+      CPPUNIT_ASSERT_EQUAL(200, fleet.Call(0, "q:1,bad:10").status);
+    }
+  }
+
+  // Guards against a part that is refused since its requests were beside
+  // crashes, or were lost while the targets lived.
+  void BlamesNoPartForOtherFailures() {
+    struct Case {
+      std::string name;
+      bool crash;     ///< the targets end, else only the connections do
+      bool answered;  ///< whether the part is answered on in between
+    };
+    const std::vector<Case> cases = {
+        {"targets end", true, true},
+        {"connections end", false, false},
+    };
+    for (const Case& item : cases) {
+      std::atomic<bool> fails = false;
+      CrashingFleet fleet([&](const RawRequest& request) {
+        Script script = SuccessfulResponse(request);
+        if (!fails.exchange(false)) return script;
+        script = {"", !item.crash, false, item.crash};
+        return script;
+      });
+      for (int i = 0; i < 8; ++i) {
+        fails = true;
+        const std::string parts = absl::StrCat("p:10,own", i, ":1");
+        CPPUNIT_ASSERT_EQUAL(502, fleet.Call(i % 2, parts).status);
+        fleet.ReplaceCrashed();
+        if (!item.answered) continue;
+        CPPUNIT_ASSERT_EQUAL(200, fleet.Call(i % 2, parts).status);
+        absl::SleepFor(absl::Milliseconds(150));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200,
+                                   fleet.Call(0, "p:10,own:1").status);
+      CPPUNIT_ASSERT(fleet.RecordedParts().empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CrashingPartsTest,
