Add a command to list, add and take back parts that crash targets

Operators had no way but the store's own calls to name such a part ahead of time, or to end a wrong blame. A part that is refused already is not overwritten.

--- a/dragonflyglade/instance/main.cc
+++ b/dragonflyglade/instance/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dragonflyglade/gateway/gateway_command.h"
+#include "dragonflyglade/gateway/parts_command.h"
 #include "dragonflyglade/operator/commands.h"
 #include "platform/wire.h"
 #ifdef DRAGONFLYGLADE_ALL_COMMANDS
@@ -30,9 +31,17 @@
                                     platform::MakeWireFormat());
 }
 
+int RunParts(const Arguments& arguments, const CommandOutput& output) {
+  return gateway::RunPartsCommand(arguments, output,
+                                  platform::MakeWireFormat());
+}
+
 std::vector<Command> Commands() {
   return {
       {"gateway", "run one instance on the users' platform", RunGateway},
+      {"parts",
+       "list, add or take back the parts of prompts that crash targets",
+       RunParts},
 #ifdef DRAGONFLYGLADE_ALL_COMMANDS
       {"serve", "run one instance", RunServeCommand},
       {"config", "validate, apply, get, show the history of, or retire records",
--- a/measure/model/crash_fleet.cc
+++ b/measure/model/crash_fleet.cc
@@ -125,8 +125,8 @@
   }
   Target* best = nullptr;
   for (int i = 0; i < 3; ++i) {
-    const auto index =
-        static_cast<std::size_t>(this->Uniform() * this->targets.size());
+    const auto index = static_cast<std::size_t>(
+        this->Uniform() * static_cast<double>(this->targets.size()));
     Target& one = this->targets[index];
     if (one.back_at.has_value() || one.running.size() >= kSlots) continue;
     if (best == nullptr || one.running.size() < best->running.size()) {
--- a/tests/platform/platform-crashing-parts.cc
+++ b/tests/platform/platform-crashing-parts.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
+#include "dragonflyglade/gateway/parts_command.h"
 #include "tests/platform/gateway_harness.h"
 
 namespace dragonflyglade {
@@ -203,6 +205,7 @@
   CPPUNIT_TEST(ServesThemAfterTheOperatorTookThemBack);
   CPPUNIT_TEST(RefusesPartsThatAnOperatorNamed);
   CPPUNIT_TEST(BlamesNoPartForOtherFailures);
+  CPPUNIT_TEST(RunsTheOperatorsCommands);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -320,6 +323,40 @@
     }
   }
 
+  // Guards against commands that do something else than they say, and against
+  // wrong ones that seem to succeed.
+  void RunsTheOperatorsCommands() {
+    struct Case {
+      std::vector<std::string> words;
+      int exit;
+      std::string output;
+    };
+    const std::vector<Case> cases = {
+        {{"list"}, kExitDone, ""},
+        {{"refuse", "bad", "ops", "seen elsewhere"}, kExitDone, "done"},
+        {{"refuse", "bad", "ops", "again"}, kExitFailed, "refused already"},
+        {{"list"}, kExitDone, "bad by ops since"},
+        {{"take-back", "bad"}, kExitDone, "done"},
+        {{"list"}, kExitDone, ""},
+        {{"refuse", "bad"}, kExitBadUse, "use:"},
+        {{"take-back"}, kExitBadUse, "use:"},
+        {{"nonsense"}, kExitBadUse, "use:"},
+    };
+    PlatformStoreStandIn store;
+    for (const Case& item : cases) {
+      std::vector<std::string> arguments = {"--store",
+                                            store.Address().ToString()};
+      arguments.insert(arguments.end(), item.words.begin(), item.words.end());
+      std::ostringstream text;
+      const int exit = gateway::RunPartsCommand(arguments, {text, text},
+                                                platform::MakeWireFormat());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.words.front(), item.exit, exit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text.str(), item.output.empty(),
+                                   text.str().empty());
+      CPPUNIT_ASSERT(absl::StrContains(text.str(), item.output));
+    }
+  }
+
   // Guards against a part that is refused since its requests were beside
   // crashes, or were lost while the targets lived.
   void BlamesNoPartForOtherFailures() {
