Let streams go on although one of their parts is suspect

A part that many requests share is suspect for ten seconds after two crashes beside it. Streams that have been answered on for a while are sound and may be taken up at the next target; only requests that were beginning are not repeated.

--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -219,8 +219,12 @@
   if (job.attempts >= kMaxAttempts) return false;
   if (may_have_run && !job.MayReexecute()) return false;
   if (may_have_run && job.executions >= job.route->max_targets) return false;
-  // The next target might crash on it, too.
-  if (may_have_run && this->parts.AnySuspect(job.SharedParts())) return false;
+  // The next target might crash on it, too. What has been answered on for a
+  // while is sound.
+  if (may_have_run && job.IsBeginning(now) &&
+      this->parts.AnySuspect(job.SharedParts())) {
+    return false;
+  }
   if (this->RetryBudgetOf(job.service->name).TryConsumeRetry()) return true;
   this->metrics.Count("retries_refused");
   this->log.Write("retry", "no retry budget left",
