Let the fleet model compare the ways as they are described

Counting alone, and counting since the last answer, confirm at the third crash; in the model they had waited for five since the decision was changed.

--- a/measure/model/crash_fleet.cc
+++ b/measure/model/crash_fleet.cc
@@ -265,18 +265,18 @@
   if (evidence.counted == 0) return;
   const auto crashes = owner.crashes->CrashesOf(part);
   evidence.crashes = crashes.size();
-  evidence.age = absl::InfiniteDuration();
-  evidence.waited = absl::InfiniteDuration();
-  if (this->options.policy == CrashPolicy::kShare) {
-    const Instant now = this->clock.Now();
-    evidence.age = now - crashes.front().at;
-    evidence.all_crashes =
-        this->recent->Within(evidence.age + kNoticeDelay).size();
-    evidence.answers = this->answers->AnswersWithin(evidence.age);
-    auto& since = owner.enough_since;
-    if (evidence.counted < kCrashesToConfirm) since.erase(part);
-    evidence.waited = now - since.emplace(part, now).first->second;
+  if (this->options.policy != CrashPolicy::kShare) {
+    if (evidence.counted >= kCrashesToConfirm) this->Confirm(part);
+    return;
   }
+  const Instant now = this->clock.Now();
+  evidence.age = now - crashes.front().at;
+  evidence.all_crashes =
+      this->recent->Within(evidence.age + kNoticeDelay).size();
+  evidence.answers = this->answers->AnswersWithin(evidence.age);
+  auto& since = owner.enough_since;
+  if (evidence.counted < kCrashesToConfirm) since.erase(part);
+  evidence.waited = now - since.emplace(part, now).first->second;
   const PartVerdict verdict = JudgePart(evidence);
   if (verdict == PartVerdict::kCrashesTargets) this->Confirm(part);
   if (verdict == PartVerdict::kOpen) {
