--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -40,9 +40,9 @@
                    const WireFormat& wire, FleetState& fleet,
                    ModelDemand& demand, QuotaAdmission& quotas,
                    FleetChannel& channel, StreamOrigins& stream_origins,
-                   CrashingParts& parts, TargetCrashDetector& crash_detector,
-                   TargetPaths& paths, Metrics& metrics, EventLog& log,
-                   Tasks& tasks, Clock clock)
+                   CrashingParts& crashing_parts,
+                   TargetCrashDetector& crash_detector, TargetPaths& paths,
+                   Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -51,7 +51,7 @@
       quotas(quotas),
       channel(channel),
       stream_origins(stream_origins),
-      parts(parts),
+      crashing_parts(crashing_parts),
       crash_detector(crash_detector),
       paths(paths),
       metrics(metrics),
@@ -204,7 +204,8 @@
 }
 
 std::optional<Refusal> Pipeline::CheckParts(const RequestJob& job) {
-  const PromptPart* refused = this->parts.FindRefused(job.SharedParts());
+  const PromptPart* refused =
+      this->crashing_parts.FindRefused(job.SharedParts());
   if (refused == nullptr) return std::nullopt;
   this->log.Write("request", "holds a crashing part",
                   {{"id", job.request.id},
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -46,7 +46,7 @@
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
            QuotaAdmission& quotas, FleetChannel& channel,
-           StreamOrigins& stream_origins, CrashingParts& parts,
+           StreamOrigins& stream_origins, CrashingParts& crashing_parts,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
            Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
 
@@ -156,7 +156,7 @@
   QuotaAdmission& quotas;
   FleetChannel& channel;
   StreamOrigins& stream_origins;
-  CrashingParts& parts;
+  CrashingParts& crashing_parts;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
   Metrics& metrics;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -222,7 +222,7 @@
   // The next target might crash on it, too. What has been answered on for a
   // while is sound.
   if (may_have_run && job.IsBeginning(now) &&
-      this->parts.AnySuspect(job.SharedParts())) {
+      this->crashing_parts.AnySuspect(job.SharedParts())) {
     return false;
   }
   if (this->RetryBudgetOf(job.service->name).TryConsumeRetry()) return true;
@@ -381,7 +381,7 @@
   if (response.ended_by_close) {
     this->RecordEndedExchange(job, target, true);
   } else if (IsSuccess(head.status)) {
-    this->parts.RecordSurvival(job.SharedParts(), job.target_version);
+    this->crashing_parts.RecordSurvival(job.SharedParts(), job.target_version);
   }
   if (failed && this->MayRetry(job, true)) {
     this->log.Write("request", "failed at target",
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -182,7 +182,7 @@
 
 bool Pipeline::EndsWait(const RequestJob& job) const {
   return job.connection.IsDisconnected() ||
-         this->parts.FindRefused(job.SharedParts()) != nullptr;
+         this->crashing_parts.FindRefused(job.SharedParts()) != nullptr;
 }
 
 // Delays the request while its target processes earlier prompts, and then
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -142,7 +142,7 @@
   if (job.survival_recorded) return;
   if (end == nullptr && job.IsBeginning(this->clock.Now())) return;
   job.survival_recorded = true;
-  this->parts.RecordSurvival(job.SharedParts(), job.target_version);
+  this->crashing_parts.RecordSurvival(job.SharedParts(), job.target_version);
 }
 
 asio::awaitable<bool> Pipeline::RelayEvents(RequestJob& job,
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -23,14 +23,14 @@
 
 TargetCrashDetector::TargetCrashDetector(
     asio::io_context& context, const WireFormat& wire, FleetState& fleet,
-    FleetChannel& channel, TargetPaths& paths, CrashingParts& parts,
+    FleetChannel& channel, TargetPaths& paths, CrashingParts& crashing_parts,
     Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       wire(wire),
       fleet(fleet),
       channel(channel),
       paths(paths),
-      parts(parts),
+      crashing_parts(crashing_parts),
       metrics(metrics),
       log(log),
       tasks(tasks),
@@ -103,7 +103,7 @@
                    {"requests", static_cast<int>(ended.size())},
                    {"beginning", absl::StrJoin(requests, ",")},
                    {"prompt_parts", absl::StrJoin(suspects, ",")}});
-  this->parts.RecordCrash(crash, suspects);
+  this->crashing_parts.RecordCrash(crash, suspects);
   this->channel.ReportConnectionRefused(crash.target);
   if (target.Record().born_ms == crash.born_ms) {
     target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
@@ -115,7 +115,8 @@
   int lost = 0;
   for (const EndedExchange& exchange : ended) {
     if (exchange.may_be_complete) {
-      this->parts.RecordSurvival(exchange.shared_parts, process.version);
+      this->crashing_parts.RecordSurvival(exchange.shared_parts,
+                                          process.version);
     } else {
       lost += 1;
     }
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -40,7 +40,7 @@
  public:
   TargetCrashDetector(boost::asio::io_context& context, const WireFormat& wire,
                       FleetState& fleet, FleetChannel& channel,
-                      TargetPaths& paths, CrashingParts& parts,
+                      TargetPaths& paths, CrashingParts& crashing_parts,
                       Metrics& metrics, EventLog& log, Tasks& tasks,
                       Clock clock);
 
@@ -65,7 +65,7 @@
   FleetState& fleet;
   FleetChannel& channel;
   TargetPaths& paths;
-  CrashingParts& parts;
+  CrashingParts& crashing_parts;
   Metrics& metrics;
   EventLog& log;
   Tasks& tasks;
