Read the store at once if the relay cannot send what an instance lacks

The leader was killed in the moment in which the store acknowledged the configuration, and was back half a second later. The others heard nothing until they asked it, 1.3 to 1.5 s after the change; it answered that there was something newer, which it could not send, since its history began after its start. They waited another 0.8 s for it before they read the store.

A digest now says that its sender lacks the history, and the receiver reads the store at once. ReadsTheStoreIfTheRelayLacksTheHistory failed before.

--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -99,7 +99,11 @@
 
 wire::StoreDigest StoreRelay::DigestSince(std::uint64_t known) {
   const PackedDigestChanges* changes = this->PackedChangesSince(known);
-  if (changes == nullptr) return this->DigestWithChanges("");
+  if (changes == nullptr) {
+    wire::StoreDigest digest = this->DigestWithChanges("");
+    digest.lacks_history = this->sync_state.UrgentRevision() > known;
+    return digest;
+  }
   wire::StoreDigest digest = this->DigestWithChanges(changes->bytes);
   digest.through_with_large_changes = static_cast<std::int64_t>(
       changes->complete ? this->sync_state.ReadThrough() : changes->last);
@@ -120,6 +124,7 @@
       this->clock.Now() - absl::Milliseconds(digest.age_ms);
   relay_digest.changes_through =
       static_cast<std::uint64_t>(digest.changes_through);
+  relay_digest.lacks_history = digest.lacks_history;
   if (!digest.changes.empty()) {
     const auto changes = UnpackChanges(digest.changes);
     if (!changes.has_value()) {
--- a/dragonflyglade/gateway/store_sync_state.cc
+++ b/dragonflyglade/gateway/store_sync_state.cc
@@ -58,6 +58,7 @@
   // Digests of several relays arrive, and their confirmations differ in age.
   this->relay_confirmed_at =
       std::max(this->relay_confirmed_at, digest.confirmed_at);
+  this->relay_lacks_history |= digest.lacks_history;
   this->UpdateLag();
   this->changed.Notify();
 }
@@ -78,6 +79,7 @@
          this->announced.front().revision <= this->known_through) {
     this->announced.pop_front();
   }
+  if (this->announced.empty()) this->relay_lacks_history = false;
 }
 
 absl::Duration StoreSyncState::DigestAge() const {
@@ -90,6 +92,9 @@
 
 bool StoreSyncState::MustReadStore() const {
   if (this->announced.empty()) return false;
+  // A relay that was restarted: to wait for it would only make this instance
+  // late.
+  if (this->relay_lacks_history) return true;
   const Instant now = this->clock.Now();
   const Instant behind_since = this->announced.front().at;
   return now - behind_since > kMaxLag ||
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -21,6 +21,8 @@
   std::uint64_t changes_through = 0;
   /// When the store last confirmed to the relay that nothing is newer.
   Instant confirmed_at;
+  /// Whether the relay cannot send the changes that this instance lacks.
+  bool lacks_history = false;
 };
 
 /// How far this instance's copy of the store is up to date, by its own reads
@@ -77,7 +79,8 @@
   /// Whether relays have announced urgent changes that this instance lacks.
   bool IsBehind() const { return !this->announced.empty(); }
 
-  /// Whether it has lacked them for so long that it must read the store.
+  /// Whether it has lacked them for so long, or relays cannot send them, that
+  /// it must read the store.
   bool MustReadStore() const;
 
   /// For how long the store has responded to the relays without a gap; zero if
@@ -113,6 +116,7 @@
   /// The announced revisions that this instance lacks, oldest first.
   std::deque<Announcement> announced;
   Instant last_progress;
+  bool relay_lacks_history = false;  ///< while changes are lacking
 
   AsyncCondition changed;
   std::function<void()> on_urgent_change;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -177,6 +177,9 @@
   6: i64 through_with_large_changes
   /** The address to request large changes from. */
   7: string address
+  /** Whether the sender does not have the changes since the revision that the
+      receiver named, and cannot send them. */
+  8: bool lacks_history
 }
 
 /** Asks a relay instance for the state of the store. */
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -41,10 +41,28 @@
   CPPUNIT_TEST(SendsChangesToInstancesThatQueried);
   CPPUNIT_TEST(QueriesAnotherRelayIfTheLeaderLosesTheStore);
   CPPUNIT_TEST(AnnouncesANewLeaderWithoutClaimingCompleteness);
+  CPPUNIT_TEST(ReadsTheStoreIfTheRelayLacksTheHistory);
   CPPUNIT_TEST(IgnoresInvalidChanges);
   CPPUNIT_TEST(PacksAsManyChangesAsFit);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against an old configuration for two seconds, after the relay was
+  // killed at a change and is back: it cannot send what happened before.
+  void ReadsTheStoreIfTheRelayLacksTheHistory() {
+    RelayFleet fleet(2);
+    fleet.ApplyRead(1, {Item("k", 4, "known")}, 4);
+    RelayFleet::Instance& restarted = *fleet.instances[0];
+    const std::vector<StoreItem> listing = {Item(kTestConfigKey, 8, "newer")};
+    restarted.state.ApplyListing(listing, 9);
+    restarted.sync_state.RecordRead(9, restarted.state.UrgentRevision());
+    RelayFleet::Instance& other = *fleet.instances[1];
+    other.relay.ReceiveDigest(restarted.relay.DigestSince(4));
+    CPPUNIT_ASSERT(other.sync_state.IsBehind());
+    CPPUNIT_ASSERT(other.sync_state.MustReadStore());
+    other.sync_state.RecordRead(9, 8);
+    CPPUNIT_ASSERT(!other.sync_state.MustReadStore());
+  }
+
   // Failure: instances use an old configuration for up to five seconds. A
   // configuration of 39 KB did not fit into a digest of 24 KB, so that no relay
   // passed it on and 295 instances read it from the store at the same time.
