Count the time that a digest was on its way into its age

An instance counted a relay's digest as young by what its sender said; seconds on a link or in the socket's buffer were not in it, so the instance believed to be up to date and did not read the store.

A report or question now says when it was sent, and the digest in response returns that time and how long the sender had it. Its age counts from the receiver's own request, so no clocks are compared, and the way there only makes it older. A digest that responds to nothing, as the announcement of a leader, is applied and is no sign of being up to date.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -200,6 +200,7 @@
   report.incarnation = this->self.incarnation;
   report.address = this->self.peer_address;
   report.sequence = ++this->sequence;
+  report.sent_ms = absl::ToInt64Milliseconds(this->clock.Now());
   // Nothing can have been spent before the fleet's first start, so that the
   // process's age imposes no limit then.
   const absl::Duration age = this->clock.Now() - this->started;
@@ -280,20 +281,22 @@
   const bool limits_changed = this->ApplyTargetLimits(report.limits);
   const bool brittle_changed = this->ApplyBrittleTargets(report.brittle);
   if (limits_changed || brittle_changed) this->SchedulePush();
-  this->RespondToReport(report);
+  this->RespondToReport({report, this->clock.Now()});
 }
 
-void FleetChannel::RespondToReport(const wire::InstanceReport& report) {
+void FleetChannel::RespondToReport(const ReceivedReport& received) {
+  const wire::InstanceReport& report = received.report;
   if (!IsStandby(report)) {
-    this->SendSummary(report);
+    this->SendSummary(received);
     return;
   }
   if (report.incarnation == this->self.incarnation) return;
   this->relay.SendDigest(static_cast<std::uint64_t>(report.store_revision),
-                         report.address);
+                         {report.sent_ms, received.at}, report.address);
 }
 
-void FleetChannel::SendSummary(const wire::InstanceReport& report) {
+void FleetChannel::SendSummary(const ReceivedReport& received) {
+  const wire::InstanceReport& report = received.report;
   wire::FleetMessage message;
   wire::FleetSummary summary = this->aggregator.SummaryFor(report);
   for (wire::WorkspaceSpend& spend : summary.spends) {
@@ -302,8 +305,9 @@
   }
   summary.holder = this->self.incarnation;
   summary.fence = static_cast<std::int64_t>(this->leader_lease.FencingToken());
-  summary.store = this->relay.DigestSince(
-      static_cast<std::uint64_t>(report.store_revision));
+  summary.store = this->relay.RespondWithDigest(
+      static_cast<std::uint64_t>(report.store_revision),
+      {report.sent_ms, received.at});
   summary.holdings_version = this->holdings.Version();
   summary.holdings = this->holdings.Since(
       report.holdings_of == this->self.incarnation ? report.holdings_version
@@ -385,11 +389,10 @@
 asio::awaitable<void> FleetChannel::SendToReporters() {
   while (this->notify_again && this->leader_lease.IsLeader()) {
     this->notify_again = false;
-    std::vector<wire::InstanceReport> reporters =
-        this->aggregator.RecentReports();
+    std::vector<ReceivedReport> reporters = this->aggregator.RecentReports();
     std::stable_partition(
         reporters.begin(), reporters.end(),
-        [](const wire::InstanceReport& one) { return !IsStandby(one); });
+        [](const ReceivedReport& one) { return !IsStandby(one.report); });
     const std::function<void(std::size_t)> send_to = [&](std::size_t index) {
       this->RespondToReport(reporters[index]);
     };
@@ -409,8 +412,8 @@
   this->push_pending = false;
   if (!this->leader_lease.IsLeader()) co_return;
   const Instant start = this->clock.Now();
-  for (const wire::InstanceReport& report : this->aggregator.RecentReports()) {
-    if (!IsIdle(report)) this->SendSummary(report);
+  for (const ReceivedReport& each : this->aggregator.RecentReports()) {
+    if (!IsIdle(each.report)) this->SendSummary(each);
   }
   const Instant end = this->clock.Now();
   this->next_push = end + kPausePerPushTime * (end - start);
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -105,7 +105,7 @@
   boost::asio::awaitable<void> SendToReporters();
   boost::asio::awaitable<void> ForEachPaced(
       std::size_t count, const std::function<void(std::size_t)>& send_to);
-  void RespondToReport(const wire::InstanceReport& report);
+  void RespondToReport(const ReceivedReport& received);
   absl::Duration ReportInterval() const;
   wire::InstanceReport MakeReport();
   bool BroadcastsSentPrompts() const;
@@ -114,7 +114,7 @@
   void ReceiveDatagram(std::string_view datagram);
   void ReceiveReport(const wire::InstanceReport& report);
   void ReceiveSummary(const wire::FleetSummary& summary);
-  void SendSummary(const wire::InstanceReport& report);
+  void SendSummary(const ReceivedReport& received);
   void ApplyTargetUses(const wire::FleetSummary& summary);
   void ApplyHoldings(const wire::FleetSummary& summary);
   void ApplyFleetSpends(const wire::FleetSummary& summary);
--- a/dragonflyglade/gateway/report_aggregator.cc
+++ b/dragonflyglade/gateway/report_aggregator.cc
@@ -307,11 +307,12 @@
   return in_use;
 }
 
-std::vector<wire::InstanceReport> ReportAggregator::RecentReports() {
+std::vector<ReceivedReport> ReportAggregator::RecentReports() {
   this->RemoveExpired();
-  std::vector<wire::InstanceReport> reporters;
+  std::vector<ReceivedReport> reporters;
   for (const auto& [incarnation, entry] : this->entries) {
-    if (this->IsCurrent(entry)) reporters.push_back(entry.report);
+    if (!this->IsCurrent(entry)) continue;
+    reporters.push_back({entry.report, entry.received_at});
   }
   return reporters;
 }
--- a/dragonflyglade/gateway/report_aggregator.h
+++ b/dragonflyglade/gateway/report_aggregator.h
@@ -24,6 +24,12 @@
   int waiting = 0;  ///< requests that wait for it
 };
 
+/// A report and when it arrived.
+struct ReceivedReport {
+  wire::InstanceReport report;
+  Instant at;
+};
+
 /// Aggregates the instances' reports at the leader, so that each instance
 /// exchanges one report and one summary instead of messages with all others.
 /// The state is not persistent: a new leader is complete after one round of
@@ -63,7 +69,7 @@
   std::map<std::string, std::set<std::string>> ResidentsInUse() const;
 
   /// The last report of each process whose reports are not overdue.
-  std::vector<wire::InstanceReport> RecentReports();
+  std::vector<ReceivedReport> RecentReports();
 
   /// Forgets all reports and demand, after the leader lease ended.
   void Clear();
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -116,12 +116,35 @@
   return digest;
 }
 
+wire::StoreDigest StoreRelay::RespondWithDigest(std::uint64_t known,
+                                                const RequestTime& request) {
+  wire::StoreDigest digest = this->DigestSince(known);
+  wire::RequestEcho echo;
+  echo.sent_ms = request.sent_ms;
+  echo.held_ms =
+      absl::ToInt64Milliseconds(this->clock.Now() - request.received_at);
+  digest.__set_echo(echo);
+  return digest;
+}
+
+// Failure: digests lie on a link or in a socket's buffer for seconds. If their
+// age were counted from their arrival, this instance would believe to be up to
+// date, and serve by an old configuration although the store is in reach. The
+// time from its own request on includes all of the way, with no other
+// instance's clock.
+Instant StoreRelay::ConfirmationTime(const wire::StoreDigest& digest) const {
+  if (!digest.__isset.echo) return -absl::InfiniteDuration();
+  const Instant sent_at =
+      absl::Milliseconds(digest.echo.sent_ms + digest.echo.held_ms);
+  return std::min(this->clock.Now(), sent_at) -
+         absl::Milliseconds(digest.age_ms);
+}
+
 void StoreRelay::ReceiveDigest(const wire::StoreDigest& digest) {
   RelayDigest relay_digest;
   relay_digest.urgent_revision =
       static_cast<std::uint64_t>(digest.urgent_revision);
-  relay_digest.confirmed_at =
-      this->clock.Now() - absl::Milliseconds(digest.age_ms);
+  relay_digest.confirmed_at = this->ConfirmationTime(digest);
   relay_digest.changes_through =
       static_cast<std::uint64_t>(digest.changes_through);
   relay_digest.lacks_history = digest.lacks_history;
@@ -216,27 +239,30 @@
   return digest;
 }
 
-void StoreRelay::SendDigest(std::uint64_t known, const std::string& address) {
+void StoreRelay::SendDigest(std::uint64_t known, const RequestTime& request,
+                            const std::string& address) {
   wire::FleetMessage message;
-  message.__set_store(this->DigestSince(known));
+  message.__set_store(this->RespondWithDigest(known, request));
   this->send(message, address);
 }
 
 void StoreRelay::ReceiveQuestion(const wire::StoreQuestion& question) {
   const auto known = static_cast<std::uint64_t>(question.known);
-  this->subscribers[question.address] = {known, this->clock.Now()};
-  this->SendDigest(known, question.address);
+  const RequestTime query{question.sent_ms, this->clock.Now()};
+  this->subscribers[question.address] = {known, query};
+  this->SendDigest(known, query, question.address);
 }
 
 void StoreRelay::NotifySubscribers() {
   const Instant now = this->clock.Now();
   for (auto subscriber = this->subscribers.begin();
        subscriber != this->subscribers.end();) {
-    if (now - subscriber->second.at > kSubscriptionDuration) {
+    const Subscriber& known = subscriber->second;
+    if (now - known.query.received_at > kSubscriptionDuration) {
       subscriber = this->subscribers.erase(subscriber);
       continue;
     }
-    this->SendDigest(subscriber->second.known, subscriber->first);
+    this->SendDigest(known.known, known.query, subscriber->first);
     ++subscriber;
   }
 }
@@ -337,6 +363,7 @@
   wire::StoreQuestion question;
   question.address = this->self.peer_address;
   question.known = static_cast<std::int64_t>(this->sync_state.KnownThrough());
+  question.sent_ms = absl::ToInt64Milliseconds(this->clock.Now());
   message.__set_store_question(std::move(question));
   this->send(message, address);
   this->metrics.Count("store_questions");
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -25,6 +25,12 @@
 
 namespace dragonflyglade::gateway {
 
+/// When another instance sent the report or question that a digest responds to.
+struct RequestTime {
+  std::int64_t sent_ms = 0;  ///< by the other instance's clock
+  Instant received_at;
+};
+
 /// Passes the store's urgent changes from the relay instances, which watch the
 /// store, to all others, so that the load on the store does not grow with the
 /// fleet.
@@ -53,11 +59,16 @@
     this->on_digest_applied = std::move(callback);
   }
 
-  /// A digest with the urgent changes after a revision.
+  /// A digest with the urgent changes after a revision. Its receiver does not
+  /// take it for a sign that this instance is up to date.
   /// @param known the revision through which the receiver knows all urgent
   ///   changes
   wire::StoreDigest DigestSince(std::uint64_t known);
 
+  /// As DigestSince, in response to a report or question.
+  wire::StoreDigest RespondWithDigest(std::uint64_t known,
+                                      const RequestTime& request);
+
   /// Applies the changes and the revisions of another instance's digest.
   void ReceiveDigest(const wire::StoreDigest& digest);
 
@@ -68,8 +79,9 @@
   /// Sends a digest to each subscriber.
   void NotifySubscribers();
 
-  /// Sends a digest with the urgent changes after a revision.
-  void SendDigest(std::uint64_t known, const std::string& address);
+  /// Sends the digest of RespondWithDigest.
+  void SendDigest(std::uint64_t known, const RequestTime& request,
+                  const std::string& address);
 
   /// The change that made the present leader, packed; serves any number of
   /// DigestWithChanges calls.
@@ -114,9 +126,10 @@
   /// An instance that queried this one recently.
   struct Subscriber {
     std::uint64_t known = 0;  ///< revision of the query
-    Instant at;
+    RequestTime query;
   };
 
+  Instant ConfirmationTime(const wire::StoreDigest& digest) const;
   const PackedDigestChanges* PackedChangesSince(std::uint64_t known);
   std::optional<wire::LargeChange> DescribeIfLarge(const StoreEvent& event);
   void ReceivePart(const wire::ChangePart& part);
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -19,7 +19,8 @@
   /// The revision through which the digest's changes are complete; 0 if some
   /// may be missing.
   std::uint64_t changes_through = 0;
-  /// When the store last confirmed to the relay that nothing is newer.
+  /// When the store last confirmed to the relay that nothing is newer, or an
+  /// earlier time; infinitely long ago if that is not known.
   Instant confirmed_at;
   /// Whether the relay cannot send the changes that this instance lacks.
   bool lacks_history = false;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -103,6 +103,8 @@
   18: list<TargetLimit> limits
   /** The newest statements of brittle targets, and of those that were lately. */
   19: list<TargetBrittleness> brittle
+  /** The sender's clock, in milliseconds, when it sent the report. */
+  20: i64 sent_ms
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
@@ -157,6 +159,14 @@
   3: binary bytes
 }
 
+/** Returns the time of the receiver's last report or question to it. */
+struct RequestEcho {
+  /** The receiver's clock, as its report or question said. */
+  1: i64 sent_ms
+  /** Time since the sender of this has it. */
+  2: i64 held_ms
+}
+
 /** The state of the store as a relay instance knows it. */
 struct StoreDigest {
   /** The newest revision with an urgent change. */
@@ -180,6 +190,9 @@
   /** Whether the sender does not have the changes since the revision that the
       receiver named, and cannot send them. */
   8: bool lacks_history
+  /** Not set if the digest responds to nothing. Then the receiver cannot tell
+      how long it was on its way. */
+  9: optional RequestEcho echo
 }
 
 /** Asks a relay instance for the state of the store. */
@@ -188,6 +201,8 @@
   1: string address
   /** The revision up to which the sender knows all urgent changes. */
   2: i64 known
+  /** The sender's clock, in milliseconds, when it sent the question. */
+  3: i64 sent_ms
 }
 
 /** The leader's response to an instance's report. */
--- a/tests/unit/relay_fleet.h
+++ b/tests/unit/relay_fleet.h
@@ -101,6 +101,12 @@
     reader.sync_state.RecordRead(revision, reader.state.UrgentRevision());
   }
 
+  /// A question or report that is sent and received now.
+  RequestTime RequestNow() const {
+    const Instant now = this->clock.Now();
+    return {absl::ToInt64Milliseconds(now), now};
+  }
+
   /// Passes digests from one instance to another until the receiver is up to
   /// date or makes no progress.
   /// @return number of digests
@@ -111,7 +117,8 @@
     do {
       known = receiver.sync_state.KnownThrough();
       receiver.relay.ReceiveDigest(
-          this->instances[from]->relay.DigestSince(known));
+          this->instances[from]->relay.RespondWithDigest(known,
+                                                         this->RequestNow()));
       digests += 1;
     } while (receiver.sync_state.KnownThrough() > known &&
              receiver.sync_state.IsBehind());
--- a/tests/unit/unit-large-changes.cc
+++ b/tests/unit/unit-large-changes.cc
@@ -166,7 +166,7 @@
     for (int i = 1; i < kInstances; ++i) {
       this->fleet.instances[0]->relay.SendDigest(
           this->fleet.instances[i]->sync_state.KnownThrough(),
-          RelayFleet::Name(i));
+          this->fleet.RequestNow(), RelayFleet::Name(i));
     }
   }
 
