A failing test: a restarted relay leaves others behind whom the store refuses

On a virtual clock: the only relay is down while the configuration changes, and the store refuses the other instances.

--- a/tests/unit/unit-old-configurations.cc
+++ b/tests/unit/unit-old-configurations.cc
@@ -202,6 +202,7 @@
 class OldConfigurationsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OldConfigurationsTest);
   CPPUNIT_TEST(DigestsThatArriveLateDoNotCountAsYoung);
+  CPPUNIT_TEST(ARestartedRelayBringsOthersUpToDate);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against serving by old configurations while digests are delayed.
@@ -235,6 +236,47 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
+
+  // Guards against old configurations at instances that the store refuses,
+  // while the only relay does not know what changed before it was restarted.
+  void ARestartedRelayBringsOthersUpToDate() {
+    constexpr int kInstances = 5;
+    constexpr const char* kGone = "i3";
+    struct Case {
+      std::string name;
+      absl::Duration down;  ///< how long the relay is down
+      int changes;          ///< of the configuration meanwhile
+    };
+    const absl::Duration ms = absl::Milliseconds(1);
+    const std::vector<Case> cases = {
+        {"one change", 500 * ms, 1},
+        {"many changes", 500 * ms, 20},
+        {"down for a second", 1000 * ms, 1},
+    };
+    for (const Case& item : cases) {
+      FollowingFleet fleet(kInstances, {.name = item.name,
+                                        .delay = absl::ZeroDuration(),
+                                        .followers_read = false});
+      fleet.RunFor(absl::Seconds(3));
+      fleet.StopRelay();
+      for (int i = 0; i < item.changes; ++i) fleet.ChangeConfig();
+      fleet.RemoveEntry(kGone);
+      fleet.RunFor(item.down);
+      fleet.RestartRelay();
+      fleet.RunFor(2 * kConfigBound);
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(item.name, ": ",
+                       absl::FormatDuration(fleet.LongestLag())),
+          fleet.LongestLag() <= kConfigBound);
+      for (int i = 0; i < kInstances; ++i) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            item.name, std::size_t{0},
+            fleet.At(i).state.Instances().count(kGone));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, std::size_t{kInstances - 1},
+                                     fleet.At(i).state.Instances().size());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(OldConfigurationsTest,
