Let a restarted relay bring others up to date

What a relay lacks after a listing are removals, not values. It now sends the latest change of each key since the revision that the receiver named, and the hashes of the keys that exist; the receiver removes the others. Only if its store of changes has overflown does it still say that it lacks the history. An instance that listed the store again, or removed keys in this way, no longer claims to know what appeared and went before (a test of its own).

The test ReadsTheStoreIfTheRelayLacksTheHistory played a relay that can now help; it guards the same with a relay whose store of changes has overflown, with the same checks.

--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -1,5 +1,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -27,6 +29,16 @@
       [&](const InstanceRecord* record) { return record->name == name; });
 }
 
+std::int32_t HashOf(std::string_view key) {
+  return static_cast<std::int32_t>(XXH64(key.data(), key.size(), 0));
+}
+
+// Changes of the records that only a starting process reads are not urgent.
+bool IsPassedOn(std::string_view key) {
+  return key != FleetState::kSpendRecordKey &&
+         key != FleetState::kVersionRecordKey;
+}
+
 }  // namespace
 
 FleetState::FleetState(boost::asio::io_context& context, const WireFormat& wire,
@@ -56,24 +68,46 @@
 
 // Without this check, a delayed response of the store would restore values that
 // have been overwritten since.
-bool FleetState::IsNewer(std::string_view key, std::uint64_t revision) {
-  const auto found = this->revisions.find(key);
-  if (found == this->revisions.end()) {
-    this->revisions.emplace(std::string(key), revision);
+bool FleetState::IsNewer(std::string_view key, AppliedChange change) {
+  const auto found = this->applied.find(key);
+  if (found == this->applied.end()) {
+    this->applied.emplace(std::string(key), change);
     return true;
   }
-  if (revision <= found->second) return false;
-  found->second = revision;
+  if (change.revision <= found->second.revision) return false;
+  found->second = change;
   return true;
 }
 
 std::uint64_t FleetState::AppliedRevision(std::string_view key) const {
-  const auto found = this->revisions.find(key);
-  return found == this->revisions.end() ? 0 : found->second;
+  const auto found = this->applied.find(key);
+  return found == this->applied.end() ? 0 : found->second.revision;
+}
+
+std::vector<std::int32_t> FleetState::ExistingKeys() const {
+  std::vector<std::int32_t> hashes;
+  for (const auto& [key, change] : this->applied) {
+    if (!change.deleted && IsPassedOn(key)) hashes.push_back(HashOf(key));
+  }
+  return hashes;
+}
+
+void FleetState::RemoveOtherKeys(absl::Span<const std::int32_t> existing,
+                                 std::uint64_t revision) {
+  const std::set<std::int32_t> hashes(existing.begin(), existing.end());
+  std::vector<std::string> removed;
+  for (const auto& [key, change] : this->applied) {
+    if (change.deleted || change.revision > revision) continue;
+    if (key == this->wire.config_key || !IsPassedOn(key)) continue;
+    if (hashes.count(HashOf(key)) == 0) removed.push_back(key);
+  }
+  for (const std::string& key : removed) this->ApplyDeleted(key, revision);
+  // Keys that appeared and were removed in between are not known here.
+  this->recent.CompleteAfter(revision);
 }
 
 void FleetState::Apply(const StoreItem& item, ChangeSource source) {
-  if (!this->IsNewer(item.key, item.revision)) return;
+  if (!this->IsNewer(item.key, {item.revision})) return;
   if (item.key == kSpendRecordKey) {
     this->ApplySpends(item);
     return;
@@ -319,7 +353,7 @@
 }
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
-  if (!this->IsNewer(key, revision)) return;
+  if (!this->IsNewer(key, {revision, true})) return;
   StoreItem removed;
   removed.key = std::string(key);
   removed.revision = revision;
@@ -358,7 +392,7 @@
   std::set<std::string_view> listed;
   for (const StoreItem& item : items) listed.insert(item.key);
   std::vector<std::string> missing;
-  for (const auto& [key, revision] : this->revisions) {
+  for (const auto& [key, change] : this->applied) {
     if (listed.count(key) == 0) missing.push_back(key);
   }
   for (const std::string& key : missing) {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -57,6 +57,13 @@
   void ApplyListing(absl::Span<const StoreItem> items,
                     std::uint64_t store_revision);
 
+  /// Hashes of all keys that exist and whose changes are urgent.
+  std::vector<std::int32_t> ExistingKeys() const;
+  /// Removes the keys that did not exist at a revision.
+  /// @param existing ExistingKeys of an instance that knows the revision
+  void RemoveOtherKeys(absl::Span<const std::int32_t> existing,
+                       std::uint64_t revision);
+
   /// The newest revision applied to a key; 0 if there is none.
   std::uint64_t AppliedRevision(std::string_view key) const;
 
@@ -178,7 +185,13 @@
       "dragonflyglade/versions";
 
  private:
-  bool IsNewer(std::string_view key, std::uint64_t revision);
+  /// The newest change that was applied to a key.
+  struct AppliedChange {
+    std::uint64_t revision = 0;
+    bool deleted = false;
+  };
+
+  bool IsNewer(std::string_view key, AppliedChange change);
   void ApplyConfig(const StoreItem& item, ChangeSource source);
   bool ApplyTarget(const StoreItem& item);
   void AddUrgentChange(StoreEvent event);
@@ -215,7 +228,7 @@
   EventLog& log;
   AsyncCondition changed;
   std::shared_ptr<const GatewayConfig> config;
-  std::map<std::string, std::uint64_t, std::less<>> revisions;
+  std::map<std::string, AppliedChange, std::less<>> applied;  ///< by key
   std::map<std::string, std::shared_ptr<TargetState>, std::less<>> targets;
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 void RecentChanges::CompleteAfter(std::uint64_t revision) {
-  if (!this->complete_after.has_value()) this->complete_after = revision;
+  this->complete_after = std::max(this->complete_after.value_or(0), revision);
 }
 
 void RecentChanges::Add(StoreEvent event) {
@@ -33,9 +33,10 @@
   this->newest[key] = revision;
   this->events.emplace(RevisionAndKey(revision, key), std::move(event));
   while (this->bytes > kMaxBytes) {
+    const std::uint64_t dropped = this->events.begin()->first.first;
+    this->dropped_through = std::max(this->dropped_through, dropped);
     if (this->complete_after.has_value()) {
-      this->complete_after =
-          std::max(*this->complete_after, this->events.begin()->first.first);
+      this->complete_after = std::max(*this->complete_after, dropped);
     }
     this->Remove(this->events.begin());
   }
@@ -52,6 +53,17 @@
     std::uint64_t revision) const {
   if (!this->complete_after.has_value()) return std::nullopt;
   if (revision < *this->complete_after) return std::nullopt;
+  return this->After(revision);
+}
+
+std::optional<std::vector<StoreEvent>> RecentChanges::LatestSince(
+    std::uint64_t revision) const {
+  if (!this->complete_after.has_value()) return std::nullopt;
+  if (revision < this->dropped_through) return std::nullopt;
+  return this->After(revision);
+}
+
+std::vector<StoreEvent> RecentChanges::After(std::uint64_t revision) const {
   std::vector<StoreEvent> changes;
   const auto first = this->events.lower_bound({revision + 1, std::string()});
   for (auto event = first; event != this->events.end(); ++event) {
--- a/dragonflyglade/gateway/recent_changes.h
+++ b/dragonflyglade/gateway/recent_changes.h
@@ -19,8 +19,8 @@
 /// event loop.
 class RecentChanges {
  public:
-  /// Declares that all changes after this revision will be added. Only the
-  /// first call has an effect.
+  /// Declares that changes through this revision may be missing, and that all
+  /// later ones will be added.
   void CompleteAfter(std::uint64_t revision);
 
   /// Adds a change, which replaces an older one of the same key.
@@ -32,6 +32,11 @@
   ///   the store must be read
   std::optional<std::vector<StoreEvent>> Since(std::uint64_t revision) const;
 
+  /// As Since, without the removals of keys that may be missing here.
+  /// @return nothing if the latest change of a key that exists may be missing
+  std::optional<std::vector<StoreEvent>> LatestSince(
+      std::uint64_t revision) const;
+
   /// The change of a key at a revision; null if it is not here.
   const StoreEvent* Find(std::string_view key, std::uint64_t revision) const;
 
@@ -41,6 +46,7 @@
  private:
   using RevisionAndKey = std::pair<std::uint64_t, std::string>;
 
+  std::vector<StoreEvent> After(std::uint64_t revision) const;
   void Remove(std::map<RevisionAndKey, StoreEvent>::iterator event);
 
   /// A transaction gives several keys the same revision.
@@ -51,6 +57,8 @@
   /// The revision after which no change is missing; nothing before the first
   /// listing.
   std::optional<std::uint64_t> complete_after;
+  /// The newest revision of a change that was dropped for want of space.
+  std::uint64_t dropped_through = 0;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -18,6 +18,8 @@
 // A datagram takes 64 KB, and a summary of 160 engines has some 24 KB besides
 // the packed changes.
 constexpr std::size_t kMaxPackedBytes = std::size_t{32} * 1024;
+// In the compact encoding.
+constexpr std::size_t kBytesPerExistingKey = 5;
 // A larger change is sent once to each instance that requests it, and not with
 // each digest until the receiver's next report.
 constexpr std::size_t kMaxDigestChangeBytes = std::size_t{12} * 1024;
@@ -67,22 +69,37 @@
   this->packed_version = recent.Version();
   const auto found = this->packed.find(known);
   if (found != this->packed.end()) return &found->second;
+  PackedDigestChanges packed;
+  std::size_t max_bytes = kMaxPackedBytes;
   std::optional<std::vector<StoreEvent>> changes = recent.Since(known);
+  if (!changes.has_value() && known > 0) {
+    changes = recent.LatestSince(known);
+    packed.existing = this->ExistingKeys();
+    max_bytes -=
+        std::min(max_bytes - kMaxDigestChangeBytes,
+                 kBytesPerExistingKey * packed.existing->hashes.size());
+  }
   if (!changes.has_value()) return nullptr;
-  PackedDigestChanges packed;
   std::erase_if(*changes, [&](const StoreEvent& event) {
     std::optional<wire::LargeChange> large = this->DescribeIfLarge(event);
     if (!large.has_value()) return false;
     packed.large_changes.push_back(*std::move(large));
     return true;
   });
-  PackedChanges bytes = PackChanges(*changes, kMaxPackedBytes);
+  PackedChanges bytes = PackChanges(*changes, max_bytes);
   packed.complete = bytes.count == changes->size();
   if (bytes.count > 0) packed.last = (*changes)[bytes.count - 1].item.revision;
   packed.bytes = std::move(bytes.bytes);
   return &this->packed.emplace(known, std::move(packed)).first->second;
 }
 
+wire::ExistingKeys StoreRelay::ExistingKeys() const {
+  wire::ExistingKeys existing;
+  existing.hashes = this->fleet.ExistingKeys();
+  existing.revision = static_cast<std::int64_t>(this->sync_state.ReadThrough());
+  return existing;
+}
+
 std::optional<wire::LargeChange> StoreRelay::DescribeIfLarge(
     const StoreEvent& event) {
   if (event.item.value.size() <= kMaxDigestChangeBytes) return std::nullopt;
@@ -109,6 +126,7 @@
       changes->complete ? this->sync_state.ReadThrough() : changes->last);
   digest.changes_through = digest.through_with_large_changes;
   digest.large_changes = changes->large_changes;
+  if (changes->existing.has_value()) digest.__set_existing(*changes->existing);
   for (const wire::LargeChange& large : digest.large_changes) {
     digest.changes_through =
         std::min(digest.changes_through, large.revision - 1);
@@ -162,6 +180,11 @@
       }
     }
   }
+  if (digest.__isset.existing) {
+    this->fleet.RemoveOtherKeys(
+        digest.existing.hashes,
+        static_cast<std::uint64_t>(digest.existing.revision));
+  }
   if (this->large_receiver.Announce(digest) && !digest.large_changes.empty()) {
     relay_digest.changes_through =
         static_cast<std::uint64_t>(digest.through_with_large_changes);
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -122,6 +122,8 @@
     std::uint64_t last = 0;  ///< revision of the last packed change
     bool complete = true;    ///< whether all small changes fit
     std::vector<wire::LargeChange> large_changes;
+    /// Set if removals may be missing from the changes.
+    std::optional<wire::ExistingKeys> existing;
   };
   /// An instance that queried this one recently.
   struct Subscriber {
@@ -131,6 +133,7 @@
 
   Instant ConfirmationTime(const wire::StoreDigest& digest) const;
   const PackedDigestChanges* PackedChangesSince(std::uint64_t known);
+  wire::ExistingKeys ExistingKeys() const;
   std::optional<wire::LargeChange> DescribeIfLarge(const StoreEvent& event);
   void ReceivePart(const wire::ChangePart& part);
   void QueryNextRelay();
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -167,6 +167,14 @@
   2: i64 held_ms
 }
 
+/** The keys of the store that exist. */
+struct ExistingKeys {
+  /** The lower half of each key's XXH64 hash. */
+  1: list<i32> hashes
+  /** The revision at which they exist. */
+  2: i64 revision
+}
+
 /** The state of the store as a relay instance knows it. */
 struct StoreDigest {
   /** The newest revision with an urgent change. */
@@ -193,6 +201,10 @@
   /** Not set if the digest responds to nothing. Then the receiver cannot tell
       how long it was on its way. */
   9: optional RequestEcho echo
+  /** Set if the sender does not have all changes since the revision that the
+      receiver named, but the latest of each key that exists. The receiver
+      removes the others. */
+  10: optional ExistingKeys existing
 }
 
 /** Asks a relay instance for the state of the store. */
--- a/tests/unit/unit-fleet-news.cc
+++ b/tests/unit/unit-fleet-news.cc
@@ -27,6 +27,7 @@
 class FleetChangesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetChangesTest);
   CPPUNIT_TEST(ReturnsChangesOnlyIfNoneIsMissing);
+  CPPUNIT_TEST(ClaimsNothingFromBeforeItsLastListing);
   CPPUNIT_TEST(OmitsOverwrittenChanges);
   CPPUNIT_TEST(ReturnsOnlyChangedHoldings);
   CPPUNIT_TEST_SUITE_END();
@@ -82,6 +83,20 @@
     }
   }
 
+  // Guards against targets that others keep for ever, since this instance listed
+  // the store again and never saw that they appeared and left.
+  void ClaimsNothingFromBeforeItsLastListing() {
+    RecentChanges recent;
+    recent.CompleteAfter(2);
+    recent.Add(Change("a", 3));
+    recent.CompleteAfter(9);
+    recent.Add(Change("b", 10));
+    CPPUNIT_ASSERT(!recent.Since(5).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recent.LatestSince(5)->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, recent.LatestSince(2)->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recent.Since(9)->size());
+  }
+
   void OmitsOverwrittenChanges() {
     RecentChanges recent;
     recent.CompleteAfter(0);
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -47,19 +47,26 @@
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against an old configuration for two seconds, after the relay was
-  // killed at a change and is back: it cannot send what happened before.
+  // killed at a change and is back, and has more than it can keep.
   void ReadsTheStoreIfTheRelayLacksTheHistory() {
+    constexpr std::uint64_t kLargeItems = 50;
+    constexpr std::size_t kLargeBytes = 100000;
     RelayFleet fleet(2);
     fleet.ApplyRead(1, {Item("k", 4, "known")}, 4);
     RelayFleet::Instance& restarted = *fleet.instances[0];
-    const std::vector<StoreItem> listing = {Item(kTestConfigKey, 8, "newer")};
-    restarted.state.ApplyListing(listing, 9);
-    restarted.sync_state.RecordRead(9, restarted.state.UrgentRevision());
+    std::vector<StoreItem> listing = {Item(kTestConfigKey, 8, "newer")};
+    for (std::uint64_t i = 0; i < kLargeItems; ++i) {
+      listing.push_back(
+          Item(absl::StrCat("large", i), 9 + i, std::string(kLargeBytes, 'x')));
+    }
+    const std::uint64_t last = listing.back().revision;
+    restarted.state.ApplyListing(listing, last);
+    restarted.sync_state.RecordRead(last, restarted.state.UrgentRevision());
     RelayFleet::Instance& other = *fleet.instances[1];
     other.relay.ReceiveDigest(restarted.relay.DigestSince(4));
     CPPUNIT_ASSERT(other.sync_state.IsBehind());
     CPPUNIT_ASSERT(other.sync_state.MustReadStore());
-    other.sync_state.RecordRead(9, 8);
+    other.sync_state.RecordRead(last, last);
     CPPUNIT_ASSERT(!other.sync_state.MustReadStore());
   }
 
