Refuse with 503 what an old configuration cannot tell to be missing

Callers were told 404 for routes that had been added more than three seconds before, by an instance that did not know of them: a final answer, although another instance serves the route.

An instance now keeps for how long neither the store nor a relay has confirmed that it knows the newest version (the gauge store_knowledge_age_seconds, and knowledge_age_ms in the line of each request). Beyond the bound of the configuration (config_bound_ms, from the deployment) a missing route, a missing and an unknown key get 503 configuration_stale with a short time to return instead of 404 and 401: a version that was acknowledged before the bound is either in force here or not denied.

platform-gateway (TellsNobodyThatARouteIsMissingByAnOldConfiguration) failed before: 404 instead of 503.

--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -99,8 +99,8 @@
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->quota_admission, this->channel,
                this->stream_origins, this->crashing_parts, this->crash_detector,
-               this->paths, this->metrics, this->log, this->tasks,
-               this->clock) {
+               this->paths, this->sync_state, this->metrics, this->log,
+               this->tasks, this->clock) {
   if (this->settings.first_start) this->fleet.SetFirstStart();
   this->AddGauges();
 }
@@ -134,6 +134,9 @@
   this->metrics.AddGauge("store_behind", [this] {
     return this->sync_state.IsBehind() ? 1.0 : 0.0;
   });
+  this->metrics.AddGauge("store_knowledge_age_seconds", [this] {
+    return absl::ToDoubleSeconds(this->sync_state.KnowledgeAge());
+  });
   this->metrics.AddGauge("instances", [this] {
     return static_cast<double>(this->fleet.Instances().size());
   });
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -53,6 +53,7 @@
                     {"quiet_between_holders_ms", NumberSchema()},
                     {"stop_within_s", NumberSchema()},
                     {"directory_keep_s", NumberSchema()},
+                    {"config_bound_ms", NumberSchema()},
                     {"quota_window_s", NumberSchema()},
                     {"quota_overage", NumberSchema()},
                     {"quota_slack", NumberSchema()},
@@ -113,6 +114,7 @@
            settings.leader_handover_delay);
   ReadTime(limits, "stop_within_s", s, settings.stop_within);
   ReadTime(limits, "directory_keep_s", s, settings.directory_keep);
+  ReadTime(limits, "config_bound_ms", ms, settings.config_bound);
   ReadTime(limits, "quota_window_s", s, settings.quota_allowance.window);
   ReadNumber(limits, "quota_overage", settings.quota_allowance.overage);
   ReadNumber(limits, "quota_slack", settings.quota_allowance.slack);
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -38,6 +38,8 @@
 
   /// Whether the fleet has never run before, so that no quota can be spent.
   bool first_start = false;
+  /// The time within which a new configuration must be in force.
+  absl::Duration config_bound = absl::Seconds(2);
   QuotaTolerance quota_allowance;
   double retry_share = 0.1;  ///< retries per request
   double retry_slack = 10;   ///< further retries per window, in the whole fleet
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -42,7 +42,8 @@
                    FleetChannel& channel, StreamOrigins& stream_origins,
                    CrashingParts& crashing_parts,
                    TargetCrashDetector& crash_detector, TargetPaths& paths,
-                   Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock)
+                   const StoreSyncState& sync_state, Metrics& metrics,
+                   EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       settings(settings),
       wire(wire),
@@ -54,6 +55,7 @@
       crashing_parts(crashing_parts),
       crash_detector(crash_detector),
       paths(paths),
+      sync_state(sync_state),
       metrics(metrics),
       log(log),
       tasks(tasks),
@@ -142,6 +144,18 @@
   co_return refusal;
 }
 
+// Failure: an instance that hears neither from the store nor from a relay tells
+// callers that a route or key does not exist which was added since, and they
+// give up. Another instance may know it.
+Refusal Pipeline::RefuseByConfig(RefusalCode code, std::string message) const {
+  if (this->sync_state.KnowledgeAge() <= this->settings.config_bound) {
+    return MakeRefusal(code, std::move(message));
+  }
+  return MakeRefusal(RefusalCode::kConfigurationStale,
+                     "the configuration may be too old to tell",
+                     kRetryAtOtherInstance);
+}
+
 std::optional<Refusal> Pipeline::FindRoute(RequestJob& job) {
   if (job.config == nullptr) {
     return MakeRefusal(RefusalCode::kNotReady, "no configuration yet",
@@ -150,8 +164,8 @@
   job.route = job.config->routes.Find(
       job.request.host, PathWithoutQuery(job.request.path_and_query));
   if (job.route == nullptr) {
-    return MakeRefusal(RefusalCode::kNotFound,
-                       "no route for this host and path");
+    return this->RefuseByConfig(RefusalCode::kNotFound,
+                                "no route for this host and path");
   }
   const std::string_view service = PickService(
       job.route->services, absl::Uniform<double>(this->random, 0, 1));
@@ -189,11 +203,12 @@
 std::optional<Refusal> Pipeline::FindWorkspace(RequestJob& job) {
   if (!job.config->requires_keys || job.route->is_public) return std::nullopt;
   if (job.request.key.empty()) {
-    return MakeRefusal(RefusalCode::kMissingKey, "no key was shown");
+    return this->RefuseByConfig(RefusalCode::kMissingKey, "no key was shown");
   }
   const auto name = job.config->workspace_of_key.find(job.request.key);
   if (name == job.config->workspace_of_key.end()) {
-    return MakeRefusal(RefusalCode::kUnknownKey, "the key is not known");
+    return this->RefuseByConfig(RefusalCode::kUnknownKey,
+                                "the key is not known");
   }
   job.workspace = &job.config->workspaces.at(name->second);
   const double tokens = job.request.use.Tokens();
@@ -343,6 +358,7 @@
        {"workspace",
         job.workspace == nullptr ? std::string() : job.workspace->name},
        {"config", job.config == nullptr ? 0 : job.config->version},
+       {"knowledge_age_ms", this->sync_state.KnowledgeAge()},
        {"target", job.target},
        {"model", ResidentKey(job.request.use.model, job.request.use.adapter)},
        {"tokens", job.request.use.Tokens()},
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -26,6 +26,7 @@
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_admission.h"
+#include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/target_crash_detector.h"
 #include "dragonflyglade/gateway/target_exchange.h"
@@ -48,7 +49,8 @@
            QuotaAdmission& quotas, FleetChannel& channel,
            StreamOrigins& stream_origins, CrashingParts& crashing_parts,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
-           Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
+           const StoreSyncState& sync_state, Metrics& metrics, EventLog& log,
+           Tasks& tasks, Clock clock);
 
   /// Serves the request and responds on the caller's connection.
   boost::asio::awaitable<void> Serve(CallerRequest request,
@@ -70,6 +72,8 @@
       RequestJob& job, const std::exception_ptr& failure);
   boost::asio::awaitable<void> AwaitFirstConfig(RequestJob& job);
   boost::asio::awaitable<std::optional<Refusal>> Admit(RequestJob& job);
+  /// The refusal of what the configuration in force does not contain.
+  Refusal RefuseByConfig(RefusalCode code, std::string message) const;
   std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
   /// The refusal of a request with a part that crashes targets.
@@ -159,6 +163,7 @@
   CrashingParts& crashing_parts;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
+  const StoreSyncState& sync_state;
   Metrics& metrics;
   EventLog& log;
   Tasks& tasks;
--- a/dragonflyglade/gateway/store_sync_state.cc
+++ b/dragonflyglade/gateway/store_sync_state.cc
@@ -37,6 +37,7 @@
   this->confirmed_at = this->clock.Now();
   this->reads_fail = false;
   this->known_through = std::max(this->known_through, revision);
+  this->current_at = this->confirmed_at;
   this->UpdateLag();
   if (is_new && this->on_urgent_change) this->on_urgent_change();
 }
@@ -79,7 +80,13 @@
          this->announced.front().revision <= this->known_through) {
     this->announced.pop_front();
   }
-  if (this->announced.empty()) this->relay_lacks_history = false;
+  if (!this->announced.empty()) return;
+  this->relay_lacks_history = false;
+  this->current_at = std::max(this->current_at, this->relay_confirmed_at);
+}
+
+absl::Duration StoreSyncState::KnowledgeAge() const {
+  return this->clock.Now() - this->current_at;
 }
 
 absl::Duration StoreSyncState::DigestAge() const {
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -77,6 +77,11 @@
   /// instead of the store.
   bool HasLiveRelay() const;
 
+  /// Bound on the age of the newest version that is unknown here: for how long
+  /// neither the store nor a relay has confirmed that nothing is; infinite if
+  /// none ever did.
+  absl::Duration KnowledgeAge() const;
+
   /// Whether relays have announced urgent changes that this instance lacks.
   bool IsBehind() const { return !this->announced.empty(); }
 
@@ -114,6 +119,7 @@
   std::uint64_t relay_urgent_revision = 0;  ///< by digests
   Instant relay_confirmed_at = -absl::InfiniteDuration();
   Instant store_up_since;
+  Instant current_at = -absl::InfiniteDuration();  ///< see KnowledgeAge
   /// The announced revisions that this instance lacks, oldest first.
   std::deque<Announcement> announced;
   Instant last_progress;
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -29,6 +29,9 @@
 using nlohmann::json;
 using Script = PlatformTargetStandIn::Script;
 
+// Within which a change of the configuration must be in force.
+constexpr absl::Duration kConfigBound = absl::Seconds(2);
+
 Script DeclinedResponse(const RawRequest& request) {
   return {ResponseBytes(request, "503 Busy", "",
                         "X-Dragonflyglade-Not-Executed: 1\r\n")};
@@ -154,6 +157,7 @@
   CPPUNIT_TEST(RecordsSpendingInTheStore);
   CPPUNIT_TEST(ReleasesTheLeaderLeaseOnceTheStoreAccepts);
   CPPUNIT_TEST(AppliesNewConfigurations);
+  CPPUNIT_TEST(TellsNobodyThatARouteIsMissingByAnOldConfiguration);
   CPPUNIT_TEST(SendsNoRequestsToADrainingTarget);
   CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
   CPPUNIT_TEST(SendsFewRequestsToATargetThatWarmsUp);
@@ -355,6 +359,44 @@
         [&] { return harness.first.ConnectionsClosedByPeer() == 1; });
   }
 
+  // Guards against a 404 or 401 for a route or key that was added long ago, by
+  // an instance that has not heard from the store since.
+  void TellsNobodyThatARouteIsMissingByAnOldConfiguration() {
+    struct Case {
+      std::string name;
+      std::string path;
+      std::string key;
+      int status_when_current;
+      int status_when_old;
+    };
+    const std::vector<Case> cases = {
+        {"a route that was added", "/new/", "k1", 404, 503},
+        {"an unknown key", "/any/", "unknown", 401, 503},
+        {"no key", "/any/", "", 401, 503},
+        {"a route that is known", "/any/", "k1", 200, 200},
+    };
+    Harness harness;
+    for (const Case& item : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.name, item.status_when_current,
+          harness.Call("GET", item.path, item.key).status);
+    }
+    harness.store.RejectReads(true);
+    absl::SleepFor(absl::Seconds(1));
+    harness.store.Put("op/config", harness.Config(2, "new").dump());
+    absl::SleepFor(kConfigBound);
+    for (const Case& item : cases) {
+      const Harness::Reply reply = harness.Call("GET", item.path, item.key);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.status_when_old,
+                                   reply.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.status_when_old == 503,
+                                   !reply.Field("Retry-After").empty());
+    }
+    harness.store.RejectReads(false);
+    harness.WaitFor([&] { return harness.Call("GET", "/new/").status == 200; });
+    CPPUNIT_ASSERT_EQUAL(401, harness.Call("GET", "/any/", "unknown").status);
+  }
+
   void AppliesNewConfigurations() {
     Harness harness;
     CPPUNIT_ASSERT_EQUAL(404, harness.Call("GET", "/new/").status);
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -29,10 +29,18 @@
   };
   this->server->Get("/-/kv-range", [this](const Request& request,
                                           Response& response) {
+    if (this->RejectsReads()) {
+      response.status = 503;
+      return;
+    }
     response.set_content(this->List(request.get_param_value("prefix")), kJson);
   });
   this->server->Get(
       "/-/kv-watch", [this](const Request& request, Response& response) {
+        if (this->RejectsReads()) {
+          response.status = 503;
+          return;
+        }
         response.set_content(
             this->Watch(request.get_param_value("prefix"),
                         std::stoull(request.get_param_value("after")),
@@ -84,6 +92,16 @@
   this->worker->Stop();
 }
 
+void PlatformStoreStandIn::RejectReads(bool reject) {
+  absl::MutexLock lock(&this->mutex);
+  this->rejects_reads = reject;
+}
+
+bool PlatformStoreStandIn::RejectsReads() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->rejects_reads;
+}
+
 void PlatformStoreStandIn::PutLocked(const std::string& key,
                                      const std::string& value,
                                      std::uint64_t lease) {
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -33,6 +33,9 @@
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
 
+  /// While set, every listing and watch fails with status 503. A watch that
+  /// waits goes on.
+  void RejectReads(bool reject);
   /// While set, every transaction fails with status 503 and changes nothing.
   void RejectWrites(bool reject);
 
@@ -73,6 +76,7 @@
                  std::uint64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   void DeleteLocked(const std::string& key)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  bool RejectsReads() const;
   std::string List(const std::string& prefix);
   std::string Watch(const std::string& prefix, std::uint64_t after,
                     int wait_ms) const;
@@ -87,6 +91,7 @@
   std::uint64_t last_ended_lease ABSL_GUARDED_BY(mutex) = 0;
   int renewals ABSL_GUARDED_BY(mutex) = 0;
   int listings ABSL_GUARDED_BY(mutex) = 0;
+  bool rejects_reads ABSL_GUARDED_BY(mutex) = false;
   bool rejects_writes ABSL_GUARDED_BY(mutex) = false;
   bool stopping ABSL_GUARDED_BY(mutex) = false;
   std::unique_ptr<httplib::Server> server;
