Send nothing to targets that say that they leave

An answer of any kind counts, with a success, a failure, a decline, a stream's head or a load report: no instance sends the target anything new, by its own path or a tunnel, and what was chosen before is kept back when its connection is there. Reports and summaries tell all instances; the leader plans without the target. It holds until the target's process ends, whatever its record says; what runs there goes on.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -243,6 +243,7 @@
   }
   report.limits = this->TargetLimits();
   report.brittle = this->BrittleTargets();
+  report.leaving = this->LeavingTargets();
   report.store_revision =
       static_cast<std::int64_t>(this->sync_state.KnownThrough());
   // An instance without requests must know for how long it has been listed,
@@ -283,7 +284,10 @@
   }
   const bool limits_changed = this->ApplyTargetLimits(report.limits);
   const bool brittle_changed = this->ApplyBrittleTargets(report.brittle);
-  if (limits_changed || brittle_changed) this->SchedulePush();
+  const bool leaving_changed = this->ApplyLeavingTargets(report.leaving);
+  if (limits_changed || brittle_changed || leaving_changed) {
+    this->SchedulePush();
+  }
   this->RespondToReport({report, this->clock.Now()});
 }
 
@@ -317,6 +321,7 @@
                                                    : 0);
   summary.limits = this->TargetLimits();
   summary.brittle = this->BrittleTargets();
+  summary.leaving = this->LeavingTargets();
   message.__set_summary(std::move(summary));
   if (report.incarnation == this->self.incarnation) {
     this->ReceiveSummary(message.summary);
@@ -436,6 +441,7 @@
   this->ApplyFleetSpends(summary);
   this->ApplyTargetLimits(summary.limits);
   this->ApplyBrittleTargets(summary.brittle);
+  this->ApplyLeavingTargets(summary.leaving);
   if (!own) this->relay.ReceiveDigest(summary.store);
   this->fleet.Changed().Notify();
 }
@@ -538,6 +544,35 @@
   return changed;
 }
 
+std::vector<wire::TargetProcess> FleetChannel::LeavingTargets() {
+  std::vector<wire::TargetProcess> leaving;
+  this->fleet.ForEachTarget([&](const TargetState& target) {
+    if (!target.LeavesByItsWord()) return;
+    wire::TargetProcess process;
+    process.target = target.Record().id;
+    process.born_ms = target.Record().born_ms;
+    leaving.push_back(std::move(process));
+  });
+  KeepNextStatements(leaving, this->next_leaving);
+  return leaving;
+}
+
+// Returns whether any of the targets was not known to leave.
+bool FleetChannel::ApplyLeavingTargets(
+    const std::vector<wire::TargetProcess>& leaving) {
+  bool changed = false;
+  for (const wire::TargetProcess& process : leaving) {
+    const std::shared_ptr<TargetState> target =
+        this->fleet.Target(process.target);
+    if (target == nullptr || target->Record().born_ms != process.born_ms) {
+      continue;
+    }
+    changed |= target->RecordSaidLeaving();
+  }
+  if (changed) this->fleet.Changed().Notify();
+  return changed;
+}
+
 std::vector<wire::TargetBrittleness> FleetChannel::BrittleTargets() {
   const Instant now = this->clock.Now();
   std::vector<wire::TargetBrittleness> brittle;
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -97,7 +97,8 @@
   void ReportConnectionRefused(const std::string& target);
 
   /// Reports to the leader at once that a target states another limit or
-  /// another brittleness, or that a brittle target declined a request.
+  /// another brittleness, says that it leaves, or is brittle and declined a
+  /// request.
   void ReportStatementChange() { this->wake.Notify(); }
 
   /// Reports to the leader that a target responded that it lacks the model or
@@ -129,6 +130,8 @@
   void ApplyFleetSpends(const wire::FleetSummary& summary);
   std::vector<wire::TargetLimit> TargetLimits();
   bool ApplyTargetLimits(const std::vector<wire::TargetLimit>& limits);
+  std::vector<wire::TargetProcess> LeavingTargets();
+  bool ApplyLeavingTargets(const std::vector<wire::TargetProcess>& leaving);
   std::vector<wire::TargetBrittleness> BrittleTargets();
   bool ApplyBrittleTargets(const std::vector<wire::TargetBrittleness>& brittle);
 
@@ -169,6 +172,7 @@
   std::uint64_t leader_revision = 0;       ///< of the last handled change
   std::size_t next_limit = 0;    ///< position of the next limit to send
   std::size_t next_brittle = 0;  ///< the same of the brittle targets
+  std::size_t next_leaving = 0;  ///< the same of the leaving targets
   bool push_pending = false;
   Instant next_push;  ///< the earliest time of the next push
   bool notifying_reporters = false;
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -422,7 +422,7 @@
                         now - *this->recovered_at < kStoreRecoveryGrace;
   this->log.Write("targets", in_grace ? "missing" : "gone",
                   {{"target", id}, {"why", why}});
-  if (in_grace && !target->Record().leaving) {
+  if (in_grace && !target->IsLeaving()) {
     target->missing_since = now;
     return;
   }
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -94,6 +94,7 @@
   /// answered.
   std::optional<absl::Duration> rest;
   std::string unreadable_rest;  ///< what it says instead of a time
+  bool leaving = false;         ///< the target says that it leaves
   /// The names of the two fields as the target spelled them, for the log.
   std::string rate_limit_field;
   std::string brittle_field;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -111,7 +111,7 @@
       this->context, tunnel == nullptr ? target->connections : target->tunnels,
       this->wire, this->clock);
   this->paths.Use(path, *target, exchange);
-  this->paths.WithholdFromResting(path, *target, exchange);
+  this->paths.RecheckBeforeSend(path, *target, exchange);
   job.exchange = &exchange;
   job.attempt_started = now;
   job.attempt_first_output.reset();
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -82,7 +82,7 @@
 bool Pipeline::CanServe(const RequestJob& job, TargetState& target,
                         Instant now) const {
   const TargetRecord& record = target.Record();
-  if (record.leaving || this->fleet.IsEvacuated(record.zone)) return false;
+  if (target.IsLeaving() || this->fleet.IsEvacuated(record.zone)) return false;
   if (job.unreachable.count(record.id) > 0) return false;
   if (!job.MayUse(record)) return false;
   const ModelUse& use = job.request.use;
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -68,7 +68,7 @@
   if (!job.origin.has_value()) return true;
   const auto targets = this->fleet.Targets(job.service->name);
   return std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
-    return !target->Record().leaving && job.MayUse(target->Record());
+    return !target->IsLeaving() && job.MayUse(target->Record());
   });
 }
 
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -336,7 +336,7 @@
     item.models = engine->models;
     const auto in_use = residents_in_use.find(id);
     if (in_use != residents_in_use.end()) item.in_use = in_use->second;
-    item.usable = target != nullptr && !target->Record().leaving &&
+    item.usable = target != nullptr && !target->IsLeaving() &&
                   !this->fleet.IsEvacuated(target->Record().zone) &&
                   !this->IsTerminated(*engine);
     item.responsive =
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -40,7 +40,7 @@
 void TargetCrashDetector::RecordEnded(const TargetRecord& target,
                                       EndedExchange exchange) {
   const std::shared_ptr<TargetState> state = this->fleet.Target(target.id);
-  if (target.leaving || state == nullptr) return;
+  if (state == nullptr || state->IsLeaving()) return;
   if (state->Record().born_ms != target.born_ms) return;
   const TargetProcess process(target.id, target.born_ms);
   const bool is_first = this->examined.count(process) == 0;
@@ -68,7 +68,7 @@
 // entry that is gone: it may have expired.
 asio::awaitable<TargetCrashDetector::Verdict> TargetCrashDetector::Probe(
     TargetState& target, std::int64_t born_ms) {
-  if (target.Record().leaving) co_return Verdict::kUnknown;
+  if (target.IsLeaving()) co_return Verdict::kUnknown;
   if (target.Record().born_ms != born_ms) co_return Verdict::kCrashed;
   const TargetPath path = this->paths.PathTo(target);
   const bool tunneled = std::holds_alternative<TunnelPath>(path);
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -296,7 +296,7 @@
   if (this->may_send && !this->may_send()) {
     this->pool.Release(std::move(this->connection), std::nullopt,
                        this->clock.Now());
-    co_return NotSent{.why = "the target rests", .withheld = true};
+    co_return NotSent{.why = "the target wants no requests", .withheld = true};
   }
   this->deadline = deadline;
   this->StartStep(deadline, "no answer in time");
--- a/dragonflyglade/gateway/target_paths.cc
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -213,13 +213,13 @@
   });
 }
 
-void TargetPaths::WithholdFromResting(TargetPath path,
-                                      const TargetState& target,
-                                      TargetExchange& exchange) {
+void TargetPaths::RecheckBeforeSend(TargetPath path, const TargetState& target,
+                                    TargetExchange& exchange) {
   const auto* tunnel = std::get_if<TunnelPath>(&path);
   const std::string peer = tunnel == nullptr ? "" : tunnel->peer;
   exchange.CheckBeforeSend([this, peer, &target] {
-    return this->statements.RestOf(target) <= absl::ZeroDuration() &&
+    return !target.IsLeaving() &&
+           this->statements.RestOf(target) <= absl::ZeroDuration() &&
            this->statements.PeerRestOf(peer, target) <= absl::ZeroDuration();
   });
 }
--- a/dragonflyglade/gateway/target_paths.h
+++ b/dragonflyglade/gateway/target_paths.h
@@ -63,10 +63,10 @@
   /// Makes the exchange use the path, and records the outcomes of its
   /// connection attempts and what the target says of itself.
   void Use(TargetPath path, TargetState& target, TargetExchange& exchange);
-  /// Makes the exchange send nothing if the target has asked for rest since the
-  /// path was chosen.
-  void WithholdFromResting(TargetPath path, const TargetState& target,
-                           TargetExchange& exchange);
+  /// Makes the exchange send nothing if the target has asked for rest, or has
+  /// said that it leaves, since the path was chosen.
+  void RecheckBeforeSend(TargetPath path, const TargetState& target,
+                         TargetExchange& exchange);
 
   /// Records a request that is sent over a direct path now.
   /// @return when it was sent, for RecordEnded
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -60,6 +60,7 @@
   this->rate_limit = TargetRateLimit();
   this->brittleness = BrittleTarget();
   this->rest = TargetRest();
+  this->said_leaving = false;
   this->failure_rate = 0;
   this->unreachable_in_row = 0;
   this->avoid_until = absl::ZeroDuration();
@@ -72,6 +73,13 @@
   this->rate_limit = earlier.rate_limit;
   this->brittleness = earlier.brittleness;
   this->rest = earlier.rest;
+  this->said_leaving = earlier.said_leaving;
+}
+
+bool TargetState::RecordSaidLeaving() {
+  const bool is_new = !this->IsLeaving();
+  this->said_leaving = true;
+  return is_new;
 }
 
 bool TargetState::HoldsModel(std::string_view model) const {
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -93,6 +93,17 @@
   /// Whether the target states that it is brittle, and its declines.
   BrittleTarget& Brittleness() { return this->brittleness; }
   const BrittleTarget& Brittleness() const { return this->brittleness; }
+  /// Whether the target leaves, by its record or by its own word, which its
+  /// record may lag behind.
+  bool IsLeaving() const { return this->record.leaving || this->said_leaving; }
+  /// Whether it has said so while its record does not.
+  bool LeavesByItsWord() const {
+    return this->said_leaving && !this->record.leaving;
+  }
+  /// Records that the target said that it leaves. It holds until its process
+  /// ends.
+  /// @return whether that was not known
+  bool RecordSaidLeaving();
   /// The rest that the target asked this instance for.
   TargetRest& Rest() { return this->rest; }
   const TargetRest& Rest() const { return this->rest; }
@@ -152,6 +163,7 @@
   TargetRateLimit rate_limit;
   BrittleTarget brittleness;
   TargetRest rest;
+  bool said_leaving = false;
   std::optional<LoadReport> report;
   Instant reported_at;
   int in_flight_at_report = 0;
--- a/dragonflyglade/gateway/target_statements.cc
+++ b/dragonflyglade/gateway/target_statements.cc
@@ -25,9 +25,19 @@
         "targets", "rest unreadable",
         {{"target", target.Record().id}, {"value", head.unreadable_rest}});
   }
+  if (head.leaving) this->RecordLeaving(target);
   if (head.rest.has_value()) this->RecordRest(target, peer, *head.rest);
 }
 
+void TargetStatements::RecordLeaving(TargetState& target) {
+  if (!target.RecordSaidLeaving()) return;
+  this->metrics.Count("targets_said_leaving");
+  this->log.Write("targets", "says that it leaves",
+                  {{"target", target.Record().id}});
+  this->channel.ReportStatementChange();
+  this->fleet.Changed().Notify();
+}
+
 // This instance rests also if the target asked another one: to send the request
 // over the next path would get round what the target asked for.
 void TargetStatements::RecordRest(TargetState& target, std::string_view peer,
--- a/dragonflyglade/gateway/target_statements.h
+++ b/dragonflyglade/gateway/target_statements.h
@@ -62,6 +62,7 @@
   void OnRest(RestCallback callback) { this->on_rest = std::move(callback); }
 
  private:
+  void RecordLeaving(TargetState& target);
   void RecordRest(TargetState& target, std::string_view peer,
                   absl::Duration time);
   void RecordOwnRest(TargetState& target, std::string_view peer,
--- a/dragonflyglade/gateway/tunnel_server.cc
+++ b/dragonflyglade/gateway/tunnel_server.cc
@@ -215,7 +215,7 @@
     co_return kUnavailable;
   }
   const std::shared_ptr<TargetState> target = this->fleet.Target(target_id);
-  if (target == nullptr || target->Record().leaving ||
+  if (target == nullptr || target->IsLeaving() ||
       this->fleet.IsEvacuated(target->Record().zone)) {
     co_return kUnknown;
   }
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -64,6 +64,13 @@
   5: i64 declined_ago_ms
 }
 
+/** The process of a target. */
+struct TargetProcess {
+  1: string target
+  /** Its start time. */
+  2: i64 born_ms
+}
+
 /** An instance's periodic report to the leader. */
 struct InstanceReport {
   1: string instance
@@ -105,6 +112,9 @@
   19: list<TargetBrittleness> brittle
   /** The sender's clock, in milliseconds, when it sent the report. */
   20: i64 sent_ms
+  /** Targets that said in a response that they leave, while their records do
+      not say so. */
+  21: list<TargetProcess> leaving
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
@@ -249,6 +259,8 @@
   14: list<TargetLimit> limits
   /** As in the reports, of all instances. */
   15: list<TargetBrittleness> brittle
+  /** As in the reports, of all instances. */
+  16: list<TargetProcess> leaving
 }
 
 /** Asks the leader to admit a request that exceeds the instance's own share of
