--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -307,16 +307,18 @@
   return MakeRefusal(RefusalCode::kTargetsBusy, kText, kRetryAfterBusy);
 }
 
-bool Pipeline::AnyTargetRests(std::string_view service) const {
-  const auto targets = this->fleet.Targets(service);
+bool Pipeline::AwaitsRest(const RequestJob& job) const {
+  const Instant now = this->clock.Now();
+  const auto targets = this->fleet.Targets(job.service->name);
   return std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
-    return this->paths.UntilRested(*target) > absl::ZeroDuration();
+    return this->CanServe(job, *target, now) &&
+           this->paths.UntilRested(*target) > absl::ZeroDuration();
   });
 }
 
 Refusal Pipeline::RefuseUntilAllowed(const RequestJob& job,
                                      absl::Duration until) {
-  if (!this->AnyTargetRests(job.service->name)) {
+  if (!this->AwaitsRest(job)) {
     // If other instances have all of the places, the next caller to come may
     // well reach one of them.
     return MakeRefusal(RefusalCode::kTargetsLimited,
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -151,7 +151,8 @@
   Refusal NoTargetRefusal(const RequestJob& job);
   /// The refusal of a request that some target takes after a time.
   Refusal RefuseUntilAllowed(const RequestJob& job, absl::Duration until);
-  bool AnyTargetRests(std::string_view service) const;
+  /// Whether a target rests that could serve the request otherwise.
+  bool AwaitsRest(const RequestJob& job) const;
   void RecordPauses(const RequestJob& job);
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
