A class of its own for the statements that reports and summaries pass on

No change of behaviour: the limits, the brittle and the leaving targets of messages stand in StatementExchange.

--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -55,37 +55,9 @@
 constexpr std::size_t kMaxPendingReports = 32;
 // Further ones are left to later reports.
 constexpr std::size_t kMaxMissingModelsPerReport = 32;
-// For this long the reports tell that a target states no limit, or is brittle,
-// no more: several reports, any of which may be lost.
-constexpr absl::Duration kEndedStatementReportTime = absl::Seconds(10);
-// Further ones follow in the next messages: a datagram has room for no more
-// beside the other fields of a summary.
-constexpr std::size_t kMaxStatementsPerMessage = 256;
-// Stands for a target that states no limit.
-constexpr double kNoLimit = -1;
-constexpr std::int64_t kNeverDeclined = -1;
-// The time of a decline is known with the error of the messages' travel time.
-constexpr absl::Duration kDeclineTolerance = absl::Milliseconds(100);
 // Stands for an unlimited age in reports.
 constexpr absl::Duration kUnlimitedAge = absl::Hours(24);
 
-absl::Duration AgeOf(std::int64_t age_ms) {
-  return absl::Milliseconds(std::max<std::int64_t>(0, age_ms));
-}
-
-// Keeps as many statements as a message has room for, each time the next ones.
-// @param next position of the first statement to keep
-template <typename Statement>
-void KeepNextStatements(std::vector<Statement>& statements, std::size_t& next) {
-  if (statements.size() <= kMaxStatementsPerMessage) return;
-  const std::size_t first = next % statements.size();
-  next += kMaxStatementsPerMessage;
-  std::rotate(statements.begin(),
-              statements.begin() + static_cast<std::ptrdiff_t>(first),
-              statements.end());
-  statements.resize(kMaxStatementsPerMessage);
-}
-
 bool IsIdle(const wire::InstanceReport& report) {
   return report.targets.empty() && report.wishes.empty();
 }
@@ -119,6 +91,7 @@
       relay(relay),
       stream_origins(stream_origins),
       crashing_parts(crashing_parts),
+      statements(fleet, clock),
       metrics(metrics),
       tasks(tasks),
       clock(std::move(clock)),
@@ -241,9 +214,7 @@
     spend.tokens = static_cast<std::int64_t>(tokens);
     report.spends.push_back(std::move(spend));
   }
-  report.limits = this->TargetLimits();
-  report.brittle = this->BrittleTargets();
-  report.leaving = this->LeavingTargets();
+  this->statements.AddTo(report);
   report.store_revision =
       static_cast<std::int64_t>(this->sync_state.KnownThrough());
   // An instance without requests must know for how long it has been listed,
@@ -282,12 +253,7 @@
     for (const std::string& target : report.refusing)
       this->on_connection_refused(target);
   }
-  const bool limits_changed = this->ApplyTargetLimits(report.limits);
-  const bool brittle_changed = this->ApplyBrittleTargets(report.brittle);
-  const bool leaving_changed = this->ApplyLeavingTargets(report.leaving);
-  if (limits_changed || brittle_changed || leaving_changed) {
-    this->SchedulePush();
-  }
+  if (this->statements.Apply(report)) this->SchedulePush();
   this->RespondToReport({report, this->clock.Now()});
 }
 
@@ -319,9 +285,7 @@
   summary.holdings = this->holdings.Since(
       report.holdings_of == this->self.incarnation ? report.holdings_version
                                                    : 0);
-  summary.limits = this->TargetLimits();
-  summary.brittle = this->BrittleTargets();
-  summary.leaving = this->LeavingTargets();
+  this->statements.AddTo(summary);
   message.__set_summary(std::move(summary));
   if (report.incarnation == this->self.incarnation) {
     this->ReceiveSummary(message.summary);
@@ -439,9 +403,7 @@
   this->ApplyTargetUses(summary);
   this->ApplyHoldings(summary);
   this->ApplyFleetSpends(summary);
-  this->ApplyTargetLimits(summary.limits);
-  this->ApplyBrittleTargets(summary.brittle);
-  this->ApplyLeavingTargets(summary.leaving);
+  this->statements.Apply(summary);
   if (!own) this->relay.ReceiveDigest(summary.store);
   this->fleet.Changed().Notify();
 }
@@ -503,123 +465,6 @@
   }
 }
 
-std::vector<wire::TargetLimit> FleetChannel::TargetLimits() {
-  const Instant now = this->clock.Now();
-  std::vector<wire::TargetLimit> limits;
-  this->fleet.ForEachTarget([&](const TargetState& target) {
-    const TargetRateLimit& rate_limit = target.RateLimit();
-    if (!rate_limit.StatedAt().has_value()) return;
-    const absl::Duration age = now - *rate_limit.StatedAt();
-    const bool in_force = rate_limit.Limit().has_value();
-    if (!in_force && age > kEndedStatementReportTime) return;
-    if (!in_force && !rate_limit.EverLimited()) return;
-    wire::TargetLimit limit;
-    limit.target = target.Record().id;
-    limit.born_ms = target.Record().born_ms;
-    limit.requests_per_second = rate_limit.Limit().value_or(kNoLimit);
-    limit.age_ms = absl::ToInt64Milliseconds(age);
-    limits.push_back(std::move(limit));
-  });
-  KeepNextStatements(limits, this->next_limit);
-  return limits;
-}
-
-// Returns whether the limit of any target changed.
-bool FleetChannel::ApplyTargetLimits(
-    const std::vector<wire::TargetLimit>& limits) {
-  const Instant now = this->clock.Now();
-  bool changed = false;
-  for (const wire::TargetLimit& limit : limits) {
-    const std::shared_ptr<TargetState> target =
-        this->fleet.Target(limit.target);
-    if (target == nullptr || target->Record().born_ms != limit.born_ms) {
-      continue;
-    }
-    const std::optional<double> rate =
-        limit.requests_per_second >= 0
-            ? std::optional<double>(limit.requests_per_second)
-            : std::nullopt;
-    changed |= target->RateLimit().Record(rate, now - AgeOf(limit.age_ms));
-  }
-  return changed;
-}
-
-std::vector<wire::TargetProcess> FleetChannel::LeavingTargets() {
-  std::vector<wire::TargetProcess> leaving;
-  this->fleet.ForEachTarget([&](const TargetState& target) {
-    if (!target.LeavesByItsWord()) return;
-    wire::TargetProcess process;
-    process.target = target.Record().id;
-    process.born_ms = target.Record().born_ms;
-    leaving.push_back(std::move(process));
-  });
-  KeepNextStatements(leaving, this->next_leaving);
-  return leaving;
-}
-
-// Returns whether any of the targets was not known to leave.
-bool FleetChannel::ApplyLeavingTargets(
-    const std::vector<wire::TargetProcess>& leaving) {
-  bool changed = false;
-  for (const wire::TargetProcess& process : leaving) {
-    const std::shared_ptr<TargetState> target =
-        this->fleet.Target(process.target);
-    if (target == nullptr || target->Record().born_ms != process.born_ms) {
-      continue;
-    }
-    changed |= target->RecordSaidLeaving();
-  }
-  if (changed) this->fleet.Changed().Notify();
-  return changed;
-}
-
-std::vector<wire::TargetBrittleness> FleetChannel::BrittleTargets() {
-  const Instant now = this->clock.Now();
-  std::vector<wire::TargetBrittleness> brittle;
-  this->fleet.ForEachTarget([&](const TargetState& target) {
-    const BrittleTarget& known = target.Brittleness();
-    if (!known.EverBrittle()) return;
-    const absl::Duration age = now - *known.StatedAt();
-    if (!known.IsBrittle() && age > kEndedStatementReportTime) return;
-    wire::TargetBrittleness item;
-    item.target = target.Record().id;
-    item.born_ms = target.Record().born_ms;
-    item.declines_per_second = known.DeclinesPerSecond().value_or(kNoLimit);
-    item.age_ms = absl::ToInt64Milliseconds(age);
-    item.declined_ago_ms =
-        known.LastDeclined().has_value()
-            ? absl::ToInt64Milliseconds(now - *known.LastDeclined())
-            : kNeverDeclined;
-    brittle.push_back(std::move(item));
-  });
-  KeepNextStatements(brittle, this->next_brittle);
-  return brittle;
-}
-
-// Returns whether the statement of any target changed, or one has declined a
-// request that this instance did not know of.
-bool FleetChannel::ApplyBrittleTargets(
-    const std::vector<wire::TargetBrittleness>& brittle) {
-  const Instant now = this->clock.Now();
-  bool changed = false;
-  for (const wire::TargetBrittleness& item : brittle) {
-    const std::shared_ptr<TargetState> target = this->fleet.Target(item.target);
-    if (target == nullptr || target->Record().born_ms != item.born_ms) continue;
-    BrittleTarget& known = target->Brittleness();
-    const std::optional<double> declines =
-        item.declines_per_second >= 0
-            ? std::optional<double>(item.declines_per_second)
-            : std::nullopt;
-    changed |= known.RecordStatement(declines, now - AgeOf(item.age_ms));
-    if (!known.IsBrittle() || item.declined_ago_ms < 0) continue;
-    const std::optional<Instant> last = known.LastDeclined();
-    known.RecordDeclined(now - AgeOf(item.declined_ago_ms));
-    changed |=
-        !last.has_value() || *known.LastDeclined() - *last > kDeclineTolerance;
-  }
-  return changed;
-}
-
 bool FleetChannel::BroadcastsSentPrompts() const {
   return this->fleet.ListedInstances().size() <= kMaxSentPromptRecipients;
 }
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -22,6 +22,7 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
+#include "dragonflyglade/gateway/statement_exchange.h"
 #include "dragonflyglade/gateway/store_relay.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/stream_origins.h"
@@ -128,12 +129,6 @@
   void ApplyTargetUses(const wire::FleetSummary& summary);
   void ApplyHoldings(const wire::FleetSummary& summary);
   void ApplyFleetSpends(const wire::FleetSummary& summary);
-  std::vector<wire::TargetLimit> TargetLimits();
-  bool ApplyTargetLimits(const std::vector<wire::TargetLimit>& limits);
-  std::vector<wire::TargetProcess> LeavingTargets();
-  bool ApplyLeavingTargets(const std::vector<wire::TargetProcess>& leaving);
-  std::vector<wire::TargetBrittleness> BrittleTargets();
-  bool ApplyBrittleTargets(const std::vector<wire::TargetBrittleness>& brittle);
 
   boost::asio::io_context& context;
   boost::asio::ip::udp::socket& socket;
@@ -149,6 +144,7 @@
   StoreRelay& relay;
   StreamOrigins& stream_origins;
   CrashingParts& crashing_parts;
+  StatementExchange statements;
   Metrics& metrics;
   Tasks& tasks;
   const Clock clock;
@@ -170,9 +166,6 @@
   std::vector<wire::TargetLack> missing_models;
   std::set<std::string> refusing_targets;  ///< not reported yet
   std::uint64_t leader_revision = 0;       ///< of the last handled change
-  std::size_t next_limit = 0;    ///< position of the next limit to send
-  std::size_t next_brittle = 0;  ///< the same of the brittle targets
-  std::size_t next_leaving = 0;  ///< the same of the leaving targets
   bool push_pending = false;
   Instant next_push;  ///< the earliest time of the next push
   bool notifying_reporters = false;
--- a/tests/unit/unit-fleet-news.cc
+++ b/tests/unit/unit-fleet-news.cc
@@ -83,8 +83,8 @@
     }
   }
 
-  // Guards against targets that others keep for ever, since this instance listed
-  // the store again and never saw that they appeared and left.
+  // Guards against targets that others keep for ever, since this instance
+  // listed the store again and never saw that they appeared and left.
   void ClaimsNothingFromBeforeItsLastListing() {
     RecentChanges recent;
     recent.CompleteAfter(2);
