--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -9,7 +9,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -39,6 +38,15 @@
 // Responses of services without engines are some kilobytes long.
 constexpr std::uint64_t kMaxBodyBytes = 16u << 20;
 
+// Of an instance's refusal to open a tunnel. Zero if it cannot be read: then
+// the next attempt is refused in turn.
+absl::Duration RestIn(const http::fields& fields) {
+  const std::string text{fields[http::field::retry_after]};
+  double seconds = 0;
+  if (!absl::SimpleAtod(text, &seconds)) return absl::ZeroDuration();
+  return absl::Seconds(seconds);
+}
+
 }  // namespace
 
 // State of the write operation of the request. It is shared with the write's
@@ -168,16 +176,9 @@
       co_return std::nullopt;
     case http::status::bad_gateway:
       co_return NotSent{"refused", ConnectError::kRefused, false};
-    case http::status::too_many_requests: {
-      double seconds = 0;
-      // If the time cannot be read, the next attempt is refused in turn.
-      std::ignore = absl::SimpleAtod(
-          std::string(response.get()[http::field::retry_after]), &seconds);
-      co_return NotSent{"the other instance must let the target rest",
-                        {},
-                        false,
-                        absl::Seconds(seconds)};
-    }
+    case http::status::too_many_requests:
+      co_return NotSent{.why = "the other instance must let the target rest",
+                        .peer_rest = RestIn(response.get().base())};
     case http::status::gateway_timeout:
       co_return NotSent{"connect timeout", ConnectError::kTimedOut, false};
     default:
