Send existing keys only to instances that may have one too many

Each new leader lists the store when it takes over, and since the last change of this an instance forgot by a listing that it knew all before: then the keys of the whole store would go to all others with each change of the leader (16 KB each with 3,000 targets, beside which a summary no longer fits into a datagram). Only an instance that knows a revision between what was known here and the listing may have seen a key that was removed before it.

--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -95,7 +95,8 @@
 }
 
 void FleetState::RemoveOtherKeys(absl::Span<const std::int32_t> existing,
-                                 std::uint64_t revision) {
+                                 std::uint64_t revision,
+                                 std::uint64_t known_through) {
   const std::set<std::int32_t> hashes(existing.begin(), existing.end());
   std::vector<std::string> removed;
   for (const auto& [key, change] : this->applied) {
@@ -104,8 +105,7 @@
     if (hashes.count(HashOf(key)) == 0) removed.push_back(key);
   }
   for (const std::string& key : removed) this->ApplyDeleted(key, revision);
-  // Keys that appeared and were removed in between are not known here.
-  this->recent.CompleteAfter(revision);
+  this->recent.AddGap(known_through, revision);
 }
 
 void FleetState::Apply(const StoreItem& item, ChangeSource source) {
@@ -394,8 +394,10 @@
 }
 
 void FleetState::ApplyListing(absl::Span<const StoreItem> items,
-                              std::uint64_t store_revision) {
+                              std::uint64_t store_revision,
+                              std::uint64_t known_through) {
   this->recent.CompleteAfter(store_revision);
+  if (this->has_listing) this->recent.AddGap(known_through, store_revision);
   std::set<std::string_view> listed;
   for (const StoreItem& item : items) listed.insert(item.key);
   std::vector<std::string> missing;
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -54,15 +54,19 @@
 
   /// Applies a complete listing; keys that are missing from it count as
   /// deleted.
+  /// @param known_through the revision through which all urgent changes were
+  ///   known before
   void ApplyListing(absl::Span<const StoreItem> items,
-                    std::uint64_t store_revision);
+                    std::uint64_t store_revision,
+                    std::uint64_t known_through = 0);
 
   /// Hashes of all keys that exist and whose changes are urgent.
   std::vector<std::int32_t> ExistingKeys() const;
   /// Removes the keys that did not exist at a revision.
   /// @param existing ExistingKeys of an instance that knows the revision
+  /// @param known_through as for ApplyListing
   void RemoveOtherKeys(absl::Span<const std::int32_t> existing,
-                       std::uint64_t revision);
+                       std::uint64_t revision, std::uint64_t known_through);
 
   /// The newest revision applied to a key; 0 if there is none.
   std::uint64_t AppliedRevision(std::string_view key) const;
--- a/dragonflyglade/gateway/recent_changes.cc
+++ b/dragonflyglade/gateway/recent_changes.cc
@@ -9,6 +9,8 @@
 // Enough for some minutes of ordinary changes beside a configuration of the
 // largest size. Instances that lack older changes read the store.
 constexpr std::size_t kMaxBytes = std::size_t{4} * 1024 * 1024;
+// Older gaps are merged, so that more is taken for missing than is.
+constexpr std::size_t kMaxGaps = 16;
 
 std::size_t SizeOf(const StoreEvent& event) {
   return event.item.key.size() + event.item.value.size();
@@ -17,7 +19,24 @@
 }  // namespace
 
 void RecentChanges::CompleteAfter(std::uint64_t revision) {
-  this->complete_after = std::max(this->complete_after.value_or(0), revision);
+  if (!this->complete_after.has_value()) this->complete_after = revision;
+}
+
+void RecentChanges::AddGap(std::uint64_t after, std::uint64_t through) {
+  this->gaps.push_back({after, through});
+  if (this->gaps.size() <= kMaxGaps) return;
+  this->gaps[1].after = std::min(this->gaps[0].after, this->gaps[1].after);
+  this->gaps.pop_front();
+}
+
+// An instance that knows a revision inside of a gap may have a key that was
+// removed before the gap's end. One that knows an earlier revision never saw
+// it.
+bool RecentChanges::IsInGap(std::uint64_t revision) const {
+  return std::any_of(this->gaps.begin(), this->gaps.end(),
+                     [revision](const Gap& gap) {
+                       return gap.after < revision && revision < gap.through;
+                     });
 }
 
 void RecentChanges::Add(StoreEvent event) {
@@ -52,7 +71,9 @@
 std::optional<std::vector<StoreEvent>> RecentChanges::Since(
     std::uint64_t revision) const {
   if (!this->complete_after.has_value()) return std::nullopt;
-  if (revision < *this->complete_after) return std::nullopt;
+  if (revision < *this->complete_after || this->IsInGap(revision)) {
+    return std::nullopt;
+  }
   return this->After(revision);
 }
 
--- a/dragonflyglade/gateway/recent_changes.h
+++ b/dragonflyglade/gateway/recent_changes.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,10 +20,15 @@
 /// event loop.
 class RecentChanges {
  public:
-  /// Declares that changes through this revision may be missing, and that all
-  /// later ones will be added.
+  /// Declares that all changes after this revision will be added. Only the
+  /// first call has an effect.
   void CompleteAfter(std::uint64_t revision);
 
+  /// Declares that keys which appeared and were removed again between two
+  /// revisions are not known here. All that is known at the second one was
+  /// added.
+  void AddGap(std::uint64_t after, std::uint64_t through);
+
   /// Adds a change, which replaces an older one of the same key.
   void Add(StoreEvent event);
 
@@ -44,9 +50,15 @@
   std::uint64_t Version() const { return this->version; }
 
  private:
+  struct Gap {
+    std::uint64_t after = 0;
+    std::uint64_t through = 0;
+  };
+
   using RevisionAndKey = std::pair<std::uint64_t, std::string>;
 
   std::vector<StoreEvent> After(std::uint64_t revision) const;
+  bool IsInGap(std::uint64_t revision) const;
   void Remove(std::map<RevisionAndKey, StoreEvent>::iterator event);
 
   /// A transaction gives several keys the same revision.
@@ -57,6 +69,7 @@
   /// The revision after which no change is missing; nothing before the first
   /// listing.
   std::optional<std::uint64_t> complete_after;
+  std::deque<Gap> gaps;  ///< oldest first
   /// The newest revision of a change that was dropped for want of space.
   std::uint64_t dropped_through = 0;
 };
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -183,7 +183,8 @@
   if (digest.__isset.existing) {
     this->fleet.RemoveOtherKeys(
         digest.existing.hashes,
-        static_cast<std::uint64_t>(digest.existing.revision));
+        static_cast<std::uint64_t>(digest.existing.revision),
+        this->sync_state.KnownThrough());
   }
   if (this->large_receiver.Announce(digest) && !digest.large_changes.empty()) {
     relay_digest.changes_through =
--- a/dragonflyglade/gateway/store_watcher.cc
+++ b/dragonflyglade/gateway/store_watcher.cc
@@ -102,7 +102,8 @@
   this->HandleStoreResponse();
   this->revision = *first_revision;
   this->details_incomplete = false;
-  this->fleet.ApplyListing(items, this->revision);
+  this->fleet.ApplyListing(items, this->revision,
+                           this->sync_state.KnownThrough());
   this->sync_state.RecordRead(this->revision, this->fleet.UrgentRevision());
   this->log.Write("store", "listed",
                   {{"revision", this->revision},
