Keep a restarted relay's digest within a datagram, whatever the size of the fleet

Reread: with some 13,000 keys and more the list of existing keys alone fills a datagram, which is then not sent, and the receiver hears nothing of that relay. From 4,000 keys on the relay says that it lacks the history, as before, and the receiver reads the store. unit-store-relay (FitsIntoADatagramAlsoWithManyKeys) failed with 23,000 keys and passes.

An instance with a path of its own no longer looks at all its tunnel peers for each target once another instance has had to let one rest: that would have cost targets times instances with each choice. And a request that was chosen before has a test of its own (GetNoRequestsThatWereChosenBefore).

--- a/dragonflyglade/decision/target_rest.cc
+++ b/dragonflyglade/decision/target_rest.cc
@@ -5,7 +5,7 @@
 namespace dragonflyglade {
 namespace {
 
-// No process of a target lives with a longer one; it ends with the process.
+// Longer than targets rest; a rest without end could never be shortened.
 constexpr absl::Duration kMaxRest = absl::Hours(24);
 // After a rest an instance may use its whole share of the slots again.
 constexpr absl::Duration kRampTime = absl::Seconds(2);
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -75,9 +75,11 @@
   if (!changes.has_value() && known > 0) {
     changes = recent.LatestSince(known);
     packed.existing = this->ExistingKeys();
-    max_bytes -=
-        std::min(max_bytes - kMaxDigestChangeBytes,
-                 kBytesPerExistingKey * packed.existing->hashes.size());
+    const std::size_t key_bytes =
+        kBytesPerExistingKey * packed.existing->hashes.size();
+    // A larger digest would not be sent at all.
+    if (key_bytes > kMaxPackedBytes - kMaxDigestChangeBytes) return nullptr;
+    max_bytes -= key_bytes;
   }
   if (!changes.has_value()) return nullptr;
   std::erase_if(*changes, [&](const StoreEvent& event) {
--- a/dragonflyglade/gateway/target_paths.cc
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -134,8 +134,9 @@
   const TargetRecord& record = target.Record();
   const bool has_path = this->ReachabilityOf(record.service)
                             .HasPath(record.id, this->clock.Now());
+  if (has_path) return own;
   const std::vector<TunnelPeerCandidate> peers = this->Peers();
-  if (has_path || peers.empty()) return own;
+  if (peers.empty()) return own;
   absl::Duration first = absl::InfiniteDuration();
   for (const TunnelPeerCandidate& peer : peers) {
     first = std::min(first, this->statements.PeerRestOf(peer.name, target));
--- a/tests/platform/platform-resting-targets.cc
+++ b/tests/platform/platform-resting-targets.cc
@@ -8,7 +8,10 @@
 
 #include "absl/strings/match.h"
 #include "absl/time/clock.h"
+#include "dragonflyglade/gateway/target_exchange.h"
 #include "tests/platform/two_instances.h"
+// After the gateway's headers, which include what Asio's leave out.
+#include <boost/asio/co_spawn.hpp>
 
 namespace dragonflyglade {
 namespace {
@@ -65,6 +68,7 @@
   CPPUNIT_TEST(AreNoLastResort);
   CPPUNIT_TEST(GetNoRequestsThroughTunnels);
   CPPUNIT_TEST(GetNoRequestsWhenTheirRecordsAreBack);
+  CPPUNIT_TEST(GetNoRequestsThatWereChosenBefore);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against requests to a target that has asked for rest.
@@ -220,6 +224,31 @@
     CPPUNIT_ASSERT_EQUAL(0, this->CallUntil(pair, end - 2 * kCallInterval));
   }
 
+  // Guards against a request that is sent although the target asked for rest
+  // while its connection was established.
+  void GetNoRequestsThatWereChosenBefore() {
+    PlatformTargetStandIn target(SuccessfulResponse);
+    boost::asio::io_context context;
+    gateway::ConnectionPool pool;
+    const gateway::WireFormat wire = platform::MakeWireFormat();
+    const Clock clock{SteadyClock()};
+    gateway::TargetExchange exchange(context, pool, wire, clock);
+    exchange.CheckBeforeSend([] { return false; });
+    gateway::ExchangeOutcome outcome;
+    boost::asio::co_spawn(
+        context,
+        exchange.Run(target.Address(), "r1", "GET /any/ HTTP/1.1\r\n\r\n", "",
+                     clock.Now() + absl::Seconds(5)),
+        [&outcome](const std::exception_ptr&, gateway::ExchangeOutcome result) {
+          outcome = std::move(result);
+        });
+    context.run();
+    const auto* not_sent = std::get_if<gateway::NotSent>(&outcome);
+    CPPUNIT_ASSERT(not_sent != nullptr && not_sent->withheld);
+    CPPUNIT_ASSERT(target.Requests().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.Idle());
+  }
+
  private:
   // Calls the first instance, which must be served.
   // @return requests that reached the first target
--- a/tests/unit/unit-store-relay.cc
+++ b/tests/unit/unit-store-relay.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "dragonflyglade/gateway/change_codec.h"
 #include "dragonflyglade/gateway/store_relay.h"
+#include "dragonflyglade/gateway/thrift_codec.h"
 #include "tests/unit/relay_fleet.h"
 // After the gateway's headers, which include what Asio's leave out.
 #include <boost/asio/co_spawn.hpp>
@@ -42,6 +43,7 @@
   CPPUNIT_TEST(QueriesAnotherRelayIfTheLeaderLosesTheStore);
   CPPUNIT_TEST(AnnouncesANewLeaderWithoutClaimingCompleteness);
   CPPUNIT_TEST(ReadsTheStoreIfTheRelayLacksTheHistory);
+  CPPUNIT_TEST(FitsIntoADatagramAlsoWithManyKeys);
   CPPUNIT_TEST(IgnoresInvalidChanges);
   CPPUNIT_TEST(PacksAsManyChangesAsFit);
   CPPUNIT_TEST_SUITE_END();
@@ -70,6 +72,33 @@
     CPPUNIT_ASSERT(!other.sync_state.MustReadStore());
   }
 
+  // Guards against digests that a restarted relay cannot send, since they list
+  // the keys of a fleet of any size.
+  void FitsIntoADatagramAlsoWithManyKeys() {
+    constexpr std::size_t kMaxDatagramBytes = 65000;
+    for (const std::uint64_t keys : {100, 2300, 4000, 23000}) {
+      RelayFleet fleet(2);
+      fleet.ApplyRead(1, {Item("k", 4, "known")}, 4);
+      RelayFleet::Instance& restarted = *fleet.instances[0];
+      std::vector<StoreItem> listing = {Item("k", 4, "known")};
+      for (std::uint64_t i = 0; i < keys; ++i) {
+        listing.push_back(Item(absl::StrCat("key", i), 5 + i, "value"));
+      }
+      const std::uint64_t last = listing.back().revision;
+      restarted.state.ApplyListing(listing, last);
+      restarted.sync_state.RecordRead(last, restarted.state.UrgentRevision());
+      wire::FleetMessage message;
+      message.__set_store(restarted.relay.DigestSince(4));
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(keys, " keys"),
+                             EncodeThrift(message).size() <= kMaxDatagramBytes);
+      RelayFleet::Instance& other = *fleet.instances[1];
+      fleet.CatchUp(1, 0);
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(keys, " keys"),
+          !other.sync_state.IsBehind() || other.sync_state.MustReadStore());
+    }
+  }
+
   // Failure: instances use an old configuration for up to five seconds. A
   // configuration of 39 KB did not fit into a digest of 24 KB, so that no relay
   // passed it on and 295 instances read it from the store at the same time.
