Tell targets that ended together from lost paths

Cause: two failed connects to different targets in a row made an instance isolated. After a quarter of the engines had crashed, nearly all instances concluded that, looked for tunnels through each other, and refused requests as targets_unreachable.

Change: two failures put the paths in doubt. Four targets that have not failed, in different availability zones, are probed at once, and four more if all of these fail; only failed probes count, since the connections of requests lead to ended targets more often. The instance is isolated if all eight fail, if no target is left to probe, or if no probe is accepted within 40 ms (500 ms where all failures are refusals, which probes on a lost path would meet as quickly). Meanwhile requests use their own paths; from the second failure on they wait for the verdict. A target that refuses another instance's connection as well has ended and is no evidence. An isolated instance without a tunnel tries the own path once for each request. Probes have 450 ms: with 400 ms their time-outs were never counted, since only a whole time-out is evidence.

The cases of platform-reachability and unit-reachability are unchanged and pass; a cut is noticed within 10 ms of refusals and 450 ms of time-outs.

--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -116,6 +116,8 @@
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
+  bool MayTryOwnPath(const RequestJob& job) const;
+  TargetPath ChoosePath(RequestJob& job, const TargetState& target);
   boost::asio::awaitable<NextStep> Attempt(RequestJob& job,
                                            std::shared_ptr<TargetState> target);
   boost::asio::awaitable<NextStep> RelayStream(RequestJob& job,
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -89,6 +89,21 @@
 
 }  // namespace
 
+// Without a tunnel, the own path is tried once: it may be back, or may not have
+// been lost.
+bool Pipeline::MayTryOwnPath(const RequestJob& job) const {
+  return !job.tried_lost_path && this->paths.IsIsolated(job.service->name);
+}
+
+TargetPath Pipeline::ChoosePath(RequestJob& job, const TargetState& target) {
+  TargetPath path = this->paths.PathTo(target);
+  if (!this->paths.IsIsolated(job.service->name)) return path;
+  const bool no_tunnel = std::holds_alternative<NoPath>(path);
+  if (!no_tunnel && job.not_sent < kMaxAttempts) return path;
+  job.tried_lost_path = true;
+  return DirectPath{};
+}
+
 asio::awaitable<Pipeline::NextStep> Pipeline::Attempt(
     RequestJob& job, std::shared_ptr<TargetState> target) {
   const Instant now = this->clock.Now();
@@ -105,7 +120,7 @@
   job.request.body = std::move(call.body);
   this->RecordStreamSent(job);
   const std::string address = target->Record().address;
-  const TargetPath path = this->paths.PathTo(*target);
+  const TargetPath path = this->ChoosePath(job, *target);
   const auto* tunnel = std::get_if<TunnelPath>(&path);
   TargetExchange exchange(
       this->context, tunnel == nullptr ? target->connections : target->tunnels,
@@ -266,7 +281,7 @@
   if (tunneled && not_sent.connect_error == ConnectError::kRefused) {
     this->channel.ReportConnectionRefused(job.target);
   }
-  const bool other_path = !tunneled && !std::holds_alternative<DirectPath>(
+  const bool other_path = !tunneled && std::holds_alternative<TunnelPath>(
                                            this->paths.PathTo(target));
   if (!other_path) job.unreachable.insert(job.target);
 }
@@ -285,9 +300,14 @@
                    {"peer", tunnel == nullptr ? "" : tunnel->peer},
                    {"why", not_sent.why}});
   job.not_sent += 1;
+  // Further attempts on paths that may be lost would use up those that a tunnel
+  // needs.
+  if (job.not_sent > 1) co_await this->paths.AwaitVerdict(job.service->name);
   this->RecordUnreachable(job, target, path, not_sent);
   const bool time_left = job.deadline - this->clock.Now() >= kMinAttemptTime;
-  if (time_left && job.not_sent < kMaxAttempts) co_return NextStep::kTryAnother;
+  const bool attempts_left =
+      job.not_sent < kMaxAttempts || this->MayTryOwnPath(job);
+  if (time_left && attempts_left) co_return NextStep::kTryAnother;
   Refusal refusal =
       MakeRefusal(job.executions > 0 ? RefusalCode::kTargetLost
                                      : RefusalCode::kTargetsUnreachable,
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -242,7 +242,9 @@
 
 asio::awaitable<std::shared_ptr<TargetState>> Pipeline::FindTarget(
     RequestJob& job) {
-  if (!this->paths.AnyPath(job.service->name)) co_return nullptr;
+  if (!this->paths.AnyPath(job.service->name) && !this->MayTryOwnPath(job)) {
+    co_return nullptr;
+  }
   if (!this->HasTargetOfStreamVersion(job)) co_return nullptr;
   std::shared_ptr<TargetState> target = this->Choose(job);
   if (target == nullptr) target = co_await this->AwaitBrittleRoom(job);
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -45,6 +45,8 @@
   TargetExchange* exchange = nullptr;
   EventSplitter events;
   Instant attempt_started;
+  /// It was sent over a path of this instance while that counted as lost.
+  bool tried_lost_path = false;
   bool uses_own_path = true;  ///< the current attempt, not through a tunnel
   /// When the current attempt was sent over the instance's own path.
   std::optional<Instant> sent_over_own_path;
--- a/dragonflyglade/gateway/target_paths.cc
+++ b/dragonflyglade/gateway/target_paths.cc
@@ -3,18 +3,26 @@
 #include <algorithm>
 #include <utility>
 
+#include "dragonflyglade/gateway/async_condition.h"
+
 namespace dragonflyglade::gateway {
 
 namespace asio = boost::asio;
 
 namespace {
 
-// A target in the same region accepts a connection within milliseconds.
-constexpr absl::Duration kProbeTimeout = absl::Milliseconds(400);
+// Longer than the time-out of a connection attempt: a shorter attempt is no
+// evidence on the path.
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(450);
 
 // Paths that are back may be lost again.
 constexpr absl::Duration kUnstableTime = absl::Seconds(5);
 
+// Short beside the time that probes have in a doubt.
+constexpr absl::Duration kReviewInterval = absl::Milliseconds(5);
+// Behind the time that probes have in a doubt.
+constexpr absl::Duration kMaxVerdictTime = absl::Milliseconds(510);
+
 }  // namespace
 
 TargetPaths::TargetPaths(asio::io_context& context, const WireFormat& wire,
@@ -152,11 +160,14 @@
   for (const std::string& refused : ended) {
     this->channel.ReportConnectionRefused(refused);
   }
-  if (!was_isolated) return;
+  if (was_isolated) this->HandleOwnPath(record);
+}
+
+void TargetPaths::HandleOwnPath(const TargetRecord& target) {
   this->last_isolation_end = this->clock.Now();
   this->log.Write("targets", "own path again",
-                  {{"service", record.service}, {"target", record.id}});
-  for (const auto& each : this->fleet.Targets(record.service)) {
+                  {{"service", target.service}, {"target", target.id}});
+  for (const auto& each : this->fleet.Targets(target.service)) {
     each->tunnels.Clear();
   }
 }
@@ -167,9 +178,43 @@
   const bool was_isolated = this->IsIsolated(record.service);
   const bool isolated =
       this->ReachabilityOf(record.service)
-          .RecordConnectFailed(record.id, error, this->clock.Now());
+          .RecordConnectFailed(record.id, error, this->clock.Now(),
+                               this->OthersRemain(record.id, record.service));
   if (isolated && !was_isolated) this->HandleIsolation(record.service);
   this->ProbeIfDue(record.service);
+  if (!this->ReachabilityOf(record.service).NeedsReview()) return;
+  if (!this->reviewed.insert(record.service).second) return;
+  // After the probes, whose time begins with the first review.
+  this->tasks.Spawn("review paths", this->ReviewDoubt(record.service));
+}
+
+bool TargetPaths::OthersRemain(std::string_view failed,
+                               std::string_view service) {
+  const TargetReachability& known = this->ReachabilityOf(service);
+  const auto targets = this->fleet.Targets(service);
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
+    const std::string& id = target->Record().id;
+    return id != failed && !known.FailedLately(id);
+  });
+}
+
+asio::awaitable<void> TargetPaths::ReviewDoubt(std::string service) {
+  TargetReachability& known = this->ReachabilityOf(service);
+  while (known.NeedsReview()) {
+    const bool isolated = known.Review(this->clock.Now());
+    if (isolated) this->HandleIsolation(service);
+    this->ProbeIfDue(service);
+    co_await Sleep(this->context, kReviewInterval);
+  }
+  this->reviewed.erase(service);
+}
+
+asio::awaitable<void> TargetPaths::AwaitVerdict(std::string service) {
+  const Instant until = this->clock.Now() + kMaxVerdictTime;
+  while (this->ReachabilityOf(service).IsInDoubt() &&
+         this->clock.Now() < until) {
+    co_await Sleep(this->context, kReviewInterval);
+  }
 }
 
 // What this instance knows of the targets' availability was learned over paths
@@ -228,6 +273,15 @@
 void TargetPaths::RecordTunnel(const std::string& peer,
                                const TargetState& target,
                                const NotSent* failed) {
+  const TargetRecord& record = target.Record();
+  const bool refused_there = failed != nullptr && !failed->peer_failed &&
+                             failed->connect_error == ConnectError::kRefused;
+  if (refused_there) {
+    const bool was_isolated = this->IsIsolated(record.service);
+    this->ReachabilityOf(record.service).RecordRefusedElsewhere(record.id);
+    const bool is_isolated = this->IsIsolated(record.service);
+    if (was_isolated && !is_isolated) this->HandleOwnPath(record);
+  }
   if (failed != nullptr && failed->peer_rest > absl::ZeroDuration()) {
     this->statements.RecordPeerRest(peer, target, failed->peer_rest);
   }
@@ -248,6 +302,19 @@
 
 void TargetPaths::ProbeTargets(std::string_view service, int count) {
   if (count == 0) return;
+  TargetReachability& known = this->ReachabilityOf(service);
+  const auto choice =
+      this->ChooseForProbes(service, static_cast<std::size_t>(count));
+  for (const std::shared_ptr<TargetState>& target : choice) {
+    known.RecordProbe(target->Record().id);
+    this->tasks.Spawn("probe path", this->Probe(target));
+  }
+}
+
+// Rather targets that have not failed, and of these rather ones in different
+// availability zones.
+std::vector<std::shared_ptr<TargetState>> TargetPaths::ChooseForProbes(
+    std::string_view service, std::size_t count) {
   std::vector<std::shared_ptr<TargetState>> failed;
   std::vector<std::shared_ptr<TargetState>> others;
   const TargetReachability& known = this->ReachabilityOf(service);
@@ -257,10 +324,12 @@
   }
   auto& choice = others.empty() ? failed : others;
   std::shuffle(choice.begin(), choice.end(), this->random);
-  if (choice.size() > static_cast<std::size_t>(count)) choice.resize(count);
-  for (const std::shared_ptr<TargetState>& target : choice) {
-    this->tasks.Spawn("probe path", this->Probe(target));
-  }
+  std::set<std::string> zones;
+  std::stable_partition(choice.begin(), choice.end(), [&](const auto& target) {
+    return zones.insert(target->Record().zone).second;
+  });
+  if (choice.size() > count) choice.resize(count);
+  return choice;
 }
 
 asio::awaitable<void> TargetPaths::Probe(std::shared_ptr<TargetState> target) {
--- a/dragonflyglade/gateway/target_paths.h
+++ b/dragonflyglade/gateway/target_paths.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -82,6 +83,10 @@
     this->on_isolated = std::move(callback);
   }
 
+  /// Waits while it is undecided whether the service's targets or the paths to
+  /// them failed: for milliseconds, at most half a second.
+  boost::asio::awaitable<void> AwaitVerdict(std::string service);
+
   /// Whether this instance has no path of its own to the service's targets.
   bool IsIsolated(std::string_view service) const;
   /// Since when this instance is isolated from some service; nothing if it has
@@ -97,6 +102,12 @@
   void RecordTunnel(const std::string& peer, const TargetState& target,
                     const NotSent* failed);
   void HandleIsolation(std::string_view service);
+  void HandleOwnPath(const TargetRecord& target);
+  /// Whether another target of the service than this one has not failed lately.
+  bool OthersRemain(std::string_view failed, std::string_view service);
+  boost::asio::awaitable<void> ReviewDoubt(std::string service);
+  std::vector<std::shared_ptr<TargetState>> ChooseForProbes(
+      std::string_view service, std::size_t count);
   void ProbeIfDue(std::string_view service);
   void ProbeTargets(std::string_view service, int count);
   boost::asio::awaitable<void> Probe(std::shared_ptr<TargetState> target);
@@ -113,6 +124,7 @@
   const Clock clock;
   absl::BitGen random;
   std::map<std::string, TargetReachability, std::less<>> reachability;
+  std::set<std::string, std::less<>> reviewed;  ///< services
   TunnelPeers peers;
   std::optional<Instant> last_isolation_end;
   std::function<void(std::string_view)> on_isolated;
--- a/dragonflyglade/gateway/tunnel_server.cc
+++ b/dragonflyglade/gateway/tunnel_server.cc
@@ -235,6 +235,8 @@
   }
   if (!failure->error.has_value()) co_return kUnknown;
   this->paths.RecordConnectFailed(*target, *failure->error);
+  // The response states whether the target or this instance's path failed.
+  co_await this->paths.AwaitVerdict(service);
   if (this->paths.IsIsolated(service)) co_return kUnavailable;
   co_return *failure->error == ConnectError::kRefused ? kTargetRefused
                                                       : kTargetTimedOut;
--- a/tests/unit/unit-reachability.cc
+++ b/tests/unit/unit-reachability.cc
@@ -1,8 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <numeric>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,12 +49,107 @@
   std::vector<std::string> zones;
 };
 
+// One instance and the targets of a service, some of which have ended. The
+// instance opens connections to random targets and probes the paths as the
+// gateway does.
+class EndedTargetsPlay {
+ public:
+  struct Setting {
+    int targets = 140;
+    double ended_share = 0.25;
+    ConnectError error = ConnectError::kRefused;
+    int outcome_ms = 1;  ///< from an attempt to its outcome
+  };
+
+  EndedTargetsPlay(const Setting& setting, unsigned seed)
+      : setting(setting), random(seed) {
+    std::vector<int> order(static_cast<std::size_t>(setting.targets));
+    std::iota(order.begin(), order.end(), 0);
+    std::shuffle(order.begin(), order.end(), this->random);
+    const auto ended = static_cast<std::size_t>(
+        setting.ended_share * static_cast<double>(setting.targets));
+    this->ended.insert(order.begin(),
+                       order.begin() + static_cast<std::ptrdiff_t>(ended));
+  }
+
+  // Opens a connection each interval for the time.
+  // @return when the instance took itself for isolated; -1 if never
+  int Run(int interval_ms, int time_ms) {
+    for (int ms = 0; ms < time_ms; ++ms) {
+      for (const int target : this->outcomes_at[ms]) this->Record(target, ms);
+      if (ms % interval_ms == 0) this->Attempt(this->RandomTarget(), ms);
+      if (this->reachability.NeedsReview()) this->reachability.Review(At(ms));
+      this->BeginProbes(ms);
+      if (this->reachability.IsIsolated()) return ms;
+    }
+    return -1;
+  }
+
+  TargetReachability reachability;
+  int probes = 0;
+
+ private:
+  int RandomTarget() {
+    return std::uniform_int_distribution<int>(
+        0, this->setting.targets - 1)(this->random);
+  }
+
+  void Attempt(int target, int ms) {
+    const bool accepts = this->ended.count(target) == 0;
+    const int outcome_ms = accepts ? 1 : this->setting.outcome_ms;
+    this->outcomes_at[ms + outcome_ms].push_back(target);
+  }
+
+  void Record(int target, int ms) {
+    const std::string name = std::to_string(target);
+    if (this->ended.count(target) == 0) {
+      this->reachability.RecordConnected(name);
+      return;
+    }
+    this->reachability.RecordConnectFailed(name, this->setting.error, At(ms),
+                                           !this->NotFailed(target).empty());
+  }
+
+  std::vector<int> NotFailed(int failing) const {
+    std::vector<int> others;
+    for (int i = 0; i < this->setting.targets; ++i) {
+      if (i == failing) continue;
+      if (this->reachability.FailedLately(std::to_string(i))) continue;
+      others.push_back(i);
+    }
+    return others;
+  }
+
+  void BeginProbes(int ms) {
+    const int due = this->reachability.BeginProbes(At(ms));
+    std::vector<int> others = this->NotFailed(-1);
+    std::shuffle(others.begin(), others.end(), this->random);
+    if (static_cast<int>(others.size()) > due) {
+      others.resize(static_cast<std::size_t>(due));
+    }
+    for (const int target : others) {
+      this->reachability.RecordProbe(std::to_string(target));
+      this->Attempt(target, ms);
+      this->probes += 1;
+    }
+  }
+
+  const Setting setting;
+  std::mt19937 random;
+  std::set<int> ended;
+  std::map<int, std::vector<int>> outcomes_at;
+};
+
 class ReachabilityDecisionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReachabilityDecisionTest);
   CPPUNIT_TEST(TellsALostPathFromAFailedTarget);
   CPPUNIT_TEST(ReportsOnlyRefusalsThatAnotherTargetExplains);
   CPPUNIT_TEST(ProbesOnSuspicionOnly);
   CPPUNIT_TEST(NoticesACutWithinASecondAtEachLoad);
+  CPPUNIT_TEST(TellsEndedTargetsFromLostPaths);
+  CPPUNIT_TEST(NoticesACutOfManyTargetsAsQuickly);
+  CPPUNIT_TEST(LimitsProbesWhileTargetsEnd);
+  CPPUNIT_TEST(TakesWhatPeersAreRefusedForEnded);
   CPPUNIT_TEST(FindsAPeerWithAPathInFleetsOfAllSizes);
   CPPUNIT_TEST(SpreadsTunnelsOverPeers);
   CPPUNIT_TEST_SUITE_END();
@@ -190,6 +288,95 @@
     }
   }
 
+  // Guards against instances that take the end of many targets for the loss of
+  // their own paths, and refuse requests that others could serve.
+  void TellsEndedTargetsFromLostPaths() {
+    struct Case {
+      std::string name;
+      EndedTargetsPlay::Setting setting;
+      int most_isolated;
+    };
+    const ConnectError refused = ConnectError::kRefused;
+    const ConnectError timed_out = ConnectError::kTimedOut;
+    const std::vector<Case> cases = {
+        {"a quarter of 140", {140, 0.25, refused, 1}, 0},
+        {"a quarter of 140, which lost power", {140, 0.25, timed_out, 400}, 4},
+        {"half of 140", {140, 0.5, refused, 1}, 8},
+        {"a quarter of 1,900", {1900, 0.25, refused, 1}, 0},
+        {"half of 6", {6, 0.5, refused, 1}, 0},
+    };
+    constexpr unsigned kDraws = 400;
+    for (const Case& item : cases) {
+      int isolated = 0;
+      for (unsigned draw = 0; draw < kDraws; ++draw) {
+        EndedTargetsPlay play(item.setting, draw);
+        constexpr int kIntervalMs = 3;
+        constexpr int kTimeMs = 500;
+        isolated += play.Run(kIntervalMs, kTimeMs) >= 0 ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_MESSAGE(
+          item.name + ": " + std::to_string(isolated) + " isolated",
+          isolated <= item.most_isolated);
+    }
+  }
+
+  // Guards against callers who are sent into lost paths for longer, since there
+  // are many targets to probe.
+  void NoticesACutOfManyTargetsAsQuickly() {
+    struct Case {
+      EndedTargetsPlay::Setting setting;
+      int interval_ms;
+      int most_ms;
+    };
+    // Two attempts fail, and the probes take 40 ms or two rounds of refusals.
+    const std::vector<Case> cases = {
+        {{140, 1, ConnectError::kRefused, 1}, 3, 10},
+        {{140, 1, ConnectError::kRefused, 1}, 100, 110},
+        {{1900, 1, ConnectError::kRefused, 1}, 10, 20},
+        {{140, 1, ConnectError::kTimedOut, 400}, 3, 450},
+        {{140, 1, ConnectError::kTimedOut, 400}, 100, 550},
+        {{6, 1, ConnectError::kRefused, 1}, 3, 10},
+        {{6, 1, ConnectError::kTimedOut, 400}, 3, 450},
+    };
+    for (const Case& item : cases) {
+      for (unsigned draw = 0; draw < 20; ++draw) {
+        EndedTargetsPlay play(item.setting, draw);
+        const int noticed_ms = play.Run(item.interval_ms, 2000);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(noticed_ms),
+                               noticed_ms >= 0 && noticed_ms <= item.most_ms);
+      }
+    }
+  }
+
+  // Guards against probes that burden the targets that still work.
+  void LimitsProbesWhileTargetsEnd() {
+    int probes = 0;
+    constexpr int kDraws = 100;
+    for (unsigned draw = 0; draw < kDraws; ++draw) {
+      EndedTargetsPlay play({140, 0.25, ConnectError::kRefused, 1}, draw);
+      play.Run(1, 500);
+      probes += play.probes;
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(probes), probes <= 20 * kDraws);
+  }
+
+  // Guards against an instance that counts targets as its lost paths which no
+  // other instance can reach either.
+  void TakesWhatPeersAreRefusedForEnded() {
+    TargetReachability reachability;
+    const ConnectError refused = ConnectError::kRefused;
+    reachability.RecordConnectFailed("a", refused, At(0), true);
+    reachability.RecordRefusedElsewhere("a");
+    reachability.RecordConnectFailed("b", refused, At(1), true);
+    CPPUNIT_ASSERT(!reachability.IsInDoubt());
+    reachability.RecordConnectFailed("c", refused, At(2), false);
+    CPPUNIT_ASSERT(reachability.IsIsolated());
+    reachability.RecordRefusedElsewhere("b");
+    CPPUNIT_ASSERT(reachability.IsIsolated());
+    reachability.RecordRefusedElsewhere("c");
+    CPPUNIT_ASSERT(!reachability.IsIsolated());
+  }
+
   // Guards against callers who are refused while an instance with a path
   // exists: with a third, most or all of an availability zone isolated, and
   // with all but one instance.
