Let the load time and the trend of demand decide on copies of models

Cause: the planner's thresholds fit models that take 5 s to load, and demand was an average over 3 s. Models that load in 1 to 4 s got their copies late when demand moved.

Change: LoadTimeFactor scales the protection of a new copy and the loads at which copies are added and evicted. DemandTrend compares an average over 1 s with the one over 3 s; the part of the difference that chance does not explain is the slope. ExpectedLoad adds copies when a rise begins, RemainingLoad evicts when a fall is clear. Both equal the average for loads of 5 s and more, so these are planned as before.

--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_DECISION_RESIDENCY_PLANNER_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,8 +19,11 @@
   std::string name;
   double memory_mb = 0;
   double adapter_mb = 0;  ///< memory of each of its adapters
-  /// Demand in engine time: 1 keeps one engine busy.
+  /// Demand in engine time: 1 keeps one engine busy. Copies are added for it.
   double load = 0;
+  /// The demand that the remaining copies must bear if one is evicted; `load`
+  /// if absent. Less than `load` while the demand falls.
+  std::optional<double> remaining_load;
   /// Requests that wait because no engine holds the model.
   int waiting_requests = 0;
   /// How long loading the model takes, by where an engine gets the weights.
@@ -75,7 +79,8 @@
   bool uses_store = false;  ///< whether a load uses the weight store
 };
 
-/// Thresholds. Loads are in engine time: 1 keeps one engine busy.
+/// Thresholds. Loads are in engine time: 1 keeps one engine busy. Those for
+/// models hold for load times of 5 s and more; see LoadTimeFactor.
 struct ResidencyOptions {
   /// Load per copy above which a model gets another copy. Far below 1, because
   /// all requests at an engine slow down as it fills, and because demand
@@ -126,6 +131,8 @@
  private:
   struct Round;
 
+  double AddCopyThreshold(const DemandedModel& model) const;
+  double SpareCopyLoadLimit(const DemandedModel& victim) const;
   bool NeedsCopy(const Round& round, const DemandedModel& model) const;
   bool HasPriority(const Round& round, const DemandedModel& one,
                    const DemandedModel& other) const;
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -313,7 +313,9 @@
     model.adapters = served.adapters;
     const auto found_demand = demand.find({service.name, served.name, ""});
     if (found_demand != demand.end()) {
-      model.load = found_demand->second.load;
+      const DemandLevel& level = found_demand->second.level;
+      model.load = ExpectedLoad(level, served.load_time);
+      model.remaining_load = RemainingLoad(level, served.load_time);
       model.waiting_requests = found_demand->second.waiting;
     }
     models.push_back(std::move(model));
@@ -321,8 +323,8 @@
   std::vector<DemandedAdapter> adapters;
   for (const auto& [name, found_demand] : demand) {
     if (name.service != service.name || name.adapter.empty()) continue;
-    adapters.push_back(
-        {name.model, name.adapter, found_demand.load, found_demand.waiting});
+    adapters.push_back({name.model, name.adapter, found_demand.level.average,
+                        found_demand.waiting});
   }
   const auto residents_in_use = this->aggregator.ResidentsInUse();
   std::vector<EngineResidency> holdings;
--- a/dragonflyglade/gateway/report_aggregator.cc
+++ b/dragonflyglade/gateway/report_aggregator.cc
@@ -1,7 +1,6 @@
 #include "dragonflyglade/gateway/report_aggregator.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "dragonflyglade/decision/quota_windows.h"
@@ -13,17 +12,9 @@
 // in a row are not lost by chance. Until an instance counts as missing, others
 // may spend quota that it is spending, too.
 constexpr absl::Duration kReportGrace = absl::Milliseconds(500);
-// Time constant of the demand's average: long enough that a single large
-// request does not move models, and short compared with the seconds that a load
-// takes.
-constexpr absl::Duration kDemandTimeConstant = absl::Seconds(3);
 // Reports change the sums when they arrive. They are computed anew after this
 // time, for the reports that became overdue and the records that count less.
 constexpr absl::Duration kSumsMaxAge = absl::Milliseconds(100);
-// Lower bound on the observed part of the time constant, about a second of
-// reports: below it, single requests would look like steady demand.
-constexpr double kMinObservedFraction = 0.3;
-constexpr double kNegligibleWorkMs = 1e-3;
 
 }  // namespace
 
@@ -33,14 +24,6 @@
       spend_window(spend_window),
       clock(std::move(clock)) {}
 
-void ReportAggregator::Decay(DemandAverage& average) const {
-  const Instant now = this->clock.Now();
-  const double age =
-      absl::FDivDuration(now - average.updated_at, kDemandTimeConstant);
-  average.weighted_work_ms *= std::exp(-age);
-  average.updated_at = now;
-}
-
 void ReportAggregator::AddReport(const wire::InstanceReport& report) {
   ProcessReport& entry = this->entries[report.incarnation];
   if (report.sequence <= entry.report.sequence) return;
@@ -55,10 +38,8 @@
     const ModelName name{model_demand.service_name, model_demand.model,
                          model_demand.adapter};
     const auto found =
-        this->demand.try_emplace(name, DemandAverage{0, entry.received_at})
-            .first;
-    this->Decay(found->second);
-    found->second.weighted_work_ms += model_demand.work_ms;
+        this->demand.try_emplace(name, DemandTrend(entry.received_at)).first;
+    found->second.Add(model_demand.work_ms, entry.received_at);
   }
 }
 
@@ -265,23 +246,14 @@
 std::map<ModelName, FleetDemand> ReportAggregator::Demand() {
   this->RemoveExpired();
   std::map<ModelName, FleetDemand> result;
-  // A new leader's average starts at zero. Without dividing by the observed
-  // part of the time constant, models in demand look idle in the leader's first
-  // seconds and lose their copies.
-  const Instant since = this->demand_since.value_or(this->clock.Now());
-  const double age =
-      absl::FDivDuration(this->clock.Now() - since, kDemandTimeConstant);
-  const double observed_fraction =
-      std::max(kMinObservedFraction, 1 - std::exp(-age));
-  const double memory_ms =
-      observed_fraction * absl::ToDoubleMilliseconds(kDemandTimeConstant);
+  const Instant now = this->clock.Now();
+  const absl::Duration observed = now - this->demand_since.value_or(now);
   for (auto item = this->demand.begin(); item != this->demand.end();) {
-    this->Decay(item->second);
-    if (item->second.weighted_work_ms < kNegligibleWorkMs) {
+    if (item->second.IsNegligible(now)) {
       item = this->demand.erase(item);
       continue;
     }
-    result[item->first].load = item->second.weighted_work_ms / memory_ms;
+    result[item->first].level = item->second.Level(observed, now);
     ++item;
   }
   for (const auto& [incarnation, entry] : this->entries) {
--- a/dragonflyglade/gateway/report_aggregator.h
+++ b/dragonflyglade/gateway/report_aggregator.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/demand_trend.h"
 #include "dragonflyglade/decision/quota_participants.h"
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/gateway/model_demand.h"
@@ -20,7 +21,7 @@
 
 /// The present demand for a model or adapter, over all instances.
 struct FleetDemand {
-  double load = 0;  ///< engine time: 1 keeps one engine busy
+  DemandLevel level;
   int waiting = 0;  ///< requests that wait for it
 };
 
@@ -80,10 +81,6 @@
     Instant received_at;
     bool from_record = false;  ///< from a spend record, not from the process
   };
-  struct DemandAverage {
-    double weighted_work_ms = 0;  ///< decays with the time constant
-    Instant updated_at;
-  };
 
   /// Totals over the processes: the spending in the window, and the requests
   /// of those whose reports are not overdue.
@@ -109,7 +106,6 @@
   double MissingPart() const;
   bool IsSuccessor(std::string_view incarnation,
                    const ProcessReport& entry) const;
-  void Decay(DemandAverage& average) const;
 
   const QuotaParticipants& participants;
   const absl::Duration spend_window;
@@ -117,7 +113,7 @@
   /// By incarnation: a restarted instance no longer knows what it spent before,
   /// which counts against the quota nevertheless.
   std::map<std::string, ProcessReport, std::less<>> entries;
-  std::map<ModelName, DemandAverage> demand;
+  std::map<ModelName, DemandTrend> demand;
   std::optional<Instant> demand_since;  ///< time of the first reported demand
   Sums sums;
   std::optional<Instant> sums_at;
--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -272,7 +272,7 @@
     const auto demand = aggregator.Demand();
     const auto model = demand.find(ModelName{"s", "m", ""});
     CPPUNIT_ASSERT(model != demand.end());
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, model->second.load, 0.05);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, model->second.level.average, 0.05);
   }
 };
 
