Decode slowness, length hints and engine sizes

Engines state with their load how long work takes on their machine, callers estimate the length of the output, and the configuration of an engine names its slots, KV cache capacity and stride. None of them was read.

A target's state keeps it for a second. The length hint is limited to the stated maximum, and the smaller of two counts. Sizes that are absent, zero or negative are not known.

--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -32,8 +32,14 @@
   std::string adapter;  ///< empty: the base model
   double prompt_tokens = 0;
   double output_tokens = 0;  ///< upper bound
+  /// The caller's estimate, at most the upper bound if one is stated.
+  std::optional<double> length_hint;
   std::vector<PromptPart> parts;
 
+  double ExpectedOutputTokens() const {
+    return this->length_hint.value_or(this->output_tokens);
+  }
+
   double Tokens() const { return this->prompt_tokens + this->output_tokens; }
 };
 
@@ -70,6 +76,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes on its machine now; 1 is as usual.
+  std::optional<double> slowness;
 };
 
 /// The head of a target's response.
@@ -118,6 +126,10 @@
   double memory_mb = 0;
   int adapter_slots = 0;
   double loads_per_second = 1;  ///< from the weight storage, by all targets
+  // Not known, and not limited, if there is no value.
+  std::optional<int> slots;  ///< requests that an engine runs at the same time
+  std::optional<double> kv_capacity_tokens;  ///< of prompts and output
+  std::optional<int> stride;                 ///< tokens in an event of a stream
 };
 
 /// A service of the configuration.
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -57,6 +57,7 @@
   this->connections.Clear();
   this->tunnels.Clear();
   this->report.reset();
+  this->states_slowness = false;
   this->rate_limit = TargetRateLimit();
   this->brittleness = BrittleTarget();
   this->rest = TargetRest();
@@ -161,6 +162,13 @@
   this->report = newer;
   this->reported_at = now;
   this->in_flight_at_report = this->in_flight;
+  this->states_slowness |= newer.slowness.has_value();
+}
+
+double TargetState::Slowness(Instant now) const {
+  const bool recent =
+      this->report.has_value() && now - this->reported_at < kLoadReportLifetime;
+  return recent ? this->report->slowness.value_or(1) : 1;
 }
 
 void TargetState::SetOtherInstancesLoad(double requests, double unread,
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -119,6 +119,12 @@
   /// Adds prompt tokens that another instance has just sent to the target.
   void AddSentByOthers(double prompt_tokens, Instant now);
 
+  /// How long work takes at the target, by its latest statement; 1 is as usual,
+  /// and if it stated nothing lately.
+  double Slowness(Instant now) const;
+  /// Whether the target's process ever stated how long work takes.
+  bool StatesSlowness() const { return this->states_slowness; }
+
   /// Estimate of the requests in flight at the target, of all instances.
   double EstimatedRequests(Instant now) const;
   /// Estimate of the prompt tokens that the target has yet to process.
@@ -166,6 +172,7 @@
   bool said_leaving = false;
   std::optional<LoadReport> report;
   Instant reported_at;
+  bool states_slowness = false;
   int in_flight_at_report = 0;
   double others_requests = 0;
   double others_unread = 0;
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -95,6 +98,9 @@
   CPPUNIT_TEST(RejectsMalformedTargets);
   CPPUNIT_TEST(DecodesSoftwareVersions);
   CPPUNIT_TEST(ClampsWarmUpTimes);
+  CPPUNIT_TEST(DecodesEngineSizes);
+  CPPUNIT_TEST(DecodesSlowness);
+  CPPUNIT_TEST(DecodesLengthHints);
   CPPUNIT_TEST(DecodesCallerRequests);
   CPPUNIT_TEST(EncodesTargetRequests);
   CPPUNIT_TEST(DecodesTargetResponses);
@@ -256,6 +262,126 @@
     }
   }
 
+  // Guards against engines that get no requests, as a size of zero were a
+  // limit.
+  void DecodesEngineSizes() {
+    struct SizeCase {
+      const char* fields;  ///< of the engine
+      std::optional<int> slots;
+      std::optional<double> kv_capacity_tokens;
+      std::optional<int> stride;
+    };
+    const std::vector<SizeCase> cases = {
+        {R"("later": 1)", std::nullopt, std::nullopt, std::nullopt},
+        {R"("slots": 64, "kv_capacity_tokens": 800000, "stride": 5)", 64,
+         800000, 5},
+        {R"("slots": 0, "kv_capacity_tokens": 0, "stride": 0)", std::nullopt,
+         std::nullopt, std::nullopt},
+        {R"("slots": -1, "kv_capacity_tokens": -8.5, "stride": -5)",
+         std::nullopt, std::nullopt, std::nullopt},
+        {R"("slots": null, "kv_capacity_tokens": null, "stride": null)",
+         std::nullopt, std::nullopt, std::nullopt},
+        {R"("slots": 1e300, "kv_capacity_tokens": 1e12, "stride": 0.5)",
+         std::numeric_limits<int>::max(), 1e12, std::nullopt},
+    };
+    for (const SizeCase& item : cases) {
+      const GatewayConfig config =
+          DecodeConfig(absl::StrCat(R"({"version": 1, "routes": [],
+              "services": [{"name": "s", "engine": {)",
+                                    item.fields, "}}]}"))
+              .Value();
+      const EngineLimits& engine = *config.services.at("s").engine;
+      CPPUNIT_ASSERT_MESSAGE(item.fields, engine.slots == item.slots);
+      CPPUNIT_ASSERT_MESSAGE(
+          item.fields, engine.kv_capacity_tokens == item.kv_capacity_tokens);
+      CPPUNIT_ASSERT_MESSAGE(item.fields, engine.stride == item.stride);
+    }
+  }
+
+  // Guards against a figure out of bounds that hides the load, or that makes an
+  // engine look infinitely fast or slow.
+  void DecodesSlowness() {
+    struct LoadCase {
+      const char* field;
+      bool has_load;
+      std::optional<double> slowness;
+    };
+    const std::vector<LoadCase> cases = {
+        {"", false, std::nullopt},
+        {"3", false, std::nullopt},
+        {"3,1", false, std::nullopt},
+        {"3,1,8", true, std::nullopt},
+        {"3,1,8,100", true, 1.0},
+        {"3,1,8,250", true, 2.5},
+        {"3,1,8,50.5", true, 0.505},
+        {"3,1,8,10000", true, 100.0},
+        {"3,1,8,10001", true, std::nullopt},
+        {"3,1,8,0", true, std::nullopt},
+        {"3,1,8,-100", true, std::nullopt},
+        {"3,1,8,nan", true, std::nullopt},
+        {"3,1,8,inf", true, std::nullopt},
+        {"3,1,8,", true, std::nullopt},
+        {"3,1,8,slow", true, std::nullopt},
+        {"3,1,8,300,7", true, 3.0},
+        {"3,1,8,300,7,7,7,7,7", true, 3.0},
+        {"3,1,8,x,300", true, std::nullopt},
+        {"x,1,8,300", false, std::nullopt},
+    };
+    for (const LoadCase& item : cases) {
+      HttpMessageHead head;
+      head.status = 200;
+      head.fields = {{"X-Dragonflyglade-Server-Load", item.field}};
+      const ResponseHead response = DecodeResponseHead(head);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.field, item.has_load,
+                                   response.load.has_value());
+      if (!item.has_load) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.field, 3, response.load->running);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.field, 8, response.load->slots);
+      CPPUNIT_ASSERT_MESSAGE(item.field,
+                             response.load->slowness == item.slowness);
+    }
+  }
+
+  // Guards against an estimate above the stated maximum, and against one that
+  // depends on the order of the fields.
+  void DecodesLengthHints() {
+    const std::pair<std::string, std::string> tokens = {
+        "X-Dragonflyglade-Token-Usage", "1000,80"};
+    const auto hint = [](const char* value) {
+      return std::pair<std::string, std::string>("X-Dragonflyglade-Length-Hint",
+                                                 value);
+    };
+    struct HintCase {
+      const char* description;
+      HeaderFields fields;
+      std::optional<double> expected;
+    };
+    const std::vector<HintCase> cases = {
+        {"none", {tokens}, std::nullopt},
+        {"below the maximum", {tokens, hint("60")}, 60},
+        {"above the maximum", {tokens, hint("90")}, 80},
+        {"above the maximum, and before it", {hint("90"), tokens}, 80},
+        {"no maximum", {hint("90")}, 90},
+        {"zero", {tokens, hint("0")}, std::nullopt},
+        {"negative", {tokens, hint("-60")}, std::nullopt},
+        {"not a number", {tokens, hint("few")}, std::nullopt},
+        {"NaN", {tokens, hint("nan")}, std::nullopt},
+        {"infinite", {tokens, hint("inf")}, std::nullopt},
+        {"empty", {tokens, hint("")}, std::nullopt},
+        {"twice", {tokens, hint("60"), hint("50")}, 50},
+        {"twice, the smaller first", {tokens, hint("50"), hint("60")}, 50},
+        {"twice, one unreadable", {tokens, hint("60"), hint("-1")}, 60},
+    };
+    for (const HintCase& item : cases) {
+      const CallerRequest request = DecodeWithHost(item.fields);
+      CPPUNIT_ASSERT_MESSAGE(item.description,
+                             request.use.length_hint == item.expected);
+      // The engine may use the field, too.
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.description, item.fields.size() + 1,
+                                   request.forwarded_fields.size());
+    }
+  }
+
   void DecodesCallerRequests() {
     const std::vector<FieldCase> cases = {
         {"the key, with the scheme in any case",
--- a/tests/unit/unit-target-state.cc
+++ b/tests/unit/unit-target-state.cc
@@ -20,6 +20,7 @@
 class TargetStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetStateTest);
   CPPUNIT_TEST(KnowsAdaptersWithoutALeader);
+  CPPUNIT_TEST(ForgetsSlowness);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,6 +54,27 @@
     target.Update(record, start);
     CPPUNIT_ASSERT(!target.Holds("m", "x", start + old));
   }
+
+  // Guards against an engine that is avoided for a slow moment of long ago.
+  void ForgetsSlowness() {
+    const Instant start = absl::Hours(1);
+    TargetState target(TargetRecord(), start);
+    CPPUNIT_ASSERT(!target.StatesSlowness());
+    LoadReport report;
+    report.slowness = 2.5;
+    target.SetLoadReport(report, start);
+    CPPUNIT_ASSERT_EQUAL(2.5, target.Slowness(start + absl::Milliseconds(999)));
+    CPPUNIT_ASSERT_EQUAL(1.0, target.Slowness(start + absl::Seconds(1)));
+    // A report without the figure says that the engine is as usual.
+    target.SetLoadReport(report, start);
+    target.SetLoadReport(LoadReport(), start);
+    CPPUNIT_ASSERT_EQUAL(1.0, target.Slowness(start));
+    CPPUNIT_ASSERT(target.StatesSlowness());
+    TargetRecord restarted;
+    restarted.born_ms = 1;
+    target.Update(restarted, start);
+    CPPUNIT_ASSERT(!target.StatesSlowness());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TargetStateTest, "unit-target-state");
