Choose engines by a cost that keeps long prompts from running streams

An engine prefills in chunks between the steps of its streams, so long prompts that arrive back to back make a gap of each of its streams too long. The choice only compared the delay of the first output, and spread long prompts over all copies of a model.

For services of which a target has stated the fourth figure of its load, the cost of a candidate is the expected delay, times slowness and with a quadratic increase over the latency objective, the chance that the stream has a gap above its objective there, and the running streams that the prompt makes late. Equal costs are broken by a stable hash of the request's id. Other services are served as before.

--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -13,12 +13,6 @@
 constexpr double kOutputTokenMs = 0.35;
 // Share of a shared prefix that is not cached at the engine, on average.
 constexpr double kUncachedPrefixShare = 0.3;
-// Delay of a request's first output per running request. Prompts are prefilled
-// in chunks between steps, and each running request makes the steps longer.
-constexpr double kRunningRequestMs = 1.5;
-// Delay per request that waits for a slot: with 64 slots and generations of
-// some seconds, a slot becomes free about every 30 ms.
-constexpr double kWaitingRequestMs = 30;
 // A request at a target that is not an engine uses a slot for some tens of
 // milliseconds.
 constexpr double kPlainRequestMs = 20;
@@ -29,29 +23,61 @@
 // milliseconds. A target at which two of five requests fail is chosen last.
 constexpr double kFailureMs = 500;
 
-// A number for a prompt prefix and a target, uniform in [0, 1) and the same on
-// all instances.
-double UncachedShare(std::string_view prefix_id, std::string_view target) {
-  const std::uint64_t hash = StableHash(target, StableHash(prefix_id));
+// What a late answer costs, in milliseconds of delay. It is worth hardly more
+// than a failed one.
+constexpr double kLateMs = kFailureMs;
+// What a delay of the whole latency objective costs, in late answers; the cost
+// is quadratic. Beyond the objective it exceeds what a long prompt costs the
+// dozen streams of an engine that is kept free of them.
+constexpr double kObjectiveDelayWeight = 8;
+// Remaining output of a running stream, on average.
+constexpr double kRunningStreamTokens = 100;
+// Candidates whose costs differ by less are equal: instances know each other's
+// requests of some milliseconds ago only.
+constexpr double kTieMs = 5;
+// An engine without room is chosen only if all are without.
+constexpr double kNoRoomMs = 1e6;
+
+// A number for a key and a target, uniform in [0, 1) and the same on all
+// instances.
+double StableShare(std::string_view key, std::string_view target) {
+  const std::uint64_t hash = StableHash(target, StableHash(key));
   return static_cast<double>(hash >> 11) * 0x1.0p-53;
 }
 
-double EngineWaitMs(const TargetChoiceRequest& request,
-                    const TargetCandidate& candidate) {
+// Prompt tokens of the request that the engine does not have in its cache.
+double UncachedTokens(const TargetChoiceRequest& request,
+                      const TargetCandidate& candidate) {
   const double own_tokens =
       request.prompt_tokens - request.shared_prefix_tokens;
-  const double uncached_tokens =
-      request.shared_prefix_id.empty()
-          ? 0
-          : request.shared_prefix_tokens *
-                UncachedShare(request.shared_prefix_id, candidate.id);
-  const double waiting_requests =
-      std::max(0.0, candidate.requests + 1 - candidate.slots);
-  return (candidate.unprocessed_prompt_tokens + own_tokens + uncached_tokens) /
-             kPrefillTokensPerMs +
-         std::min<double>(candidate.requests, candidate.slots) *
-             kRunningRequestMs +
-         waiting_requests * kWaitingRequestMs;
+  if (request.shared_prefix_id.empty()) return own_tokens;
+  return own_tokens + request.shared_prefix_tokens *
+                          StableShare(request.shared_prefix_id, candidate.id);
+}
+
+EngineLoad LoadOf(const TargetCandidate& candidate) {
+  EngineLoad load;
+  load.requests = candidate.requests;
+  load.slots = candidate.slots;
+  load.unprocessed_prompt_tokens = candidate.unprocessed_prompt_tokens;
+  load.slowness = candidate.slowness;
+  load.prompt_tokens_per_ms = candidate.prompt_tokens_per_ms;
+  load.typical_prompt_tokens = candidate.typical_prompt_tokens;
+  return load;
+}
+
+double EngineWaitMs(const TargetChoiceRequest& request,
+                    const TargetCandidate& candidate) {
+  return FirstOutputMs(EngineFigures(), LoadOf(candidate),
+                       UncachedTokens(request, candidate));
+}
+
+// The cost of a delay that may exceed the latency objective.
+double DelayCostMs(double delay_ms, absl::Duration objective) {
+  if (objective == absl::InfiniteDuration()) return delay_ms;
+  const double ratio =
+      delay_ms / std::max(1.0, absl::ToDoubleMilliseconds(objective));
+  return delay_ms + kLateMs * kObjectiveDelayWeight * ratio * ratio;
 }
 
 double PlainWaitMs(const TargetCandidate& candidate, double jitter) {
@@ -59,6 +85,48 @@
   return (candidate.requests + jitter * 0.5) / slots * kPlainRequestMs;
 }
 
+EnginePrediction Predict(const TargetCandidate& candidate,
+                         const TargetChoiceRequest& request,
+                         const EngineRequest& engine_request,
+                         const EngineFigures& figures) {
+  EnginePrediction prediction;
+  prediction.load = LoadOf(candidate);
+  prediction.prompt_tokens = UncachedTokens(request, candidate);
+  prediction.first_output_ms =
+      FirstOutputMs(figures, prediction.load, prediction.prompt_tokens);
+  const GapPrediction gaps(figures, prediction.load, engine_request.stream);
+  prediction.longest_gap_ms = gaps.LongestGapMs(engine_request.output_tokens);
+  prediction.late_gap_chance = gaps.LateChance(engine_request.output_tokens);
+  return prediction;
+}
+
+// The running streams of which a gap becomes too long by the request's prompt.
+double NewlyLateStreams(const EnginePrediction& prediction,
+                        const EngineFigures& figures,
+                        const StreamObjective& objective) {
+  const EngineLoad& load = prediction.load;
+  const GapPrediction gaps(figures, load, objective);
+  const double burst_tokens =
+      load.unprocessed_prompt_tokens + prediction.prompt_tokens;
+  return load.Running() * gaps.BurstChance(burst_tokens) *
+         (1 - gaps.LateChance(kRunningStreamTokens));
+}
+
+double CostMs(const EnginePrediction& prediction,
+              const TargetCandidate& candidate,
+              const EngineRequest& engine_request,
+              const EngineFigures& figures) {
+  const double late_streams =
+      prediction.late_gap_chance +
+      NewlyLateStreams(prediction, figures, engine_request.running_streams);
+  return DelayCostMs(prediction.first_output_ms,
+                     engine_request.latency_objective) +
+         kLateMs * late_streams + candidate.failure_rate * kFailureMs +
+         (candidate.same_zone ? 0 : kOtherZoneMs) +
+         (candidate.has_room ? 0 : kNoRoomMs) +
+         kTieMs * StableShare(engine_request.id, candidate.id);
+}
+
 }  // namespace
 
 double ExpectedPrefillTokens(double prompt_tokens,
@@ -101,7 +169,26 @@
     wait_ms += candidate.same_zone ? 0 : kOtherZoneMs;
     if (best.has_value() && wait_ms >= best_ms) continue;
     best_ms = wait_ms;
-    best = TargetChoice{i, absl::Milliseconds(wait_ms)};
+    best = TargetChoice{i, absl::Milliseconds(wait_ms), std::nullopt};
+  }
+  return best;
+}
+
+std::optional<TargetChoice> ChooseEngine(
+    const TargetChoiceRequest& request, const EngineRequest& engine_request,
+    const EngineFigures& figures,
+    absl::Span<const TargetCandidate> candidates) {
+  std::optional<TargetChoice> best;
+  double best_ms = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const EnginePrediction prediction =
+        Predict(candidates[i], request, engine_request, figures);
+    const double cost_ms =
+        CostMs(prediction, candidates[i], engine_request, figures);
+    if (best.has_value() && cost_ms >= best_ms) continue;
+    best_ms = cost_ms;
+    best = TargetChoice{i, absl::Milliseconds(prediction.first_output_ms),
+                        prediction};
   }
   return best;
 }
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -8,13 +8,10 @@
 
 #include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "dragonflyglade/decision/engine_model.h"
 
 namespace dragonflyglade {
 
-/// Prompt tokens that an engine is expected to prefill per millisecond while it
-/// also generates output for its running requests.
-inline constexpr double kPrefillTokensPerMs = 30;
-
 /// The request for which a target is chosen.
 struct TargetChoiceRequest {
   double prompt_tokens = 0;         ///< 0 if the service is not an engine
@@ -35,12 +32,30 @@
   bool same_zone = true;
   /// Share of the target's last requests that failed, from 0 to 1.
   double failure_rate = 0;
+  // Of engines that state how fast they are; see EngineLoad.
+  double slowness = 1;
+  double prompt_tokens_per_ms = 0;
+  double typical_prompt_tokens = 0;
+  bool has_room = true;  ///< slots and memory for the request
+};
+
+/// What more is known of a request to engines that state how fast they are.
+struct EngineRequest {
+  std::string_view id;       ///< breaks ties, evenly over the requests
+  double output_tokens = 0;  ///< expected
+  absl::Duration latency_objective = absl::InfiniteDuration();
+  /// Of the request's stream.
+  StreamObjective stream;
+  /// The strictest one of the streams that the engines run.
+  StreamObjective running_streams;
 };
 
 /// The chosen candidate and the expected delay until its first output.
 struct TargetChoice {
   std::size_t index = 0;  ///< into the candidates
   absl::Duration expected_first_output_delay;
+  /// Only of engines that state how fast they are.
+  std::optional<EnginePrediction> engine;
 };
 
 /// The priority of a request at an engine, from 0 (first) to 9 (last). The
@@ -72,6 +87,20 @@
     const TargetChoiceRequest& request,
     absl::Span<const TargetCandidate> candidates, double jitter);
 
+/// Chooses among engines that state how fast they are.
+///
+/// The cost of a candidate is the request's own expected delay, the chance that
+/// its stream has a gap above the objective there, and the streams that its
+/// prompt makes late there. Since a prompt harms little where gaps are too long
+/// already, and short prompts with long streams avoid such engines, the copies
+/// of a model separate by themselves into some that prefill long prompts and
+/// others that run streams.
+/// @return nothing if there is no candidate
+/// Complexity: linear in the candidates.
+std::optional<TargetChoice> ChooseEngine(
+    const TargetChoiceRequest& request, const EngineRequest& engine_request,
+    const EngineFigures& figures, absl::Span<const TargetCandidate> candidates);
+
 }  // namespace dragonflyglade
 
 #endif  // DRAGONFLYGLADE_DECISION_TARGET_CHOICE_H_
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -12,11 +12,13 @@
 #include <vector>
 
 #include "absl/random/random.h"
+#include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/decision/send_allowance.h"
+#include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/crashing_parts.h"
@@ -116,6 +118,12 @@
   std::shared_ptr<TargetState> Choose(RequestJob& job);
   /// @param last_resort whether to consider avoided and tried targets, too
   std::shared_ptr<TargetState> ChooseAmong(RequestJob& job, bool last_resort);
+  /// Whether an engine of the service ever stated how fast it is. Only then do
+  /// the model of engines and what follows from it apply.
+  bool IsSpeedAware(std::string_view service);
+  EngineRequest EngineRequestOf(const RequestJob& job) const;
+  std::optional<TargetChoice> ChooseTargetFor(
+      const RequestJob& job, absl::Span<const TargetCandidate> candidates);
   boost::asio::awaitable<NextStep> Attempt(RequestJob& job,
                                            std::shared_ptr<TargetState> target);
   boost::asio::awaitable<NextStep> RelayStream(RequestJob& job,
@@ -178,6 +186,7 @@
       retry_budgets;
   /// By service.
   std::map<std::string, PacingControl, std::less<>> pacing;
+  std::set<std::string, std::less<>> speed_aware_services;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -136,7 +136,6 @@
                                                    bool last_resort) {
   const Instant now = this->clock.Now();
   const int max_in_flight = this->MaxInFlightAtTarget(*job.service);
-  const ModelUse& use = job.request.use;
   std::vector<std::shared_ptr<TargetState>> targets;
   std::vector<TargetCandidate> candidates;
   for (const auto& target : this->fleet.Targets(job.service->name)) {
@@ -160,18 +159,18 @@
     candidate.unprocessed_prompt_tokens = target->EstimatedUnreadTokens(now);
     candidate.same_zone = record.zone == this->settings.zone;
     candidate.failure_rate = target->FailureRate();
+    candidate.slowness = target->Slowness(now);
+    candidate.prompt_tokens_per_ms = target->Prompts().TokensPerMs(now);
+    candidate.typical_prompt_tokens = target->Prompts().TypicalTokens();
     candidates.push_back(candidate);
     targets.push_back(target);
   }
-  TargetChoiceRequest request;
-  request.prompt_tokens = use.prompt_tokens;
-  request.shared_prefix_tokens = job.SharedTokens();
-  request.shared_prefix_id = job.SharedId();
-  const std::optional<TargetChoice> choice = ChooseTarget(
-      request, candidates, absl::Uniform<double>(this->random, 0, 1));
+  const std::optional<TargetChoice> choice =
+      this->ChooseTargetFor(job, candidates);
   if (!choice.has_value()) return nullptr;
   job.candidates = candidates.size();
   job.expected_first_output_delay = choice->expected_first_output_delay;
+  job.prediction = choice->engine;
   return targets[choice->index];
 }
 
--- /dev/null
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -0,0 +1,49 @@
+// The methods of Pipeline for engines that state how fast they are.
+#include <algorithm>
+#include <string>
+
+#include "dragonflyglade/decision/target_choice.h"
+#include "dragonflyglade/gateway/pipeline.h"
+#include "dragonflyglade/gateway/request_job.h"
+
+namespace dragonflyglade::gateway {
+
+bool Pipeline::IsSpeedAware(std::string_view service) {
+  if (this->speed_aware_services.count(service) > 0) return true;
+  const auto targets = this->fleet.Targets(service);
+  const bool any_states =
+      std::any_of(targets.begin(), targets.end(),
+                  [](const auto& target) { return target->StatesSlowness(); });
+  if (any_states) this->speed_aware_services.emplace(service);
+  return any_states;
+}
+
+EngineRequest Pipeline::EngineRequestOf(const RequestJob& job) const {
+  const int stride = job.service->engine.has_value()
+                         ? job.service->engine->stride.value_or(0)
+                         : 0;
+  EngineRequest request;
+  request.id = job.request.id;
+  request.output_tokens = job.request.use.ExpectedOutputTokens();
+  request.latency_objective = job.route->latency_objective;
+  request.stream = {job.route->event_gap_objective, stride};
+  request.running_streams = {
+      job.config->routes.EventGapObjective(job.service->name), stride};
+  return request;
+}
+
+std::optional<TargetChoice> Pipeline::ChooseTargetFor(
+    const RequestJob& job, absl::Span<const TargetCandidate> candidates) {
+  TargetChoiceRequest request;
+  request.prompt_tokens = job.request.use.prompt_tokens;
+  request.shared_prefix_tokens = job.SharedTokens();
+  request.shared_prefix_id = job.SharedId();
+  if (job.NeedsModel() && this->IsSpeedAware(job.service->name)) {
+    return ChooseEngine(request, this->EngineRequestOf(job), EngineFigures(),
+                        candidates);
+  }
+  return ChooseTarget(request, candidates,
+                      absl::Uniform<double>(this->random, 0, 1));
+}
+
+}  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/engine_model.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_splitter.h"
@@ -55,6 +56,9 @@
   std::optional<Instant> last_output;
   absl::Duration longest_pause;  ///< between two events of the stream
   absl::Duration expected_first_output_delay;  ///< at the chosen target
+  /// At the chosen target, if the engines of the service state how fast they
+  /// are.
+  std::optional<EnginePrediction> prediction;
   absl::Duration admission_time;  ///< time until the quota decision
   absl::Duration target_wait;     ///< time spent waiting for a target
   absl::Duration pacing_time;     ///< time spent in pacing, see PacingDelay
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -140,6 +140,7 @@
 void TargetState::RecordSent(double prompt_tokens, const std::string& resident,
                              Instant now) {
   this->pace.Add(prompt_tokens, now);
+  this->prompts.Add(prompt_tokens, now);
   this->sent.RecordSent(now);
   if (!resident.empty()) this->residents_in_use[resident] += 1;
   this->in_flight += 1;
@@ -180,6 +181,7 @@
 
 void TargetState::AddSentByOthers(double prompt_tokens, Instant now) {
   this->others_sent.Add(prompt_tokens, now);
+  this->prompts.Add(prompt_tokens, now);
   this->pace.Add(prompt_tokens, now);
 }
 
--- a/tests/unit/unit-target-choice.cc
+++ b/tests/unit/unit-target-choice.cc
@@ -29,6 +29,24 @@
   return candidate;
 }
 
+TargetCandidate Slow(TargetCandidate candidate, double slowness) {
+  candidate.slowness = slowness;
+  return candidate;
+}
+
+TargetCandidate WithoutRoom(TargetCandidate candidate) {
+  candidate.has_room = false;
+  return candidate;
+}
+
+// An engine that got prompts of the size lately.
+TargetCandidate Prefilling(TargetCandidate candidate, double tokens_per_ms,
+                           double typical_tokens) {
+  candidate.prompt_tokens_per_ms = tokens_per_ms;
+  candidate.typical_prompt_tokens = typical_tokens;
+  return candidate;
+}
+
 struct ChoiceCase {
   const char* what;
   TargetChoiceRequest request;
@@ -38,12 +56,16 @@
 
 const TargetChoiceRequest kPlain;
 const TargetChoiceRequest kPrompt{3000, 0, ""};
+const StreamObjective kStream{absl::Milliseconds(400), 5};
+const EngineRequest kChatStream{"r1", 200, absl::Seconds(2), kStream, kStream};
 
 class TargetChoiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetChoiceTest);
   CPPUNIT_TEST(ChoosesLeastExpectedDelay);
   CPPUNIT_TEST(KeepsSharedPrefixesTogether);
   CPPUNIT_TEST(ComputesEnginePriority);
+  CPPUNIT_TEST(ChoosesLeastCost);
+  CPPUNIT_TEST(BreaksTiesEvenly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +150,79 @@
                            EngineRequestPriority(item.route, item.workspace));
     }
   }
+
+  // Guards against streams at engines that prefill long prompts, against long
+  // prompts at engines that run streams, and against engines that cannot be in
+  // time.
+  void ChoosesLeastCost() {
+    const TargetChoiceRequest chat{600, 0, ""};
+    const TargetChoiceRequest long_prompt{12000, 0, ""};
+    const std::vector<ChoiceCase> cases = {
+        {"no candidate", chat, {}, ""},
+        {"a stream avoids long prompts, although more requests run elsewhere",
+         chat,
+         {Prefilling(Candidate("prefills", 2), 20, 9000),
+          Prefilling(Candidate("streams", 20), 5, 600)},
+         "streams"},
+        {"many short prompts do no harm",
+         chat,
+         {Prefilling(Candidate("short", 2), 10, 600),
+          Prefilling(Candidate("busy", 40), 0, 0)},
+         "short"},
+        {"a long prompt avoids streams, although others are before it",
+         long_prompt,
+         {Prefilling(Candidate("prefills", 2, 9000), 20, 9000),
+          Prefilling(Candidate("streams", 20), 5, 600)},
+         "prefills"},
+        {"a long prompt goes to the streams rather than be far too late",
+         long_prompt,
+         {Prefilling(Candidate("prefills", 8, 70000), 25, 9000),
+          Prefilling(Candidate("streams", 4), 5, 600)},
+         "streams"},
+        {"a slow engine",
+         chat,
+         {Slow(Candidate("slow", 5), 10), Candidate("usual", 12)},
+         "usual"},
+        {"an engine without room",
+         chat,
+         {WithoutRoom(Candidate("full", 5)), Candidate("free", 60, 90000)},
+         "free"},
+        {"all engines without room",
+         chat,
+         {WithoutRoom(Candidate("busy", 50)),
+          WithoutRoom(Candidate("idle", 5))},
+         "idle"},
+    };
+    for (const ChoiceCase& item : cases) {
+      const auto choice = ChooseEngine(item.request, kChatStream,
+                                       EngineFigures(), item.candidates);
+      const std::string chosen =
+          choice.has_value() ? std::string(item.candidates[choice->index].id)
+                             : "";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, std::string(item.expected),
+                                   chosen);
+    }
+  }
+
+  // Guards against instances that all send their requests of some milliseconds
+  // to the same one of several equal engines.
+  void BreaksTiesEvenly() {
+    const std::vector<TargetCandidate> equal = {
+        Candidate("a", 3), Candidate("b", 3), Candidate("c", 3)};
+    std::map<std::size_t, int> chosen;
+    for (int number = 0; number < 300; ++number) {
+      const std::string id = "r" + std::to_string(number);
+      EngineRequest request = kChatStream;
+      request.id = id;
+      const auto choose = [&] {
+        return ChooseEngine(kPrompt, request, EngineFigures(), equal)->index;
+      };
+      CPPUNIT_ASSERT_EQUAL(choose(), choose());
+      chosen[choose()] += 1;
+    }
+    for (const auto& [index, count] : chosen) CPPUNIT_ASSERT(count > 60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, chosen.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TargetChoiceTest, "unit-target-choice");
