Quota: bounded reserve for absent instances, spread of Retry-After

Cause: the window reserves the whole shares of instances that do not report, besides the spending in their last reports, so a flooded workspace is granted about a third of its rate for two seconds while a third of the instances is cut off. Refused callers are told the time until the bucket has one request's tokens, and return together.

Change: reports state the bucket level that an instance follows. If all absent instances followed a drained bucket, the leader reserves what they can have spent since: their part of half a bucket and of its refill. In all other cases the whole share stays reserved. An instance follows a drained bucket for a second after it was drained. RefusedCallers adds the requests that this instance refused before to Retry-After, by at most 2 s, and multiplies it by 1.0 to 1.5.

With the reserve set to 0, KeepsTheLimitWhileInstancesAreCutOff fails, as it should.

Run: unit-quota-bucket, unit-quota-grants, unit-quota-window, unit-quota-owners and unit-report-hub pass. The platform suites were not run.

--- a/dragonflyglade/decision/quota_participants.cc
+++ b/dragonflyglade/decision/quota_participants.cc
@@ -60,14 +60,25 @@
     const std::set<std::string_view>& reporting) const {
   if (this->listed_counts.empty()) return 0;
   double unreported_shares = 0;
-  const Instant oldest = this->OldestRelevant();
-  for (const auto& [name, participant] : this->participants) {
-    if (participant.last_listed < oldest || reporting.count(name) > 0) continue;
-    unreported_shares += this->SpendableFraction(participant);
+  for (const std::string_view name : this->Unreported(reporting)) {
+    unreported_shares +=
+        this->SpendableFraction(this->participants.find(name)->second);
   }
   const auto participant_count =
       static_cast<double>(this->listed_counts.begin()->first);
   return std::min(1.0, unreported_shares / participant_count);
 }
 
+std::vector<std::string_view> QuotaParticipants::Unreported(
+    const std::set<std::string_view>& reporting) const {
+  std::vector<std::string_view> unreported;
+  const Instant oldest = this->OldestRelevant();
+  for (const auto& [name, participant] : this->participants) {
+    if (participant.last_listed < oldest || reporting.count(name) > 0) continue;
+    if (this->SpendableFraction(participant) <= 0) continue;
+    unreported.push_back(name);
+  }
+  return unreported;
+}
+
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/quota_participants.h
+++ b/dragonflyglade/decision/quota_participants.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "absl/types/span.h"
@@ -35,6 +36,10 @@
   /// @param reporting the instances that report their spending
   double UnreportedFraction(const std::set<std::string_view>& reporting) const;
 
+  /// The instances that do not report and may be spending.
+  std::vector<std::string_view> Unreported(
+      const std::set<std::string_view>& reporting) const;
+
  private:
   struct Participant {
     /// Listed since the fleet's start, so not in the place of another one.
--- a/dragonflyglade/decision/quota_windows.cc
+++ b/dragonflyglade/decision/quota_windows.cc
@@ -24,6 +24,10 @@
 // A bucket below this fraction of its capacity is drained by a workspace that
 // asks for more than its rate.
 constexpr double kDrainedFraction = 0.5;
+// An instance follows a bucket for this long after it was drained. Otherwise a
+// last summary that the leader does not know to have arrived could tell the
+// instance that it may spend its share of the window.
+constexpr absl::Duration kDrainedTime = absl::Seconds(1);
 // Summaries come several times a second. When none has come for this long, the
 // leader that sends them is unreachable, and other instances may spend tokens
 // that this one does not learn of.
@@ -151,9 +155,18 @@
   Spending& spending = this->Current(workspace);
   spending.fleet = spend;
   spending.fleet_at = this->clock.Now();
-  if (!spend.bucket_level.has_value()) return;
-  spending.bucket_level = spend.bucket_level;
-  spending.bucket_level_at = this->clock.Now();
+  if (spend.bucket_level.has_value())
+    this->RecordLevel(spending, *spend.bucket_level);
+}
+
+void QuotaWindows::RecordLevel(Spending& spending, double level) {
+  const Instant now = this->clock.Now();
+  spending.bucket_level = level;
+  spending.bucket_level_at = now;
+  std::deque<LevelAt>& levels = spending.low_levels;
+  while (!levels.empty() && levels.back().level >= level) levels.pop_back();
+  levels.push_back({now, level});
+  while (now - levels.front().at > kDrainedTime) levels.pop_front();
 }
 
 double QuotaWindows::FleetAllowance(const QuotaLimit& limit) const {
@@ -186,6 +199,15 @@
   return {fleet.capacity / sharing, fleet.refill / sharing};
 }
 
+double QuotaWindows::OwnRefill(std::string_view workspace,
+                               const QuotaLimit& limit) const {
+  const auto found = this->spendings.find(workspace);
+  return this
+      ->OwnBucket(found == this->spendings.end() ? Spending() : found->second,
+                  limit)
+      .refill;
+}
+
 // While there is no leader, instances spend about what is refilled, so that the
 // previous level still holds.
 double QuotaWindows::InitialBucketLevel(std::string_view workspace,
@@ -210,8 +232,7 @@
     const Spending& spending, const QuotaLimit& limit) const {
   if (!spending.fleet.bucket_level.has_value()) return std::nullopt;
   if (!this->HasSummaryInWindow(spending)) return std::nullopt;
-  const double capacity = this->FleetBucket(limit).capacity;
-  if (*spending.fleet.bucket_level >= kDrainedFraction * capacity)
+  if (!this->IsDrained(spending.low_levels.front().level, limit))
     return std::nullopt;
   const absl::Duration age = this->clock.Now() - *spending.fleet_at;
   const BucketSize own = this->OwnBucket(spending, limit);
@@ -228,23 +249,53 @@
 
 // If negative, the fleet must wait until that much spending has left the
 // window.
-double QuotaWindows::FleetLeft(double allowed,
+double QuotaWindows::FleetLeft(const QuotaLimit& limit,
                                const FleetSpending& spend) const {
+  const double allowed = this->FleetAllowance(limit);
   // A restarted process may have spent its share before the restart.
   const double unknown_spending =
       spend.unknown_shares * allowed / this->SharingInstances(spend);
-  return allowed * (1 - spend.unreported_fraction) - spend.total -
+  return allowed - this->ReservedForUnreported(limit, spend) - spend.total -
          unknown_spending;
 }
 
+bool QuotaWindows::IsDrained(double level, const QuotaLimit& limit) const {
+  return level < kDrainedFraction * this->FleetBucket(limit).capacity;
+}
+
+// What these instances spent until their last reports is in the total. If they
+// follow a drained bucket, they can have spent their part of it and of its
+// refill since then. With their whole shares of the window reserved besides,
+// nothing is left for the others although the rate goes on refilling.
+double QuotaWindows::ReservedForUnreported(const QuotaLimit& limit,
+                                           const FleetSpending& spend) const {
+  const double allowed = this->FleetAllowance(limit);
+  const double share = spend.unreported_fraction * allowed;
+  const bool drained = spend.unreported_level.has_value() &&
+                       this->IsDrained(*spend.unreported_level, limit);
+  if (!drained) return share;
+  const BucketSize bucket = this->FleetBucket(limit);
+  const double spendable =
+      kDrainedFraction * bucket.capacity +
+      bucket.refill * absl::ToDoubleSeconds(spend.unreported_for);
+  return spend.unreported_fraction * std::min(allowed, spendable);
+}
+
+std::optional<double> QuotaWindows::FollowedBucketLevel(
+    std::string_view workspace) const {
+  const auto found = this->spendings.find(workspace);
+  if (found == this->spendings.end()) return std::nullopt;
+  if (!this->HasRecentSummary(found->second)) return std::nullopt;
+  return found->second.fleet.bucket_level;
+}
+
 QuotaWindows::Share QuotaWindows::OwnShare(std::string_view workspace,
                                            const Spending& spending,
                                            const QuotaLimit& limit) const {
-  const double allowed = this->FleetAllowance(limit);
   if (!this->HasRecentSummary(spending))
-    return this->ShareWithoutSummary(workspace, spending, allowed);
+    return this->ShareWithoutSummary(workspace, spending, limit);
   if (!this->listed) return {};
-  const double left = std::max(0.0, this->FleetLeft(allowed, spending.fleet));
+  const double left = std::max(0.0, this->FleetLeft(limit, spending.fleet));
   const double spent_since = std::max(0.0, spending.sum - spending.fleet.own);
   return {left / this->SharingInstances(spending.fleet), spent_since,
           this->tolerance.share_multiple};
@@ -257,10 +308,11 @@
 // grants.
 QuotaWindows::Share QuotaWindows::ShareWithoutSummary(
     std::string_view workspace, const Spending& spending,
-    double allowed) const {
-  double tokens = this->Spendable(workspace, allowed) / this->instances;
+    const QuotaLimit& limit) const {
+  double tokens =
+      this->Spendable(workspace, this->FleetAllowance(limit)) / this->instances;
   if (this->HasSummaryInWindow(spending)) {
-    const double left = std::max(0.0, this->FleetLeft(allowed, spending.fleet));
+    const double left = std::max(0.0, this->FleetLeft(limit, spending.fleet));
     tokens =
         std::min(tokens, spending.fleet.own +
                              left / this->SharingInstances(spending.fleet));
--- a/dragonflyglade/decision/quota_windows.h
+++ b/dragonflyglade/decision/quota_windows.h
@@ -54,6 +54,11 @@
   /// Tokens in the workspace's bucket at the leader; see QuotaBuckets. Not set
   /// if the leader does not state it.
   std::optional<double> bucket_level = std::nullopt;
+  /// The longest time for which one of these instances has not reported, and
+  /// the highest bucket level that any of them followed then. Not set if any of
+  /// them follows none.
+  absl::Duration unreported_for = absl::InfiniteDuration();
+  std::optional<double> unreported_level = std::nullopt;
   /// What this instance had spent since its start when it sent the report that
   /// the bucket's level contains.
   double own_total = 0;
@@ -168,6 +173,9 @@
   /// window are the fleet's allowance.
   BucketSize FleetBucket(const QuotaLimit& limit) const;
 
+  /// This instance's equal share of the refill, in tokens per second.
+  double OwnRefill(std::string_view workspace, const QuotaLimit& limit) const;
+
   /// A bucket level that a new leader may start with: what the window leaves,
   /// and no more than the previous leader's last summary states.
   double InitialBucketLevel(std::string_view workspace, const QuotaLimit& limit,
@@ -176,14 +184,23 @@
   /// Tokens that the fleet has left in the window; may be negative.
   double FleetWindowLeft(const QuotaLimit& limit,
                          const FleetSpending& spend) const {
-    return this->FleetLeft(this->FleetAllowance(limit), spend);
+    return this->FleetLeft(limit, spend);
   }
 
+  /// The bucket level that this instance follows, by the last summary; nothing
+  /// if it follows none.
+  std::optional<double> FollowedBucketLevel(std::string_view workspace) const;
+
  private:
   struct Slice {
     std::int64_t number = 0;  ///< slices since the start of the clock
     double tokens = 0;
   };
+  /// A bucket's level in a summary.
+  struct LevelAt {
+    Instant at;
+    double level = 0;
+  };
   /// Spending of one workspace in the window.
   struct Spending {
     std::deque<Slice> slices;  ///< of this instance, the oldest first
@@ -194,6 +211,9 @@
     /// The newest bucket level of any summary, and when it came.
     std::optional<double> bucket_level;
     Instant bucket_level_at;
+    /// The bucket's level in the summaries of the last second, without those
+    /// that are followed by a lower one.
+    std::deque<LevelAt> low_levels;
   };
 
   /// The spending of a workspace without the slices that left the window.
@@ -217,10 +237,18 @@
   /// How many instances share what the fleet has left.
   int SharingInstances(const FleetSpending& spend) const;
   /// Tokens that the fleet has left in the window; may be negative.
-  double FleetLeft(double allowed, const FleetSpending& spend) const;
+  double FleetLeft(const QuotaLimit& limit, const FleetSpending& spend) const;
+  /// Tokens to reserve for instances that do not report.
+  double ReservedForUnreported(const QuotaLimit& limit,
+                               const FleetSpending& spend) const;
+  /// Whether a bucket is drained by a workspace that asks for more than its
+  /// rate.
+  bool IsDrained(double level, const QuotaLimit& limit) const;
+  void RecordLevel(Spending& spending, double level);
   void Count(Spending& spending, double tokens);
   Share ShareWithoutSummary(std::string_view workspace,
-                            const Spending& spending, double allowed) const;
+                            const Spending& spending,
+                            const QuotaLimit& limit) const;
   Share OwnShare(std::string_view workspace, const Spending& spending,
                  const QuotaLimit& limit) const;
   std::int64_t CurrentSlice() const;
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -213,6 +213,10 @@
     spend.workspace = workspace;
     spend.tokens = static_cast<std::int64_t>(tokens);
     spend.__set_total(static_cast<std::int64_t>(spent.totals[workspace]));
+    const std::optional<double> level =
+        this->quotas.FollowedBucketLevel(workspace);
+    if (level.has_value())
+      spend.__set_bucket_level(static_cast<std::int64_t>(*level));
     report.spends.push_back(std::move(spend));
   }
   this->statements.AddTo(report);
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -6,10 +6,13 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
+#include <memory>
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/operator/caller_key.h"
 
@@ -32,6 +35,12 @@
 constexpr std::size_t kMaxDirectoryAddresses = 64;
 constexpr std::size_t kIncarnationBytes = 8;
 
+std::function<double()> UniformRandom() {
+  return [generator = std::make_shared<absl::BitGen>()] {
+    return absl::Uniform(*generator, 0.0, 1.0);
+  };
+}
+
 }  // namespace
 
 Gateway::Gateway(GatewaySettings settings, ReadSettings reread, WireFormat wire,
@@ -63,7 +72,8 @@
       quota_admission(this->context, this->fleet, this->quota_owners,
                       this->quotas, this->aggregator, this->leader_lease,
                       this->self, this->settings.quota_allowance.window,
-                      this->metrics, this->log, this->clock, absl::Now),
+                      this->metrics, this->log, this->clock, absl::Now,
+                      UniformRandom()),
       relay(this->context, this->fleet, this->sync_state, this->self,
             this->settings.link_mbps, this->metrics, this->log, this->clock),
       stream_origins(this->context, this->fleet, this->sync_state, this->self,
--- a/dragonflyglade/gateway/quota_admission.cc
+++ b/dragonflyglade/gateway/quota_admission.cc
@@ -30,14 +30,12 @@
 
 }  // namespace
 
-QuotaAdmission::QuotaAdmission(asio::io_context& context, FleetState& fleet,
-                               QuotaParticipants& participants,
-                               QuotaWindows& quotas,
-                               ReportAggregator& aggregator,
-                               const LeaderLease& leader_lease,
-                               InstanceRecord self, absl::Duration window,
-                               Metrics& metrics, EventLog& log, Clock clock,
-                               TimeOfDay time_of_day)
+QuotaAdmission::QuotaAdmission(
+    asio::io_context& context, FleetState& fleet,
+    QuotaParticipants& participants, QuotaWindows& quotas,
+    ReportAggregator& aggregator, const LeaderLease& leader_lease,
+    InstanceRecord self, absl::Duration window, Metrics& metrics, EventLog& log,
+    Clock clock, TimeOfDay time_of_day, std::function<double()> random)
     : context(context),
       fleet(fleet),
       participants(participants),
@@ -50,7 +48,8 @@
       clock(clock),
       time_of_day(std::move(time_of_day)),
       unreported_grants(window, clock),
-      buckets(clock) {}
+      buckets(clock),
+      refused_callers(clock, std::move(random)) {}
 
 // All processes may have been killed a moment ago. With the spend record, this
 // one can spend what is left of the quotas without waiting for a leader.
@@ -110,6 +109,11 @@
   } else {
     verdict = this->AdmitWithoutLeader(workspace, limit, tokens);
   }
+  if (!verdict.admitted) {
+    verdict.retry_after = this->refused_callers.RetryAfter(
+        workspace, tokens, verdict.retry_after,
+        this->quotas.OwnRefill(workspace, limit));
+  }
   this->log.Write("quota", verdict.admitted ? "granted" : "request refused",
                   {{"id", std::string(request_id)},
                    {"workspace", workspace},
--- a/dragonflyglade/gateway/quota_admission.h
+++ b/dragonflyglade/gateway/quota_admission.h
@@ -14,6 +14,7 @@
 #include "dragonflyglade/decision/quota_bucket.h"
 #include "dragonflyglade/decision/quota_participants.h"
 #include "dragonflyglade/decision/quota_windows.h"
+#include "dragonflyglade/decision/refused_callers.h"
 #include "dragonflyglade/decision/unreported_grants.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/event_log.h"
@@ -38,7 +39,8 @@
                  QuotaParticipants& participants, QuotaWindows& quotas,
                  ReportAggregator& aggregator, const LeaderLease& leader_lease,
                  InstanceRecord self, absl::Duration window, Metrics& metrics,
-                 EventLog& log, Clock clock, TimeOfDay time_of_day);
+                 EventLog& log, Clock clock, TimeOfDay time_of_day,
+                 std::function<double()> random);
 
   void OnSend(SendMessage send) { this->send = std::move(send); }
 
@@ -134,6 +136,7 @@
   const TimeOfDay time_of_day;
   UnreportedGrants unreported_grants;
   QuotaBuckets buckets;
+  RefusedCallers refused_callers;
   SendMessage send;
   std::int64_t last_number = 0;
   std::map<std::int64_t, PendingQuery> pending_queries;
--- a/dragonflyglade/gateway/report_aggregator.cc
+++ b/dragonflyglade/gateway/report_aggregator.cc
@@ -91,12 +91,49 @@
   return shares;
 }
 
-double ReportAggregator::MissingPart() const {
+std::set<std::string_view> ReportAggregator::ReportingInstances() const {
   std::set<std::string_view> reporting;
   for (const auto& [incarnation, entry] : this->entries) {
     if (this->IsCurrent(entry)) reporting.insert(entry.report.instance);
   }
-  return this->participants.UnreportedFraction(reporting);
+  return reporting;
+}
+
+double ReportAggregator::MissingPart() const {
+  return this->participants.UnreportedFraction(this->ReportingInstances());
+}
+
+ReportAggregator::Unreported ReportAggregator::FindUnreported() const {
+  Unreported unreported;
+  std::map<std::string_view, const ProcessReport*> last_reports;
+  for (const std::string_view name :
+       this->participants.Unreported(this->ReportingInstances())) {
+    last_reports[name] = nullptr;
+  }
+  unreported.instances = last_reports.size();
+  for (const auto& [incarnation, entry] : this->entries) {
+    const auto found = last_reports.find(entry.report.instance);
+    if (found == last_reports.end()) continue;
+    const ProcessReport*& last = found->second;
+    if (last == nullptr || last->received_at < entry.received_at) last = &entry;
+  }
+  for (const auto& [name, last] : last_reports) {
+    const absl::Duration age = last == nullptr
+                                   ? absl::InfiniteDuration()
+                                   : this->clock.Now() - last->received_at;
+    unreported.longest = std::max(unreported.longest, age);
+    if (last == nullptr) continue;
+    for (const wire::WorkspaceSpend& spend : last->report.spends) {
+      if (!spend.__isset.bucket_level) continue;
+      const auto level = static_cast<double>(spend.bucket_level);
+      StatedLevel& stated =
+          unreported.levels.try_emplace(spend.workspace, StatedLevel{level, 0})
+              .first->second;
+      stated.highest = std::max(stated.highest, level);
+      ++stated.instances;
+    }
+  }
+  return unreported;
 }
 
 // Whether the spending of the instance's previous process is known.
@@ -159,6 +196,7 @@
   this->sums = Sums();
   this->sums.unknown_shares = this->UnknownShares();
   this->sums.missing_part = this->MissingPart();
+  this->sums.unreported = this->FindUnreported();
   for (const auto& [incarnation, entry] : this->entries) {
     this->AddToSums(incarnation, entry);
   }
@@ -224,6 +262,13 @@
   spend.instances = this->sums.instances;
   spend.unknown_shares = this->sums.unknown_shares;
   spend.unreported_fraction = this->sums.missing_part;
+  const Unreported& unreported = this->sums.unreported;
+  spend.unreported_for = unreported.longest;
+  const auto level = unreported.levels.find(workspace);
+  // An instance that states no level may spend its share of the window.
+  const bool all_state_levels = level != unreported.levels.end() &&
+                                level->second.instances == unreported.instances;
+  if (all_state_levels) spend.unreported_level = level->second.highest;
   return spend;
 }
 
--- a/dragonflyglade/gateway/report_aggregator.h
+++ b/dragonflyglade/gateway/report_aggregator.h
@@ -85,6 +85,18 @@
     Instant updated_at;
   };
 
+  /// The bucket level of a workspace that several instances stated.
+  struct StatedLevel {
+    double highest = 0;
+    std::size_t instances = 0;
+  };
+  /// The instances that do not report and may be spending.
+  struct Unreported {
+    std::size_t instances = 0;
+    absl::Duration longest;  ///< since a last report; infinite if unknown
+    std::map<std::string, StatedLevel> levels;  ///< by workspace
+  };
+
   /// Totals over the processes: the spending in the window, and the requests
   /// of those whose reports are not overdue.
   struct Sums {
@@ -95,6 +107,7 @@
     int instances = 0;
     double unknown_shares = 0;
     double missing_part = 0;
+    Unreported unreported;
   };
 
   void UpdateSums();
@@ -107,6 +120,8 @@
   void RemoveExpired();
   double UnknownShares() const;
   double MissingPart() const;
+  Unreported FindUnreported() const;
+  std::set<std::string_view> ReportingInstances() const;
   bool IsSuccessor(std::string_view incarnation,
                    const ProcessReport& entry) const;
   void Decay(DemandAverage& average) const;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -33,7 +33,8 @@
       refunds. */
   3: optional i64 total
   /** In a summary: tokens in the workspace's bucket at the leader; may be
-      negative. Not set while the leader does not know enough spending. */
+      negative. Not set while the leader does not know enough spending. In a
+      report: the level in the last summary, if that is recent. */
   4: optional i64 bucket_level
 }
 
--- a/measure/model/quota_fleet.cc
+++ b/measure/model/quota_fleet.cc
@@ -220,6 +220,10 @@
   spend.workspace = std::string(kWorkspace);
   spend.tokens = static_cast<std::int64_t>(spent);
   spend.__set_total(static_cast<std::int64_t>(total));
+  const std::optional<double> level =
+      instance.quotas->FollowedBucketLevel(kWorkspace);
+  if (level.has_value())
+    spend.__set_bucket_level(static_cast<std::int64_t>(*level));
   report.spends.push_back(std::move(spend));
   return report;
 }
--- a/tests/unit/unit-quota-bucket.cc
+++ b/tests/unit/unit-quota-bucket.cc
@@ -3,20 +3,24 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "dragonflyglade/decision/quota_bucket.h"
 #include "dragonflyglade/decision/quota_windows.h"
+#include "dragonflyglade/decision/refused_callers.h"
 #include "measure/history/quota_replay.h"
 #include "measure/model/quota_fleet.h"
+#include "tests/unit/spending_by_steps.h"
 
 namespace dragonflyglade {
 namespace {
 
 // Number of random schedules per case; a failed assertion names the seed.
 constexpr int kSeeds = 10;
+constexpr int kPartitionSeeds = 40;
 // Of the tokens that an exact bucket grants.
 constexpr double kMaxWronglyRefusedFraction = 0.1;
 // Instances that decide by themselves grant at other moments than one bucket.
@@ -78,6 +82,8 @@
   CPPUNIT_TEST(GoesOnGrantingUnderAFlood);
   CPPUNIT_TEST(TheWindowAloneStopsGranting);
   CPPUNIT_TEST(RefusesConformingRequestsNoMoreOften);
+  CPPUNIT_TEST(KeepsTheLimitWhileInstancesAreCutOff);
+  CPPUNIT_TEST(SpreadsTheReturnOfRefusedCallers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -280,6 +286,63 @@
     }
   }
 
+  // Failure: the leader reserves less for instances that are cut off than they
+  // spend, and a window exceeds the limit and its tolerance. The partition may
+  // begin before the flood, with it, or while the bucket is drained.
+  void KeepsTheLimitWhileInstancesAreCutOff() {
+    for (int seed = 1; seed <= kPartitionSeeds; ++seed) {
+      std::mt19937 random(seed);
+      QuotaRun run;
+      run.seed = seed;
+      run.load_factor = Between(random, 2, 10);
+      run.length = absl::Seconds(24);
+      run.message_loss = 0.02 * Between(random, 0, 2);
+      run.limit.burst = run.limit.rate * Between(random, 1, 4) / 2;
+      const Instant from = absl::Milliseconds(Between(random, -1000, 8000));
+      run.cut_off =
+          TimeSpan{from, from + absl::Seconds(Between(random, 1, 16))};
+      const QuotaRunResult result = QuotaFleet(run).Run();
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat("seed ", seed, ": ", result.most_in_window),
+          result.most_in_window <= MostAllowedInWindow(run));
+    }
+  }
+
+  // Failure: callers that were refused in the same moment are told the same
+  // time, return together, and all but one are refused again.
+  void SpreadsTheReturnOfRefusedCallers() {
+    struct ReturnCase {
+      std::string name;
+      std::vector<double> tokens;  ///< of requests refused at once
+      double random;
+      absl::Duration last;  ///< when the last caller is told to retry
+    };
+    const absl::Duration wait = absl::Milliseconds(100);
+    const std::vector<ReturnCase> cases = {
+        {"one", {50}, 0, wait},
+        {"one, spread", {50}, 0.5, 1.25 * wait},
+        {"behind another", {50, 20}, 0, wait + absl::Milliseconds(500)},
+        {"behind many", {1000, 1000, 10}, 0, wait + absl::Seconds(2)},
+    };
+    for (const ReturnCase& item : cases) {
+      ManualClock manual;
+      RefusedCallers refused(Clock(&manual), [&] { return item.random; });
+      absl::Duration last;
+      for (const double tokens : item.tokens) {
+        last = refused.RetryAfter("w", tokens, wait, kSize.refill);
+      }
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(item.name,
+                                           absl::ToDoubleSeconds(item.last),
+                                           absl::ToDoubleSeconds(last), 1e-6);
+      manual.Advance(absl::Seconds(3));
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(
+          item.name + ", later",
+          absl::ToDoubleSeconds((1 + item.random / 2) * wait),
+          absl::ToDoubleSeconds(refused.RetryAfter("w", 1, wait, kSize.refill)),
+          1e-6);
+    }
+  }
+
  private:
   static std::vector<FloodCase> FloodCases() {
     return {
@@ -296,6 +359,14 @@
            run.without_leader = {absl::Seconds(4), absl::Seconds(5)};
          }),
          kEarly},
+        {"a third is cut off", With([](QuotaRun& run) {
+           run.cut_off = {absl::Seconds(3), absl::Seconds(8)};
+         }),
+         kEarly},
+        {"a third is cut off and comes back late", With([](QuotaRun& run) {
+           run.cut_off = {absl::Seconds(3), absl::Seconds(12)};
+         }),
+         kEarly},
         {"a small burst",
          With([](QuotaRun& run) { run.limit.burst = run.limit.rate / 20; }),
          kEarly},
--- a/tests/unit/unit-report-hub.cc
+++ b/tests/unit/unit-report-hub.cc
@@ -2,8 +2,10 @@
 
 #include <cmath>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -37,6 +39,13 @@
   return report;
 }
 
+wire::InstanceReport Following(wire::InstanceReport report,
+                               std::int64_t bucket_level) {
+  report = Spent(std::move(report), 10);
+  report.spends.back().__set_bucket_level(bucket_level);
+  return report;
+}
+
 wire::InstanceReport Aged(wire::InstanceReport report, std::int64_t age_ms,
                           std::int64_t listed_ms) {
   report.age_ms = age_ms;
@@ -65,10 +74,51 @@
   CPPUNIT_TEST(RecordsSpendingDespiteNamesThatAreNotUtf8);
   CPPUNIT_TEST(SummarizesTheRequestsOfOtherInstances);
   CPPUNIT_TEST(KeepsSumsUpToDate);
+  CPPUNIT_TEST(StatesWhatUnreportingInstancesFollow);
   CPPUNIT_TEST(EstimatesDemandInTheFirstSecond);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a reserve that is too small: unless all instances that do
+  // not report stated the bucket level that they follow, any of them may spend
+  // its share of the window.
+  void StatesWhatUnreportingInstancesFollow() {
+    struct LevelCase {
+      std::string name;
+      std::vector<wire::InstanceReport> reports;  ///< before the absence
+      std::optional<double> level;
+      absl::Duration absence;
+    };
+    const absl::Duration absence = absl::Seconds(2);
+    const std::vector<LevelCase> cases = {
+        {"both state a level",
+         {Following(Report("a"), 100), Following(Report("b"), 300)},
+         300.0,
+         absence},
+        {"one states none",
+         {Following(Report("a"), 100), Spent(Report("b"), 10)},
+         std::nullopt,
+         absence},
+        {"one never reported",
+         {Following(Report("a"), 100)},
+         std::nullopt,
+         absl::InfiniteDuration()},
+    };
+    for (const LevelCase& item : cases) {
+      ManualClock manual;
+      QuotaParticipants participants(kWindow, Clock(&manual));
+      participants.UpdateListed(std::vector<std::string_view>{"a", "b"});
+      ReportAggregator aggregator(participants, kWindow, Clock(&manual));
+      for (const wire::InstanceReport& report : item.reports) {
+        aggregator.AddReport(report);
+      }
+      manual.Advance(absence);
+      const FleetSpending spend = aggregator.SpendingOf("w");
+      CPPUNIT_ASSERT_MESSAGE(item.name, item.level == spend.unreported_level);
+      CPPUNIT_ASSERT_MESSAGE(item.name, item.absence == spend.unreported_for);
+    }
+  }
+
   // Guards against sums that differ from the reports, since each report changes
   // them only by what is new in it.
   void KeepsSumsUpToDate() {
