Spread copies in demand, pack idle models, and count copies that are unloaded

Cause: the planner counted a copy that is being unloaded as one that serves, so that it evicted the other copy of the same model in the next round. Models that came into demand first kept far more copies for their load than those that came later, because a copy in demand was evicted only for a model with four times its load. The only copy of a model in demand stayed beside another busy model.

Change: copies that are being unloaded do not count, whatever the load time. For models that load in under 5 s: a model with many copies gives them up sooner (EvictionLoadLimit); the only copy at an engine far above the mean load, or with a queue, gets a second one; idle models are loaded into the smallest gap that they fit in; an idle model's only copy is moved where this makes room, two at a time.

--- a/dragonflyglade/decision/load_time.cc
+++ b/dragonflyglade/decision/load_time.cc
@@ -15,7 +15,7 @@
 
 double LoadTimeFactor(absl::Duration load_time) {
   const double short_part = ShortPart(load_time);
-  return 1 - short_part * short_part;
+  return 1 - short_part * short_part * short_part;
 }
 
 // Reaches 1 at a load time of 1 s.
--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -24,6 +24,10 @@
   return model.remaining_load.value_or(model.load);
 }
 
+bool IsFastToLoad(const DemandedModel& model) {
+  return model.load_time_from_store < kFixedLoadTime;
+}
+
 bool IsModelInUse(const EngineResidency& engine, std::string_view model) {
   return std::any_of(engine.in_use.begin(), engine.in_use.end(),
                      [&](std::string_view key) {
@@ -56,12 +60,20 @@
     if (!engine.usable) continue;
     for (const auto& [name, resident_adapters] : engine.models) {
       if (engine.limited && round.ModelLoad(name) > 0) continue;
+      if (engine.closing.count(name) > 0) continue;
       round.copies[name] += 1;
       const bool serves = name != engine.loading && engine.responsive;
       if (serves) round.ready_copies[name] += 1;
     }
   }
   round.CountEngineLoads();
+  for (const EngineResidency& engine : round.engines) {
+    const auto loading = round.models.find(engine.loading);
+    if (loading == round.models.end()) continue;
+    if (round.ReadyCopies(engine.loading) == 0) continue;
+    if (this->IsIdle(*loading->second))
+      round.moving_models.insert(loading->first);
+  }
   this->RecordLoading(round);
   this->PlanModels(round, model_loads);
   this->PlanAdapters(round);
@@ -88,7 +100,7 @@
   const bool lacks_slots =
       adapters != round.adapter_demand_count.end() &&
       adapters->second > kMaxAdaptersPerSlot * copies * round.adapter_slots;
-  return copies == 0 || busy || lacks_slots;
+  return copies == 0 || busy || lacks_slots || this->IsCrowded(round, model);
 }
 
 // Models without any copy go first, ordered by their waiting requests, then
@@ -117,6 +129,30 @@
   return best;
 }
 
+bool ResidencyPlanner::IsIdle(const DemandedModel& model) const {
+  return IsFastToLoad(model) && model.load <= this->SpareCopyLoadLimit(model);
+}
+
+// Whether the model's only copy is at an engine that is busy with other models,
+// or where requests wait.
+bool ResidencyPlanner::IsCrowded(const Round& round,
+                                 const DemandedModel& model) const {
+  constexpr double kPartOfThreshold = 0.5;
+  if (!IsFastToLoad(model) || round.CopyCount(model.name) != 1) return false;
+  if (model.load <= kPartOfThreshold * this->AddCopyThreshold(model))
+    return false;
+  const double limit =
+      std::max(this->options.add_copy_threshold,
+               this->options.crowded_engine_factor * round.mean_engine_load);
+  return std::any_of(
+      round.engines.begin(), round.engines.end(), [&](const auto& engine) {
+        return engine.usable && engine.models.count(model.name) > 0 &&
+               engine.closing.count(model.name) == 0 &&
+               (round.EngineLoad(engine) > limit ||
+                engine.waiting_requests > 0);
+      });
+}
+
 // Adds one copy at a time for the model that needs it most, so that a model
 // with ten times the demand of others gets several copies before they get their
 // second.
@@ -125,6 +161,7 @@
   // Without this limit, every round until the first unload has ended would
   // evict one more copy.
   int evictions = std::max(1, model_loads) - round.UnloadingEngines();
+  int moves = this->options.max_moves - round.MovesInProgress();
   std::set<std::string_view> blocked;
   while (const DemandedModel* model = this->MostUrgentModel(round, blocked)) {
     if (this->AddCopy(round, *model, false)) continue;
@@ -133,7 +170,13 @@
       model_loads -= 1;
       continue;
     }
-    if (!fits && evictions > 0 && this->MakeRoom(round, *model)) evictions -= 1;
+    if (!fits && evictions > 0 && this->MakeRoom(round, *model)) {
+      evictions -= 1;
+    } else if (!fits && moves > 0 && model_loads > 0 &&
+               this->MoveIdleModel(round, *model)) {
+      model_loads -= round.changes.back().uses_store ? 1 : 0;
+      moves -= 1;
+    }
     blocked.insert(model->name);
   }
 }
@@ -161,9 +204,11 @@
     if (!engine.usable || engine.limited || engine.has_open_order) continue;
     if (engine.models.count(model.name) > 0) continue;
     if (!from_store && !KeepsWeights(engine, model.name)) continue;
-    if (round.UsedMb(engine) + model.memory_mb > engine.memory_mb) continue;
-    const double cost =
-        round.EngineLoad(engine) + this->LoadingCost(engine, model);
+    if (model.memory_mb > round.FreeMb(engine)) continue;
+    double cost = round.EngineLoad(engine) + this->LoadingCost(engine, model);
+    // Gaps that no other model fits in are of no use for models in demand.
+    if (this->IsIdle(model))
+      cost += (round.FreeMb(engine) - model.memory_mb) / engine.memory_mb;
     if (best != nullptr && cost >= best_cost) continue;
     best = &engine;
     best_cost = cost;
@@ -178,6 +223,7 @@
   const bool keeps_weights = KeepsWeights(*best, model.name);
   best->models[model.name];
   best->has_open_order = true;
+  round.AddFreeMb(*best, -model.memory_mb);
   round.RecordNewCopy(*best, model);
   this->loaded_at[ResidencyKey(best->id, model.name, "")] = this->clock.Now();
   round.changes.push_back(
@@ -195,6 +241,25 @@
          this->clock.Now() - loaded->second < min_residency;
 }
 
+// The load per remaining copy below which a copy of a model in demand may be
+// evicted for the wanted model. It must be far less than the wanted model's
+// copies will have. Otherwise two models that need more copies would evict each
+// other's, and a copy that is being loaded serves neither. Where loads are
+// fast, a model with many copies gives them up sooner: it must have less load
+// per copy afterwards than the wanted model has now, so that none of the two
+// wants the copy back.
+double ResidencyPlanner::EvictionLoadLimit(const Round& round,
+                                           const DemandedModel& victim,
+                                           const DemandedModel& wanted) {
+  constexpr double kPartOfLoadAfter = 0.5;
+  constexpr double kPartOfLoadBefore = 0.6;
+  const double after = wanted.load / (round.CopyCount(wanted.name) + 1);
+  const double factor = LoadTimeFactor(
+      std::max(wanted.load_time_from_store, victim.load_time_from_store));
+  return factor * kPartOfLoadAfter * after +
+         (1 - factor) * kPartOfLoadBefore * round.LoadPerCopy(wanted);
+}
+
 // Whether the copy of the model `name` at the engine may be evicted for the
 // wanted model. Copies that are being loaded or are at an unresponsive engine
 // do not count as remaining copies. Otherwise a model in demand could lose its
@@ -206,19 +271,15 @@
   const auto victim = round.models.find(name);
   if (victim == round.models.end()) return false;
   const int remaining = round.ReadyCopies(name) - 1;
-  if (name == engine.loading || remaining < 1) return false;
+  if (name == engine.loading || engine.closing.count(name) > 0) return false;
+  if (remaining < 1) return false;
   const absl::Duration min_residency =
       this->options.min_model_residency *
       LoadTimeFactor(victim->second->load_time_from_store);
   if (this->IsProtected(engine.id, name, "", min_residency)) return false;
   const double load = RemainingLoad(*victim->second) / remaining;
-  // If the victim is in demand, its remaining copies must have far less load
-  // than the wanted model's copies will have. Otherwise two models that need
-  // more copies would evict each other's, and a copy that is being loaded
-  // serves neither.
-  const double after = wanted.load / (round.CopyCount(wanted.name) + 1);
   return load <= this->SpareCopyLoadLimit(*victim->second) ||
-         load < 0.5 * after;
+         load < EvictionLoadLimit(round, *victim->second, wanted);
 }
 
 // The time for which a copy is not evicted begins when it is loaded, because
@@ -253,8 +314,7 @@
   for (EngineResidency& engine : round.engines) {
     if (!engine.usable || engine.limited || engine.has_open_order) continue;
     if (engine.models.count(model.name) > 0) continue;
-    const double missing_mb =
-        round.UsedMb(engine) + model.memory_mb - engine.memory_mb;
+    const double missing_mb = model.memory_mb - round.FreeMb(engine);
     for (const auto& [name, resident_adapters] : engine.models) {
       if (!this->MayEvict(round, engine, name, model)) continue;
       const DemandedModel& victim = *round.models.at(name);
@@ -271,6 +331,7 @@
   if (best == nullptr) return false;
   best->models.erase(best_victim);
   best->has_open_order = true;
+  round.AddFreeMb(*best, round.models.at(best_victim)->memory_mb);
   round.copies[best_victim] -= 1;
   round.ready_copies[best_victim] -= 1;
   round.changes.push_back(
@@ -278,4 +339,47 @@
   return true;
 }
 
+// Whether the model `name` is idle and the engine has room for the wanted model
+// once it is elsewhere.
+bool ResidencyPlanner::MayMakeRoomByMove(const Round& round,
+                                         const EngineResidency& engine,
+                                         const std::string& name,
+                                         const DemandedModel& wanted) const {
+  const auto found = round.models.find(name);
+  if (found == round.models.end() || !this->IsIdle(*found->second))
+    return false;
+  if (round.CopyCount(name) != 1 || round.ReadyCopies(name) != 1) return false;
+  return wanted.memory_mb <= round.FreeMb(engine) + found->second->memory_mb;
+}
+
+// Loads the only copy of an idle model at another engine, into memory that the
+// wanted model does not fit in. When that copy is ready, the first one is
+// evicted like any spare copy.
+bool ResidencyPlanner::MoveIdleModel(Round& round,
+                                     const DemandedModel& wanted) {
+  if (!IsFastToLoad(wanted)) return false;
+  const DemandedModel* moved = nullptr;
+  EngineResidency* from = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  const FreeRoom room = round.LargestFreeRoom();
+  for (EngineResidency& engine : round.engines) {
+    if (!engine.usable || engine.limited || engine.has_open_order) continue;
+    if (engine.models.count(wanted.name) > 0) continue;
+    const double cost =
+        round.EngineLoad(engine) + this->LoadingCost(engine, wanted);
+    if (cost >= best_cost) continue;
+    for (const auto& [name, resident_adapters] : engine.models) {
+      if (!this->MayMakeRoomByMove(round, engine, name, wanted)) continue;
+      const DemandedModel* model = round.models.at(name);
+      if (model->memory_mb > room.OutsideMb(engine)) continue;
+      best_cost = cost;
+      moved = model;
+      from = &engine;
+    }
+  }
+  if (moved == nullptr || !this->AddCopy(round, *moved, true)) return false;
+  from->has_open_order = true;
+  return true;
+}
+
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -66,7 +66,12 @@
   /// nobody asks for.
   bool limited = false;
   bool has_open_order = false;  ///< cannot take another order for a model now
-  bool unloading = false;       ///< a model is being unloaded
+  /// Requests in the engine's queue, of all its models.
+  int waiting_requests = 0;
+  bool unloading = false;  ///< a model is being unloaded
+  /// The models that are being unloaded: they hold memory and serve no more
+  /// requests.
+  std::set<std::string, std::less<>> closing;
 };
 
 /// A model or adapter to load or unload at an engine.
@@ -103,6 +108,12 @@
   double unload_in_use_penalty = 0.3;
   /// How long a loaded adapter is not evicted.
   absl::Duration min_adapter_residency = absl::Seconds(2);
+  /// Load of the engine with a model's only copy, in the mean of all engines,
+  /// above which the model gets another copy.
+  double crowded_engine_factor = 1.6;
+  /// Moves of idle models that are in progress at a time. Each costs a load
+  /// and an unload.
+  int max_moves = 2;
   /// Adapters that are preloaded in one round. Limits how many engines are busy
   /// with such orders when an adapter in demand needs one.
   int max_preloads = 8;
@@ -111,10 +122,12 @@
 /// Decides which models and adapters each engine loads. Not thread-safe.
 ///
 /// Every model keeps at least one copy. A copy is evicted only to make room for
-/// another model. Models take seconds to load, so copies are added when load
-/// rises, before requests wait. Adapters load in milliseconds and are loaded
-/// when requests need them; free adapter slots get those that no engine holds,
-/// for the seconds in which there is no leader to order a load.
+/// another model. Idle models that load fast are packed together, and are moved
+/// where this makes room for a model in demand. Models take seconds to load, so
+/// copies are added when load rises, before requests wait. Adapters load in
+/// milliseconds and are loaded when requests need them; free adapter slots get
+/// those that no engine holds, for the seconds in which there is no leader to
+/// order a load.
 class ResidencyPlanner {
  public:
   ResidencyPlanner(ResidencyOptions options, Clock clock);
@@ -130,9 +143,12 @@
 
  private:
   struct Round;
+  struct FreeRoom;
 
   double AddCopyThreshold(const DemandedModel& model) const;
   double SpareCopyLoadLimit(const DemandedModel& victim) const;
+  bool IsIdle(const DemandedModel& model) const;
+  bool IsCrowded(const Round& round, const DemandedModel& model) const;
   bool NeedsCopy(const Round& round, const DemandedModel& model) const;
   bool HasPriority(const Round& round, const DemandedModel& one,
                    const DemandedModel& other) const;
@@ -147,12 +163,19 @@
   double EvictionCost(const Round& round, const EngineResidency& engine,
                       const std::string& name) const;
   void RecordLoading(const Round& round);
+  static double EvictionLoadLimit(const Round& round,
+                                  const DemandedModel& victim,
+                                  const DemandedModel& wanted);
   bool MayEvict(const Round& round, const EngineResidency& engine,
                 const std::string& name, const DemandedModel& wanted) const;
   bool IsProtected(std::string_view engine, std::string_view model,
                    std::string_view adapter,
                    absl::Duration min_residency) const;
   bool MakeRoom(Round& round, const DemandedModel& model);
+  bool MayMakeRoomByMove(const Round& round, const EngineResidency& engine,
+                         const std::string& name,
+                         const DemandedModel& wanted) const;
+  bool MoveIdleModel(Round& round, const DemandedModel& wanted);
   void PlanAdapters(Round& round);
   void AddAdapter(Round& round, const DemandedAdapter& wanted);
   bool EvictAdapter(Round& round, EngineResidency& engine,
--- a/dragonflyglade/decision/residency_round.h
+++ b/dragonflyglade/decision/residency_round.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_DECISION_RESIDENCY_ROUND_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -30,6 +31,17 @@
   return count;
 }
 
+/// The engine with the most free memory, and the most that another one has.
+struct ResidencyPlanner::FreeRoom {
+  const EngineResidency* emptiest = nullptr;
+  double most_mb = 0;
+  double second_mb = 0;
+
+  double OutsideMb(const EngineResidency& engine) const {
+    return &engine == this->emptiest ? this->second_mb : this->most_mb;
+  }
+};
+
 /// Working state of one planning round: a copy of the engines' residency to
 /// which the planned changes are applied.
 struct ResidencyPlanner::Round {
@@ -41,6 +53,10 @@
   /// Copies of each model that serve requests.
   std::map<std::string, int, std::less<>> ready_copies;
   std::vector<double> engine_loads;  ///< by index of the engine
+  double mean_engine_load = 0;
+  std::vector<double> free_mb;  ///< for models; by index of the engine
+  /// Idle models that have a copy which serves and one that loads.
+  std::set<std::string_view> moving_models;
   /// Number of adapters in demand of each model.
   std::map<std::string, int, std::less<>> adapter_demand_count;
   int adapter_slots = 0;  ///< the most of any engine
@@ -101,6 +117,38 @@
                       [](const auto& engine) { return engine.unloading; }));
   }
 
+  // Memory that is free for models, while models are planned.
+  double FreeMb(const EngineResidency& engine) const {
+    return this->free_mb[&engine - this->engines.data()];
+  }
+
+  void AddFreeMb(const EngineResidency& engine, double change_mb) {
+    this->free_mb[&engine - this->engines.data()] += change_mb;
+  }
+
+  // Over engines that may take an order.
+  FreeRoom LargestFreeRoom() const {
+    FreeRoom room;
+    for (const EngineResidency& engine : this->engines) {
+      if (!engine.usable || engine.limited || engine.has_open_order) continue;
+      const double engine_mb = this->FreeMb(engine);
+      if (engine_mb > room.most_mb) {
+        room = {&engine, engine_mb, room.most_mb};
+      } else {
+        room.second_mb = std::max(room.second_mb, engine_mb);
+      }
+    }
+    return room;
+  }
+
+  // Engines at which an idle model that is served elsewhere loads.
+  int MovesInProgress() const {
+    return static_cast<int>(std::count_if(
+        this->engines.begin(), this->engines.end(), [&](const auto& engine) {
+          return this->moving_models.count(engine.loading) > 0;
+        }));
+  }
+
   double EngineLoad(const EngineResidency& engine) const {
     return this->engine_loads[&engine - this->engines.data()];
   }
@@ -153,13 +201,19 @@
 
   void CountEngineLoads() {
     this->engine_loads.clear();
+    double sum = 0;
     for (const EngineResidency& engine : this->engines) {
       double load = 0;
       for (const auto& [name, adapters] : engine.models) {
+        if (engine.closing.count(name) > 0) continue;
         load += this->ModelLoad(name) / std::max(1, this->CopyCount(name));
       }
       this->engine_loads.push_back(load);
+      this->free_mb.push_back(engine.memory_mb - this->UsedMb(engine));
+      sum += load;
     }
+    this->mean_engine_load = sum / static_cast<double>(std::max<std::size_t>(
+                                       1, this->engines.size()));
   }
 
   // Counts a new copy and divides the model's load among all its copies.
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -31,6 +31,13 @@
 // requests take a few seconds at most; a lower limit binds.
 constexpr double kSevereLimitPerSlot = 0.125;
 
+// Estimate of the requests that wait for a slot of the target.
+int WaitingRequests(const TargetState& target, Instant now) {
+  const int slots = target.Record().slots;
+  if (slots <= 0) return 0;
+  return std::max(0, static_cast<int>(target.EstimatedRequests(now)) - slots);
+}
+
 bool IsSeverelyLimited(const TargetState& target) {
   const std::optional<double> limit = target.RateLimit().Limit();
   return limit.has_value() &&
@@ -356,6 +363,9 @@
     item.has_open_order = engine->is_busy || engine->loading.has_value() ||
                           !engine->unloading.empty();
     item.unloading = !engine->unloading.empty();
+    item.closing = {engine->unloading.begin(), engine->unloading.end()};
+    item.waiting_requests =
+        target == nullptr ? 0 : WaitingRequests(*target, this->clock.Now());
     holdings.push_back(std::move(item));
   }
   const std::vector<ResidencyChange> changes = this->planner.Plan(
--- a/measure/model/residency_fleet.cc
+++ b/measure/model/residency_fleet.cc
@@ -158,6 +158,7 @@
     if (engine.unloading.empty()) continue;
     residency.models.erase(engine.unloading);
     residency.unloading = false;
+    residency.closing.clear();
     std::erase(engine.kept, engine.unloading);
     engine.kept.push_back(std::exchange(engine.unloading, ""));
     if (engine.kept.size() > kKeptInMemory + kKeptOnDisk) {
@@ -187,6 +188,8 @@
   std::vector<EngineResidency> holdings;
   for (Engine& engine : this->engines) {
     EngineResidency item = engine.residency;
+    item.waiting_requests = static_cast<int>(
+        std::max(0.0, engine.backlog_ms - kLateMs) / kMeanWorkMs);
     for (const auto& [name, used_at] : engine.last_use) {
       if (now - used_at < kRequestTime) item.in_use.insert(name);
     }
@@ -212,6 +215,7 @@
   if (change.kind == ResidencyChange::Kind::kUnload) {
     engine->unloading = change.model;
     residency.unloading = true;
+    residency.closing = {change.model};
     const bool in_use =
         engine->last_use.count(change.model) > 0 &&
         this->clock.Now() - engine->last_use[change.model] < kRequestTime;
