Bound what an instance keeps for callers that read slowly

Cause: responses that nobody reads stayed in memory for up to 10 s each, up to 16 MB and twice, without a bound in sum; the kernel kept megabytes for each connection; an event without an end grew without a bound. A target cuts a stream off that stays unread, which counted as its failure. A caller that read a whole response slowly held a place at the target that had answered.

Change: CallerBuffers counts the bytes of responses that are being written. A body is no longer copied to be written. A stream of which a write takes 4 s ends; one whose target breaks off after a write that took a second does not count as the target's failure. An event of more than 1 MB ends its stream. A target that has answered has its place back before the caller has read.

Not bounded in sum: bodies of requests, and of whole responses while they are read from the targets. Memory of a separate process was not measured; the test looks at the gauge caller_buffer_bytes.

--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -30,8 +30,11 @@
 constexpr absl::Duration kIdleGrace = absl::Seconds(1);
 // How long CloseGracefully waits for the caller to close its end.
 constexpr absl::Duration kCloseTimeout = absl::Milliseconds(500);
-// A caller that reads nothing for this long is treated as disconnected.
+// A caller that has not read a response by then is treated as disconnected.
 constexpr absl::Duration kWriteTimeout = absl::Seconds(10);
+// While a caller reads nothing of a stream, nothing of it is read from the
+// target either, and the target cuts it off after some seconds.
+constexpr absl::Duration kStreamWriteTimeout = absl::Seconds(4);
 
 int StatusForError(const error_code& error) {
   if (error == http::error::header_limit) return 431;
@@ -64,16 +67,22 @@
 
 CallerConnection::CallerConnection(asio::io_context& context,
                                    tcp::socket socket,
-                                   CallerLimitsProvider limits, Clock clock)
+                                   CallerLimitsProvider limits,
+                                   CallerBuffers& buffers, Clock clock)
     : socket(std::move(socket)),
       limits(std::move(limits)),
+      buffers(buffers),
       clock(std::move(clock)),
       timer(context, this->clock,
             [this] { return PeekSocket(this->socket) == SocketState::kBytes; }),
       wait_start(this->clock.Now()) {
-  // Errors are ignored: the option affects timing only, not the outcome.
+  // Errors are ignored: the options affect timing only, not the outcome.
   error_code ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
+  // The kernel would keep megabytes for a caller that does not read.
+  const int socket_bytes =
+      static_cast<int>(this->buffers.Limits().socket_bytes);
+  this->socket.set_option(tcp::socket::send_buffer_size(socket_bytes), ignored);
 }
 
 CallerConnection::~CallerConnection() {
@@ -155,7 +164,8 @@
   if (error) co_return this->ReadFailure(error);
   const auto expect = parser.get()[http::field::expect];
   if (absl::EqualsIgnoreCase({expect.data(), expect.size()}, "100-continue")) {
-    const bool written = co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    const bool written =
+        co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n", kWriteTimeout);
     if (!written) co_return CallerDisconnected{};
   }
   this->StartTimeout(kBodyTimeout, "body not whole in time");
@@ -168,6 +178,7 @@
   if (!this->end_reason.empty()) co_return CallerDisconnected{};
   this->keep_alive = parser.get().keep_alive();
   this->responded = false;
+  this->last_write_time = absl::ZeroDuration();
   co_return MakeReceivedRequest(parser);
 }
 
@@ -176,13 +187,22 @@
   return this->limits().idle_timeout;
 }
 
-asio::awaitable<bool> CallerConnection::Write(std::string text) {
+asio::awaitable<bool> CallerConnection::Write(std::string text,
+                                              absl::Duration timeout,
+                                              std::string_view body) {
   if (this->disconnected) co_return false;
-  this->StartTimeout(kWriteTimeout, "caller takes nothing");
+  const CallerBuffers::Write counted(
+      this->buffers, text.size() + body.size(),
+      [this] { this->Abort("caller reads too slowly"); });
+  this->StartTimeout(timeout, "caller takes nothing");
+  const std::array<asio::const_buffer, 2> both = {
+      asio::buffer(text), asio::buffer(body.data(), body.size())};
+  const Instant start = this->clock.Now();
   error_code error;
-  co_await asio::async_write(this->socket, asio::buffer(text),
+  co_await asio::async_write(this->socket, both,
                              asio::redirect_error(asio::use_awaitable, error));
   this->timer.Stop();
+  this->last_write_time = this->clock.Now() - start;
   if (error) {
     this->disconnected = true;
     this->Abort("caller cut off");
@@ -195,8 +215,7 @@
                                                       std::string_view body) {
   std::string text = ResponseHeadText(status, fields, BodyFraming::kLength,
                                       body.size(), this->KeepAliveTimeout());
-  text.append(body);
-  this->responded = co_await this->Write(std::move(text));
+  this->responded = co_await this->Write(std::move(text), kWriteTimeout, body);
   co_return this->responded;
 }
 
@@ -207,17 +226,17 @@
   std::string text = ResponseHeadText(status, fields, BodyFraming::kChunked, 0,
                                       this->KeepAliveTimeout());
   if (!first.empty()) text += ChunkText(first);
-  this->responded = co_await this->Write(std::move(text));
+  this->responded = co_await this->Write(std::move(text), kStreamWriteTimeout);
   co_return this->responded;
 }
 
 asio::awaitable<bool> CallerConnection::WritePart(std::string_view bytes) {
   if (bytes.empty()) co_return true;
-  co_return co_await this->Write(ChunkText(bytes));
+  co_return co_await this->Write(ChunkText(bytes), kStreamWriteTimeout);
 }
 
 asio::awaitable<bool> CallerConnection::EndStream() {
-  co_return co_await this->Write(std::string(kLastChunk));
+  co_return co_await this->Write(std::string(kLastChunk), kStreamWriteTimeout);
 }
 
 void CallerConnection::WatchForDisconnect(std::function<void()> on_disconnect) {
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -15,6 +15,7 @@
 
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -48,7 +49,8 @@
  public:
   CallerConnection(boost::asio::io_context& context,
                    boost::asio::ip::tcp::socket socket,
-                   CallerLimitsProvider limits, Clock clock);
+                   CallerLimitsProvider limits, CallerBuffers& buffers,
+                   Clock clock);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -56,7 +58,7 @@
   /// Reads the next request, within the limits on size and time.
   boost::asio::awaitable<ReadResult> Read();
 
-  /// Writes a complete response.
+  /// Writes a complete response. The body must stay valid until then.
   /// @return false if the write failed or the caller has disconnected
   boost::asio::awaitable<bool> WriteResponse(int status, HeaderFields fields,
                                              std::string_view body);
@@ -90,6 +92,8 @@
 
   /// Why the connection ended; empty while it is open.
   std::string_view EndReason() const { return this->end_reason; }
+  /// How long the last write waited for the caller to read.
+  absl::Duration LastWriteTime() const { return this->last_write_time; }
   /// How late the timer fired that ended the connection.
   absl::Duration TimerLateness() const { return this->timer_lateness; }
   /// Duration of the last wait for a request.
@@ -105,7 +109,8 @@
  private:
   boost::asio::awaitable<bool> WaitForRequest();
   void AwaitDisconnect(std::function<void()> on_disconnect);
-  boost::asio::awaitable<bool> Write(std::string text);
+  boost::asio::awaitable<bool> Write(std::string text, absl::Duration timeout,
+                                     std::string_view body = {});
   void StartTimeout(absl::Duration time, std::string_view why);
   void StartIdleTimeout(absl::Duration max_idle_time);
   void OnTimeout(std::string_view why, absl::Duration late);
@@ -115,10 +120,12 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   const CallerLimitsProvider limits;
+  CallerBuffers& buffers;
   const Clock clock;
   StepTimer timer;
   std::string_view end_reason;  ///< text of static lifetime
   absl::Duration timer_lateness;
+  absl::Duration last_write_time;
   Instant wait_start;  ///< of the last wait for a request
   std::optional<Instant> wait_end;
   bool responded = false;
--- a/dragonflyglade/gateway/event_splitter.h
+++ b/dragonflyglade/gateway/event_splitter.h
@@ -24,6 +24,10 @@
   /// Whether the buffer holds bytes of an incomplete event.
   bool HasPartial() const { return this->buffer.size() > this->returned; }
 
+  std::size_t PartialBytes() const {
+    return this->buffer.size() - this->returned;
+  }
+
   /// The id of the last complete event that has one; empty if none has.
   const std::string& LastId() const { return this->last_id; }
 
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -78,6 +78,7 @@
               this->crashing_parts, this->metrics, this->tasks, this->clock),
       statements(this->fleet, this->channel, this->self.name, this->metrics,
                  this->log, this->clock),
+      caller_buffers([this] { return this->settings.caller_buffers; }),
       paths(this->context, this->wire, this->fleet, this->channel,
             this->statements, this->self, this->metrics, this->log, this->tasks,
             this->clock),
@@ -166,6 +167,9 @@
   this->metrics.AddGauge("isolated_from_targets", [this] {
     return this->paths.IsolatedSince().has_value() ? 1.0 : 0.0;
   });
+  this->metrics.AddGauge("caller_buffer_bytes", [this] {
+    return static_cast<double>(this->caller_buffers.Bytes());
+  });
   this->metrics.AddGauge("tunnels_busy", [this] {
     return static_cast<double>(this->tunnel_server.Busy());
   });
@@ -279,7 +283,8 @@
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
   CallerConnection connection(
       this->context, std::move(socket),
-      [this] { return this->CurrentLimits(); }, this->clock);
+      [this] { return this->CurrentLimits(); }, this->caller_buffers,
+      this->clock);
   const int requests = co_await this->ServeRequests(connection);
   this->RecordConnectionEnd(connection, requests);
 }
@@ -339,7 +344,7 @@
                                             QueryHandler handler) {
   CallerConnection connection(
       this->context, std::move(socket), [] { return CallerLimits(); },
-      this->clock);
+      this->caller_buffers, this->clock);
   while (true) {
     const ReadResult read = co_await connection.Read();
     const auto* received = std::get_if<ReceivedRequest>(&read);
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/leader_lease.h"
 #include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/crashing_parts.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/event_loop.h"
@@ -137,6 +138,7 @@
   CrashingParts crashing_parts;
   FleetChannel channel;
   TargetStatements statements;
+  CallerBuffers caller_buffers;
   TargetPaths paths;
   TunnelServer tunnel_server;
   Registration registration;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -29,6 +29,11 @@
 
 json NumberSchema() { return {{"type", "number"}, {"minimum", 0}}; }
 
+// Less would slow callers down that read; the sizes must fit into an integer.
+json BufferSchema() {
+  return {{"type", "number"}, {"minimum", 16}, {"maximum", 1 << 20}};
+}
+
 json NameSchema() { return {{"type", "string"}, {"minLength", 1}}; }
 
 // "ADDRESS:PORT"
@@ -62,7 +67,9 @@
                     {"load_window_s", NumberSchema()},
                     {"load_overage", NumberSchema()},
                     {"slow_start_overage", NumberSchema()},
-                    {"slow_start_slack", NumberSchema()}},
+                    {"slow_start_slack", NumberSchema()},
+                    {"caller_socket_kb", BufferSchema()},
+                    {"caller_buffers_kb", BufferSchema()}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -79,6 +86,12 @@
   if (object.contains(field)) value = object.at(field).get<double>();
 }
 
+void ReadKilobytes(const json& object, const char* field, std::size_t& value) {
+  constexpr double kKilobyte = 1024;
+  if (!object.contains(field)) return;
+  value = static_cast<std::size_t>(object.at(field).get<double>() * kKilobyte);
+}
+
 void ReadTime(const json& object, const char* field, absl::Duration unit,
               absl::Duration& value) {
   if (object.contains(field)) value = object.at(field).get<double>() * unit;
@@ -124,6 +137,10 @@
   ReadNumber(limits, "load_overage", settings.load_overage);
   ReadNumber(limits, "slow_start_overage", settings.slow_start_overage);
   ReadNumber(limits, "slow_start_slack", settings.slow_start_slack);
+  ReadKilobytes(limits, "caller_socket_kb",
+                settings.caller_buffers.socket_bytes);
+  ReadKilobytes(limits, "caller_buffers_kb",
+                settings.caller_buffers.total_bytes);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/failure.h"
 #include "dragonflyglade/decision/quota_windows.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
@@ -49,6 +50,7 @@
   /// Of the requests to a target that warms up; see SlowStartLimit.
   double slow_start_overage = 1;
   double slow_start_slack = 0;
+  CallerBufferLimits caller_buffers;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -135,14 +136,17 @@
   if (job.uses_own_path) {
     job.sent_over_own_path = this->paths.RecordSent(job.service->name);
   }
-  InFlightGuard guard(*target, job.UnreadTokens(), job.Resident(), now);
+  std::optional<InFlightGuard> guard;
+  guard.emplace(*target, job.UnreadTokens(), job.Resident(), now);
   if (job.NeedsModel()) {
     this->channel.BroadcastSentPrompt(job.target, job.UnreadTokens());
   }
   ExchangeOutcome outcome = co_await exchange.Run(
       address, job.request.id, std::move(head), job.request.body,
       job.deadline + kResponseTravelTime);
-  guard.RecordFirstOutput();
+  guard->RecordFirstOutput();
+  // A caller that reads slowly holds no place at a target that has answered.
+  if (std::holds_alternative<CompleteResponse>(outcome)) guard.reset();
   if (job.uses_own_path && !std::holds_alternative<NotSent>(outcome) &&
       !std::holds_alternative<OutcomeUnknown>(outcome)) {
     this->paths.RecordReceived(job.service->name);
@@ -350,18 +354,23 @@
 
 asio::awaitable<Pipeline::NextStep> Pipeline::AfterOutcomeUnknown(
     RequestJob& job, TargetState& target, const OutcomeUnknown& unknown) {
-  if (unknown.connection_ended) this->RecordEndedExchange(job, target, false);
+  if (unknown.connection_ended && !unknown.caller_was_slow) {
+    this->RecordEndedExchange(job, target, false);
+  }
   if (job.connection.IsDisconnected()) {
     this->RecordOutcome(job, "caller left", 0);
     co_return NextStep::kDone;
   }
-  target.RecordResult(TargetResult::kFailure, this->clock.Now());
+  if (!unknown.caller_was_slow) {
+    target.RecordResult(TargetResult::kFailure, this->clock.Now());
+  }
   this->log.Write("request", "lost",
                   {{"id", job.request.id},
                    {"target", job.target},
                    {"why", unknown.why},
                    {"last_event", job.events.LastId()},
                    {"shared_parts", job.SharedPartIds()},
+                   {"caller_was_slow", unknown.caller_was_slow},
                    {"sent_ago_ms", this->clock.Now() - job.attempt_started},
                    {"attempts", job.attempts}});
   job.events.Restart();
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -15,6 +15,10 @@
 
 // A caller may take a stream up again when its route's timeout is over.
 constexpr int kTimeoutsPerStream = 2;
+// An event is kept until it is complete.
+constexpr std::size_t kMaxEventBytes = 1u << 20;
+// A target that cannot send for longer than this may cut the response off.
+constexpr absl::Duration kSlowWriteTime = absl::Seconds(1);
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -99,13 +103,20 @@
   while (true) {
     const StreamReadResult result = co_await exchange.Read();
     if (const auto* unknown = std::get_if<OutcomeUnknown>(&result)) {
-      co_return co_await this->AfterOutcomeUnknown(job, target, *unknown);
+      OutcomeUnknown broken = *unknown;
+      broken.caller_was_slow = job.connection.LastWriteTime() >= kSlowWriteTime;
+      co_return co_await this->AfterOutcomeUnknown(job, target, broken);
     }
     if (job.uses_own_path) this->paths.RecordReceived(job.service->name);
     const bool ended = std::holds_alternative<EndOfStream>(result);
     const std::string_view events =
         ended ? std::string_view()
               : job.events.Add(std::get<StreamBytes>(result).bytes);
+    if (job.events.PartialBytes() > kMaxEventBytes) {
+      exchange.Abort("an event is too long");
+      const OutcomeUnknown broken{"an event is too long"};
+      co_return co_await this->AfterOutcomeUnknown(job, target, broken);
+    }
     if (job.events.OutOfOrder() || (ended && job.events.HasPartial())) {
       exchange.Abort("stream events out of order or incomplete");
       OutcomeUnknown broken{"stream events out of order or incomplete"};
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -47,6 +47,9 @@
   bool timed_out = false;
   /// Whether the connection ended, as all do when the target's process ends.
   bool connection_ended = false;
+  /// The response stayed unread for so long that the target may have cut it
+  /// off.
+  bool caller_was_slow = false;
 };
 /// A complete response to this request.
 struct CompleteResponse {
--- a/dragonflyglade/gateway/target_socket.cc
+++ b/dragonflyglade/gateway/target_socket.cc
@@ -26,12 +26,20 @@
 // target may be silent for a second.
 constexpr absl::Duration kTcpUserTimeout = absl::Seconds(2);
 
+// Enough for the bandwidth of an instance within a region.
+constexpr int kSocketBufferBytes = 256 << 10;
+
 }  // namespace
 
 void ConfigureTargetSocket(tcp::socket& socket) {
   // Errors are ignored: the options affect timing only, not the outcome.
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  // The kernel would keep megabytes for a target that does not read, or of a
+  // response that the caller does not read.
+  socket.set_option(tcp::socket::send_buffer_size(kSocketBufferBytes), ignored);
+  socket.set_option(tcp::socket::receive_buffer_size(kSocketBufferBytes),
+                    ignored);
   const int timeout_ms =
       static_cast<int>(absl::ToInt64Milliseconds(kTcpUserTimeout));
   setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -252,6 +252,7 @@
   settings.leader_handover_delay = absl::Milliseconds(10);
   settings.retry_share = 1;
   settings.retry_slack = 100;
+  settings.caller_buffers = this->options.caller_buffers;
   return settings;
 }
 
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -42,6 +42,7 @@
     gateway::WireFormat wire = platform::MakeWireFormat();
     /// The object `limits` of the configuration.
     nlohmann::json limits = nlohmann::json::object();
+    gateway::CallerBufferLimits caller_buffers;
   };
 
   /// The bytes that a caller received until its connection ended.
