--- a/tests/platform/platform-slow-readers.cc
+++ b/tests/platform/platform-slow-readers.cc
@@ -103,13 +103,14 @@
   // responses and do not read them, and against other callers who suffer.
   void BoundsWhatIsKeptForCallers() {
     constexpr int kReaders = 100;
+    constexpr int kHalf = kReaders / 2;
     SlowReaders play;
     play.Begin(kReaders, "POST", "/once/");
     double most = 0;
     play.harness.WaitFor([&] {
       CPPUNIT_ASSERT_EQUAL(200, play.harness.Call("POST", "/once/").status);
       most = std::max(most, play.Metric("caller_buffer_bytes"));
-      return play.Ended("caller reads too slowly") >= kReaders / 2;
+      return play.Ended("caller reads too slowly") >= kHalf;
     });
     CPPUNIT_ASSERT(most > 0);
     CPPUNIT_ASSERT(most <= static_cast<double>(kMaxTotalBytes));
