Take the rate of prompts from summaries where no notices are sent

Above 24 listed instances, instances don't tell each other of each prompt, so the cost knew only this instance's prompts. The mean of the unread tokens in the leader's summaries now tells how busy an engine is with prefill.

--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -160,8 +160,8 @@
     candidate.same_zone = record.zone == this->settings.zone;
     candidate.failure_rate = target->FailureRate();
     candidate.slowness = target->Slowness(now);
-    candidate.prompt_tokens_per_ms = target->Prompts().TokensPerMs(now);
-    candidate.typical_prompt_tokens = target->Prompts().TypicalTokens();
+    candidate.prompt_tokens_per_ms = target->PromptTokensPerMs(now);
+    candidate.typical_prompt_tokens = target->TypicalPromptTokens();
     candidates.push_back(candidate);
     targets.push_back(target);
   }
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -177,6 +177,13 @@
   this->others_requests = requests;
   this->others_unread = unread;
   this->others_at = now;
+  this->others_backlog.Record(unread, now);
+}
+
+double TargetState::PromptTokensPerMs(Instant now) const {
+  return std::max(
+      this->prompts.TokensPerMs(now),
+      this->others_backlog.TokensPerMs(this->TypicalPromptTokens(), now));
 }
 
 void TargetState::AddSentByOthers(double prompt_tokens, Instant now) {
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -12,6 +12,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/leaky_bucket.h"
 #include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/prompt_backlog.h"
 #include "dragonflyglade/decision/prompt_rate.h"
 #include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/decision/slow_start.h"
@@ -130,8 +131,12 @@
   double EstimatedRequests(Instant now) const;
   /// Estimate of the prompt tokens that the target has yet to process.
   double EstimatedUnreadTokens(Instant now) const;
-  /// The prompts that the target got lately, of all instances.
-  const PromptRate& Prompts() const { return this->prompts; }
+  /// Prompt tokens that the target got per millisecond lately, of all
+  /// instances.
+  double PromptTokensPerMs(Instant now) const;
+  /// The mean size of the prompt that one of these tokens belongs to; 0 if this
+  /// instance knows of none.
+  double TypicalPromptTokens() const { return this->prompts.TypicalTokens(); }
   /// Prompt tokens sent in excess of the pace; see PacingDelay.
   double TokensAheadOfPace(Instant now) const { return this->pace.Level(now); }
 
@@ -183,7 +188,8 @@
   LeakyBucket others_sent{kPrefillTokensPerMs};
   LeakyBucket pace{
       kPacedPrefillTokensPerMs};  ///< prompt tokens that all instances send
-  PromptRate prompts;
+  PromptRate prompts;            ///< of this instance, and those others told of
+  PromptBacklog others_backlog;  ///< of instances that tell of no prompts
   double failure_rate = 0;
   int unreachable_in_row = 0;
   Instant avoid_until;
--- a/tests/unit/unit-engine-separation.cc
+++ b/tests/unit/unit-engine-separation.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dragonflyglade/decision/leaky_bucket.h"
+#include "dragonflyglade/decision/prompt_backlog.h"
 #include "dragonflyglade/decision/prompt_rate.h"
 #include "dragonflyglade/decision/target_choice.h"
 
@@ -121,10 +122,14 @@
 
 enum class Rule { kLeastDelay, kLeastCost };
 
+/// What instances hear of each other's prompts.
+enum class LoadInfo { kNotices, kSummaries };
+
 struct Load {
   const char* what;
   int copies;
   double seconds;
+  LoadInfo info;
   /// Late requests by cost, as a share of those by delay.
   double max_late_share;
 };
@@ -154,7 +159,9 @@
         prompts(load.copies),
         summarized(load.copies, 0),
         summarized_tokens(load.copies, 0),
-        sent_since_summary(kInstances, std::vector<int>(load.copies, 0)) {}
+        backlogs(load.copies),
+        sent_since_summary(kInstances, std::vector<int>(load.copies, 0)),
+        unread_since_summary(kInstances, std::vector<double>(load.copies, 0)) {}
 
   Late Run() {
     std::vector<Request> requests;
@@ -210,7 +217,9 @@
       this->summarized[i] = this->engines[i].Requests();
       this->summarized_tokens[i] = this->engines[i].UnreadTokens();
       this->unread[i] = LeakyBucket(kPrefillTokensPerMs);
+      this->backlogs[i].Record(this->summarized_tokens[i], At(now));
       for (auto& sent : this->sent_since_summary) sent[i] = 0;
+      for (auto& unread : this->unread_since_summary) unread[i] = 0;
     }
   }
 
@@ -218,6 +227,8 @@
     const std::size_t engine = this->Choose(request, number, now);
     this->engines[engine].Send(request);
     this->sent_since_summary[request.instance][engine] += 1;
+    this->unread_since_summary[request.instance][engine] +=
+        request.kind->prompt_tokens;
     this->notices.push_back({now + kNoticeDelayMs, static_cast<int>(engine),
                              request.kind->prompt_tokens});
   }
@@ -236,9 +247,16 @@
       candidate.requests =
           this->summarized[i] + this->sent_since_summary[request.instance][i];
       candidate.unprocessed_prompt_tokens =
-          this->summarized_tokens[i] + this->unread[i].Level(At(now));
-      candidate.prompt_tokens_per_ms = this->prompts[i].TokensPerMs(At(now));
+          this->summarized_tokens[i] +
+          (this->load.info == LoadInfo::kNotices
+               ? this->unread[i].Level(At(now))
+               : this->unread_since_summary[request.instance][i]);
       candidate.typical_prompt_tokens = this->prompts[i].TypicalTokens();
+      candidate.prompt_tokens_per_ms =
+          this->load.info == LoadInfo::kNotices
+              ? this->prompts[i].TokensPerMs(At(now))
+              : this->backlogs[i].TokensPerMs(candidate.typical_prompt_tokens,
+                                              At(now));
       candidates.push_back(candidate);
     }
     const TargetChoiceRequest choice{request.kind->prompt_tokens, 0, ""};
@@ -281,7 +299,9 @@
   std::vector<PromptRate> prompts;
   std::vector<int> summarized;
   std::vector<double> summarized_tokens;
-  std::vector<std::vector<int>> sent_since_summary;  ///< by instance
+  std::vector<PromptBacklog> backlogs;
+  std::vector<std::vector<int>> sent_since_summary;       ///< by instance
+  std::vector<std::vector<double>> unread_since_summary;  ///< by instance
   std::deque<Notice> notices;
 };
 
@@ -294,28 +314,34 @@
   // Guards against long prompts on all copies of a model, which make the gaps
   // of most streams too long.
   void KeepsLongPromptsFromStreams() {
+    constexpr LoadInfo kNotices = LoadInfo::kNotices;
+    constexpr LoadInfo kSummaries = LoadInfo::kSummaries;
     const std::vector<Load> loads = {
-        {"two copies", 2, 24, 0.5},
-        {"three copies", 3, 16, 0.45},
-        {"three copies that are nearly overloaded", 3, 12, 0.7},
+        {"two copies", 2, 24, kNotices, 0.5},
+        {"three copies", 3, 16, kNotices, 0.45},
+        {"three copies that are nearly overloaded", 3, 12, kNotices, 0.7},
+        {"two copies, without notices", 2, 24, kSummaries, 0.65},
+        {"three copies, without notices", 3, 16, kSummaries, 0.75},
     };
+    for (const Load& load : loads) CheckLoad(load);
+  }
+
+ private:
+  static void CheckLoad(const Load& load) {
     constexpr unsigned kSeeds = 5;
-    for (const Load& load : loads) {
-      Late delay;
-      Late cost;
-      for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-        delay.Add(PlayedFleet(load, Rule::kLeastDelay, seed).Run());
-        cost.Add(PlayedFleet(load, Rule::kLeastCost, seed).Run());
-      }
-      const std::string figures = std::string(load.what) + ": late gaps " +
-                                  std::to_string(delay.gaps) + " by delay, " +
-                                  std::to_string(cost.gaps) +
-                                  " by cost; late first outputs " +
-                                  std::to_string(delay.first_outputs) +
-                                  " and " + std::to_string(cost.first_outputs);
-      CPPUNIT_ASSERT_MESSAGE(figures,
-                             cost.Sum() <= load.max_late_share * delay.Sum());
+    Late delay;
+    Late cost;
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+      delay.Add(PlayedFleet(load, Rule::kLeastDelay, seed).Run());
+      cost.Add(PlayedFleet(load, Rule::kLeastCost, seed).Run());
     }
+    const std::string figures =
+        std::string(load.what) + ": late gaps " + std::to_string(delay.gaps) +
+        " by delay, " + std::to_string(cost.gaps) +
+        " by cost; late first outputs " + std::to_string(delay.first_outputs) +
+        " and " + std::to_string(cost.first_outputs);
+    CPPUNIT_ASSERT_MESSAGE(figures,
+                           cost.Sum() <= load.max_late_share * delay.Sum());
   }
 };
 
