--- a/dragonflyglade/decision/engine_model.cc
+++ b/dragonflyglade/decision/engine_model.cc
@@ -30,13 +30,16 @@
   return std::min<double>(this->requests, this->slots);
 }
 
+double EngineLoad::Waiting() const {
+  return std::max(0.0, this->requests + 1 - this->slots);
+}
+
 double FirstOutputMs(const EngineFigures& figures, const EngineLoad& load,
                      double prompt_tokens) {
-  const double waiting_requests = std::max(0.0, load.requests + 1 - load.slots);
   const double usual_ms = (load.unprocessed_prompt_tokens + prompt_tokens) /
                               figures.prefill_tokens_per_ms +
                           load.Running() * figures.running_request_ms +
-                          waiting_requests * figures.waiting_request_ms;
+                          load.Waiting() * figures.waiting_request_ms;
   return usual_ms * load.slowness;
 }
 
--- a/dragonflyglade/decision/engine_model.h
+++ b/dragonflyglade/decision/engine_model.h
@@ -36,6 +36,8 @@
 
   /// Requests that it runs.
   double Running() const;
+  /// Requests without a slot, if there is one more.
+  double Waiting() const;
 };
 
 /// The streams whose gaps between events are judged.
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -373,6 +373,7 @@
                           absl::ToDoubleSeconds(first));
     this->metrics.Observe("request_seconds", "",
                           absl::ToDoubleSeconds(now - job.started));
+    this->RecordEngineOutcome(job);
   }
   this->log.Write(
       "request", outcome,
@@ -393,6 +394,8 @@
        {"paced_ms", job.pacing_time},
        {"expected_ms", job.expected_first_output_delay},
        {"first_ms", first},
+       {"first_at_target_ms", job.FirstOutputAtTarget()},
+       {"expected_pause_ms", job.PredictedPause()},
        {"longest_pause_ms", job.longest_pause},
        {"total_ms", now - job.started},
        {"connection", job.connection.EndReason()}});
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -14,6 +14,7 @@
 #include "absl/random/random.h"
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/engine_learner.h"
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
@@ -124,6 +125,9 @@
   EngineRequest EngineRequestOf(const RequestJob& job) const;
   std::optional<TargetChoice> ChooseTargetFor(
       const RequestJob& job, absl::Span<const TargetCandidate> candidates);
+  /// Compares the prediction for an answered request with its outcome, and
+  /// learns from it.
+  void RecordEngineOutcome(const RequestJob& job);
   boost::asio::awaitable<NextStep> Attempt(RequestJob& job,
                                            std::shared_ptr<TargetState> target);
   boost::asio::awaitable<NextStep> RelayStream(RequestJob& job,
@@ -187,6 +191,8 @@
   /// By service.
   std::map<std::string, PacingControl, std::less<>> pacing;
   std::set<std::string, std::less<>> speed_aware_services;
+  /// By speed-aware service.
+  std::map<std::string, EngineLearner, std::less<>> engine_learners;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_engines.cc
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -7,6 +7,16 @@
 #include "dragonflyglade/gateway/request_job.h"
 
 namespace dragonflyglade::gateway {
+namespace {
+
+std::string PredictedBand(absl::Duration predicted) {
+  if (predicted < absl::Milliseconds(100)) return "predicted=\"under 0.1 s\"";
+  if (predicted < absl::Milliseconds(300)) return "predicted=\"under 0.3 s\"";
+  if (predicted < absl::Seconds(1)) return "predicted=\"under 1 s\"";
+  return "predicted=\"1 s and more\"";
+}
+
+}  // namespace
 
 bool Pipeline::IsSpeedAware(std::string_view service) {
   if (this->speed_aware_services.count(service) > 0) return true;
@@ -39,11 +49,29 @@
   request.shared_prefix_tokens = job.SharedTokens();
   request.shared_prefix_id = job.SharedId();
   if (job.NeedsModel() && this->IsSpeedAware(job.service->name)) {
-    return ChooseEngine(request, this->EngineRequestOf(job), EngineFigures(),
+    return ChooseEngine(request, this->EngineRequestOf(job),
+                        this->engine_learners[job.service->name].Figures(),
                         candidates);
   }
   return ChooseTarget(request, candidates,
                       absl::Uniform<double>(this->random, 0, 1));
 }
 
+// An answer after several attempts says little of the last target.
+void Pipeline::RecordEngineOutcome(const RequestJob& job) {
+  if (!job.prediction.has_value() || job.attempts != 1) return;
+  if (!job.attempt_first_output.has_value()) return;
+  const EnginePrediction& prediction = *job.prediction;
+  const absl::Duration first = job.FirstOutputAtTarget();
+  const absl::Duration predicted =
+      absl::Milliseconds(prediction.first_output_ms);
+  this->metrics.Observe("first_output_error_seconds", PredictedBand(predicted),
+                        absl::ToDoubleSeconds(first - predicted));
+  EngineLearner& learner = this->engine_learners[job.service->name];
+  learner.RecordFirstOutput(prediction, first);
+  if (job.longest_pause <= absl::ZeroDuration()) return;
+  learner.RecordLongestGap(prediction, this->EngineRequestOf(job).stream,
+                           job.longest_pause);
+}
+
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/request_job.cc
+++ b/dragonflyglade/gateway/request_job.cc
@@ -44,6 +44,17 @@
          now - *this->attempt_first_output < kBeginningTime;
 }
 
+absl::Duration RequestJob::FirstOutputAtTarget() const {
+  return this->attempt_first_output.value_or(this->attempt_started) -
+         this->attempt_started;
+}
+
+absl::Duration RequestJob::PredictedPause() const {
+  return this->prediction.has_value()
+             ? absl::Milliseconds(this->prediction->longest_gap_ms)
+             : absl::ZeroDuration();
+}
+
 void RequestJob::RecordOutput(Instant now) {
   if (!this->attempt_first_output.has_value()) this->attempt_first_output = now;
   if (!this->first_output.has_value()) this->first_output = now;
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -93,6 +93,10 @@
   }
   /// Records output of the target for the caller.
   void RecordOutput(Instant now);
+  /// Time from the current attempt to its first output; zero if it has none.
+  absl::Duration FirstOutputAtTarget() const;
+  /// The longest gap between two events that was predicted; zero if none was.
+  absl::Duration PredictedPause() const;
   /// Whether the target may be beginning its answer, or may have begun a moment
   /// ago.
   bool IsBeginning(Instant now) const;
