Delay prompts only where it makes streams less late

Pacing delayed prompts by up to a quarter of the latency objective even where gaps stayed above their objective whatever the delay. For speed-aware services, a stable hash names one engine in eight that never gets delayed prompts and one that always does. The others follow the comparison of their late shares, with today's pacing until 30 streams of both are known. A prompt that could not keep the pace within its longest delay is sent at once, since such delays shift all prompts and leave no gap between them.

--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -16,6 +16,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/engine_learner.h"
 #include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/pacing_trial.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/decision/send_allowance.h"
@@ -122,6 +123,8 @@
   /// Whether an engine of the service ever stated how fast it is. Only then do
   /// the model of engines and what follows from it apply.
   bool IsSpeedAware(std::string_view service);
+  /// Whether a delay of a prompt for the target makes a difference.
+  bool MayPace(const RequestJob& job, const TargetState& target);
   EngineRequest EngineRequestOf(const RequestJob& job) const;
   std::optional<TargetChoice> ChooseTargetFor(
       const RequestJob& job, absl::Span<const TargetCandidate> candidates);
@@ -193,6 +196,7 @@
   std::set<std::string, std::less<>> speed_aware_services;
   /// By speed-aware service.
   std::map<std::string, EngineLearner, std::less<>> engine_learners;
+  std::map<std::string, PacingTrial, std::less<>> pacing_trials;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -202,11 +202,16 @@
   const Instant until =
       wait_start + MaxPacingDelay(job.route->latency_objective);
   Instant now = wait_start;
+  const bool speed_aware = this->IsSpeedAware(job.service->name);
   while (target != nullptr && now < until && !this->EndsWait(job)) {
+    if (!this->MayPace(job, *target)) break;
     const absl::Duration hold =
         PacingDelay(target->TokensAheadOfPace(now), job.UnreadTokens(),
                     objective, this->pacing[job.service->name].BacklogFactor());
     if (hold <= absl::ZeroDuration()) break;
+    // If more prompts come than the pace lets through, the longest delay of
+    // each would shift them all and leave no gap between them.
+    if (speed_aware && now + hold > until) break;
     co_await Sleep(this->context, std::min(hold, until - now));
     now = this->clock.Now();
     target = this->Choose(job);
--- a/dragonflyglade/gateway/pipeline_engines.cc
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -72,6 +72,15 @@
   if (job.longest_pause <= absl::ZeroDuration()) return;
   learner.RecordLongestGap(prediction, this->EngineRequestOf(job).stream,
                            job.longest_pause);
+  const absl::Duration objective = job.route->event_gap_objective;
+  if (objective == absl::InfiniteDuration()) return;
+  this->pacing_trials[job.service->name].RecordStream(
+      job.target, job.longest_pause > objective);
+}
+
+bool Pipeline::MayPace(const RequestJob& job, const TargetState& target) {
+  if (!this->IsSpeedAware(job.service->name)) return true;
+  return this->pacing_trials[job.service->name].Delays(target.Record().id);
 }
 
 }  // namespace dragonflyglade::gateway
