Refuse at once what engines cannot begin in time or hold

Requests were sent to engines that could not begin before the deadline, and callers left without an answer. For speed-aware services such a request is refused as `engines_overloaded` (503, spread Retry-After) if the first output is after the deadline by the lower bound of the prediction at every candidate, never while a candidate is idle or if a target may have run it. A request whose prompt and expected output exceed an engine's KV cache capacity is refused as `request_too_large_for_engines` (413).

No test sends these two refusals through a gateway yet.

--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -34,6 +34,8 @@
   kStreamOriginUnknown,
   kStreamVersionUnavailable,
   kCrashingPart,
+  kEnginesOverloaded,
+  kRequestTooLargeForEngines,
   kQueueFull,
   kClaimServiceUnavailable,
   kClaimInDoubt,
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "dragonflyglade/decision/rendezvous.h"
 
@@ -100,6 +101,11 @@
   return prediction;
 }
 
+bool IsIdle(const TargetCandidate& candidate) {
+  return candidate.has_room && candidate.requests < candidate.slots &&
+         candidate.unprocessed_prompt_tokens < 1;
+}
+
 // The running streams of which a gap becomes too long by the request's prompt.
 double NewlyLateStreams(const EnginePrediction& prediction,
                         const EngineFigures& figures,
@@ -169,7 +175,9 @@
     wait_ms += candidate.same_zone ? 0 : kOtherZoneMs;
     if (best.has_value() && wait_ms >= best_ms) continue;
     best_ms = wait_ms;
-    best = TargetChoice{i, absl::Milliseconds(wait_ms), std::nullopt};
+    best.emplace();
+    best->index = i;
+    best->expected_first_output_delay = absl::Milliseconds(wait_ms);
   }
   return best;
 }
@@ -180,15 +188,26 @@
     absl::Span<const TargetCandidate> candidates) {
   std::optional<TargetChoice> best;
   double best_ms = 0;
+  double least_ms = std::numeric_limits<double>::infinity();
+  bool any_idle = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const EnginePrediction prediction =
         Predict(candidates[i], request, engine_request, figures);
     const double cost_ms =
         CostMs(prediction, candidates[i], engine_request, figures);
+    least_ms = std::min(least_ms, prediction.first_output_ms);
+    any_idle = any_idle || IsIdle(candidates[i]);
     if (best.has_value() && cost_ms >= best_ms) continue;
     best_ms = cost_ms;
-    best = TargetChoice{i, absl::Milliseconds(prediction.first_output_ms),
-                        prediction};
+    best.emplace();
+    best->index = i;
+    best->expected_first_output_delay =
+        absl::Milliseconds(prediction.first_output_ms);
+    best->engine = prediction;
+  }
+  if (best.has_value()) {
+    best->least_first_output_delay = absl::Milliseconds(least_ms);
+    best->any_idle = any_idle;
   }
   return best;
 }
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -54,8 +54,12 @@
 struct TargetChoice {
   std::size_t index = 0;  ///< into the candidates
   absl::Duration expected_first_output_delay;
-  /// Only of engines that state how fast they are.
+  // Only of engines that state how fast they are.
   std::optional<EnginePrediction> engine;
+  /// At the candidate where it is the least.
+  absl::Duration least_first_output_delay;
+  /// Whether a candidate has room and nothing waits there.
+  bool any_idle = false;
 };
 
 /// The priority of a request at an engine, from 0 (first) to 9 (last). The
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -140,6 +140,7 @@
   std::optional<Refusal> refusal = this->FindRoute(job);
   if (!refusal.has_value()) refusal = this->FindWorkspace(job);
   if (!refusal.has_value()) refusal = this->CheckParts(job);
+  if (!refusal.has_value()) refusal = this->CheckSize(job);
   if (!refusal.has_value()) refusal = co_await this->FindStreamOrigin(job);
   if (!refusal.has_value()) refusal = co_await this->AdmitToQuota(job);
   job.admission_time = this->clock.Now() - job.started;
@@ -272,6 +273,11 @@
       co_await this->Refuse(job, this->NoTargetRefusal(job));
       co_return;
     }
+    refusal = this->CheckEngines(job);
+    if (refusal.has_value()) {
+      co_await this->Refuse(job, std::move(*refusal));
+      co_return;
+    }
     next = co_await this->Attempt(job, target);
   }
 }
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -123,6 +123,11 @@
   /// Whether an engine of the service ever stated how fast it is. Only then do
   /// the model of engines and what follows from it apply.
   bool IsSpeedAware(std::string_view service);
+  /// The refusal of a request that needs more memory than an engine has.
+  std::optional<Refusal> CheckSize(const RequestJob& job);
+  /// The refusal of a request whose first output would be after its deadline at
+  /// every candidate of the last choice.
+  std::optional<Refusal> CheckEngines(const RequestJob& job);
   /// Whether a delay of a prompt for the target makes a difference.
   bool MayPace(const RequestJob& job, const TargetState& target);
   EngineRequest EngineRequestOf(const RequestJob& job) const;
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -156,6 +156,7 @@
     candidate.id = record.id;
     candidate.slots = record.slots;
     candidate.requests = target->EstimatedRequests(now);
+    candidate.has_room = candidate.requests < candidate.slots;
     candidate.unprocessed_prompt_tokens = target->EstimatedUnreadTokens(now);
     candidate.same_zone = record.zone == this->settings.zone;
     candidate.failure_rate = target->FailureRate();
@@ -171,6 +172,9 @@
   job.candidates = candidates.size();
   job.expected_first_output_delay = choice->expected_first_output_delay;
   job.prediction = choice->engine;
+  job.least_first_output_delay = choice->any_idle
+                                     ? absl::ZeroDuration()
+                                     : choice->least_first_output_delay;
   return targets[choice->index];
 }
 
--- a/dragonflyglade/gateway/pipeline_engines.cc
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -1,6 +1,7 @@
 // The methods of Pipeline for engines that state how fast they are.
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/pipeline.h"
@@ -9,6 +10,9 @@
 namespace dragonflyglade::gateway {
 namespace {
 
+// Callers that are refused return within this many times the predicted delay.
+constexpr double kReturnSpread = 1.5;
+
 std::string PredictedBand(absl::Duration predicted) {
   if (predicted < absl::Milliseconds(100)) return "predicted=\"under 0.1 s\"";
   if (predicted < absl::Milliseconds(300)) return "predicted=\"under 0.3 s\"";
@@ -78,6 +82,32 @@
       job.target, job.longest_pause > objective);
 }
 
+std::optional<Refusal> Pipeline::CheckSize(const RequestJob& job) {
+  const std::optional<EngineLimits>& engine = job.service->engine;
+  if (!engine.has_value() || !engine->kv_capacity_tokens.has_value()) {
+    return std::nullopt;
+  }
+  const ModelUse& use = job.request.use;
+  const double tokens = use.prompt_tokens + use.ExpectedOutputTokens();
+  if (tokens <= *engine->kv_capacity_tokens) return std::nullopt;
+  if (!this->IsSpeedAware(job.service->name)) return std::nullopt;
+  return MakeRefusal(RefusalCode::kRequestTooLargeForEngines,
+                     "the request needs more memory than an engine has");
+}
+
+// What a target may have executed is not refused as not executed.
+std::optional<Refusal> Pipeline::CheckEngines(const RequestJob& job) {
+  if (!job.prediction.has_value() || job.executions > 0) return std::nullopt;
+  const absl::Duration least = job.least_first_output_delay;
+  if (least <= absl::ZeroDuration()) return std::nullopt;
+  const EngineLearner& learner = this->engine_learners[job.service->name];
+  const Instant now = this->clock.Now();
+  if (now + learner.LowerBound() * least <= job.deadline) return std::nullopt;
+  const double spread = absl::Uniform<double>(this->random, 1, kReturnSpread);
+  return MakeRefusal(RefusalCode::kEnginesOverloaded,
+                     "no engine can begin before the deadline", spread * least);
+}
+
 bool Pipeline::MayPace(const RequestJob& job, const TargetState& target) {
   if (!this->IsSpeedAware(job.service->name)) return true;
   return this->pacing_trials[job.service->name].Delays(target.Record().id);
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -59,6 +59,8 @@
   /// At the chosen target, if the engines of the service state how fast they
   /// are.
   std::optional<EnginePrediction> prediction;
+  /// At the candidate where it is the least; zero if a candidate is idle.
+  absl::Duration least_first_output_delay;
   absl::Duration admission_time;  ///< time until the quota decision
   absl::Duration target_wait;     ///< time spent waiting for a target
   absl::Duration pacing_time;     ///< time spent in pacing, see PacingDelay
--- a/tests/unit/unit-target-choice.cc
+++ b/tests/unit/unit-target-choice.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(ComputesEnginePriority);
   CPPUNIT_TEST(ChoosesLeastCost);
   CPPUNIT_TEST(BreaksTiesEvenly);
+  CPPUNIT_TEST(TellsWhatEnginesCanDoAtBest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +205,32 @@
     }
   }
 
+  // Guards against refusals while an engine is idle, and against ones for the
+  // delay at an engine that was chosen although others begin sooner.
+  void TellsWhatEnginesCanDoAtBest() {
+    struct BestCase {
+      const char* what;
+      std::vector<TargetCandidate> candidates;
+      bool any_idle;
+    };
+    const std::vector<BestCase> cases = {
+        {"one is idle", {Candidate("a", 64, 90000), Candidate("b", 9)}, true},
+        {"prompts wait at both",
+         {Candidate("a", 9, 90000), Candidate("b", 9, 600)},
+         false},
+        {"no slot is free", {Candidate("a", 64), Candidate("b", 70)}, false},
+        {"no room", {WithoutRoom(Candidate("a", 9))}, false},
+    };
+    for (const BestCase& item : cases) {
+      const auto choice =
+          ChooseEngine(kPrompt, kChatStream, EngineFigures(), item.candidates);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.any_idle, choice->any_idle);
+      CPPUNIT_ASSERT_MESSAGE(item.what,
+                             choice->least_first_output_delay <=
+                                 choice->expected_first_output_delay);
+    }
+  }
+
   // Guards against instances that all send their requests of some milliseconds
   // to the same one of several equal engines.
   void BreaksTiesEvenly() {
