--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -14,7 +14,9 @@
 #include "absl/random/random.h"
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/engine_learner.h"
 #include "dragonflyglade/decision/pacing.h"
+#include "dragonflyglade/decision/pacing_trial.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/decision/send_allowance.h"
@@ -121,11 +123,21 @@
   /// Whether an engine of the service ever stated how fast it is. Only then do
   /// the model of engines and what follows from it apply.
   bool IsSpeedAware(std::string_view service);
+  /// The refusal of a request that needs more memory than an engine has.
+  std::optional<Refusal> CheckSize(const RequestJob& job);
+  /// The refusal of a request whose first output would be after its deadline at
+  /// every candidate of the last choice.
+  std::optional<Refusal> CheckEngines(const RequestJob& job);
+  /// Whether a delay of a prompt for the target makes a difference.
+  bool MayPace(const RequestJob& job, const TargetState& target);
   EngineRequest EngineRequestOf(const RequestJob& job) const;
   std::optional<TargetChoice> ChooseTargetFor(
       const RequestJob& job, absl::Span<const TargetCandidate> candidates);
   bool MayTryOwnPath(const RequestJob& job) const;
   TargetPath ChoosePath(RequestJob& job, const TargetState& target);
+  /// Compares the prediction for an answered request with its outcome, and
+  /// learns from it.
+  void RecordEngineOutcome(const RequestJob& job);
   boost::asio::awaitable<NextStep> Attempt(RequestJob& job,
                                            std::shared_ptr<TargetState> target);
   boost::asio::awaitable<NextStep> RelayStream(RequestJob& job,
@@ -189,6 +201,9 @@
   /// By service.
   std::map<std::string, PacingControl, std::less<>> pacing;
   std::set<std::string, std::less<>> speed_aware_services;
+  /// By speed-aware service.
+  std::map<std::string, EngineLearner, std::less<>> engine_learners;
+  std::map<std::string, PacingTrial, std::less<>> pacing_trials;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -156,12 +156,13 @@
     candidate.id = record.id;
     candidate.slots = record.slots;
     candidate.requests = target->EstimatedRequests(now);
+    candidate.has_room = candidate.requests < candidate.slots;
     candidate.unprocessed_prompt_tokens = target->EstimatedUnreadTokens(now);
     candidate.same_zone = record.zone == this->settings.zone;
     candidate.failure_rate = target->FailureRate();
     candidate.slowness = target->Slowness(now);
-    candidate.prompt_tokens_per_ms = target->Prompts().TokensPerMs(now);
-    candidate.typical_prompt_tokens = target->Prompts().TypicalTokens();
+    candidate.prompt_tokens_per_ms = target->PromptTokensPerMs(now);
+    candidate.typical_prompt_tokens = target->TypicalPromptTokens();
     candidates.push_back(candidate);
     targets.push_back(target);
   }
@@ -171,6 +172,9 @@
   job.candidates = candidates.size();
   job.expected_first_output_delay = choice->expected_first_output_delay;
   job.prediction = choice->engine;
+  job.least_first_output_delay = choice->any_idle
+                                     ? absl::ZeroDuration()
+                                     : choice->least_first_output_delay;
   return targets[choice->index];
 }
 
@@ -202,11 +206,16 @@
   const Instant until =
       wait_start + MaxPacingDelay(job.route->latency_objective);
   Instant now = wait_start;
+  const bool speed_aware = this->IsSpeedAware(job.service->name);
   while (target != nullptr && now < until && !this->EndsWait(job)) {
+    if (!this->MayPace(job, *target)) break;
     const absl::Duration hold =
         PacingDelay(target->TokensAheadOfPace(now), job.UnreadTokens(),
                     objective, this->pacing[job.service->name].BacklogFactor());
     if (hold <= absl::ZeroDuration()) break;
+    // If more prompts come than the pace lets through, the longest delay of
+    // each would shift them all and leave no gap between them.
+    if (speed_aware && now + hold > until) break;
     co_await Sleep(this->context, std::min(hold, until - now));
     now = this->clock.Now();
     target = this->Choose(job);
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -61,6 +61,8 @@
   /// At the chosen target, if the engines of the service state how fast they
   /// are.
   std::optional<EnginePrediction> prediction;
+  /// At the candidate where it is the least; zero if a candidate is idle.
+  absl::Duration least_first_output_delay;
   absl::Duration admission_time;  ///< time until the quota decision
   absl::Duration target_wait;     ///< time spent waiting for a target
   absl::Duration pacing_time;     ///< time spent in pacing, see PacingDelay
@@ -95,6 +97,10 @@
   }
   /// Records output of the target for the caller.
   void RecordOutput(Instant now);
+  /// Time from the current attempt to its first output; zero if it has none.
+  absl::Duration FirstOutputAtTarget() const;
+  /// The longest gap between two events that was predicted; zero if none was.
+  absl::Duration PredictedPause() const;
   /// Whether the target may be beginning its answer, or may have begun a moment
   /// ago.
   bool IsBeginning(Instant now) const;
