Continue runs from the copy at a second engine

Streams and answers ended with their engine unless their route allows a second run. Engines can keep copies of each other's runs, but nothing asked them to.

With the setting run_backups, and where the service's engines have `backups`, a request names a second engine of the same availability zone, version and model on another machine. When its engine is lost (connection closed, reset, or a stream silent), the request is sent to the second engine with the handle and the id of the last event, and the response goes on. A continuation uses the retry budget. A refused one is never reported as a request that has not run.

--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -62,7 +62,8 @@
                     {"load_window_s", NumberSchema()},
                     {"load_overage", NumberSchema()},
                     {"slow_start_overage", NumberSchema()},
-                    {"slow_start_slack", NumberSchema()}},
+                    {"slow_start_slack", NumberSchema()},
+                    {"run_backups", {{"type", "boolean"}}}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -124,6 +125,7 @@
   ReadNumber(limits, "load_overage", settings.load_overage);
   ReadNumber(limits, "slow_start_overage", settings.slow_start_overage);
   ReadNumber(limits, "slow_start_slack", settings.slow_start_slack);
+  settings.run_backups = limits.value("run_backups", settings.run_backups);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -49,6 +49,8 @@
   /// Of the requests to a target that warms up; see SlowStartLimit.
   double slow_start_overage = 1;
   double slow_start_slack = 0;
+  /// Whether engines are asked to keep copies of runs; see RunBackups.
+  bool run_backups = false;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -63,6 +63,10 @@
   absl::Duration time_left;     ///< until the request's deadline
   std::optional<int> priority;  ///< 0 is the most urgent
   std::optional<std::string> resume_after;
+  /// Address of the engine that is to keep a copy of the run; empty: none.
+  std::string backup;
+  /// Address of the engine whose copy the run continues from; empty: none.
+  std::string continue_from;
 };
 
 /// The load that a target states in a response.
@@ -118,6 +122,11 @@
   double memory_mb = 0;
   int adapter_slots = 0;
   double loads_per_second = 1;  ///< from the weight storage, by all targets
+  bool backups = false;         ///< engines keep copies of each other's runs
+  double kv_bytes = 0;          ///< of a token in a copy; 0: not known
+  double link_mbps = 0;  ///< between two engines, in Mbit/s; 0: not known
+  /// How long a copy is kept after its last part; zero: not known.
+  absl::Duration handle_time;
 };
 
 /// A service of the configuration.
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -77,6 +77,7 @@
   std::exception_ptr failure = co_await CatchException(this->ServeJob(job));
   this->jobs.erase(&job);
   this->RecordAttemptEnded(job);
+  this->EndCopy(job, false);
   // The disconnect callback holds a reference to the job.
   connection.StopWatching();
   if (failure)
@@ -257,7 +258,12 @@
   }
   NextStep next = NextStep::kTryAnother;
   while (next == NextStep::kTryAnother) {
-    const std::shared_ptr<TargetState> target = co_await this->FindTarget(job);
+    std::shared_ptr<TargetState> target;
+    if (job.continues_copy) {
+      target = this->EngineOfCopy(job);
+    } else {
+      target = co_await this->FindTarget(job);
+    }
     if (job.connection.IsDisconnected()) {
       this->RecordOutcome(job, "caller left", 0);
       co_return;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -16,6 +16,7 @@
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/decision/retry_budget.h"
+#include "dragonflyglade/decision/run_backup.h"
 #include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_connection.h"
@@ -142,11 +143,37 @@
       RequestJob& job, TargetState& target, const OutcomeUnknown& unknown);
   boost::asio::awaitable<NextStep> AfterResponse(
       RequestJob& job, TargetState& target, const CompleteResponse& response);
+  /// Chooses the engine that is to keep a copy of the run, if any.
+  void ChooseBackup(RequestJob& job, const TargetState& target);
+  std::shared_ptr<TargetState> BackupEngineFor(const RequestJob& job,
+                                               const TargetState& target,
+                                               double tokens);
+  /// Whether the engine can keep a copy of a run of the other one.
+  bool CanKeepCopy(const RequestJob& job, TargetState& engine,
+                   const TargetState& other, double tokens, Instant now);
+  /// Records that the run of the copy has ended.
+  void EndCopy(RequestJob& job, bool succeeded);
+  /// Whether a silent stream is to be continued from its copy.
+  void LimitSilence(const RequestJob& job, TargetExchange& exchange);
+  /// The engine that keeps the run's copy; null if it can no longer go on.
+  std::shared_ptr<TargetState> EngineOfCopy(const RequestJob& job);
+  bool MayContinue(const RequestJob& job);
+  /// Prepares the next attempt to continue the run from its copy.
+  /// @return nothing if it cannot continue
+  boost::asio::awaitable<std::optional<NextStep>> ContinueFromCopy(
+      RequestJob& job, const OutcomeUnknown& unknown);
+  boost::asio::awaitable<NextStep> AfterContinuationFailed(
+      RequestJob& job, std::string_view why);
   /// Whether a request that waits for a target must end its wait.
   bool EndsWait(const RequestJob& job) const;
   void RecordEndedExchange(const RequestJob& job, const TargetState& target,
                            bool may_be_complete);
+  /// Whether time and number of attempts allow another one.
+  bool HasAttemptLeft(const RequestJob& job) const;
+  bool MayCrashNextTarget(const RequestJob& job) const;
   bool MayRetry(RequestJob& job, bool may_have_run);
+  /// Consumes one retry of the service's budget, if one is left.
+  bool ConsumeRetry(const RequestJob& job);
   RetryBudget& RetryBudgetOf(std::string_view service);
   Refusal NoTargetRefusal(const RequestJob& job);
   /// The refusal of a request that some target takes after a time.
@@ -178,6 +205,7 @@
       retry_budgets;
   /// By service.
   std::map<std::string, PacingControl, std::less<>> pacing;
+  RunBackups backups;
   absl::BitGen random;
   const Instant started;
   int in_flight = 0;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -78,6 +78,10 @@
   stamp.resume_after = job.events.LastId().empty()
                            ? job.request.resume_after
                            : std::optional<std::string>(job.events.LastId());
+  if (job.copy.has_value()) {
+    (job.continues_copy ? stamp.continue_from : stamp.backup) =
+        job.copy->address;
+  }
   if (job.workspace != nullptr) stamp.workspace = job.workspace->name;
   if (job.NeedsModel()) {
     stamp.priority = EngineRequestPriority(
@@ -92,6 +96,7 @@
 asio::awaitable<Pipeline::NextStep> Pipeline::Attempt(
     RequestJob& job, std::shared_ptr<TargetState> target) {
   const Instant now = this->clock.Now();
+  if (!job.continues_copy) this->ChooseBackup(job, *target);
   const ForwardingContext stamp =
       MakeForwardingContext(job, target->Record().id, now);
   job.target = stamp.target;
@@ -120,9 +125,12 @@
   if (job.uses_own_path) {
     job.sent_over_own_path = this->paths.RecordSent(job.service->name);
   }
-  InFlightGuard guard(*target, job.UnreadTokens(), job.Resident(), now);
-  if (job.NeedsModel()) {
-    this->channel.BroadcastSentPrompt(job.target, job.UnreadTokens());
+  // A continued run's prompt is in the engine's memory already.
+  const double unread_tokens = job.continues_copy ? 0 : job.UnreadTokens();
+  const int new_run = job.continues_copy ? 0 : 1;
+  InFlightGuard guard(*target, unread_tokens, job.Resident(), now);
+  if (job.NeedsModel() && !job.continues_copy) {
+    this->channel.BroadcastSentPrompt(job.target, unread_tokens);
   }
   ExchangeOutcome outcome = co_await exchange.Run(
       address, job.request.id, std::move(head), job.request.body,
@@ -142,15 +150,15 @@
     next = co_await this->AfterDeclined(job, *target, *declined);
   } else if (const auto* unknown = std::get_if<OutcomeUnknown>(&outcome)) {
     job.attempts += 1;
-    job.executions += 1;
+    job.executions += new_run;
     next = co_await this->AfterOutcomeUnknown(job, *target, *unknown);
   } else if (const auto* response = std::get_if<CompleteResponse>(&outcome)) {
     job.attempts += 1;
-    job.executions += 1;
+    job.executions += new_run;
     next = co_await this->AfterResponse(job, *target, *response);
   } else {
     job.attempts += 1;
-    job.executions += 1;
+    job.executions += new_run;
     next = co_await this->RelayStream(job, *target, exchange,
                                       std::get<StreamHead>(outcome).head);
   }
@@ -214,18 +222,27 @@
   this->crash_detector.RecordEnded(target.Record(), std::move(exchange));
 }
 
+bool Pipeline::HasAttemptLeft(const RequestJob& job) const {
+  if (job.deadline - this->clock.Now() < kMinAttemptTime) return false;
+  return job.attempts < kMaxAttempts;
+}
+
+// The next target might crash on the request, too. What has been answered on
+// for a while is sound.
+bool Pipeline::MayCrashNextTarget(const RequestJob& job) const {
+  return job.IsBeginning(this->clock.Now()) &&
+         this->crashing_parts.AnySuspect(job.SharedParts());
+}
+
 bool Pipeline::MayRetry(RequestJob& job, bool may_have_run) {
-  const Instant now = this->clock.Now();
-  if (job.deadline - now < kMinAttemptTime) return false;
-  if (job.attempts >= kMaxAttempts) return false;
+  if (!this->HasAttemptLeft(job)) return false;
   if (may_have_run && !job.MayReexecute()) return false;
   if (may_have_run && job.executions >= job.route->max_targets) return false;
-  // The next target might crash on it, too. What has been answered on for a
-  // while is sound.
-  if (may_have_run && job.IsBeginning(now) &&
-      this->crashing_parts.AnySuspect(job.SharedParts())) {
-    return false;
-  }
+  if (may_have_run && this->MayCrashNextTarget(job)) return false;
+  return this->ConsumeRetry(job);
+}
+
+bool Pipeline::ConsumeRetry(const RequestJob& job) {
   if (this->RetryBudgetOf(job.service->name).TryConsumeRetry()) return true;
   this->metrics.Count("retries_refused");
   this->log.Write("retry", "no retry budget left",
@@ -287,6 +304,10 @@
   job.not_sent += 1;
   this->RecordUnreachable(job, target, path, not_sent);
   const bool time_left = job.deadline - this->clock.Now() >= kMinAttemptTime;
+  // The copy is unused, and another path may lead to it.
+  if (job.continues_copy && this->EngineOfCopy(job) == nullptr) {
+    co_return co_await this->AfterContinuationFailed(job, not_sent.why);
+  }
   if (time_left && job.not_sent < kMaxAttempts) co_return NextStep::kTryAnother;
   Refusal refusal =
       MakeRefusal(job.executions > 0 ? RefusalCode::kTargetLost
@@ -304,6 +325,9 @@
     co_return NextStep::kDone;
   }
   this->RecordResponseHead(target, declined.head);
+  if (job.continues_copy) {
+    co_return co_await this->AfterContinuationFailed(job, "no copy");
+  }
   const ModelUse& use = job.request.use;
   if (!declined.head.wrong_target) {
     target.MarkFull(now);
@@ -345,6 +369,9 @@
                    {"sent_ago_ms", this->clock.Now() - job.attempt_started},
                    {"attempts", job.attempts}});
   job.events.Restart();
+  const std::optional<NextStep> next =
+      co_await this->ContinueFromCopy(job, unknown);
+  if (next.has_value()) co_return *next;
   // A stream whose events have no ids cannot be resumed.
   const bool resumable =
       !job.connection.StreamStarted() || !job.events.LastId().empty();
@@ -372,6 +399,11 @@
         "answer is not signed, is encoded or is no stream"};
     co_return co_await this->AfterOutcomeUnknown(job, target, unknown);
   }
+  // The first engine took the request, so the status concerns the copy.
+  if (job.continues_copy && !IsSuccess(head.status)) {
+    const std::string why = fmt::format("status {}", head.status);
+    co_return co_await this->AfterContinuationFailed(job, why);
+  }
   if (ImpliesNotExecuted(head.status)) {
     const OutcomeUnknown unknown{"refused without the not-executed field"};
     co_return co_await this->AfterOutcomeUnknown(job, target, unknown);
@@ -396,6 +428,7 @@
     this->AbortStream(job);
     co_return NextStep::kDone;
   }
+  this->EndCopy(job, IsSuccess(head.status));
   const bool written = co_await job.connection.WriteResponse(
       head.status, head.forwarded_fields, response.body);
   this->RecordOutcome(job, written ? "answered" : "caller left", head.status);
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -97,6 +97,7 @@
     co_return co_await this->AfterOutcomeUnknown(job, target, unknown);
   }
   while (true) {
+    this->LimitSilence(job, exchange);
     const StreamReadResult result = co_await exchange.Read();
     if (const auto* unknown = std::get_if<OutcomeUnknown>(&result)) {
       co_return co_await this->AfterOutcomeUnknown(job, target, *unknown);
@@ -124,6 +125,7 @@
       co_return NextStep::kDone;
     }
     if (!ended) continue;
+    this->EndCopy(job, true);
     target.RecordResult(TargetResult::kSuccess, this->clock.Now());
     this->RecordPauses(job);
     this->RecordOutcome(job, "answered", head.status);
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_GATEWAY_REQUEST_JOB_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +22,14 @@
 
 namespace dragonflyglade::gateway {
 
+/// The copy of a run that another engine was asked to keep.
+struct RunCopy {
+  std::string target;  ///< id of the engine that keeps it
+  std::string address;
+  std::int64_t born_ms = 0;  ///< of that engine's process
+  double tokens = 0;
+};
+
 /// The state of one request in the pipeline.
 struct RequestJob {
   CallerRequest request;
@@ -42,6 +51,10 @@
   /// Where the stream began that the caller takes up, or that the response has
   /// events of. It must go on at this version.
   std::optional<StreamOrigin> origin;
+  std::optional<RunCopy> copy;  ///< of the current run
+  /// Whether the current attempt continues the run from its copy.
+  bool continues_copy = false;
+  bool continued = false;  ///< an attempt has continued the run
   TargetExchange* exchange = nullptr;
   EventSplitter events;
   Instant attempt_started;
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -94,6 +94,22 @@
   this->StartStep(std::max(this->deadline, next), "the answer stalled");
 }
 
+// A silent target is not the end of the request's time.
+void TargetExchange::StartSilenceLimit() {
+  if (!this->silence_limit.has_value()) return;
+  const absl::Duration left = this->deadline - this->clock.Now();
+  if (*this->silence_limit >= left) return;
+  this->timer.Start(*this->silence_limit, [this](absl::Duration) {
+    this->silent = true;
+    this->Abort("the stream is silent");
+  });
+}
+
+void TargetExchange::StopSilenceLimit() {
+  if (!this->silence_limit.has_value()) return;
+  this->StartStep(this->deadline, "no answer in time");
+}
+
 void TargetExchange::Abort(std::string_view why) {
   if (!this->aborted_by.empty()) return;
   this->aborted_by = std::string(why);
@@ -104,8 +120,18 @@
 
 OutcomeUnknown TargetExchange::UnknownOutcomeAfter(
     const error_code& error) const {
-  if (!this->aborted_by.empty()) return {this->aborted_by, this->timed_out};
-  return {error.message(), false, true};
+  if (!this->aborted_by.empty()) {
+    return {.why = this->aborted_by,
+            .timed_out = this->timed_out,
+            .silent = this->silent};
+  }
+  const bool closed_by_peer = error == asio::error::eof ||
+                              error == asio::error::connection_reset ||
+                              error == http::error::end_of_stream ||
+                              error == http::error::partial_message;
+  return {.why = error.message(),
+          .connection_ended = true,
+          .closed_by_peer = closed_by_peer};
 }
 
 asio::awaitable<std::optional<NotSent>> TargetExchange::Connect(
@@ -341,9 +367,11 @@
   buffer.size = this->read_buffer.size();
   buffer.more = true;
   error_code error;
+  this->StartSilenceLimit();
   co_await http::async_read_some(
       this->connection->socket, this->connection->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
+  this->StopSilenceLimit();
   const std::size_t bytes_read = this->read_buffer.size() - buffer.size;
   if (bytes_read > 0) {
     // The next read returns an error that came together with bytes.
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -47,6 +47,10 @@
   bool timed_out = false;
   /// Whether the connection ended, as all do when the target's process ends.
   bool connection_ended = false;
+  /// Whether it ended by a close or reset of the other side.
+  bool closed_by_peer = false;
+  bool silent =
+      false;  ///< a Read waited for longer than SetSilenceLimit allows
 };
 /// A complete response to this request.
 struct CompleteResponse {
@@ -138,6 +142,9 @@
     this->stall_timeout = timeout;
   }
 
+  /// Limits the time that each following Read waits for bytes.
+  void SetSilenceLimit(absl::Duration limit) { this->silence_limit = limit; }
+
   /// Reads the next bytes of a stream, after Run returned a StreamHead.
   boost::asio::awaitable<StreamReadResult> Read();
 
@@ -175,6 +182,8 @@
       std::string& body);
   void StartStep(Instant until, std::string_view why);
   void RestartStallTimeout();
+  void StartSilenceLimit();
+  void StopSilenceLimit();
   bool HasUnreadBytes() const;
   OutcomeUnknown UnknownOutcomeAfter(
       const boost::system::error_code& error) const;
@@ -197,7 +206,9 @@
   std::function<bool()> may_send;
   Instant deadline;
   std::optional<absl::Duration> stall_timeout;
+  std::optional<absl::Duration> silence_limit;
   bool timed_out = false;
+  bool silent = false;
   bool reused = false;
 };
 
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -77,7 +77,7 @@
 GatewayHarness::GatewayHarness(Options options)
     : options(std::move(options)),
       first(this->options.answer),
-      second(this->options.answer) {
+      second(this->options.answer, this->options.second_ip) {
   this->store.Put("op/config", this->Config(1, "plain").dump());
   this->PutTarget("i-1", this->first, "ready");
   this->reread = this->Settings();
@@ -226,6 +226,7 @@
       {"services",
        {{{"name", "s"}, {"max_connections", 50}, {"engine", EngineConfig()}}}},
       {"tenants", WorkspacesConfig()}};
+  config["services"][0]["engine"].update(this->options.engine);
   if (!this->options.limits.empty()) config["limits"] = this->options.limits;
   return config;
 }
@@ -252,6 +253,7 @@
   settings.leader_handover_delay = absl::Milliseconds(10);
   settings.retry_share = 1;
   settings.retry_slack = 100;
+  settings.run_backups = this->options.run_backups;
   return settings;
 }
 
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -42,6 +42,10 @@
     gateway::WireFormat wire = platform::MakeWireFormat();
     /// The object `limits` of the configuration.
     nlohmann::json limits = nlohmann::json::object();
+    /// Further fields of the service's engines.
+    nlohmann::json engine = nlohmann::json::object();
+    std::string second_ip = "127.0.0.1";  ///< of the second target
+    bool run_backups = false;             ///< setting of this name
   };
 
   /// The bytes that a caller received until its connection ended.
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -97,6 +98,8 @@
   CPPUNIT_TEST(ClampsWarmUpTimes);
   CPPUNIT_TEST(DecodesCallerRequests);
   CPPUNIT_TEST(EncodesTargetRequests);
+  CPPUNIT_TEST(EncodesCopiesOfRuns);
+  CPPUNIT_TEST(DecodesCopiesOfRuns);
   CPPUNIT_TEST(DecodesTargetResponses);
   CPPUNIT_TEST(EncodesStoreCalls);
   CPPUNIT_TEST(DecodesStoreReplies);
@@ -361,6 +364,70 @@
         fields.begin(), fields.end(),
         [](const auto& field) { return field.first == "Last-Event-Id"; });
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, resumed);
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("X-Dragonflyglade-Kv-Backup"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("Kv-From"));
+  }
+
+  // Guards against copies that are kept or continued under another handle, and
+  // against a caller's own fields beside those of the gateway.
+  void EncodesCopiesOfRuns() {
+    const CallerRequest request =
+        DecodeWithHost({{"X-Dragonflyglade-Attempt-Id", "r1"},
+                        {"X-Dragonflyglade-Kv-Backup", "9.9.9.9:9"},
+                        {"Kv-From", "9.9.9.9:9/r0"}});
+    ForwardingContext stamp;
+    stamp.backup = "1.2.3.4:5";
+    HeaderFields fields = TargetRequestFields(request, stamp);
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2.3.4:5"),
+                         ValueOf(fields, "X-Dragonflyglade-Kv-Backup"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), ValueOf(fields, "Kv-From"));
+    stamp.backup.clear();
+    stamp.continue_from = "1.2.3.4:5";
+    fields = TargetRequestFields(request, stamp);
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         ValueOf(fields, "X-Dragonflyglade-Kv-Backup"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2.3.4:5/r1"),
+                         ValueOf(fields, "Kv-From"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), ValueOf(fields, "Last-Event-Id"));
+  }
+
+  // Guards against figures of another type or sign that stop the configuration
+  // or count as costs.
+  void DecodesCopiesOfRuns() {
+    struct Case {
+      const char* description;
+      std::string fields;
+      std::optional<bool> backups;  ///< nothing: the record is invalid
+      double kv_bytes = 0;
+      double link_mbps = 0;
+      double handle_s = 0;
+    };
+    const std::vector<Case> cases = {
+        {"absent", "", false},
+        {"stated",
+         R"("backups": true, "kv_bytes": 2e5, "link_mbps": 1e4,
+            "handle_s": 2.5)",
+         true, 2e5, 1e4, 2.5},
+        {"null", R"("backups": null, "kv_bytes": null)", false},
+        {"negative",
+         R"("backups": true, "kv_bytes": -1, "link_mbps": -1, "handle_s": -1)",
+         true},
+        {"another type", R"("backups": "yes")", std::nullopt},
+    };
+    for (const Case& item : cases) {
+      const auto config = DecodeConfig(absl::StrCat(
+          R"({"version": 1, "routes": [], "services": [{"name": "s",
+              "engine": {"models": [], "weights_mb": 1)",
+          item.fields.empty() ? "" : ", ", item.fields, "}}]}"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.description, item.backups.has_value(),
+                                   config.Ok());
+      if (!config.Ok()) continue;
+      const auto& engine = config.Value().services.at("s").engine;
+      CPPUNIT_ASSERT_EQUAL(*item.backups, engine->backups);
+      CPPUNIT_ASSERT_EQUAL(item.kv_bytes, engine->kv_bytes);
+      CPPUNIT_ASSERT_EQUAL(item.link_mbps, engine->link_mbps);
+      CPPUNIT_ASSERT(engine->handle_time == absl::Seconds(item.handle_s));
+    }
   }
 
   void DecodesTargetResponses() {
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -46,9 +46,10 @@
   return true;
 }
 
-PlatformTargetStandIn::PlatformTargetStandIn(Answer answer)
+PlatformTargetStandIn::PlatformTargetStandIn(Answer answer,
+                                             const std::string& ip)
     : acceptor(this->context,
-               tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+               tcp::endpoint(boost::asio::ip::make_address_v4(ip), 0)),
       default_answer(std::move(answer)) {
   this->accept_thread = std::thread([this] { this->Accept(); });
 }
@@ -68,8 +69,8 @@
 }
 
 std::string PlatformTargetStandIn::Address() const {
-  return Endpoint{"127.0.0.1", this->acceptor.local_endpoint().port()}
-      .ToString();
+  const tcp::endpoint local = this->acceptor.local_endpoint();
+  return Endpoint{local.address().to_string(), local.port()}.ToString();
 }
 
 void PlatformTargetStandIn::Accept() {
@@ -92,17 +93,29 @@
     const Script script = this->ScriptFor(request);
     error_code error;
     boost::asio::write(*socket, boost::asio::buffer(script.bytes), error);
+    const auto report_end = [&script] {
+      if (script.ended) script.ended();
+    };
     if (script.crash) {
+      report_end();
       this->Crash();
       return;
     }
     if (script.hang) {
       char byte = 0;
       socket->read_some(boost::asio::buffer(&byte, 1), error);
+      report_end();
       absl::MutexLock lock(&this->mutex);
       this->hangups += 1;
       return;
     }
+    report_end();
+    if (script.reset) {
+      socket->set_option(boost::asio::socket_base::linger(true, 0), error);
+      absl::MutexLock lock(&this->mutex);
+      socket->close(error);
+      return;
+    }
     if (script.close || error) {
       shutdown(socket->native_handle(), SHUT_RDWR);
       return;
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -38,10 +38,16 @@
     bool close = false;  ///< close the connection after the bytes
     bool hang = false;   ///< after the bytes, wait until the client closes
     bool crash = false;  ///< after the bytes, end as a killed process does
+    bool reset = false;  ///< reset the connection after the bytes
+    /// Called before the connection is closed, after the client closed it, or
+    /// when the bytes are sent. May be empty.
+    std::function<void()> ended = nullptr;
   };
   using Answer = std::function<Script(const RawRequest&)>;
 
-  explicit PlatformTargetStandIn(Answer answer);
+  /// @param ip its IPv4 address, a loopback address
+  explicit PlatformTargetStandIn(Answer answer,
+                                 const std::string& ip = "127.0.0.1");
   ~PlatformTargetStandIn();
 
   std::string Address() const;
