--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -69,7 +69,8 @@
                     {"slow_start_overage", NumberSchema()},
                     {"slow_start_slack", NumberSchema()},
                     {"caller_socket_kb", BufferSchema()},
-                    {"caller_buffers_kb", BufferSchema()}},
+                    {"caller_buffers_kb", BufferSchema()},
+                    {"run_backups", {{"type", "boolean"}}}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -141,6 +142,7 @@
                 settings.caller_buffers.socket_bytes);
   ReadKilobytes(limits, "caller_buffers_kb",
                 settings.caller_buffers.total_bytes);
+  settings.run_backups = limits.value("run_backups", settings.run_backups);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -51,6 +51,8 @@
   double slow_start_overage = 1;
   double slow_start_slack = 0;
   CallerBufferLimits caller_buffers;
+  /// Whether engines are asked to keep copies of runs; see RunBackups.
+  bool run_backups = false;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -50,6 +50,10 @@
   /// The response stayed unread for so long that the target may have cut it
   /// off.
   bool caller_was_slow = false;
+  /// Whether it ended by a close or reset of the other side.
+  bool closed_by_peer = false;
+  bool silent =
+      false;  ///< a Read waited for longer than SetSilenceLimit allows
 };
 /// A complete response to this request.
 struct CompleteResponse {
@@ -141,6 +145,9 @@
     this->stall_timeout = timeout;
   }
 
+  /// Limits the time that each following Read waits for bytes.
+  void SetSilenceLimit(absl::Duration limit) { this->silence_limit = limit; }
+
   /// Reads the next bytes of a stream, after Run returned a StreamHead.
   boost::asio::awaitable<StreamReadResult> Read();
 
@@ -178,6 +185,8 @@
       std::string& body);
   void StartStep(Instant until, std::string_view why);
   void RestartStallTimeout();
+  void StartSilenceLimit();
+  void StopSilenceLimit();
   bool HasUnreadBytes() const;
   OutcomeUnknown UnknownOutcomeAfter(
       const boost::system::error_code& error) const;
@@ -200,7 +209,9 @@
   std::function<bool()> may_send;
   Instant deadline;
   std::optional<absl::Duration> stall_timeout;
+  std::optional<absl::Duration> silence_limit;
   bool timed_out = false;
+  bool silent = false;
   bool reused = false;
 };
 
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -43,6 +43,10 @@
     /// The object `limits` of the configuration.
     nlohmann::json limits = nlohmann::json::object();
     gateway::CallerBufferLimits caller_buffers;
+    /// Further fields of the service's engines.
+    nlohmann::json engine = nlohmann::json::object();
+    std::string second_ip = "127.0.0.1";  ///< of the second target
+    bool run_backups = false;             ///< setting of this name
   };
 
   /// The bytes that a caller received until its connection ended.
