--- a/dragonflyglade/decision/refusal.cc
+++ b/dragonflyglade/decision/refusal.cc
@@ -51,7 +51,7 @@
     {RefusalCode::kEnginesOverloaded, "engines_overloaded", 503,
      WasExecuted::kNo, kRetryLater},
     {RefusalCode::kRequestTooLargeForEngines, "request_too_large_for_engines",
-     413, WasExecuted::kNo, kNoRetry},
+     503, WasExecuted::kNo, kRetryLater},
     {RefusalCode::kQueueFull, "queue_full", 503, WasExecuted::kNo, kRetryLater},
     {RefusalCode::kClaimServiceUnavailable, "claim_service_unavailable", 503,
      WasExecuted::kNo, kRetryLater},
--- a/dragonflyglade/gateway/pipeline_engines.cc
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -87,12 +87,14 @@
   if (!engine.has_value() || !engine->kv_capacity_tokens.has_value()) {
     return std::nullopt;
   }
-  const ModelUse& use = job.request.use;
-  const double tokens = use.prompt_tokens + use.ExpectedOutputTokens();
+  // The output is not known in advance and may be preempted, so that only the
+  // prompt shows that the request never fits.
+  const double tokens = job.request.use.prompt_tokens;
   if (tokens <= *engine->kv_capacity_tokens) return std::nullopt;
   if (!this->IsSpeedAware(job.service->name)) return std::nullopt;
   return MakeRefusal(RefusalCode::kRequestTooLargeForEngines,
-                     "the request needs more memory than an engine has");
+                     "the prompt needs more memory than an engine has",
+                     kRetryAfterTooLarge);
 }
 
 // What a target may have executed is not refused as not executed.
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -138,6 +138,8 @@
 inline constexpr absl::Duration kRetryAfterStreamVersion = absl::Seconds(2);
 /// The part of the prompt goes on crashing targets.
 inline constexpr absl::Duration kRetryAfterCrashingPart = absl::Seconds(60);
+/// No engine has the memory for the prompt; a larger one may be added.
+inline constexpr absl::Duration kRetryAfterTooLarge = absl::Seconds(60);
 /// The operator has to end the evacuation of an availability zone first.
 inline constexpr absl::Duration kRetryAfterEvacuation = absl::Seconds(2);
 /// The instance has no configuration yet.
