--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -70,7 +70,8 @@
                     {"slow_start_slack", NumberSchema()},
                     {"caller_socket_kb", BufferSchema()},
                     {"caller_buffers_kb", BufferSchema()},
-                    {"run_backups", {{"type", "boolean"}}}},
+                    {"run_backups", {{"type", "boolean"}}},
+                    {"engine_model", {{"type", "boolean"}}}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -143,6 +144,7 @@
   ReadKilobytes(limits, "caller_buffers_kb",
                 settings.caller_buffers.total_bytes);
   settings.run_backups = limits.value("run_backups", settings.run_backups);
+  settings.engine_model = limits.value("engine_model", settings.engine_model);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -53,6 +53,9 @@
   CallerBufferLimits caller_buffers;
   /// Whether engines are asked to keep copies of runs; see RunBackups.
   bool run_backups = false;
+  /// Whether engines that state how fast they are are chosen by a learnt model;
+  /// see ChooseEngine.
+  bool engine_model = false;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/pipeline_engines.cc
+++ b/dragonflyglade/gateway/pipeline_engines.cc
@@ -23,6 +23,7 @@
 }  // namespace
 
 bool Pipeline::IsSpeedAware(std::string_view service) {
+  if (!this->settings.engine_model) return false;
   if (this->speed_aware_services.count(service) > 0) return true;
   const auto targets = this->fleet.Targets(service);
   const bool any_states =
