Reserve vectors in two tests, as the linter asks

Cause: clang-tidy reports push_back in loops in platform-mass-crash and unit-engine-separation. Change: the vectors are reserved; no check changes.

--- a/tests/platform/platform-mass-crash.cc
+++ b/tests/platform/platform-mass-crash.cc
@@ -45,6 +45,7 @@
       }));
     }
     std::vector<int> statuses;
+    statuses.reserve(calls.size());
     for (auto& call : calls) statuses.push_back(call.get());
     return statuses;
   }
--- a/tests/unit/unit-engine-separation.cc
+++ b/tests/unit/unit-engine-separation.cc
@@ -236,6 +236,7 @@
   std::size_t Choose(const Request& request, std::size_t number,
                      double now) const {
     std::vector<std::string> ids;
+    ids.reserve(static_cast<std::size_t>(this->load.copies));
     for (int i = 0; i < this->load.copies; ++i) {
       ids.push_back("engine-" + std::to_string(i));
     }
