Scripted answers of test targets are for callers' requests only

The leader's inspection of a target (GET /-/report) took the one failing answer that the test had prepared for its request, so the request was answered with 200 in place of 502. Provoked by a pause of 300 ms between the preparation and the request.

Change: inspections take no queued answers, and the test's failing answer is not given to them. No check changed.

--- a/tests/platform/platform-crashing-parts.cc
+++ b/tests/platform/platform-crashing-parts.cc
@@ -373,7 +373,7 @@
       std::atomic<bool> fails = false;
       CrashingFleet fleet([&](const RawRequest& request) {
         Script script = SuccessfulResponse(request);
-        if (!fails.exchange(false)) return script;
+        if (request.IsInspection() || !fails.exchange(false)) return script;
         script = {"", !item.crash, false, item.crash};
         return script;
       });
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -20,6 +20,10 @@
   return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
 }
 
+bool RawRequest::IsInspection() const {
+  return this->Line().find(" /-/report ") != std::string::npos;
+}
+
 bool ReadRawRequest(tcp::socket& socket, std::string& buffer,
                     RawRequest& request) {
   const auto receive_more = [&] {
@@ -129,7 +133,7 @@
   {
     absl::MutexLock lock(&this->mutex);
     this->requests.push_back(request);
-    if (!this->queued_answers.empty()) {
+    if (!this->queued_answers.empty() && !request.IsInspection()) {
       answer = this->queued_answers.front();
       this->queued_answers.pop_front();
     }
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -26,6 +26,8 @@
   std::string Line() const {
     return this->head.substr(0, this->head.find('\r'));
   }
+  /// Whether an instance inspects the target, in place of a caller's request.
+  bool IsInspection() const;
 };
 
 /// A target that answers each request with bytes that the test chooses, also
@@ -52,7 +54,8 @@
 
   std::string Address() const;
 
-  /// Answers one coming request by this function in place of the default.
+  /// Answers one coming request, not an inspection, by this function in place
+  /// of the default.
   /// Repeated calls queue up, one function for each request.
   void EnqueueAnswer(Answer answer);
 
