serve: publish a catalog before it counts as current; skip owners without share

scenario-serve-and-drain failed beside load with "stop: refused is 1". Two causes were found.

An instance that has just started marked its records as complete before their catalog was in force. A heartbeat response in between, or a pull, confirmed the configuration as current, and the instance refused a key that it had received. CatalogPublisher now puts the catalog in force first, and counts versions that another thread has applied. Records that a full read finds deleted now take effect at once, too.

An owner that has given up its share declines at once while a borrower does not have that allotment yet. With the other owner skipped after a late response, the borrower asked the first one twelve times within milliseconds and refused the request as over the rate. This was provoked in unit-share-book; it was not seen in the run that failed, whose log was not kept.

unit-records, unit-share-book and unit-refusal pass.

--- a/dragonflyglade/decision/distributed_rate_limiter.cc
+++ b/dragonflyglade/decision/distributed_rate_limiter.cc
@@ -199,6 +199,7 @@
   for (const OwnerShare& owner : state.allotment->owners) {
     if (owner.instance == this->instance || owner.share == 0) continue;
     if (admission.unresponsive.count(owner.instance) > 0) continue;
+    if (admission.without_share.count(owner.instance) > 0) continue;
     const double fraction = FractionOf(owner.share);
     Source source{owner.instance, fraction * burst,
                   fraction * state.rate->tokens_per_second, fraction * burst};
@@ -275,8 +276,11 @@
                                                     Instant now) const {
   const bool may_wait =
       now + kPeerRetryPause < admission.started + admission.max_wait;
-  if (!admission.unresponsive.empty() && may_wait) {
+  const bool may_change =
+      !admission.unresponsive.empty() || !admission.without_share.empty();
+  if (may_change && may_wait) {
     admission.unresponsive.clear();
+    admission.without_share.clear();
     return WaitFor{kPeerRetryPause};
   }
   const std::vector<Source> sources =
@@ -314,8 +318,8 @@
     if (++admission.loan_requests > kMaxLoanRequests) break;
     admission.loan_requested_at = now;
     const double rounded = std::min(std::ceil(tokens), std::floor(source.cap));
-    return BorrowFromPeer{source.peer, static_cast<std::int64_t>(rounded),
-                          max_wait};
+    admission.loan_tokens = static_cast<std::int64_t>(rounded);
+    return BorrowFromPeer{source.peer, admission.loan_tokens, max_wait};
   }
   // Tokens that are spent at once need no reservation.
   if (admission.collected.empty() && state.bucket.Withdraw(missing, now)) {
@@ -371,8 +375,16 @@
     peer_bucket.skipped_until = now + kPeerSkipTime;
     return;
   }
-  admission.any_responded = true;
   peer_bucket.level = static_cast<double>(loan->level);
+  // Failure: a peer has given up its share, or was restarted, and this instance
+  // has not received that allotment yet. Asked again at once, the peer declines
+  // until no more loans may be requested, and the request is refused as over
+  // the rate although another owner has tokens.
+  if (loan->granted == 0 && loan->cap < admission.loan_tokens) {
+    admission.without_share.insert(std::string(peer));
+    return;
+  }
+  admission.any_responded = true;
   if (loan->granted == 0) return;
   admission.collected.push_back(CollectedTokens{
       std::string(peer), static_cast<double>(loan->granted), loan->stamp,
--- a/dragonflyglade/decision/distributed_rate_limiter.h
+++ b/dragonflyglade/decision/distributed_rate_limiter.h
@@ -59,10 +59,13 @@
   absl::Duration max_wait;
   std::vector<CollectedTokens> collected;
   std::set<std::string> unresponsive;  ///< peers that did not respond
-  int loan_requests = 0;               ///< number of loans requested
-  bool any_responded = false;          ///< whether any peer responded
-  Instant loan_requested_at;           ///< when the current loan was requested
-  std::optional<Instant> charged;      ///< when it was admitted
+  /// Peers whose share in force is too small for what they were asked for.
+  std::set<std::string> without_share;
+  int loan_requests = 0;           ///< number of loans requested
+  bool any_responded = false;      ///< whether a peer with a share did
+  std::int64_t loan_tokens = 0;    ///< what the current loan asks for
+  Instant loan_requested_at;       ///< when the current loan was requested
+  std::optional<Instant> charged;  ///< when it was admitted
 };
 
 /// Next step: proceed with the request; its tokens are taken.
--- a/dragonflyglade/instance/config_follower.cc
+++ b/dragonflyglade/instance/config_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "dragonflyglade/decision/rendezvous.h"
 #include "dragonflyglade/net/log.h"
@@ -24,15 +25,15 @@
                                Membership& membership, RecordStore& records,
                                ConfigFreshness& freshness,
                                CatalogHolder& catalog, FollowerOptions options,
-                               OnChange on_change, Clock clock)
+                               CatalogPublisher::OnChange on_change,
+                               Clock clock)
     : kv(kv),
       peers(peers),
       membership(membership),
       records(records),
       freshness(freshness),
-      catalog(catalog),
+      publisher(records, catalog, std::move(on_change)),
       options(options),
-      on_change(std::move(on_change)),
       clock(clock),
       backoff(options.reread_period, kMaxReadBackoff,
               StableHash(membership.Self().info.name)),
@@ -146,32 +147,50 @@
 // deletion at the revision of that read.
 void ConfigFollower::MarkMissingAsDeleted(const KvRange& range) {
   std::set<std::string> present;
+  std::vector<RecordVersion> deleted;
   for (const KvEntry& entry : range.entries) present.insert(entry.key);
   for (const RecordVersion& valid : this->records.ValidRecords()) {
     const bool known_later = valid.revision > range.revision;
     if (valid.deleted || known_later || present.count(valid.key) > 0) continue;
-    this->records.ApplyVersion(
-        RecordVersion{valid.key, range.revision, "", true});
+    deleted.push_back(RecordVersion{valid.key, range.revision, "", true});
   }
+  this->publisher.Apply(deleted);
 }
 
 void ConfigFollower::ApplyEntries(absl::Span<const KvEntry> entries,
                                   std::int64_t revision) {
-  bool changed = false;
+  std::vector<RecordVersion> versions;
+  versions.reserve(entries.size());
   for (const KvEntry& entry : entries) {
-    const RecordVersion version{entry.key, entry.mod_revision, entry.value,
-                                false};
-    const ApplyResult result = this->records.ApplyVersion(version);
-    changed = changed || result == ApplyResult::kApplied;
-    if (result != ApplyResult::kRejected) continue;
+    versions.push_back(
+        RecordVersion{entry.key, entry.mod_revision, entry.value, false});
+  }
+  this->ApplyVersions(versions);
+  this->publisher.Publish(revision);
+}
+
+void ConfigFollower::ApplyVersions(absl::Span<const RecordVersion> versions) {
+  for (const RecordVersion& rejected : this->publisher.Apply(versions)) {
     LogFor(LogPart::kOperator)
-        .warn("Rejected invalid record {} at revision {}.", entry.key,
-              entry.mod_revision);
-    if (!this->records.HasValidVersion(entry.key))
-      this->RecoverValidVersion(version);
+        .warn("Rejected invalid record {} at revision {}.", rejected.key,
+              rejected.revision);
+    if (!this->records.HasValidVersion(rejected.key))
+      this->RecoverValidVersion(rejected);
+  }
+}
+
+void ConfigFollower::ApplyEvents(absl::Span<const KvEvent> events) {
+  std::vector<RecordVersion> versions;
+  std::int64_t newest = 0;
+  for (const KvEvent& event : events) {
+    const KvEntry& entry = event.entry;
+    newest = std::max(newest, entry.mod_revision);
+    versions.push_back(RecordVersion{entry.key, entry.mod_revision,
+                                     event.deleted ? "" : entry.value,
+                                     event.deleted});
   }
-  this->records.MarkCompleteThrough(revision);
-  if (changed || this->catalog.Get()->revision == 0) this->Rebuild();
+  this->ApplyVersions(versions);
+  this->publisher.Publish(newest);
 }
 
 // Failure: an instance that starts after an invalid record was written has no
@@ -187,22 +206,13 @@
     const Result<KvRange> range = this->kv.Range(query);
     if (!range.Ok() || range.Value().entries.empty()) return;
     const KvEntry& older = range.Value().entries.front();
-    const ApplyResult result = this->records.ApplyVersion(
-        RecordVersion{older.key, older.mod_revision, older.value, false});
-    if (result == ApplyResult::kApplied) return;
+    const RecordVersion version{older.key, older.mod_revision, older.value,
+                                false};
+    if (this->publisher.Apply({version}).empty()) return;
     before = older.mod_revision - 1;
   }
 }
 
-void ConfigFollower::Rebuild() {
-  absl::MutexLock lock(&this->rebuild_mutex);
-  const std::int64_t revision = this->records.CompleteRevision();
-  std::shared_ptr<const Catalog> catalog =
-      this->builder.Build(revision, this->records.ValidRecords());
-  this->catalog.Set(catalog);
-  this->on_change(catalog);
-}
-
 absl::Duration ConfigFollower::WatchRound() {
   const std::int64_t from = this->records.CompleteRevision();
   if (from == 0 || !this->IsRelay()) return kWatchRestartDelay;
@@ -214,17 +224,6 @@
   };
   const auto on_events = [this](absl::Span<const KvEvent> events,
                                 std::int64_t revision) {
-    std::vector<KvEntry> puts;
-    std::int64_t newest = 0;
-    for (const KvEvent& event : events) {
-      newest = std::max(newest, event.entry.mod_revision);
-      if (event.deleted) {
-        this->records.ApplyVersion(
-            RecordVersion{event.entry.key, event.entry.mod_revision, "", true});
-      } else {
-        puts.push_back(event.entry);
-      }
-    }
     {
       absl::MutexLock lock(&this->mutex);
       this->watched_revision = std::max(this->watched_revision, revision);
@@ -232,10 +231,7 @@
     // The revision in the header of a watch response may be ahead of the
     // events delivered so far, so the configuration is complete only through
     // the newest revision of the events themselves.
-    if (!events.empty()) {
-      this->ApplyEntries(puts, newest);
-      if (puts.size() != events.size()) this->Rebuild();
-    }
+    if (!events.empty()) this->ApplyEvents(events);
   };
   const Failure ended =
       this->kv.Watch(kConfigPrefix, from + 1, on_start, on_events);
@@ -265,17 +261,16 @@
     LogFor(LogPart::kPeer).debug("{}.", page.Error().ToString());
     return absl::InfiniteDuration();
   }
-  bool changed = false;
+  std::vector<RecordVersion> versions;
   for (const wire::ConfigRecord& record : page.Value().records) {
-    const ApplyResult result = this->records.ApplyVersion(FromWire(record));
-    changed = changed || result == ApplyResult::kApplied;
+    versions.push_back(FromWire(record));
   }
-  this->records.MarkCompleteThrough(page.Value().revision);
+  this->publisher.Apply(versions);
+  this->publisher.Publish(page.Value().revision);
   if (page.Value().age_ms >= 0) {
     this->freshness.MarkCurrentAt(request_time -
                                   absl::Milliseconds(page.Value().age_ms));
   }
-  if (changed) this->Rebuild();
   return absl::InfiniteDuration();
 }
 
--- a/dragonflyglade/instance/config_follower.h
+++ b/dragonflyglade/instance/config_follower.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYGLADE_INSTANCE_CONFIG_FOLLOWER_H_
 #define DRAGONFLYGLADE_INSTANCE_CONFIG_FOLLOWER_H_
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +10,7 @@
 #include "dragonflyglade/decision/config_freshness.h"
 #include "dragonflyglade/decision/membership.h"
 #include "dragonflyglade/decision/record_store.h"
+#include "dragonflyglade/instance/catalog_publisher.h"
 #include "dragonflyglade/net/periodic_worker.h"
 #include "dragonflyglade/operator/catalog.h"
 #include "dragonflyglade/peer/peer_client.h"
@@ -35,13 +35,11 @@
 /// grow with the fleet.
 class ConfigFollower {
  public:
-  /// Called with the new catalog after records were applied.
-  using OnChange = std::function<void(const std::shared_ptr<const Catalog>&)>;
-
+  /// @param on_change called with each new catalog
   ConfigFollower(const KvClient& kv, PeerClient& peers, Membership& membership,
                  RecordStore& records, ConfigFreshness& freshness,
                  CatalogHolder& catalog, FollowerOptions options,
-                 OnChange on_change, Clock clock);
+                 CatalogPublisher::OnChange on_change, Clock clock);
   ~ConfigFollower();
 
   void Start();
@@ -59,9 +57,10 @@
   absl::Duration PullRound();
   bool ReadStore(bool full_read);
   void ApplyEntries(absl::Span<const KvEntry> entries, std::int64_t revision);
+  void ApplyEvents(absl::Span<const KvEvent> events);
+  void ApplyVersions(absl::Span<const RecordVersion> versions);
   void MarkMissingAsDeleted(const KvRange& range);
   void RecoverValidVersion(const RecordVersion& rejected);
-  void Rebuild();
   void ReopenStalledWatch(std::int64_t delivered_revision,
                           std::int64_t read_revision);
 
@@ -70,13 +69,10 @@
   Membership& membership;
   RecordStore& records;
   ConfigFreshness& freshness;
-  CatalogHolder& catalog;
+  CatalogPublisher publisher;
   const FollowerOptions options;
-  const OnChange on_change;
   const Clock clock;
 
-  absl::Mutex rebuild_mutex;
-  CatalogBuilder builder ABSL_GUARDED_BY(rebuild_mutex);
   absl::Mutex mutex;
   std::shared_ptr<KvWatchHandle> watch ABSL_GUARDED_BY(mutex);
   std::int64_t watched_revision ABSL_GUARDED_BY(mutex) = 0;
--- a/tests/unit/unit-records.cc
+++ b/tests/unit/unit-records.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "dragonflyglade/decision/record_store.h"
+#include "dragonflyglade/instance/catalog_publisher.h"
 #include "dragonflyglade/operator/catalog.h"
 #include "dragonflyglade/operator/config_editor.h"
 #include "dragonflyglade/operator/records.h"
@@ -37,6 +38,7 @@
   CPPUNIT_TEST_SUITE(RecordsTest);
   CPPUNIT_TEST(NamesTheInvalidField);
   CPPUNIT_TEST(KeepsTheNewestValidVersion);
+  CPPUNIT_TEST(PublishesBeforeItMarksAsComplete);
   CPPUNIT_TEST(IgnoresRetiredSchemas);
   CPPUNIT_TEST(RejectsInvalidDrafts);
   CPPUNIT_TEST_SUITE_END();
@@ -138,6 +140,30 @@
     }
   }
 
+  // Failure: an instance states a revision as complete before the records are
+  // in force. It then takes itself for current and refuses keys that it has
+  // received. Versions that another thread applied count, too.
+  void PublishesBeforeItMarksAsComplete() {
+    RecordStore store(WhyInvalid);
+    CatalogHolder catalog;
+    std::vector<std::int64_t> complete;
+    CatalogPublisher publisher(
+        store, catalog, [&](const std::shared_ptr<const Catalog>& built) {
+          CPPUNIT_ASSERT(catalog.Get() == built);
+          complete.push_back(store.CompleteRevision());
+        });
+    publisher.Apply({Version(kRateV1, 5, kValidV1)});
+    CPPUNIT_ASSERT(publisher.Apply({Version(kRateV1, 5, kValidV1)}).empty());
+    publisher.Publish(5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, catalog.Get()->rates.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, store.CompleteRevision());
+    publisher.Publish(6);
+    publisher.Apply({RecordVersion{kRateV1, 7, "", true}});
+    publisher.Publish(7);
+    CPPUNIT_ASSERT(catalog.Get()->rates.empty());
+    CPPUNIT_ASSERT(complete == (std::vector<std::int64_t>{0, 6}));
+  }
+
   void IgnoresRetiredSchemas() {
     RecordStore store(WhyInvalid);
     store.ApplyVersion(Version(kRateV1, 5, kValidV1));
--- a/tests/unit/unit-share-book.cc
+++ b/tests/unit/unit-share-book.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <optional>
 
 #include "dragonflyglade/decision/distributed_rate_limiter.h"
@@ -24,16 +25,26 @@
     this->limiter.ApplyAllotment(allotment);
   }
 
+  using Lender = std::function<std::optional<Loan>(const BorrowFromPeer&)>;
+
   // Runs an admission to its last step; peers respond from `responds_from` on.
   AdmissionStep Finish(Admission& admission, Instant responds_from) {
+    return this->Finish(admission, [&](const BorrowFromPeer& borrow) {
+      if (this->manual.Now() < responds_from) return std::optional<Loan>();
+      return std::optional<Loan>(Granted(borrow));
+    });
+  }
+
+  static Loan Granted(const BorrowFromPeer& borrow) {
+    return Loan{borrow.tokens, {}, absl::Milliseconds(100), 1, 0, 500};
+  }
+
+  // Runs an admission to its last step.
+  AdmissionStep Finish(Admission& admission, const Lender& lender) {
     while (true) {
       AdmissionStep step = this->limiter.Next(admission);
       if (const auto* borrow = std::get_if<BorrowFromPeer>(&step)) {
-        std::optional<Loan> loan;
-        if (this->manual.Now() >= responds_from) {
-          loan = Loan{borrow->tokens, {}, absl::Milliseconds(100), 1, 0, 500};
-        }
-        this->limiter.CompleteLoan(admission, borrow->peer, loan);
+        this->limiter.CompleteLoan(admission, borrow->peer, lender(*borrow));
       } else if (const auto* wait = std::get_if<WaitFor>(&step)) {
         ++this->waits;
         this->manual.Advance(wait->delay);
@@ -52,6 +63,7 @@
   CPPUNIT_TEST_SUITE(DistributedRateLimiterTest);
   CPPUNIT_TEST(AsksUnresponsivePeersAgain);
   CPPUNIT_TEST(ReportsUnresponsiveOwnersNotAnExceededRate);
+  CPPUNIT_TEST(DoesNotTakeAnOwnerWithoutShareForAnExceededRate);
   CPPUNIT_TEST(ConfirmsASmallerShareAfterLoansExpire);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +98,33 @@
                    absl::Milliseconds(250));
   }
 
+  // Failure: one owner has just given up its share and declines at once; the
+  // other responded too late to an earlier request and is skipped for a while.
+  // The request must not be refused as over the rate: the second owner is asked
+  // again, or the caller is told that no owner answers.
+  void DoesNotTakeAnOwnerWithoutShareForAnExceededRate() {
+    for (const bool second_responds : {true, false}) {
+      Borrower borrower;
+      const auto lend = [&](const BorrowFromPeer& loan, bool responds) {
+        if (loan.peer == "a") return std::optional<Loan>(Loan{});
+        if (!responds) return std::optional<Loan>();
+        return std::optional<Loan>(Borrower::Granted(loan));
+      };
+      Admission first = borrower.limiter.BeginAdmission("w", 10, {});
+      borrower.Finish(
+          first, [&](const BorrowFromPeer& loan) { return lend(loan, false); });
+      Admission second =
+          borrower.limiter.BeginAdmission("w", 10, absl::Milliseconds(250));
+      const AdmissionStep step =
+          borrower.Finish(second, [&](const BorrowFromPeer& loan) {
+            return lend(loan, second_responds);
+          });
+      CPPUNIT_ASSERT(second_responds
+                         ? std::holds_alternative<Admitted>(step)
+                         : std::holds_alternative<NoShareOwnerReachable>(step));
+    }
+  }
+
   // Failure: an owner lends tokens and then gets a smaller share. If it
   // confirms that at once, others spend the difference while borrowers still
   // spend the loans. It confirms only after the loans have expired.
