gateway: bound request bodies and received responses in total

Cause: request bodies that are received or held until they are sent, and responses that are received from targets, were bounded one by one but not in total. A hundred callers with bodies or responses of 2 MB exceed the memory of a small instance.

Change: - RequestBodies counts the bodies of all requests (setting request_bodies_kb, default 32768). A body above the bound is refused with memory_full (503, not executed): before it is read if its length is stated, else when it exceeds the bound. Attempts share one copy of the body, which counts until the last write of it has ended. - Responses that are received count towards caller_buffers_kb. Long ones wait until they fit beside the others; above the total, what made no progress for longest is cut off (answer_truncated). - The connection to a target that answered before it had read the whole request is closed, which releases the body. A target that reads nothing is lost after two seconds by the TCP user timeout, as before.

--- a/dragonflyglade/decision/refusal.cc
+++ b/dragonflyglade/decision/refusal.cc
@@ -53,6 +53,8 @@
     {RefusalCode::kRequestTooLargeForEngines, "request_too_large_for_engines",
      503, WasExecuted::kNo, kRetryLater},
     {RefusalCode::kQueueFull, "queue_full", 503, WasExecuted::kNo, kRetryLater},
+    {RefusalCode::kMemoryFull, "memory_full", 503, WasExecuted::kNo,
+     kRetryLater},
     {RefusalCode::kClaimServiceUnavailable, "claim_service_unavailable", 503,
      WasExecuted::kNo, kRetryLater},
     {RefusalCode::kClaimInDoubt, "claim_in_doubt", 409, WasExecuted::kUnknown,
--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -37,6 +37,7 @@
   kEnginesOverloaded,
   kRequestTooLargeForEngines,
   kQueueFull,
+  kMemoryFull,
   kClaimServiceUnavailable,
   kClaimInDoubt,
   kIdempotencyKeyReused,
--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -49,9 +49,8 @@
          error != http::error::partial_message;
 }
 
-using Parser = http::request_parser<http::string_body>;
-
-ReceivedRequest MakeReceivedRequest(Parser& parser) {
+ReceivedRequest MakeReceivedRequest(
+    const http::request_parser<http::string_body>& parser) {
   ReceivedRequest request;
   request.head =
       ConvertHead<true>(parser.get().base(), parser.get().keep_alive());
@@ -59,7 +58,6 @@
   request.path_and_query = std::string(request.head.path_and_query);
   request.head.method = request.method;
   request.head.path_and_query = request.path_and_query;
-  request.body = std::move(parser.get().body());
   return request;
 }
 
@@ -68,9 +66,11 @@
 CallerConnection::CallerConnection(asio::io_context& context,
                                    tcp::socket socket,
                                    CallerLimitsProvider limits,
+                                   RequestBodies& bodies,
                                    CallerBuffers& buffers, Clock clock)
     : socket(std::move(socket)),
       limits(std::move(limits)),
+      bodies(bodies),
       buffers(buffers),
       clock(std::move(clock)),
       timer(context, this->clock,
@@ -154,7 +154,7 @@
   if (!readable) co_return CallerDisconnected{};
   const CallerLimits limits = this->limits();
   this->StartTimeout(limits.header_timeout, "head not whole in time");
-  Parser parser;
+  RequestParser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   error_code error;
@@ -162,6 +162,9 @@
       this->socket, this->buffer, parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return this->ReadFailure(error);
+  const auto body = std::make_shared<RequestBody>(this->bodies);
+  const std::uint64_t length = parser.content_length().value_or(0);
+  if (!body->hold.GrowTo(length)) co_return this->RefuseBody(parser, length);
   const auto expect = parser.get()[http::field::expect];
   if (absl::EqualsIgnoreCase({expect.data(), expect.size()}, "100-continue")) {
     const bool written =
@@ -169,17 +172,50 @@
     if (!written) co_return CallerDisconnected{};
   }
   this->StartTimeout(kBodyTimeout, "body not whole in time");
-  co_await http::async_read(this->socket, this->buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  error = co_await this->ReadBody(parser, *body);
   this->timer.Stop();
+  if (error == asio::error::no_memory) {
+    co_return this->RefuseBody(parser, parser.get().body().size());
+  }
   if (error) co_return this->ReadFailure(error);
   // The timeout may have closed the connection in the same turn of the event
   // loop that read the last bytes. No response could be written then.
   if (!this->end_reason.empty()) co_return CallerDisconnected{};
-  this->keep_alive = parser.get().keep_alive();
+  this->BeginRequest(parser.get().keep_alive());
+  ReceivedRequest request = MakeReceivedRequest(parser);
+  body->text = std::move(parser.get().body());
+  request.body = ShareText(body);
+  co_return request;
+}
+
+// A body that states no length is counted as it arrives.
+// @return no_memory if it exceeds the limit
+asio::awaitable<error_code> CallerConnection::ReadBody(RequestParser& parser,
+                                                       RequestBody& body) {
+  error_code error;
+  while (!error && !parser.is_done()) {
+    co_await http::async_read_some(
+        this->socket, this->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !body.hold.GrowTo(parser.get().body().size())) {
+      error = asio::error::no_memory;
+    }
+  }
+  co_return error;
+}
+
+ReadResult CallerConnection::RefuseBody(RequestParser& parser,
+                                        std::uint64_t bytes) {
+  this->timer.Stop();
+  if (!this->end_reason.empty()) return CallerDisconnected{};
+  this->BeginRequest(false);
+  return BodyRefused{MakeReceivedRequest(parser), bytes};
+}
+
+void CallerConnection::BeginRequest(bool keep) {
+  this->keep_alive = keep;
   this->responded = false;
   this->last_write_time = absl::ZeroDuration();
-  co_return MakeReceivedRequest(parser);
 }
 
 std::optional<absl::Duration> CallerConnection::KeepAliveTimeout() const {
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
@@ -27,7 +29,13 @@
   HttpMessageHead head;
   std::string method;          ///< storage that head.method refers to
   std::string path_and_query;  ///< storage that head.path_and_query refers to
-  std::string body;
+  std::shared_ptr<const std::string> body;  ///< counted in RequestBodies
+};
+/// A request whose body would exceed the limit of RequestBodies. What is left
+/// of the body was not read, so the connection closes after the response.
+struct BodyRefused {
+  ReceivedRequest request;  ///< without the body
+  std::uint64_t bytes = 0;  ///< of the body, as far as known
 };
 /// Bytes that are not a valid request. The gateway responds with the status and
 /// closes the connection.
@@ -36,8 +44,8 @@
 };
 /// The caller closed the connection, or a timeout ended it.
 struct CallerDisconnected {};
-using ReadResult =
-    std::variant<ReceivedRequest, MalformedRequest, CallerDisconnected>;
+using ReadResult = std::variant<ReceivedRequest, BodyRefused, MalformedRequest,
+                                CallerDisconnected>;
 
 /// Returns the limits of the current configuration.
 using CallerLimitsProvider = std::function<CallerLimits()>;
@@ -49,8 +57,8 @@
  public:
   CallerConnection(boost::asio::io_context& context,
                    boost::asio::ip::tcp::socket socket,
-                   CallerLimitsProvider limits, CallerBuffers& buffers,
-                   Clock clock);
+                   CallerLimitsProvider limits, RequestBodies& bodies,
+                   CallerBuffers& buffers, Clock clock);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -107,7 +115,14 @@
   boost::asio::awaitable<void> CloseGracefully();
 
  private:
+  using RequestParser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
   boost::asio::awaitable<bool> WaitForRequest();
+  boost::asio::awaitable<boost::system::error_code> ReadBody(
+      RequestParser& parser, RequestBody& body);
+  ReadResult RefuseBody(RequestParser& parser, std::uint64_t bytes);
+  void BeginRequest(bool keep);
   void AwaitDisconnect(std::function<void()> on_disconnect);
   boost::asio::awaitable<bool> Write(std::string text, absl::Duration timeout,
                                      std::string_view body = {});
@@ -120,6 +135,7 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   const CallerLimitsProvider limits;
+  RequestBodies& bodies;
   CallerBuffers& buffers;
   const Clock clock;
   StepTimer timer;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -88,7 +88,10 @@
               this->crashing_parts, this->metrics, this->tasks, this->clock),
       statements(this->fleet, this->channel, this->self.name, this->metrics,
                  this->log, this->clock),
-      caller_buffers([this] { return this->settings.caller_buffers; }),
+      request_bodies([this] { return this->settings.request_bodies_bytes; }),
+      caller_buffers(
+          this->context, [this] { return this->settings.caller_buffers; },
+          this->clock),
       paths(this->context, this->wire, this->fleet, this->channel,
             this->statements, this->self, this->metrics, this->log, this->tasks,
             this->clock),
@@ -113,8 +116,9 @@
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->quota_admission, this->channel,
                this->stream_origins, this->crashing_parts, this->crash_detector,
-               this->paths, this->sync_state, this->metrics, this->log,
-               this->tasks, this->clock) {
+               this->paths, this->caller_buffers, this->request_bodies,
+               this->sync_state, this->metrics, this->log, this->tasks,
+               this->clock) {
   if (this->settings.first_start) this->fleet.SetFirstStart();
   this->AddGauges();
 }
@@ -180,6 +184,12 @@
   this->metrics.AddGauge("caller_buffer_bytes", [this] {
     return static_cast<double>(this->caller_buffers.Bytes());
   });
+  this->metrics.AddGauge("received_response_bytes", [this] {
+    return static_cast<double>(this->caller_buffers.ReceivedBytes());
+  });
+  this->metrics.AddGauge("request_body_bytes", [this] {
+    return static_cast<double>(this->request_bodies.Bytes());
+  });
   this->metrics.AddGauge("tunnels_busy", [this] {
     return static_cast<double>(this->tunnel_server.Busy());
   });
@@ -293,8 +303,8 @@
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
   CallerConnection connection(
       this->context, std::move(socket),
-      [this] { return this->CurrentLimits(); }, this->caller_buffers,
-      this->clock);
+      [this] { return this->CurrentLimits(); }, this->request_bodies,
+      this->caller_buffers, this->clock);
   const int requests = co_await this->ServeRequests(connection);
   this->RecordConnectionEnd(connection, requests);
 }
@@ -321,27 +331,7 @@
     ReadResult read = co_await connection.Read();
     if (std::holds_alternative<CallerDisconnected>(read)) co_return requests;
     requests += 1;
-    int error_status = 0;
-    if (const auto* malformed = std::get_if<MalformedRequest>(&read)) {
-      error_status = malformed->status;
-    } else {
-      auto& received = std::get<ReceivedRequest>(read);
-      received.head.method = received.method;
-      received.head.path_and_query = received.path_and_query;
-      Result<CallerRequest> request = this->wire.decode_request(received.head);
-      if (request.Ok()) {
-        request.Value().body = std::move(received.body);
-        connection.SetKeepAlive(connection.KeepAlive() && !this->stopping);
-        co_await this->pipeline.Serve(std::move(request.Value()), connection);
-      } else {
-        error_status = 400;
-      }
-    }
-    if (error_status != 0) {
-      this->metrics.Count("malformed_requests");
-      connection.SetKeepAlive(false);
-      co_await connection.WriteResponse(error_status, {}, "");
-    }
+    co_await this->ServeRequest(connection, std::move(read));
     if (connection.IsDisconnected()) co_return requests;
     if (!connection.KeepAlive()) {
       co_await connection.CloseGracefully();
@@ -350,11 +340,40 @@
   }
 }
 
+asio::awaitable<void> Gateway::ServeRequest(CallerConnection& connection,
+                                            ReadResult read) {
+  int error_status = 400;
+  auto* refused = std::get_if<BodyRefused>(&read);
+  auto* received = refused != nullptr ? &refused->request
+                                      : std::get_if<ReceivedRequest>(&read);
+  if (received != nullptr) {
+    received->head.method = received->method;
+    received->head.path_and_query = received->path_and_query;
+    Result<CallerRequest> request = this->wire.decode_request(received->head);
+    if (request.Ok() && refused != nullptr) {
+      co_await this->pipeline.RefuseBody(std::move(request.Value()),
+                                         refused->bytes, connection);
+      co_return;
+    }
+    if (request.Ok()) {
+      request.Value().body = std::move(received->body);
+      connection.SetKeepAlive(connection.KeepAlive() && !this->stopping);
+      co_await this->pipeline.Serve(std::move(request.Value()), connection);
+      co_return;
+    }
+  } else if (const auto* malformed = std::get_if<MalformedRequest>(&read)) {
+    error_status = malformed->status;
+  }
+  this->metrics.Count("malformed_requests");
+  connection.SetKeepAlive(false);
+  co_await connection.WriteResponse(error_status, {}, "");
+}
+
 asio::awaitable<void> Gateway::ServeQueries(Socket socket,
                                             QueryHandler handler) {
   CallerConnection connection(
       this->context, std::move(socket), [] { return CallerLimits(); },
-      this->caller_buffers, this->clock);
+      this->request_bodies, this->caller_buffers, this->clock);
   while (true) {
     const ReadResult read = co_await connection.Read();
     const auto* received = std::get_if<ReceivedRequest>(&read);
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/registration.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
+#include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/gateway/spend_recorder.h"
 #include "dragonflyglade/gateway/store_client.h"
 #include "dragonflyglade/gateway/store_relay.h"
@@ -96,6 +97,8 @@
                                              QueryHandler handler);
   boost::asio::awaitable<void> ServeCaller(Socket socket);
   boost::asio::awaitable<int> ServeRequests(CallerConnection& connection);
+  boost::asio::awaitable<void> ServeRequest(CallerConnection& connection,
+                                            ReadResult read);
   void RecordConnectionEnd(const CallerConnection& connection, int requests);
   boost::asio::awaitable<void> ServeQueries(Socket socket,
                                             QueryHandler handler);
@@ -138,6 +141,7 @@
   CrashingParts crashing_parts;
   FleetChannel channel;
   TargetStatements statements;
+  RequestBodies request_bodies;
   CallerBuffers caller_buffers;
   TargetPaths paths;
   TunnelServer tunnel_server;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -70,6 +70,7 @@
                     {"slow_start_slack", NumberSchema()},
                     {"caller_socket_kb", BufferSchema()},
                     {"caller_buffers_kb", BufferSchema()},
+                    {"request_bodies_kb", BufferSchema()},
                     {"run_backups", {{"type", "boolean"}}},
                     {"engine_model", {{"type", "boolean"}}}},
                    json::array());
@@ -143,6 +144,7 @@
                 settings.caller_buffers.socket_bytes);
   ReadKilobytes(limits, "caller_buffers_kb",
                 settings.caller_buffers.total_bytes);
+  ReadKilobytes(limits, "request_bodies_kb", settings.request_bodies_bytes);
   settings.run_backups = limits.value("run_backups", settings.run_backups);
   settings.engine_model = limits.value("engine_model", settings.engine_model);
 }
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -8,6 +9,7 @@
 #include "dragonflyglade/decision/failure.h"
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
+#include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
@@ -51,6 +53,8 @@
   double slow_start_overage = 1;
   double slow_start_slack = 0;
   CallerBufferLimits caller_buffers;
+  /// Of all request bodies; see RequestBodies.
+  std::size_t request_bodies_bytes = RequestBodies::kDefaultLimitBytes;
   /// Whether engines are asked to keep copies of runs; see RunBackups.
   bool run_backups = false;
   /// Whether engines that state how fast they are are chosen by a learnt model;
--- a/dragonflyglade/gateway/http_text.cc
+++ b/dragonflyglade/gateway/http_text.cc
@@ -32,13 +32,13 @@
 }  // namespace
 
 std::string RequestHeadText(const OutgoingHttpRequest& call,
-                            std::string_view host) {
+                            std::string_view host, std::size_t body_bytes) {
   std::string text =
       fmt::format("{} {} HTTP/1.1\r\n", call.method, call.path_and_query);
   if (!HasHost(call.fields)) text += fmt::format("Host: {}\r\n", host);
   AppendFields(call.fields, text);
-  if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
-    text += fmt::format("Content-Length: {}\r\n", call.body.size());
+  if (body_bytes > 0 || call.method == "POST" || call.method == "PUT") {
+    text += fmt::format("Content-Length: {}\r\n", body_bytes);
   }
   text += "\r\n";
   return text;
--- a/dragonflyglade/gateway/http_text.h
+++ b/dragonflyglade/gateway/http_text.h
@@ -16,8 +16,9 @@
 
 /// Formats the head of a request, with Content-Length if it may have a body.
 /// @param host value of the Host field, unless the request's fields have one
+/// @param body_bytes length of the body that is sent; the call's own is ignored
 std::string RequestHeadText(const OutgoingHttpRequest& call,
-                            std::string_view host);
+                            std::string_view host, std::size_t body_bytes);
 
 /// How the end of a response's body is marked.
 enum class BodyFraming { kLength, kChunked };
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -58,7 +58,7 @@
   std::string taken_up_stream;
   /// End-to-end fields, without those that the gateway sets.
   HeaderFields forwarded_fields;
-  std::string body;
+  std::shared_ptr<const std::string> body;  ///< null if there is none
   bool keep_alive = true;
 };
 
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -44,6 +44,8 @@
                    FleetChannel& channel, StreamOrigins& stream_origins,
                    CrashingParts& crashing_parts,
                    TargetCrashDetector& crash_detector, TargetPaths& paths,
+                   CallerBuffers& caller_buffers,
+                   const RequestBodies& request_bodies,
                    const StoreSyncState& sync_state, Metrics& metrics,
                    EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
@@ -57,6 +59,8 @@
       crashing_parts(crashing_parts),
       crash_detector(crash_detector),
       paths(paths),
+      caller_buffers(caller_buffers),
+      request_bodies(request_bodies),
       sync_state(sync_state),
       metrics(metrics),
       log(log),
@@ -374,6 +378,36 @@
   this->RecordOutcome(job, rule.name, rule.http_status);
 }
 
+asio::awaitable<void> Pipeline::RefuseBody(CallerRequest request,
+                                           std::uint64_t body_bytes,
+                                           CallerConnection& connection) {
+  RequestJob job(std::move(request), connection);
+  job.started = this->clock.Now();
+  job.config = this->fleet.Config();
+  const std::uint64_t held_bytes = this->request_bodies.Bytes();
+  this->log.Write("request", "body refused",
+                  {{"id", job.request.id},
+                   {"body_bytes", body_bytes},
+                   {"held_bytes", held_bytes}});
+  const double spread = absl::Uniform<double>(this->random, 1, kReturnSpread);
+  Refusal refusal = MakeRefusal(RefusalCode::kMemoryFull,
+                                "the instance holds too many request bodies",
+                                spread * kRetryAfterMemoryFull);
+  co_await this->Refuse(job, std::move(refusal));
+}
+
+asio::awaitable<void> Pipeline::RefuseCutOff(RequestJob& job) {
+  const std::uint64_t held_bytes = this->caller_buffers.Bytes();
+  this->metrics.Count("responses_cut_off");
+  this->log.Write("request", "response cut off",
+                  {{"id", job.request.id},
+                   {"target", job.target},
+                   {"held_bytes", held_bytes}});
+  Refusal refusal = MakeRefusal(RefusalCode::kAnswerTruncated,
+                                "the instance has no memory for the response");
+  co_await this->Refuse(job, std::move(refusal));
+}
+
 void Pipeline::RecordOutcome(RequestJob& job, std::string_view outcome,
                              int status) {
   const Instant now = this->clock.Now();
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_GATEWAY_PIPELINE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <exception>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
 #include "dragonflyglade/decision/send_allowance.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/crashing_parts.h"
 #include "dragonflyglade/gateway/event_log.h"
@@ -31,6 +33,7 @@
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/quota_admission.h"
+#include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/target_crash_detector.h"
@@ -54,6 +57,7 @@
            QuotaAdmission& quotas, FleetChannel& channel,
            StreamOrigins& stream_origins, CrashingParts& crashing_parts,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
+           CallerBuffers& caller_buffers, const RequestBodies& request_bodies,
            const StoreSyncState& sync_state, Metrics& metrics, EventLog& log,
            Tasks& tasks, Clock clock);
 
@@ -61,6 +65,13 @@
   boost::asio::awaitable<void> Serve(CallerRequest request,
                                      CallerConnection& connection);
 
+  /// Refuses a request whose body was not read, since this instance has no
+  /// memory for it.
+  /// @param body_bytes of the body, as far as known
+  boost::asio::awaitable<void> RefuseBody(CallerRequest request,
+                                          std::uint64_t body_bytes,
+                                          CallerConnection& connection);
+
   /// Announces that the process ends at this time at the latest. After a short
   /// grace period the pipeline refuses requests whose timeout ends later.
   void BeginShutdown(Instant end);
@@ -205,6 +216,8 @@
   void RecordPauses(const RequestJob& job);
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
+  /// Responds to a request whose response was cut off for lack of memory.
+  boost::asio::awaitable<void> RefuseCutOff(RequestJob& job);
   void RecordOutcome(RequestJob& job, std::string_view outcome, int status);
 
   boost::asio::io_context& context;
@@ -218,6 +231,8 @@
   CrashingParts& crashing_parts;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
+  CallerBuffers& caller_buffers;
+  const RequestBodies& request_bodies;
   const StoreSyncState& sync_state;
   Metrics& metrics;
   EventLog& log;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -118,12 +118,12 @@
   job.target = stamp.target;
   job.target_version = target->Record().version;
   job.tried.insert(stamp.target);
-  OutgoingHttpRequest call{job.request.method, job.request.path_and_query,
-                           this->wire.target_request_fields(job.request, stamp),
-                           ""};
-  call.body = std::move(job.request.body);
-  std::string head = RequestHeadText(call, job.request.host);
-  job.request.body = std::move(call.body);
+  const OutgoingHttpRequest call{
+      job.request.method, job.request.path_and_query,
+      this->wire.target_request_fields(job.request, stamp), ""};
+  const std::size_t body_bytes =
+      job.request.body == nullptr ? 0 : job.request.body->size();
+  std::string head = RequestHeadText(call, job.request.host, body_bytes);
   this->RecordStreamSent(job);
   const std::string address = target->Record().address;
   const TargetPath path = this->ChoosePath(job, *target);
@@ -133,7 +133,11 @@
       this->wire, this->clock);
   this->paths.Use(path, *target, exchange);
   this->paths.RecheckBeforeSend(path, *target, exchange);
+  CallerBuffers::Receipt receipt(this->caller_buffers,
+                                 [&exchange] { exchange.CutOff(); });
+  exchange.CountBody(receipt);
   job.exchange = &exchange;
+  job.receipt = &receipt;
   job.attempt_started = now;
   job.attempt_first_output.reset();
   job.survival_recorded = false;
@@ -154,7 +158,11 @@
       job.deadline + kResponseTravelTime);
   guard->RecordFirstOutput();
   // A caller that reads slowly holds no place at a target that has answered.
-  if (std::holds_alternative<CompleteResponse>(outcome)) guard.reset();
+  // The write to the caller counts its bytes from now on.
+  if (std::holds_alternative<CompleteResponse>(outcome)) {
+    guard.reset();
+    receipt.Clear();
+  }
   if (job.uses_own_path && !std::holds_alternative<NotSent>(outcome) &&
       !std::holds_alternative<OutcomeUnknown>(outcome)) {
     this->paths.RecordReceived(job.service->name);
@@ -182,6 +190,7 @@
                                       std::get<StreamHead>(outcome).head);
   }
   job.exchange = nullptr;
+  job.receipt = nullptr;
   this->RecordAttemptEnded(job);
   co_return next;
 }
@@ -378,6 +387,10 @@
 
 asio::awaitable<Pipeline::NextStep> Pipeline::AfterOutcomeUnknown(
     RequestJob& job, TargetState& target, const OutcomeUnknown& unknown) {
+  if (unknown.no_memory) {
+    co_await this->RefuseCutOff(job);
+    co_return NextStep::kDone;
+  }
   if (unknown.connection_ended && !unknown.caller_was_slow) {
     this->RecordEndedExchange(job, target, false);
   }
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -113,6 +113,7 @@
     const std::string_view events =
         ended ? std::string_view()
               : job.events.Add(std::get<StreamBytes>(result).bytes);
+    job.receipt->Resize(job.events.PartialBytes());
     if (job.events.PartialBytes() > kMaxEventBytes) {
       exchange.Abort("an event is too long");
       const OutcomeUnknown broken{"an event is too long"};
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -2,6 +2,8 @@
 // residency when the outcome of an order is unknown.
 #include <algorithm>
 #include <cmath>
+#include <memory>
+#include <string>
 #include <utility>
 
 #include "dragonflyglade/gateway/catch_exception.h"
@@ -79,14 +81,14 @@
 asio::awaitable<ExchangeOutcome> PlacementController::CallEngine(
     TargetState& target, OutgoingHttpRequest call) {
   const std::string address = target.Record().address;
-  std::string head = RequestHeadText(call, address);
+  std::string head = RequestHeadText(call, address, call.body.size());
   TargetExchange exchange(this->context, target.connections, this->wire,
                           this->clock);
   const Instant deadline = this->clock.Now() + kOrderTimeout;
   // Orders take no tunnel: to the engine, each instance is another holder.
   this->paths.Use(DirectPath{}, target, exchange);
-  co_return co_await exchange.Run(address, "", std::move(head), call.body,
-                                  deadline);
+  const auto body = std::make_shared<const std::string>(std::move(call.body));
+  co_return co_await exchange.Run(address, "", std::move(head), body, deadline);
 }
 
 asio::awaitable<std::optional<OrderResponse>> PlacementController::SendOrder(
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -15,6 +15,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/engine_model.h"
 #include "dragonflyglade/decision/refusal.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_splitter.h"
 #include "dragonflyglade/gateway/messages.h"
@@ -57,6 +58,7 @@
   bool continues_copy = false;
   bool continued = false;  ///< an attempt has continued the run
   TargetExchange* exchange = nullptr;
+  CallerBuffers::Receipt* receipt = nullptr;  ///< of the current attempt
   EventSplitter events;
   Instant attempt_started;
   /// It was sent over a path of this instance while that counted as lost.
@@ -142,6 +144,8 @@
 inline constexpr absl::Duration kRetryAfterTooLarge = absl::Seconds(60);
 /// The operator has to end the evacuation of an availability zone first.
 inline constexpr absl::Duration kRetryAfterEvacuation = absl::Seconds(2);
+/// The instance holds too many request bodies; they are sent within moments.
+inline constexpr absl::Duration kRetryAfterMemoryFull = absl::Seconds(1);
 /// The instance has no configuration yet.
 inline constexpr absl::Duration kRetryAfterNotReady = absl::Seconds(1);
 /// Another instance can serve the request at once.
--- a/dragonflyglade/gateway/store_client.cc
+++ b/dragonflyglade/gateway/store_client.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -49,14 +51,15 @@
 
 asio::awaitable<StoreResponse> StoreClient::Call(StoreCall call,
                                                  absl::Duration timeout) {
-  const OutgoingHttpRequest text = this->wire.encode_store_call(call);
+  OutgoingHttpRequest text = this->wire.encode_store_call(call);
   TargetExchange exchange(this->context, this->connections, this->wire,
                           this->clock);
   const Instant started_at = this->clock.Now();
-  std::string head = RequestHeadText(text, this->address);
+  std::string head = RequestHeadText(text, this->address, text.body.size());
   exchange.SetStallTimeout(kStallTimeout);
+  const auto body = std::make_shared<const std::string>(std::move(text.body));
   const ExchangeOutcome outcome = co_await exchange.Run(
-      this->address, "", std::move(head), text.body, started_at + timeout);
+      this->address, "", std::move(head), body, started_at + timeout);
   StoreResponse response = StoreOutcomeUnknown{};
   std::string_view result = "unknown";
   std::size_t bytes = 0;
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -55,7 +55,7 @@
 struct TargetExchange::RequestWrite {
   std::shared_ptr<TargetConnection> connection;
   std::string head;
-  std::string body;
+  SharedBody body;  ///< null if there is none
   bool done = false;
   error_code error;
   std::size_t bytes = 0;
@@ -113,17 +113,24 @@
 void TargetExchange::Abort(std::string_view why) {
   if (!this->aborted_by.empty()) return;
   this->aborted_by = std::string(why);
+  if (this->receipt != nullptr) this->receipt->StopWaiting();
   if (this->connection == nullptr) return;
   error_code ignored;
   this->connection->socket.close(ignored);
 }
 
+void TargetExchange::CutOff() {
+  this->no_memory = true;
+  this->Abort("no memory for the response");
+}
+
 OutcomeUnknown TargetExchange::UnknownOutcomeAfter(
     const error_code& error) const {
   if (!this->aborted_by.empty()) {
     return {.why = this->aborted_by,
             .timed_out = this->timed_out,
-            .silent = this->silent};
+            .silent = this->silent,
+            .no_memory = this->no_memory};
   }
   const bool closed_by_peer = error == asio::error::eof ||
                               error == asio::error::connection_reset ||
@@ -181,7 +188,7 @@
   const HeaderFields fields = {{kTunnelIdField, this->connection->tunnel_id},
                                {kTunnelInstanceField, this->tunnel->self}};
   const std::string request = RequestHeadText(
-      {"CONNECT", this->tunnel->target, fields, ""}, this->tunnel->target);
+      {"CONNECT", this->tunnel->target, fields, ""}, this->tunnel->target, 0);
   error_code error;
   co_await asio::async_write(this->connection->socket, asio::buffer(request),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -234,14 +241,16 @@
   co_return !closed_by_target;
 }
 
-void TargetExchange::StartWriting(std::string head, std::string_view body) {
+void TargetExchange::StartWriting(std::string head, SharedBody body) {
   this->write = std::make_shared<RequestWrite>();
   this->write->connection = this->connection;
   this->write->head = std::move(head);
-  // A copy, since the write may outlast the caller's body.
-  this->write->body = std::string(body);
-  const std::array<asio::const_buffer, 2> buffers = {
-      asio::buffer(this->write->head), asio::buffer(this->write->body)};
+  // Shared, since the write may outlast the caller's request.
+  this->write->body = std::move(body);
+  std::array<asio::const_buffer, 2> buffers = {asio::buffer(this->write->head)};
+  if (this->write->body != nullptr) {
+    buffers[1] = asio::buffer(*this->write->body);
+  }
   // The write is not awaited: the response is read concurrently, because a
   // target that responds before it has read a long body may block the write
   // until its response is read.
@@ -285,12 +294,17 @@
     std::string dropped;
     failure = co_await this->ReadBody(dropped);
     if (failure.has_value()) co_return failure;
+    if (this->receipt != nullptr) this->receipt->Clear();
   }
   co_return OutcomeUnknown{"got only answers to other requests", false};
 }
 
 asio::awaitable<std::optional<OutcomeUnknown>> TargetExchange::ReadBody(
     std::string& body) {
+  if (this->receipt != nullptr) {
+    const std::uint64_t length = this->parser->content_length().value_or(0);
+    co_await this->receipt->AwaitRoom(std::min(length, kMaxBodyBytes));
+  }
   std::array<char, kReadBytes> chunk;
   while (!this->parser->is_done()) {
     auto& buffer = this->parser->get().body();
@@ -302,6 +316,7 @@
         this->connection->socket, this->connection->buffer, *this->parser,
         asio::redirect_error(asio::use_awaitable, error));
     body.append(chunk.data(), chunk.size() - buffer.size);
+    if (this->receipt != nullptr) this->receipt->Resize(body.size());
     if (error && error != http::error::need_buffer) {
       co_return this->UnknownOutcomeAfter(error);
     }
@@ -317,7 +332,7 @@
 
 asio::awaitable<ExchangeOutcome> TargetExchange::Run(
     std::string_view address, std::string_view request_id, std::string head,
-    std::string_view body, Instant deadline) {
+    SharedBody body, Instant deadline) {
   std::optional<NotSent> not_sent = co_await this->Connect(address, deadline);
   if (not_sent.has_value()) co_return *not_sent;
   if (this->may_send && !this->may_send()) {
@@ -327,7 +342,7 @@
   }
   this->deadline = deadline;
   this->StartStep(deadline, "no answer in time");
-  this->StartWriting(std::move(head), body);
+  this->StartWriting(std::move(head), std::move(body));
   std::optional<OutcomeUnknown> failure = co_await this->ReadHead(request_id);
   if (failure.has_value()) {
     if (this->write->done && this->write->bytes == 0) {
@@ -393,6 +408,11 @@
   if (reusable) {
     this->pool.Release(std::move(this->connection), this->head.keep_alive,
                        this->clock.Now());
+  } else if (!this->write->done) {
+    // Failure: a target answers before it has read the request, and goes on
+    // reading it slowly. The write would hold the body until then.
+    error_code ignored;
+    this->connection->socket.close(ignored);
   }
   this->connection = nullptr;
 }
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -15,7 +15,9 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/target_reachability.h"
 #include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/wire_format.h"
@@ -54,6 +56,7 @@
   bool closed_by_peer = false;
   bool silent =
       false;  ///< a Read waited for longer than SetSilenceLimit allows
+  bool no_memory = false;  ///< CutOff ended it
 };
 /// A complete response to this request.
 struct CompleteResponse {
@@ -95,11 +98,11 @@
   /// @param address IP address and port of the target
   /// @param request_id id that the response must carry, if it carries one
   /// @param head request line and header fields, with the blank line
+  /// @param body may be null; held until it is written or the exchange ends
   /// @param deadline when the whole exchange times out
   boost::asio::awaitable<ExchangeOutcome> Run(std::string_view address,
                                               std::string_view request_id,
-                                              std::string head,
-                                              std::string_view body,
+                                              std::string head, SharedBody body,
                                               Instant deadline);
 
   /// Makes Run connect to the target through another instance; see
@@ -145,6 +148,11 @@
     this->stall_timeout = timeout;
   }
 
+  /// Counts the bodies that Run reads, and lets them wait for room. To be
+  /// called before Run.
+  /// @param receipt must outlive Run
+  void CountBody(CallerBuffers::Receipt& receipt) { this->receipt = &receipt; }
+
   /// Limits the time that each following Read waits for bytes.
   void SetSilenceLimit(absl::Duration limit) { this->silence_limit = limit; }
 
@@ -155,6 +163,10 @@
   /// @param why reason, reported in the outcome
   void Abort(std::string_view why);
 
+  /// Ends a running exchange because this instance has no memory for the
+  /// response.
+  void CutOff();
+
   /// Whether the exchange used a pooled connection.
   bool Reused() const { return this->reused; }
 
@@ -177,7 +189,7 @@
   boost::asio::awaitable<std::optional<NotSent>> EstablishTunnel(
       Instant deadline);
   boost::asio::awaitable<bool> EndsWithoutProof();
-  void StartWriting(std::string head, std::string_view body);
+  void StartWriting(std::string head, SharedBody body);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadHead(
       std::string_view request_id);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadOneHead();
@@ -212,6 +224,8 @@
   std::optional<absl::Duration> silence_limit;
   bool timed_out = false;
   bool silent = false;
+  bool no_memory = false;
+  CallerBuffers::Receipt* receipt = nullptr;
   bool reused = false;
 };
 
--- a/dragonflyglade/gateway/tunnel_query.cc
+++ b/dragonflyglade/gateway/tunnel_query.cc
@@ -46,7 +46,7 @@
     socket.close(ignored);
   });
   const OutgoingHttpRequest query{"GET", TunnelEndPath(tunnel_id), {}, ""};
-  const std::string request = RequestHeadText(query, address);
+  const std::string request = RequestHeadText(query, address, 0);
   error_code error;
   co_await asio::async_write(socket, asio::buffer(request),
                              asio::redirect_error(asio::use_awaitable, error));
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -254,6 +254,7 @@
   settings.retry_share = 1;
   settings.retry_slack = 100;
   settings.caller_buffers = this->options.caller_buffers;
+  settings.request_bodies_bytes = this->options.request_bodies_bytes;
   settings.run_backups = this->options.run_backups;
   return settings;
 }
--- a/tests/platform/platform-resting-targets.cc
+++ b/tests/platform/platform-resting-targets.cc
@@ -237,8 +237,8 @@
     gateway::ExchangeOutcome outcome;
     boost::asio::co_spawn(
         context,
-        exchange.Run(target.Address(), "r1", "GET /any/ HTTP/1.1\r\n\r\n", "",
-                     clock.Now() + absl::Seconds(5)),
+        exchange.Run(target.Address(), "r1", "GET /any/ HTTP/1.1\r\n\r\n",
+                     nullptr, clock.Now() + absl::Seconds(5)),
         [&outcome](const std::exception_ptr&, gateway::ExchangeOutcome result) {
           outcome = std::move(result);
         });
--- a/tests/platform/platform-slow-readers.cc
+++ b/tests/platform/platform-slow-readers.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "absl/time/clock.h"
 #include "tests/platform/gateway_harness.h"
 
@@ -23,8 +24,22 @@
 // More than the sockets between the gateway and a caller hold.
 constexpr std::size_t kResponseBytes = 2 * kMegabyte;
 constexpr std::size_t kMaxTotalBytes = 8 * kMegabyte;
+constexpr int kSocketBytes = 16384;
+// A busy machine takes longer than the usual deadline of 5 s to move the
+// responses; the requests would end as timed out before their callers are slow.
+constexpr absl::Duration kDeadline = absl::Seconds(60);
 
-// Many events of a kilobyte, or a body of the same length.
+// Many events of a kilobyte.
+std::string ManyEvents() {
+  std::string events;
+  for (int id = 1; events.size() < kResponseBytes; ++id) {
+    events +=
+        absl::StrCat("id: ", id, "\ndata: ", std::string(1000, 'd'), "\n\n");
+  }
+  return events;
+}
+
+// Many events, or a body of the same length.
 Script LongResponse(const RawRequest& request) {
   if (!absl::StrContains(request.Line(), "/cut/")) {
     if (!absl::StrContains(request.Line(), "/once/"))
@@ -32,20 +47,17 @@
     return {ResponseBytes(request, "200 OK", std::string(kResponseBytes, 'b'),
                           kSigned)};
   }
-  std::string events;
-  for (int id = 1; events.size() < kResponseBytes; ++id) {
-    events +=
-        absl::StrCat("id: ", id, "\ndata: ", std::string(1000, 'd'), "\n\n");
-  }
+  static const std::string kEvents = ManyEvents();
   const std::string more =
       absl::StrCat(kSigned, "Content-Type: text/event-stream\r\n");
-  return {ResponseBytes(request, "200 OK", events, more)};
+  return {ResponseBytes(request, "200 OK", kEvents, more)};
 }
 
 GatewayHarness::Options SmallInstance() {
   GatewayHarness::Options options;
   options.answer = LongResponse;
   options.caller_buffers.total_bytes = kMaxTotalBytes;
+  options.caller_buffers.socket_bytes = kSocketBytes;
   return options;
 }
 
@@ -55,15 +67,30 @@
   SlowReaders() : harness(SmallInstance()) {
     nlohmann::json config = this->harness.Config(2, "later");
     config["services"][0]["max_connections"] = 2000;
+    for (auto& route : config["routes"]) {
+      route["timeout_ms"] = absl::ToInt64Milliseconds(kDeadline);
+    }
     this->harness.PutConfig(config);
   }
 
+  // A request with a deadline that outlasts the test.
+  std::string Text(const std::string& method, const std::string& path) {
+    return absl::StrReplaceAll(
+        this->harness.Text(method, path),
+        {{"Deadline-Ms: 5000",
+          absl::StrCat("Deadline-Ms: ",
+                       absl::ToInt64Milliseconds(kDeadline))}});
+  }
+
   void Begin(int count, const std::string& method, const std::string& path) {
     for (int i = 0; i < count; ++i) {
       this->sockets.push_back(
           this->harness.Connect(this->harness.gateway->Settings().callers));
+      // Small, so that little has to be moved until nothing more fits.
+      this->sockets.back()->set_option(
+          tcp::socket::receive_buffer_size(kSocketBytes));
       boost::asio::write(*this->sockets.back(),
-                         boost::asio::buffer(this->harness.Text(method, path)));
+                         boost::asio::buffer(this->Text(method, path)));
     }
   }
 
@@ -108,7 +135,9 @@
     play.Begin(kReaders, "POST", "/once/");
     double most = 0;
     play.harness.WaitFor([&] {
-      CPPUNIT_ASSERT_EQUAL(200, play.harness.Call("POST", "/once/").status);
+      CPPUNIT_ASSERT_EQUAL(200, play.harness.Call("GET", "/any/").status);
+      CPPUNIT_ASSERT_EQUAL(
+          200, play.harness.Send(play.Text("POST", "/once/")).status);
       most = std::max(most, play.Metric("caller_buffer_bytes"));
       return play.Ended("caller reads too slowly") >= kHalf;
     });
@@ -148,18 +177,24 @@
         {"1e12", false, 0},
     };
     for (const Case& item : cases) {
-      const std::string text = absl::StrCat(
-          R"({"instance": "i", "zone": "z", "store": {"address": "127.0.0.1:1"},
-              "listen": {"callers": "127.0.0.1:2", "readiness": "127.0.0.1:3",
-                         "directory": "127.0.0.1:4", "metrics": "127.0.0.1:5",
-                         "peers": "127.0.0.1:6"},
-              "limits": {"caller_buffers_kb": )",
-          item.value, "}}");
-      const auto settings = gateway::ParseGatewaySettings(text);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.value, item.is_valid, settings.Ok());
-      if (!item.is_valid) continue;
-      CPPUNIT_ASSERT_EQUAL(item.total_bytes,
-                           settings.Value().caller_buffers.total_bytes);
+      for (const char* field : {"caller_buffers_kb", "request_bodies_kb"}) {
+        const std::string text = absl::StrCat(
+            R"({"instance": "i", "zone": "z",
+                "store": {"address": "127.0.0.1:1"},
+                "listen": {"callers": "127.0.0.1:2", "readiness": "127.0.0.1:3",
+                           "directory": "127.0.0.1:4",
+                           "metrics": "127.0.0.1:5", "peers": "127.0.0.1:6"},
+                "limits": {")",
+            field, "\": ", item.value, "}}");
+        const auto settings = gateway::ParseGatewaySettings(text);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.value, item.is_valid, settings.Ok());
+        if (!item.is_valid) continue;
+        const gateway::GatewaySettings& read = settings.Value();
+        CPPUNIT_ASSERT_EQUAL(item.total_bytes,
+                             absl::StartsWith(field, "caller")
+                                 ? read.caller_buffers.total_bytes
+                                 : read.request_bodies_bytes);
+      }
     }
   }
 };
