Simulations: run scheduled events in one place

Four simulations repeated the loop that runs events on a virtual clock. RunEvents replaces the four copies; what they simulate is unchanged.

--- a/measure/model/limits_fleet.cc
+++ b/measure/model/limits_fleet.cc
@@ -376,13 +376,7 @@
     }
   }
   const Instant end = kWarmUp + this->run.length;
-  while (!this->events.empty() && this->events.begin()->first < end) {
-    const auto next = this->events.begin();
-    const std::function<void()> action = std::move(next->second);
-    this->manual.Advance(next->first - this->manual.Now());
-    this->events.erase(next);
-    action();
-  }
+  RunEvents(this->events, this->manual, end);
   this->result.overshoot = LargestOvershoot(this->result.history, kWorkspace,
                                             this->run.rate, this->run.burst);
   return this->result;
--- a/measure/model/limits_fleet.h
+++ b/measure/model/limits_fleet.h
@@ -14,6 +14,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/distributed_rate_limiter.h"
 #include "measure/history/history.h"
+#include "measure/model/scheduled_events.h"
 
 namespace dragonflyglade {
 
@@ -124,7 +125,7 @@
   ManualClock manual;
   Clock clock;
   std::mt19937_64 random;
-  std::multimap<Instant, std::function<void()>> events;
+  ScheduledEvents events;
   std::vector<Instance> instances;
   Allotment allotment;
   TerminatedOwners terminated_owners;
--- a/measure/model/placement_fleet.cc
+++ b/measure/model/placement_fleet.cc
@@ -314,14 +314,7 @@
                    [=, this] { this->PlanRound(i); });
   }
   this->Schedule(absl::Seconds(60), [this] { this->SimulateSecond(); });
-  while (!this->events.empty() &&
-         this->events.begin()->first < this->run.length) {
-    const auto next = this->events.begin();
-    const std::function<void()> action = std::move(next->second);
-    this->manual.Advance(next->first - this->manual.Now());
-    this->events.erase(next);
-    action();
-  }
+  RunEvents(this->events, this->manual, this->run.length);
   this->result.attained =
       this->served_tokens / std::max(1.0, this->demanded_tokens);
   this->result.reachable = static_cast<double>(this->reachable_seconds) /
--- a/measure/model/placement_fleet.h
+++ b/measure/model/placement_fleet.h
@@ -14,6 +14,7 @@
 #include "dragonflyglade/decision/placement_planner.h"
 #include "dragonflyglade/decision/target_ledger.h"
 #include "measure/history/history.h"
+#include "measure/model/scheduled_events.h"
 
 namespace dragonflyglade {
 
@@ -119,7 +120,7 @@
   ManualClock manual;
   Clock clock;
   std::mt19937_64 random;
-  std::multimap<Instant, std::function<void()>> events;
+  ScheduledEvents events;
   std::map<std::string, Target> targets;
   std::map<std::string, StoredLedger> store;
   std::int64_t revision = 1;
--- a/measure/model/quota_fleet.cc
+++ b/measure/model/quota_fleet.cc
@@ -329,13 +329,7 @@
   }
   this->Schedule(kWarmUp, [this] { this->OfferRequest(); });
   const Instant end = kWarmUp + this->run.length;
-  while (!this->events.empty() && this->events.begin()->first < end) {
-    const auto next = this->events.begin();
-    const std::function<void()> action = std::move(next->second);
-    this->manual.Advance(next->first - this->manual.Now());
-    this->events.erase(next);
-    action();
-  }
+  RunEvents(this->events, this->manual, end);
   this->result.most_in_window = this->MostInWindow();
   return this->result;
 }
--- a/measure/model/quota_fleet.h
+++ b/measure/model/quota_fleet.h
@@ -19,6 +19,7 @@
 #include "dragonflyglade/decision/unreported_grants.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
 #include "measure/history/quota_replay.h"
+#include "measure/model/scheduled_events.h"
 
 namespace dragonflyglade {
 
@@ -128,7 +129,7 @@
   /// same requests whatever is decided.
   std::mt19937_64 arrivals;
   std::mt19937_64 random;
-  std::multimap<Instant, std::function<void()>> events;
+  ScheduledEvents events;
   QuotaParticipants participants;
   std::vector<Instance> instances;
   std::unique_ptr<Leader> leader;
--- a/measure/model/serving_fleet.cc
+++ b/measure/model/serving_fleet.cc
@@ -385,13 +385,7 @@
     }
   });
   const Instant end = start + this->run.length;
-  while (!this->events.empty() && this->events.begin()->first < end) {
-    const auto next = this->events.begin();
-    const std::function<void()> action = std::move(next->second);
-    this->manual.Advance(next->first - this->manual.Now());
-    this->events.erase(next);
-    action();
-  }
+  RunEvents(this->events, this->manual, end);
   return this->result;
 }
 
--- a/measure/model/serving_fleet.h
+++ b/measure/model/serving_fleet.h
@@ -16,6 +16,7 @@
 #include "dragonflyglade/decision/retry_budget.h"
 #include "dragonflyglade/decision/target_registry.h"
 #include "dragonflyglade/decision/token_bucket.h"
+#include "measure/model/scheduled_events.h"
 
 namespace dragonflyglade {
 
@@ -163,7 +164,7 @@
   ManualClock manual;
   Clock clock;
   std::mt19937_64 random;
-  std::multimap<Instant, std::function<void()>> events;
+  ScheduledEvents events;
   std::vector<Instance> instances;
   std::map<std::string, Target> targets;
   std::vector<TokenBucket> rates;
