Quota: own token buckets for instances without a leader

An instance that was partitioned before a workspace began to flood knew no bucket level. It spent its share of the window in under two seconds and then refused everything until the window had passed.

--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -122,6 +122,9 @@
   /** Targets that said in a response that they leave, while their records do
       not say so. */
   21: list<TargetProcess> leaving
+  /** Whether the instance limits its spending by its own token buckets while it
+      has no leader. If not set, it may spend its share of a window at once. */
+  30: optional bool keeps_buckets
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
