Choose engines that have the shared parts of a prompt cached

Target selection took a stable hash of part and engine as the uncached share of a shared prefix, so that engines read parts again that another engine had cached. An index now records which parts engines have read for requests of this instance, and what their memory has room for. The choice counts what a candidate has to read; the hash decides on what no candidate is known to have. The prompt tokens that wait at an engine use the same figure.

Active for services of which a target has stated its slowness, or by the setting prompt_cache. The share of tokens that are read again is not measured yet.

--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -46,14 +46,34 @@
   return static_cast<double>(hash >> 11) * 0x1.0p-53;
 }
 
+// Tokens of the request's shared prefix that the candidate has cached.
+double CachedTokens(const TargetChoiceRequest& request,
+                    const TargetCandidate& candidate) {
+  return std::min(candidate.cached_prefix_tokens, request.shared_prefix_tokens);
+}
+
+// The highest number of tokens of the prefix that a candidate has cached.
+double MostCachedTokens(const TargetChoiceRequest& request,
+                        absl::Span<const TargetCandidate> candidates) {
+  double most = 0;
+  for (const TargetCandidate& candidate : candidates) {
+    most = std::max(most, CachedTokens(request, candidate));
+  }
+  return most;
+}
+
 // Prompt tokens of the request that the engine does not have in its cache.
+// @param most_cached see MostCachedTokens
 double UncachedTokens(const TargetChoiceRequest& request,
-                      const TargetCandidate& candidate) {
+                      const TargetCandidate& candidate, double most_cached) {
   const double own_tokens =
       request.prompt_tokens - request.shared_prefix_tokens;
   if (request.shared_prefix_id.empty()) return own_tokens;
-  return own_tokens + request.shared_prefix_tokens *
-                          StableShare(request.shared_prefix_id, candidate.id);
+  const double cached_elsewhere =
+      most_cached - CachedTokens(request, candidate);
+  const double cached_nowhere = request.shared_prefix_tokens - most_cached;
+  return own_tokens + cached_elsewhere +
+         cached_nowhere * StableShare(request.shared_prefix_id, candidate.id);
 }
 
 EngineLoad LoadOf(const TargetCandidate& candidate) {
@@ -68,9 +88,9 @@
 }
 
 double EngineWaitMs(const TargetChoiceRequest& request,
-                    const TargetCandidate& candidate) {
+                    const TargetCandidate& candidate, double most_cached) {
   return FirstOutputMs(EngineFigures(), LoadOf(candidate),
-                       UncachedTokens(request, candidate));
+                       UncachedTokens(request, candidate, most_cached));
 }
 
 // The cost of a delay that may exceed the latency objective.
@@ -89,10 +109,10 @@
 EnginePrediction Predict(const TargetCandidate& candidate,
                          const TargetChoiceRequest& request,
                          const EngineRequest& engine_request,
-                         const EngineFigures& figures) {
+                         const EngineFigures& figures, double most_cached) {
   EnginePrediction prediction;
   prediction.load = LoadOf(candidate);
-  prediction.prompt_tokens = UncachedTokens(request, candidate);
+  prediction.prompt_tokens = UncachedTokens(request, candidate, most_cached);
   prediction.first_output_ms =
       FirstOutputMs(figures, prediction.load, prediction.prompt_tokens);
   const GapPrediction gaps(figures, prediction.load, engine_request.stream);
@@ -160,6 +180,7 @@
 std::optional<TargetChoice> ChooseTarget(
     const TargetChoiceRequest& request,
     absl::Span<const TargetCandidate> candidates, double jitter) {
+  const double most_cached = MostCachedTokens(request, candidates);
   std::optional<TargetChoice> best;
   double best_ms = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -169,7 +190,7 @@
     const double phase =
         std::fmod(jitter + 0.618 * static_cast<double>(i), 1.0);
     double wait_ms = request.prompt_tokens > 0
-                         ? EngineWaitMs(request, candidate)
+                         ? EngineWaitMs(request, candidate, most_cached)
                          : PlainWaitMs(candidate, phase);
     wait_ms += candidate.failure_rate * kFailureMs;
     wait_ms += candidate.same_zone ? 0 : kOtherZoneMs;
@@ -186,13 +207,14 @@
     const TargetChoiceRequest& request, const EngineRequest& engine_request,
     const EngineFigures& figures,
     absl::Span<const TargetCandidate> candidates) {
+  const double most_cached = MostCachedTokens(request, candidates);
   std::optional<TargetChoice> best;
   double best_ms = 0;
   double least_ms = std::numeric_limits<double>::infinity();
   bool any_idle = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const EnginePrediction prediction =
-        Predict(candidates[i], request, engine_request, figures);
+        Predict(candidates[i], request, engine_request, figures, most_cached);
     const double cost_ms =
         CostMs(prediction, candidates[i], engine_request, figures);
     least_ms = std::min(least_ms, prediction.first_output_ms);
--- a/dragonflyglade/decision/target_choice.h
+++ b/dragonflyglade/decision/target_choice.h
@@ -27,6 +27,8 @@
   double requests = 0;
   /// Tokens of prompts sent to the target without any output so far.
   double unprocessed_prompt_tokens = 0;
+  /// Tokens of the request's shared prefix that it is known to have cached.
+  double cached_prefix_tokens = 0;
   /// Whether the target is in this instance's availability zone, so that no
   /// traffic crosses zones.
   bool same_zone = true;
@@ -79,8 +81,9 @@
 /// Chooses the candidate with the least expected delay until the first output.
 ///
 /// Requests with the same shared prefix prefer the same targets on all
-/// instances without messages between them: a stable hash of the prefix and the
-/// target decides which share of the prefix counts as cached at each candidate.
+/// instances without messages between them: of what no candidate is known to
+/// have cached, a stable hash of the prefix and the target decides which share
+/// counts as cached at each candidate.
 /// If a preferred target is busy for longer than the prefill of the prefix
 /// takes, an idle target is chosen.
 /// @param jitter uniform in [0, 1); breaks ties between equal targets that are
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -177,6 +177,7 @@
                    {"version", record.version.value_or("none")},
                    {"revision", item.revision}});
   this->RecordVersion(record);
+  if (this->on_target_record) this->on_target_record(record);
   const auto known = this->targets.find(record.id);
   if (known != this->targets.end() &&
       known->second->Record().service == record.service) {
@@ -424,6 +425,11 @@
   if (found == this->targets.end()) return;
   const std::shared_ptr<TargetState> target = found->second;
   this->RecordVersion(target->Record());
+  if (this->on_target_record) {
+    TargetRecord removed = target->Record();
+    removed.models.clear();
+    this->on_target_record(removed);
+  }
   auto& peers = this->by_service[target->Record().service];
   peers.erase(std::remove(peers.begin(), peers.end(), target), peers.end());
   this->targets.erase(found);
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -168,6 +168,12 @@
   }
   static std::string CrashingPartKey(std::string_view part);
 
+  /// Sets a function that is called when the record of a target was read or
+  /// removed; a removed one lists no models.
+  void OnTargetRecord(std::function<void(const TargetRecord&)> callback) {
+    this->on_target_record = std::move(callback);
+  }
+
   /// The revision of the newest urgent change. A change is urgent unless it
   /// only concerns the adapters and the cached weights of a target.
   std::uint64_t UrgentRevision() const { return this->urgent_revision; }
@@ -255,6 +261,7 @@
   std::function<void(std::string_view)> on_second_version;
   std::map<std::string, CrashingPartRecord, std::less<>> crashing_parts;
   std::function<void(std::string_view)> on_crashing_part_removed;
+  std::function<void(const TargetRecord&)> on_target_record;
   bool has_listing = false;  ///< whether a listing was applied
   std::optional<LeaderRecord> leader;
   std::uint64_t leader_revision = 0;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -110,11 +110,12 @@
       crash_detector(this->context, this->wire, this->fleet, this->channel,
                      this->paths, this->crashing_parts, this->metrics,
                      this->log, this->tasks, this->clock),
+      prompt_caches(this->settings, this->fleet, this->metrics),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->quota_admission, this->channel,
                this->stream_origins, this->crashing_parts, this->crash_detector,
-               this->paths, this->sync_state, this->metrics, this->log,
-               this->tasks, this->clock) {
+               this->paths, this->prompt_caches, this->sync_state,
+               this->metrics, this->log, this->tasks, this->clock) {
   if (this->settings.first_start) this->fleet.SetFirstStart();
   this->AddGauges();
 }
@@ -180,6 +181,9 @@
   this->metrics.AddGauge("caller_buffer_bytes", [this] {
     return static_cast<double>(this->caller_buffers.Bytes());
   });
+  this->metrics.AddGauge("prompt_parts_known", [this] {
+    return static_cast<double>(this->prompt_caches.Parts());
+  });
   this->metrics.AddGauge("tunnels_busy", [this] {
     return static_cast<double>(this->tunnel_server.Busy());
   });
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -146,6 +146,7 @@
   VersionRecorder version_recorder;
   PlacementController placement;
   TargetCrashDetector crash_detector;
+  PromptCaches prompt_caches;
   Pipeline pipeline;
   bool stopping = false;
 };
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -71,7 +71,8 @@
                     {"caller_socket_kb", BufferSchema()},
                     {"caller_buffers_kb", BufferSchema()},
                     {"run_backups", {{"type", "boolean"}}},
-                    {"engine_model", {{"type", "boolean"}}}},
+                    {"engine_model", {{"type", "boolean"}}},
+                    {"prompt_cache", {{"type", "boolean"}}}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -145,6 +146,9 @@
                 settings.caller_buffers.total_bytes);
   settings.run_backups = limits.value("run_backups", settings.run_backups);
   settings.engine_model = limits.value("engine_model", settings.engine_model);
+  if (limits.contains("prompt_cache")) {
+    settings.prompt_cache = limits.at("prompt_cache").get<bool>();
+  }
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,9 @@
   /// Whether engines that state how fast they are are chosen by a learnt model;
   /// see ChooseEngine.
   bool engine_model = false;
+  /// Whether target selection uses what is known of engines' prefix caches; if
+  /// there is no value, for services whose targets state how fast they are.
+  std::optional<bool> prompt_cache;
 };
 
 /// Reads and checks a settings file.
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -30,6 +30,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/prompt_caches.h"
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/stream_origins.h"
@@ -54,8 +55,8 @@
            QuotaAdmission& quotas, FleetChannel& channel,
            StreamOrigins& stream_origins, CrashingParts& crashing_parts,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
-           const StoreSyncState& sync_state, Metrics& metrics, EventLog& log,
-           Tasks& tasks, Clock clock);
+           PromptCaches& prompt_caches, const StoreSyncState& sync_state,
+           Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock);
 
   /// Serves the request and responds on the caller's connection.
   boost::asio::awaitable<void> Serve(CallerRequest request,
@@ -218,6 +219,7 @@
   CrashingParts& crashing_parts;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
+  PromptCaches& prompt_caches;
   const StoreSyncState& sync_state;
   Metrics& metrics;
   EventLog& log;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -70,6 +70,16 @@
   bool prompt_done = false;
 };
 
+// Whether the target has begun to answer, so that it has read the prompt.
+bool HasOutput(const ExchangeOutcome& outcome) {
+  if (const auto* response = std::get_if<CompleteResponse>(&outcome)) {
+    return response->head.is_signed && IsSuccess(response->head.status);
+  }
+  const auto* stream = std::get_if<StreamHead>(&outcome);
+  return stream != nullptr && stream->head.is_signed &&
+         IsSuccess(stream->head.status);
+}
+
 // The values that the request carries to its target.
 ForwardingContext MakeForwardingContext(const RequestJob& job,
                                         std::string target, Instant now) {
@@ -146,6 +156,10 @@
   const int new_run = job.continues_copy ? 0 : 1;
   std::optional<InFlightGuard> guard;
   guard.emplace(*target, unread_tokens, job.Resident(), now);
+  std::optional<PromptRead> prompt_read;
+  if (!job.continues_copy) {
+    prompt_read.emplace(this->prompt_caches, job, target->Record());
+  }
   if (job.NeedsModel() && !job.continues_copy) {
     this->channel.BroadcastSentPrompt(job.target, unread_tokens);
   }
@@ -153,6 +167,7 @@
       address, job.request.id, std::move(head), job.request.body,
       job.deadline + kResponseTravelTime);
   guard->RecordFirstOutput();
+  if (prompt_read.has_value()) prompt_read->Finish(HasOutput(outcome));
   // A caller that reads slowly holds no place at a target that has answered.
   if (std::holds_alternative<CompleteResponse>(outcome)) guard.reset();
   if (job.uses_own_path && !std::holds_alternative<NotSent>(outcome) &&
@@ -195,7 +210,12 @@
 void Pipeline::RecordResponseHead(TargetState& target,
                                   const ResponseHead& head) {
   const Instant now = this->clock.Now();
-  if (head.load.has_value()) target.SetLoadReport(*head.load, now);
+  if (head.load.has_value()) {
+    target.SetLoadReport(*head.load, now);
+    if (head.load->slowness.has_value()) {
+      this->prompt_caches.RecordSlownessStated(target.Record().service);
+    }
+  }
   if (head.wrong_target) return;
   this->RecordBrittleness(target, head);
   // A failure may come from a part of the target that knows no limit.
@@ -358,6 +378,9 @@
     if (target.Brittleness().IsBrittle()) this->channel.ReportStatementChange();
   } else if (job.NeedsModel()) {
     target.MarkNotResident(use.model, use.adapter, now);
+    if (use.adapter.empty()) {
+      this->prompt_caches.DropModel(job.target, use.model);
+    }
     const ModelName name{job.service->name, use.model, use.adapter};
     this->channel.ReportMissingModel(job.target, name);
   } else {
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -138,6 +138,7 @@
   const int max_in_flight = this->MaxInFlightAtTarget(*job.service);
   std::vector<std::shared_ptr<TargetState>> targets;
   std::vector<TargetCandidate> candidates;
+  this->prompt_caches.Prepare(job);
   for (const auto& target : this->fleet.Targets(job.service->name)) {
     const TargetRecord& record = target->Record();
     if (target->InFlight() >= max_in_flight) continue;
@@ -158,6 +159,8 @@
     candidate.requests = target->EstimatedRequests(now);
     candidate.has_room = candidate.requests < candidate.slots;
     candidate.unprocessed_prompt_tokens = target->EstimatedUnreadTokens(now);
+    candidate.cached_prefix_tokens =
+        this->prompt_caches.CachedTokens(record, job.cacheable_parts);
     candidate.same_zone = record.zone == this->settings.zone;
     candidate.failure_rate = target->FailureRate();
     candidate.slowness = target->Slowness(now);
@@ -170,6 +173,7 @@
       this->ChooseTargetFor(job, candidates);
   if (!choice.has_value()) return nullptr;
   job.candidates = candidates.size();
+  job.RecordCached(candidates[choice->index].cached_prefix_tokens);
   job.expected_first_output_delay = choice->expected_first_output_delay;
   job.prediction = choice->engine;
   job.least_first_output_delay = choice->any_idle
--- a/dragonflyglade/gateway/request_job.cc
+++ b/dragonflyglade/gateway/request_job.cc
@@ -55,6 +55,12 @@
              : absl::ZeroDuration();
 }
 
+void RequestJob::RecordCached(double tokens) {
+  this->cached_tokens.reset();
+  if (this->cacheable_parts.empty()) return;
+  this->cached_tokens = std::min(tokens, this->SharedTokens());
+}
+
 void RequestJob::RecordOutput(Instant now) {
   if (!this->attempt_first_output.has_value()) this->attempt_first_output = now;
   if (!this->first_output.has_value()) this->first_output = now;
@@ -66,6 +72,9 @@
 }
 
 double RequestJob::UnreadTokens() const {
+  if (this->cached_tokens.has_value()) {
+    return this->request.use.prompt_tokens - *this->cached_tokens;
+  }
   return ExpectedPrefillTokens(this->request.use.prompt_tokens,
                                this->SharedTokens());
 }
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -9,11 +9,13 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/engine_model.h"
+#include "dragonflyglade/decision/prompt_cache_index.h"
 #include "dragonflyglade/decision/refusal.h"
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_splitter.h"
@@ -80,6 +82,11 @@
   absl::Duration target_wait;     ///< time spent waiting for a target
   absl::Duration pacing_time;     ///< time spent in pacing, see PacingDelay
   std::size_t candidates = 0;     ///< targets considered in the last choice
+  /// The shared parts of the prompt, if what engines have cached is known; see
+  /// PromptCaches.
+  std::vector<SharedPromptPart> cacheable_parts;
+  /// Tokens of these parts that the chosen target has cached.
+  std::optional<double> cached_tokens;
 
   RequestJob(CallerRequest request, CallerConnection& connection)
       : request(std::move(request)), connection(connection) {}
@@ -108,6 +115,8 @@
     const ModelUse& use = this->request.use;
     return this->NeedsModel() ? ResidentKey(use.model, use.adapter) : "";
   }
+  /// Records how many tokens of the shared parts the chosen target has cached.
+  void RecordCached(double tokens);
   /// Records output of the target for the caller.
   void RecordOutput(Instant now);
   /// Time from the current attempt to its first output; zero if it has none.
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -255,6 +255,7 @@
   settings.retry_slack = 100;
   settings.caller_buffers = this->options.caller_buffers;
   settings.run_backups = this->options.run_backups;
+  settings.prompt_cache = this->options.prompt_cache;
   return settings;
 }
 
--- a/tests/unit/unit-target-choice.cc
+++ b/tests/unit/unit-target-choice.cc
@@ -47,6 +47,11 @@
   return candidate;
 }
 
+TargetCandidate Caching(TargetCandidate candidate, double tokens) {
+  candidate.cached_prefix_tokens = tokens;
+  return candidate;
+}
+
 struct ChoiceCase {
   const char* what;
   TargetChoiceRequest request;
@@ -63,6 +68,7 @@
   CPPUNIT_TEST_SUITE(TargetChoiceTest);
   CPPUNIT_TEST(ChoosesLeastExpectedDelay);
   CPPUNIT_TEST(KeepsSharedPrefixesTogether);
+  CPPUNIT_TEST(UsesWhatEnginesHaveCached);
   CPPUNIT_TEST(ComputesEnginePriority);
   CPPUNIT_TEST(ChoosesLeastCost);
   CPPUNIT_TEST(BreaksTiesEvenly);
@@ -131,6 +137,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, chosen.size());
   }
 
+  // Guards against prompts that an engine reads although another one has them
+  // cached.
+  void UsesWhatEnginesHaveCached() {
+    struct CacheCase {
+      const char* what;
+      std::vector<TargetCandidate> candidates;
+      bool expects_first;
+    };
+    const auto cached = Caching(Candidate("cached", 5), 6000);
+    const auto part = Caching(Candidate("part", 5), 3000);
+    const std::vector<CacheCase> cases = {
+        {"cached", {cached, Candidate("other", 0)}, true},
+        {"more of it cached", {cached, part}, true},
+        {"a part of it cached", {part, Candidate("other", 0)}, true},
+        {"cached, but others wait longer than the prefill takes",
+         {Caching(Candidate("busy", 5, 9000), 6000), Candidate("other", 5)},
+         false},
+        {"cached, and others wait less than the prefill takes",
+         {Caching(Candidate("busy", 5, 3000), 6000), Candidate("other", 5)},
+         true},
+        {"a prefix that is said to be longer than it is",
+         {Caching(Candidate("liar", 5, 3000), 90000), cached},
+         false},
+    };
+    for (const CacheCase& item : cases) {
+      for (int prefix = 0; prefix < 50; ++prefix) {
+        const std::string id = "part" + std::to_string(prefix);
+        const TargetChoiceRequest request{9000, 6000, id};
+        const auto target = ChooseTarget(request, item.candidates, 0.5);
+        const auto engine = ChooseEngine(request, kChatStream, EngineFigures(),
+                                         item.candidates);
+        const bool first = target->index == 0;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, item.expects_first, first);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(item.what, target->index, engine->index);
+      }
+    }
+  }
+
   void ComputesEnginePriority() {
     struct PriorityCase {
       int route;
