--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -46,14 +46,47 @@
   return static_cast<double>(hash >> 11) * 0x1.0p-53;
 }
 
+// Tokens of the request's shared prefix that the candidate has cached.
+double CachedTokens(const TargetChoiceRequest& request,
+                    const TargetCandidate& candidate) {
+  return std::min(candidate.cached_prefix_tokens, request.shared_prefix_tokens);
+}
+
+// The highest number of tokens of the prefix that a candidate has cached.
+double MostCachedTokens(const TargetChoiceRequest& request,
+                        absl::Span<const TargetCandidate> candidates) {
+  double most = 0;
+  for (const TargetCandidate& candidate : candidates) {
+    most = std::max(most, CachedTokens(request, candidate));
+  }
+  return most;
+}
+
 // Prompt tokens of the request that the engine does not have in its cache.
+// @param most_cached see MostCachedTokens
 double UncachedTokens(const TargetChoiceRequest& request,
-                      const TargetCandidate& candidate) {
+                      const TargetCandidate& candidate, double most_cached) {
   const double own_tokens =
       request.prompt_tokens - request.shared_prefix_tokens;
   if (request.shared_prefix_id.empty()) return own_tokens;
-  return own_tokens + request.shared_prefix_tokens *
-                          StableShare(request.shared_prefix_id, candidate.id);
+  const double cached_elsewhere =
+      most_cached - CachedTokens(request, candidate);
+  const double cached_nowhere = request.shared_prefix_tokens - most_cached;
+  return own_tokens + cached_elsewhere +
+         cached_nowhere * StableShare(request.shared_prefix_id, candidate.id);
+}
+
+// What the choice of the candidate costs later requests, in prompt tokens. A
+// part that is cached twice has evicted another one, so that requests go to the
+// same copy while it is not much busier than the others.
+// @param most_cached see MostCachedTokens
+double CacheCostTokens(const TargetChoiceRequest& request,
+                       const TargetCandidate& candidate, double most_cached) {
+  if (most_cached <= 0) return candidate.evicted_tokens;
+  const bool has_most = CachedTokens(request, candidate) >= most_cached;
+  const double share =
+      has_most ? StableShare(request.shared_prefix_id, candidate.id) : 1;
+  return candidate.evicted_tokens + share * request.shared_prefix_tokens;
 }
 
 EngineLoad LoadOf(const TargetCandidate& candidate) {
@@ -68,9 +101,9 @@
 }
 
 double EngineWaitMs(const TargetChoiceRequest& request,
-                    const TargetCandidate& candidate) {
+                    const TargetCandidate& candidate, double most_cached) {
   return FirstOutputMs(EngineFigures(), LoadOf(candidate),
-                       UncachedTokens(request, candidate));
+                       UncachedTokens(request, candidate, most_cached));
 }
 
 // The cost of a delay that may exceed the latency objective.
@@ -89,10 +122,10 @@
 EnginePrediction Predict(const TargetCandidate& candidate,
                          const TargetChoiceRequest& request,
                          const EngineRequest& engine_request,
-                         const EngineFigures& figures) {
+                         const EngineFigures& figures, double most_cached) {
   EnginePrediction prediction;
   prediction.load = LoadOf(candidate);
-  prediction.prompt_tokens = UncachedTokens(request, candidate);
+  prediction.prompt_tokens = UncachedTokens(request, candidate, most_cached);
   prediction.first_output_ms =
       FirstOutputMs(figures, prediction.load, prediction.prompt_tokens);
   const GapPrediction gaps(figures, prediction.load, engine_request.stream);
@@ -120,13 +153,14 @@
 
 double CostMs(const EnginePrediction& prediction,
               const TargetCandidate& candidate,
-              const EngineRequest& engine_request,
-              const EngineFigures& figures) {
+              const EngineRequest& engine_request, const EngineFigures& figures,
+              double cache_cost_tokens) {
   const double late_streams =
       prediction.late_gap_chance +
       NewlyLateStreams(prediction, figures, engine_request.running_streams);
   return DelayCostMs(prediction.first_output_ms,
                      engine_request.latency_objective) +
+         cache_cost_tokens / figures.prefill_tokens_per_ms +
          kLateMs * late_streams + candidate.failure_rate * kFailureMs +
          (candidate.same_zone ? 0 : kOtherZoneMs) +
          (candidate.has_room ? 0 : kNoRoomMs) +
@@ -160,6 +194,7 @@
 std::optional<TargetChoice> ChooseTarget(
     const TargetChoiceRequest& request,
     absl::Span<const TargetCandidate> candidates, double jitter) {
+  const double most_cached = MostCachedTokens(request, candidates);
   std::optional<TargetChoice> best;
   double best_ms = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -169,12 +204,15 @@
     const double phase =
         std::fmod(jitter + 0.618 * static_cast<double>(i), 1.0);
     double wait_ms = request.prompt_tokens > 0
-                         ? EngineWaitMs(request, candidate)
+                         ? EngineWaitMs(request, candidate, most_cached)
                          : PlainWaitMs(candidate, phase);
     wait_ms += candidate.failure_rate * kFailureMs;
     wait_ms += candidate.same_zone ? 0 : kOtherZoneMs;
-    if (best.has_value() && wait_ms >= best_ms) continue;
-    best_ms = wait_ms;
+    const double cost_ms =
+        wait_ms +
+        CacheCostTokens(request, candidate, most_cached) / kPrefillTokensPerMs;
+    if (best.has_value() && cost_ms >= best_ms) continue;
+    best_ms = cost_ms;
     best.emplace();
     best->index = i;
     best->expected_first_output_delay = absl::Milliseconds(wait_ms);
@@ -186,15 +224,17 @@
     const TargetChoiceRequest& request, const EngineRequest& engine_request,
     const EngineFigures& figures,
     absl::Span<const TargetCandidate> candidates) {
+  const double most_cached = MostCachedTokens(request, candidates);
   std::optional<TargetChoice> best;
   double best_ms = 0;
   double least_ms = std::numeric_limits<double>::infinity();
   bool any_idle = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const EnginePrediction prediction =
-        Predict(candidates[i], request, engine_request, figures);
+        Predict(candidates[i], request, engine_request, figures, most_cached);
     const double cost_ms =
-        CostMs(prediction, candidates[i], engine_request, figures);
+        CostMs(prediction, candidates[i], engine_request, figures,
+               CacheCostTokens(request, candidates[i], most_cached));
     least_ms = std::min(least_ms, prediction.first_output_ms);
     any_idle = any_idle || IsIdle(candidates[i]);
     if (best.has_value() && cost_ms >= best_ms) continue;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -81,11 +81,13 @@
       crashing_parts(this->context, this->fleet, this->store, this->self,
                      this->metrics, this->log, this->tasks, this->clock,
                      absl::Now),
+      prompt_caches(this->settings, this->fleet, this->metrics, this->clock),
       channel(this->context, this->listeners.peers, this->fleet, this->demand,
               this->quotas, this->quota_admission, this->aggregator,
               this->leader_lease, this->self, this->settings.first_start,
               this->sync_state, this->relay, this->stream_origins,
-              this->crashing_parts, this->metrics, this->tasks, this->clock),
+              this->crashing_parts, this->prompt_caches, this->metrics,
+              this->tasks, this->clock),
       statements(this->fleet, this->channel, this->self.name, this->metrics,
                  this->log, this->clock),
       request_bodies([this] { return this->settings.request_bodies_bytes; }),
@@ -113,12 +115,15 @@
       crash_detector(this->context, this->wire, this->fleet, this->channel,
                      this->paths, this->crashing_parts, this->metrics,
                      this->log, this->tasks, this->clock),
+      prompt_cache_reader(this->context, this->settings, this->wire,
+                          this->fleet, this->prompt_caches, this->paths,
+                          this->metrics, this->tasks, this->clock, absl::Now),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->quota_admission, this->channel,
                this->stream_origins, this->crashing_parts, this->crash_detector,
-               this->paths, this->caller_buffers, this->request_bodies,
-               this->sync_state, this->metrics, this->log, this->tasks,
-               this->clock) {
+               this->paths, this->prompt_caches, this->caller_buffers,
+               this->request_bodies, this->sync_state, this->metrics, this->log,
+               this->tasks, this->clock) {
   if (this->settings.first_start) this->fleet.SetFirstStart();
   this->AddGauges();
 }
@@ -190,6 +195,9 @@
   this->metrics.AddGauge("request_body_bytes", [this] {
     return static_cast<double>(this->request_bodies.Bytes());
   });
+  this->metrics.AddGauge("prompt_parts_known", [this] {
+    return static_cast<double>(this->prompt_caches.Parts());
+  });
   this->metrics.AddGauge("tunnels_busy", [this] {
     return static_cast<double>(this->tunnel_server.Busy());
   });
@@ -240,6 +248,8 @@
   });
   this->tasks.SpawnWithRestart("place models",
                                [this] { return this->placement.Run(); });
+  this->tasks.SpawnWithRestart(
+      "read prompt caches", [this] { return this->prompt_cache_reader.Run(); });
   // A write to a connection that the peer has closed must not end the process.
   signal(SIGPIPE, SIG_IGN);
   this->tasks.SpawnWithRestart("wait for signals",
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -22,6 +22,8 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/pipeline.h"
 #include "dragonflyglade/gateway/placement_controller.h"
+#include "dragonflyglade/gateway/prompt_cache_reader.h"
+#include "dragonflyglade/gateway/prompt_caches.h"
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/registration.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
@@ -139,6 +141,7 @@
   StoreRelay relay;
   StreamOrigins stream_origins;
   CrashingParts crashing_parts;
+  PromptCaches prompt_caches;
   FleetChannel channel;
   TargetStatements statements;
   RequestBodies request_bodies;
@@ -150,6 +153,7 @@
   VersionRecorder version_recorder;
   PlacementController placement;
   TargetCrashDetector crash_detector;
+  PromptCacheReader prompt_cache_reader;
   Pipeline pipeline;
   bool stopping = false;
 };
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -72,7 +72,9 @@
                     {"caller_buffers_kb", BufferSchema()},
                     {"request_bodies_kb", BufferSchema()},
                     {"run_backups", {{"type", "boolean"}}},
-                    {"engine_model", {{"type", "boolean"}}}},
+                    {"engine_model", {{"type", "boolean"}}},
+                    {"prompt_cache", {{"type", "boolean"}}},
+                    {"prompt_cache_events", {{"type", "boolean"}}}},
                    json::array());
   return ObjectSchema(
       {{"instance", NameSchema()},
@@ -147,6 +149,11 @@
   ReadKilobytes(limits, "request_bodies_kb", settings.request_bodies_bytes);
   settings.run_backups = limits.value("run_backups", settings.run_backups);
   settings.engine_model = limits.value("engine_model", settings.engine_model);
+  settings.prompt_cache_events =
+      limits.value("prompt_cache_events", settings.prompt_cache_events);
+  if (limits.contains("prompt_cache")) {
+    settings.prompt_cache = limits.at("prompt_cache").get<bool>();
+  }
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -32,6 +32,7 @@
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/gateway_settings.h"
 #include "dragonflyglade/gateway/model_demand.h"
+#include "dragonflyglade/gateway/prompt_caches.h"
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/request_bodies.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
@@ -57,7 +58,8 @@
            QuotaAdmission& quotas, FleetChannel& channel,
            StreamOrigins& stream_origins, CrashingParts& crashing_parts,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
-           CallerBuffers& caller_buffers, const RequestBodies& request_bodies,
+           PromptCaches& prompt_caches, CallerBuffers& caller_buffers,
+           const RequestBodies& request_bodies,
            const StoreSyncState& sync_state, Metrics& metrics, EventLog& log,
            Tasks& tasks, Clock clock);
 
@@ -231,6 +233,7 @@
   CrashingParts& crashing_parts;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
+  PromptCaches& prompt_caches;
   CallerBuffers& caller_buffers;
   const RequestBodies& request_bodies;
   const StoreSyncState& sync_state;
