--- a/tests/unit/unit-prompt-cache.cc
+++ b/tests/unit/unit-prompt-cache.cc
@@ -24,6 +24,7 @@
                                     std::string_view adapter = "") {
   PromptPartKeys keys(model, adapter);
   std::vector<SharedPromptPart> parts;
+  parts.reserve(ids.size());
   for (const std::string& id : ids) {
     parts.push_back(keys.Append(id, kPartTokens));
   }
