--- a/dragonflyglade/gateway/prompt_cache_reader.cc
+++ b/dragonflyglade/gateway/prompt_cache_reader.cc
@@ -103,12 +103,12 @@
                                  ? this->wire.encode_cache_list_call(record.id)
                                  : this->wire.encode_cache_events_call(
                                        record.id, follower.Next(), kWait);
-  std::string head = RequestHeadText(call, record.address);
+  std::string head = RequestHeadText(call, record.address, 0);
   TargetExchange exchange(this->context, engine.connections, this->wire,
                           this->clock);
   this->paths.Use(DirectPath{}, engine, exchange);
   const ExchangeOutcome outcome =
-      co_await exchange.Run(record.address, "", std::move(head), call.body,
+      co_await exchange.Run(record.address, "", std::move(head), nullptr,
                             this->clock.Now() + kWait + kAnswerTime);
   co_return this->Evaluate(outcome, is_list, record, follower);
 }
