Prompt cache index: off unless the setting asks for it

Change: the setting prompt_cache is a plain switch, false by default. Targets that state their slowness no longer enable it.

--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -151,9 +151,7 @@
   settings.engine_model = limits.value("engine_model", settings.engine_model);
   settings.prompt_cache_events =
       limits.value("prompt_cache_events", settings.prompt_cache_events);
-  if (limits.contains("prompt_cache")) {
-    settings.prompt_cache = limits.at("prompt_cache").get<bool>();
-  }
+  settings.prompt_cache = limits.value("prompt_cache", settings.prompt_cache);
 }
 
 }  // namespace
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -2,7 +2,6 @@
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,9 +60,8 @@
   /// Whether engines that state how fast they are are chosen by a learnt model;
   /// see ChooseEngine.
   bool engine_model = false;
-  /// Whether target selection uses what is known of engines' prefix caches; if
-  /// there is no value, for services whose targets state how fast they are.
-  std::optional<bool> prompt_cache;
+  /// Whether target selection uses what is known of engines' prefix caches.
+  bool prompt_cache = false;
   /// Whether engines' events of their prefix caches are read, too.
   bool prompt_cache_events = false;
 };
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -219,12 +219,7 @@
 void Pipeline::RecordResponseHead(TargetState& target,
                                   const ResponseHead& head) {
   const Instant now = this->clock.Now();
-  if (head.load.has_value()) {
-    target.SetLoadReport(*head.load, now);
-    if (head.load->slowness.has_value()) {
-      this->prompt_caches.RecordSlownessStated(target.Record().service);
-    }
-  }
+  if (head.load.has_value()) target.SetLoadReport(*head.load, now);
   if (head.wrong_target) return;
   this->RecordBrittleness(target, head);
   // A failure may come from a part of the target that knows no limit.
--- a/dragonflyglade/gateway/prompt_cache_reader.cc
+++ b/dragonflyglade/gateway/prompt_cache_reader.cc
@@ -156,7 +156,7 @@
 
 bool PromptCacheReader::Owns(const TargetRecord& engine) {
   if (engine.models.empty() || engine.leaving) return false;
-  if (!this->caches.IsActive(engine.service)) return false;
+  if (!this->caches.IsActive()) return false;
   const auto known = this->owned.find(engine.id);
   if (known != this->owned.end()) return known->second;
   const bool owns = IsRendezvousOwner(engine.id, this->settings.instance,
--- a/dragonflyglade/gateway/prompt_caches.cc
+++ b/dragonflyglade/gateway/prompt_caches.cc
@@ -26,20 +26,9 @@
       [this](const TargetRecord& record) { this->RecordTarget(record); });
 }
 
-void PromptCaches::RecordSlownessStated(std::string_view service) {
-  if (this->stating_services.count(service) == 0) {
-    this->stating_services.emplace(service);
-  }
-}
-
-bool PromptCaches::IsActive(std::string_view service) const {
-  return this->settings.prompt_cache.value_or(
-      this->stating_services.count(service) > 0);
-}
-
 void PromptCaches::Prepare(RequestJob& job) const {
   job.cacheable_parts.clear();
-  if (!job.NeedsModel() || !this->IsActive(job.service->name)) return;
+  if (!job.NeedsModel() || !this->IsActive()) return;
   const ModelUse& use = job.request.use;
   PromptPartKeys keys(use.model, use.adapter);
   for (const PromptPart& part : job.SharedParts()) {
--- a/dragonflyglade/gateway/prompt_caches.h
+++ b/dragonflyglade/gateway/prompt_caches.h
@@ -2,7 +2,6 @@
 #define DRAGONFLYGLADE_GATEWAY_PROMPT_CACHES_H_
 
 #include <cstddef>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,13 +25,10 @@
   PromptCaches(const GatewaySettings& settings, FleetState& fleet,
                Metrics& metrics, Clock clock);
 
-  /// A target of the service has stated how fast it is, which enables the index
-  /// for the service unless the setting decides.
-  void RecordSlownessStated(std::string_view service);
-  /// Whether the index is used for the service.
-  bool IsActive(std::string_view service) const;
+  /// Whether target selection uses the index.
+  bool IsActive() const { return this->settings.prompt_cache; }
 
-  /// Sets the request's cacheable parts, if the index is used for its service.
+  /// Sets the request's cacheable parts, if the index is used.
   void Prepare(RequestJob& job) const;
   /// Sets what the engine has cached of the parts, and what it would evict.
   void Describe(const TargetRecord& engine,
@@ -65,8 +61,6 @@
   const Clock clock;
   PromptCacheIndex index;
   CachedPartLog changes;
-  /// Services whose targets state how fast they are.
-  std::set<std::string, std::less<>> stating_services;
 };
 
 /// The prefill of a request's prompt at an engine, during its lifetime.
