Names and comments after a newcomer's read; no cached parts while the setting is off

An instance with prompt_cache off no longer fills its index from what others report. A response that stops waiting for room no longer counts as admitted.

--- a/dragonflyglade/decision/cached_part_log.cc
+++ b/dragonflyglade/decision/cached_part_log.cc
@@ -8,8 +8,10 @@
 namespace dragonflyglade {
 namespace {
 
-// A part is told again after this time, so that others know that it is in use.
-constexpr absl::Duration kLifetime = absl::Seconds(5);
+// An unchanged part is told again after this time, so that others know that it
+// is still in use.
+constexpr absl::Duration kRepeatInterval = absl::Seconds(5);
+// Bounds the memory when more parts are added than messages can carry.
 constexpr std::size_t kMaxEntries = 4096;
 
 std::uint64_t IdentityOf(const CachedPart& part) {
@@ -21,7 +23,7 @@
 
 void CachedPartLog::Add(CachedPart part, std::string_view source, Instant now) {
   while (!this->entries.empty() &&
-         (now - this->entries.front().added >= kLifetime ||
+         (now - this->entries.front().added >= kRepeatInterval ||
           this->entries.size() >= kMaxEntries)) {
     this->RemoveOldest();
   }
--- a/dragonflyglade/decision/distributed_rate_limiter.cc
+++ b/dragonflyglade/decision/distributed_rate_limiter.cc
@@ -376,10 +376,9 @@
     return;
   }
   peer_bucket.level = static_cast<double>(loan->level);
-  // Failure: a peer has given up its share, or was restarted, and this instance
-  // has not received that allotment yet. Asked again at once, the peer declines
-  // until no more loans may be requested, and the request is refused as over
-  // the rate although another owner has tokens.
+  // The peer's share in force is too small for what was asked, since it has
+  // given it up or was restarted. It would decline again at once, so others are
+  // asked first.
   if (loan->granted == 0 && loan->cap < admission.loan_tokens) {
     admission.without_share.insert(std::string(peer));
     return;
--- a/dragonflyglade/decision/distributed_rate_limiter.h
+++ b/dragonflyglade/decision/distributed_rate_limiter.h
@@ -62,7 +62,7 @@
   /// Peers whose share in force is too small for what they were asked for.
   std::set<std::string> without_share;
   int loan_requests = 0;           ///< number of loans requested
-  bool any_responded = false;      ///< whether a peer with a share did
+  bool any_responded = false;      ///< whether a peer with enough share did
   std::int64_t loan_tokens = 0;    ///< what the current loan asks for
   Instant loan_requested_at;       ///< when the current loan was requested
   std::optional<Instant> charged;  ///< when it was admitted
--- a/dragonflyglade/decision/prompt_cache_calls.cc
+++ b/dragonflyglade/decision/prompt_cache_calls.cc
@@ -12,16 +12,16 @@
 
 }  // namespace
 
-Instant NextPromptCacheCall(PromptCacheCall outcome, Instant start,
+Instant NextPromptCacheCall(PromptCacheCallOutcome outcome, Instant start,
                             Instant end) {
-  if (outcome != PromptCacheCall::kAnswered) return end + kBackoff;
+  if (outcome != PromptCacheCallOutcome::kAnswered) return end + kBackoff;
   if (end - start >= kCheapCallTime) return end;
   return std::max(end, start + kCallInterval);
 }
 
 // Each second of the wall clock belongs to one instance.
-bool PromptCacheLists::MayAsk(absl::Time now, std::size_t rank,
-                              std::size_t instances) {
+bool PromptCacheListLimiter::MayAsk(absl::Time now, std::size_t rank,
+                                    std::size_t instances) {
   const std::int64_t second = absl::ToUnixSeconds(now);
   const auto owner = static_cast<std::size_t>(second) % instances;
   if (owner != rank || this->last == second) return false;
--- a/dragonflyglade/decision/prompt_cache_calls.h
+++ b/dragonflyglade/decision/prompt_cache_calls.h
@@ -11,19 +11,21 @@
 namespace dragonflyglade {
 
 /// The outcome of a call that asks an engine about its prefix cache.
-enum class PromptCacheCall {
+enum class PromptCacheCallOutcome {
   kAnswered,
   kRefused,  ///< the engine keeps enough such calls waiting
   kFailed,
 };
 
-/// When the next call to the same engine may begin.
-Instant NextPromptCacheCall(PromptCacheCall outcome, Instant start,
+/// When the next call to the same engine may begin: after an answer at once if
+/// the engine made it wait, else 250 ms after the start; 2 s after a refusal or
+/// failure.
+Instant NextPromptCacheCall(PromptCacheCallOutcome outcome, Instant start,
                             Instant end);
 
 /// Allows an instance its share of the lists of all cached parts, of which all
 /// instances together ask for one a second.
-class PromptCacheLists {
+class PromptCacheListLimiter {
  public:
   /// Whether the instance may ask for a list now; if so, the call counts.
   /// @param rank position among the instances, from 0
--- a/dragonflyglade/decision/prompt_cache_follower.cc
+++ b/dragonflyglade/decision/prompt_cache_follower.cc
@@ -35,10 +35,10 @@
       applied.ignored += 1;
       continue;
     }
-    const PromptPartKey alone =
-        LonePartKey(event.model, event.adapter, event.part_id);
-    index.RecordHeld(engine, alone, event.tokens);
-    applied.parts.push_back({alone, event.tokens});
+    const PromptPartKey id_key =
+        PartIdKey(event.model, event.adapter, event.part_id);
+    index.RecordHeld(engine, id_key, event.tokens);
+    applied.parts.push_back({id_key, event.tokens});
   }
   return applied;
 }
--- a/dragonflyglade/decision/prompt_cache_follower.h
+++ b/dragonflyglade/decision/prompt_cache_follower.h
@@ -32,7 +32,7 @@
 
 /// A part as an engine names it.
 struct HeldPart {
-  PromptPartKey alone = 0;
+  PromptPartKey id_key = 0;
   double tokens = 0;  ///< that the engine has cached; 0 if none
 };
 
--- a/dragonflyglade/decision/prompt_cache_index.cc
+++ b/dragonflyglade/decision/prompt_cache_index.cc
@@ -9,12 +9,12 @@
 namespace {
 
 constexpr std::uint64_t kModelBits = 0xffff'0000'0000'0000;
-// How much of a part counts of which it is not sure that it is cached.
+// The share of a part's tokens that counts while an event on it may be missing.
 constexpr double kUnsureShare = 0.5;
-// Instances learn late what others have sent to an engine. The rest of its
-// memory takes such parts.
+// The share of an engine's memory that counts as usable. The rest is left for
+// parts that other instances have sent and that are not known here yet.
 constexpr double kUsedMemoryShare = 0.9;
-// The weight of a part in the mean size of parts.
+// The weight of the newest part in the moving average of their tokens.
 constexpr double kTypicalWeight = 0.05;
 
 std::uint64_t ModelBits(std::string_view model) {
@@ -35,14 +35,14 @@
 SharedPromptPart PromptPartKeys::Append(std::string_view part_id,
                                         double tokens) {
   this->chain = StableHash(part_id, this->chain);
-  const std::uint64_t alone = StableHash(part_id, ~this->scope);
+  const std::uint64_t id_key = StableHash(part_id, ~this->scope);
   return {this->model | (this->chain & ~kModelBits), tokens,
-          this->model | (alone & ~kModelBits)};
+          this->model | (id_key & ~kModelBits)};
 }
 
-PromptPartKey LonePartKey(std::string_view model, std::string_view adapter,
-                          std::string_view part_id) {
-  return PromptPartKeys(model, adapter).Append(part_id, 0).alone;
+PromptPartKey PartIdKey(std::string_view model, std::string_view adapter,
+                        std::string_view part_id) {
+  return PromptPartKeys(model, adapter).Append(part_id, 0).id_key;
 }
 
 bool IsPartOfModel(PromptPartKey key, std::string_view model) {
@@ -100,7 +100,7 @@
 const PromptCacheIndex::Entry* PromptCacheIndex::EntryOf(
     const Engine& engine, const SharedPromptPart& part) {
   auto found = engine.by_key.find(part.key);
-  if (found == engine.by_key.end()) found = engine.by_key.find(part.alone);
+  if (found == engine.by_key.end()) found = engine.by_key.find(part.id_key);
   return found == engine.by_key.end() ? nullptr : &*found->second;
 }
 
@@ -149,6 +149,7 @@
   const SharedPromptPart part =
       is_new ? SharedPromptPart{key, this->typical_tokens}
              : known->second->part;
+  // What the engine said of the part's size holds; reports state none.
   Entry& entry = this->Use(state, part);
   entry.cached = true;
   entry.unsure = false;
@@ -156,12 +157,12 @@
 }
 
 void PromptCacheIndex::RecordHeld(const EngineProcess& engine,
-                                  PromptPartKey alone, double tokens) {
+                                  PromptPartKey id_key, double tokens) {
   Engine& state = this->FindOrAdd(engine);
   bool known = false;
   for (auto entry = state.entries.begin(); entry != state.entries.end();) {
     const auto next = std::next(entry);
-    if (entry->part.alone == alone || entry->part.key == alone) {
+    if (entry->part.id_key == id_key || entry->part.key == id_key) {
       known = true;
       entry->cached = true;
       entry->unsure = false;
@@ -171,7 +172,7 @@
     entry = next;
   }
   if (known || tokens <= 0) return;
-  Entry& entry = this->Use(state, {alone, tokens, alone});
+  Entry& entry = this->Use(state, {id_key, tokens, id_key});
   entry.cached = true;
   entry.held_tokens = tokens;
   this->EvictByMemory(state);
@@ -234,8 +235,8 @@
   const auto known = engine.by_key.find(part.key);
   if (known == engine.by_key.end()) {
     Entry entry;
-    // What the engine said of the part alone holds for the part here.
-    const auto lone = engine.by_key.find(part.alone);
+    // What the engine said of the id holds for the part here.
+    const auto lone = engine.by_key.find(part.id_key);
     if (lone != engine.by_key.end()) {
       entry = *lone->second;
       this->Erase(engine, lone->second);
--- a/dragonflyglade/decision/prompt_cache_index.h
+++ b/dragonflyglade/decision/prompt_cache_index.h
@@ -20,12 +20,12 @@
 struct SharedPromptPart {
   PromptPartKey key = 0;
   double tokens = 0;
-  PromptPartKey alone = 0;  ///< key of the part without those before it
+  PromptPartKey id_key = 0;  ///< by the part's id only, as engines name it
 };
 
 /// The key of a part without those before it, by which engines name parts.
-PromptPartKey LonePartKey(std::string_view model, std::string_view adapter,
-                          std::string_view part_id);
+PromptPartKey PartIdKey(std::string_view model, std::string_view adapter,
+                        std::string_view part_id);
 /// Whether the key is of a part of the model, with a chance of 1 in 65536 to
 /// mistake another model for it.
 bool IsPartOfModel(PromptPartKey key, std::string_view model);
@@ -92,7 +92,7 @@
   /// Another instance told that the engine has read a part.
   void AddRead(const EngineProcess& engine, PromptPartKey key);
   /// The engine says how many tokens of a part it has cached; 0 if none.
-  void RecordHeld(const EngineProcess& engine, PromptPartKey alone,
+  void RecordHeld(const EngineProcess& engine, PromptPartKey id_key,
                   double tokens);
   /// Some of what the engine said is missing: what is known of it counts half
   /// until the engine's answers or its own words confirm it.
--- a/dragonflyglade/decision/quota_windows.h
+++ b/dragonflyglade/decision/quota_windows.h
@@ -261,11 +261,14 @@
                          const QuotaLimit& limit) const;
   BucketSize OwnBucketSize(const Spending& spending,
                            const QuotaLimit& limit) const;
-  /// Refills this instance's own bucket and returns its level. It starts with
-  /// its share of the last summary's level, or full if there was none.
+  /// Refills this instance's own bucket and returns its level, in tokens. It
+  /// starts from its share of the last summary's level, or from
+  /// InitialOwnLevel if there was none.
   double OwnBucketLevel(std::string_view workspace, Spending& spending,
                         const QuotaLimit& limit) const;
-  /// The own bucket's level while no summary has stated one.
+  /// The own bucket's first level if no summary has stated one: this instance's
+  /// share of what the window has left. Less after a restart, since the
+  /// previous process may have spent the advance.
   double InitialOwnLevel(std::string_view workspace,
                          const QuotaLimit& limit) const;
   /// The own bucket's level, from its share of the last summary's level.
--- a/dragonflyglade/decision/target_choice.cc
+++ b/dragonflyglade/decision/target_choice.cc
@@ -24,8 +24,8 @@
 // milliseconds. A target at which two of five requests fail is chosen last.
 constexpr double kFailureMs = 500;
 
-// What a late answer costs, in milliseconds of delay. It is worth hardly more
-// than a failed one.
+// What a late answer costs, in milliseconds of delay. It serves its caller
+// hardly better than a failed one.
 constexpr double kLateMs = kFailureMs;
 // What a delay of the whole latency objective costs, in late answers; the cost
 // is quadratic. Beyond the objective it exceeds what a long prompt costs the
--- a/dragonflyglade/gateway/cached_part_exchange.h
+++ b/dragonflyglade/gateway/cached_part_exchange.h
@@ -12,10 +12,10 @@
 
 namespace dragonflyglade::gateway {
 
-/// Passes on between instances which shared parts of prompts engines have read:
-/// from each instance to the leader by reports, and from there to the others by
-/// summaries. A part of a lost message is not sent again before its engine has
-/// read it for another request. Used by one event loop.
+/// Passes on between instances which shared parts of prompts engines have read
+/// or evicted: from each instance to the leader by reports, and from there to
+/// the others by summaries. A part of a lost message is not sent again before
+/// its engine has read it for another request. Used by one event loop.
 class CachedPartExchange {
  public:
   CachedPartExchange(PromptCaches& caches, Clock clock);
--- a/dragonflyglade/gateway/caller_buffers.cc
+++ b/dragonflyglade/gateway/caller_buffers.cc
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-// Places a receipt in the list of those that wait, during its lifetime. A
-// coroutine that waits may be destroyed.
+// Keeps a receipt in the list of those that wait during its lifetime, also if
+// the coroutine that waits is destroyed.
 class CallerBuffers::Receipt::Turn {
  public:
   explicit Turn(Receipt& receipt)
@@ -96,14 +96,15 @@
   return is_stuck || all.Fits(length);
 }
 
-// Failure: a hundred long responses that arrive together are all received in
-// part until they fill the memory, and then nearly all of them are cut off,
-// although their callers read.
+// Without this, many long responses that arrive together fill the memory in
+// part, and nearly all of them are cut off although their callers read.
 asio::awaitable<void> CallerBuffers::Receipt::AwaitRoom(std::size_t length) {
   if (length <= kSmallResponseBytes) co_return;
   {
+    // Its end wakes the next one.
     Turn turn(*this);
     while (!this->MayBegin(length)) co_await turn.Wait();
+    if (this->wait_stopped) co_return;
     this->expected = length;
     this->buffers.expected_bytes += length;
     this->buffers.last_admission = this->buffers.clock.Now();
@@ -116,12 +117,12 @@
 }
 
 bool CallerBuffers::Fits(std::size_t length) const {
-  const std::size_t others = this->expected_bytes + this->YoungWriteBytes();
+  const std::size_t others = this->expected_bytes + this->RecentWriteBytes();
   const std::size_t total = this->limits().total_bytes;
   return others == 0 || others + length <= total - total / kReserveDivisor;
 }
 
-std::size_t CallerBuffers::YoungWriteBytes() const {
+std::size_t CallerBuffers::RecentWriteBytes() const {
   const Instant oldest = this->clock.Now() - kReadingTime;
   std::size_t sum = 0;
   for (auto it = this->entries.rbegin(); it != this->entries.rend(); ++it) {
--- a/dragonflyglade/gateway/caller_buffers.h
+++ b/dragonflyglade/gateway/caller_buffers.h
@@ -114,10 +114,13 @@
  private:
   void Append(Entry& entry);
   void Remove(Entry& entry);
+  /// Ends entries until the limit holds.
   void EndSlowest();
   Entry& Slowest() const;
+  /// Whether a body of this many bytes may be received now.
   bool Fits(std::size_t length) const;
-  std::size_t YoungWriteBytes() const;
+  /// Bytes of the writes that began within kReadingTime.
+  std::size_t RecentWriteBytes() const;
   void WakeFirst();
 
   boost::asio::io_context& context;
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -389,23 +389,25 @@
   this->log.Write("request", "body refused",
                   {{"id", job.request.id},
                    {"body_bytes", body_bytes},
-                   {"held_bytes", held_bytes}});
+                   {"held_body_bytes", held_bytes}});
   const double spread = absl::Uniform<double>(this->random, 1, kReturnSpread);
-  Refusal refusal = MakeRefusal(RefusalCode::kMemoryFull,
-                                "the instance holds too many request bodies",
-                                spread * kRetryAfterMemoryFull);
+  Refusal refusal =
+      MakeRefusal(RefusalCode::kMemoryFull,
+                  "the body exceeds the instance's memory for bodies",
+                  spread * kRetryAfterMemoryFull);
   co_await this->Refuse(job, std::move(refusal));
 }
 
-asio::awaitable<void> Pipeline::RefuseCutOff(RequestJob& job) {
+asio::awaitable<void> Pipeline::EndCutOff(RequestJob& job) {
   const std::uint64_t held_bytes = this->caller_buffers.Bytes();
   this->metrics.Count("responses_cut_off");
   this->log.Write("request", "response cut off",
                   {{"id", job.request.id},
                    {"target", job.target},
-                   {"held_bytes", held_bytes}});
-  Refusal refusal = MakeRefusal(RefusalCode::kAnswerTruncated,
-                                "the instance has no memory for the response");
+                   {"held_response_bytes", held_bytes}});
+  Refusal refusal =
+      MakeRefusal(RefusalCode::kAnswerTruncated,
+                  "responses together exceed the instance's memory");
   co_await this->Refuse(job, std::move(refusal));
 }
 
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -219,7 +219,7 @@
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
   /// Responds to a request whose response was cut off for lack of memory.
-  boost::asio::awaitable<void> RefuseCutOff(RequestJob& job);
+  boost::asio::awaitable<void> EndCutOff(RequestJob& job);
   void RecordOutcome(RequestJob& job, std::string_view outcome, int status);
 
   boost::asio::io_context& context;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -406,7 +406,7 @@
 asio::awaitable<Pipeline::NextStep> Pipeline::AfterOutcomeUnknown(
     RequestJob& job, TargetState& target, const OutcomeUnknown& unknown) {
   if (unknown.no_memory) {
-    co_await this->RefuseCutOff(job);
+    co_await this->EndCutOff(job);
     co_return NextStep::kDone;
   }
   if (unknown.connection_ended && !unknown.caller_was_slow) {
--- a/dragonflyglade/gateway/prompt_cache_reader.cc
+++ b/dragonflyglade/gateway/prompt_cache_reader.cc
@@ -16,18 +16,20 @@
 
 namespace {
 
+// One goes on when the other ends.
 constexpr std::size_t kReadersPerEngine = 2;
+// How soon a reader begins or ends after the list of instances has changed.
 constexpr absl::Duration kReviewInterval = absl::Milliseconds(500);
 // The longest wait that engines allow.
 constexpr absl::Duration kWait = absl::Seconds(1);
 // Beyond the wait, an engine answers within milliseconds.
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(500);
 constexpr int kStatusOk = 200;
-constexpr int kStatusTooMany = 429;
+constexpr int kTooManyRequests = 429;
 
-std::string_view NameOf(PromptCacheCall outcome) {
-  if (outcome == PromptCacheCall::kAnswered) return "answered";
-  return outcome == PromptCacheCall::kRefused ? "refused" : "failed";
+std::string_view NameOf(PromptCacheCallOutcome outcome) {
+  if (outcome == PromptCacheCallOutcome::kAnswered) return "answered";
+  return outcome == PromptCacheCallOutcome::kRefused ? "refused" : "failed";
 }
 
 }  // namespace
@@ -80,7 +82,8 @@
     const std::shared_ptr<TargetState> target = this->fleet.Target(engine);
     if (target == nullptr || !this->Owns(target->Record())) co_return;
     const Instant start = this->clock.Now();
-    const PromptCacheCall outcome = co_await this->Call(*target, follower);
+    const PromptCacheCallOutcome outcome =
+        co_await this->Call(*target, follower);
     this->metrics.Count("prompt_cache_calls",
                         fmt::format("result=\"{}\"", NameOf(outcome)));
     const Instant end = this->clock.Now();
@@ -91,11 +94,11 @@
 
 // An engine is asked over the own path only: a tunnel would take a place that
 // requests need.
-asio::awaitable<PromptCacheCall> PromptCacheReader::Call(
+asio::awaitable<PromptCacheCallOutcome> PromptCacheReader::Call(
     TargetState& engine, PromptCacheFollower& follower) {
   if (this->paths.IsIsolated(engine.Record().service) ||
       this->paths.UntilRested(engine) > absl::ZeroDuration()) {
-    co_return PromptCacheCall::kFailed;
+    co_return PromptCacheCallOutcome::kFailed;
   }
   const TargetRecord record = engine.Record();
   const bool is_list = follower.WantsList() && this->MayList();
@@ -113,23 +116,22 @@
   co_return this->Evaluate(outcome, is_list, record, follower);
 }
 
-PromptCacheCall PromptCacheReader::Evaluate(const ExchangeOutcome& outcome,
-                                            bool is_list,
-                                            const TargetRecord& engine,
-                                            PromptCacheFollower& follower) {
+PromptCacheCallOutcome PromptCacheReader::Evaluate(
+    const ExchangeOutcome& outcome, bool is_list, const TargetRecord& engine,
+    PromptCacheFollower& follower) {
   const auto* declined = std::get_if<Declined>(&outcome);
   const auto* response = std::get_if<CompleteResponse>(&outcome);
   int status = 0;
   if (declined != nullptr) status = declined->head.status;
   if (response != nullptr) status = response->head.status;
-  if (status == kStatusTooMany) return PromptCacheCall::kRefused;
+  if (status == kTooManyRequests) return PromptCacheCallOutcome::kRefused;
   if (response == nullptr || status != kStatusOk) {
-    return PromptCacheCall::kFailed;
+    return PromptCacheCallOutcome::kFailed;
   }
   const Result<PromptCacheEvents> events =
       is_list ? this->wire.decode_cache_list(response->body)
               : this->wire.decode_cache_events(response->body);
-  if (!events.Ok()) return PromptCacheCall::kFailed;
+  if (!events.Ok()) return PromptCacheCallOutcome::kFailed;
   const PromptCacheFollower::Applied applied =
       this->caches.Apply(events.Value(), engine, follower);
   this->metrics.Count("prompt_cache_events", "result=\"read\"",
@@ -138,7 +140,7 @@
                       applied.ignored);
   if (applied.gap) this->metrics.Count("prompt_cache_events_lost");
   if (applied.restarted) this->metrics.Count("prompt_cache_restarts");
-  return PromptCacheCall::kAnswered;
+  return PromptCacheCallOutcome::kAnswered;
 }
 
 // Which engines an instance reads is computed once for each list of instances:
@@ -169,7 +171,7 @@
   const auto self = std::find(this->listed.begin(), this->listed.end(),
                               this->settings.instance);
   if (self == this->listed.end()) return false;
-  return this->lists.MayAsk(
+  return this->list_limiter.MayAsk(
       this->wall_clock(), static_cast<std::size_t>(self - this->listed.begin()),
       this->listed.size());
 }
--- a/dragonflyglade/gateway/prompt_cache_reader.h
+++ b/dragonflyglade/gateway/prompt_cache_reader.h
@@ -42,11 +42,11 @@
  private:
   boost::asio::awaitable<void> Follow(std::string engine);
   boost::asio::awaitable<void> FollowWhileOwned(std::string engine);
-  boost::asio::awaitable<PromptCacheCall> Call(TargetState& engine,
-                                               PromptCacheFollower& follower);
-  PromptCacheCall Evaluate(const ExchangeOutcome& outcome, bool is_list,
-                           const TargetRecord& engine,
-                           PromptCacheFollower& follower);
+  boost::asio::awaitable<PromptCacheCallOutcome> Call(
+      TargetState& engine, PromptCacheFollower& follower);
+  PromptCacheCallOutcome Evaluate(const ExchangeOutcome& outcome, bool is_list,
+                                  const TargetRecord& engine,
+                                  PromptCacheFollower& follower);
   void RefreshListed();
   /// Whether this instance reads the engine's events.
   bool Owns(const TargetRecord& engine);
@@ -62,7 +62,7 @@
   Tasks& tasks;
   const Clock clock;
   const std::function<absl::Time()> wall_clock;
-  PromptCacheLists lists;
+  PromptCacheListLimiter list_limiter;
   std::vector<std::string> listed;  ///< names of instances, sorted
   /// By engine, among these instances.
   std::map<std::string, bool, std::less<>> owned;
--- a/dragonflyglade/gateway/prompt_caches.cc
+++ b/dragonflyglade/gateway/prompt_caches.cc
@@ -55,6 +55,7 @@
 }
 
 void PromptCaches::Apply(const CachedPart& part) {
+  if (!this->IsActive()) return;
   const std::shared_ptr<TargetState> target = this->fleet.Target(part.engine);
   if (target == nullptr || target->Record().born_ms != part.born_ms) return;
   const std::vector<ResidentModel>& models = target->Record().models;
@@ -78,8 +79,8 @@
       follower.Apply(events, process, ModelNames(engine), this->index);
   const Instant now = this->clock.Now();
   for (const HeldPart& part : applied.parts) {
-    this->changes.Add({engine.id, engine.born_ms, part.alone, part.tokens <= 0},
-                      "", now);
+    this->changes.Add(
+        {engine.id, engine.born_ms, part.id_key, part.tokens <= 0}, "", now);
   }
   return applied;
 }
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -133,8 +133,8 @@
   /** Targets that said in a response that they leave, while their records do
       not say so. */
   21: list<TargetProcess> leaving
-  /** Parts that targets have read for requests of this instance since the last
-      report, each at most once in some seconds. */
+  /** Parts that targets have read for requests of this instance, or said to
+      have cached or evicted, since the last report. At most 64. */
   22: optional list<CachedParts> cached_parts
   /** Whether the instance limits its spending by its own token buckets while it
       has no leader. If not set, it may spend its share of a window at once. */
--- a/tests/platform/platform-prompt-cache.cc
+++ b/tests/platform/platform-prompt-cache.cc
@@ -239,6 +239,8 @@
         {R"({"prompt_cache": false})", true, false},
         {R"({"prompt_cache": "yes"})", false, false},
         {R"({"prompt_cache": 1})", false, false},
+        {R"({"prompt_cache_events": "yes"})", false, false},
+        {R"({"request_bodies_kb": 15})", false, false},
     };
     json listen;
     for (const char* name :
--- a/tests/unit/unit-prompt-cache.cc
+++ b/tests/unit/unit-prompt-cache.cc
@@ -119,17 +119,17 @@
          kEngine, 100},
         {"an event says that it was evicted",
          [](auto& index) {
-           index.RecordHeld(kEngine, LonePartKey("m", "", "a"), 0);
+           index.RecordHeld(kEngine, PartIdKey("m", "", "a"), 0);
          },
          kEngine, 0},
         {"an event says that a piece of it is left",
          [](auto& index) {
-           index.RecordHeld(kEngine, LonePartKey("m", "", "a"), 30);
+           index.RecordHeld(kEngine, PartIdKey("m", "", "a"), 30);
          },
          kEngine, 30},
         {"an event concerns another adapter",
          [](auto& index) {
-           index.RecordHeld(kEngine, LonePartKey("m", "x", "a"), 0);
+           index.RecordHeld(kEngine, PartIdKey("m", "x", "a"), 0);
          },
          kEngine, 100},
         {"events are missing", [](auto& index) { index.MarkUnsure(kEngine); },
@@ -315,17 +315,17 @@
   // Guards against calls that cost engines more than they may.
   void PacesCalls() {
     struct Case {
-      PromptCacheCall outcome;
+      PromptCacheCallOutcome outcome;
       int took_ms;
       int next_ms;
     };
     const std::vector<Case> cases = {
-        {PromptCacheCall::kAnswered, 1, 250},
-        {PromptCacheCall::kAnswered, 199, 250},
-        {PromptCacheCall::kAnswered, 200, 200},
-        {PromptCacheCall::kAnswered, 1000, 1000},
-        {PromptCacheCall::kRefused, 1, 2001},
-        {PromptCacheCall::kFailed, 1500, 3500},
+        {PromptCacheCallOutcome::kAnswered, 1, 250},
+        {PromptCacheCallOutcome::kAnswered, 199, 250},
+        {PromptCacheCallOutcome::kAnswered, 200, 200},
+        {PromptCacheCallOutcome::kAnswered, 1000, 1000},
+        {PromptCacheCallOutcome::kRefused, 1, 2001},
+        {PromptCacheCallOutcome::kFailed, 1500, 3500},
     };
     const Instant start = absl::Hours(1);
     for (const Case& item : cases) {
@@ -334,7 +334,7 @@
                      NextPromptCacheCall(item.outcome, start, end));
     }
     // All instances together ask for one list a second.
-    std::vector<PromptCacheLists> instances(5);
+    std::vector<PromptCacheListLimiter> instances(5);
     std::map<std::int64_t, int> asked;
     for (int step = 0; step < 1000; ++step) {
       const absl::Time now = absl::FromUnixMillis(1'000'000 + 20 * step);
