--- a/dragonflyglade/decision/quota_bucket.cc
+++ b/dragonflyglade/decision/quota_bucket.cc
@@ -43,39 +43,23 @@
   Bucket& bucket = found->second;
   bucket.size = size;
   this->Refill(bucket);
-  this->SetUnreportedFraction(bucket,
-                              std::clamp(unreported_fraction, 0.0, 1.0));
+  bucket.unreported_fraction = std::clamp(unreported_fraction, 0.0, 1.0);
   return bucket.level;
 }
 
-// Instances that stop reporting keep their share of the level. When some are
-// back, what they did not spend of what was withheld is granted again.
-void QuotaBuckets::SetUnreportedFraction(Bucket& bucket,
-                                         double fraction) const {
-  const double previous = bucket.unreported_fraction;
-  bucket.unreported_fraction = fraction;
-  if (fraction > previous) {
-    const double share = (fraction - previous) * std::max(0.0, bucket.level);
-    bucket.level -= share;
-    bucket.withheld += share;
-  }
-  if (fraction >= previous) return;
-  const double withheld = bucket.withheld + bucket.settled;
-  const double share = withheld * (1 - fraction / previous);
-  const double unspent = std::max(0.0, share - bucket.settled);
-  const double released = std::min(bucket.withheld, unspent);
-  bucket.withheld -= released;
-  bucket.settled = 0;
-  bucket.level = std::min(bucket.level + released, bucket.size.capacity);
-}
-
+// What is withheld covers the spending that instances report when they are
+// back. It is released at the bucket's rate when none is missing any more.
 void QuotaBuckets::Refill(Bucket& bucket) const {
   const Instant now = this->clock.Now();
   const double refilled =
       bucket.size.refill * absl::ToDoubleSeconds(now - bucket.updated);
   bucket.updated = now;
   const double withheld = bucket.unreported_fraction * refilled;
-  bucket.withheld += withheld;
+  if (withheld > 0) {
+    bucket.withheld += withheld;
+  } else {
+    bucket.withheld = std::max(0.0, bucket.withheld - refilled);
+  }
   bucket.level =
       std::min(bucket.level + refilled - withheld, bucket.size.capacity);
 }
@@ -99,7 +83,6 @@
   }
   const double covered = std::min(bucket.withheld, tokens);
   bucket.withheld -= covered;
-  bucket.settled += covered;
   const double lowest = std::min(0.0, bucket.level);
   bucket.level = std::max(lowest, bucket.level - (tokens - covered));
 }
--- a/dragonflyglade/decision/quota_bucket.h
+++ b/dragonflyglade/decision/quota_bucket.h
@@ -48,20 +48,13 @@
 /// The window of QuotaWindows is the limit; the buckets only spread what it
 /// allows over time. A bucket's capacity and a window's refill together are
 /// what the window allows.
-///
-/// Instances that do not report may be spending on the other side of a network
-/// partition. Their share of the level and of the refill is withheld until they
-/// report; what they did not spend is then granted again. If all callers of a
-/// workspace are on one side, the other side's share is lost meanwhile: a third
-/// of the rate if a third of the instances does not report. The same holds for
-/// instances that were killed, which cannot be told from partitioned ones.
 class QuotaBuckets {
  public:
   explicit QuotaBuckets(Clock clock);
 
   /// Refills a workspace's bucket and returns its level, which may be negative.
-  /// @param unreported_fraction of the level and of the refill is withheld,
-  ///   since instances that do not report may be spending it
+  /// @param unreported_fraction of the refill is withheld, since instances that
+  ///   do not report may be spending it
   /// @param initial_level of a bucket that is not known yet; limited by its
   ///   capacity
   double Level(std::string_view workspace, const BucketSize& size,
@@ -84,12 +77,9 @@
   struct Bucket {
     BucketSize size;
     double level = 0;
-    /// Tokens that were withheld for instances that do not report, and that
-    /// these have not reported as spent yet.
+    /// Tokens of the refill that were withheld for instances that do not
+    /// report, and that these have not reported as spent yet.
     double withheld = 0;
-    /// Tokens of these that instances reported as spent since the fraction last
-    /// changed.
-    double settled = 0;
     double unreported_fraction = 0;
     Instant updated;
   };
@@ -100,7 +90,6 @@
   };
 
   void Refill(Bucket& bucket) const;
-  void SetUnreportedFraction(Bucket& bucket, double fraction) const;
   /// @param overdue whether the tokens were spent before the last seconds
   void Take(std::string_view workspace, double tokens, bool overdue);
   /// The process of a report, with its totals before the report.
--- a/dragonflyglade/decision/quota_windows.cc
+++ b/dragonflyglade/decision/quota_windows.cc
@@ -28,12 +28,6 @@
 // last summary that the leader does not know to have arrived could tell the
 // instance that it may spend its share of the window.
 constexpr absl::Duration kDrainedTime = absl::Seconds(1);
-// The refill that an instance without a leader may spend ahead. With less, its
-// share of a bucket is smaller than a few requests in a large fleet, and
-// workspaces within their rate are refused while the leader is replaced. With
-// more, a workspace that floods it is granted nothing at the end of the window
-// for too long.
-constexpr absl::Duration kOwnAdvance = absl::Seconds(2);
 // Summaries come several times a second. When none has come for this long, the
 // leader that sends them is unreachable, and other instances may spend tokens
 // that this one does not learn of.
@@ -161,20 +155,8 @@
   Spending& spending = this->Current(workspace);
   spending.fleet = spend;
   spending.fleet_at = this->clock.Now();
-  if (!spend.bucket_level.has_value()) return;
-  this->RecordLevel(spending, *spend.bucket_level);
-  this->RestartOwnBucket(spending);
-}
-
-// The leader takes grants out of the fleet's bucket, so that those since the
-// report use up no more than this instance's share.
-void QuotaWindows::RestartOwnBucket(Spending& spending) {
-  const FleetSpending& fleet = spending.fleet;
-  const double share = *fleet.bucket_level / this->SharingInstances(fleet);
-  const double spent_since = std::max(0.0, spending.total - fleet.own_total);
-  const double lowest = std::min(share, 0.0);
-  spending.own_bucket =
-      OwnBucket{std::max(lowest, share - spent_since), this->clock.Now(), true};
+  if (spend.bucket_level.has_value())
+    this->RecordLevel(spending, *spend.bucket_level);
 }
 
 void QuotaWindows::RecordLevel(Spending& spending, double level) {
@@ -210,26 +192,19 @@
          this->clock.Now() - *spending.fleet_at < this->tolerance.window;
 }
 
-BucketSize QuotaWindows::BucketShare(const Spending& spending,
-                                     const QuotaLimit& limit) const {
+BucketSize QuotaWindows::OwnBucket(const Spending& spending,
+                                   const QuotaLimit& limit) const {
   const BucketSize fleet = this->FleetBucket(limit);
   const int sharing = this->SharingInstances(spending.fleet);
   return {fleet.capacity / sharing, fleet.refill / sharing};
 }
 
-BucketSize QuotaWindows::OwnBucketSize(const Spending& spending,
-                                       const QuotaLimit& limit) const {
-  BucketSize size = this->BucketShare(spending, limit);
-  size.capacity += size.refill * absl::ToDoubleSeconds(kOwnAdvance);
-  return size;
-}
-
 double QuotaWindows::OwnRefill(std::string_view workspace,
                                const QuotaLimit& limit) const {
   const auto found = this->spendings.find(workspace);
   return this
-      ->BucketShare(found == this->spendings.end() ? Spending() : found->second,
-                    limit)
+      ->OwnBucket(found == this->spendings.end() ? Spending() : found->second,
+                  limit)
       .refill;
 }
 
@@ -248,80 +223,38 @@
   return std::min(window_left, *spending.bucket_level);
 }
 
-double QuotaWindows::LevelWithAdvance(const Spending& spending,
-                                      const QuotaLimit& limit) const {
-  const double share = spending.own_bucket->level;
-  const double capacity = this->BucketShare(spending, limit).capacity;
-  if (this->IsDrained(spending.low_levels.front().level, limit))
-    return std::min(share, kDrainedFraction * capacity);
-  if (capacity <= 0) return share;
-  return share * this->OwnBucketSize(spending, limit).capacity / capacity;
-}
-
-// After a restart, the previous process may have spent the advance.
-double QuotaWindows::InitialOwnLevel(std::string_view workspace,
-                                     const QuotaLimit& limit) const {
-  const double allowed =
-      this->Spendable(workspace, this->FleetAllowance(limit)) / this->instances;
-  if (this->nothing_spent_before || this->spent_before.count(workspace) > 0)
-    return allowed;
-  const double refill = this->FleetBucket(limit).refill / this->instances;
-  return allowed - refill * absl::ToDoubleSeconds(kOwnAdvance);
-}
-
 // Without new summaries, this instance goes on with an equal share of the
 // refill. If it spent its share of the window at once instead, a workspace that
 // floods it would be granted nothing for the rest of the window. A workspace
-// whose bucket was not drained does not flood, so it gets the advance.
-double QuotaWindows::OwnBucketLevel(std::string_view workspace,
-                                    Spending& spending,
-                                    const QuotaLimit& limit) const {
-  const Instant now = this->clock.Now();
-  const BucketSize size = this->OwnBucketSize(spending, limit);
-  if (!spending.own_bucket.has_value()) {
-    spending.own_bucket =
-        OwnBucket{this->InitialOwnLevel(workspace, limit), now, false};
-  }
-  OwnBucket& bucket = *spending.own_bucket;
-  if (bucket.is_share) {
-    bucket.level = this->LevelWithAdvance(spending, limit);
-    bucket.is_share = false;
-  }
-  const double refilled =
-      size.refill * absl::ToDoubleSeconds(now - bucket.updated);
-  bucket.level = std::min(size.capacity, bucket.level + refilled);
-  bucket.updated = now;
-  return bucket.level;
+// whose bucket was not drained does not flood, and its share of the bucket may
+// be smaller than a few requests; the window's share is enough for it.
+std::optional<double> QuotaWindows::OwnBucketLevel(
+    const Spending& spending, const QuotaLimit& limit) const {
+  if (!spending.fleet.bucket_level.has_value()) return std::nullopt;
+  if (!this->HasSummaryInWindow(spending)) return std::nullopt;
+  if (!this->IsDrained(spending.low_levels.front().level, limit))
+    return std::nullopt;
+  const absl::Duration age = this->clock.Now() - *spending.fleet_at;
+  const BucketSize own = this->OwnBucket(spending, limit);
+  const double share =
+      *spending.fleet.bucket_level / this->SharingInstances(spending.fleet);
+  const double spent_since =
+      std::max(0.0, spending.total - spending.fleet.own_total);
+  return share + own.refill * absl::ToDoubleSeconds(age) - spent_since;
 }
 
 int QuotaWindows::SharingInstances(const FleetSpending& spend) const {
   return std::max(this->instances, spend.instances);
 }
 
-double QuotaWindows::SpendableByOwnBuckets(const QuotaLimit& limit,
-                                           std::optional<double> level,
-                                           absl::Duration time) const {
-  const BucketSize bucket = this->FleetBucket(limit);
-  const bool drained = level.has_value() && this->IsDrained(*level, limit);
-  const double start =
-      drained ? kDrainedFraction * bucket.capacity
-              : bucket.capacity +
-                    bucket.refill * absl::ToDoubleSeconds(kOwnAdvance);
-  const double refilled = bucket.refill * absl::ToDoubleSeconds(time);
-  return std::min(this->FleetAllowance(limit), start + refilled);
-}
-
 // If negative, the fleet must wait until that much spending has left the
-// window. A restarted process may have spent its share before the restart, or
-// what its own bucket allowed since its last report.
+// window.
 double QuotaWindows::FleetLeft(const QuotaLimit& limit,
                                const FleetSpending& spend) const {
   const double allowed = this->FleetAllowance(limit);
-  const double lost =
-      this->SpendableByOwnBuckets(limit, spend.lost_level, spend.lost_for);
+  // A restarted process may have spent its share before the restart.
   const double unknown_spending =
-      (spend.unknown_shares * allowed + spend.lost_shares * lost) /
-      this->SharingInstances(spend);
+      spend.unknown_shares * allowed / this->SharingInstances(spend);
   return allowed - this->ReservedForUnreported(limit, spend) - spend.total -
          unknown_spending;
 }
@@ -330,18 +263,22 @@
   return level < kDrainedFraction * this->FleetBucket(limit).capacity;
 }
 
-// What these instances spent until their last reports is in the total. Since
-// then they can have spent what their own buckets had and their part of the
-// refill. If their whole shares of the window were reserved instead, nothing
-// would be left for the others although the rate goes on refilling.
+// What these instances spent until their last reports is in the total. If they
+// follow a drained bucket, they can have spent their part of it and of its
+// refill since then. With their whole shares of the window reserved besides,
+// nothing is left for the others although the rate goes on refilling.
 double QuotaWindows::ReservedForUnreported(const QuotaLimit& limit,
                                            const FleetSpending& spend) const {
   const double allowed = this->FleetAllowance(limit);
-  if (!spend.unreported_keep_buckets)
-    return spend.unreported_fraction * allowed;
-  return spend.unreported_fraction *
-         this->SpendableByOwnBuckets(limit, spend.unreported_level,
-                                     spend.unreported_for);
+  const double share = spend.unreported_fraction * allowed;
+  const bool drained = spend.unreported_level.has_value() &&
+                       this->IsDrained(*spend.unreported_level, limit);
+  if (!drained) return share;
+  const BucketSize bucket = this->FleetBucket(limit);
+  const double spendable =
+      kDrainedFraction * bucket.capacity +
+      bucket.refill * absl::ToDoubleSeconds(spend.unreported_for);
+  return spend.unreported_fraction * std::min(allowed, spendable);
 }
 
 std::optional<double> QuotaWindows::FollowedBucketLevel(
@@ -388,45 +325,35 @@
 // grants: between two summaries, spending without a grant and grants together
 // stay within what is left. The first summary that contains a workspace which
 // was idle arrives some hundred milliseconds after its first requests. Until
-// then, this instance spends no more than its part of a full bucket. A new
-// leader's first summaries state no level; this instance goes on with its own.
+// then, this instance spends no more than its part of a full bucket.
 QuotaVerdict QuotaWindows::AdmitWithoutGrant(std::string_view workspace,
                                              const QuotaLimit& limit,
                                              double tokens) {
   if (limit.rate <= 0 && limit.burst <= 0) return {};
   Spending& spending = this->Current(workspace);
   if (!this->HasSummaryInWindow(spending)) {
-    const double capacity = this->BucketShare(spending, limit).capacity;
-    const double advance =
-        this->OwnBucketSize(spending, limit).capacity - capacity;
-    const double level =
-        this->OwnBucketLevel(workspace, spending, limit) - advance;
+    const double capacity = this->OwnBucket(spending, limit).capacity;
+    const double level = capacity - spending.sum;
     if (!BucketAdmits(level, capacity, tokens)) return {false, {}, level};
   }
   if (!this->HasRecentSummary(spending))
-    return this->AdmitWithoutLeader(workspace, limit, tokens);
+    return this->AdmitFromShare(workspace, limit, tokens);
   const Share share = this->OwnShare(workspace, spending, limit);
-  const double window_left = kFractionWithoutGrant * share.tokens - share.spent;
   QuotaVerdict verdict;
-  verdict.left = std::min(
-      window_left, this->BucketLeftWithoutGrant(workspace, spending, limit));
+  verdict.left = kFractionWithoutGrant * share.tokens - share.spent;
+  if (spending.fleet.bucket_level.has_value()) {
+    const double bucket_share =
+        *spending.fleet.bucket_level / this->SharingInstances(spending.fleet);
+    const double spent_since =
+        std::max(0.0, spending.total - spending.fleet.own_total);
+    verdict.left = std::min(verdict.left,
+                            kFractionWithoutGrant * bucket_share - spent_since);
+  }
   verdict.admitted = tokens <= verdict.left;
-  if (verdict.admitted) this->CountOwn(spending, tokens);
+  if (verdict.admitted) this->Count(spending, tokens);
   return verdict;
 }
 
-double QuotaWindows::BucketLeftWithoutGrant(std::string_view workspace,
-                                            Spending& spending,
-                                            const QuotaLimit& limit) const {
-  if (!spending.fleet.bucket_level.has_value())
-    return this->OwnBucketLevel(workspace, spending, limit);
-  const double share =
-      *spending.fleet.bucket_level / this->SharingInstances(spending.fleet);
-  const double spent_since =
-      std::max(0.0, spending.total - spending.fleet.own_total);
-  return kFractionWithoutGrant * share - spent_since;
-}
-
 QuotaVerdict QuotaWindows::DecideGrant(const QuotaLimit& limit, double tokens,
                                        const FleetSpending& spend) const {
   QuotaVerdict verdict;
@@ -451,18 +378,6 @@
   this->Count(this->Current(workspace), tokens);
 }
 
-QuotaVerdict QuotaWindows::AdmitWithoutLeader(std::string_view workspace,
-                                              const QuotaLimit& limit,
-                                              double tokens) {
-  if (limit.rate <= 0 && limit.burst <= 0) return {};
-  Spending& spending = this->Current(workspace);
-  const BucketSize size = this->OwnBucketSize(spending, limit);
-  const double level = this->OwnBucketLevel(workspace, spending, limit);
-  if (!BucketAdmits(level, size.capacity, tokens))
-    return {false, TimeUntilAdmitted(level, size, tokens), level};
-  return this->AdmitFromShare(workspace, limit, tokens);
-}
-
 QuotaVerdict QuotaWindows::AdmitFromShare(std::string_view workspace,
                                           const QuotaLimit& limit,
                                           double tokens) {
@@ -471,24 +386,25 @@
   Spending& spending = this->Current(workspace);
   const Share share = this->OwnShare(workspace, spending, limit);
   verdict.left = share.tokens - share.spent;
-  const bool fits = verdict.left > 0 &&
-                    share.spent + tokens <= share.share_multiple * share.tokens;
+  const BucketSize bucket = this->OwnBucket(spending, limit);
+  const double level =
+      this->OwnBucketLevel(spending, limit).value_or(bucket.capacity);
+  const bool fits =
+      verdict.left > 0 &&
+      share.spent + tokens <= share.share_multiple * share.tokens &&
+      BucketAdmits(level, bucket.capacity, tokens);
   if (!fits) {
     verdict.admitted = false;
     // Spending leaves the fleet's window at the workspace's rate, of which this
     // instance gets an equal share.
     const double rate = std::max(1.0, limit.rate / this->instances);
     verdict.retry_after =
-        absl::Seconds(std::max(0.0, tokens - verdict.left) / rate);
+        std::max(absl::Seconds(std::max(0.0, tokens - verdict.left) / rate),
+                 TimeUntilAdmitted(level, bucket, tokens));
     return verdict;
   }
-  this->CountOwn(spending, tokens);
-  return verdict;
-}
-
-void QuotaWindows::CountOwn(Spending& spending, double tokens) {
   this->Count(spending, tokens);
-  if (spending.own_bucket.has_value()) spending.own_bucket->level -= tokens;
+  return verdict;
 }
 
 void QuotaWindows::Count(Spending& spending, double tokens) {
--- a/dragonflyglade/decision/quota_windows.h
+++ b/dragonflyglade/decision/quota_windows.h
@@ -59,17 +59,6 @@
   /// them follows none.
   absl::Duration unreported_for = absl::InfiniteDuration();
   std::optional<double> unreported_level = std::nullopt;
-  /// Whether all of these instances limit themselves by their own buckets.
-  /// Others may spend their shares of the window at once.
-  bool unreported_keep_buckets = false;
-  /// Number of instances that restarted and whose last reports before that are
-  /// missing, weighted by how much of that spending still counts. They limited
-  /// themselves by their own buckets.
-  double lost_shares = 0;
-  /// The longest time for which reports of these are missing, and the highest
-  /// bucket level that any of them followed before, as above.
-  absl::Duration lost_for = absl::ZeroDuration();
-  std::optional<double> lost_level = std::nullopt;
   /// What this instance had spent since its start when it sent the report that
   /// the bucket's level contains.
   double own_total = 0;
@@ -111,8 +100,7 @@
 /// of what the fleet has left. Its spending since the summary counts against
 /// that share, so all shares together stay within the limit. Without a summary,
 /// each instance may spend an equal share of the whole limit, which is safe
-/// whichever messages are lost. A token bucket of its own spreads that share
-/// over the window.
+/// whichever messages are lost.
 class QuotaWindows {
  public:
   /// @param nothing_spent_before false after a restart, when the spending of
@@ -162,14 +150,8 @@
   /// Counts tokens that the leader granted to this instance.
   void RecordGrant(std::string_view workspace, double tokens);
 
-  /// Admits a request without asking a leader, if both this instance's own
-  /// bucket and its share of the window have the tokens, and counts them.
-  QuotaVerdict AdmitWithoutLeader(std::string_view workspace,
-                                  const QuotaLimit& limit, double tokens);
-
-  /// Admits a request if it fits into this instance's share of the window and
-  /// counts its tokens; else returns when they will fit. The bucket is not
-  /// checked.
+  /// Admits a request if it fits into this instance's share and counts its
+  /// tokens; else returns when they will fit.
   QuotaVerdict AdmitFromShare(std::string_view workspace,
                               const QuotaLimit& limit, double tokens);
 
@@ -219,15 +201,6 @@
     Instant at;
     double level = 0;
   };
-  /// This instance's bucket for the time in which no leader states a level.
-  /// Neither grants nor refunds change it.
-  struct OwnBucket {
-    double level = 0;
-    Instant updated;
-    /// Whether the level is the share of a summary's level, without the advance
-    /// that an instance without a leader gets.
-    bool is_share = false;
-  };
   /// Spending of one workspace in the window.
   struct Spending {
     std::deque<Slice> slices;  ///< of this instance, the oldest first
@@ -241,7 +214,6 @@
     /// The bucket's level in the summaries of the last second, without those
     /// that are followed by a lower one.
     std::deque<LevelAt> low_levels;
-    std::optional<OwnBucket> own_bucket;
   };
 
   /// The spending of a workspace without the slices that left the window.
@@ -257,38 +229,15 @@
   /// Whether the last summary contains spending that is still in the window.
   bool HasSummaryInWindow(const Spending& spending) const;
   /// This instance's part of the bucket, by the last summary.
-  BucketSize BucketShare(const Spending& spending,
-                         const QuotaLimit& limit) const;
-  BucketSize OwnBucketSize(const Spending& spending,
-                           const QuotaLimit& limit) const;
-  /// Refills this instance's own bucket and returns its level, in tokens. It
-  /// starts from its share of the last summary's level, or from
-  /// InitialOwnLevel if there was none.
-  double OwnBucketLevel(std::string_view workspace, Spending& spending,
-                        const QuotaLimit& limit) const;
-  /// The own bucket's first level if no summary has stated one: this instance's
-  /// share of what the window has left. Less after a restart, since the
-  /// previous process may have spent the advance.
-  double InitialOwnLevel(std::string_view workspace,
-                         const QuotaLimit& limit) const;
-  /// The own bucket's level, from its share of the last summary's level.
-  double LevelWithAdvance(const Spending& spending,
-                          const QuotaLimit& limit) const;
-  /// Sets the own bucket by the summary just received.
-  void RestartOwnBucket(Spending& spending);
-  /// What the bucket lets this instance spend while there is a leader.
-  double BucketLeftWithoutGrant(std::string_view workspace, Spending& spending,
-                                const QuotaLimit& limit) const;
+  BucketSize OwnBucket(const Spending& spending, const QuotaLimit& limit) const;
+  /// Tokens in this instance's part of the bucket; nothing if it does not limit
+  /// the instance.
+  std::optional<double> OwnBucketLevel(const Spending& spending,
+                                       const QuotaLimit& limit) const;
   /// How many instances share what the fleet has left.
   int SharingInstances(const FleetSpending& spend) const;
   /// Tokens that the fleet has left in the window; may be negative.
   double FleetLeft(const QuotaLimit& limit, const FleetSpending& spend) const;
-  /// Tokens that all instances together can spend in a time by their own
-  /// buckets.
-  /// @param level that they followed before, if known
-  double SpendableByOwnBuckets(const QuotaLimit& limit,
-                               std::optional<double> level,
-                               absl::Duration time) const;
   /// Tokens to reserve for instances that do not report.
   double ReservedForUnreported(const QuotaLimit& limit,
                                const FleetSpending& spend) const;
@@ -297,8 +246,6 @@
   bool IsDrained(double level, const QuotaLimit& limit) const;
   void RecordLevel(Spending& spending, double level);
   void Count(Spending& spending, double tokens);
-  /// Counts tokens that this instance spends without a grant.
-  void CountOwn(Spending& spending, double tokens);
   Share ShareWithoutSummary(std::string_view workspace,
                             const Spending& spending,
                             const QuotaLimit& limit) const;
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -230,7 +230,6 @@
   // too: the leader computes its share from that.
   this->quota_admission.UpdateParticipants();
   report.listed = this->fleet.IsListed(this->self.name);
-  report.__set_keeps_buckets(true);
   report.listed_ms = absl::ToInt64Milliseconds(
       std::min(kUnlimitedAge, this->quotas.ListedFor()));
   report.grants_through = this->quota_admission.SettledThrough();
--- a/dragonflyglade/gateway/quota_admission.cc
+++ b/dragonflyglade/gateway/quota_admission.cc
@@ -127,8 +127,7 @@
 QuotaVerdict QuotaAdmission::AdmitWithoutLeader(const std::string& workspace,
                                                 const QuotaLimit& limit,
                                                 double tokens) {
-  QuotaVerdict verdict =
-      this->quotas.AdmitWithoutLeader(workspace, limit, tokens);
+  QuotaVerdict verdict = this->quotas.AdmitFromShare(workspace, limit, tokens);
   if (!verdict.admitted) {
     verdict.retry_after = std::max(verdict.retry_after, kMinRetryWithoutLeader);
   }
--- a/dragonflyglade/gateway/report_aggregator.cc
+++ b/dragonflyglade/gateway/report_aggregator.cc
@@ -60,35 +60,16 @@
   }
 }
 
-// A process that was partitioned and ended before it could report leaves its
-// spending since its last report unknown. A process that was killed leaves as
-// little trace, and cannot be told from it.
-ReportAggregator::UnknownShares ReportAggregator::FindUnknownShares() const {
-  UnknownShares unknown;
+double ReportAggregator::UnknownShares() const {
+  double shares = 0;
   for (const auto& [incarnation, entry] : this->entries) {
-    if (!entry.report.listed) continue;
-    const Instant started =
-        entry.received_at - absl::Milliseconds(entry.report.age_ms);
-    const absl::Duration age = this->clock.Now() - started;
-    const ProcessReport* previous = this->Predecessor(incarnation, entry);
-    const double share =
-        1 - SpendableFractionAfterRestart(age, this->spend_window);
-    if (previous == nullptr) {
-      unknown.all += share;
-      continue;
-    }
-    const absl::Duration missing = started - previous->received_at;
-    const absl::Duration interval =
-        absl::Milliseconds(previous->report.interval_ms);
-    if (previous->from_record || missing <= interval + kReportGrace) continue;
-    if (!previous->report.keeps_buckets) {
-      unknown.all += share;
-      continue;
-    }
-    unknown.lost += CountedFractionOfPriorSpending(age, this->spend_window);
-    AddLastReport(previous, missing, unknown.lost_reports);
+    if (!entry.report.listed || !this->IsCurrent(entry)) continue;
+    if (this->IsSuccessor(incarnation, entry)) continue;
+    shares +=
+        1 - SpendableFractionAfterRestart(
+                absl::Milliseconds(entry.report.age_ms), this->spend_window);
   }
-  return unknown;
+  return shares;
 }
 
 std::set<std::string_view> ReportAggregator::ReportingInstances() const {
@@ -110,6 +91,7 @@
        this->participants.Unreported(this->ReportingInstances())) {
     last_reports[name] = nullptr;
   }
+  unreported.instances = last_reports.size();
   for (const auto& [incarnation, entry] : this->entries) {
     const auto found = last_reports.find(entry.report.instance);
     if (found == last_reports.end()) continue;
@@ -120,49 +102,29 @@
     const absl::Duration age = last == nullptr
                                    ? absl::InfiniteDuration()
                                    : this->clock.Now() - last->received_at;
-    AddLastReport(last, age, unreported);
+    unreported.longest = std::max(unreported.longest, age);
+    if (last == nullptr) continue;
+    for (const wire::WorkspaceSpend& spend : last->report.spends) {
+      if (!spend.__isset.bucket_level) continue;
+      const auto level = static_cast<double>(spend.bucket_level);
+      StatedLevel& stated =
+          unreported.levels.try_emplace(spend.workspace, StatedLevel{level, 0})
+              .first->second;
+      stated.highest = std::max(stated.highest, level);
+      ++stated.instances;
+    }
   }
   return unreported;
 }
 
-void ReportAggregator::AddLastReport(const ProcessReport* last,
-                                     absl::Duration missing,
-                                     Unreported& unreported) {
-  ++unreported.instances;
-  unreported.longest = std::max(unreported.longest, missing);
-  if (last == nullptr || !last->report.keeps_buckets)
-    unreported.keep_buckets = false;
-  if (last == nullptr) return;
-  for (const wire::WorkspaceSpend& spend : last->report.spends) {
-    if (!spend.__isset.bucket_level) continue;
-    const auto level = static_cast<double>(spend.bucket_level);
-    StatedLevel& stated =
-        unreported.levels.try_emplace(spend.workspace, StatedLevel{level, 0})
-            .first->second;
-    stated.highest = std::max(stated.highest, level);
-    ++stated.instances;
-  }
-}
-
-std::optional<double> ReportAggregator::HighestLevel(
-    const Unreported& unreported, const std::string& workspace) {
-  const auto level = unreported.levels.find(workspace);
-  const bool all_state_levels = level != unreported.levels.end() &&
-                                level->second.instances == unreported.instances;
-  if (!all_state_levels) return std::nullopt;
-  return level->second.highest;
-}
-
-const ReportAggregator::ProcessReport* ReportAggregator::Predecessor(
-    std::string_view incarnation, const ProcessReport& entry) const {
-  const ProcessReport* newest = nullptr;
-  for (const auto& [name, other] : this->entries) {
-    if (name == incarnation) continue;
-    if (other.report.instance != entry.report.instance) continue;
-    if (newest == nullptr || newest->received_at < other.received_at)
-      newest = &other;
-  }
-  return newest;
+// Whether the spending of the instance's previous process is known.
+bool ReportAggregator::IsSuccessor(std::string_view incarnation,
+                                   const ProcessReport& entry) const {
+  return std::any_of(
+      this->entries.begin(), this->entries.end(), [&](const auto& other) {
+        return other.first != incarnation &&
+               other.second.report.instance == entry.report.instance;
+      });
 }
 
 void ReportAggregator::AddToSums(const std::string& incarnation,
@@ -213,7 +175,7 @@
   this->sums_at = now;
   this->RemoveExpired();
   this->sums = Sums();
-  this->sums.unknown = this->FindUnknownShares();
+  this->sums.unknown_shares = this->UnknownShares();
   this->sums.missing_part = this->MissingPart();
   this->sums.unreported = this->FindUnreported();
   for (const auto& [incarnation, entry] : this->entries) {
@@ -279,15 +241,15 @@
     spend.total = static_cast<double>(tokens->second);
   }
   spend.instances = this->sums.instances;
-  spend.unknown_shares = this->sums.unknown.all;
+  spend.unknown_shares = this->sums.unknown_shares;
   spend.unreported_fraction = this->sums.missing_part;
   const Unreported& unreported = this->sums.unreported;
   spend.unreported_for = unreported.longest;
-  spend.unreported_keep_buckets = unreported.keep_buckets;
-  spend.unreported_level = HighestLevel(unreported, workspace);
-  spend.lost_shares = this->sums.unknown.lost;
-  spend.lost_for = this->sums.unknown.lost_reports.longest;
-  spend.lost_level = HighestLevel(this->sums.unknown.lost_reports, workspace);
+  const auto level = unreported.levels.find(workspace);
+  // An instance that states no level may spend its share of the window.
+  const bool all_state_levels = level != unreported.levels.end() &&
+                                level->second.instances == unreported.instances;
+  if (all_state_levels) spend.unreported_level = level->second.highest;
   return spend;
 }
 
@@ -296,7 +258,7 @@
   this->UpdateSums();
   wire::FleetSummary summary;
   summary.instances = this->sums.instances;
-  summary.unknown_shares = this->sums.unknown.all + this->sums.unknown.lost;
+  summary.unknown_shares = this->sums.unknown_shares;
   summary.missing_part = this->sums.missing_part;
   // The sums may be older than the instance's last report; the summary names
   // the report that they contain.
--- a/dragonflyglade/gateway/report_aggregator.h
+++ b/dragonflyglade/gateway/report_aggregator.h
@@ -87,20 +87,12 @@
     double highest = 0;
     std::size_t instances = 0;
   };
-  /// Instances whose spending since their last reports is not known.
+  /// The instances that do not report and may be spending.
   struct Unreported {
     std::size_t instances = 0;
     absl::Duration longest;  ///< since a last report; infinite if unknown
-    bool keep_buckets = true;
     std::map<std::string, StatedLevel> levels;  ///< by workspace
   };
-  /// The shares of instances that restarted and whose earlier spending is not
-  /// known, or only until a while before the restart.
-  struct UnknownShares {
-    double all = 0;
-    double lost = 0;
-    Unreported lost_reports;  ///< the last ones before the restarts
-  };
 
   /// Totals over the processes: the spending in the window, and the requests
   /// of those whose reports are not overdue.
@@ -110,7 +102,7 @@
     /// Sequence of the last report in the totals, by incarnation.
     std::map<std::string, std::int64_t> counted_reports;
     int instances = 0;
-    UnknownShares unknown;
+    double unknown_shares = 0;
     double missing_part = 0;
     Unreported unreported;
   };
@@ -123,21 +115,12 @@
                              std::int64_t tokens) const;
   bool IsCurrent(const ProcessReport& entry) const;
   void RemoveExpired();
-  UnknownShares FindUnknownShares() const;
+  double UnknownShares() const;
   double MissingPart() const;
   Unreported FindUnreported() const;
-  /// @param last null if unknown
-  /// @param missing time since that report
-  static void AddLastReport(const ProcessReport* last, absl::Duration missing,
-                            Unreported& unreported);
-  /// The highest level that any of the instances stated; nothing if one stated
-  /// none.
-  static std::optional<double> HighestLevel(const Unreported& unreported,
-                                            const std::string& workspace);
   std::set<std::string_view> ReportingInstances() const;
-  /// The newest report of the instance's other processes; null if unknown.
-  const ProcessReport* Predecessor(std::string_view incarnation,
-                                   const ProcessReport& entry) const;
+  bool IsSuccessor(std::string_view incarnation,
+                   const ProcessReport& entry) const;
 
   const QuotaParticipants& participants;
   const absl::Duration spend_window;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -136,9 +136,6 @@
   /** Parts that targets have read for requests of this instance, or said to
       have cached or evicted, since the last report. At most 64. */
   22: optional list<CachedParts> cached_parts
-  /** Whether the instance limits its spending by its own token buckets while it
-      has no leader. If not set, it may spend its share of a window at once. */
-  23: optional bool keeps_buckets
 }
 
 /** An urgent change of the store, which instances have to apply at once. */
