Log a digest of each request, the same for all repeats

Cause: the lines of a request have the id of one attempt of its caller. Nothing tied two attempts together, so that the logs could not tell a retry of an instance from a repeat of the caller, nor name the request that targets end under.

Change: the digest of method, host, path, workspace, model, adapter, parts and body is in the line of each outcome, of lost answers, of crashed targets (all requests that were there) and of refusals for a part.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -9,6 +9,7 @@
 #include "dragonflyglade/decision/pacing.h"
 #include "dragonflyglade/decision/target_choice.h"
 #include "dragonflyglade/gateway/catch_exception.h"
+#include "dragonflyglade/gateway/request_digest.h"
 #include "dragonflyglade/gateway/request_job.h"
 
 namespace dragonflyglade::gateway {
@@ -145,7 +146,10 @@
 asio::awaitable<std::optional<Refusal>> Pipeline::Admit(RequestJob& job) {
   std::optional<Refusal> refusal = this->FindRoute(job);
   if (!refusal.has_value()) refusal = this->FindWorkspace(job);
-  if (!refusal.has_value()) refusal = this->CheckParts(job);
+  if (!refusal.has_value()) {
+    job.digest = DigestOf(job.request, job.WorkspaceName());
+    refusal = this->CheckParts(job);
+  }
   if (!refusal.has_value()) refusal = this->CheckSize(job);
   if (!refusal.has_value()) refusal = co_await this->FindStreamOrigin(job);
   if (!refusal.has_value()) refusal = co_await this->AdmitToQuota(job);
@@ -233,6 +237,7 @@
   if (refused == nullptr) return std::nullopt;
   this->log.Write("request", "holds a crashing part",
                   {{"id", job.request.id},
+                   {"digest", job.digest},
                    {"prompt_part", refused->id},
                    {"attempts", job.attempts}});
   const RefusalCode code = job.executions > 0 ? RefusalCode::kTargetLost
@@ -429,8 +434,8 @@
       {{"id", job.request.id},
        {"status", status},
        {"route", route},
-       {"workspace",
-        job.workspace == nullptr ? std::string() : job.workspace->name},
+       {"digest", job.digest},
+       {"workspace", job.WorkspaceName()},
        {"config", job.config == nullptr ? 0 : job.config->version},
        {"knowledge_age_ms", this->sync_state.KnowledgeAge()},
        {"target", job.target},
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -258,6 +258,7 @@
                                    bool may_be_complete) {
   EndedExchange exchange;
   exchange.request_id = job.request.id;
+  exchange.digest = job.digest;
   exchange.shared_parts.assign(job.SharedParts().begin(),
                                job.SharedParts().end());
   exchange.was_beginning = job.IsBeginning(this->clock.Now());
@@ -421,6 +422,7 @@
   }
   this->log.Write("request", "lost",
                   {{"id", job.request.id},
+                   {"digest", job.digest},
                    {"target", job.target},
                    {"why", unknown.why},
                    {"last_event", job.events.LastId()},
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -38,6 +38,7 @@
 struct RequestJob {
   CallerRequest request;
   CallerConnection& connection;
+  std::string digest;  ///< see DigestOf; empty until the workspace is known
   std::shared_ptr<const GatewayConfig> config;
   const Route* route = nullptr;
   const WorkspaceSpec* workspace = nullptr;
@@ -93,6 +94,10 @@
   RequestJob(CallerRequest request, CallerConnection& connection)
       : request(std::move(request)), connection(connection) {}
 
+  /// Empty on routes without keys.
+  std::string WorkspaceName() const {
+    return this->workspace == nullptr ? "" : this->workspace->name;
+  }
   bool NeedsModel() const { return !this->request.use.model.empty(); }
   /// Whether the request may be repeated at another target after a target may
   /// have executed it.
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -89,7 +89,9 @@
                                       const std::vector<EndedExchange>& ended) {
   std::set<std::string> suspects;
   std::vector<std::string> requests;
+  std::vector<std::string> digests;
   for (const EndedExchange& exchange : ended) {
+    digests.push_back(exchange.digest);
     if (!exchange.was_beginning) continue;
     requests.push_back(exchange.request_id);
     for (const PromptPart& part : exchange.shared_parts) {
@@ -102,6 +104,7 @@
                    {"born_ms", crash.born_ms},
                    {"requests", static_cast<int>(ended.size())},
                    {"beginning", absl::StrJoin(requests, ",")},
+                   {"digests", absl::StrJoin(digests, ",")},
                    {"prompt_parts", absl::StrJoin(suspects, ",")}});
   this->crashing_parts.RecordCrash(crash, suspects);
   this->channel.ReportConnectionRefused(crash.target);
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -26,6 +26,7 @@
 /// A request whose connection to its target ended.
 struct EndedExchange {
   std::string request_id;
+  std::string digest;  ///< of the request, see DigestOf
   std::vector<PromptPart> shared_parts;
   /// Whether the target may have been beginning its answer.
   bool was_beginning = false;
