--- a/tests/platform/platform-crashing-parts.cc
+++ b/tests/platform/platform-crashing-parts.cc
@@ -2,11 +2,8 @@
 
 #include <atomic>
 #include <boost/asio/post.hpp>
-#include <memory>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
@@ -14,12 +11,11 @@
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "dragonflyglade/gateway/parts_command.h"
-#include "tests/platform/gateway_harness.h"
+#include "tests/platform/crashing_fleet.h"
 
 namespace dragonflyglade {
 namespace {
 
-using nlohmann::json;
 using Reply = GatewayHarness::Reply;
 using Script = PlatformTargetStandIn::Script;
 
@@ -28,7 +24,6 @@
 constexpr int kBoundingCrashes = 5;
 constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
 constexpr int kMaxFurtherRequests = 3;
-constexpr int kTargets = 8;
 constexpr int kSoundPerCrash = 12;
 
 // Ends as soon as it begins to answer a request with a part "bad", unless that
@@ -44,158 +39,39 @@
   return script;
 }
 
-// An instance that runs on a thread of its own.
-class RunningInstance {
- public:
-  RunningInstance(const GatewayHarness& harness, const std::string& name)
-      : gateway(
-            harness.Settings(name),
-            [&harness, name] { return harness.Settings(name); },
-            platform::MakeWireFormat()),
-        thread([this] { this->gateway.Run(); }) {}
-  ~RunningInstance() {
-    this->gateway.Context().stop();
-    this->thread.join();
-  }
-  RunningInstance(const RunningInstance&) = delete;
-  RunningInstance& operator=(const RunningInstance&) = delete;
-
-  gateway::Gateway gateway;
-
- private:
-  std::thread thread;
-};
-
-// Two instances in front of targets that a part of a prompt may crash. A target
-// that has crashed comes back under another id.
-class CrashingFleet {
- public:
-  explicit CrashingFleet(PlatformTargetStandIn::Answer answer = AnswerOrCrash)
-      : answer(std::move(answer)),
-        second(std::make_unique<RunningInstance>(this->harness, "two")) {
-    this->harness.store.Delete("servers/i-1");
-    this->ReplaceCrashed();
-  }
-
-  // Starts targets in place of those that crashed, and waits until both
-  // instances know them and no others.
-  void ReplaceCrashed() {
-    for (const auto& target : this->targets) {
-      if (target->stand_in.HasCrashed()) this->Remove(*target);
+// Sends requests with a part that crashes targets until both instances refuse
+// it.
+void CrashUntilRefused(CrashingFleet& fleet) {
+  for (int i = 0; i < 2 * kBoundingCrashes; ++i) {
+    const std::string parts = absl::StrCat("bad:10,own", i, ":1");
+    const int status = fleet.CallModel(i % 2, parts).status;
+    if (status == 503) break;
+    fleet.ReplaceCrashed();
+    for (int n = 0; n < kSoundPerCrash; ++n) {
+      fleet.CallModel(n % 2, "x:10,own:1");
     }
-    while (this->Serving() < kTargets) this->Add();
-    this->harness.WaitFor([this] {
-      return this->Knows(*this->harness.gateway) &&
-             this->Knows(this->second->gateway);
-    });
-  }
-
-  Reply Call(int instance, const std::string& parts) {
-    const Endpoint& endpoint = instance == 0
-                                   ? this->harness.gateway->Settings().callers
-                                   : this->second->gateway.Settings().callers;
-    return this->harness.SendTo(
-        endpoint, this->harness.Text(
-                      "POST", "/once/", "k1",
-                      absl::StrCat("X-Dragonflyglade-Model: m\r\n"
-                                   "X-Dragonflyglade-Token-Usage: 100,10\r\n"
-                                   "X-Dragonflyglade-Prompt-Prefix: ",
-                                   parts, "\r\n")));
-  }
-
-  int Crashes() const {
-    int crashes = 0;
-    for (const auto& target : this->targets) {
-      crashes += target->stand_in.HasCrashed() ? 1 : 0;
-    }
-    return crashes;
-  }
-
-  // Sends requests with a part that crashes targets until both instances refuse
-  // it.
-  void CrashUntilRefused() {
-    for (int i = 0; i < 2 * kBoundingCrashes; ++i) {
-      const int status = this->Call(i % 2, "bad:10,own:1").status;
-      if (status == 503) break;
-      this->ReplaceCrashed();
-      for (int n = 0; n < kSoundPerCrash; ++n) this->Call(n % 2, "x:10,own:1");
-      absl::SleepFor(absl::Milliseconds(300));
-    }
-    CPPUNIT_ASSERT(this->Crashes() <= kBoundingCrashes);
-  }
-
-  // How many parts the instance knows from the store.
-  std::size_t RefusedParts(int instance) {
-    gateway::Gateway& one =
-        instance == 0 ? *this->harness.gateway : this->second->gateway;
-    std::size_t count = 0;
-    absl::Notification done;
-    boost::asio::post(one.Context(), [&] {
-      count = one.Fleet().CrashingParts().size();
-      done.Notify();
-    });
-    done.WaitForNotification();
-    return count;
-  }
-
-  // The store's keys of parts that crash targets.
-  std::vector<std::string> RecordedParts() const {
-    return this->harness.store.Keys("dragonflyglade/crashing-parts/");
-  }
-
-  GatewayHarness harness;
-
- private:
-  struct Target {
-    std::string id;
-    bool serves = true;
-    PlatformTargetStandIn stand_in;
-
-    Target(std::string id, PlatformTargetStandIn::Answer answer)
-        : id(std::move(id)), stand_in(std::move(answer)) {}
-  };
-
-  void Add() {
-    const std::string id = absl::StrCat("t-", this->targets.size());
-    this->targets.push_back(std::make_unique<Target>(id, this->answer));
-    this->harness.PutTarget(
-        id, this->targets.back()->stand_in, "ready",
-        {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}});
-  }
-
-  void Remove(Target& target) {
-    if (target.serves) this->harness.store.Delete("servers/" + target.id);
-    target.serves = false;
-  }
-
-  int Serving() const {
-    int serving = 0;
-    for (const auto& target : this->targets) serving += target->serves ? 1 : 0;
-    return serving;
-  }
-
-  bool Knows(gateway::Gateway& instance) {
-    bool knows = false;
-    absl::Notification done;
-    boost::asio::post(instance.Context(), [&] {
-      const auto known = instance.Fleet().Targets("s");
-      knows = known.size() == kTargets;
-      for (const auto& target : this->targets) {
-        const auto found = instance.Fleet().Target(target->id);
-        knows = knows && (found != nullptr) == target->serves;
-      }
-      done.Notify();
-    });
-    done.WaitForNotification();
-    return knows;
+    absl::SleepFor(absl::Milliseconds(300));
   }
+  CPPUNIT_ASSERT(fleet.Crashes() <= kBoundingCrashes);
+}
 
-  const PlatformTargetStandIn::Answer answer;
-  std::vector<std::unique_ptr<Target>> targets;
+// How many parts the instance knows from the store.
+std::size_t RefusedParts(CrashingFleet& fleet, int instance) {
+  gateway::Gateway& one = fleet.GatewayOf(instance);
+  std::size_t count = 0;
+  absl::Notification done;
+  boost::asio::post(one.Context(), [&] {
+    count = one.Fleet().CrashingParts().size();
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return count;
+}
 
- public:
-  std::unique_ptr<RunningInstance> second;
-};
+// The store's keys of parts that crash targets.
+std::vector<std::string> RecordedParts(const CrashingFleet& fleet) {
+  return fleet.harness.store.Keys("dragonflyglade/crashing-parts/");
+}
 
 class CrashingPartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingPartsTest);
@@ -224,11 +100,11 @@
         {"between shared parts", "p:50,bad:20,q:10", "p:50,q:10"},
     };
     for (const Case& item : cases) {
-      CrashingFleet fleet;
+      CrashingFleet fleet(AnswerOrCrash);
       int number = 0;
       const auto call = [&](int round, const std::string& parts) {
         const std::string last = absl::StrCat(",own", ++number, ":10");
-        return fleet.Call(round % 2, parts + last);
+        return fleet.CallModel(round % 2, parts + last);
       };
       for (int i = 0; fleet.Crashes() < kBoundingCrashes && i < 20; ++i) {
         CPPUNIT_ASSERT_EQUAL(200, call(i, item.sound).status);
@@ -255,30 +131,29 @@
   // Guards against targets that crash at the instances that were not told, as
   // long as the store takes no writes.
   void KnowsThemWhileTheStoreIsAway() {
-    CrashingFleet fleet;
+    CrashingFleet fleet(AnswerOrCrash);
     fleet.harness.store.RejectWrites(true);
-    fleet.CrashUntilRefused();
+    CrashUntilRefused(fleet);
     const int before = fleet.Crashes();
     for (int i = 0; i < 10; ++i) {
-      CPPUNIT_ASSERT_EQUAL(503, fleet.Call(i % 2, "bad:10,own:1").status);
+      CPPUNIT_ASSERT_EQUAL(503, fleet.CallModel(i % 2, "bad:10,own:1").status);
     }
     CPPUNIT_ASSERT_EQUAL(before, fleet.Crashes());
     fleet.harness.store.RejectWrites(false);
-    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
+    fleet.harness.WaitFor([&] { return !RecordedParts(fleet).empty(); });
   }
 
   // Guards against new crashes after a restart of all instances, which forget
   // what they had seen.
   void KnowsThemAfterAllInstancesEnded() {
-    CrashingFleet fleet;
-    fleet.CrashUntilRefused();
-    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
-    fleet.second.reset();
-    fleet.second = std::make_unique<RunningInstance>(fleet.harness, "three");
+    CrashingFleet fleet(AnswerOrCrash);
+    CrashUntilRefused(fleet);
+    fleet.harness.WaitFor([&] { return !RecordedParts(fleet).empty(); });
+    fleet.ReplaceSecond("three");
     const int before = fleet.Crashes();
     fleet.harness.WaitFor(
-        [&] { return fleet.Call(1, "x:10,own:1").status == 200; });
-    const Reply reply = fleet.Call(1, "bad:10,own:1");
+        [&] { return fleet.CallModel(1, "x:10,own:1").status == 200; });
+    const Reply reply = fleet.CallModel(1, "bad:10,own:1");
     CPPUNIT_ASSERT_EQUAL(503, reply.status);
     CPPUNIT_ASSERT(absl::StrContains(reply.text, "crashing_part"));
     CPPUNIT_ASSERT_EQUAL(before, fleet.Crashes());
@@ -290,36 +165,37 @@
     CrashingFleet fleet([&crashes](const RawRequest& request) {
       return crashes ? AnswerOrCrash(request) : SuccessfulResponse(request);
     });
-    fleet.CrashUntilRefused();
-    fleet.harness.WaitFor([&] { return !fleet.RecordedParts().empty(); });
+    CrashUntilRefused(fleet);
+    fleet.harness.WaitFor([&] { return !RecordedParts(fleet).empty(); });
     crashes = false;
-    fleet.harness.store.Delete(fleet.RecordedParts().front());
+    fleet.harness.store.Delete(RecordedParts(fleet).front());
     for (int instance : {0, 1}) {
-      fleet.harness.WaitFor(
-          [&] { return fleet.Call(instance, "bad:10,own:1").status == 200; });
+      fleet.harness.WaitFor([&] {
+        return fleet.CallModel(instance, "bad:10,own:1").status == 200;
+      });
     }
     absl::SleepFor(absl::Seconds(1));
-    CPPUNIT_ASSERT(fleet.RecordedParts().empty());
-    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(0, "bad:10,own:1").status);
+    CPPUNIT_ASSERT(RecordedParts(fleet).empty());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.CallModel(0, "bad:10,own:1").status);
   }
 
   // Guards against a part that an operator knows of, and targets crash on all
   // the same; an unreadable record is in force, too.
   void RefusesPartsThatAnOperatorNamed() {
     for (const char* value : {R"({"by": "operator", "why": "seen"})", "?"}) {
-      CrashingFleet fleet;
+      CrashingFleet fleet(AnswerOrCrash);
       fleet.harness.store.Put("dragonflyglade/crashing-parts/bad", value);
       for (int instance : {0, 1}) {
         fleet.harness.WaitFor(
-            [&] { return fleet.RefusedParts(instance) == 1; });
-        CPPUNIT_ASSERT_EQUAL(503,
-                             fleet.Call(instance, "q:1,bad:10,own:1").status);
+            [&] { return RefusedParts(fleet, instance) == 1; });
+        CPPUNIT_ASSERT_EQUAL(
+            503, fleet.CallModel(instance, "q:1,bad:10,own:1").status);
       }
       CPPUNIT_ASSERT_EQUAL(0, fleet.Crashes());
-      const Reply reply = fleet.Call(0, "bad:10,own:1");
+      const Reply reply = fleet.CallModel(0, "bad:10,own:1");
       CPPUNIT_ASSERT(std::stod(reply.Field("Retry-After")) >= 30);
       // Requests do not share their last part.
-      CPPUNIT_ASSERT_EQUAL(200, fleet.Call(0, "q:1,bad:10").status);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.CallModel(0, "q:1,bad:10").status);
     }
   }
 
@@ -380,15 +256,15 @@
       for (int i = 0; i < 8; ++i) {
         fails = true;
         const std::string parts = absl::StrCat("p:10,own", i, ":1");
-        CPPUNIT_ASSERT_EQUAL(502, fleet.Call(i % 2, parts).status);
+        CPPUNIT_ASSERT_EQUAL(502, fleet.CallModel(i % 2, parts).status);
         fleet.ReplaceCrashed();
         if (!item.answered) continue;
-        CPPUNIT_ASSERT_EQUAL(200, fleet.Call(i % 2, parts).status);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.CallModel(i % 2, parts).status);
         absl::SleepFor(absl::Milliseconds(150));
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200,
-                                   fleet.Call(0, "p:10,own:1").status);
-      CPPUNIT_ASSERT(fleet.RecordedParts().empty());
+                                   fleet.CallModel(0, "p:10,own:1").status);
+      CPPUNIT_ASSERT(RecordedParts(fleet).empty());
     }
   }
 };
