--- a/dragonflyglade/decision/refusal.cc
+++ b/dragonflyglade/decision/refusal.cc
@@ -48,6 +48,8 @@
      WasExecuted::kNo, kRetryLater},
     {RefusalCode::kCrashingPart, "crashing_part", 503, WasExecuted::kNo,
      kRetryLater},
+    {RefusalCode::kCrashingRequest, "crashing_request", 503, WasExecuted::kNo,
+     kRetryLater},
     {RefusalCode::kEnginesOverloaded, "engines_overloaded", 503,
      WasExecuted::kNo, kRetryLater},
     {RefusalCode::kRequestTooLargeForEngines, "request_too_large_for_engines",
--- a/dragonflyglade/decision/refusal.h
+++ b/dragonflyglade/decision/refusal.h
@@ -34,6 +34,7 @@
   kStreamOriginUnknown,
   kStreamVersionUnavailable,
   kCrashingPart,
+  kCrashingRequest,
   kEnginesOverloaded,
   kRequestTooLargeForEngines,
   kQueueFull,
--- a/dragonflyglade/gateway/fleet_channel.cc
+++ b/dragonflyglade/gateway/fleet_channel.cc
@@ -76,7 +76,7 @@
     ReportAggregator& aggregator, const LeaderLease& leader_lease,
     InstanceRecord self, bool first_start, StoreSyncState& sync_state,
     StoreRelay& relay, StreamOrigins& stream_origins,
-    CrashingParts& crashing_parts, PromptCaches& prompt_caches,
+    CrashSuspects& crash_suspects, PromptCaches& prompt_caches,
     Metrics& metrics, Tasks& tasks, Clock clock)
     : context(context),
       socket(socket),
@@ -91,7 +91,7 @@
       sync_state(sync_state),
       relay(relay),
       stream_origins(stream_origins),
-      crashing_parts(crashing_parts),
+      crash_suspects(crash_suspects),
       prompt_caches(prompt_caches),
       cached_parts(prompt_caches, clock),
       statements(fleet, clock),
@@ -108,7 +108,7 @@
   this->quota_admission.OnSend(send);
   this->relay.OnSend(send);
   this->stream_origins.OnSend(send);
-  this->crashing_parts.OnSend(send);
+  this->crash_suspects.OnSend(send);
   this->relay.OnDigestApplied([this] { this->CheckLeaderChange(); });
   this->sync_state.OnUrgentChange([this] { this->SendUrgentChanges(); });
 }
@@ -145,7 +145,7 @@
     this->on_rest_note(message->rest_note);
   }
   this->stream_origins.Receive(*message);
-  this->crashing_parts.Receive(*message);
+  this->crash_suspects.Receive(*message);
   this->relay.Receive(*message);
 }
 
--- a/dragonflyglade/gateway/fleet_channel.h
+++ b/dragonflyglade/gateway/fleet_channel.h
@@ -17,7 +17,7 @@
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/cached_part_exchange.h"
-#include "dragonflyglade/gateway/crashing_parts.h"
+#include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/model_demand.h"
@@ -48,7 +48,7 @@
                QuotaAdmission& quota_admission, ReportAggregator& aggregator,
                const LeaderLease& leader_lease, InstanceRecord self,
                bool first_start, StoreSyncState& sync_state, StoreRelay& relay,
-               StreamOrigins& stream_origins, CrashingParts& crashing_parts,
+               StreamOrigins& stream_origins, CrashSuspects& crash_suspects,
                PromptCaches& prompt_caches, Metrics& metrics, Tasks& tasks,
                Clock clock);
 
@@ -146,7 +146,7 @@
   StoreSyncState& sync_state;
   StoreRelay& relay;
   StreamOrigins& stream_origins;
-  CrashingParts& crashing_parts;
+  CrashSuspects& crash_suspects;
   PromptCaches& prompt_caches;
   CachedPartExchange cached_parts;
   StatementExchange statements;
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::string_view kInstanceKeyPrefix = "dragonflyglade/instances/";
-constexpr std::string_view kCrashingPartPrefix =
-    "dragonflyglade/crashing-parts/";
 // Running targets register again within this time after the store recovers.
 constexpr absl::Duration kStoreRecoveryGrace = absl::Seconds(2);
 // Longer than records of running targets are missing.
@@ -23,10 +21,11 @@
   return static_cast<std::int32_t>(XXH64(key.data(), key.size(), 0));
 }
 
-// Changes of the records that only a starting process reads are not urgent.
+// Changes of the records that only a starting process reads are not urgent, nor
+// are keys that only one instance may create.
 bool IsPassedOn(std::string_view key) {
   return key != FleetState::kSpendRecordKey &&
-         key != FleetState::kVersionRecordKey;
+         key != FleetState::kVersionRecordKey && !IsTrialKey(key);
 }
 
 }  // namespace
@@ -45,12 +44,6 @@
   return key;
 }
 
-std::string FleetState::CrashingPartKey(std::string_view part) {
-  std::string key(kCrashingPartPrefix);
-  key.append(part);
-  return key;
-}
-
 bool FleetState::HasPrefix(std::string_view key,
                            std::string_view prefix) const {
   return key.substr(0, prefix.size()) == prefix;
@@ -106,6 +99,7 @@
     this->ApplyVersions(item);
     return;
   }
+  if (IsTrialKey(item.key)) return;
   const bool of_target = this->HasPrefix(item.key, this->wire.targets_prefix);
   const bool urgent = !of_target || this->ApplyTarget(item);
   if (item.key == this->wire.config_key) this->ApplyConfig(item, source);
@@ -114,9 +108,8 @@
   if (this->HasPrefix(item.key, this->wire.evacuations_prefix)) {
     this->ApplyEvacuation(item);
   }
-  if (this->HasPrefix(item.key, kCrashingPartPrefix)) {
-    this->ApplyCrashingPart(item);
-  }
+  const std::optional<Suspect> suspect = SuspectOfKey(item.key);
+  if (suspect.has_value()) this->ApplyCrashRecord(*suspect, item);
   if (urgent) this->AddUrgentChange({item, false});
   this->changed.Notify();
 }
@@ -291,25 +284,31 @@
   this->initial_version_record = std::move(record.Value());
 }
 
-void FleetState::ApplyCrashingPart(const StoreItem& item) {
-  const std::string part = item.key.substr(kCrashingPartPrefix.size());
-  CrashingPartRecord record = DecodeCrashingPartRecord(item.value);
+void FleetState::ApplyCrashRecord(const Suspect& suspect,
+                                  const StoreItem& item) {
+  CrashRecord record = DecodeCrashRecord(item.value);
   this->log.Write("parts", "refused from now on",
-                  {{"prompt_part", part},
+                  {{LogNameOf(suspect.kind), suspect.id},
                    {"by", record.by},
                    {"why", record.why},
                    {"crashes", absl::StrJoin(record.crashes, ",")},
                    {"revision", item.revision}});
-  this->crashing_parts[part] = std::move(record);
+  this->crash_records[suspect] = {std::move(record), this->clock.Now()};
 }
 
-void FleetState::RemoveCrashingPart(std::string_view part,
-                                    std::uint64_t revision) {
-  const auto found = this->crashing_parts.find(part);
-  if (found != this->crashing_parts.end()) this->crashing_parts.erase(found);
-  this->log.Write("parts", "no longer refused",
-                  {{"prompt_part", part}, {"revision", revision}});
-  if (this->on_crashing_part_removed) this->on_crashing_part_removed(part);
+void FleetState::SetCrashRecordKnownSince(const Suspect& suspect,
+                                          Instant since) {
+  const auto found = this->crash_records.find(suspect);
+  if (found != this->crash_records.end()) found->second.known_since = since;
+}
+
+void FleetState::RemoveCrashRecord(const Suspect& suspect,
+                                   std::uint64_t revision) {
+  this->crash_records.erase(suspect);
+  this->log.Write(
+      "parts", "no longer refused",
+      {{LogNameOf(suspect.kind), suspect.id}, {"revision", revision}});
+  if (this->on_crash_record_removed) this->on_crash_record_removed(suspect);
 }
 
 ServedVersions& FleetState::VersionsOf(std::string_view service) {
@@ -350,6 +349,7 @@
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
   if (!this->IsNewer(key, {revision, true})) return;
+  if (IsTrialKey(key)) return;
   StoreItem removed;
   removed.key = std::string(key);
   removed.revision = revision;
@@ -358,9 +358,8 @@
     this->DropTarget(key.substr(this->wire.targets_prefix.size()),
                      "entry removed");
   }
-  if (this->HasPrefix(key, kCrashingPartPrefix)) {
-    this->RemoveCrashingPart(key.substr(kCrashingPartPrefix.size()), revision);
-  }
+  const std::optional<Suspect> suspect = SuspectOfKey(key);
+  if (suspect.has_value()) this->RemoveCrashRecord(*suspect, revision);
   if (this->HasPrefix(key, this->wire.evacuations_prefix)) {
     this->EndEvacuation(key.substr(this->wire.evacuations_prefix.size()),
                         revision);
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -16,7 +16,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/instance_choice.h"
 #include "dragonflyglade/gateway/async_condition.h"
-#include "dragonflyglade/gateway/crashing_part_record.h"
+#include "dragonflyglade/gateway/crash_record.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/instance_record.h"
 #include "dragonflyglade/gateway/messages.h"
@@ -155,18 +155,19 @@
     return this->initial_version_record;
   }
 
-  /// The parts of prompts that crash targets, as the store has them.
-  const std::map<std::string, CrashingPartRecord, std::less<>>& CrashingParts()
-      const {
-    return this->crashing_parts;
+  /// What crashes targets, as the store has it.
+  const std::map<Suspect, RefusedSuspect>& CrashRecords() const {
+    return this->crash_records;
   }
-  /// Sets a function that is called when the record of a crashing part was
-  /// removed from the store.
-  void OnCrashingPartRemoved(
-      std::function<void(std::string_view part)> callback) {
-    this->on_crashing_part_removed = std::move(callback);
+  /// Sets since when the suspect's record is known, if another instance told of
+  /// it before the store did.
+  void SetCrashRecordKnownSince(const Suspect& suspect, Instant since);
+  /// Sets a function that is called when a crash record was removed from the
+  /// store.
+  void OnCrashRecordRemoved(
+      std::function<void(const Suspect& suspect)> callback) {
+    this->on_crash_record_removed = std::move(callback);
   }
-  static std::string CrashingPartKey(std::string_view part);
 
   /// Sets a function that is called when the record of a target was read or
   /// removed; a removed one lists no models.
@@ -213,8 +214,8 @@
   void BeginWarmUp(std::string_view zone);
   void ApplySpends(const StoreItem& item);
   void ApplyVersions(const StoreItem& item);
-  void ApplyCrashingPart(const StoreItem& item);
-  void RemoveCrashingPart(std::string_view part, std::uint64_t revision);
+  void ApplyCrashRecord(const Suspect& suspect, const StoreItem& item);
+  void RemoveCrashRecord(const Suspect& suspect, std::uint64_t revision);
   ServedVersions& VersionsOf(std::string_view service);
   void RecordVersion(const TargetRecord& record);
   void DropTarget(std::string_view id, std::string_view why);
@@ -259,8 +260,8 @@
   /// By service.
   std::map<std::string, ServedVersions, std::less<>> served_versions;
   std::function<void(std::string_view)> on_second_version;
-  std::map<std::string, CrashingPartRecord, std::less<>> crashing_parts;
-  std::function<void(std::string_view)> on_crashing_part_removed;
+  std::map<Suspect, RefusedSuspect> crash_records;
+  std::function<void(const Suspect&)> on_crash_record_removed;
   std::function<void(const TargetRecord&)> on_target_record;
   bool has_listing = false;  ///< whether a listing was applied
   std::optional<LeaderRecord> leader;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -78,7 +78,7 @@
             this->settings.link_mbps, this->metrics, this->log, this->clock),
       stream_origins(this->context, this->fleet, this->sync_state, this->self,
                      this->metrics, this->log, this->clock, absl::Now),
-      crashing_parts(this->context, this->fleet, this->store, this->self,
+      crash_suspects(this->context, this->fleet, this->store, this->self,
                      this->metrics, this->log, this->tasks, this->clock,
                      absl::Now),
       prompt_caches(this->settings, this->fleet, this->metrics, this->clock),
@@ -86,7 +86,7 @@
               this->quotas, this->quota_admission, this->aggregator,
               this->leader_lease, this->self, this->settings.first_start,
               this->sync_state, this->relay, this->stream_origins,
-              this->crashing_parts, this->prompt_caches, this->metrics,
+              this->crash_suspects, this->prompt_caches, this->metrics,
               this->tasks, this->clock),
       statements(this->fleet, this->channel, this->self.name, this->metrics,
                  this->log, this->clock),
@@ -113,14 +113,14 @@
                 this->paths, this->metrics, this->log, this->tasks,
                 this->clock),
       crash_detector(this->context, this->wire, this->fleet, this->channel,
-                     this->paths, this->crashing_parts, this->metrics,
+                     this->paths, this->crash_suspects, this->metrics,
                      this->log, this->tasks, this->clock),
       prompt_cache_reader(this->context, this->settings, this->wire,
                           this->fleet, this->prompt_caches, this->paths,
                           this->metrics, this->tasks, this->clock, absl::Now),
       pipeline(this->context, this->settings, this->wire, this->fleet,
                this->demand, this->quota_admission, this->channel,
-               this->stream_origins, this->crashing_parts, this->crash_detector,
+               this->stream_origins, this->crash_suspects, this->crash_detector,
                this->paths, this->prompt_caches, this->caller_buffers,
                this->request_bodies, this->sync_state, this->metrics, this->log,
                this->tasks, this->clock) {
@@ -167,7 +167,12 @@
     return static_cast<double>(this->fleet.EvacuatedZones().size());
   });
   this->metrics.AddGauge("crashing_parts", [this] {
-    return static_cast<double>(this->crashing_parts.RefusedCount());
+    return static_cast<double>(
+        this->crash_suspects.refused.Count(SuspectKind::kPart));
+  });
+  this->metrics.AddGauge("crashing_requests", [this] {
+    return static_cast<double>(
+        this->crash_suspects.refused.Count(SuspectKind::kRequest));
   });
   this->metrics.AddGauge("limited_targets", [this] {
     int limited = 0;
@@ -243,8 +248,8 @@
                                [this] { return this->spend_recorder.Run(); });
   this->tasks.SpawnWithRestart("record versions",
                                [this] { return this->version_recorder.Run(); });
-  this->tasks.SpawnWithRestart("record crashing parts", [this] {
-    return this->crashing_parts.WriteRecords();
+  this->tasks.SpawnWithRestart("maintain crash records", [this] {
+    return this->crash_suspects.refused.MaintainRecords();
   });
   this->tasks.SpawnWithRestart("place models",
                                [this] { return this->placement.Run(); });
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -11,7 +11,7 @@
 #include "dragonflyglade/decision/leader_lease.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
-#include "dragonflyglade/gateway/crashing_parts.h"
+#include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/event_loop.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
@@ -140,7 +140,7 @@
   QuotaAdmission quota_admission;
   StoreRelay relay;
   StreamOrigins stream_origins;
-  CrashingParts crashing_parts;
+  CrashSuspects crash_suspects;
   PromptCaches prompt_caches;
   FleetChannel channel;
   TargetStatements statements;
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -43,7 +43,7 @@
                    const WireFormat& wire, FleetState& fleet,
                    ModelDemand& demand, QuotaAdmission& quotas,
                    FleetChannel& channel, StreamOrigins& stream_origins,
-                   CrashingParts& crashing_parts,
+                   CrashSuspects& crash_suspects,
                    TargetCrashDetector& crash_detector, TargetPaths& paths,
                    PromptCaches& prompt_caches, CallerBuffers& caller_buffers,
                    const RequestBodies& request_bodies,
@@ -57,7 +57,7 @@
       quotas(quotas),
       channel(channel),
       stream_origins(stream_origins),
-      crashing_parts(crashing_parts),
+      crash_suspects(crash_suspects),
       crash_detector(crash_detector),
       paths(paths),
       prompt_caches(prompt_caches),
@@ -84,6 +84,7 @@
   this->jobs.erase(&job);
   this->RecordAttemptEnded(job);
   this->EndCopy(job, false);
+  this->EndTrial(job);
   // The disconnect callback holds a reference to the job.
   connection.StopWatching();
   if (failure)
@@ -148,7 +149,7 @@
   if (!refusal.has_value()) refusal = this->FindWorkspace(job);
   if (!refusal.has_value()) {
     job.digest = DigestOf(job.request, job.WorkspaceName());
-    refusal = this->CheckParts(job);
+    refusal = this->CheckSuspects(job);
   }
   if (!refusal.has_value()) refusal = this->CheckSize(job);
   if (!refusal.has_value()) refusal = co_await this->FindStreamOrigin(job);
@@ -231,21 +232,6 @@
   return std::nullopt;
 }
 
-std::optional<Refusal> Pipeline::CheckParts(const RequestJob& job) {
-  const PromptPart* refused =
-      this->crashing_parts.FindRefused(job.SharedParts());
-  if (refused == nullptr) return std::nullopt;
-  this->log.Write("request", "holds a crashing part",
-                  {{"id", job.request.id},
-                   {"digest", job.digest},
-                   {"prompt_part", refused->id},
-                   {"attempts", job.attempts}});
-  const RefusalCode code = job.executions > 0 ? RefusalCode::kTargetLost
-                                              : RefusalCode::kCrashingPart;
-  return MakeRefusal(code, "a part of the prompt crashes targets",
-                     kRetryAfterCrashingPart);
-}
-
 asio::awaitable<std::optional<Refusal>> Pipeline::AdmitToQuota(
     RequestJob& job) {
   if (job.workspace == nullptr) co_return std::nullopt;
@@ -280,7 +266,7 @@
       co_return;
     }
     // The part may have become known while the request waited or was lost.
-    std::optional<Refusal> refusal = this->CheckParts(job);
+    std::optional<Refusal> refusal = this->CheckSuspects(job);
     if (refusal.has_value()) {
       co_await this->Refuse(job, std::move(*refusal));
       co_return;
@@ -290,6 +276,7 @@
       co_return;
     }
     refusal = this->CheckEngines(job);
+    if (!refusal.has_value()) refusal = co_await this->ClaimTrial(job);
     if (refusal.has_value()) {
       co_await this->Refuse(job, std::move(*refusal));
       co_return;
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -26,7 +26,7 @@
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/caller_connection.h"
-#include "dragonflyglade/gateway/crashing_parts.h"
+#include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
@@ -56,7 +56,7 @@
   Pipeline(boost::asio::io_context& context, const GatewaySettings& settings,
            const WireFormat& wire, FleetState& fleet, ModelDemand& demand,
            QuotaAdmission& quotas, FleetChannel& channel,
-           StreamOrigins& stream_origins, CrashingParts& crashing_parts,
+           StreamOrigins& stream_origins, CrashSuspects& crash_suspects,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
            PromptCaches& prompt_caches, CallerBuffers& caller_buffers,
            const RequestBodies& request_bodies,
@@ -94,8 +94,19 @@
   Refusal RefuseByConfig(RefusalCode code, std::string message) const;
   std::optional<Refusal> FindRoute(RequestJob& job);
   std::optional<Refusal> FindWorkspace(RequestJob& job);
-  /// The refusal of a request with a part that crashes targets.
+  /// The refusal of a request that may crash a target, or that has a part which
+  /// may.
+  std::optional<Refusal> CheckSuspects(const RequestJob& job);
   std::optional<Refusal> CheckParts(const RequestJob& job);
+  /// Whether the request must not be sent, since targets have crashed under it.
+  bool IsHeldBack(const RequestJob& job) const;
+  Refusal RefuseHeldBack(const RequestJob& job) const;
+  /// Claims the trial of a request that is held back and may be tried.
+  boost::asio::awaitable<std::optional<Refusal>> ClaimTrial(RequestJob& job);
+  void EndTrial(const RequestJob& job);
+  boost::asio::awaitable<void> SettleTrial(TargetCrash process,
+                                           std::string digest,
+                                           bool was_answered);
   boost::asio::awaitable<std::optional<Refusal>> AdmitToQuota(RequestJob& job);
   boost::asio::awaitable<std::optional<Refusal>> FindStreamOrigin(
       RequestJob& job);
@@ -158,8 +169,8 @@
                                                TargetState& target,
                                                TargetExchange& exchange,
                                                const ResponseHead& head);
-  void RecordStreamSurvival(RequestJob& job, const TargetState& target,
-                            const StreamReadResult& result);
+  void RecordSurvival(RequestJob& job, const CompleteResponse& response);
+  void RecordStreamSurvival(RequestJob& job, const StreamReadResult& result);
   boost::asio::awaitable<bool> RelayEvents(RequestJob& job,
                                            const ResponseHead& head,
                                            std::string_view events, bool ended);
@@ -201,8 +212,8 @@
       RequestJob& job, std::string_view why);
   /// Whether a request that waits for a target must end its wait.
   bool EndsWait(const RequestJob& job) const;
-  void RecordEndedExchange(const RequestJob& job, const TargetState& target,
-                           bool may_be_complete);
+  void RecordEndedExchange(const RequestJob& job, bool may_be_complete);
+  boost::asio::awaitable<void> AwaitCrashVerdict(RequestJob& job);
   /// Whether time and number of attempts allow another one.
   bool HasAttemptLeft(const RequestJob& job) const;
   bool MayCrashNextTarget(const RequestJob& job) const;
@@ -230,7 +241,7 @@
   QuotaAdmission& quotas;
   FleetChannel& channel;
   StreamOrigins& stream_origins;
-  CrashingParts& crashing_parts;
+  CrashSuspects& crash_suspects;
   TargetCrashDetector& crash_detector;
   TargetPaths& paths;
   PromptCaches& prompt_caches;
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -196,7 +196,8 @@
 
 bool Pipeline::EndsWait(const RequestJob& job) const {
   return job.connection.IsDisconnected() ||
-         this->crashing_parts.FindRefused(job.SharedParts()) != nullptr;
+         this->crash_suspects.refused.FindPart(job.SharedParts()) != nullptr ||
+         this->IsHeldBack(job);
 }
 
 // Delays the request while its target processes earlier prompts, and then
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "dragonflyglade/gateway/pipeline.h"
+#include "dragonflyglade/gateway/pipeline_attempt.h"
 #include "dragonflyglade/gateway/request_job.h"
 
 namespace dragonflyglade::gateway {
@@ -20,8 +21,6 @@
 // A target that cannot send for longer than this may cut the response off.
 constexpr absl::Duration kSlowWriteTime = absl::Seconds(1);
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 bool TakesUpStream(const RequestJob& job) {
   return job.route->resumable && job.request.resume_after.has_value();
 }
@@ -130,7 +129,7 @@
           StreamOrigin{job.target_version, job.attempts + job.not_sent};
     }
     const bool written = co_await this->RelayEvents(job, head, events, ended);
-    this->RecordStreamSurvival(job, target, result);
+    this->RecordStreamSurvival(job, result);
     if (!written) {
       exchange.Abort("caller left");
       this->RecordOutcome(job, "caller left", head.status);
@@ -145,20 +144,6 @@
   }
 }
 
-// An end with the connection is one of the target's process, too.
-void Pipeline::RecordStreamSurvival(RequestJob& job, const TargetState& target,
-                                    const StreamReadResult& result) {
-  const auto* end = std::get_if<EndOfStream>(&result);
-  if (end != nullptr && end->ended_by_close) {
-    this->RecordEndedExchange(job, target, true);
-    return;
-  }
-  if (job.survival_recorded) return;
-  if (end == nullptr && job.IsBeginning(this->clock.Now())) return;
-  job.survival_recorded = true;
-  this->crashing_parts.RecordSurvival(job.SharedParts(), job.target_version);
-}
-
 asio::awaitable<bool> Pipeline::RelayEvents(RequestJob& job,
                                             const ResponseHead& head,
                                             std::string_view events,
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/crash_account.h"
 #include "dragonflyglade/decision/engine_model.h"
 #include "dragonflyglade/decision/prompt_cache_index.h"
 #include "dragonflyglade/decision/refusal.h"
@@ -53,6 +54,7 @@
   std::set<std::string> unreachable;  ///< ids of targets
   std::string target;                 ///< id of the last target
   SoftwareVersion target_version;     ///< of the last target
+  std::int64_t target_born_ms = 0;    ///< of the last target's process
   /// Where the stream began that the caller takes up, or that the response has
   /// events of. It must go on at this version.
   std::optional<StreamOrigin> origin;
@@ -72,6 +74,12 @@
   /// When the current attempt had its first output.
   std::optional<Instant> attempt_first_output;
   bool survival_recorded = false;  ///< of the current attempt
+  /// The last target crashed, and the next one may as well.
+  bool may_crash_next = false;
+  bool was_answered = false;  ///< the last target answered the whole request
+  /// This is the attempt that shows whether the request is sound; see
+  /// RequestTrials.
+  bool is_trial = false;
   std::optional<Instant> first_output;
   std::optional<Instant> last_output;
   absl::Duration longest_pause;  ///< between two events of the stream
@@ -94,6 +102,10 @@
   RequestJob(CallerRequest request, CallerConnection& connection)
       : request(std::move(request)), connection(connection) {}
 
+  /// The process of the last target.
+  TargetCrash TargetProcess() const {
+    return {this->target, this->target_born_ms, this->target_version};
+  }
   /// Empty on routes without keys.
   std::string WorkspaceName() const {
     return this->workspace == nullptr ? "" : this->workspace->name;
--- a/dragonflyglade/gateway/parts_command.cc
+++ b/dragonflyglade/gateway/suspects_command.cc
@@ -1,4 +1,4 @@
-#include "dragonflyglade/gateway/parts_command.h"
+#include "dragonflyglade/gateway/suspects_command.h"
 
 #include <fmt/format.h>
 #include <fmt/ostream.h>
@@ -12,8 +12,7 @@
 
 #include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
-#include "dragonflyglade/gateway/crashing_part_record.h"
-#include "dragonflyglade/gateway/fleet_state.h"
+#include "dragonflyglade/gateway/crash_record.h"
 #include "dragonflyglade/gateway/store_client.h"
 
 namespace dragonflyglade::gateway {
@@ -22,16 +21,20 @@
 
 namespace {
 
-constexpr const char* kUsage =
+constexpr const char* kPartsUsage =
     "use: dragonflyglade parts --store ADDRESS:PORT list\n"
     "     dragonflyglade parts --store ADDRESS:PORT refuse PART BY WHY\n"
     "     dragonflyglade parts --store ADDRESS:PORT take-back PART\n";
+constexpr const char* kRequestsUsage =
+    "use: dragonflyglade requests --store ADDRESS:PORT list\n"
+    "     dragonflyglade requests --store ADDRESS:PORT refuse DIGEST BY WHY\n"
+    "     dragonflyglade requests --store ADDRESS:PORT take-back DIGEST\n";
 constexpr absl::Duration kCallTimeout = absl::Seconds(3);
 
 // A failure of a call, for the operator.
 struct FailureText {
   std::string operator()(const StoreConflict&) const {
-    return "the part is refused already";
+    return "it is refused already";
   }
   std::string operator()(const StoreRefused& refused) const {
     return fmt::format("the store refused the call with status {}",
@@ -77,8 +80,8 @@
   return kExitFailed;
 }
 
-int List(StoreSession& store, const CommandOutput& output) {
-  const std::string prefix = FleetState::CrashingPartKey("");
+int List(StoreSession& store, SuspectKind kind, const CommandOutput& output) {
+  const std::string prefix(CrashRecordPrefix(kind));
   std::string after;
   bool more_pages = true;
   while (more_pages) {
@@ -86,7 +89,7 @@
     const auto* page = std::get_if<StorePage>(&response);
     if (page == nullptr) return Fail(response, output);
     for (const StoreItem& item : page->items) {
-      const CrashingPartRecord record = DecodeCrashingPartRecord(item.value);
+      const CrashRecord record = DecodeCrashRecord(item.value);
       fmt::print(output.out, "{} by {} since {} crashes {} {}\n",
                  item.key.substr(prefix.size()), record.by,
                  absl::FormatTime(record.since, absl::UTCTimeZone()),
@@ -109,30 +112,39 @@
   return kExitDone;
 }
 
-int Refuse(StoreSession& store, const std::string& part, const std::string& by,
+int Refuse(StoreSession& store, const Suspect& suspect, const std::string& by,
            const std::string& why, const CommandOutput& output) {
-  const std::string key = FleetState::CrashingPartKey(part);
-  const CrashingPartRecord record{by, absl::Now(), why, {}};
+  const std::string key = CrashRecordKey(suspect);
+  const CrashRecord record{by, absl::Now(), why, {}, {}};
   StoreTransaction transaction;
   transaction.preconditions.push_back({key, 0});
-  transaction.puts.push_back({key, EncodeCrashingPartRecord(record), 0});
+  transaction.puts.push_back({key, EncodeCrashRecord(record), 0});
   return Write(store, std::move(transaction), output);
 }
 
-int TakeBack(StoreSession& store, const std::string& part,
+int TakeBack(StoreSession& store, const Suspect& suspect,
              const CommandOutput& output) {
   StoreTransaction transaction;
-  transaction.deletes.push_back(FleetState::CrashingPartKey(part));
+  transaction.deletes.push_back(CrashRecordKey(suspect));
+  if (suspect.kind == SuspectKind::kRequest) {
+    transaction.deletes.push_back(TrialKey(suspect.id));
+  }
   return Write(store, std::move(transaction), output);
 }
 
 }  // namespace
 
-int RunPartsCommand(const std::vector<std::string>& arguments,
-                    const CommandOutput& output, WireFormat wire) {
+int RunSuspectsCommand(SuspectKind kind,
+                       const std::vector<std::string>& arguments,
+                       const CommandOutput& output, WireFormat wire) {
   constexpr std::size_t kOperands = 2;  // --store and its value
-  const auto use = [&output] {
-    fmt::print(output.err, "{}", kUsage);
+  const char* usage = kind == SuspectKind::kPart ? kPartsUsage : kRequestsUsage;
+  if (arguments.size() == 1 && arguments[0] == "--help") {
+    fmt::print(output.out, "{}", usage);
+    return kExitDone;
+  }
+  const auto use = [&output, usage] {
+    fmt::print(output.err, "{}", usage);
     return kExitBadUse;
   };
   if (arguments.size() <= kOperands || arguments[0] != "--store") return use();
@@ -145,12 +157,12 @@
   const std::string& verb = arguments[kOperands];
   const std::vector<std::string> words(arguments.begin() + kOperands + 1,
                                        arguments.end());
-  if (verb == "list" && words.empty()) return List(store, output);
+  if (verb == "list" && words.empty()) return List(store, kind, output);
   if (verb == "take-back" && words.size() == 1) {
-    return TakeBack(store, words[0], output);
+    return TakeBack(store, {kind, words[0]}, output);
   }
   if (verb == "refuse" && words.size() == 3) {
-    return Refuse(store, words[0], words[1], words[2], output);
+    return Refuse(store, {kind, words[0]}, words[1], words[2], output);
   }
   return use();
 }
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -18,50 +18,68 @@
 constexpr absl::Duration kGatherTime = absl::Milliseconds(15);
 // A target in the same region accepts or refuses within milliseconds.
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(400);
+// A target that does not answer the probe is given up earlier by its requests.
+constexpr absl::Duration kMaxVerdictTime = absl::Milliseconds(200);
 
 }  // namespace
 
 TargetCrashDetector::TargetCrashDetector(
     asio::io_context& context, const WireFormat& wire, FleetState& fleet,
-    FleetChannel& channel, TargetPaths& paths, CrashingParts& crashing_parts,
+    FleetChannel& channel, TargetPaths& paths, CrashSuspects& crash_suspects,
     Metrics& metrics, EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
       wire(wire),
       fleet(fleet),
       channel(channel),
       paths(paths),
-      crashing_parts(crashing_parts),
+      crash_suspects(crash_suspects),
       metrics(metrics),
       log(log),
       tasks(tasks),
       clock(std::move(clock)) {}
 
 // A target that is leaving ends its process at some moment, whatever it runs.
-void TargetCrashDetector::RecordEnded(const TargetRecord& target,
+void TargetCrashDetector::RecordEnded(const TargetCrash& process,
                                       EndedExchange exchange) {
-  const std::shared_ptr<TargetState> state = this->fleet.Target(target.id);
+  const std::shared_ptr<TargetState> state = this->fleet.Target(process.target);
   if (state == nullptr || state->IsLeaving()) return;
-  if (state->Record().born_ms != target.born_ms) return;
-  const TargetProcess process(target.id, target.born_ms);
-  const bool is_first = this->examined.count(process) == 0;
-  this->examined[process].push_back(std::move(exchange));
-  if (is_first) this->tasks.Spawn("examine target", this->Examine(state));
+  auto& examination = this->examined[{process.target, process.born_ms}];
+  const bool is_first = examination == nullptr;
+  if (is_first) examination = std::make_shared<Examination>(this->context);
+  examination->ended.push_back(std::move(exchange));
+  if (!is_first) return;
+  this->tasks.Spawn("examine target", this->Examine(state, process));
+}
+
+asio::awaitable<bool> TargetCrashDetector::AwaitVerdict(TargetCrash process,
+                                                        std::string digest) {
+  const auto found = this->examined.find({process.target, process.born_ms});
+  if (found == this->examined.end()) co_return true;
+  const std::shared_ptr<Examination> examination = found->second;
+  const Instant until = this->clock.Now() + kMaxVerdictTime;
+  while (!examination->is_done && this->clock.Now() < until) {
+    co_await examination->done.Wait(until - this->clock.Now());
+  }
+  if (examination->withheld.count(digest) == 0) co_return true;
+  const Suspect request{SuspectKind::kRequest, std::move(digest)};
+  co_await this->crash_suspects.judge.Judge(request);
+  co_return false;
 }
 
 asio::awaitable<void> TargetCrashDetector::Examine(
-    std::shared_ptr<TargetState> target) {
-  const TargetRecord& record = target->Record();
-  const TargetCrash process{record.id, record.born_ms, record.version};
+    std::shared_ptr<TargetState> target, TargetCrash process) {
   co_await Sleep(this->context, kGatherTime);
   const Verdict verdict = co_await this->Probe(*target, process.born_ms);
   const auto found = this->examined.find({process.target, process.born_ms});
-  const std::vector<EndedExchange> ended = std::move(found->second);
+  const std::shared_ptr<Examination> examination = found->second;
   this->examined.erase(found);
   if (verdict == Verdict::kCrashed) {
-    this->HandleCrash(*target, process, ended);
+    co_await this->HandleCrash(*target, process, *examination);
   } else if (verdict == Verdict::kLives) {
-    this->HandleLives(process, ended);
+    this->HandleLives(process, *examination);
   }
+  examination->is_done = true;
+  examination->done.Notify();
 }
 
 // One lost answer, or a connection that was reset, proves nothing, nor does an
@@ -84,42 +102,44 @@
   co_return refused ? Verdict::kCrashed : Verdict::kUnknown;
 }
 
-void TargetCrashDetector::HandleCrash(TargetState& target,
-                                      const TargetCrash& crash,
-                                      const std::vector<EndedExchange>& ended) {
-  std::set<std::string> suspects;
-  std::vector<std::string> requests;
-  std::vector<std::string> digests;
-  for (const EndedExchange& exchange : ended) {
-    digests.push_back(exchange.digest);
+// A part crashes the target when it begins to answer, a request at any moment.
+asio::awaitable<void> TargetCrashDetector::HandleCrash(
+    TargetState& target, const TargetCrash& crash, Examination& examination) {
+  std::set<std::string> parts;
+  std::vector<std::string> beginning;
+  std::set<std::string> digests;
+  for (const EndedExchange& exchange : examination.ended) {
+    digests.insert(exchange.digest);
     if (!exchange.was_beginning) continue;
-    requests.push_back(exchange.request_id);
-    for (const PromptPart& part : exchange.shared_parts) {
-      suspects.insert(part.id);
-    }
+    beginning.push_back(exchange.request_id);
+    for (const PromptPart& part : exchange.shared_parts) parts.insert(part.id);
   }
   this->metrics.Count("target_crashes");
   this->log.Write("targets", "crashed",
                   {{"target", crash.target},
                    {"born_ms", crash.born_ms},
-                   {"requests", static_cast<int>(ended.size())},
-                   {"beginning", absl::StrJoin(requests, ",")},
+                   {"requests", static_cast<int>(examination.ended.size())},
+                   {"beginning", absl::StrJoin(beginning, ",")},
                    {"digests", absl::StrJoin(digests, ",")},
-                   {"prompt_parts", absl::StrJoin(suspects, ",")}});
-  this->crashing_parts.RecordCrash(crash, suspects);
+                   {"prompt_parts", absl::StrJoin(parts, ",")}});
+  this->crash_suspects.reports.ReportParts(crash, parts);
   this->channel.ReportConnectionRefused(crash.target);
   if (target.Record().born_ms == crash.born_ms) {
     target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
   }
+  examination.withheld = digests;  // until their owners have answered
+  examination.withheld = co_await this->crash_suspects.reports.ReportRequests(
+      crash, std::move(digests));
 }
 
 void TargetCrashDetector::HandleLives(const TargetCrash& process,
-                                      const std::vector<EndedExchange>& ended) {
+                                      const Examination& examination) {
   int lost = 0;
-  for (const EndedExchange& exchange : ended) {
+  CrashJudge& judge = this->crash_suspects.judge;
+  for (const EndedExchange& exchange : examination.ended) {
     if (exchange.may_be_complete) {
-      this->crashing_parts.RecordSurvival(exchange.shared_parts,
-                                          process.version);
+      judge.RecordSurvival(exchange.shared_parts, process.version);
+      judge.RecordSurvival(exchange.digest, process.version);
     } else {
       lost += 1;
     }
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -5,13 +5,15 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/gateway/async_condition.h"
 #include "dragonflyglade/gateway/awaitable.h"
-#include "dragonflyglade/gateway/crashing_parts.h"
+#include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_channel.h"
 #include "dragonflyglade/gateway/fleet_state.h"
@@ -41,38 +43,54 @@
  public:
   TargetCrashDetector(boost::asio::io_context& context, const WireFormat& wire,
                       FleetState& fleet, FleetChannel& channel,
-                      TargetPaths& paths, CrashingParts& crashing_parts,
+                      TargetPaths& paths, CrashSuspects& crash_suspects,
                       Metrics& metrics, EventLog& log, Tasks& tasks,
                       Clock clock);
 
-  /// Records that a connection to the target ended. Has no effect if the target
-  /// is leaving or has no entry any more.
-  void RecordEnded(const TargetRecord& target, EndedExchange exchange);
+  /// Records that a connection to the target's process ended. Has no effect if
+  /// the target is leaving or has no entry any more.
+  void RecordEnded(const TargetCrash& process, EndedExchange exchange);
+
+  /// Waits until it is known whether the process ended, and what other
+  /// instances know of the request; some tenths of a second at most. To be
+  /// called right after RecordEnded.
+  /// @return whether the request may be sent to another target, as far as
+  ///     crashes tell
+  boost::asio::awaitable<bool> AwaitVerdict(TargetCrash process,
+                                            std::string digest);
 
  private:
   using TargetProcess = std::pair<std::string, std::int64_t>;  ///< id, born_ms
   enum class Verdict { kCrashed, kLives, kUnknown };
+  /// Of a target to which connections ended.
+  struct Examination {
+    explicit Examination(boost::asio::io_context& context) : done(context) {}
+    std::vector<EndedExchange> ended;
+    bool is_done = false;
+    std::set<std::string> withheld;  ///< digests of requests
+    AsyncCondition done;
+  };
 
-  boost::asio::awaitable<void> Examine(std::shared_ptr<TargetState> target);
+  boost::asio::awaitable<void> Examine(std::shared_ptr<TargetState> target,
+                                       TargetCrash process);
   boost::asio::awaitable<Verdict> Probe(TargetState& target,
                                         std::int64_t born_ms);
-  void HandleCrash(TargetState& target, const TargetCrash& crash,
-                   const std::vector<EndedExchange>& ended);
-  void HandleLives(const TargetCrash& process,
-                   const std::vector<EndedExchange>& ended);
+  boost::asio::awaitable<void> HandleCrash(TargetState& target,
+                                           const TargetCrash& crash,
+                                           Examination& examination);
+  void HandleLives(const TargetCrash& process, const Examination& examination);
 
   boost::asio::io_context& context;
   const WireFormat& wire;
   FleetState& fleet;
   FleetChannel& channel;
   TargetPaths& paths;
-  CrashingParts& crashing_parts;
+  CrashSuspects& crash_suspects;
   Metrics& metrics;
   EventLog& log;
   Tasks& tasks;
   const Clock clock;
-  /// The exchanges that ended, of the targets that are being examined.
-  std::map<TargetProcess, std::vector<EndedExchange>> examined;
+  std::map<TargetProcess, std::shared_ptr<Examination>> examined;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/instance/main.cc
+++ b/dragonflyglade/instance/main.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "dragonflyglade/gateway/gateway_command.h"
-#include "dragonflyglade/gateway/parts_command.h"
+#include "dragonflyglade/gateway/suspects_command.h"
 #include "dragonflyglade/operator/commands.h"
 #include "platform/wire.h"
 #ifdef DRAGONFLYGLADE_ALL_COMMANDS
@@ -32,8 +32,13 @@
 }
 
 int RunParts(const Arguments& arguments, const CommandOutput& output) {
-  return gateway::RunPartsCommand(arguments, output,
-                                  platform::MakeWireFormat());
+  return gateway::RunSuspectsCommand(SuspectKind::kPart, arguments, output,
+                                     platform::MakeWireFormat());
+}
+
+int RunRequests(const Arguments& arguments, const CommandOutput& output) {
+  return gateway::RunSuspectsCommand(SuspectKind::kRequest, arguments, output,
+                                     platform::MakeWireFormat());
 }
 
 std::vector<Command> Commands() {
@@ -42,6 +47,8 @@
       {"parts",
        "list, add or take back the parts of prompts that crash targets",
        RunParts},
+      {"requests", "list, add or take back the requests that crash targets",
+       RunRequests},
 #ifdef DRAGONFLYGLADE_ALL_COMMANDS
       {"serve", "run one instance", RunServeCommand},
       {"config", "validate, apply, get, show the history of, or retire records",
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -374,48 +374,90 @@
   3: optional string version
 }
 
-/** Tells an owner of the parts that a target crashed when it may have begun to
-    answer requests with them. */
-struct PartCrashNote {
+enum SuspectKind {
+  /** A part of a prompt. */
+  PART = 0
+  /** A request, by its digest. */
+  REQUEST = 1
+}
+
+/** Tells an owner that a target crashed when it may have begun to answer
+    requests with the parts, or while it ran the requests. */
+struct CrashNote {
   1: TargetCrash crash
-  2: list<string> parts
-  /** The receiver's position among the owners of each part, from 0. */
+  2: list<string> suspects
+  /** The receiver's position among the owners of each suspect, from 0. */
   3: list<i32> owner_ranks
+  4: SuspectKind kind = SuspectKind.PART
+  /** Where to send what is known of the suspects, with the number. */
+  5: optional string reply_to
+  6: optional i64 number
+}
+
+/** A crash of a suspect. */
+struct SuspectCrash {
+  1: string suspect
+  2: TargetCrash crash
+  3: i64 age_ms
+}
+
+/** The reply of an owner to a note. */
+struct CrashReply {
+  1: i64 number
+  /** The name of the replying instance. */
+  2: string instance
+  /** Of the suspects that several targets crashed on. */
+  3: list<SuspectCrash> crashes
+  /** All crashes since the first of these that the sender knows of. */
+  4: list<TargetCrash> all_crashes
 }
 
-/** Asks what is known about a part that is suspect. */
-struct PartQuestion {
+/** Asks what is known about a suspect. */
+struct SuspectQuestion {
   /** The address to send the answer to. */
   1: string address
-  2: string part
-  /** The age of the part's first crash. */
+  2: string suspect
+  /** The age of the suspect's first crash. */
   3: i64 since_ms
+  4: SuspectKind kind = SuspectKind.PART
 }
 
-/** When targets of a software version last answered on a part. */
-struct PartSurvival {
+/** When targets of a software version last answered on a suspect. */
+struct SuspectSurvival {
   /** Not set if the targets state no version. */
   1: optional string version
   2: i64 age_ms
 }
 
-struct PartAnswer {
-  1: string part
-  /** Since the part's first crash. */
-  2: list<PartSurvival> survivals
+struct SuspectAnswer {
+  1: string suspect
+  /** Since the suspect's first crash. */
+  2: list<SuspectSurvival> survivals
   /** All crashes of targets since then that the sender has seen. */
   3: list<TargetCrash> crashes
   /** The number of requests that were answered since then. */
   4: i32 answers
   /** The name of the answering instance. */
   5: string instance
+  6: SuspectKind kind = SuspectKind.PART
 }
 
-/** Tells the receiver to refuse requests with a part that crashes targets. */
-struct CrashingPartNote {
-  1: string part
+/** Tells the receiver to refuse what crashes targets. */
+struct RefusedSuspectNote {
+  1: string suspect
   /** As in the store. */
   2: string record
+  3: SuspectKind kind = SuspectKind.PART
+  /** Where to confirm the receipt, with the number. */
+  4: optional string reply_to
+  5: optional i64 number
+}
+
+/** Confirms the receipt of a RefusedSuspectNote. */
+struct RefusalConfirmation {
+  1: i64 number
+  /** The name of the confirming instance. */
+  2: string instance
 }
 
 /** Tells the receiver that a target wants no requests from an instance. */
@@ -444,9 +486,11 @@
   10: StreamOriginNote stream_note
   11: StreamOriginQuestion stream_question
   12: StreamOriginAnswer stream_answer
-  13: PartCrashNote part_crash_note
-  14: PartQuestion part_question
-  15: PartAnswer part_answer
-  16: CrashingPartNote crashing_part_note
+  13: CrashNote crash_note
+  14: SuspectQuestion suspect_question
+  15: SuspectAnswer suspect_answer
+  16: RefusedSuspectNote refused_suspect_note
   17: TargetRestNote rest_note
+  18: CrashReply crash_reply
+  19: RefusalConfirmation refusal_confirmation
 }
--- a/measure/model/crash_fleet.cc
+++ b/measure/model/crash_fleet.cc
@@ -33,6 +33,8 @@
 constexpr int kSecondParts = 51;
 constexpr const char* kCrashingPart = "crashing";
 
+Suspect Part(const std::string& id) { return {SuspectKind::kPart, id}; }
+
 }  // namespace
 
 CrashFleet::CrashFleet(CrashFleetOptions options)
@@ -42,7 +44,7 @@
       targets(static_cast<std::size_t>(options.instances) *
               kTargetsPerInstance) {
   this->recent = std::make_unique<RecentCrashes>(Clock(&this->clock));
-  this->answers = std::make_unique<SurvivedParts>(Clock(&this->clock));
+  this->answers = std::make_unique<AnswerLog>(Clock(&this->clock));
   for (int i = 0; i < options.instances; ++i) {
     this->names.push_back(absl::StrCat("i", i));
     this->Start(this->instances[i]);
@@ -54,8 +56,8 @@
 }
 
 void CrashFleet::Start(Instance& instance) {
-  instance.crashes = std::make_unique<PartCrashes>(Clock(&this->clock));
-  instance.survived = std::make_unique<SurvivedParts>(Clock(&this->clock));
+  instance.crashes = std::make_unique<CrashAccount>(Clock(&this->clock));
+  instance.survived = std::make_unique<AnswerLog>(Clock(&this->clock));
   instance.refused = this->recorded;
   instance.judged.clear();
   instance.enough_since.clear();
@@ -161,9 +163,9 @@
                         now - request.output_at > absl::Milliseconds(300);
     if (!proven || request.survival_recorded) continue;
     request.survival_recorded = true;
-    this->answers->RecordAnswer();
+    this->answers->CountAnswer();
     for (const std::string& part : request.parts) {
-      this->instances[request.instance].survived->Record(part, "v1");
+      this->instances[request.instance].survived->RecordPart(part, "v1");
     }
   }
   auto& running = target.running;
@@ -220,8 +222,8 @@
       continue;
     }
     if (owner.refused.count(event.part) > 0) continue;
-    owner.crashes->RecordCrash(event.part, *event.crash);
-    if (owner.crashes->Count(event.part) < kCrashesToSuspect) continue;
+    owner.crashes->RecordCrash(Part(event.part), *event.crash);
+    if (owner.crashes->Count(Part(event.part)) < kCrashesToSuspect) continue;
     if (!owner.judged.insert(event.part).second) continue;
     const std::vector<std::string> owners =
         RendezvousOwners(event.part, this->names, kOwners);
@@ -252,18 +254,18 @@
   if (asks) {
     for (const Instance& each : this->instances) {
       this->bytes += kNoteBytes;
-      const auto survivals = each.survived->Find(part);
+      const auto survivals = each.survived->Find(Part(part));
       if (!survivals.empty()) this->bytes += kNoteBytes;
       for (const auto& [version, at] : survivals) {
-        owner.crashes->RecordSurvival(part, version, at);
+        owner.crashes->RecordSurvival(Part(part), version, at);
       }
     }
   }
-  PartEvidence evidence;
+  CrashEvidence evidence;
   evidence.targets = this->targets.size();
-  evidence.counted = owner.crashes->Count(part);
+  evidence.counted = owner.crashes->Count(Part(part));
   if (evidence.counted == 0) return;
-  const auto crashes = owner.crashes->CrashesOf(part);
+  const auto crashes = owner.crashes->CrashesOf(Part(part));
   evidence.crashes = crashes.size();
   if (this->options.policy != CrashPolicy::kShare) {
     if (evidence.counted >= kCrashesToConfirm) this->Confirm(part);
@@ -277,9 +279,9 @@
   auto& since = owner.enough_since;
   if (evidence.counted < kCrashesToConfirm) since.erase(part);
   evidence.waited = now - since.emplace(part, now).first->second;
-  const PartVerdict verdict = JudgePart(evidence);
-  if (verdict == PartVerdict::kCrashesTargets) this->Confirm(part);
-  if (verdict == PartVerdict::kOpen) {
+  const CrashVerdict verdict = JudgePart(evidence);
+  if (verdict == CrashVerdict::kCrashesTargets) this->Confirm(part);
+  if (verdict == CrashVerdict::kOpen) {
     this->ScheduleJudgement(index, part, kAskAgainTime);
   }
 }
--- a/measure/model/crash_fleet.h
+++ b/measure/model/crash_fleet.h
@@ -12,8 +12,10 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "dragonflyglade/decision/answer_log.h"
 #include "dragonflyglade/decision/clock.h"
-#include "dragonflyglade/decision/part_crashes.h"
+#include "dragonflyglade/decision/crash_account.h"
+#include "dragonflyglade/decision/crash_verdicts.h"
 
 namespace dragonflyglade {
 
@@ -73,8 +75,8 @@
     std::optional<Instant> back_at;
   };
   struct Instance {
-    std::unique_ptr<PartCrashes> crashes;
-    std::unique_ptr<SurvivedParts> survived;
+    std::unique_ptr<CrashAccount> crashes;
+    std::unique_ptr<AnswerLog> survived;
     std::set<std::string> refused;
     std::set<std::string> judged;
     std::map<std::string, Instant> enough_since;  ///< by part
@@ -108,9 +110,9 @@
   std::vector<Instance> instances;
   std::vector<Target> targets;
   std::multimap<Instant, Event> events;
-  std::set<std::string> recorded;          ///< in the store
-  std::unique_ptr<RecentCrashes> recent;   ///< of all targets
-  std::unique_ptr<SurvivedParts> answers;  ///< of all instances
+  std::set<std::string> recorded;         ///< in the store
+  std::unique_ptr<RecentCrashes> recent;  ///< of all targets
+  std::unique_ptr<AnswerLog> answers;     ///< of all instances
   CrashFleetResult result;
   std::optional<Instant> third_crash;
   std::optional<Instant> fifth_crash;
--- a/tests/platform/platform-crashing-parts.cc
+++ b/tests/platform/platform-crashing-parts.cc
@@ -10,7 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
-#include "dragonflyglade/gateway/parts_command.h"
+#include "dragonflyglade/gateway/suspects_command.h"
 #include "tests/platform/crashing_fleet.h"
 
 namespace dragonflyglade {
@@ -61,7 +61,7 @@
   std::size_t count = 0;
   absl::Notification done;
   boost::asio::post(one.Context(), [&] {
-    count = one.Fleet().CrashingParts().size();
+    count = one.Fleet().CrashRecords().size();
     done.Notify();
   });
   done.WaitForNotification();
@@ -224,8 +224,9 @@
                                             store.Address().ToString()};
       arguments.insert(arguments.end(), item.words.begin(), item.words.end());
       std::ostringstream text;
-      const int exit = gateway::RunPartsCommand(arguments, {text, text},
-                                                platform::MakeWireFormat());
+      const int exit =
+          gateway::RunSuspectsCommand(SuspectKind::kPart, arguments,
+                                      {text, text}, platform::MakeWireFormat());
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.words.front(), item.exit, exit);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text.str(), item.output.empty(),
                                    text.str().empty());
--- a/tests/platform/platform-crashing-requests.cc
+++ b/tests/platform/platform-crashing-requests.cc
@@ -1,23 +1,29 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "dragonflyglade/gateway/request_digest.h"
 #include "tests/platform/crashing_fleet.h"
 
 namespace dragonflyglade {
 namespace {
 
+using gateway::CallerRequest;
 using Reply = GatewayHarness::Reply;
 using Script = PlatformTargetStandIn::Script;
 
 // The users' bound: so many targets end under one request, whoever repeats it.
 constexpr int kMaxCrashes = 3;
 constexpr int kRepeats = 8;
+// A request under which two targets ended may be tried again after it.
+constexpr absl::Duration kTimeToTrial = absl::Seconds(2);
 const std::string kModelFields =
     "X-Dragonflyglade-Model: m\r\nX-Dragonflyglade-Token-Usage: 100,10\r\n";
 const std::string kStreamHead =
@@ -57,9 +63,29 @@
   return script;
 }
 
+// Sends a request that may be repeated.
+Reply Send(CrashingFleet& fleet, int instance, const std::string& path) {
+  return fleet.Send(instance, fleet.harness.Text("GET", "/any/" + path));
+}
+
+// The store's keys of requests that are refused, and of their trials.
+std::vector<std::string> Records(const CrashingFleet& fleet) {
+  std::vector<std::string> keys =
+      fleet.harness.store.Keys("dragonflyglade/crashing-requests/");
+  const auto trials =
+      fleet.harness.store.Keys("dragonflyglade/request-trials/");
+  keys.insert(keys.end(), trials.begin(), trials.end());
+  return keys;
+}
+
 class CrashingRequestsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingRequestsTest);
   CPPUNIT_TEST(EndsThreeTargetsAtMost);
+  CPPUNIT_TEST(EndsThreeTargetsOverTime);
+  CPPUNIT_TEST(ServesASoundRequestThatLostTwoTargets);
+  CPPUNIT_TEST(KnowsTheRequestAfterARestart);
+  CPPUNIT_TEST(KnowsTheRequestWhileTheStoreIsAway);
+  CPPUNIT_TEST(RefusesARequestThatAnOperatorNamed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -115,6 +141,102 @@
                              fleet.Crashes() <= kMaxCrashes);
     }
   }
+
+  // Guards against a request that ends one more target each time that its
+  // caller returns after a while, at two instances at the same moment.
+  void EndsThreeTargetsOverTime() {
+    CrashingFleet fleet(EndAtOnce);
+    for (int attempt = 0; attempt < kRepeats; ++attempt) {
+      std::vector<std::thread> callers;
+      for (int instance : {0, 1}) {
+        const std::string text = fleet.harness.Text("GET", "/any/bad");
+        callers.emplace_back(
+            [&fleet, instance, text] { fleet.Send(instance, text); });
+      }
+      for (std::thread& caller : callers) caller.join();
+      fleet.ReplaceCrashed();
+      absl::SleepFor(kTimeToTrial / 2);
+    }
+    CPPUNIT_ASSERT(fleet.Crashes() <= kMaxCrashes);
+    const Reply reply = Send(fleet, 0, "bad");
+    CPPUNIT_ASSERT_EQUAL(503, reply.status);
+    CPPUNIT_ASSERT(std::stod(reply.Field("Retry-After")) >= 30);
+  }
+
+  // Guards against a sound request that stays refused since two targets ended
+  // under it for a reason of their own.
+  void ServesASoundRequestThatLostTwoTargets() {
+    std::atomic<int> ends = 2;
+    CrashingFleet fleet([&ends](const RawRequest& request) {
+      return IsBad(request) && ends-- > 0 ? EndAtOnce(request)
+                                          : SuccessfulResponse(request);
+    });
+    CPPUNIT_ASSERT_EQUAL(502, Send(fleet, 0, "bad").status);
+    fleet.ReplaceCrashed();
+    CPPUNIT_ASSERT_EQUAL(2, fleet.Crashes());
+    const Reply held = Send(fleet, 1, "bad");
+    CPPUNIT_ASSERT_EQUAL(503, held.status);
+    CPPUNIT_ASSERT(std::stod(held.Field("Retry-After")) <= 2.1);
+    absl::SleepFor(absl::Seconds(std::stod(held.Field("Retry-After"))));
+    CPPUNIT_ASSERT_EQUAL(200, Send(fleet, 1, "bad").status);
+    for (int instance : {0, 1}) {
+      fleet.harness.WaitFor(
+          [&] { return Send(fleet, instance, "bad").status == 200; });
+    }
+    CPPUNIT_ASSERT(Records(fleet).empty());
+  }
+
+  // Guards against new crashes at an instance that has forgotten the request.
+  void KnowsTheRequestAfterARestart() {
+    CrashingFleet fleet(EndAtOnce);
+    Send(fleet, 0, "bad");
+    fleet.ReplaceCrashed();
+    fleet.harness.WaitFor([&] { return !Records(fleet).empty(); });
+    fleet.ReplaceSecond("three");
+    fleet.harness.WaitFor(
+        [&] { return Send(fleet, 1, "sound").status == 200; });
+    CPPUNIT_ASSERT_EQUAL(503, Send(fleet, 1, "bad").status);
+    CPPUNIT_ASSERT_EQUAL(2, fleet.Crashes());
+  }
+
+  // Guards against new crashes as long as the store takes no writes: nobody can
+  // claim the trial, and all instances were told.
+  void KnowsTheRequestWhileTheStoreIsAway() {
+    CrashingFleet fleet(EndAtOnce);
+    fleet.harness.store.RejectWrites(true);
+    Send(fleet, 0, "bad");
+    fleet.ReplaceCrashed();
+    for (int attempt = 0; attempt < kRepeats; ++attempt) {
+      CPPUNIT_ASSERT_EQUAL(503, Send(fleet, attempt % 2, "bad").status);
+      absl::SleepFor(kTimeToTrial / 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(2, fleet.Crashes());
+    fleet.harness.store.RejectWrites(false);
+    fleet.harness.WaitFor([&] { return !Records(fleet).empty(); });
+  }
+
+  // Guards against a request that an operator knows of and targets end under
+  // all the same.
+  void RefusesARequestThatAnOperatorNamed() {
+    CrashingFleet fleet(EndAtOnce);
+    CallerRequest named;
+    named.method = "GET";
+    named.host = "h.example";
+    named.path_and_query = "/any/bad";
+    const std::string key =
+        "dragonflyglade/crashing-requests/" + gateway::DigestOf(named, "t1");
+    fleet.harness.store.Put(key, R"({"by": "operator", "why": "seen"})");
+    absl::SleepFor(kTimeToTrial + absl::Milliseconds(500));
+    for (int instance : {0, 1}) {
+      const Reply reply = Send(fleet, instance, "bad");
+      CPPUNIT_ASSERT_EQUAL(503, reply.status);
+      CPPUNIT_ASSERT(absl::StrContains(reply.text, "crashing_request"));
+      CPPUNIT_ASSERT(std::stod(reply.Field("Retry-After")) >= 30);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Crashes());
+    fleet.harness.store.Delete(key);
+    fleet.harness.WaitFor([&] { return Send(fleet, 0, "bad").status != 503; });
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CrashingRequestsTest,
