Give up answers that have no end

Callers saw: 504 after the route's whole time where a target sent a chunk extension or trailers without end, all of it in the instance's memory; a stream of comments was forwarded until the deadline; an event without an end kept the event loop busy for seconds; a refusal was read up to 16 MB.

Cause: what the parser has not consumed had no limit; comments counted as progress; EndOfEvents searched a whole incomplete event again at each read; the body of a response that is not forwarded was read like any other.

Change: a connection's unparsed bytes are limited to a head and 16 KB; 1 MB of a stream without a field of an event ends it, comments included; the search goes on where it ended; the body of a refusal is read for 64 KB and 0.2 s at most; a call that may go on past its deadline while bytes arrive ends 30 s after it. Malformed bytes no longer count as an end of the connection.

--- a/dragonflyglade/gateway/event_splitter.cc
+++ b/dragonflyglade/gateway/event_splitter.cc
@@ -9,7 +9,10 @@
 namespace dragonflyglade::gateway {
 namespace {
 
-// Returns the position after the blank line that ends the last complete event.
+constexpr std::size_t kLongestEnd = 4;  // "\r\n\r\n"
+
+// Returns the position after the blank line that ends the last complete event;
+// 0 if there is none.
 std::size_t EndOfEvents(std::string_view text) {
   std::size_t end = 0;
   const std::size_t newlines = text.rfind("\n\n");
@@ -25,25 +28,35 @@
 
 std::string_view EventSplitter::Add(std::string_view bytes) {
   this->buffer.erase(0, this->returned);
-  this->returned = 0;
+  // The bytes before hold no end, but may hold the beginning of one. Searched
+  // again at each call, a long event would take quadratic time.
+  const std::size_t searched =
+      std::max(this->buffer.size(), kLongestEnd) - kLongestEnd;
   this->buffer.append(bytes);
-  this->returned = EndOfEvents(this->buffer);
+  const std::size_t end =
+      EndOfEvents(std::string_view(this->buffer).substr(searched));
+  this->returned = end == 0 ? 0 : searched + end;
   const std::string_view events(this->buffer.data(), this->returned);
-  this->ParseIds(events);
+  this->ParseLines(events);
   return events;
 }
 
 void EventSplitter::Restart() {
   this->buffer.clear();
   this->returned = 0;
+  this->comment_bytes = 0;
 }
 
-void EventSplitter::ParseIds(std::string_view events) {
+void EventSplitter::ParseLines(std::string_view events) {
   constexpr std::string_view kField = "id:";
   while (!events.empty()) {
     const std::size_t end = std::min(events.find('\n'), events.size() - 1);
     const std::string_view line = events.substr(0, end);
     events.remove_prefix(end + 1);
+    this->comment_bytes += end + 1;
+    const bool is_comment = line.substr(0, 1) == ":";
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_comment && !is_blank) this->comment_bytes = 0;
     if (line.substr(0, kField.size()) != kField) continue;
     const absl::string_view value =
         absl::StripAsciiWhitespace(ToAbslView(line).substr(kField.size()));
--- a/dragonflyglade/gateway/event_splitter.h
+++ b/dragonflyglade/gateway/event_splitter.h
@@ -28,6 +28,12 @@
     return this->buffer.size() - this->returned;
   }
 
+  /// Bytes since the last field of a complete event: comments, which keep a
+  /// connection open and are no events, and an incomplete event.
+  std::size_t BytesWithoutEvent() const {
+    return this->comment_bytes + this->PartialBytes();
+  }
+
   /// The id of the last complete event that has one; empty if none has.
   const std::string& LastId() const { return this->last_id; }
 
@@ -36,10 +42,11 @@
   bool OutOfOrder() const { return this->out_of_order; }
 
  private:
-  void ParseIds(std::string_view events);
+  void ParseLines(std::string_view events);
 
   std::string buffer;
-  std::size_t returned = 0;  ///< bytes of the buffer that Add has returned
+  std::size_t returned = 0;       ///< bytes of the buffer that Add has returned
+  std::size_t comment_bytes = 0;  ///< and of blank lines, since the last field
   std::string last_id;
   std::optional<std::int64_t> last_number;
   bool out_of_order = false;
--- a/dragonflyglade/gateway/pipeline_stream.cc
+++ b/dragonflyglade/gateway/pipeline_stream.cc
@@ -113,9 +113,9 @@
         ended ? std::string_view()
               : job.events.Add(std::get<StreamBytes>(result).bytes);
     job.receipt->Resize(job.events.PartialBytes());
-    if (job.events.PartialBytes() > kMaxEventBytes) {
-      exchange.Abort("an event is too long");
-      const OutcomeUnknown broken{"an event is too long"};
+    if (job.events.BytesWithoutEvent() > kMaxEventBytes) {
+      exchange.Abort("no event in many bytes");
+      const OutcomeUnknown broken{"no event in many bytes"};
       co_return co_await this->AfterOutcomeUnknown(job, target, broken);
     }
     if (job.events.OutOfOrder() || (ended && job.events.HasPartial())) {
--- a/dragonflyglade/gateway/target_connection.h
+++ b/dragonflyglade/gateway/target_connection.h
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,10 +16,16 @@
 
 namespace dragonflyglade::gateway {
 
-/// A connection to a target, with the bytes that were read but not consumed.
+/// The longest head of a response.
+inline constexpr std::uint32_t kMaxHeadBytes = 65536;
+
+/// A connection to a target, with the bytes that were read but not consumed: a
+/// head, or what frames the body's chunks.
 struct TargetConnection {
   explicit TargetConnection(boost::asio::io_context& context)
-      : socket(context) {}
+      : socket(context), buffer(kMaxUnparsedBytes) {}
+
+  static constexpr std::size_t kMaxUnparsedBytes = kMaxHeadBytes + (16u << 10);
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -34,9 +34,13 @@
 constexpr int kMaxSkippedResponses = 2;
 constexpr std::size_t kReadBytes = 16384;
 constexpr std::size_t kTunnelIdBytes = 8;
-constexpr std::uint32_t kMaxHeadBytes = 65536;
 // Responses of services without engines are some kilobytes long.
-constexpr std::uint64_t kMaxBodyBytes = 16u << 20;
+constexpr std::size_t kMaxBodyBytes = 16u << 20;
+// Of a response that is not forwarded. It is read for the connection's sake.
+constexpr std::size_t kMaxUnusedBodyBytes = 64u << 10;
+constexpr absl::Duration kUnusedBodyTime = absl::Milliseconds(200);
+// For how long a response may go on past its deadline, while its bytes arrive.
+constexpr absl::Duration kMaxStallExtension = absl::Seconds(30);
 
 // Of an instance's refusal to open a tunnel. Zero if it cannot be read: then
 // the next attempt is refused in turn.
@@ -90,7 +94,8 @@
 
 void TargetExchange::RestartStallTimeout() {
   if (!this->stall_timeout.has_value()) return;
-  const Instant next = this->clock.Now() + *this->stall_timeout;
+  const Instant next = std::min(this->clock.Now() + *this->stall_timeout,
+                                this->deadline + kMaxStallExtension);
   this->StartStep(std::max(this->deadline, next), "the answer stalled");
 }
 
@@ -136,8 +141,12 @@
                               error == asio::error::connection_reset ||
                               error == http::error::end_of_stream ||
                               error == http::error::partial_message;
+  // Bytes that are no response say nothing about the connection.
+  const bool is_malformed =
+      error.category() ==
+      http::make_error_code(http::error::bad_chunk).category();
   return {.why = error.message(),
-          .connection_ended = true,
+          .connection_ended = closed_by_peer || !is_malformed,
           .closed_by_peer = closed_by_peer};
 }
 
@@ -292,19 +301,32 @@
     // A late duplicate response to an earlier request on this connection. It is
     // read to its end and discarded; this request's own response follows.
     std::string dropped;
-    failure = co_await this->ReadBody(dropped);
+    failure = co_await this->ReadBody(dropped, kMaxBodyBytes);
     if (failure.has_value()) co_return failure;
     if (this->receipt != nullptr) this->receipt->Clear();
   }
   co_return OutcomeUnknown{"got only answers to other requests", false};
 }
 
+asio::awaitable<void> TargetExchange::AwaitRoomForBody() {
+  if (this->receipt == nullptr) co_return;
+  const std::uint64_t length = this->parser->content_length().value_or(0);
+  co_await this->receipt->AwaitRoom(
+      std::min<std::uint64_t>(length, kMaxBodyBytes));
+}
+
+// The head has said all. A connection whose response does not end is closed.
+asio::awaitable<void> TargetExchange::ReadDeclinedBody() {
+  this->StartStep(std::min(this->clock.Now() + kUnusedBodyTime, this->deadline),
+                  "the refusal does not end");
+  std::string dropped;
+  const std::optional<OutcomeUnknown> failure =
+      co_await this->ReadBody(dropped, kMaxUnusedBodyBytes);
+  if (!failure.has_value()) this->Finish();
+}
+
 asio::awaitable<std::optional<OutcomeUnknown>> TargetExchange::ReadBody(
-    std::string& body) {
-  if (this->receipt != nullptr) {
-    const std::uint64_t length = this->parser->content_length().value_or(0);
-    co_await this->receipt->AwaitRoom(std::min(length, kMaxBodyBytes));
-  }
+    std::string& body, std::size_t max_bytes) {
   std::array<char, kReadBytes> chunk;
   while (!this->parser->is_done()) {
     auto& buffer = this->parser->get().body();
@@ -321,7 +343,7 @@
       co_return this->UnknownOutcomeAfter(error);
     }
     this->RestartStallTimeout();
-    if (body.size() > kMaxBodyBytes)
+    if (body.size() > max_bytes)
       co_return OutcomeUnknown{"answer body too large", false};
   }
   if (co_await this->EndsWithoutProof()) {
@@ -353,13 +375,13 @@
   if (this->head.event_stream && !this->head.not_executed) {
     co_return StreamHead{this->head};
   }
-  std::string response_body;
-  failure = co_await this->ReadBody(response_body);
   if (this->head.not_executed) {
-    // The not-executed field alone decides; the body is not forwarded.
-    if (!failure.has_value()) this->Finish();
+    co_await this->ReadDeclinedBody();
     co_return Declined{this->head};
   }
+  std::string response_body;
+  co_await this->AwaitRoomForBody();
+  failure = co_await this->ReadBody(response_body, kMaxBodyBytes);
   if (failure.has_value()) co_return *failure;
   const bool ended_by_close = this->parser->get().need_eof();
   this->Finish();
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -194,7 +194,9 @@
       std::string_view request_id);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadOneHead();
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadBody(
-      std::string& body);
+      std::string& body, std::size_t max_bytes);
+  boost::asio::awaitable<void> AwaitRoomForBody();
+  boost::asio::awaitable<void> ReadDeclinedBody();
   void StartStep(Instant until, std::string_view why);
   void RestartStallTimeout();
   void StartSilenceLimit();
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/time/clock.h"
 
 namespace dragonflyglade {
 
@@ -97,6 +98,10 @@
     const Script script = this->ScriptFor(request);
     error_code error;
     boost::asio::write(*socket, boost::asio::buffer(script.bytes), error);
+    while (!script.endless.empty() && !error) {
+      absl::SleepFor(script.endless_pause);
+      boost::asio::write(*socket, boost::asio::buffer(script.endless), error);
+    }
     const auto report_end = [&script] {
       if (script.ended) script.ended();
     };
@@ -105,9 +110,9 @@
       this->Crash();
       return;
     }
-    if (script.hang) {
+    if (script.hang || !script.endless.empty()) {
       char byte = 0;
-      socket->read_some(boost::asio::buffer(&byte, 1), error);
+      if (!error) socket->read_some(boost::asio::buffer(&byte, 1), error);
       report_end();
       absl::MutexLock lock(&this->mutex);
       this->hangups += 1;
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade {
@@ -41,6 +42,9 @@
     bool hang = false;   ///< after the bytes, wait until the client closes
     bool crash = false;  ///< after the bytes, end as a killed process does
     bool reset = false;  ///< reset the connection after the bytes
+    /// Sent again and again after the bytes, until the client closes.
+    std::string endless = "";
+    absl::Duration endless_pause = absl::ZeroDuration();  ///< between repeats
     /// Called before the connection is closed, after the client closed it, or
     /// when the bytes are sent. May be empty.
     std::function<void()> ended = nullptr;
@@ -63,7 +67,7 @@
   void Crash();
   bool HasCrashed() const;
   /// The number of connections that the client closed while the target was
-  /// hanging.
+  /// hanging, or sent bytes without end.
   int ConnectionsClosedByPeer() const;
 
  private:
