Requests under which targets end: found amid other failures, and at once

In platform-crashing-requests, a caller that returned at Retry-After came 2 ms early, since the instance had learned of the refusal from the store, and was refused again. A lost answer was recorded as the target's failure after the verdict, so that others were sent there meanwhile. A target that was started again within milliseconds counted as alive.

Change: crashes of the ten seconds before count, too. A trial is open after 1.5 s, and Retry-After leaves 0.4 s for instances that learned of it later. The failure is recorded before the verdict. A target that broke off and lives is looked at again after two seconds, by its entry; a trial without answer is given back only after that. The fleet is a model now, `measure repeats`, and its bounds a test.

--- a/dragonflyglade/decision/crash_verdicts.cc
+++ b/dragonflyglade/decision/crash_verdicts.cc
@@ -15,9 +15,14 @@
 // There may be no other requests.
 constexpr absl::Duration kMaxAnswerWait = absl::Seconds(2);
 constexpr std::size_t kCertainCrashes = 5;
+// A failure of many targets, under way before it reached those of a request,
+// shows within this time.
+constexpr absl::Duration kFailureTime = absl::Seconds(10);
 // By then all instances know that the request is held back, and a failure of
 // many targets has shown itself.
-constexpr absl::Duration kTimeToTrial = absl::Seconds(2);
+constexpr absl::Duration kTimeToTrial = absl::Milliseconds(1500);
+// Other instances may have come to know it that much later.
+constexpr absl::Duration kReturnMargin = absl::Milliseconds(400);
 // The request will not be served.
 constexpr absl::Duration kRetryAfterCrashes = absl::Seconds(60);
 
@@ -28,6 +33,10 @@
 
 }  // namespace
 
+absl::Duration EvidenceTime(SuspectKind kind, absl::Duration age) {
+  return kind == SuspectKind::kRequest ? age + kFailureTime : age;
+}
+
 CrashVerdict JudgePart(const CrashEvidence& evidence) {
   if (evidence.counted < kCrashesToConfirm) return CrashVerdict::kNotEnough;
   if (IsInFew(evidence) && evidence.age < kAnsweredWithin) {
@@ -61,7 +70,8 @@
   if (request.crashes >= kMaxCrashesOfRequest || request.was_tried) {
     return kRetryAfterCrashes;
   }
-  return std::max(kTimeToTrial - request.held_for, absl::Milliseconds(100));
+  return std::max(kTimeToTrial - request.held_for, absl::ZeroDuration()) +
+         kReturnMargin;
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/crash_verdicts.h
+++ b/dragonflyglade/decision/crash_verdicts.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "absl/time/time.h"
+#include "dragonflyglade/decision/crash_account.h"
 
 namespace dragonflyglade {
 
@@ -25,6 +26,10 @@
   absl::Duration waited;    ///< since there were enough crashes
 };
 
+/// How far back the crashes of other targets count as evidence on a suspect.
+/// @param age of the suspect's first crash
+absl::Duration EvidenceTime(SuspectKind kind, absl::Duration age);
+
 enum class CrashVerdict {
   kCrashesTargets,
   kOpen,       ///< answers have to be awaited
--- a/dragonflyglade/gateway/crash_judge.cc
+++ b/dragonflyglade/gateway/crash_judge.cc
@@ -76,10 +76,10 @@
                                version, this->clock.Now());
 }
 
-std::vector<TargetCrash> CrashJudge::CrashesSinceFirstOf(
+std::vector<TargetCrash> CrashJudge::CrashesAround(
     const Suspect& suspect) const {
-  std::vector<TargetCrash> crashes =
-      this->recent.Within(this->account.AgeOf(suspect));
+  std::vector<TargetCrash> crashes = this->recent.Within(
+      EvidenceTime(suspect.kind, this->account.AgeOf(suspect)));
   if (crashes.size() > kMaxCrashesPerAnswer) {
     crashes.resize(kMaxCrashesPerAnswer);
   }
@@ -133,7 +133,8 @@
   for (const CrashAccount::Crash& known : own) {
     judgement.crashes.emplace(known.crash.target, known.crash.born_ms);
   }
-  for (const TargetCrash& crash : this->recent.Within(evidence.age)) {
+  const absl::Duration time = EvidenceTime(suspect.kind, evidence.age);
+  for (const TargetCrash& crash : this->recent.Within(time)) {
     judgement.crashes.emplace(crash.target, crash.born_ms);
   }
   evidence.all_crashes = judgement.crashes.size();
@@ -210,7 +211,8 @@
   wire::SuspectQuestion question;
   question.address = this->self.peer_address;
   question.suspect = suspect.id;
-  question.since_ms = absl::ToInt64Milliseconds(this->account.AgeOf(suspect));
+  question.since_ms = absl::ToInt64Milliseconds(
+      EvidenceTime(suspect.kind, this->account.AgeOf(suspect)));
   question.kind = ToWire(suspect.kind);
   message.__set_suspect_question(std::move(question));
   for (const auto& [name, record] : this->fleet.Instances()) {
--- a/dragonflyglade/gateway/crash_judge.h
+++ b/dragonflyglade/gateway/crash_judge.h
@@ -66,9 +66,9 @@
   std::vector<CrashAccount::Crash> CrashesOf(const Suspect& suspect) const {
     return this->account.CrashesOf(suspect);
   }
-  /// The crashes of all targets since the suspect's first one, as far as known
-  /// here; a hundred at most.
-  std::vector<TargetCrash> CrashesSinceFirstOf(const Suspect& suspect) const;
+  /// The crashes of all targets within the suspect's EvidenceTime, as far as
+  /// known here; a hundred at most.
+  std::vector<TargetCrash> CrashesAround(const Suspect& suspect) const;
 
   /// Refuses the suspect if it crashes targets. Returns when that is decided,
   /// after some tenths of a second at most for a request.
--- a/dragonflyglade/gateway/crash_reports.cc
+++ b/dragonflyglade/gateway/crash_reports.cc
@@ -161,7 +161,7 @@
       crash.age_ms = absl::ToInt64Milliseconds(now - known.at);
       reply.crashes.push_back(std::move(crash));
     }
-    for (const TargetCrash& other : this->judge.CrashesSinceFirstOf(suspect)) {
+    for (const TargetCrash& other : this->judge.CrashesAround(suspect)) {
       if (!recent.emplace(other.target, other.born_ms).second) continue;
       reply.all_crashes.push_back(ToWire(other));
     }
--- a/dragonflyglade/gateway/pipeline_outcome.cc
+++ b/dragonflyglade/gateway/pipeline_outcome.cc
@@ -170,17 +170,18 @@
                    {"caller_was_slow", unknown.caller_was_slow},
                    {"sent_ago_ms", this->clock.Now() - job.attempt_started},
                    {"attempts", job.attempts}});
+  const bool caller_left = job.connection.IsDisconnected();
+  if (!unknown.caller_was_slow && !caller_left) {
+    target.RecordResult(TargetResult::kFailure, this->clock.Now());
+  }
   if (unknown.connection_ended && !unknown.caller_was_slow) {
     this->RecordEndedExchange(job, false);
-    co_await this->AwaitCrashVerdict(job);
+    if (!caller_left) co_await this->AwaitCrashVerdict(job);
   }
   if (job.connection.IsDisconnected()) {
     this->RecordOutcome(job, "caller left", 0);
     co_return NextStep::kDone;
   }
-  if (!unknown.caller_was_slow) {
-    target.RecordResult(TargetResult::kFailure, this->clock.Now());
-  }
   job.events.Restart();
   const std::optional<NextStep> next =
       co_await this->ContinueFromCopy(job, unknown);
--- a/dragonflyglade/gateway/pipeline_suspects.cc
+++ b/dragonflyglade/gateway/pipeline_suspects.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
+// A trial that was neither answered nor ended a target is given back.
+constexpr absl::Duration kTimeToRelease = absl::Seconds(3);
 
 }  // namespace
 
@@ -147,9 +149,14 @@
   if (!lives) co_return;
   if (was_answered) {
     co_await this->crash_suspects.refused.Clear(digest, process.version);
-  } else {
-    co_await this->crash_suspects.trials.Release(digest);
+    co_return;
   }
+  // By then it is known whether a target that seems to live was a new process.
+  co_await Sleep(this->context, kTimeToRelease);
+  const Suspect request{SuspectKind::kRequest, digest};
+  const std::size_t crashes = this->crash_suspects.judge.CountOf(request);
+  if (crashes >= kMaxCrashesOfRequest) co_return;
+  co_await this->crash_suspects.trials.Release(digest);
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -16,6 +16,8 @@
 
 // The connections to a process that ends are closed within this time.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(15);
+// A process that was started again has its entry within this time.
+constexpr absl::Duration kRestartTime = absl::Seconds(2);
 // A target in the same region accepts or refuses within milliseconds.
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(400);
 // A target that does not answer the probe is given up earlier by its requests.
@@ -75,8 +77,10 @@
   this->examined.erase(found);
   if (verdict == Verdict::kCrashed) {
     co_await this->HandleCrash(*target, process, *examination);
-  } else if (verdict == Verdict::kLives) {
-    this->HandleLives(process, *examination);
+  } else if (verdict == Verdict::kLives &&
+             this->HandleLives(process, *examination) > 0) {
+    this->tasks.Spawn("examine target again",
+                      this->RecheckLater(target, process, examination));
   }
   examination->is_done = true;
   examination->done.Notify();
@@ -123,8 +127,8 @@
                    {"digests", absl::StrJoin(digests, ",")},
                    {"prompt_parts", absl::StrJoin(parts, ",")}});
   this->crash_suspects.reports.ReportParts(crash, parts);
-  this->channel.ReportConnectionRefused(crash.target);
   if (target.Record().born_ms == crash.born_ms) {
+    this->channel.ReportConnectionRefused(crash.target);
     target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
   }
   examination.withheld = digests;  // until their owners have answered
@@ -132,8 +136,8 @@
       crash, std::move(digests));
 }
 
-void TargetCrashDetector::HandleLives(const TargetCrash& process,
-                                      const Examination& examination) {
+int TargetCrashDetector::HandleLives(const TargetCrash& process,
+                                     const Examination& examination) {
   int lost = 0;
   CrashJudge& judge = this->crash_suspects.judge;
   for (const EndedExchange& exchange : examination.ended) {
@@ -144,9 +148,21 @@
       lost += 1;
     }
   }
-  if (lost == 0) return;
+  if (lost == 0) return lost;
   this->log.Write("targets", "broke off and lives",
                   {{"target", process.target}, {"requests", lost}});
+  return lost;
+}
+
+// A process that was started again at once accepts connections as the one
+// before did. Its entry tells them apart.
+asio::awaitable<void> TargetCrashDetector::RecheckLater(
+    std::shared_ptr<TargetState> target, TargetCrash process,
+    std::shared_ptr<Examination> examination) {
+  co_await Sleep(this->context, kRestartTime);
+  if (target->IsLeaving()) co_return;
+  if (target->Record().born_ms == process.born_ms) co_return;
+  co_await this->HandleCrash(*target, process, *examination);
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -78,7 +78,12 @@
   boost::asio::awaitable<void> HandleCrash(TargetState& target,
                                            const TargetCrash& crash,
                                            Examination& examination);
-  void HandleLives(const TargetCrash& process, const Examination& examination);
+  /// @return the number of answers that were lost
+  int HandleLives(const TargetCrash& process, const Examination& examination);
+  /// Finds out whether a target that seemed to live was a new process.
+  boost::asio::awaitable<void> RecheckLater(
+      std::shared_ptr<TargetState> target, TargetCrash process,
+      std::shared_ptr<Examination> examination);
 
   boost::asio::io_context& context;
   const WireFormat& wire;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -408,7 +408,7 @@
   2: string instance
   /** Of the suspects that several targets crashed on. */
   3: list<SuspectCrash> crashes
-  /** All crashes since the first of these that the sender knows of. */
+  /** All crashes around the time of these that the sender knows of. */
   4: list<TargetCrash> all_crashes
 }
 
@@ -417,7 +417,7 @@
   /** The address to send the answer to. */
   1: string address
   2: string suspect
-  /** The age of the suspect's first crash. */
+  /** How far back crashes and answers count. */
   3: i64 since_ms
   4: SuspectKind kind = SuspectKind.PART
 }
@@ -431,11 +431,11 @@
 
 struct SuspectAnswer {
   1: string suspect
-  /** Since the suspect's first crash. */
+  /** Within the time of the question. */
   2: list<SuspectSurvival> survivals
-  /** All crashes of targets since then that the sender has seen. */
+  /** All crashes of targets within it that the sender knows of. */
   3: list<TargetCrash> crashes
-  /** The number of requests that were answered since then. */
+  /** The number of requests that were answered within it. */
   4: i32 answers
   /** The name of the answering instance. */
   5: string instance
--- a/measure/topics.cc
+++ b/measure/topics.cc
@@ -28,6 +28,7 @@
        {MeasureCrashes,
         {},
         {"nothing", "three_crashes", "answered_since", "share"}}},
+      {"repeats", {MeasureRepeats, {}, {"nothing", "held_back"}}},
       {"once", {MeasureOnce, {}, {"claims", "plain_retries"}}},
   };
   return topics;
--- a/measure/topics.h
+++ b/measure/topics.h
@@ -52,6 +52,8 @@
 void MeasureCapacity(const MeasureOptions& options);
 /// Parts of prompts that crash targets: ways to find them.
 void MeasureCrashes(const MeasureOptions& options);
+/// Requests under which targets end, whoever repeats them.
+void MeasureRepeats(const MeasureOptions& options);
 /// Calls that must not run twice, with claims and with plain retries.
 void MeasureOnce(const MeasureOptions& options);
 
--- a/tests/platform/crashing_fleet.cc
+++ b/tests/platform/crashing_fleet.cc
@@ -72,6 +72,13 @@
   return crashes;
 }
 
+void CrashingFleet::Restart(const std::string& id) {
+  const std::string key = "servers/" + id;
+  json record = json::parse(this->harness.store.Get(key));
+  record["born"] = record.at("born").get<int>() + 1;
+  this->harness.store.Put(key, record.dump());
+}
+
 void CrashingFleet::ReplaceSecond(const std::string& name) {
   this->second.reset();
   this->second = std::make_unique<RunningInstance>(this->harness, name);
--- a/tests/platform/crashing_fleet.h
+++ b/tests/platform/crashing_fleet.h
@@ -44,6 +44,9 @@
   /// Sends a request for a model that may run once.
   GatewayHarness::Reply CallModel(int instance, const std::string& parts);
 
+  /// Writes the target's entry as a new process at the same address does.
+  void Restart(const std::string& id);
+
   /// The number of targets that have crashed.
   int Crashes() const;
 
--- a/tests/platform/platform-crashing-requests.cc
+++ b/tests/platform/platform-crashing-requests.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(KnowsTheRequestAfterARestart);
   CPPUNIT_TEST(KnowsTheRequestWhileTheStoreIsAway);
   CPPUNIT_TEST(RefusesARequestThatAnOperatorNamed);
+  CPPUNIT_TEST(KnowsATargetThatIsBackAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -237,6 +238,30 @@
     fleet.harness.store.Delete(key);
     fleet.harness.WaitFor([&] { return Send(fleet, 0, "bad").status != 503; });
   }
+
+  // Guards against targets that end again and again under a request, and are
+  // taken for alive since a new process listens at once.
+  void KnowsATargetThatIsBackAtOnce() {
+    std::atomic<int> ended = 0;
+    CrashingFleet* fleet_of_answers = nullptr;
+    CrashingFleet fleet([&](const RawRequest& request) {
+      if (!IsBad(request)) return SuccessfulResponse(request);
+      Script script;
+      script.close = true;
+      script.ended = [&,
+                      id = request.Field("X-Dragonflyglade-Target-Instance")] {
+        fleet_of_answers->Restart(id);
+        ended += 1;
+      };
+      return script;
+    });
+    fleet_of_answers = &fleet;
+    for (int attempt = 0; attempt < kRepeats; ++attempt) {
+      fleet.Send(attempt % 2, fleet.harness.Text("POST", "/once/bad"));
+      absl::SleepFor(kTimeToTrial + absl::Milliseconds(500));
+    }
+    CPPUNIT_ASSERT(ended <= kMaxCrashes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CrashingRequestsTest,
