--- a/dragonflyglade/decision/crash_account.h
+++ b/dragonflyglade/decision/crash_account.h
@@ -28,8 +28,9 @@
   SuspectKind kind = SuspectKind::kPart;
   std::string id;  ///< of the part, or the request's digest
 
-  bool operator==(const Suspect& other) const = default;
-  auto operator<=>(const Suspect& other) const = default;
+  bool operator<(const Suspect& other) const {
+    return std::tie(this->kind, this->id) < std::tie(other.kind, other.id);
+  }
 };
 
 /// A target's process that ended while it ran requests.
--- a/dragonflyglade/gateway/event_splitter.cc
+++ b/dragonflyglade/gateway/event_splitter.cc
@@ -33,8 +33,8 @@
   const std::size_t searched =
       std::max(this->buffer.size(), kLongestEnd) - kLongestEnd;
   this->buffer.append(bytes);
-  const std::size_t end =
-      EndOfEvents(std::string_view(this->buffer).substr(searched));
+  const std::string_view text = this->buffer;
+  const std::size_t end = EndOfEvents(text.substr(searched));
   this->returned = end == 0 ? 0 : searched + end;
   const std::string_view events(this->buffer.data(), this->returned);
   this->ParseLines(events);
