--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -185,6 +185,8 @@
   boost::asio::awaitable<NextStep> AfterDeclined(RequestJob& job,
                                                  TargetState& target,
                                                  const Declined& declined);
+  void RecordLostAnswer(const RequestJob& job, TargetState& target,
+                        const OutcomeUnknown& unknown);
   boost::asio::awaitable<NextStep> AfterOutcomeUnknown(
       RequestJob& job, TargetState& target, const OutcomeUnknown& unknown);
   boost::asio::awaitable<NextStep> AfterResponse(
--- a/dragonflyglade/gateway/pipeline_outcome.cc
+++ b/dragonflyglade/gateway/pipeline_outcome.cc
@@ -154,12 +154,8 @@
   co_return NextStep::kDone;
 }
 
-asio::awaitable<Pipeline::NextStep> Pipeline::AfterOutcomeUnknown(
-    RequestJob& job, TargetState& target, const OutcomeUnknown& unknown) {
-  if (unknown.no_memory) {
-    co_await this->EndCutOff(job);
-    co_return NextStep::kDone;
-  }
+void Pipeline::RecordLostAnswer(const RequestJob& job, TargetState& target,
+                                const OutcomeUnknown& unknown) {
   this->log.Write("request", "lost",
                   {{"id", job.request.id},
                    {"digest", job.digest},
@@ -170,10 +166,18 @@
                    {"caller_was_slow", unknown.caller_was_slow},
                    {"sent_ago_ms", this->clock.Now() - job.attempt_started},
                    {"attempts", job.attempts}});
-  const bool caller_left = job.connection.IsDisconnected();
-  if (!unknown.caller_was_slow && !caller_left) {
-    target.RecordResult(TargetResult::kFailure, this->clock.Now());
+  if (unknown.caller_was_slow) return;
+  target.RecordResult(TargetResult::kFailure, this->clock.Now());
+}
+
+asio::awaitable<Pipeline::NextStep> Pipeline::AfterOutcomeUnknown(
+    RequestJob& job, TargetState& target, const OutcomeUnknown& unknown) {
+  if (unknown.no_memory) {
+    co_await this->EndCutOff(job);
+    co_return NextStep::kDone;
   }
+  const bool caller_left = job.connection.IsDisconnected();
+  if (!caller_left) this->RecordLostAnswer(job, target, unknown);
   if (unknown.connection_ended && !unknown.caller_was_slow) {
     this->RecordEndedExchange(job, false);
     if (!caller_left) co_await this->AwaitCrashVerdict(job);
