The attempts of one request share no connection to a target

What callers saw: 503 with "ran": "no" for requests that ran (REFUSED). Cause: an instance repeats a declined request on the connection that it has just given back to the pool; a second copy of the refusal comes where the response to the second attempt is due, and bears the id that all attempts of a request share.

Change: a request's job keeps the connections on which it was sent, and its next attempt takes another one or a new one; on the others the id tells responses apart. The same cause: 421, failures of requests that may be repeated, tunnels, and responses without an id (a copy of a report's was taken for a caller's), which count once a connection only. The first connection stays in the pool, so that a repeat costs a new connection only if no other is idle.

--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -123,6 +123,7 @@
   TargetExchange exchange(
       this->context, tunnel == nullptr ? target->connections : target->tunnels,
       this->wire, this->clock);
+  exchange.UseConnectionsOnce(job.used_connections);
   this->paths.Use(path, *target, exchange);
   this->paths.RecheckBeforeSend(path, *target, exchange);
   CallerBuffers::Receipt receipt(this->caller_buffers,
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -22,6 +22,7 @@
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_splitter.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 #include "dragonflyglade/gateway/target_state.h"
 
@@ -63,6 +64,7 @@
   bool continues_copy = false;
   bool continued = false;  ///< an attempt has continued the run
   TargetExchange* exchange = nullptr;
+  UsedConnections used_connections;
   CallerBuffers::Receipt* receipt = nullptr;  ///< of the current attempt
   EventSplitter events;
   Instant attempt_started;
--- a/dragonflyglade/gateway/target_connection.cc
+++ b/dragonflyglade/gateway/target_connection.cc
@@ -27,11 +27,27 @@
 
 }  // namespace
 
-std::shared_ptr<TargetConnection> ConnectionPool::Acquire(Instant now) {
-  while (!this->idle.empty()) {
-    std::shared_ptr<TargetConnection> last = std::move(this->idle.back());
-    this->idle.pop_back();
-    if (now < last->usable_until && HasNoData(*last)) return last;
+void UsedConnections::Add(const std::shared_ptr<TargetConnection>& connection) {
+  this->connections.push_back(connection);
+}
+
+bool UsedConnections::Contains(const TargetConnection& connection) const {
+  return std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [&](const auto& used) { return used.lock().get() == &connection; });
+}
+
+std::shared_ptr<TargetConnection> ConnectionPool::Acquire(
+    Instant now, const UsedConnections* excluded) {
+  std::size_t place = this->idle.size();
+  while (place > 0) {
+    place -= 1;
+    const std::shared_ptr<TargetConnection> connection = this->idle[place];
+    if (excluded != nullptr && excluded->Contains(*connection)) continue;
+    this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(place));
+    if (now < connection->usable_until && HasNoData(*connection)) {
+      return connection;
+    }
   }
   return nullptr;
 }
--- a/dragonflyglade/gateway/target_connection.h
+++ b/dragonflyglade/gateway/target_connection.h
@@ -33,6 +33,19 @@
   /// If it is a tunnel: its id, and the address of the other instance.
   std::string tunnel_id;
   std::string tunnel_peer;
+  /// A response without a request's id has arrived on it.
+  bool had_unnamed_response = false;
+};
+
+/// The connections on which the attempts of one request were sent. Not
+/// synchronised.
+class UsedConnections {
+ public:
+  void Add(const std::shared_ptr<TargetConnection>& connection);
+  bool Contains(const TargetConnection& connection) const;
+
+ private:
+  std::vector<std::weak_ptr<const TargetConnection>> connections;
 };
 
 /// The pool of idle connections to one target.
@@ -41,8 +54,10 @@
   /// Removes and returns the most recently used connection that is usable: not
   /// expired, open, and without unread bytes. Unusable ones found on the way
   /// are closed.
+  /// @param excluded connections that stay in the pool; may be null
   /// @return null if there is none
-  std::shared_ptr<TargetConnection> Acquire(Instant now);
+  std::shared_ptr<TargetConnection> Acquire(
+      Instant now, const UsedConnections* excluded = nullptr);
 
   /// Adds a connection whose exchange completed cleanly.
   /// @param keep_alive the idle timeout that the target stated, if it did
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -153,7 +153,7 @@
 asio::awaitable<std::optional<NotSent>> TargetExchange::Connect(
     std::string_view address, Instant deadline) {
   const Instant now = this->clock.Now();
-  this->connection = this->pool.Acquire(now);
+  this->connection = this->pool.Acquire(now, this->used);
   if (this->connection != nullptr) {
     this->reused = true;
     co_return std::nullopt;
@@ -251,6 +251,7 @@
 }
 
 void TargetExchange::StartWriting(std::string head, SharedBody body) {
+  if (this->used != nullptr) this->used->Add(this->connection);
   this->write = std::make_shared<RequestWrite>();
   this->write->connection = this->connection;
   this->write->head = std::move(head);
@@ -296,8 +297,12 @@
     constexpr int kFirstFinalStatus = 200;
     // Interim responses (1xx) carry nothing that is forwarded.
     if (this->head.status < kFirstFinalStatus) continue;
-    const bool named = !this->head.request_id.empty();
-    if (!named || this->head.request_id == request_id) co_return std::nullopt;
+    if (this->AnswersRequest(request_id)) {
+      if (this->head.request_id.empty()) {
+        this->connection->had_unnamed_response = true;
+      }
+      co_return std::nullopt;
+    }
     // A late duplicate response to an earlier request on this connection. It is
     // read to its end and discarded; this request's own response follows.
     std::string dropped;
@@ -308,6 +313,18 @@
   co_return OutcomeUnknown{"got only answers to other requests", false};
 }
 
+// Failure: a target sends the refusal of one attempt twice, late. If it were
+// taken for the response to the next attempt, the caller would be told that a
+// request did not run which runs. The attempts of a request share its id, so
+// they share no connection (UseConnectionsOnce). A response without an id may
+// be a duplicate of an earlier one.
+bool TargetExchange::AnswersRequest(std::string_view request_id) const {
+  if (!this->head.request_id.empty()) {
+    return this->head.request_id == request_id;
+  }
+  return request_id.empty() || !this->connection->had_unnamed_response;
+}
+
 asio::awaitable<void> TargetExchange::AwaitRoomForBody() {
   if (this->receipt == nullptr) co_return;
   const std::uint64_t length = this->parser->content_length().value_or(0);
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -96,7 +96,8 @@
 
   /// Sends the request and reads the response, or the head of a stream.
   /// @param address IP address and port of the target
-  /// @param request_id id that the response must carry, if it carries one
+  /// @param request_id id that the response must carry, if it carries one;
+  ///     empty if the request has none
   /// @param head request line and header fields, with the blank line
   /// @param body may be null; held until it is written or the exchange ends
   /// @param deadline when the whole exchange times out
@@ -136,6 +137,11 @@
     this->may_send = std::move(may_send);
   }
 
+  /// Lets Run use no connection on which an earlier attempt of the request was
+  /// sent, and add the one that it uses. To be called before Run.
+  /// @param used must outlive Run
+  void UseConnectionsOnce(UsedConnections& used) { this->used = &used; }
+
   /// Connects and adds the connection to the pool without using it.
   /// @return nothing if it was established
   boost::asio::awaitable<std::optional<NotSent>> OpenConnection(
@@ -192,6 +198,7 @@
   void StartWriting(std::string head, SharedBody body);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadHead(
       std::string_view request_id);
+  bool AnswersRequest(std::string_view request_id) const;
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadOneHead();
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadBody(
       std::string& body, std::size_t max_bytes);
@@ -221,6 +228,7 @@
   ConnectObserver observer;
   HeadObserver head_observer;
   std::function<bool()> may_send;
+  UsedConnections* used = nullptr;
   Instant deadline;
   std::optional<absl::Duration> stall_timeout;
   std::optional<absl::Duration> silence_limit;
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -93,11 +93,14 @@
 
 void PlatformTargetStandIn::Serve(std::shared_ptr<Socket> socket) {
   std::string buffer;
+  std::string late;
   RawRequest request;
   while (ReadRawRequest(*socket, buffer, request)) {
     const Script script = this->ScriptFor(request);
     error_code error;
-    boost::asio::write(*socket, boost::asio::buffer(script.bytes), error);
+    boost::asio::write(*socket, boost::asio::buffer(late + script.bytes),
+                       error);
+    late = script.late;
     while (!script.endless.empty() && !error) {
       absl::SleepFor(script.endless_pause);
       boost::asio::write(*socket, boost::asio::buffer(script.endless), error);
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -42,6 +42,8 @@
     bool hang = false;   ///< after the bytes, wait until the client closes
     bool crash = false;  ///< after the bytes, end as a killed process does
     bool reset = false;  ///< reset the connection after the bytes
+    /// Sent before the response to the next request on the connection.
+    std::string late = "";
     /// Sent again and again after the bytes, until the client closes.
     std::string endless = "";
     absl::Duration endless_pause = absl::ZeroDuration();  ///< between repeats
