Follow the removal of a leader's entry until the store has it

Cause: a leader without a path to targets gives its lead up in memory and removes its entry by one call. If the store refuses that, the process neither leads nor calls again, and renews the lease on which the entry hangs.

Change: the call is repeated until the store has said that the entry of this revision is gone; one that is carried out late meets another revision. The same cause: a stopping process ends its lease in place of deleting keys, which takes an abandoned entry along and cannot hit the next process of its name; an instance whose entry was removed enters itself again; the trial of a held request is given back until the outcome is known, for its own revision.

Measured: SomeInstanceLeadsIfTheStoreFailsMeanwhile (five rows: refused, answer lost, done late, path back first) and EntersItselfAgain fail on and pass now.

--- a/dragonflyglade/gateway/crash_suspects.h
+++ b/dragonflyglade/gateway/crash_suspects.h
@@ -33,7 +33,7 @@
       : refused(context, fleet, store, self, metrics, log, clock, time_of_day),
         judge(context, fleet, refused, self, log, tasks, clock),
         reports(context, fleet, refused, judge, self, clock),
-        trials(refused, store, self.name, log, clock) {}
+        trials(context, refused, store, self.name, log, clock) {}
 
   /// Sets the function that sends messages; to be called before all others.
   void OnSend(const RefusedSuspects::SendMessage& send) {
--- a/dragonflyglade/gateway/registration.cc
+++ b/dragonflyglade/gateway/registration.cc
@@ -72,6 +72,7 @@
   Instant next_renewal = this->clock.Now();
   while (!this->leaving) {
     const Instant now = this->clock.Now();
+    if (this->HasLostEntry()) this->is_registered = false;
     if (this->lease == 0 || this->NeedsDifferentTtl()) {
       co_await this->RequestLease();
       next_renewal = now + this->granted_ttl / kRenewalsPerLease;
@@ -82,7 +83,8 @@
       co_await this->Renew();
     }
     if (this->is_registered && !this->leaving) {
-      if (this->ShouldStepDown()) co_await this->StepDown();
+      if (this->ShouldStepDown()) this->StepDown();
+      co_await this->RemoveAbandonedEntry();
       co_await this->TryBecomeLeader();
     }
     co_await Sleep(this->context,
@@ -97,7 +99,8 @@
   const StoreResponse response =
       co_await this->store.Call(std::move(call), kCallTimeout);
   const auto* lease = std::get_if<StoreLease>(&response);
-  if (lease == nullptr) co_return;
+  if (lease == nullptr || this->leaving) co_return;
+  this->superseded_lease = this->lease;
   this->lease = lease->lease;
   this->granted_ttl = lease->ttl;
   this->requested_ttl = wanted;
@@ -116,10 +119,20 @@
       co_await this->store.Call(std::move(call), kCallTimeout);
   if (std::holds_alternative<StoreLeaseNotFound>(response))
     this->HandleLeaseLoss();
-  this->is_registered = std::holds_alternative<StoreCommitted>(response);
-  if (this->is_registered) {
-    this->log.Write("registration", "entered", {{"lease", this->lease}});
-  }
+  const auto* committed = std::get_if<StoreCommitted>(&response);
+  this->is_registered = committed != nullptr;
+  if (committed == nullptr) co_return;
+  this->entry_revision = committed->revision;
+  this->superseded_lease = 0;
+  this->log.Write("registration", "entered", {{"lease", this->lease}});
+}
+
+// A call of an earlier process with the same name may be carried out late.
+bool Registration::HasLostEntry() const {
+  if (!this->is_registered) return false;
+  const std::string key = FleetState::InstanceKey(this->self.name);
+  return this->fleet.AppliedRevision(key) > this->entry_revision &&
+         this->fleet.Instances().count(this->self.name) == 0;
 }
 
 asio::awaitable<void> Registration::Renew() {
@@ -145,6 +158,7 @@
       {{"lease", this->lease}, {"held_duty", this->leader_lease.IsLeader()}});
   this->lease = 0;
   this->is_registered = false;
+  if (this->abandoned.has_value()) this->abandoned->is_removed = true;
   this->leader_lease.OnLeaseLost();
 }
 
@@ -202,11 +216,23 @@
          this->clock.Now() - *since >= kStepDownDelay;
 }
 
-asio::awaitable<void> Registration::StepDown() {
-  const std::uint64_t revision = this->fleet.Leader()->revision;
+void Registration::StepDown() {
   this->stepped_down_in = this->paths.IsolatedSince();
-  this->abandoned_revision = revision;
+  this->abandoned = AbandonedEntry{this->fleet.Leader()->revision};
   this->leader_lease.OnLeaseLost();
+  this->log.Write(
+      "duty", "given up",
+      {{"why", "no path to targets"}, {"revision", this->abandoned->revision}});
+}
+
+// Failure: the store refuses the call or loses its answer, and the entry of a
+// leader that no longer leads stays under the lease that its process renews. No
+// other instance can lead until the process ends. The call is repeated until
+// the entry is known to be gone. One that is carried out late does no harm: the
+// next leader's entry has another revision.
+asio::awaitable<void> Registration::RemoveAbandonedEntry() {
+  if (!this->abandoned.has_value() || this->abandoned->is_removed) co_return;
+  const std::uint64_t revision = this->abandoned->revision;
   StoreTransaction transaction;
   const std::string key(FleetState::kLeaderKey);
   transaction.preconditions.push_back({key, revision});
@@ -214,9 +240,11 @@
   StoreCall call = std::move(transaction);
   const StoreResponse response =
       co_await this->store.Call(std::move(call), kCallTimeout);
-  const bool confirmed = std::holds_alternative<StoreCommitted>(response);
-  this->log.Write("duty", "given up",
-                  {{"why", "no path to targets"}, {"confirmed", confirmed}});
+  const bool removed = std::holds_alternative<StoreCommitted>(response) ||
+                       std::holds_alternative<StoreConflict>(response);
+  this->abandoned->is_removed = removed;
+  this->log.Write("duty", removed ? "entry removed" : "entry not removed",
+                  {{"revision", revision}});
 }
 
 asio::awaitable<void> Registration::TryBecomeLeader() {
@@ -228,10 +256,13 @@
     // succeeded. An entry under an earlier lease of this instance does not
     // count, since it is about to expire: this instance would give orders with
     // an old fencing token while the next leader gives orders, too.
+    const std::uint64_t revision = this->fleet.Leader()->revision;
+    const bool is_abandoned =
+        this->abandoned.has_value() && this->abandoned->revision == revision;
     if (this->HoldsLeaderEntry() && !this->leader_lease.IsLeader() &&
-        this->fleet.Leader()->revision != this->abandoned_revision) {
-      this->leader_lease.OnLeaseAcquired(this->fleet.Leader()->revision,
-                                         this->renewed_at, this->granted_ttl);
+        !is_abandoned) {
+      this->leader_lease.OnLeaseAcquired(revision, this->renewed_at,
+                                         this->granted_ttl);
     }
     co_return;
   }
@@ -260,38 +291,35 @@
   this->log.Write("duty", "taken", {{"fence", committed->revision}});
 }
 
+// Failure: the call that removes the entries gets no answer and is carried out
+// late, when the next process has entered itself under the same name. The end
+// of this process's lease removes this process's entries only, also an entry
+// whose write is still under way.
 asio::awaitable<void> Registration::Leave() {
   this->leaving = true;
   const bool held = this->leader_lease.IsLeader();
   this->leader_lease.OnLeaseLost();
-  StoreTransaction transaction;
-  transaction.deletes.push_back(FleetState::InstanceKey(this->self.name));
-  if (held) {
-    // The fleet state is not used here: right after the entry was written, this
-    // instance's own watch may not have returned it yet.
-    const std::string key(FleetState::kLeaderKey);
-    transaction.preconditions.push_back(
-        {key, this->leader_lease.FencingToken()});
-    transaction.deletes.push_back(key);
-  }
-  // Retries until the outcome is known. If leases do not expire while the store
-  // is unavailable, the leader's entry would stay with a terminated process
-  // until its lease runs out afterwards, and no instance would place models in
-  // the meantime.
-  bool is_confirmed = false;
-  while (!is_confirmed) {
-    StoreCall call = transaction;
+  co_await this->EndLease(this->lease);
+  co_await this->EndLease(this->superseded_lease);
+  this->log.Write("registration", "left", {{"held_duty", held}});
+}
+
+// Retries until the outcome is known. If leases do not expire while the store
+// is unavailable, the leader's entry would stay with a terminated process until
+// its lease runs out afterwards, and no instance would place models in the
+// meantime.
+asio::awaitable<void> Registration::EndLease(std::uint64_t ended) {
+  if (ended == 0) co_return;
+  while (true) {
+    StoreCall call = StoreLeaseRevoke{ended};
     const StoreResponse response =
         co_await this->store.Call(std::move(call), kCallTimeout);
-    is_confirmed = std::holds_alternative<StoreCommitted>(response);
-    if (std::holds_alternative<StoreConflict>(response)) {
-      // Another instance is leader; only this instance's own entry is removed.
-      transaction.preconditions.clear();
-      transaction.deletes.resize(1);
+    if (std::holds_alternative<StoreLease>(response) ||
+        std::holds_alternative<StoreLeaseNotFound>(response)) {
+      co_return;
     }
-    if (!is_confirmed) co_await Sleep(this->context, kRetryPause);
+    co_await Sleep(this->context, kRetryPause);
   }
-  this->log.Write("registration", "left", {{"held_duty", held}});
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/registration.h
+++ b/dragonflyglade/gateway/registration.h
@@ -43,13 +43,22 @@
   boost::asio::awaitable<void> Leave();
 
  private:
+  /// A leader's entry of this instance that it has given up.
+  struct AbandonedEntry {
+    std::uint64_t revision = 0;
+    bool is_removed = false;  ///< as far as known
+  };
+
   boost::asio::awaitable<void> WaitForListing();
   boost::asio::awaitable<void> RequestLease();
   boost::asio::awaitable<void> WriteEntry();
   boost::asio::awaitable<void> Renew();
   boost::asio::awaitable<void> TryBecomeLeader();
   bool ShouldStepDown() const;
-  boost::asio::awaitable<void> StepDown();
+  void StepDown();
+  boost::asio::awaitable<void> RemoveAbandonedEntry();
+  bool HasLostEntry() const;
+  boost::asio::awaitable<void> EndLease(std::uint64_t ended);
   bool HoldsLeaderEntry() const;
   void CheckLeadership();
   absl::Duration CandidacyDelay() const;
@@ -67,6 +76,9 @@
   EventLog& log;
   const Clock clock;
   std::uint64_t lease = 0;
+  /// The previous lease, while this instance's entry may still hang on it.
+  std::uint64_t superseded_lease = 0;
+  std::uint64_t entry_revision = 0;  ///< of this instance's entry
   ClockReadings renewed_at;      ///< when the last successful renewal was sent
   absl::Duration granted_ttl;    ///< duration that the store granted
   absl::Duration requested_ttl;  ///< duration that was requested
@@ -75,7 +87,7 @@
   std::optional<Instant> leaderless_since;
   /// The start of the isolation in which this instance gave up leadership.
   std::optional<Instant> stepped_down_in;
-  std::uint64_t abandoned_revision = 0;  ///< of the leader's entry given up
+  std::optional<AbandonedEntry> abandoned;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/request_trials.cc
+++ b/dragonflyglade/gateway/request_trials.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr absl::Duration kStoreTimeout = absl::Milliseconds(400);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(500);
 // A trial that led to nothing is given back; until then the store is not asked
 // again.
 constexpr absl::Duration kTriedTime = absl::Seconds(10);
@@ -17,9 +18,11 @@
 
 }  // namespace
 
-RequestTrials::RequestTrials(const RefusedSuspects& refused, StoreClient& store,
+RequestTrials::RequestTrials(asio::io_context& context,
+                             const RefusedSuspects& refused, StoreClient& store,
                              std::string self, EventLog& log, Clock clock)
-    : refused(refused),
+    : context(context),
+      refused(refused),
       store(store),
       self(std::move(self)),
       log(log),
@@ -39,9 +42,9 @@
   const std::size_t crashes = held->record.crashes.size();
   state.crashes = crashes == 0 ? kMaxCrashesOfRequest : crashes;
   state.held_for = now - held->known_since;
-  const auto tried = this->tried_at.find(digest);
+  const auto trial = this->known.find(digest);
   state.was_tried =
-      tried != this->tried_at.end() && now - tried->second < kTriedTime;
+      trial != this->known.end() && now - trial->second.tried_at < kTriedTime;
   return state;
 }
 
@@ -57,14 +60,14 @@
 // removes it with the record.
 asio::awaitable<bool> RequestTrials::Claim(std::string digest) {
   if (!this->MayClaim(digest)) co_return false;
-  if (this->tried_at.size() >= kMaxTried) {
-    this->tried_at.erase(
-        std::min_element(this->tried_at.begin(), this->tried_at.end(),
-                         [](const auto& one, const auto& other) {
-                           return one.second < other.second;
-                         }));
+  if (this->known.size() >= kMaxTried) {
+    this->known.erase(std::min_element(this->known.begin(), this->known.end(),
+                                       [](const auto& one, const auto& other) {
+                                         return one.second.tried_at <
+                                                other.second.tried_at;
+                                       }));
   }
-  this->tried_at[digest] = this->clock.Now();
+  this->known[digest] = Trial{this->clock.Now()};
   StoreTransaction transaction;
   const std::string key = TrialKey(digest);
   transaction.preconditions.push_back({key, 0});
@@ -72,16 +75,33 @@
   StoreCall call = std::move(transaction);
   const StoreResponse response =
       co_await this->store.Call(std::move(call), kStoreTimeout);
-  const bool claimed = std::holds_alternative<StoreCommitted>(response);
+  const auto* committed = std::get_if<StoreCommitted>(&response);
+  const bool claimed = committed != nullptr;
+  if (claimed) this->known[digest].revision = committed->revision;
   this->log.Write("parts", "trial", {{"digest", digest}, {"claimed", claimed}});
   co_return claimed;
 }
 
+// Failure: the store refuses the call, the key stays, and the request is
+// refused for good although it is sound. A call that is carried out late
+// removes no later claim, which has another revision.
 asio::awaitable<void> RequestTrials::Release(std::string digest) {
+  const auto trial = this->known.find(digest);
+  if (trial == this->known.end()) co_return;
   StoreTransaction transaction;
-  transaction.deletes.push_back(TrialKey(digest));
-  StoreCall call = std::move(transaction);
-  co_await this->store.Call(std::move(call), kStoreTimeout);
+  const std::string key = TrialKey(digest);
+  transaction.preconditions.push_back({key, trial->second.revision});
+  transaction.deletes.push_back(key);
+  while (true) {
+    StoreCall call = transaction;
+    const StoreResponse response =
+        co_await this->store.Call(std::move(call), kStoreTimeout);
+    if (std::holds_alternative<StoreCommitted>(response) ||
+        std::holds_alternative<StoreConflict>(response)) {
+      co_return;
+    }
+    co_await Sleep(this->context, kRetryPause);
+  }
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/request_trials.h
+++ b/dragonflyglade/gateway/request_trials.h
@@ -1,6 +1,8 @@
 #ifndef DRAGONFLYGLADE_GATEWAY_REQUEST_TRIALS_H_
 #define DRAGONFLYGLADE_GATEWAY_REQUEST_TRIALS_H_
 
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -19,7 +21,8 @@
 /// loop.
 class RequestTrials {
  public:
-  RequestTrials(const RefusedSuspects& refused, StoreClient& store,
+  RequestTrials(boost::asio::io_context& context,
+                const RefusedSuspects& refused, StoreClient& store,
                 std::string self, EventLog& log, Clock clock);
 
   /// Whether the request is held back.
@@ -35,18 +38,25 @@
   /// @return false if it was claimed before, or the store did not say so
   boost::asio::awaitable<bool> Claim(std::string digest);
 
-  /// Gives a claimed trial back: no target crashed, and none answered.
+  /// Gives a claimed trial back: no target crashed, and none answered. Retries
+  /// until the store has the outcome.
   boost::asio::awaitable<void> Release(std::string digest);
 
  private:
+  struct Trial {
+    Instant tried_at;
+    std::uint64_t revision = 0;  ///< of the key if it was claimed here
+  };
+
   HeldRequest StateOf(const std::string& digest) const;
 
+  boost::asio::io_context& context;
   const RefusedSuspects& refused;
   StoreClient& store;
   const std::string self;
   EventLog& log;
   const Clock clock;
-  std::map<std::string, Instant> tried_at;  ///< by digest, as far as known
+  std::map<std::string, Trial> known;  ///< by digest
 };
 
 }  // namespace dragonflyglade::gateway
--- a/tests/platform/platform-placement.cc
+++ b/tests/platform/platform-placement.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(AcceptsOrdersAfterAFailedOne);
   CPPUNIT_TEST(DoesNotResumeLeadershipOfAnEndedLease);
   CPPUNIT_TEST(StepsDownIfAnotherInstanceIsLeader);
+  CPPUNIT_TEST(EntersItselfAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +173,16 @@
                       gateway::EncodeInstanceRecord(other));
     harness.WaitFor([&] { return !harness.HoldsLeaderLease(); });
   }
+
+  // Guards against an instance that serves unlisted: the last call of the
+  // process before it, with the same name, was carried out late.
+  void EntersItselfAgain() {
+    Harness harness;
+    const std::string key = gateway::FleetState::InstanceKey("one");
+    harness.WaitFor([&] { return harness.HoldsLeaderLease(); });
+    harness.store.Delete(key);
+    harness.WaitFor([&] { return !harness.store.Get(key).empty(); });
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformPlacementTest,
--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -26,6 +26,10 @@
 // The time after a cut from which on the callers' service counts.
 constexpr absl::Duration kStabilityWindow = absl::Seconds(3);
 constexpr absl::Duration kCallInterval = absl::Milliseconds(50);
+// Longer than a call to the store may take.
+constexpr absl::Duration kFaultTime = absl::Seconds(1);
+// Within this time after the store's return some instance leads.
+constexpr absl::Duration kLeaderTime = absl::Seconds(5);
 
 // Calls the first instance at a steady rate for two stability windows.
 // @return the statuses of the calls in the second window
@@ -60,6 +64,7 @@
   CPPUNIT_TEST(ServesAnswersThatEndWithTheirConnection);
   CPPUNIT_TEST(UsesItsOwnPathsAgain);
   CPPUNIT_TEST(GivesLeadershipToAnInstanceWithAPath);
+  CPPUNIT_TEST(SomeInstanceLeadsIfTheStoreFailsMeanwhile);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -324,6 +329,60 @@
       return leads(!first_led);
     });
   }
+
+  // Guards against a fleet without a leader: the one without a path gives its
+  // duty up, and its entry stays in the store.
+  void SomeInstanceLeadsIfTheStoreFailsMeanwhile() {
+    using WriteFault = PlatformStoreStandIn::WriteFault;
+    struct Case {
+      const char* name;
+      WriteFault fault;
+      bool path_is_back_first;
+    };
+    const std::vector<Case> cases = {
+        {"refused", WriteFault::kRefused, false},
+        {"refused, the path is back first", WriteFault::kRefused, true},
+        {"done, the answer lost", WriteFault::kAnswerLost, false},
+        {"done late", WriteFault::kDoneLate, false},
+        {"done late, the path is back first", WriteFault::kDoneLate, true},
+    };
+    for (const Case& item : cases) {
+      TwoInstances pair;
+      PlatformStoreStandIn& store = pair.harness.store;
+      const auto leads = [&pair](bool first) {
+        return first ? pair.harness.HoldsLeaderLease() : pair.SecondLeads();
+      };
+      pair.harness.WaitFor([&] { return leads(true) || leads(false); });
+      const bool first_led = leads(true);
+      store.SetWriteFault(item.fault);
+      TwoInstances::Set(first_led ? pair.first_paths : pair.second_paths,
+                        PathState::kResets);
+      pair.harness.WaitFor([&] {
+        if (first_led) {
+          pair.Call("");
+        } else {
+          pair.CallSecond();
+        }
+        return !leads(first_led);
+      });
+      const auto open_paths = [&] {
+        TwoInstances::Set(first_led ? pair.first_paths : pair.second_paths,
+                          PathState::kOpen);
+      };
+      if (item.path_is_back_first) open_paths();
+      absl::SleepFor(kFaultTime);
+      store.SetWriteFault(WriteFault::kNone);
+      const absl::Time end = absl::Now() + kLeaderTime;
+      while (!leads(true) && !leads(false) && absl::Now() < end) {
+        absl::SleepFor(absl::Milliseconds(20));
+      }
+      CPPUNIT_ASSERT_MESSAGE(item.name, leads(true) || leads(false));
+      const bool first_leads = leads(true);
+      store.RunLateWrites();
+      absl::SleepFor(kFaultTime);
+      CPPUNIT_ASSERT_MESSAGE(item.name, leads(first_leads));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ReachabilityTest,
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -75,6 +75,11 @@
     const auto ttl_ms = absl::ToInt64Milliseconds(lease->second.ttl);
     response.set_content(json{{"ttl_ms", ttl_ms}}.dump(), kJson);
   });
+  this->server->Delete(R"(/-/kv-lease-end/(\d+))",
+                       [this](const Request& request, Response& response) {
+                         response.status =
+                             this->EndLease(std::stoull(request.matches[1]));
+                       });
   this->port = this->server->bind_to_any_port("127.0.0.1");
   this->worker = std::make_unique<PeriodicWorker>([this] {
     this->server->listen_after_bind();
@@ -164,9 +169,30 @@
   return found == this->items.end() ? 0 : found->second.lease;
 }
 
-void PlatformStoreStandIn::RejectWrites(bool reject) {
+void PlatformStoreStandIn::SetWriteFault(WriteFault fault) {
   absl::MutexLock lock(&this->mutex);
-  this->rejects_writes = reject;
+  this->write_fault = fault;
+}
+
+void PlatformStoreStandIn::RunLateWrites() {
+  absl::MutexLock lock(&this->mutex);
+  std::string response_body;
+  for (const std::string& body : this->late_writes) {
+    this->TransactLocked(body, response_body);
+  }
+  this->late_writes.clear();
+}
+
+int PlatformStoreStandIn::EndLease(std::uint64_t lease) {
+  absl::MutexLock lock(&this->mutex);
+  if (this->write_fault == WriteFault::kRefused) return 503;
+  if (this->leases.erase(lease) == 0) return 404;
+  std::vector<std::string> ended_keys;
+  for (const auto& [key, item] : this->items) {
+    if (item.lease == lease) ended_keys.push_back(key);
+  }
+  for (const std::string& key : ended_keys) this->DeleteLocked(key);
+  return 200;
 }
 
 std::string PlatformStoreStandIn::Get(const std::string& key) const {
@@ -231,9 +257,28 @@
 
 int PlatformStoreStandIn::Transact(const std::string& body,
                                    std::string& response_body) {
-  const json transaction = json::parse(body);
+  constexpr int kUnreadable = 200;
   absl::MutexLock lock(&this->mutex);
-  if (this->rejects_writes) return 503;
+  switch (this->write_fault) {
+    case WriteFault::kNone:
+      return this->TransactLocked(body, response_body);
+    case WriteFault::kRefused:
+      return 503;
+    case WriteFault::kAnswerLost:
+      this->TransactLocked(body, response_body);
+      response_body = "{";
+      return kUnreadable;
+    case WriteFault::kDoneLate:
+      this->late_writes.push_back(body);
+      response_body = "{";
+      return kUnreadable;
+  }
+  return 503;
+}
+
+int PlatformStoreStandIn::TransactLocked(const std::string& body,
+                                         std::string& response_body) {
+  const json transaction = json::parse(body);
   for (const json& condition : transaction.at("expected")) {
     const auto found = this->items.find(condition.at("key"));
     const std::uint64_t current_revision =
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -36,8 +36,21 @@
   /// While set, every listing and watch fails with status 503. A watch that
   /// waits goes on.
   void RejectReads(bool reject);
-  /// While set, every transaction fails with status 503 and changes nothing.
-  void RejectWrites(bool reject);
+  /// What happens to transactions, unless said otherwise.
+  enum class WriteFault {
+    kNone,
+    /// They, and the ends of leases, fail with status 503 and change nothing.
+    kRefused,
+    kAnswerLost,  ///< they are carried out, and their response is unreadable
+    /// They are carried out by RunLateWrites, if their conditions hold then;
+    /// their response is unreadable.
+    kDoneLate,
+  };
+  void SetWriteFault(WriteFault fault);
+  void RejectWrites(bool reject) {
+    this->SetWriteFault(reject ? WriteFault::kRefused : WriteFault::kNone);
+  }
+  void RunLateWrites();
 
   /// Ends the leases whose TTL has passed since their last renewal, and
   /// deletes their keys.
@@ -81,6 +94,9 @@
   std::string Watch(const std::string& prefix, std::uint64_t after,
                     int wait_ms) const;
   int Transact(const std::string& body, std::string& response_body);
+  int TransactLocked(const std::string& body, std::string& response_body)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  int EndLease(std::uint64_t lease);
 
   mutable absl::Mutex mutex;
   std::map<std::string, Item> items ABSL_GUARDED_BY(mutex);
@@ -92,7 +108,8 @@
   int renewals ABSL_GUARDED_BY(mutex) = 0;
   int listings ABSL_GUARDED_BY(mutex) = 0;
   bool rejects_reads ABSL_GUARDED_BY(mutex) = false;
-  bool rejects_writes ABSL_GUARDED_BY(mutex) = false;
+  WriteFault write_fault ABSL_GUARDED_BY(mutex) = WriteFault::kNone;
+  std::vector<std::string> late_writes ABSL_GUARDED_BY(mutex);
   bool stopping ABSL_GUARDED_BY(mutex) = false;
   std::unique_ptr<httplib::Server> server;
   int port = 0;
