Bound what a restarted process believes of the versions before it

Cause: the store's record that one version served alone is believed for any version if none is listed when it is read, and for the time after it was written. So a take-up that comes before the new version's targets makes all later ones go on there, and a version that served for less than the record's age is not known at all.

Change: the record's version counts as one that served until the restart. The record says up to which revision its writer knew the targets, the leader renews it every four seconds, and a process that starts reads the store's history from there; without that history unknown streams are refused. A stream that nobody remembers goes on at the one version only.

One version with a fresh record goes on as before.

--- a/dragonflyglade/decision/stream_versions.cc
+++ b/dragonflyglade/decision/stream_versions.cc
@@ -110,12 +110,20 @@
   return latest->first;
 }
 
-void ServedVersions::SetSingleSince(const SoftwareVersion& version,
-                                    Instant since) {
-  const bool same = this->last_seen.empty() ||
-                    (this->last_seen.size() == 1 && this->Latest() == version);
-  if (!same) return;
+std::optional<SoftwareVersion> ServedVersions::SoleFor(absl::Duration time,
+                                                       Instant now) const {
+  if (this->SingleFor(now) < time) return std::nullopt;
+  return this->Latest();
+}
+
+// Failure: nothing serves when the version becomes known, its targets have just
+// left. If it were not remembered as one that served, the next version would
+// seem to have served alone all the time, and would go on with its streams.
+void ServedVersions::RecordEarlier(const SoftwareVersion& version,
+                                   Instant since, Instant until) {
   this->known_since = std::min(this->known_since, since);
+  const auto seen = this->last_seen.try_emplace(version, until).first;
+  seen->second = std::max(seen->second, until);
 }
 
 std::vector<std::size_t> StreamOwners(
@@ -141,10 +149,13 @@
 
 ContinuationDecision DecideContinuation(const ContinuationFacts& facts) {
   if (facts.origin.has_value()) return OnlyVersion{*facts.origin};
-  if (facts.several_versions) return UnknownVersion{};
+  if (facts.several_versions || !facts.sole_version.has_value()) {
+    return UnknownVersion{};
+  }
   // Other instances may send to targets of a version that is not known here.
   if (!facts.up_to_date && facts.answers == 0) return UnknownVersion{};
-  return AnyVersion{};
+  // A target of another version may begin to serve before the stream is sent.
+  return OnlyVersion{{*facts.sole_version, 0}};
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/decision/stream_versions.h
+++ b/dragonflyglade/decision/stream_versions.h
@@ -76,6 +76,11 @@
   /// @return whether it is another version than the ones before
   bool Record(const SoftwareVersion& version, Instant now);
 
+  /// Records that this version served alone for a time before the targets were
+  /// known.
+  void RecordEarlier(const SoftwareVersion& version, Instant since,
+                     Instant until);
+
   /// For how long all targets have had the same version; zero while several
   /// versions serve.
   absl::Duration SingleFor(Instant now) const;
@@ -83,9 +88,10 @@
   /// The version that served last; nothing if none has.
   std::optional<SoftwareVersion> Latest() const;
 
-  /// Sets that a version served alone from an earlier time until the targets
-  /// were known. Has no effect if another version has served since.
-  void SetSingleSince(const SoftwareVersion& version, Instant since);
+  /// The version that has served alone for this time; nothing if there is none,
+  /// or no version is known.
+  std::optional<SoftwareVersion> SoleFor(absl::Duration time,
+                                         Instant now) const;
 
  private:
   Instant known_since;
@@ -115,23 +121,22 @@
   /// Known by this or by another instance.
   std::optional<StreamOrigin> origin;
   int answers = 0;  ///< of other instances
-  /// Whether this or another instance has seen targets of several versions
-  /// within the time in which the stream may have begun.
+  /// Whether another instance has seen targets of several versions within the
+  /// time in which the stream may have begun.
   bool several_versions = false;
+  /// The only version that served in this time, as far as this instance knows.
+  std::optional<SoftwareVersion> sole_version;
   /// Whether this instance knows the present targets.
   bool up_to_date = true;
 };
 
-/// The stream may go on at any target.
-struct AnyVersion {};
-/// The stream may go on only at targets of the version.
+/// The stream may go on only at targets of the version, at which it began.
 struct OnlyVersion {
   StreamOrigin origin;
 };
 /// Nobody knows which version began the stream.
 struct UnknownVersion {};
-using ContinuationDecision =
-    std::variant<AnyVersion, OnlyVersion, UnknownVersion>;
+using ContinuationDecision = std::variant<OnlyVersion, UnknownVersion>;
 
 /// Decides at which targets a stream may go on. Answers the load of callers who
 /// take streams up while targets are replaced by ones of another version.
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -324,27 +324,13 @@
     this->on_second_version(record.service);
 }
 
-absl::Duration FleetState::SingleVersionFor(std::string_view service) {
+ServedVersions& FleetState::CurrentVersions(std::string_view service) {
   const Instant now = this->clock.Now();
   ServedVersions& versions = this->VersionsOf(service);
   for (const auto& target : this->Targets(service)) {
     versions.Record(target->Record().version, now);
   }
-  return versions.SingleFor(now);
-}
-
-std::optional<SoftwareVersion> FleetState::LatestVersion(
-    std::string_view service) const {
-  const auto found = this->served_versions.find(service);
-  if (found == this->served_versions.end()) return std::nullopt;
-  return found->second.Latest();
-}
-
-void FleetState::SetSingleVersionSince(const std::string& service,
-                                       const SoftwareVersion& version,
-                                       Instant since) {
-  this->SingleVersionFor(service);
-  this->VersionsOf(service).SetSingleSince(version, since);
+  return versions;
 }
 
 void FleetState::ApplyDeleted(std::string_view key, std::uint64_t revision) {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -130,17 +130,9 @@
     return this->initial_spend_record;
   }
 
-  /// For how long all targets of the service have had the same software
-  /// version; zero while they have several.
+  /// The software versions of the service's targets, the present ones included.
   /// Complexity: linear in the targets of the service.
-  absl::Duration SingleVersionFor(std::string_view service);
-  /// The software version of the service's targets, or one of several; nothing
-  /// if no target is known.
-  std::optional<SoftwareVersion> LatestVersion(std::string_view service) const;
-  /// Sets since when, before this process started, a service's targets have had
-  /// the same version.
-  void SetSingleVersionSince(const std::string& service,
-                             const SoftwareVersion& version, Instant since);
+  ServedVersions& CurrentVersions(std::string_view service);
   /// Sets that no target served before this process started, since the whole
   /// system starts for the first time. To be called before all others.
   void SetFirstStart() { this->known_since = -absl::InfiniteDuration(); }
@@ -149,7 +141,7 @@
   void OnSecondVersion(std::function<void(std::string_view service)> callback) {
     this->on_second_version = std::move(callback);
   }
-  /// The versions that served alone as the store had them when this process
+  /// The versions that served alone, as the store had them when this process
   /// listed the store for the first time.
   const std::optional<VersionRecord>& InitialVersionRecord() const {
     return this->initial_version_record;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -76,8 +76,11 @@
                       UniformRandom()),
       relay(this->context, this->fleet, this->sync_state, this->self,
             this->settings.link_mbps, this->metrics, this->log, this->clock),
-      stream_origins(this->context, this->fleet, this->sync_state, this->self,
-                     this->metrics, this->log, this->clock, absl::Now),
+      earlier_versions(this->context, this->store, this->wire, this->fleet,
+                       this->sync_state, this->log, this->clock, absl::Now),
+      stream_origins(this->context, this->fleet, this->earlier_versions,
+                     this->sync_state, this->self, this->metrics, this->log,
+                     this->clock),
       crash_suspects(this->context, this->fleet, this->store, this->self,
                      this->metrics, this->log, this->tasks, this->clock,
                      absl::Now),
@@ -107,6 +110,7 @@
       spend_recorder(this->context, this->store, this->aggregator,
                      this->leader_lease, this->log, absl::Now),
       version_recorder(this->context, this->store, this->fleet,
+                       this->earlier_versions, this->sync_state,
                        this->leader_lease, this->clock, absl::Now),
       placement(this->context, this->settings, this->wire, this->fleet,
                 this->leader_lease, this->aggregator, this->channel,
@@ -246,6 +250,7 @@
                                [this] { return this->channel.Report(); });
   this->tasks.SpawnWithRestart("record spending",
                                [this] { return this->spend_recorder.Run(); });
+  this->tasks.Spawn("find earlier versions", this->earlier_versions.Run());
   this->tasks.SpawnWithRestart("record versions",
                                [this] { return this->version_recorder.Run(); });
   this->tasks.SpawnWithRestart("maintain crash records", [this] {
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -139,6 +139,7 @@
   ReportAggregator aggregator;
   QuotaAdmission quota_admission;
   StoreRelay relay;
+  EarlierVersions earlier_versions;
   StreamOrigins stream_origins;
   CrashSuspects crash_suspects;
   PromptCaches prompt_caches;
--- a/dragonflyglade/gateway/stream_origins.cc
+++ b/dragonflyglade/gateway/stream_origins.cc
@@ -46,25 +46,33 @@
 
 // For the log and the metrics.
 struct DecisionText {
-  std::string_view operator()(const AnyVersion&) const { return "one version"; }
   std::string_view operator()(const OnlyVersion&) const { return "known"; }
   std::string_view operator()(const UnknownVersion&) const { return "unknown"; }
 };
 
+// For the log.
+struct VersionText {
+  std::string operator()(const OnlyVersion& only) const {
+    return only.origin.version.value_or("none");
+  }
+  std::string operator()(const UnknownVersion&) const { return ""; }
+};
+
 }  // namespace
 
 StreamOrigins::StreamOrigins(asio::io_context& context, FleetState& fleet,
+                             EarlierVersions& earlier_versions,
                              const StoreSyncState& sync_state,
                              InstanceRecord self, Metrics& metrics,
-                             EventLog& log, Clock clock, TimeOfDay time_of_day)
+                             EventLog& log, Clock clock)
     : context(context),
       fleet(fleet),
+      earlier_versions(earlier_versions),
       sync_state(sync_state),
       self(std::move(self)),
       metrics(metrics),
       log(log),
       clock(clock),
-      time_of_day(std::move(time_of_day)),
       streams(clock) {
   this->fleet.OnSecondVersion([this](std::string_view service) {
     this->log.Write("stream", "second version",
@@ -73,20 +81,6 @@
   });
 }
 
-// All processes may have been killed a moment ago. With the record, this one
-// knows that no stream can have begun at another version.
-void StreamOrigins::ApplyVersionRecord() {
-  const std::optional<VersionRecord>& record =
-      this->fleet.InitialVersionRecord();
-  if (this->version_record_applied || !record.has_value()) return;
-  this->version_record_applied = true;
-  for (const auto& [service, single] : *record) {
-    const absl::Duration age = this->time_of_day() - single.since;
-    this->fleet.SetSingleVersionSince(service, single.version,
-                                      this->clock.Now() - age);
-  }
-}
-
 std::vector<StreamOwnerCandidate> StreamOrigins::Candidates() const {
   std::vector<StreamOwnerCandidate> candidates;
   for (const auto& [name, record] : this->fleet.Instances()) {
@@ -95,10 +89,11 @@
   return candidates;
 }
 
-bool StreamOrigins::MayHaveSeveralVersions(std::string_view service,
-                                           absl::Duration lifetime) {
-  this->ApplyVersionRecord();
-  return this->fleet.SingleVersionFor(service) < lifetime;
+std::optional<SoftwareVersion> StreamOrigins::SoleVersion(
+    std::string_view service, absl::Duration lifetime) {
+  if (!this->earlier_versions.AreKnown()) return std::nullopt;
+  return this->fleet.CurrentVersions(service).SoleFor(lifetime,
+                                                      this->clock.Now());
 }
 
 bool StreamOrigins::IsUpToDate() const {
@@ -112,7 +107,7 @@
                                const StreamOrigin& origin) {
   if (!IsUsableId(query.stream)) return;
   this->streams.Record(query.stream, origin, query.lifetime);
-  if (this->MayHaveSeveralVersions(query.service, query.lifetime)) {
+  if (!this->SoleVersion(query.service, query.lifetime).has_value()) {
     this->TellOwners(query.stream, origin, query.lifetime);
   }
 }
@@ -161,25 +156,26 @@
   if (!facts.origin.has_value()) {
     source = "others";
     if (IsUsableId(query.stream)) facts = co_await this->Ask(query);
-    facts.several_versions |=
-        this->MayHaveSeveralVersions(query.service, query.lifetime);
+    co_await this->earlier_versions.AwaitKnown();
+    facts.sole_version = this->SoleVersion(query.service, query.lifetime);
     facts.up_to_date = this->IsUpToDate();
   }
   const ContinuationDecision decision = DecideContinuation(facts);
-  const std::string_view text = std::visit(DecisionText(), decision);
+  const bool by_sole_version = !facts.origin.has_value() &&
+                               std::holds_alternative<OnlyVersion>(decision);
+  const std::string_view text =
+      by_sole_version ? "one version" : std::visit(DecisionText(), decision);
   this->metrics.Count("stream_continuations",
                       "decision=\"" + std::string(text) + "\"");
-  this->log.Write(
-      "stream", "continuation",
-      {{"id", query.request_id},
-       {"stream", query.stream},
-       {"decision", text},
-       {"source", source},
-       {"version",
-        facts.origin.has_value() ? facts.origin->version.value_or("none") : ""},
-       {"answers", facts.answers},
-       {"up_to_date", facts.up_to_date},
-       {"waited_ms", this->clock.Now() - start}});
+  this->log.Write("stream", "continuation",
+                  {{"id", query.request_id},
+                   {"stream", query.stream},
+                   {"decision", text},
+                   {"source", source},
+                   {"version", std::visit(VersionText(), decision)},
+                   {"answers", facts.answers},
+                   {"up_to_date", facts.up_to_date},
+                   {"waited_ms", this->clock.Now() - start}});
   co_return decision;
 }
 
@@ -242,7 +238,7 @@
   answer.number = question.number;
   answer.instance = this->self.name;
   answer.several_versions =
-      this->MayHaveSeveralVersions(question.service_name, lifetime);
+      !this->SoleVersion(question.service_name, lifetime).has_value();
   const std::optional<StreamOrigin> origin =
       this->streams.Find(question.stream);
   if (origin.has_value()) {
--- a/dragonflyglade/gateway/stream_origins.h
+++ b/dragonflyglade/gateway/stream_origins.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include "dragonflyglade/decision/stream_versions.h"
 #include "dragonflyglade/gateway/async_condition.h"
 #include "dragonflyglade/gateway/awaitable.h"
+#include "dragonflyglade/gateway/earlier_versions.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/fleet_state.h"
 #include "dragonflyglade/gateway/instance_record.h"
@@ -43,12 +45,10 @@
  public:
   using SendMessage = std::function<void(const wire::FleetMessage& message,
                                          const std::string& address)>;
-  using TimeOfDay = std::function<absl::Time()>;
-
   StreamOrigins(boost::asio::io_context& context, FleetState& fleet,
+                EarlierVersions& earlier_versions,
                 const StoreSyncState& sync_state, InstanceRecord self,
-                Metrics& metrics, EventLog& log, Clock clock,
-                TimeOfDay time_of_day);
+                Metrics& metrics, EventLog& log, Clock clock);
 
   /// Sets the function that sends messages; to be called before all others.
   void OnSend(SendMessage send) { this->send = std::move(send); }
@@ -78,10 +78,11 @@
     }
   };
 
-  void ApplyVersionRecord();
   std::vector<StreamOwnerCandidate> Candidates() const;
-  bool MayHaveSeveralVersions(std::string_view service,
-                              absl::Duration lifetime);
+  /// The only version at which a stream of this lifetime can have begun, as far
+  /// as this instance knows; nothing if there may be several.
+  std::optional<SoftwareVersion> SoleVersion(std::string_view service,
+                                             absl::Duration lifetime);
   bool IsUpToDate() const;
   boost::asio::awaitable<ContinuationFacts> Ask(const StreamQuery& query);
   void ReceiveNote(const wire::StreamOriginNote& note);
@@ -97,17 +98,16 @@
 
   boost::asio::io_context& context;
   FleetState& fleet;
+  EarlierVersions& earlier_versions;
   const StoreSyncState& sync_state;
   const InstanceRecord self;
   Metrics& metrics;
   EventLog& log;
   const Clock clock;
-  const TimeOfDay time_of_day;
   SendMessage send;
   StreamVersions streams;
   std::int64_t last_number = 0;
   std::map<std::int64_t, PendingQuestion> pending;
-  bool version_record_applied = false;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/version_record.cc
+++ b/dragonflyglade/gateway/version_record.cc
@@ -1,6 +1,5 @@
 #include "dragonflyglade/gateway/version_record.h"
 
-#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,6 +12,7 @@
   for (const auto& [service, single] : record) {
     json& item = document[service];
     item["since_ms"] = absl::ToUnixMillis(single.since);
+    item["known_through"] = single.known_through;
     if (single.version.has_value()) item["version"] = *single.version;
   }
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -26,6 +26,7 @@
       SingleVersion single;
       single.since =
           absl::FromUnixMillis(item.at("since_ms").get<std::int64_t>());
+      single.known_through = item.value("known_through", std::uint64_t{0});
       const auto version = item.find("version");
       if (version != item.end()) single.version = version->get<std::string>();
       record[service] = std::move(single);
--- a/dragonflyglade/gateway/version_recorder.cc
+++ b/dragonflyglade/gateway/version_recorder.cc
@@ -12,6 +12,8 @@
 
 constexpr absl::Duration kCheckInterval = absl::Milliseconds(500);
 constexpr absl::Duration kCallTimeout = absl::Milliseconds(400);
+// The store keeps the history since the last writing for longer than that.
+constexpr absl::Duration kRefreshInterval = absl::Seconds(4);
 
 // A service whose only version stays the same has it since the same time.
 bool NameSameVersions(const VersionRecord& one, const VersionRecord& other) {
@@ -26,11 +28,15 @@
 
 VersionRecorder::VersionRecorder(asio::io_context& context, StoreClient& store,
                                  FleetState& fleet,
+                                 const EarlierVersions& earlier_versions,
+                                 const StoreSyncState& sync_state,
                                  const LeaderLease& leader_lease, Clock clock,
                                  TimeOfDay time_of_day)
     : context(context),
       store(store),
       fleet(fleet),
+      earlier_versions(earlier_versions),
+      sync_state(sync_state),
       leader_lease(leader_lease),
       clock(std::move(clock)),
       time_of_day(std::move(time_of_day)) {}
@@ -42,25 +48,33 @@
       this->last.reset();
       continue;
     }
+    if (!this->earlier_versions.AreKnown()) continue;
     VersionRecord record = this->CurrentRecord();
-    if (this->last.has_value() && NameSameVersions(*this->last, record)) {
-      continue;
-    }
-    co_await this->Write(std::move(record));
+    if (this->MustWrite(record)) co_await this->Write(std::move(record));
+  }
+}
+
+bool VersionRecorder::MustWrite(const VersionRecord& record) const {
+  if (!this->last.has_value() || !NameSameVersions(*this->last, record)) {
+    return true;
   }
+  return !record.empty() &&
+         this->clock.Now() - this->written_at >= kRefreshInterval;
 }
 
+// The version and the time for which it has served alone are of one moment.
 VersionRecord VersionRecorder::CurrentRecord() const {
   const absl::Time now = this->time_of_day();
   VersionRecord record;
   const auto config = this->fleet.Config();
   if (config == nullptr) return record;
   for (const auto& [name, service] : config->services) {
-    const std::optional<SoftwareVersion> version =
-        this->fleet.LatestVersion(name);
-    const absl::Duration single_for = this->fleet.SingleVersionFor(name);
+    const ServedVersions& versions = this->fleet.CurrentVersions(name);
+    const std::optional<SoftwareVersion> version = versions.Latest();
+    const absl::Duration single_for = versions.SingleFor(this->clock.Now());
     if (!version.has_value() || single_for <= absl::ZeroDuration()) continue;
-    record[name] = SingleVersion{*version, now - single_for};
+    record[name] = SingleVersion{*version, now - single_for,
+                                 this->sync_state.ReadThrough()};
   }
   return record;
 }
@@ -78,6 +92,7 @@
       co_await this->store.Call(std::move(call), kCallTimeout);
   if (std::holds_alternative<StoreCommitted>(response)) {
     this->last = std::move(record);
+    this->written_at = this->clock.Now();
   }
 }
 
--- a/tests/platform/platform-versions.cc
+++ b/tests/platform/platform-versions.cc
@@ -11,9 +11,11 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
+#include "tests/platform/restarted_instance.h"
 #include "tests/platform/two_instances.h"
 
 namespace dragonflyglade {
@@ -152,6 +154,62 @@
                       "\r\n");
 }
 
+// What the store has of the versions that served.
+enum class RecordKind { kFresh, kStale, kMissing, kUnreadable };
+
+// An instance that starts when all instances have been killed. The store says,
+// if anything, that the version v1 served alone for an hour.
+class VersionsRestart {
+ public:
+  // @param just_left, listed versions of targets that were entered since, and
+  //     whether their entries are still there
+  VersionsRestart(RecordKind record, const std::vector<std::string>& just_left,
+                  const std::vector<std::string>& listed)
+      : restarted([](const RawRequest& request) {
+          return StreamOf(request, "any", kLastEvent);
+        }) {
+    this->PutRecord(record);
+    for (const std::string& version : just_left) {
+      this->restarted.store.Delete(this->restarted.PutTarget(version));
+    }
+    for (const std::string& version : listed) {
+      this->restarted.PutTarget(version);
+    }
+    if (record == RecordKind::kStale) this->restarted.store.DiscardHistory();
+    this->restarted.Start();
+  }
+
+  Reply TakeUpStream() {
+    return this->restarted.Call("POST", "/resumed/", "k1", TakeUp("before", 2));
+  }
+
+  void Enter(const std::vector<std::string>& versions) {
+    for (const std::string& version : versions) {
+      this->restarted.PutTarget(version);
+    }
+    if (!versions.empty()) this->restarted.AwaitTargets(versions.size());
+  }
+
+ private:
+  void PutRecord(RecordKind record) {
+    const std::string key = "dragonflyglade/versions";
+    PlatformStoreStandIn& store = this->restarted.store;
+    if (record == RecordKind::kMissing) return;
+    if (record == RecordKind::kUnreadable) {
+      store.Put(key, "{");
+      return;
+    }
+    const json versions = {
+        {"s",
+         {{"version", "v1"},
+          {"known_through", store.Revision()},
+          {"since_ms", absl::ToUnixMillis(absl::Now() - absl::Hours(1))}}}};
+    store.Put(key, versions.dump());
+  }
+
+  RestartedInstance restarted;
+};
+
 class VersionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(VersionsTest);
   CPPUNIT_TEST(GoesOnAtTheSameVersionWithinOneResponse);
@@ -160,6 +218,7 @@
   CPPUNIT_TEST(RefusesStreamsThatNobodyKnows);
   CPPUNIT_TEST(RefusesIfNoTargetOfTheVersionServes);
   CPPUNIT_TEST(GoesOnAnywhereWhileOneVersionServes);
+  CPPUNIT_TEST(JoinsNoVersionsAfterAllWereKilled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -338,6 +397,50 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.status, reply.status);
     }
   }
+
+  // Guards against a stream that begins at one version and goes on at another,
+  // since all instances were killed and what is left names one version only.
+  void JoinsNoVersionsAfterAllWereKilled() {
+    struct Served {
+      std::string name;
+      std::vector<std::string> just_left;  ///< after the record was written
+      std::vector<std::string> listed;
+      std::vector<std::string> entered_later;
+    };
+    const std::vector<Served> all_served = {
+        {"one version", {}, {"v1"}, {}},
+        {"two versions", {}, {"v1", "v2"}, {}},
+        {"the old one has just left", {"v1"}, {"v2"}, {}},
+        {"the old one has just left, the new one comes later",
+         {"v1"},
+         {},
+         {"v2"}},
+        {"the new one crashed", {"v2"}, {"v1"}, {}},
+        {"the new one crashed, the old one is back later", {"v2"}, {}, {"v1"}},
+    };
+    const std::vector<RecordKind> records = {
+        RecordKind::kFresh, RecordKind::kStale, RecordKind::kMissing,
+        RecordKind::kUnreadable};
+    std::vector<std::string> wrong;
+    for (const Served& served : all_served) {
+      for (const RecordKind record : records) {
+        for (const bool asked_early : {false, true}) {
+          VersionsRestart restart(record, served.just_left, served.listed);
+          if (asked_early) restart.TakeUpStream();
+          restart.Enter(served.entered_later);
+          const Reply reply = restart.TakeUpStream();
+          const bool one_version = served.just_left.empty() &&
+                                   served.listed.size() == 1 &&
+                                   record == RecordKind::kFresh;
+          if (reply.status == (one_version ? 200 : 503)) continue;
+          wrong.push_back(absl::StrCat(
+              served.name, ", record ", static_cast<int>(record),
+              asked_early ? ", asked early: " : ": ", reply.status));
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), absl::StrJoin(wrong, "\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(VersionsTest, "platform-versions");
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -41,6 +41,10 @@
           response.status = 503;
           return;
         }
+        if (!this->HasHistory(std::stoull(request.get_param_value("after")))) {
+          response.status = 410;
+          return;
+        }
         response.set_content(
             this->Watch(request.get_param_value("prefix"),
                         std::stoull(request.get_param_value("after")),
@@ -153,6 +157,11 @@
   this->last_ended_lease = this->last_lease;
 }
 
+std::uint64_t PlatformStoreStandIn::Revision() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->revision;
+}
+
 int PlatformStoreStandIn::Listings() const {
   absl::MutexLock lock(&this->mutex);
   return this->listings;
@@ -228,6 +237,16 @@
       .dump();
 }
 
+void PlatformStoreStandIn::DiscardHistory() {
+  absl::MutexLock lock(&this->mutex);
+  this->discarded_through = this->revision;
+}
+
+bool PlatformStoreStandIn::HasHistory(std::uint64_t after) const {
+  absl::MutexLock lock(&this->mutex);
+  return after >= this->discarded_through;
+}
+
 std::string PlatformStoreStandIn::Watch(const std::string& prefix,
                                         std::uint64_t after,
                                         int wait_ms) const {
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -52,12 +52,16 @@
   }
   void RunLateWrites();
 
+  /// Makes watches from before now fail with status 410.
+  void DiscardHistory();
+
   /// Ends the leases whose TTL has passed since their last renewal, and
   /// deletes their keys.
   void ExpireLeases();
   /// Makes renewals of all present leases fail with status 404; their keys
   /// stay until ExpireLeases is called.
   void RejectRenewals();
+  std::uint64_t Revision() const;
   /// The number of listings served.
   int Listings() const;
   /// The number of successful lease renewals.
@@ -91,6 +95,7 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   bool RejectsReads() const;
   std::string List(const std::string& prefix);
+  bool HasHistory(std::uint64_t after) const;
   std::string Watch(const std::string& prefix, std::uint64_t after,
                     int wait_ms) const;
   int Transact(const std::string& body, std::string& response_body);
@@ -102,6 +107,7 @@
   std::map<std::string, Item> items ABSL_GUARDED_BY(mutex);
   std::vector<Change> changes ABSL_GUARDED_BY(mutex);
   std::uint64_t revision ABSL_GUARDED_BY(mutex) = 1;
+  std::uint64_t discarded_through ABSL_GUARDED_BY(mutex) = 0;
   std::uint64_t last_lease ABSL_GUARDED_BY(mutex) = 0;
   std::map<std::uint64_t, Lease> leases ABSL_GUARDED_BY(mutex);
   std::uint64_t last_ended_lease ABSL_GUARDED_BY(mutex) = 0;
