Refund only what a request was charged

What callers saw: a workspace whose requests hold a part that crashes targets got 214,656 tokens in 8 s, 159,500 are allowed, and its flood no 429 (QUOTA). Cause: Refuse() gives the tokens of each request back that did not run, also of those that are refused before AdmitToQuota() (suspects, size, the origin of a stream, a stopping instance).

Change: what the quota took is a value that the job holds until it is refunded; without it nothing can be given back, and nothing twice. It closes the class: a new refusal before or after the quota cannot be on the wrong side.

--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -237,7 +237,10 @@
   if (job.workspace == nullptr) co_return std::nullopt;
   const QuotaVerdict verdict = co_await this->quotas.AdmitRequest(
       job.request.id, job.workspace->name, job.workspace->quota, job.cost);
-  if (verdict.admitted) co_return std::nullopt;
+  if (verdict.admitted) {
+    job.charge = QuotaCharge{job.workspace->name, job.cost};
+    co_return std::nullopt;
+  }
   co_return MakeRefusal(RefusalCode::kOverRate,
                         "the workspace is above its rate", verdict.retry_after);
 }
@@ -351,9 +354,12 @@
     co_return;
   }
   const RefusalRule& rule = RefusalRuleFor(refusal.code);
-  if (rule.ran == WasExecuted::kNo && job.workspace != nullptr &&
-      refusal.code != RefusalCode::kOverRate) {
-    this->quotas.RefundRequest(job.workspace->name, job.cost);
+  // Failure: a request that is refused before it was charged gives its
+  // workspace tokens that others were charged, and the workspace gets more than
+  // its rate.
+  if (rule.ran == WasExecuted::kNo && job.charge.has_value()) {
+    this->quotas.Refund(*job.charge);
+    job.charge.reset();
   }
   HeaderFields fields = this->wire.response_fields(job.request);
   fields.emplace_back("Content-Type", "application/json");
--- a/dragonflyglade/gateway/quota_admission.h
+++ b/dragonflyglade/gateway/quota_admission.h
@@ -26,6 +26,12 @@
 
 namespace dragonflyglade::gateway {
 
+/// The tokens that a request was charged.
+struct QuotaCharge {
+  std::string workspace;
+  double tokens = 0;
+};
+
 /// Admits requests to workspaces' quotas: out of this instance's own share, or
 /// by a query to the leader, which knows what all instances spent. As leader,
 /// decides on the other instances' queries. Used by one event loop.
@@ -55,8 +61,8 @@
   void UpdateParticipants();
 
   /// Returns the tokens of a request that was admitted but did not run.
-  void RefundRequest(std::string_view workspace, double tokens) {
-    this->quotas.Refund(workspace, tokens);
+  void Refund(const QuotaCharge& charge) {
+    this->quotas.Refund(charge.workspace, charge.tokens);
   }
 
   /// As leader: decides on another instance's query and sends the decision.
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -22,6 +22,7 @@
 #include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/event_splitter.h"
 #include "dragonflyglade/gateway/messages.h"
+#include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 #include "dragonflyglade/gateway/target_state.h"
@@ -46,6 +47,8 @@
   const WorkspaceSpec* workspace = nullptr;
   const ServiceSpec* service = nullptr;
   double cost = 0;
+  /// Set once the quota has admitted the request, until it is refunded.
+  std::optional<QuotaCharge> charge;
   Instant started;
   Instant deadline;
   int attempts = 0;             ///< times that the request was sent to a target
--- a/tests/platform/platform-gateway.cc
+++ b/tests/platform/platform-gateway.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(RespondsByWhetherTheTargetMayHaveExecuted);
   CPPUNIT_TEST(ForwardsFieldsForTheTarget);
   CPPUNIT_TEST(RefusesWithoutForwarding);
+  CPPUNIT_TEST(RefundsOnlyWhatItCharged);
   CPPUNIT_TEST(ResumesABrokenStreamAtAnotherTarget);
   CPPUNIT_TEST(ABrokenStreamDoesNotLookComplete);
   CPPUNIT_TEST(NoSecondResponseInABrokenStream);
@@ -254,6 +255,32 @@
     }
   }
 
+  // Guards against a workspace that gets more than its rate, since each of its
+  // requests that is refused before it was charged gives tokens back.
+  void RefundsOnlyWhatItCharged() {
+    constexpr int kTokens = 3000;
+    // See WorkspacesConfig.
+    constexpr int kAllowedTokens = 8 * 10000 + 10000;
+    constexpr int kCalls = 60;
+    const std::string usage =
+        absl::StrCat("X-Dragonflyglade-Token-Usage: ", kTokens, ",0\r\n");
+    Harness harness;
+    const auto is_served = [&] {
+      return harness.Call("GET", "/any/", "k3", usage).status == 200;
+    };
+    harness.WaitFor(is_served);
+    int served = 1;
+    for (int i = 0; i < kCalls; ++i) {
+      const Harness::Reply refused =
+          harness.Call("POST", "/resumed/", "k3",
+                       usage + "Resumes: nobody\r\nLast-Event-Id: 2\r\n");
+      CPPUNIT_ASSERT_EQUAL(503, refused.status);
+      served += is_served() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(served, " served"),
+                           served * kTokens <= kAllowedTokens);
+  }
+
   // A target closes the connection within the third event of a resumable
   // stream. The caller must receive one stream with each event once: the
   // gateway discards the incomplete event, and the other target resumes after
