Divide quotas and retries by the instances before the restart, too

Cause: both are divided by the instances that are listed, and just after the start each process lists none or itself. The retries' share was computed once, at the first retry.

Change: the spend record names the instances that were listed; their number counts from the first request on, also by an old record, and a lower one only when it has lasted longer than a partition, as for the quotas before. Retries are divided by the same number at each retry.

--- a/dragonflyglade/decision/quota_windows.h
+++ b/dragonflyglade/decision/quota_windows.h
@@ -113,6 +113,7 @@
   /// partitions do, since an instance that is no longer listed in the store may
   /// go on spending during a partition or may come back.
   void SetParticipantCount(int count);
+  int ParticipantCount() const { return this->instances; }
 
   /// Sets by how much the fleet may exceed limits, when the settings change.
   void SetTolerance(const QuotaTolerance& newer) { this->tolerance = newer; }
--- a/dragonflyglade/decision/retry_budget.cc
+++ b/dragonflyglade/decision/retry_budget.cc
@@ -9,6 +9,12 @@
       max_retries(max_retries),
       available_retries(max_retries) {}
 
+void RetryBudget::SetMaxRetries(double max_retries) {
+  absl::MutexLock lock(&this->mutex);
+  this->max_retries = max_retries;
+  this->available_retries = std::min(this->available_retries, max_retries);
+}
+
 void RetryBudget::RecordRequest() {
   absl::MutexLock lock(&this->mutex);
   this->available_retries = std::min(
--- a/dragonflyglade/decision/retry_budget.h
+++ b/dragonflyglade/decision/retry_budget.h
@@ -13,6 +13,9 @@
   /// @param max_retries the most retries that can accumulate
   RetryBudget(double retries_per_request, double max_retries);
 
+  /// Sets the most retries that can accumulate, also of those that have.
+  void SetMaxRetries(double max_retries);
+
   /// Counts the first attempt of a request.
   void RecordRequest();
 
@@ -21,8 +24,8 @@
 
  private:
   const double retries_per_request;
-  const double max_retries;
   absl::Mutex mutex;
+  double max_retries ABSL_GUARDED_BY(mutex);
   double available_retries ABSL_GUARDED_BY(mutex);
 };
 
--- a/dragonflyglade/gateway/pipeline_retry.cc
+++ b/dragonflyglade/gateway/pipeline_retry.cc
@@ -41,13 +41,18 @@
   return false;
 }
 
+// Failure: all processes were killed and are back, and none knows the others
+// yet. If each took the whole fleet's retries, the targets would get them many
+// times.
 RetryBudget& Pipeline::RetryBudgetOf(std::string_view service) {
-  const auto found = this->retry_budgets.find(service);
-  if (found != this->retry_budgets.end()) return *found->second;
-  const int instances =
-      std::max<int>(1, static_cast<int>(this->fleet.ListedInstances().size()));
   const double reserve =
-      std::max(1.0, kUsedRetries * this->settings.retry_slack / instances);
+      std::max(1.0, kUsedRetries * this->settings.retry_slack /
+                        this->quotas.SharingInstances());
+  const auto found = this->retry_budgets.find(service);
+  if (found != this->retry_budgets.end()) {
+    found->second->SetMaxRetries(reserve);
+    return *found->second;
+  }
   return *this->retry_budgets
               .emplace(
                   std::string(service),
--- a/dragonflyglade/gateway/quota_admission.cc
+++ b/dragonflyglade/gateway/quota_admission.cc
@@ -52,20 +52,24 @@
       refused_callers(clock, std::move(random)) {}
 
 // All processes may have been killed a moment ago. With the spend record, this
-// one can spend what is left of the quotas without waiting for a leader.
+// one can spend what is left of the quotas without waiting for a leader. It
+// knows from an old record, too, how many others may be doing so: they enter
+// themselves at the same time, and until then each would take the whole.
 void QuotaAdmission::ApplySpendRecord() {
   const std::optional<SpendRecord>& record = this->fleet.InitialSpendRecord();
   if (this->spend_record_checked || !record.has_value()) return;
   this->spend_record_checked = true;
   const absl::Time now = this->time_of_day();
   const bool recent = IsRecent(*record, now);
+  const int listed = CountListedInstances(*record);
+  this->quotas.SetParticipantCount(listed);
   if (recent) {
     this->quotas.SetPriorSpending(SpendingByWorkspace(*record),
                                   WasInstanceListed(*record, this->self.name));
   }
-  this->log.Write("quota",
-                  recent ? "spend record read" : "spend record not used",
-                  {{"age_ms", now - record->written}});
+  this->log.Write(
+      "quota", recent ? "spend record read" : "spend record not used",
+      {{"age_ms", now - record->written}, {"listed_instances", listed}});
 }
 
 void QuotaAdmission::UpdateParticipants() {
@@ -82,6 +86,11 @@
   this->quotas.SetListed(listed == 0 || this->fleet.IsListed(this->self.name));
 }
 
+int QuotaAdmission::SharingInstances() {
+  this->UpdateParticipants();
+  return this->quotas.ParticipantCount();
+}
+
 asio::awaitable<QuotaVerdict> QuotaAdmission::AdmitRequest(
     std::string_view request_id, std::string workspace, QuotaLimit limit,
     double tokens) {
--- a/dragonflyglade/gateway/quota_admission.h
+++ b/dragonflyglade/gateway/quota_admission.h
@@ -60,6 +60,11 @@
   /// sent to, and whether this one is among them.
   void UpdateParticipants();
 
+  /// How many instances share what limits the fleet as a whole; at least one.
+  /// An instance that was listed counts for a while after it was last seen,
+  /// also by the processes before this one.
+  int SharingInstances();
+
   /// Returns the tokens of a request that was admitted but did not run.
   void Refund(const QuotaCharge& charge) {
     this->quotas.Refund(charge.workspace, charge.tokens);
--- a/dragonflyglade/gateway/spend_record.cc
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "dragonflyglade/gateway/deflate.h"
@@ -42,6 +43,15 @@
                      });
 }
 
+// A process that was replaced during the window is in the record as well.
+int CountListedInstances(const SpendRecord& record) {
+  std::set<std::string_view> names;
+  for (const ProcessSpend& process : record.processes) {
+    if (process.listed) names.insert(process.instance);
+  }
+  return static_cast<int>(names.size());
+}
+
 std::string EncodeSpendRecord(const SpendRecord& record) {
   json processes = json::array();
   for (const ProcessSpend& process : record.processes) {
--- a/dragonflyglade/gateway/spend_record.h
+++ b/dragonflyglade/gateway/spend_record.h
@@ -41,6 +41,9 @@
 /// Whether callers were sent to the instance when the record was written.
 bool WasInstanceListed(const SpendRecord& record, std::string_view instance);
 
+/// The number of instances that callers were sent to when it was written.
+int CountListedInstances(const SpendRecord& record);
+
 /// Fraction of the recorded tokens that is added for spending after the record.
 inline constexpr double kUnrecordedSpendingShare = 0.3;
 
