Keep a target's state while its entry is missing

Cause: when the entry is back, a new state takes over the target's statements and not what was sent, so that the limit's window begins empty; nor what is in flight, by which the room at brittle targets and after a rest is measured.

Change: the same state goes on and is updated by the entry, as by any other. An entry of another process discards what belonged to the earlier one, as before. AdoptStatements is gone.

Measured: KeepsTheLimitWhenTheEntryWasMissing: 25 requests in a window on, 11 are allowed; passes now.

--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -178,12 +178,11 @@
     return urgent;
   }
   this->RemoveTarget(record.id);
-  auto state =
-      std::make_shared<TargetState>(std::move(record), this->clock.Now());
-  const auto before = this->departed.find(state->Record().id);
-  if (before != this->departed.end()) {
-    state->AdoptStatements(*before->second.state);
-    this->departed.erase(before);
+  std::shared_ptr<TargetState> state = this->TakeDeparted(record.id);
+  if (state == nullptr) {
+    state = std::make_shared<TargetState>(std::move(record), this->clock.Now());
+  } else {
+    state->Update(std::move(record), this->clock.Now());
   }
   this->by_service[state->Record().service].push_back(state);
   this->targets[state->Record().id] = std::move(state);
@@ -421,8 +420,9 @@
   this->KeepDeparted(target);
 }
 
-// The record of a running target may be missing for a while. What the target
-// said of itself holds nevertheless when the record is back.
+// Failure: the record of a running target is missing for a second, and the
+// target gets as many requests again as its limit allows. What the target said,
+// what was sent to it and what it still works on holds when the record is back.
 void FleetState::KeepDeparted(std::shared_ptr<TargetState> target) {
   const Instant now = this->clock.Now();
   std::erase_if(this->departed, [now](const auto& entry) {
@@ -434,6 +434,14 @@
   this->departed[id] = {std::move(target), now};
 }
 
+std::shared_ptr<TargetState> FleetState::TakeDeparted(const std::string& id) {
+  const auto found = this->departed.find(id);
+  if (found == this->departed.end()) return nullptr;
+  std::shared_ptr<TargetState> target = std::move(found->second.state);
+  this->departed.erase(found);
+  return target;
+}
+
 void FleetState::RemoveExpiredTargets() {
   if (!this->recovered_at.has_value()) return;
   if (this->clock.Now() - *this->recovered_at < kStoreRecoveryGrace) return;
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -213,6 +213,8 @@
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   void KeepDeparted(std::shared_ptr<TargetState> target);
+  /// @return null if no such target has left lately
+  std::shared_ptr<TargetState> TakeDeparted(const std::string& id);
   /// Roles derived from the list of instances and the leader.
   struct Choice {
     std::vector<const InstanceRecord*> listed;
--- a/dragonflyglade/gateway/target_state.cc
+++ b/dragonflyglade/gateway/target_state.cc
@@ -67,16 +67,6 @@
   this->avoid_until = absl::ZeroDuration();
 }
 
-void TargetState::AdoptStatements(const TargetState& earlier) {
-  const bool same_process = earlier.record.born_ms == this->record.born_ms &&
-                            earlier.record.address == this->record.address;
-  if (!same_process) return;
-  this->rate_limit = earlier.rate_limit;
-  this->brittleness = earlier.brittleness;
-  this->rest = earlier.rest;
-  this->said_leaving = earlier.said_leaving;
-}
-
 bool TargetState::RecordSaidLeaving() {
   const bool is_new = !this->IsLeaving();
   this->said_leaving = true;
--- a/dragonflyglade/gateway/target_state.h
+++ b/dragonflyglade/gateway/target_state.h
@@ -44,11 +44,6 @@
   /// known of the earlier process.
   void Update(TargetRecord newer, Instant now);
 
-  /// Takes over what the target said of itself, unless its process was
-  /// restarted since.
-  /// @param earlier the state of the target before its record was missing
-  void AdoptStatements(const TargetState& earlier);
-
   /// Whether the target can serve requests for the model, and for the adapter
   /// unless it is empty.
   bool Holds(std::string_view model, std::string_view adapter,
--- a/tests/platform/platform-limits.cc
+++ b/tests/platform/platform-limits.cc
@@ -106,9 +106,15 @@
   std::int64_t sequence = 0;
 };
 
+std::size_t KnownTargets(GatewayHarness& harness) {
+  return harness.Read<std::size_t>(
+      [&] { return harness.gateway->Fleet().Targets("s").size(); });
+}
+
 class LimitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LimitsTest);
   CPPUNIT_TEST(KeepsTheLimitThatATargetNames);
+  CPPUNIT_TEST(KeepsTheLimitWhenTheEntryWasMissing);
   CPPUNIT_TEST(UsesTheTargetAgainWhenItNamesNoLimit);
   CPPUNIT_TEST(RefusesAtOnceIfTheLimitOfTheOnlyTargetIsReached);
   CPPUNIT_TEST(PassesLimitsOn);
@@ -137,6 +143,35 @@
     }
   }
 
+  // Guards against as many requests again as the limit allows, each time that
+  // the target's entry was missing for a moment.
+  void KeepsTheLimitWhenTheEntryWasMissing() {
+    // Of a target that takes one request a second: one and a half times what
+    // that allows in the window, and five.
+    constexpr int kAllowed = 11;
+    LimitedTarget limited("Server-Limit: 1");
+    GatewayHarness harness;
+    harness.AddSecond();
+    const std::string key = "servers/i-1";
+    const std::string entry = harness.store.Get(key);
+    const absl::Time start = absl::Now();
+    for (const int gap : {0, 1, 2, 3}) {
+      const absl::Time end = start + (gap + 1) * absl::Milliseconds(1500);
+      while (absl::Now() < end) {
+        harness.first.EnqueueAnswer(
+            [&](const RawRequest& request) { return limited.Answer(request); });
+        CPPUNIT_ASSERT_EQUAL(200, harness.Call("GET", "/any/").status);
+        absl::SleepFor(absl::Milliseconds(20));
+      }
+      harness.store.Delete(key);
+      harness.WaitFor([&] { return KnownTargets(harness) == 1; });
+      harness.store.Put(key, entry);
+      harness.WaitFor([&] { return KnownTargets(harness) == 2; });
+    }
+    const int most = limited.MostInWindow(start + absl::Milliseconds(500));
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(most), most <= kAllowed);
+  }
+
   // Guards against next to no requests for a target that has recovered.
   void UsesTheTargetAgainWhenItNamesNoLimit() {
     GatewayHarness harness;
