Try a held request once more if its targets ended at the same moment

What callers saw: a read that many of them send was refused for good after all targets of its service had lost power together (Starved). Cause: equal requests of many callers have one digest, each of the three targets had some in progress, and from three crashes on nothing may show that the request is sound.

Change: the record says whether all crashes were at one moment, closer than a repeat can be, since a repeat waits for the target's examination. Then the request may be tried whatever the number; a crash at another moment makes it certain. A trial that no target got is given back at once.

--- a/dragonflyglade/decision/crash_account.cc
+++ b/dragonflyglade/decision/crash_account.cc
@@ -13,12 +13,20 @@
 constexpr absl::Duration kCrashLifetime = absl::Hours(24);
 // Targets of a failed domain end within this time of one another.
 constexpr absl::Duration kSameCauseTime = absl::Milliseconds(120);
+// A request that lost a target is sent to the next one later than this, since
+// the target is examined first.
+constexpr absl::Duration kSameMomentTime = absl::Milliseconds(10);
 constexpr std::size_t kMaxRecentCrashes = 1000;
 
 }  // namespace
 
 CrashAccount::CrashAccount(Clock clock) : clock(std::move(clock)) {}
 
+bool CrashAccount::FellTogether(absl::Span<const Crash> crashes) {
+  return crashes.size() > 1 &&
+         crashes.back().at - crashes.front().at < kSameMomentTime;
+}
+
 CrashAccount::Rank CrashAccount::RankOf(const Suspect& suspect,
                                         const Crashes& crashes) {
   return {crashes.size(), crashes.back().at, suspect};
--- a/dragonflyglade/decision/crash_account.h
+++ b/dragonflyglade/decision/crash_account.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/stream_versions.h"
 
@@ -62,6 +63,10 @@
 
   explicit CrashAccount(Clock clock);
 
+  /// Whether all of these crashes, the oldest first, were at the same moment,
+  /// so that none of them can come from a repeat after another one.
+  static bool FellTogether(absl::Span<const Crash> crashes);
+
   /// Records that a target crashed when it may have been about to answer on the
   /// suspect. Repeated records of one crash count once.
   void RecordCrash(const Suspect& suspect, const TargetCrash& crash);
--- a/dragonflyglade/decision/crash_verdicts.cc
+++ b/dragonflyglade/decision/crash_verdicts.cc
@@ -61,13 +61,20 @@
   return is_held ? CrashVerdict::kCrashesTargets : CrashVerdict::kNotEnough;
 }
 
+// Failure: many callers send the same sound request, all targets of its service
+// lose power at once, and each had it in progress. Nobody could show that it is
+// sound if it were not tried.
+bool IsCertain(const HeldRequest& request) {
+  return request.crashes >= kMaxCrashesOfRequest && !request.fell_together;
+}
+
 bool MayTry(const HeldRequest& request) {
-  return request.crashes < kMaxCrashesOfRequest && !request.was_tried &&
+  return !IsCertain(request) && !request.was_tried &&
          request.held_for >= kTimeToTrial;
 }
 
 absl::Duration RetryAfterOf(const HeldRequest& request) {
-  if (request.crashes >= kMaxCrashesOfRequest || request.was_tried) {
+  if (IsCertain(request) || request.was_tried) {
     return kRetryAfterCrashes;
   }
   return std::max(kTimeToTrial - request.held_for, absl::ZeroDuration()) +
--- a/dragonflyglade/decision/crash_verdicts.h
+++ b/dragonflyglade/decision/crash_verdicts.h
@@ -53,8 +53,13 @@
   std::size_t crashes = 0;  ///< under it
   absl::Duration held_for;  ///< since the last of them was known
   bool was_tried = false;   ///< after it was held back
+  /// See CrashAccount::FellTogether.
+  bool fell_together = false;
 };
 
+/// Whether it is certain that targets crash on the request.
+bool IsCertain(const HeldRequest& request);
+
 /// Whether the request may be sent once more, by one instance of all, to find
 /// out whether it is sound: an answer ends the suspicion, a crash confirms it.
 bool MayTry(const HeldRequest& request);
--- a/dragonflyglade/gateway/crash_judge.cc
+++ b/dragonflyglade/gateway/crash_judge.cc
@@ -91,8 +91,11 @@
   const RefusedSuspect* known = this->refused.Find(suspect);
   if (known == nullptr) return false;
   if (suspect.kind == SuspectKind::kPart) return true;
-  return known->record.crashes.size() >=
-         std::min(this->account.Count(suspect), kMaxCrashesOfRequest);
+  const std::size_t crashes = this->account.Count(suspect);
+  const std::size_t needed = known->record.fell_together
+                                 ? crashes
+                                 : std::min(crashes, kMaxCrashesOfRequest);
+  return known->record.crashes.size() >= needed;
 }
 
 void CrashJudge::JudgeLater(const Suspect& suspect, absl::Duration delay) {
--- a/dragonflyglade/gateway/crash_record.cc
+++ b/dragonflyglade/gateway/crash_record.cc
@@ -33,6 +33,7 @@
                          {"since_ms", absl::ToUnixMillis(record.since)},
                          {"why", record.why},
                          {"crashes", record.crashes},
+                         {"fell_together", record.fell_together},
                          {"versions", std::move(versions)}};
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -46,6 +47,7 @@
         absl::FromUnixMillis(document.value("since_ms", std::int64_t{0}));
     record.why = document.value("why", "");
     record.crashes = document.value("crashes", std::vector<std::string>());
+    record.fell_together = document.value("fell_together", false);
     for (const json& version : document.value("versions", json::array())) {
       record.versions.push_back(DecodeVersion(version));
     }
--- a/dragonflyglade/gateway/crash_record.h
+++ b/dragonflyglade/gateway/crash_record.h
@@ -19,6 +19,8 @@
   absl::Time since;                  ///< by the writer's wall clock
   std::string why;                   ///< an operator's words; may be empty
   std::vector<std::string> crashes;  ///< the targets that crashed on it
+  /// See CrashAccount::FellTogether.
+  bool fell_together = false;
   /// The software versions of these targets, each one once.
   std::vector<SoftwareVersion> versions;
 };
--- a/dragonflyglade/gateway/pipeline_suspects.cc
+++ b/dragonflyglade/gateway/pipeline_suspects.cc
@@ -135,6 +135,11 @@
   // If the target has crashed, the request is held back for good.
   if (!job.is_trial || job.may_crash_next) return;
   const TargetCrash process = job.TargetProcess();
+  if (job.attempts == 0) {
+    this->tasks.Spawn("give trial back",
+                      this->crash_suspects.trials.Release(job.digest));
+    return;
+  }
   this->tasks.Spawn("end trial",
                     this->SettleTrial(process, job.digest, job.was_answered));
 }
@@ -154,9 +159,10 @@
   // By then it is known whether a target that seems to live was a new process.
   co_await Sleep(this->context, kTimeToRelease);
   const Suspect request{SuspectKind::kRequest, digest};
+  RequestTrials& trials = this->crash_suspects.trials;
   const std::size_t crashes = this->crash_suspects.judge.CountOf(request);
-  if (crashes >= kMaxCrashesOfRequest) co_return;
-  co_await this->crash_suspects.trials.Release(digest);
+  if (crashes >= kMaxCrashesOfRequest && trials.IsCertain(digest)) co_return;
+  co_await trials.Release(digest);
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/refused_suspects.cc
+++ b/dragonflyglade/gateway/refused_suspects.cc
@@ -134,10 +134,12 @@
   for (const CrashAccount::Crash& known : crashes) {
     record.crashes.push_back(known.crash.target);
   }
+  record.fell_together = CrashAccount::FellTogether(crashes);
   record.versions = VersionsOf(crashes);
   this->log.Write("parts", "confirmed",
                   {{LogNameOf(suspect.kind), suspect.id},
-                   {"crashes", absl::StrJoin(record.crashes, ",")}});
+                   {"crashes", absl::StrJoin(record.crashes, ",")},
+                   {"fell_together", record.fell_together}});
   this->metrics.Count(suspect.kind == SuspectKind::kPart
                           ? "crashing_parts_confirmed"
                           : "crashing_requests_confirmed");
--- a/dragonflyglade/gateway/request_trials.cc
+++ b/dragonflyglade/gateway/request_trials.cc
@@ -14,6 +14,9 @@
 // A trial that led to nothing is given back; until then the store is not asked
 // again.
 constexpr absl::Duration kTriedTime = absl::Seconds(10);
+// After this instance has given its own trial back. No target could be reached,
+// or an answer was lost.
+constexpr absl::Duration kReleasedTime = absl::Seconds(1);
 constexpr std::size_t kMaxTried = 1000;
 
 }  // namespace
@@ -43,8 +46,8 @@
   state.crashes = crashes == 0 ? kMaxCrashesOfRequest : crashes;
   state.held_for = now - held->known_since;
   const auto trial = this->known.find(digest);
-  state.was_tried =
-      trial != this->known.end() && now - trial->second.tried_at < kTriedTime;
+  state.was_tried = trial != this->known.end() && now < trial->second.again_at;
+  state.fell_together = held->record.fell_together;
   return state;
 }
 
@@ -56,6 +59,10 @@
   return RetryAfterOf(this->StateOf(digest));
 }
 
+bool RequestTrials::IsCertain(const std::string& digest) const {
+  return dragonflyglade::IsCertain(this->StateOf(digest));
+}
+
 // The trial of a request that is held again later has the same key: an answer
 // removes it with the record.
 asio::awaitable<bool> RequestTrials::Claim(std::string digest) {
@@ -63,11 +70,11 @@
   if (this->known.size() >= kMaxTried) {
     this->known.erase(std::min_element(this->known.begin(), this->known.end(),
                                        [](const auto& one, const auto& other) {
-                                         return one.second.tried_at <
-                                                other.second.tried_at;
+                                         return one.second.again_at <
+                                                other.second.again_at;
                                        }));
   }
-  this->known[digest] = Trial{this->clock.Now()};
+  this->known[digest] = Trial{this->clock.Now() + kTriedTime};
   StoreTransaction transaction;
   const std::string key = TrialKey(digest);
   transaction.preconditions.push_back({key, 0});
@@ -92,6 +99,7 @@
   const std::string key = TrialKey(digest);
   transaction.preconditions.push_back({key, trial->second.revision});
   transaction.deletes.push_back(key);
+  trial->second.again_at = this->clock.Now() + kReleasedTime;
   while (true) {
     StoreCall call = transaction;
     const StoreResponse response =
--- a/dragonflyglade/gateway/request_trials.h
+++ b/dragonflyglade/gateway/request_trials.h
@@ -34,6 +34,9 @@
   /// When the caller of the held request should return.
   absl::Duration RetryAfter(const std::string& digest) const;
 
+  /// Whether it is certain that targets crash on the held request.
+  bool IsCertain(const std::string& digest) const;
+
   /// Claims the trial of the held request.
   /// @return false if it was claimed before, or the store did not say so
   boost::asio::awaitable<bool> Claim(std::string digest);
@@ -44,7 +47,7 @@
 
  private:
   struct Trial {
-    Instant tried_at;
+    Instant again_at;            ///< before that it is not claimed again here
     std::uint64_t revision = 0;  ///< of the key if it was claimed here
   };
 
--- a/dragonflyglade/gateway/suspects_command.cc
+++ b/dragonflyglade/gateway/suspects_command.cc
@@ -115,7 +115,10 @@
 int Refuse(StoreSession& store, const Suspect& suspect, const std::string& by,
            const std::string& why, const CommandOutput& output) {
   const std::string key = CrashRecordKey(suspect);
-  const CrashRecord record{by, absl::Now(), why, {}, {}};
+  CrashRecord record;
+  record.by = by;
+  record.since = absl::Now();
+  record.why = why;
   StoreTransaction transaction;
   transaction.preconditions.push_back({key, 0});
   transaction.puts.push_back({key, EncodeCrashRecord(record), 0});
--- a/tests/platform/crashing_fleet.cc
+++ b/tests/platform/crashing_fleet.cc
@@ -64,6 +64,14 @@
                                       parts, "\r\n")));
 }
 
+std::size_t CrashingFleet::Requests() const {
+  std::size_t requests = 0;
+  for (const auto& target : this->targets) {
+    requests += target->stand_in.Requests().size();
+  }
+  return requests;
+}
+
 int CrashingFleet::Crashes() const {
   int crashes = 0;
   for (const auto& target : this->targets) {
--- a/tests/platform/crashing_fleet.h
+++ b/tests/platform/crashing_fleet.h
@@ -47,6 +47,9 @@
   /// Writes the target's entry as a new process at the same address does.
   void Restart(const std::string& id);
 
+  /// The number of requests that the targets have received.
+  std::size_t Requests() const;
+
   /// The number of targets that have crashed.
   int Crashes() const;
 
--- a/tests/platform/platform-crashing-requests.cc
+++ b/tests/platform/platform-crashing-requests.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "dragonflyglade/gateway/request_digest.h"
 #include "tests/platform/crashing_fleet.h"
@@ -83,6 +84,7 @@
   CPPUNIT_TEST(EndsThreeTargetsAtMost);
   CPPUNIT_TEST(EndsThreeTargetsOverTime);
   CPPUNIT_TEST(ServesASoundRequestThatLostTwoTargets);
+  CPPUNIT_TEST(ServesASoundRequestThatLostManyTargetsAtOnce);
   CPPUNIT_TEST(KnowsTheRequestAfterARestart);
   CPPUNIT_TEST(KnowsTheRequestWhileTheStoreIsAway);
   CPPUNIT_TEST(RefusesARequestThatAnOperatorNamed);
@@ -187,6 +189,41 @@
     CPPUNIT_ASSERT(Records(fleet).empty());
   }
 
+  // Guards against a sound request of many callers that is refused for good,
+  // since all targets lost power while they had it in progress.
+  void ServesASoundRequestThatLostManyTargetsAtOnce() {
+    constexpr int kCallers = 8;
+    absl::Notification power_loss;
+    CrashingFleet fleet([&power_loss](const RawRequest& request) {
+      if (!IsBad(request) || power_loss.HasBeenNotified()) {
+        return SuccessfulResponse(request);
+      }
+      power_loss.WaitForNotification();
+      return EndAtOnce(request);
+    });
+    const auto call = [&fleet](int instance) {
+      const std::string text = fleet.harness.Text("POST", "/once/bad");
+      return fleet.Send(instance, text).status;
+    };
+    const std::size_t before = fleet.Requests();
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < kCallers; ++caller) {
+      callers.emplace_back([&call, caller] { call(caller % 2); });
+    }
+    fleet.harness.WaitFor(
+        [&] { return fleet.Requests() >= before + kCallers; });
+    power_loss.Notify();
+    for (std::thread& caller : callers) caller.join();
+    const int lost = fleet.Crashes();
+    CPPUNIT_ASSERT(lost >= kMaxCrashes);
+    fleet.ReplaceCrashed();
+    for (int instance : {0, 1}) {
+      fleet.harness.WaitFor([&] { return call(instance) == 200; });
+    }
+    CPPUNIT_ASSERT_EQUAL(lost, fleet.Crashes());
+    fleet.harness.WaitFor([&] { return Records(fleet).empty(); });
+  }
+
   // Guards against new crashes at an instance that has forgotten the request.
   void KnowsTheRequestAfterARestart() {
     CrashingFleet fleet(EndAtOnce);
--- a/tests/unit/unit-crash-account.cc
+++ b/tests/unit/unit-crash-account.cc
@@ -227,12 +227,19 @@
         {"held for a while", {2, absl::Seconds(3), false}, true},
         {"tried", {2, absl::Seconds(3), true}, false},
         {"three crashes", {3, absl::Hours(1), false}, false},
+        {"three at once, just now",
+         {3, absl::ZeroDuration(), false, true},
+         false},
+        {"three at once", {3, absl::Seconds(3), false, true}, true},
+        {"three at once, tried", {3, absl::Seconds(3), true, true}, false},
     };
     for (const Case& item : cases) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.may_try,
                                    MayTry(item.request));
       const bool returns_soon = RetryAfterOf(item.request) <= absl::Seconds(2);
-      const bool is_open = item.request.crashes < 3 && !item.request.was_tried;
+      const bool is_open =
+          (item.request.crashes < 3 || item.request.fell_together) &&
+          !item.request.was_tried;
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, is_open, returns_soon);
     }
   }
