--- a/tests/platform/platform-crashing-requests.cc
+++ b/tests/platform/platform-crashing-requests.cc
@@ -207,6 +207,7 @@
     };
     const std::size_t before = fleet.Requests();
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&call, caller] { call(caller % 2); });
     }
--- a/tests/unit/unit-stream-versions.cc
+++ b/tests/unit/unit-stream-versions.cc
@@ -93,7 +93,7 @@
       ContinuationFacts facts;
       std::string expected;
     };
-    const SoftwareVersion kOnly = "v1";
+    const SoftwareVersion only = "v1";
     const std::vector<Case> cases = {
         {"known", {StreamOrigin{"v1", 1}, 0, true, {}, true}, "v1"},
         {"known without a version",
@@ -107,13 +107,13 @@
          "v1"},
         {"unknown beside two versions", {{}, 5, true, {}, true}, "unknown"},
         {"two versions at another instance",
-         {{}, 5, true, kOnly, true},
+         {{}, 5, true, only, true},
          "unknown"},
         {"no version is known", {{}, 5, false, {}, true}, "unknown"},
-        {"one version", {{}, 5, false, kOnly, true}, "v1"},
-        {"one version, nobody answers", {{}, 0, false, kOnly, true}, "v1"},
-        {"cut off from the store", {{}, 3, false, kOnly, false}, "v1"},
-        {"cut off from all", {{}, 0, false, kOnly, false}, "unknown"},
+        {"one version", {{}, 5, false, only, true}, "v1"},
+        {"one version, nobody answers", {{}, 0, false, only, true}, "v1"},
+        {"cut off from the store", {{}, 3, false, only, false}, "v1"},
+        {"cut off from all", {{}, 0, false, only, false}, "unknown"},
     };
     for (const Case& item : cases) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.expected,
