Log which response a refusal was taken from

A target's refusal that was believed left no trace of what its response named, or whether its connection had carried another exchange, and skipped responses left no line, so that the hypotheses on the incident could not be told apart. `declined` has both now, and `response skipped` is new. No logic changes.

--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -185,6 +185,7 @@
   boost::asio::awaitable<NextStep> AfterDeclined(RequestJob& job,
                                                  TargetState& target,
                                                  const Declined& declined);
+  void LogSkipped(const RequestJob& job, const ResponseHead& head);
   void RecordLostAnswer(const RequestJob& job, TargetState& target,
                         const OutcomeUnknown& unknown);
   boost::asio::awaitable<NextStep> AfterOutcomeUnknown(
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -129,6 +129,8 @@
   CallerBuffers::Receipt receipt(this->caller_buffers,
                                  [&exchange] { exchange.CutOff(); });
   exchange.CountBody(receipt);
+  exchange.ObserveSkipped(
+      [this, &job](const ResponseHead& head) { this->LogSkipped(job, head); });
   job.exchange = &exchange;
   job.receipt = &receipt;
   job.attempt_started = now;
--- a/dragonflyglade/gateway/pipeline_outcome.cc
+++ b/dragonflyglade/gateway/pipeline_outcome.cc
@@ -145,6 +145,8 @@
                   {{"id", job.request.id},
                    {"target", job.target},
                    {"status", declined.head.status},
+                   {"names", declined.head.request_id},
+                   {"earlier_exchanges", declined.earlier_exchanges},
                    {"attempts", job.attempts}});
   if (this->MayRetry(job, false)) co_return NextStep::kTryAnother;
   Refusal refusal = MakeRefusal(
@@ -154,6 +156,16 @@
   co_return NextStep::kDone;
 }
 
+void Pipeline::LogSkipped(const RequestJob& job, const ResponseHead& head) {
+  this->metrics.Count("skipped_responses");
+  this->log.Write("request", "response skipped",
+                  {{"id", job.request.id},
+                   {"target", job.target},
+                   {"status", head.status},
+                   {"names", head.request_id},
+                   {"not_executed", head.not_executed}});
+}
+
 void Pipeline::RecordLostAnswer(const RequestJob& job, TargetState& target,
                                 const OutcomeUnknown& unknown) {
   this->log.Write("request", "lost",
--- a/dragonflyglade/gateway/target_connection.h
+++ b/dragonflyglade/gateway/target_connection.h
@@ -35,6 +35,7 @@
   std::string tunnel_peer;
   /// A response without a request's id has arrived on it.
   bool had_unnamed_response = false;
+  int exchanges = 0;  ///< that were begun on it
 };
 
 /// The connections on which the attempts of one request were sent. Not
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -252,6 +252,8 @@
 
 void TargetExchange::StartWriting(std::string head, SharedBody body) {
   if (this->used != nullptr) this->used->Add(this->connection);
+  this->earlier_exchanges = this->connection->exchanges;
+  this->connection->exchanges += 1;
   this->write = std::make_shared<RequestWrite>();
   this->write->connection = this->connection;
   this->write->head = std::move(head);
@@ -305,6 +307,7 @@
     }
     // A late duplicate response to an earlier request on this connection. It is
     // read to its end and discarded; this request's own response follows.
+    if (this->skip_observer) this->skip_observer(this->head);
     std::string dropped;
     failure = co_await this->ReadBody(dropped, kMaxBodyBytes);
     if (failure.has_value()) co_return failure;
@@ -394,7 +397,7 @@
   }
   if (this->head.not_executed) {
     co_await this->ReadDeclinedBody();
-    co_return Declined{this->head};
+    co_return Declined{this->head, this->earlier_exchanges};
   }
   std::string response_body;
   co_await this->AwaitRoomForBody();
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -41,6 +41,7 @@
 /// The target states that it did not execute the request.
 struct Declined {
   ResponseHead head;
+  int earlier_exchanges = 0;  ///< on the connection
 };
 /// The request was sent, but no valid response arrived: its outcome is unknown,
 /// the target may have executed it.
@@ -131,6 +132,12 @@
     this->head_observer = std::move(observer);
   }
 
+  /// Sets a function that is called with the head of each response that is
+  /// skipped, since it is not the one to this request. To be called before Run.
+  void ObserveSkipped(HeadObserver observer) {
+    this->skip_observer = std::move(observer);
+  }
+
   /// Sets a function that Run calls when it has a connection. If it returns
   /// false, nothing is sent.
   void CheckBeforeSend(std::function<bool()> may_send) {
@@ -227,6 +234,7 @@
   std::optional<Tunnel> tunnel;
   ConnectObserver observer;
   HeadObserver head_observer;
+  HeadObserver skip_observer;
   std::function<bool()> may_send;
   UsedConnections* used = nullptr;
   Instant deadline;
@@ -237,6 +245,7 @@
   bool no_memory = false;
   CallerBuffers::Receipt* receipt = nullptr;
   bool reused = false;
+  int earlier_exchanges = 0;  ///< on the connection
 };
 
 }  // namespace dragonflyglade::gateway
