Believe an unnamed response only on a connection that carried nothing else

Cause: the first response without a request's id on a connection was taken for the response that was due. An extra refusal without an id, sent after another response, arrives where the response to the next request is expected: a promise about a request that it knows nothing of. The request is repeated while the first attempt runs, and when no retry is left the caller gets the promise.

Without an id nothing else can tell whose response it is, so that such a response counts only on a connection with no earlier exchange. A target that names no requests gets a connection for each one (before, its second request on a connection that had carried a report waited in vain: 504).

MakeNoPromiseIfTheyNameNoRequest (502 in place of 200 at the row without the not-executed field; the rows before it were repeated and ran twice), MakeNoPromiseOverATunnel (503 for a request that ran) and ServesBeforeATargetThatNamesNoRequests (504) failed before and pass now.

--- a/dragonflyglade/gateway/target_connection.cc
+++ b/dragonflyglade/gateway/target_connection.cc
@@ -37,13 +37,23 @@
       [&](const auto& used) { return used.lock().get() == &connection; });
 }
 
+// A target that names no requests gets a connection for each.
+bool ConnectionPool::IsEligible(const TargetConnection& connection,
+                                const ConnectionNeeds& needs) const {
+  if (needs.excluded != nullptr && needs.excluded->Contains(connection)) {
+    return false;
+  }
+  return !needs.by_request_id || this->names_requests ||
+         connection.exchanges == 0;
+}
+
 std::shared_ptr<TargetConnection> ConnectionPool::Acquire(
-    Instant now, const UsedConnections* excluded) {
+    Instant now, ConnectionNeeds needs) {
   std::size_t place = this->idle.size();
   while (place > 0) {
     place -= 1;
     const std::shared_ptr<TargetConnection> connection = this->idle[place];
-    if (excluded != nullptr && excluded->Contains(*connection)) continue;
+    if (!this->IsEligible(*connection, needs)) continue;
     this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(place));
     if (now < connection->usable_until && HasNoData(*connection)) {
       return connection;
--- a/dragonflyglade/gateway/target_connection.h
+++ b/dragonflyglade/gateway/target_connection.h
@@ -33,8 +33,6 @@
   /// If it is a tunnel: its id, and the address of the other instance.
   std::string tunnel_id;
   std::string tunnel_peer;
-  /// A response without a request's id has arrived on it.
-  bool had_unnamed_response = false;
   int exchanges = 0;  ///< that were begun on it
 };
 
@@ -49,16 +47,28 @@
   std::vector<std::weak_ptr<const TargetConnection>> connections;
 };
 
+/// Which connections of a pool an exchange can use.
+struct ConnectionNeeds {
+  /// Connections that stay in the pool; may be null.
+  const UsedConnections* excluded = nullptr;
+  /// The response must be told from those to earlier requests.
+  bool by_request_id = false;
+};
+
 /// The pool of idle connections to one target.
 class ConnectionPool {
  public:
   /// Removes and returns the most recently used connection that is usable: not
   /// expired, open, and without unread bytes. Unusable ones found on the way
   /// are closed.
-  /// @param excluded connections that stay in the pool; may be null
   /// @return null if there is none
-  std::shared_ptr<TargetConnection> Acquire(
-      Instant now, const UsedConnections* excluded = nullptr);
+  std::shared_ptr<TargetConnection> Acquire(Instant now,
+                                            ConnectionNeeds needs = {});
+
+  /// Records whether the response to a request with an id had that id.
+  void RecordResponse(bool names_request) {
+    this->names_requests = names_request;
+  }
 
   /// Adds a connection whose exchange completed cleanly.
   /// @param keep_alive the idle timeout that the target stated, if it did
@@ -69,7 +79,11 @@
   void Clear() { this->idle.clear(); }
 
  private:
+  bool IsEligible(const TargetConnection& connection,
+                  const ConnectionNeeds& needs) const;
+
   std::vector<std::shared_ptr<TargetConnection>> idle;
+  bool names_requests = false;  ///< the target's last response did
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -151,9 +151,10 @@
 }
 
 asio::awaitable<std::optional<NotSent>> TargetExchange::Connect(
-    std::string_view address, Instant deadline) {
+    std::string_view address, std::string_view request_id, Instant deadline) {
   const Instant now = this->clock.Now();
-  this->connection = this->pool.Acquire(now, this->used);
+  this->connection = this->pool.Acquire(
+      now, {.excluded = this->used, .by_request_id = !request_id.empty()});
   if (this->connection != nullptr) {
     this->reused = true;
     co_return std::nullopt;
@@ -300,13 +301,15 @@
     // Interim responses (1xx) carry nothing that is forwarded.
     if (this->head.status < kFirstFinalStatus) continue;
     if (this->AnswersRequest(request_id)) {
-      if (this->head.request_id.empty()) {
-        this->connection->had_unnamed_response = true;
+      if (!request_id.empty()) {
+        this->is_unnamed = this->head.request_id.empty();
+        this->pool.RecordResponse(!this->is_unnamed);
       }
       co_return std::nullopt;
     }
-    // A late duplicate response to an earlier request on this connection. It is
-    // read to its end and discarded; this request's own response follows.
+    // A late duplicate response to an earlier request on this connection, or
+    // one to no request. It is read to its end and discarded; this request's
+    // own response follows.
     if (this->skip_observer) this->skip_observer(this->head);
     std::string dropped;
     failure = co_await this->ReadBody(dropped, kMaxBodyBytes);
@@ -316,16 +319,16 @@
   co_return OutcomeUnknown{"got only answers to other requests", false};
 }
 
-// Failure: a target sends the refusal of one attempt twice, late. If it were
-// taken for the response to the next attempt, the caller would be told that a
-// request did not run which runs. The attempts of a request share its id, so
-// they share no connection (UseConnectionsOnce). A response without an id may
-// be a duplicate of an earlier one.
+// Failure: a target sends a refusal twice, late, or one that names no request.
+// If it were taken for the response to the next request, its caller would be
+// told that a request did not run which runs. The attempts of a request share
+// its id, so they share no connection (UseConnectionsOnce). A response without
+// an id can only be this request's if the connection has carried nothing else.
 bool TargetExchange::AnswersRequest(std::string_view request_id) const {
   if (!this->head.request_id.empty()) {
     return this->head.request_id == request_id;
   }
-  return request_id.empty() || !this->connection->had_unnamed_response;
+  return request_id.empty() || this->earlier_exchanges == 0;
 }
 
 asio::awaitable<void> TargetExchange::AwaitRoomForBody() {
@@ -375,7 +378,8 @@
 asio::awaitable<ExchangeOutcome> TargetExchange::Run(
     std::string_view address, std::string_view request_id, std::string head,
     SharedBody body, Instant deadline) {
-  std::optional<NotSent> not_sent = co_await this->Connect(address, deadline);
+  std::optional<NotSent> not_sent =
+      co_await this->Connect(address, request_id, deadline);
   if (not_sent.has_value()) co_return *not_sent;
   if (this->may_send && !this->may_send()) {
     this->pool.Release(std::move(this->connection), std::nullopt,
@@ -443,10 +447,10 @@
 
 void TargetExchange::Finish() {
   this->timer.Stop();
-  const bool reusable = this->parser->is_done() && this->write->done &&
-                        !this->write->error && !this->head.closes &&
-                        this->connection->buffer.size() == 0 &&
-                        this->aborted_by.empty();
+  const bool reusable =
+      this->parser->is_done() && this->write->done && !this->write->error &&
+      !this->head.closes && !this->is_unnamed &&
+      this->connection->buffer.size() == 0 && this->aborted_by.empty();
   if (reusable) {
     this->pool.Release(std::move(this->connection), this->head.keep_alive,
                        this->clock.Now());
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -97,8 +97,8 @@
 
   /// Sends the request and reads the response, or the head of a stream.
   /// @param address IP address and port of the target
-  /// @param request_id id that the response must carry, if it carries one;
-  ///     empty if the request has none
+  /// @param request_id id that the response must carry, unless the connection
+  ///     has carried nothing else; empty if the request has none
   /// @param head request line and header fields, with the blank line
   /// @param body may be null; held until it is written or the exchange ends
   /// @param deadline when the whole exchange times out
@@ -194,7 +194,7 @@
   };
 
   boost::asio::awaitable<std::optional<NotSent>> Connect(
-      std::string_view address, Instant deadline);
+      std::string_view address, std::string_view request_id, Instant deadline);
   boost::asio::awaitable<std::optional<NotSent>> ConnectAnew(
       std::string_view address, Instant deadline);
   boost::asio::awaitable<std::optional<NotSent>> TryConnect(
@@ -246,6 +246,8 @@
   CallerBuffers::Receipt* receipt = nullptr;
   bool reused = false;
   int earlier_exchanges = 0;  ///< on the connection
+  /// The response does not have the id that the request has.
+  bool is_unnamed = false;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/tests/platform/platform-repeated-responses.cc
+++ b/tests/platform/platform-repeated-responses.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <exception>
 #include <map>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "dragonflyglade/gateway/target_exchange.h"
 #include "tests/platform/two_instances.h"
@@ -41,6 +43,70 @@
   };
 }
 
+// Each response of a target is followed by this one, which answers no request.
+struct ExtraResponse {
+  const char* name;
+  const char* status;
+  std::string fields;
+};
+
+std::vector<ExtraResponse> ExtraResponses() {
+  return {
+      {"refusal", "503 Service Unavailable", kNotExecuted},
+      {"refusal by limit", "429 Too Many Requests", kNotExecuted},
+      {"refusal as malformed", "400 Bad Request", kNotExecuted},
+      {"wrong target", "421 Misdirected Request", ""},
+      {"refusal without the not-executed field", "503 Unavailable", ""},
+      {"success", "200 OK", kSigned},
+  };
+}
+
+struct CalledRoute {
+  const char* method;
+  const char* path;
+};
+
+// Two that may run once, and one that may be repeated.
+constexpr CalledRoute kCalledRoutes[] = {
+    {"POST", "/once/"}, {"POST", "/cut/"}, {"GET", "/any/"}};
+
+std::string UnnamedResponse(const ExtraResponse& extra,
+                            const std::string& body) {
+  return absl::StrCat("HTTP/1.1 ", extra.status, "\r\n", extra.fields,
+                      "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+// Succeeds, and sends bytes that answer no request before its next response on
+// the connection.
+class TalkativeTarget {
+ public:
+  Script Answer(const RawRequest& request) {
+    Script script = SuccessfulResponse(request);
+    if (request.IsInspection()) return script;
+    absl::MutexLock lock(&this->mutex);
+    this->runs[request.Field("X-Dragonflyglade-Attempt-Id")] += 1;
+    script.late = this->late;
+    return script;
+  }
+
+  void SendBetween(std::string bytes) {
+    absl::MutexLock lock(&this->mutex);
+    this->late = std::move(bytes);
+  }
+
+  int MostRuns() const {
+    absl::MutexLock lock(&this->mutex);
+    int most = 0;
+    for (const auto& [id, count] : this->runs) most = std::max(most, count);
+    return most;
+  }
+
+ private:
+  mutable absl::Mutex mutex;
+  std::string late ABSL_GUARDED_BY(mutex);
+  std::map<std::string, int> runs ABSL_GUARDED_BY(mutex);
+};
+
 // Answers the first attempt of each request at a target by a response that
 // comes again before the next response on the connection, later attempts by
 // success.
@@ -76,6 +142,9 @@
   CPPUNIT_TEST(AreNotTakenForTheResponseToTheNextAttempt);
   CPPUNIT_TEST(AreNotTakenForItOverATunnel);
   CPPUNIT_TEST(AreNotTakenForItIfTheyNameNoRequest);
+  CPPUNIT_TEST(MakeNoPromiseIfTheyNameNoRequest);
+  CPPUNIT_TEST(MakeNoPromiseOverATunnel);
+  CPPUNIT_TEST(ServesBeforeATargetThatNamesNoRequests);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -131,7 +200,56 @@
                          this->Exchange(target, pool, "r1", "GET /any/"));
   }
 
+  // Guards against a refusal of a request that runs, by a response that names
+  // no request.
+  void MakeNoPromiseIfTheyNameNoRequest() {
+    TalkativeTarget target;
+    GatewayHarness harness(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    this->CheckExtraResponses(harness, target);
+  }
+
+  // Guards against the same at an instance without paths of its own.
+  void MakeNoPromiseOverATunnel() {
+    TalkativeTarget target;
+    TwoInstances pair(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    pair.Isolate();
+    this->CheckExtraResponses(pair.harness, target);
+  }
+
+  // Guards against responses that are awaited in vain, since they name no
+  // request.
+  void ServesBeforeATargetThatNamesNoRequests() {
+    GatewayHarness harness([](const RawRequest& request) {
+      if (request.IsInspection()) return SuccessfulResponse(request);
+      return Script{"HTTP/1.1 200 OK\r\n" + kSigned +
+                    "Content-Length: 4\r\n\r\ndone"};
+    });
+    constexpr int kRequests = 5;
+    for (int i = 0; i < kRequests; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, harness.Call("POST", "/once/").status);
+    }
+  }
+
  private:
+  // Each request is served by one run, whatever comes before its response.
+  void CheckExtraResponses(GatewayHarness& harness, TalkativeTarget& target) {
+    constexpr int kRequestsPerRoute = 3;
+    for (const ExtraResponse& extra : ExtraResponses()) {
+      target.SendBetween(UnnamedResponse(extra, "other"));
+      for (const CalledRoute& route : kCalledRoutes) {
+        for (int i = 0; i < kRequestsPerRoute; ++i) {
+          const Reply reply = harness.Call(route.method, route.path);
+          const std::string name = absl::StrCat(extra.name, " ", route.path);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 200, reply.status);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("done"), reply.Body());
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 1, target.MostRuns());
+        }
+      }
+    }
+  }
+
   // @return the body of the response; empty if it is not complete
   std::string Exchange(PlatformTargetStandIn& target,
                        gateway::ConnectionPool& pool, const std::string& id,
