Take a head that another head runs into for no response

Callers could be told by 503 that a request had not run which ran, and get a success with another body (REFUSED, MIXED).

Cause: extra bytes of a target that end within a head are completed by the next response on the connection: the status of the extra bytes with the id of the request. 421 is a promise by its status alone; other refusals are one once their not-executed field was sent.

Wherever the first head ends, the value it was in takes in the status line of the second head, or the text is no head; so a status line within a value or reason shows it.

--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -11,6 +11,7 @@
 #include <limits>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "dragonflyglade/gateway/http_text.h"
 #include "dragonflyglade/gateway/peek_socket.h"
@@ -51,6 +52,33 @@
   return absl::Seconds(seconds);
 }
 
+bool HoldsStatusLine(boost::string_view text) {
+  constexpr boost::string_view kVersion = "HTTP/1.";
+  // After the minor version and a space, the status follows.
+  constexpr std::size_t kStatusAt = kVersion.size() + 2;
+  for (std::size_t at = text.find(kVersion); at != boost::string_view::npos;) {
+    const boost::string_view line = text.substr(at);
+    if (line.size() > kStatusAt && absl::ascii_isdigit(line[kStatusAt])) {
+      return true;
+    }
+    text = line.substr(kVersion.size());
+    at = text.find(kVersion);
+  }
+  return false;
+}
+
+// Failure: extra bytes of a target end within a head, and the next response on
+// the connection completes it. With the status of the one and the id of the
+// other it would be a refusal of a request that runs. Wherever the first head
+// ends, what it was about to say takes in the status line of the second one, or
+// neither can be read.
+bool IsJoinedHead(const http::response_header<>& head) {
+  if (HoldsStatusLine(head.reason())) return true;
+  return std::any_of(head.begin(), head.end(), [](const auto& field) {
+    return HoldsStatusLine(field.value());
+  });
+}
+
 }  // namespace
 
 // State of the write operation of the request. It is shared with the write's
@@ -286,6 +314,9 @@
       this->connection->socket, this->connection->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return this->UnknownOutcomeAfter(error);
+  if (IsJoinedHead(this->parser->get().base())) {
+    co_return OutcomeUnknown{"two heads in one"};
+  }
   this->head = this->wire.decode_response_head(ConvertHead<false>(
       this->parser->get().base(), this->parser->keep_alive()));
   if (this->head_observer) this->head_observer(this->head);
--- a/tests/platform/platform-repeated-responses.cc
+++ b/tests/platform/platform-repeated-responses.cc
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(MakeNoPromiseIfTheyNameNoRequest);
   CPPUNIT_TEST(MakeNoPromiseOverATunnel);
   CPPUNIT_TEST(ServesBeforeATargetThatNamesNoRequests);
+  CPPUNIT_TEST(MakeNoPromiseIfTheyEndWithinTheirHead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -218,6 +219,31 @@
     this->CheckExtraResponses(pair.harness, target);
   }
 
+  // Guards against an extra head that ends early and is completed by the
+  // response that follows it.
+  void MakeNoPromiseIfTheyEndWithinTheirHead() {
+    TalkativeTarget target;
+    GatewayHarness harness(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    for (const ExtraResponse& extra : ExtraResponses()) {
+      const std::string bytes = UnnamedResponse(extra, "other");
+      for (std::size_t length = 1; length < bytes.size(); ++length) {
+        target.SendBetween("");
+        harness.Call("POST", "/once/");
+        target.SendBetween(bytes.substr(0, length));
+        harness.Call("POST", "/once/");
+        const Reply reply = harness.Call("POST", "/once/");
+        const std::string name = absl::StrCat(extra.name, " cut at ", length);
+        const bool is_whole = reply.status == 200 && reply.Body() == "done";
+        const bool promises_nothing =
+            reply.status == 502 || reply.status == 504;
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat(name, ": ", reply.text),
+                               is_whole || promises_nothing);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 1, target.MostRuns());
+      }
+    }
+  }
+
   // Guards against responses that are awaited in vain, since they name no
   // request.
   void ServesBeforeATargetThatNamesNoRequests() {
