Soak: targets that decline most, and responses that answer no request

The soak's targets sent a second response at once and with its id, declined in a quarter of their failures, and there was no time in which one target alone could serve. Requests were hardly ever repeated on a connection that carried something else, so that the soak never saw a refusal of what ran (REFUSED).

Two series more: all targets but one decline, the one declines three in ten, and 5 or 30 in 100 responses are followed after 0 to 500 ms by one to three further ones: copies, refusals with and without an id, with and without the not-executed field, a signed success; one in six ends early. Targets also reset connections after they have read the request.

--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -101,6 +101,10 @@
     boost::asio::write(*socket, boost::asio::buffer(late + script.bytes),
                        error);
     late = script.late;
+    if (!script.extra.empty() && !error) {
+      absl::SleepFor(script.extra_pause);
+      boost::asio::write(*socket, boost::asio::buffer(script.extra), error);
+    }
     while (!script.endless.empty() && !error) {
       absl::SleepFor(script.endless_pause);
       boost::asio::write(*socket, boost::asio::buffer(script.endless), error);
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -44,6 +44,9 @@
     bool reset = false;  ///< reset the connection after the bytes
     /// Sent before the response to the next request on the connection.
     std::string late = "";
+    /// Sent some time after the bytes, before the next request is read.
+    std::string extra = "";
+    absl::Duration extra_pause = absl::ZeroDuration();  ///< before it
     /// Sent again and again after the bytes, until the client closes.
     std::string endless = "";
     absl::Duration endless_pause = absl::ZeroDuration();  ///< between repeats
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -40,6 +40,9 @@
 constexpr int kFaultSeries = 3;
 // Number of configuration changes in quick succession.
 constexpr int kConfigChanges = 8;
+// The shares of responses that bytes follow which answer no request.
+constexpr double kFewExtras = 0.05;
+constexpr double kManyExtras = 0.3;
 // Number of short pauses of an instance in a row.
 constexpr int kShortPauses = 16;
 // Enough for processes to start, leases to expire and targets to return.
@@ -66,14 +69,16 @@
   void Run(const std::atomic<bool>& stop) {
     while (!stop) {
       // 0 to 6: a fault of an instance, 7 to 9: of a target, 10 and 11: changes
-      // of the configuration.
-      const int fault = UniformInt(this->random, 0, 11);
+      // of the configuration, 12 and 13: responses that lead to repeats.
+      const int fault = UniformInt(this->random, 0, 13);
       if (fault < 7) {
         this->InjectInstanceFault(fault);
       } else if (fault < 10) {
         this->InjectTargetFault(fault);
-      } else {
+      } else if (fault < 12) {
         this->ChangeConfig(fault == 10 ? 1 : kConfigChanges);
+      } else {
+        this->InjectRepeats(fault == 12 ? kFewExtras : kManyExtras);
       }
       this->Pause(400);
     }
@@ -102,6 +107,19 @@
     }
   }
 
+  // One target serves, and declines some requests. The others decline them all,
+  // so that requests are repeated on its connections.
+  void InjectRepeats(double extra_rate) {
+    const int serving = UniformInt(this->random, 0, this->world.Targets() - 1);
+    for (int i = 0; i < this->world.Targets(); ++i) {
+      this->world.SetRepeats(i, i == serving ? 0.3 : 1, extra_rate);
+    }
+    this->Pause(2500);
+    for (int i = 0; i < this->world.Targets(); ++i) {
+      this->world.SetRepeats(i, 0, 0);
+    }
+  }
+
   void InjectInstanceFault(int fault) {
     const int index = UniformInt(this->random, 0, this->world.Instances() - 1);
     absl::Mutex& mutex = *this->instances[index];
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 #include "absl/time/clock.h"
 #include "tests/soak/connection.h"
@@ -63,6 +64,28 @@
 
 constexpr const char* kSigned = "X-Dragonflyglade-Server-Signature: s\r\n";
 
+constexpr const char* kNotExecuted = "X-Dragonflyglade-Not-Executed: 1\r\n";
+
+// How long after a response another one follows that answers no request.
+constexpr absl::Duration kExtraPauses[] = {
+    absl::ZeroDuration(),    absl::Milliseconds(1),  absl::Milliseconds(5),
+    absl::Milliseconds(20),  absl::Milliseconds(60), absl::Milliseconds(150),
+    absl::Milliseconds(500),
+};
+
+// A response that does not say which request it answers.
+std::string UnnamedResponse(const std::string& status,
+                            const std::string& extra_fields) {
+  return "HTTP/1.1 " + status + "\r\n" + extra_fields +
+         "Content-Length: 0\r\n\r\n";
+}
+
+PlatformTargetStandIn::Script ResetConnection() {
+  PlatformTargetStandIn::Script script;
+  script.reset = true;
+  return script;
+}
+
 std::string Chunk(const std::string& text) {
   char size[16];
   snprintf(size, sizeof size, "%zx\r\n", text.size());
@@ -306,29 +329,66 @@
   this->store.Put("op/config", config.dump());
 }
 
+double World::Draw() {
+  absl::MutexLock lock(&this->mutex);
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
 PlatformTargetStandIn::Script World::Respond(Target& target,
                                              const RawRequest& request) {
-  this->checker.RecordReached(request);
-  double fault_draw = 0;
-  double fault_kind = 0;
-  {
-    absl::MutexLock lock(&this->mutex);
-    std::uniform_real_distribution<double> uniform(0, 1);
-    fault_draw = uniform(this->random);
-    fault_kind = uniform(this->random);
+  PlatformTargetStandIn::Script script = this->RespondOnce(target, request);
+  const bool goes_on = !script.close && !script.hang && !script.reset;
+  if (goes_on && this->Draw() < target.extra_rate) {
+    this->AddExtra(request, script);
   }
+  return script;
+}
+
+// One to three copies of the response or of a refusal, some of which name no
+// request, and some of which end within a head.
+void World::AddExtra(const RawRequest& request,
+                     PlatformTargetStandIn::Script& script) {
+  const std::vector<std::string> extras = {
+      script.bytes,
+      CompleteResponse(request, "503 Full", "", kNotExecuted),
+      UnnamedResponse("503 Full", kNotExecuted),
+      UnnamedResponse("429 Full", kNotExecuted),
+      UnnamedResponse("400 Bad Request", kNotExecuted),
+      UnnamedResponse("421 Other", ""),
+      UnnamedResponse("503 Unmarked", ""),
+      UnnamedResponse("200 OK", kSigned),
+  };
+  absl::MutexLock lock(&this->mutex);
+  const auto draw = [this](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      count - 1)(this->random);
+  };
+  const std::string& extra = extras[draw(extras.size())];
+  const std::size_t copies = 1 + draw(3);
+  for (std::size_t i = 0; i < copies; ++i) script.extra += extra;
+  constexpr std::size_t kCutOneIn = 6;
+  if (draw(kCutOneIn) == 0) script.extra.resize(draw(script.extra.size()));
+  script.extra_pause = kExtraPauses[draw(std::size(kExtraPauses))];
+}
+
+PlatformTargetStandIn::Script World::RespondOnce(Target& target,
+                                                 const RawRequest& request) {
+  this->checker.RecordReached(request);
+  const double fault_draw = this->Draw();
+  const double fault_kind = this->Draw();
   if (request.Field("X-Dragonflyglade-Target-Instance") != target.id) {
     return {CompleteResponse(request, "421 Other", "", "")};
   }
   const bool correct = fault_draw >= target.failure_rate;
-  if (!correct && fault_kind < 0.25) {
-    return {CompleteResponse(request, "503 Full", "",
-                             "X-Dragonflyglade-Not-Executed: 1\r\n")};
+  const bool declines = this->Draw() < target.decline_rate;
+  if (declines || (!correct && fault_kind < 0.25)) {
+    return {CompleteResponse(request, "503 Full", "", kNotExecuted)};
   }
   this->checker.RecordRun(request);
   const std::string bytes = CorrectResponse(request);
   if (correct) return {bytes};
-  if (fault_kind < 0.4) return {"", true};
+  if (fault_kind < 0.35) return {"", true};
+  if (fault_kind < 0.4) return ResetConnection();
   if (fault_kind < 0.55) return {bytes.substr(0, bytes.size() - 3), true};
   if (fault_kind < 0.7)
     return {CompleteResponse(request, "500 Failed", "no", kSigned)};
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -40,6 +40,8 @@
   std::unique_ptr<FaultyTcpProxy> proxy;
   Endpoint address;
   std::atomic<double> failure_rate = 0;
+  std::atomic<double> decline_rate = 0;
+  std::atomic<double> extra_rate = 0;  ///< of responses that another follows
 };
 
 /// An instance's counters of state changes at one point in time.
@@ -81,6 +83,13 @@
   void SetFailureRate(int index, double failure_rate) {
     this->targets[index]->failure_rate = failure_rate;
   }
+  /// @param decline_rate share of requests that the target declines
+  /// @param extra_rate share of its responses that bytes of a response follow
+  ///     which answers no request
+  void SetRepeats(int index, double decline_rate, double extra_rate) {
+    this->targets[index]->decline_rate = decline_rate;
+    this->targets[index]->extra_rate = extra_rate;
+  }
   void PutTarget(int index, const std::string& state);
   void RemoveTarget(int index);
   /// Writes the next version of the configuration, with other timeouts, limits
@@ -92,6 +101,11 @@
  private:
   PlatformTargetStandIn::Script Respond(Target& target,
                                         const RawRequest& request);
+  PlatformTargetStandIn::Script RespondOnce(Target& target,
+                                            const RawRequest& request);
+  void AddExtra(const RawRequest& request,
+                PlatformTargetStandIn::Script& script);
+  double Draw();
   void WaitUntilListening(const Instance& instance) const;
   void CheckRunning(const Instance& instance) const;
   void WriteSettings(const Instance& instance, bool first);
