Take a chunked response for whole only with its last chunk

Cause: the HTTP client library ends a chunked body wherever a chunk's data is not followed by CR LF, also at the end of the connection, and tells nothing of it. HttpCall reads with Beast now, whose parser ends at the last chunk only. The interface, its errors and Cancel stay.

AreNoResultOfACall cuts five forms of response at each byte, closed and reset. It failed before (chunks, closed after the CR behind a chunk's data) and passes now. ReachNoCallerAsWhole and its tunnel row show that the gateway's reader holds: no cut head or body is a whole 200 there, before and now.

--- a/dragonflyglade/net/http_call.cc
+++ b/dragonflyglade/net/http_call.cc
@@ -1,85 +1,218 @@
 #include "dragonflyglade/net/http_call.h"
 
-#include <httplib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
+#include <array>
 #include <atomic>
-#include <chrono>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <exception>
+#include <limits>
+#include <optional>
+#include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
 #include "dragonflyglade/net/socket_options.h"
 
 namespace dragonflyglade {
 namespace {
 
-HttpResponseHead ToHead(const httplib::Response& response) {
-  HttpResponseHead head;
-  head.status = response.status;
-  head.content_type = response.get_header_value("Content-Type");
-  head.request_id = response.get_header_value("X-Request-Id");
-  head.retry_after = response.get_header_value("Retry-After");
-  return head;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::uint32_t kMaxHeadBytes = 64u << 10;
+constexpr std::size_t kReadBytes = 16u << 10;
+// A head, or what frames the chunks of a body.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeadBytes + kReadBytes;
+constexpr unsigned kHttp11 = 11;
+constexpr int kFirstFinalStatus = 200;
+
+// Percent-encodes what would end or split the request line.
+std::string EncodeTarget(std::string_view path) {
+  std::string target;
+  for (const char c : path) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte > 0x20 && byte < 0x7f) {
+      target.push_back(c);
+    } else {
+      absl::StrAppend(&target, "%", absl::Hex(byte, absl::kZeroPad2));
+    }
+  }
+  return target;
 }
 
-httplib::Request ToLibraryRequest(const HttpRequest& request) {
-  httplib::Request library_request;
-  library_request.method = request.method;
-  library_request.path = request.path;
-  library_request.body = request.body;
+http::request<http::string_body> ToLibraryRequest(const HttpRequest& request,
+                                                  const Endpoint& endpoint) {
+  http::request<http::string_body> library_request;
+  library_request.version(kHttp11);
+  library_request.method_string(request.method);
+  library_request.target(EncodeTarget(request.path));
+  library_request.set(http::field::host, endpoint.ToString());
+  library_request.set(http::field::accept, "*/*");
   for (const auto& [name, value] : request.headers) {
-    library_request.headers.emplace(name, value);
+    library_request.insert(name, value);
   }
   if (!request.body.empty()) {
-    library_request.headers.emplace("Content-Type", request.content_type);
+    library_request.set(http::field::content_type, request.content_type);
   }
+  library_request.body() = request.body;
+  library_request.keep_alive(false);
+  library_request.prepare_payload();
   return library_request;
 }
 
+HttpResponseHead ToHead(const http::response_header<>& response) {
+  HttpResponseHead head;
+  head.status = static_cast<int>(response.result_int());
+  head.content_type = response[http::field::content_type].to_string();
+  head.request_id = response["X-Request-Id"].to_string();
+  head.retry_after = response[http::field::retry_after].to_string();
+  return head;
+}
+
 }  // namespace
 
 struct HttpCall::Impl {
+  using Parser = http::response_parser<http::buffer_body>;
+
   Impl(Endpoint endpoint, HttpOptions options, std::string_view peer)
-      : options(options),
-        peer(std::string(peer) + " " + endpoint.ToString()),
-        client(endpoint.address, endpoint.port) {
-    this->client.set_connection_timeout(
-        absl::ToChronoMilliseconds(options.connect_timeout));
-    this->client.set_read_timeout(
-        absl::ToChronoMilliseconds(options.read_timeout));
-    this->client.set_write_timeout(
-        absl::ToChronoMilliseconds(options.write_timeout));
-    this->client.set_keep_alive(false);
-    this->client.set_tcp_nodelay(true);
-    this->client.set_socket_options(
-        [](int socket) { EnableDeadPeerDetection(socket); });
-  }
+      : endpoint(std::move(endpoint)),
+        options(options),
+        peer(absl::StrCat(absl::string_view(peer.data(), peer.size()), " ",
+                          this->endpoint.ToString())),
+        stream(this->context),
+        buffer(kMaxUnparsedBytes) {}
 
-  Failure FailureFor(httplib::Error error, bool head_seen,
-                     std::chrono::steady_clock::duration silence) const;
+  asio::awaitable<Status> Exchange(const HttpRequest& request,
+                                   const OnHead& on_head,
+                                   const OnData& on_data);
+  asio::awaitable<error_code> Connect();
+  asio::awaitable<error_code> ReadHead(Parser& parser);
+  asio::awaitable<Status> ReadBody(Parser& parser, const OnData& on_data);
+  Failure FailureFor(const error_code& error, Errc code) const;
 
+  const Endpoint endpoint;
   const HttpOptions options;
   const std::string peer;
-  httplib::Client client;
+  asio::io_context context;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
   std::atomic<bool> cancelled{false};
 };
 
-Failure HttpCall::Impl::FailureFor(
-    httplib::Error error, bool head_seen,
-    std::chrono::steady_clock::duration silence) const {
-  const std::string detail = httplib::to_string(error);
-  if (this->cancelled || error == httplib::Error::Canceled) {
+// @param code what it means if neither a timeout nor Cancel ended the call
+Failure HttpCall::Impl::FailureFor(const error_code& error, Errc code) const {
+  const std::string detail = error.message();
+  if (this->cancelled) {
     return MakeFailure(Errc::kCancelled, "call", this->peer, detail);
   }
-  if (error == httplib::Error::Connection ||
-      error == httplib::Error::ConnectionTimeout) {
-    return MakeFailure(Errc::kConnectFailed, "connect", this->peer, detail);
+  if (code == Errc::kConnectFailed) {
+    return MakeFailure(code, "connect", this->peer, detail);
   }
-  if (absl::FromChrono(silence) >= this->options.read_timeout) {
-    return MakeFailure(Errc::kTimeout, "read response", this->peer, detail);
+  if (error == beast::error::timeout) code = Errc::kTimeout;
+  return MakeFailure(code, "read response", this->peer, detail);
+}
+
+asio::awaitable<error_code> HttpCall::Impl::Connect() {
+  error_code error;
+  const auto address = asio::ip::make_address(this->endpoint.address, error);
+  if (error) co_return error;
+  const asio::ip::tcp::endpoint remote(
+      address, static_cast<unsigned short>(this->endpoint.port));
+  this->stream.expires_after(
+      absl::ToChronoMilliseconds(this->options.connect_timeout));
+  co_await this->stream.async_connect(
+      remote, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return error;
+  error_code ignored;
+  this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  EnableDeadPeerDetection(this->stream.socket().native_handle());
+  co_return error;
+}
+
+asio::awaitable<error_code> HttpCall::Impl::ReadHead(Parser& parser) {
+  parser.header_limit(kMaxHeadBytes);
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  this->stream.expires_after(
+      absl::ToChronoMilliseconds(this->options.read_timeout));
+  error_code error;
+  co_await http::async_read_header(
+      this->stream, this->buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
+// The body is whole when its framing says so. What ends a chunked body is its
+// last chunk, and nothing else.
+asio::awaitable<Status> HttpCall::Impl::ReadBody(Parser& parser,
+                                                 const OnData& on_data) {
+  std::array<char, kReadBytes> bytes;
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    body.more = true;
+    this->stream.expires_after(
+        absl::ToChronoMilliseconds(this->options.read_timeout));
+    error_code error;
+    co_await http::async_read_some(
+        this->stream, this->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t count = bytes.size() - body.size;
+    const bool goes_on =
+        count == 0 || on_data(std::string_view(bytes.data(), count));
+    if (this->cancelled || !goes_on) {
+      co_return MakeFailure(Errc::kCancelled, "call", this->peer, "stopped");
+    }
+    if (error && error != http::error::need_buffer) {
+      co_return this->FailureFor(error, Errc::kTruncated);
+    }
+  }
+  co_return Done{};
+}
+
+asio::awaitable<Status> HttpCall::Impl::Exchange(const HttpRequest& request,
+                                                 const OnHead& on_head,
+                                                 const OnData& on_data) {
+  error_code error = co_await this->Connect();
+  if (error || this->cancelled) {
+    co_return this->FailureFor(error, Errc::kConnectFailed);
+  }
+  const auto library_request = ToLibraryRequest(request, this->endpoint);
+  this->stream.expires_after(
+      absl::ToChronoMilliseconds(this->options.write_timeout));
+  error_code write_error;
+  co_await http::async_write(
+      this->stream, library_request,
+      asio::redirect_error(asio::use_awaitable, write_error));
+  // A target may answer and close before it has read the whole request.
+  std::optional<Parser> parser;
+  do {
+    parser.emplace();
+    error = co_await this->ReadHead(*parser);
+    if (error) {
+      co_return this->FailureFor(write_error ? write_error : error,
+                                 Errc::kConnectionLost);
+    }
+  } while (parser->get().result_int() < kFirstFinalStatus);
+  if (this->cancelled || !on_head(ToHead(parser->get().base()))) {
+    co_return MakeFailure(Errc::kCancelled, "call", this->peer, "stopped");
   }
-  return MakeFailure(head_seen ? Errc::kTruncated : Errc::kConnectionLost,
-                     "read response", this->peer, detail);
+  co_return co_await this->ReadBody(*parser, on_data);
 }
 
 HttpCall::HttpCall(Endpoint endpoint, HttpOptions options,
@@ -90,36 +223,28 @@
 
 void HttpCall::Cancel() {
   this->impl->cancelled = true;
-  this->impl->client.stop();
+  asio::post(this->impl->context, [this] { this->impl->stream.close(); });
 }
 
 Status HttpCall::Stream(const HttpRequest& request, const OnHead& on_head,
                         const OnData& on_data) {
-  httplib::Request library_request = ToLibraryRequest(request);
-  bool head_seen = false;
-  auto last_progress = std::chrono::steady_clock::now();
-  library_request.response_handler = [&](const httplib::Response& response) {
-    head_seen = true;
-    last_progress = std::chrono::steady_clock::now();
-    return !this->impl->cancelled && on_head(ToHead(response));
-  };
-  library_request.content_receiver = [&](const char* data, std::size_t size,
-                                         std::uint64_t, std::uint64_t) {
-    last_progress = std::chrono::steady_clock::now();
-    return !this->impl->cancelled && on_data(std::string_view(data, size));
-  };
-  httplib::Response response;
-  httplib::Error error = httplib::Error::Success;
-  if (this->impl->cancelled) {
-    return this->impl->FailureFor(httplib::Error::Canceled, false, {});
-  }
-  if (this->impl->client.send(library_request, response, error)) {
-    // The library does not call the response handler if there is no body.
-    if (!head_seen) on_head(ToHead(response));
-    return Done{};
+  Impl& impl = *this->impl;
+  if (impl.cancelled) {
+    return MakeFailure(Errc::kCancelled, "call", impl.peer, "stopped");
   }
-  return this->impl->FailureFor(
-      error, head_seen, std::chrono::steady_clock::now() - last_progress);
+  Status status = Done{};
+  std::exception_ptr thrown;
+  asio::co_spawn(
+      impl.context,
+      [&]() -> asio::awaitable<void> {
+        status = co_await impl.Exchange(request, on_head, on_data);
+      },
+      [&](std::exception_ptr exception) { thrown = std::move(exception); });
+  impl.context.run();
+  error_code ignored;
+  impl.stream.socket().close(ignored);
+  if (thrown != nullptr) std::rethrow_exception(thrown);
+  return status;
 }
 
 Result<HttpResponse> HttpCall::Run(const HttpRequest& request) {
--- /dev/null
+++ b/tests/platform/platform-cut-responses.cc
@@ -0,0 +1,170 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "dragonflyglade/net/http_call.h"
+#include "tests/platform/two_instances.h"
+
+namespace dragonflyglade {
+namespace {
+
+using Reply = GatewayHarness::Reply;
+using Script = PlatformTargetStandIn::Script;
+
+/// A form of response, by which fields frame its body.
+struct ResponseForm {
+  const char* name;
+  const char* path;    ///< of a request that may run once
+  const char* fields;  ///< with the fields that frame the body
+  const char* body;
+  bool ends_by_close;
+};
+
+constexpr ResponseForm kForms[] = {
+    {"length", "/once/", "Content-Length: 4\r\n", "done", false},
+    {"chunks", "/once/", "Transfer-Encoding: chunked\r\n",
+     "2\r\ndo\r\n2\r\nne\r\n0\r\n\r\n", false},
+    {"stream in chunks", "/cut/",
+     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+     "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", false},
+    {"stream with a length", "/cut/",
+     "Content-Type: text/event-stream\r\nContent-Length: 15\r\n",
+     "id: 1\ndata: a\n\n", false},
+    {"no framing", "/once/", "Connection: close\r\n", "done", true},
+};
+
+enum class End { kClose, kReset };
+
+std::string HeadOf(const ResponseForm& form, const std::string& id) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\nX-Dragonflyglade-Attempt-Id: ", id,
+                      "\r\n", kSigned, form.fields, "\r\n");
+}
+
+// The length of the part of a response that can be cut: a body without framing
+// is whole wherever its connection ends.
+std::size_t CutLength(const ResponseForm& form, const std::string& id) {
+  const std::size_t head = HeadOf(form, id).size();
+  return form.ends_by_close ? head : head + std::string(form.body).size();
+}
+
+/// A response of which the first bytes are sent before its connection ends.
+struct CutResponse {
+  const ResponseForm* form = nullptr;  ///< null: a whole response
+  std::size_t length = 0;              ///< of the part that is sent
+  End end = End::kClose;
+
+  std::string Name() const {
+    return absl::StrCat(this->form->name, " cut at ", this->length,
+                        this->end == End::kReset ? ", reset" : ", closed");
+  }
+};
+
+class CuttingTarget {
+ public:
+  Script Answer(const RawRequest& request) const {
+    const CutResponse cut = this->Cut();
+    if (cut.form == nullptr || request.IsInspection()) {
+      return SuccessfulResponse(request);
+    }
+    const std::string id = request.Field("X-Dragonflyglade-Attempt-Id");
+    Script script;
+    script.bytes = absl::StrCat(HeadOf(*cut.form, id), cut.form->body)
+                       .substr(0, cut.length);
+    script.close = cut.end == End::kClose;
+    script.reset = cut.end == End::kReset;
+    return script;
+  }
+
+  void Send(const CutResponse& cut) {
+    absl::MutexLock lock(&this->mutex);
+    this->next = cut;
+  }
+
+ private:
+  CutResponse Cut() const {
+    absl::MutexLock lock(&this->mutex);
+    return this->next;
+  }
+
+  mutable absl::Mutex mutex;
+  CutResponse next ABSL_GUARDED_BY(mutex);
+};
+
+// @param step between the lengths
+std::vector<CutResponse> CutResponses(const std::string& id, std::size_t step) {
+  std::vector<CutResponse> cuts;
+  for (const ResponseForm& form : kForms) {
+    for (const End end : {End::kClose, End::kReset}) {
+      for (std::size_t at = 0; at < CutLength(form, id); at += step) {
+        cuts.push_back({&form, at, end});
+      }
+    }
+  }
+  return cuts;
+}
+
+class CutResponsesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CutResponsesTest);
+  CPPUNIT_TEST(ReachNoCallerAsWhole);
+  CPPUNIT_TEST(ReachNoCallerAsWholeOverATunnel);
+  CPPUNIT_TEST(AreNoResultOfACall);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a success with an empty or short body that looks whole.
+  void ReachNoCallerAsWhole() {
+    CuttingTarget target;
+    GatewayHarness harness(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    CheckCuts(harness, target, 1);
+  }
+
+  // Guards against the same at an instance without paths of its own.
+  void ReachNoCallerAsWholeOverATunnel() {
+    constexpr std::size_t kStep = 5;
+    CuttingTarget target;
+    TwoInstances pair(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    pair.Isolate();
+    CheckCuts(pair.harness, target, kStep);
+  }
+
+  // Guards against a cut response of an engine or service that counts as whole.
+  void AreNoResultOfACall() {
+    CuttingTarget target;
+    PlatformTargetStandIn stand_in(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    const Endpoint endpoint = ParseEndpoint(stand_in.Address()).Value();
+    const auto run = [&](const CutResponse& cut) {
+      target.Send(cut);
+      HttpCall call(endpoint, HttpOptions(), "service");
+      return call.Run(HttpRequest()).Ok();
+    };
+    for (const CutResponse& cut : CutResponses("", 1)) {
+      CPPUNIT_ASSERT_MESSAGE(cut.Name(), !run(cut));
+    }
+    for (const ResponseForm& form : kForms) {
+      CPPUNIT_ASSERT_MESSAGE(form.name, run({&form, std::string::npos}));
+    }
+  }
+
+ private:
+  static void CheckCuts(GatewayHarness& harness, CuttingTarget& target,
+                        std::size_t step) {
+    for (const CutResponse& cut : CutResponses("r1", step)) {
+      target.Send(cut);
+      const Reply reply = harness.Call("POST", cut.form->path);
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(cut.Name(), reply.text),
+                             reply.status != 200 || !reply.ended_whole);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CutResponsesTest,
+                                      "platform-cut-responses");
+
+}  // namespace
+}  // namespace dragonflyglade
