--- a/tests/platform/platform-reachability.cc
+++ b/tests/platform/platform-reachability.cc
@@ -52,6 +52,29 @@
   return statuses;
 }
 
+// Two instances in front of targets that can be made to answer nothing.
+struct HangingTargets {
+  std::atomic<bool> hang = false;
+  TwoInstances pair{[this](const RawRequest& request) {
+    PlatformTargetStandIn::Script script = SuccessfulResponse(request);
+    if (this->hang) script = {"", false, true};
+    return script;
+  }};
+};
+
+using Call = std::future<GatewayHarness::Reply>;
+
+// Sends requests to the second instance at the same time.
+std::vector<Call> CallSecond(TwoInstances& pair, std::size_t count) {
+  std::vector<Call> calls;
+  calls.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    calls.push_back(
+        std::async(std::launch::async, [&pair] { return pair.CallSecond(); }));
+  }
+  return calls;
+}
+
 class ReachabilityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReachabilityTest);
   CPPUNIT_TEST(ServesCallersOfAnInstanceWithoutPathsToTargets);
@@ -120,14 +143,10 @@
   // Guards against a payment that is made twice when the instance that forwards
   // it ends, and against a refusal that says it was not made.
   void NeverRepeatsWhatMayHaveRunBehindATunnel() {
-    std::atomic<bool> hangs = false;
-    TwoInstances pair([&hangs](const RawRequest& request) {
-      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
-      if (hangs) script = {"", false, true};
-      return script;
-    });
+    HangingTargets targets;
+    TwoInstances& pair = targets.pair;
     pair.Isolate();
-    hangs = true;
+    targets.hang = true;
     const std::size_t before = pair.RequestCount();
     auto call = std::async(std::launch::async, [&pair] {
       return pair.harness.Call("POST", "/once/").status;
@@ -213,14 +232,10 @@
 
   // Guards against work for callers who have left.
   void EndsWorkBehindATunnelWhenTheCallerLeaves() {
-    std::atomic<bool> hangs = false;
-    TwoInstances pair([&hangs](const RawRequest& request) {
-      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
-      if (hangs) script = {"", false, true};
-      return script;
-    });
+    HangingTargets targets;
+    TwoInstances& pair = targets.pair;
     pair.Isolate();
-    hangs = true;
+    targets.hang = true;
     const std::size_t before = pair.RequestCount();
     const auto ended = [&pair] {
       return pair.target_one.ConnectionsClosedByPeer() +
@@ -242,53 +257,35 @@
   // to is destroyed before them.
   void EndsWithRequestsInFlight() {
     constexpr std::size_t kRequests = 20;
-    std::atomic<bool> hangs = false;
-    TwoInstances pair([&hangs](const RawRequest& request) {
-      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
-      if (hangs) script = {"", false, true};
-      return script;
-    });
-    hangs = true;
+    HangingTargets targets;
+    TwoInstances& pair = targets.pair;
+    targets.hang = true;
     const std::size_t before = pair.RequestCount();
-    std::vector<std::future<GatewayHarness::Reply>> calls;
-    calls.reserve(kRequests);
-    for (std::size_t i = 0; i < kRequests; ++i) {
-      calls.push_back(std::async(std::launch::async,
-                                 [&pair] { return pair.CallSecond(); }));
-    }
+    std::vector<Call> calls = CallSecond(pair, kRequests);
     // A caller that connects later would look for an instance that has ended.
     pair.harness.WaitFor(
         [&] { return pair.RequestCount() >= before + kRequests; });
     pair.StopSecond();
-    for (auto& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
+    for (Call& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
   }
 
   // Guards against requests that outlive the parts of their instance, and reach
   // them when they are destroyed.
   void EndsItsRequestsBeforeRunReturns() {
-    constexpr int kRequests = 10;
-    std::atomic<bool> hangs = false;
-    TwoInstances pair([&hangs](const RawRequest& request) {
-      PlatformTargetStandIn::Script script = SuccessfulResponse(request);
-      if (hangs) script = {"", false, true};
-      return script;
-    });
-    hangs = true;
+    constexpr std::size_t kRequests = 10;
+    HangingTargets targets;
+    TwoInstances& pair = targets.pair;
+    targets.hang = true;
     const std::size_t before = pair.RequestCount();
-    std::vector<std::future<GatewayHarness::Reply>> calls;
-    calls.reserve(kRequests);
-    for (int i = 0; i < kRequests; ++i) {
-      calls.push_back(std::async(std::launch::async,
-                                 [&pair] { return pair.CallSecond(); }));
-    }
+    std::vector<Call> calls = CallSecond(pair, kRequests);
     pair.harness.WaitFor(
         [&] { return pair.RequestCount() >= before + kRequests; });
     pair.EndSecondLoop();
-    for (auto& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
+    for (Call& call : calls) CPPUNIT_ASSERT_EQUAL(0, call.get().status);
     pair.harness.WaitFor([&pair] {
       return pair.target_one.ConnectionsClosedByPeer() +
                  pair.target_two.ConnectionsClosedByPeer() >=
-             kRequests;
+             static_cast<int>(kRequests);
     });
     pair.second.reset();
   }
