tests: share free ports and targets' responses with tests of processes

Cause: the soak had its own search for free ports, and the responses of a healthy target were part of the harness that runs a gateway in the test's process. Tests that start gateway processes need both.

Change: FreePorts and FirstTestPort are in tests/fleet, ResponseBytes and SuccessfulResponse belong to the target stand-in, Process tells its id. No test changes.

--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -33,6 +33,7 @@
   /// terminated it.
   int Wait();
   bool Running();
+  pid_t Pid() const { return this->pid; }
   /// How the process ended, e.g. "exit code 1" or "signal 6 (Aborted)".
   std::string ExitDescription() const;
 
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -56,17 +56,6 @@
 
 }  // namespace
 
-std::string ResponseBytes(const RawRequest& request, const std::string& status,
-                          const std::string& body, const std::string& more) {
-  return absl::StrCat("HTTP/1.1 ", status, "\r\nX-Dragonflyglade-Attempt-Id: ",
-                      request.Field("X-Dragonflyglade-Attempt-Id"), "\r\n",
-                      more, "Content-Length: ", body.size(), "\r\n\r\n", body);
-}
-
-PlatformTargetStandIn::Script SuccessfulResponse(const RawRequest& request) {
-  return {ResponseBytes(request, "200 OK", "done", kSigned)};
-}
-
 GatewayHarness::Options GatewayHarness::WithAnswer(
     PlatformTargetStandIn::Answer answer) {
   Options options;
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -21,18 +21,6 @@
 
 namespace dragonflyglade {
 
-inline const std::string kSigned = "X-Dragonflyglade-Server-Signature: s1\r\n";
-
-/// Formats a target's response to a request.
-/// @param status status code and reason phrase
-/// @param more further header lines, each with its line end
-std::string ResponseBytes(const RawRequest& request, const std::string& status,
-                          const std::string& body,
-                          const std::string& more = "");
-
-/// The response of a healthy target: signed, with the body "done".
-PlatformTargetStandIn::Script SuccessfulResponse(const RawRequest& request);
-
 /// Runs a gateway in this process, with a store and two targets of one service
 /// as stand-ins.
 class GatewayHarness {
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
 namespace dragonflyglade {
@@ -25,6 +26,17 @@
   return this->Line().find(" /-/report ") != std::string::npos;
 }
 
+std::string ResponseBytes(const RawRequest& request, const std::string& status,
+                          const std::string& body, const std::string& more) {
+  return absl::StrCat("HTTP/1.1 ", status, "\r\nX-Dragonflyglade-Attempt-Id: ",
+                      request.Field("X-Dragonflyglade-Attempt-Id"), "\r\n",
+                      more, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+PlatformTargetStandIn::Script SuccessfulResponse(const RawRequest& request) {
+  return {ResponseBytes(request, "200 OK", "done", kSigned)};
+}
+
 bool ReadRawRequest(tcp::socket& socket, std::string& buffer,
                     RawRequest& request) {
   const auto receive_more = [&] {
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -95,6 +95,18 @@
   std::thread accept_thread;
 };
 
+inline const std::string kSigned = "X-Dragonflyglade-Server-Signature: s1\r\n";
+
+/// Formats a target's response to a request.
+/// @param status status code and reason phrase
+/// @param more further header lines, each with its line end
+std::string ResponseBytes(const RawRequest& request, const std::string& status,
+                          const std::string& body,
+                          const std::string& more = "");
+
+/// The response of a healthy target: signed, with the body "done".
+PlatformTargetStandIn::Script SuccessfulResponse(const RawRequest& request);
+
 /// Reads one HTTP request, with a Content-Length body or none.
 /// @param buffer bytes received beyond the previous request
 /// @return false if the connection ended before the request was complete
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -2,8 +2,6 @@
 
 #include <signal.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -11,12 +9,12 @@
 #include <vector>
 
 #include "absl/time/clock.h"
+#include "tests/fleet/free_ports.h"
 #include "tests/soak/connection.h"
 
 namespace dragonflyglade::soak {
 namespace {
 
-using boost::asio::ip::tcp;
 using nlohmann::json;
 
 constexpr int kTargets = 3;
@@ -25,27 +23,6 @@
 constexpr int kLimitFactors[] = {1, 3, 1, 2};
 constexpr int kRouteTimeoutsMs[] = {3000, 2000, 2500};
 
-// Returns the first of `count` consecutive ports that are free now, and
-// advances `from` past them.
-int FreePorts(int count, int& from) {
-  boost::asio::io_context context;
-  while (true) {
-    const int first = from;
-    from += count;
-    bool all_free = true;
-    for (int port = first; port < first + count && all_free; ++port) {
-      boost::system::error_code error;
-      tcp::acceptor acceptor(context);
-      acceptor.open(tcp::v4());
-      acceptor.bind({boost::asio::ip::address_v4::loopback(),
-                     static_cast<unsigned short>(port)},
-                    error);
-      all_free = !error;
-    }
-    if (all_free) return first;
-  }
-}
-
 std::string ResponseHead(const RawRequest& request, const std::string& status,
                          const std::string& extra_fields) {
   return "HTTP/1.1 " + status + "\r\nX-Dragonflyglade-Attempt-Id: " +
@@ -147,9 +124,7 @@
     this->PutTarget(i, "ready");
   }
   this->PutConfig();
-  // Soak tests that run at the same time start at different ports. They stay
-  // below 32768, where the ephemeral ports of the system begin.
-  int port = 10000 + static_cast<int>(getpid() % 220) * 100;
+  int port = FirstTestPort();
   for (int i = 0; i < instances; ++i) {
     auto instance = std::make_unique<Instance>();
     instance->name = "gateway-" + std::to_string(i);
