--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "dragonflyglade/gateway/caller_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -28,6 +29,9 @@
 // milliseconds, longer if packets are lost. If the gateway closed the
 // connection meanwhile, the caller could not know whether its request ran.
 constexpr absl::Duration kIdleGrace = absl::Seconds(1);
+// Read beyond a head in one step. What frames a body (the size and extensions
+// of a chunk, the trailer) may have so much more than a head.
+constexpr std::size_t kReadAheadBytes = 16u << 10;
 // How long CloseGracefully waits for the caller to close its end.
 constexpr absl::Duration kCloseTimeout = absl::Milliseconds(500);
 // A caller that has not read a response by then is treated as disconnected.
@@ -39,6 +43,8 @@
 int StatusForError(const error_code& error) {
   if (error == http::error::header_limit) return 431;
   if (error == http::error::body_limit) return 413;
+  // The parser keeps what frames a body until it is complete.
+  if (error == http::error::buffer_overflow) return 431;
   return 400;
 }
 
@@ -157,6 +163,7 @@
   RequestParser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
+  this->LimitBuffer(limits.max_header_bytes);
   error_code error;
   co_await http::async_read_header(
       this->socket, this->buffer, parser,
@@ -188,6 +195,14 @@
   co_return request;
 }
 
+// Failure: the parser asks for more until the line of a chunk or the trailer is
+// complete, and a caller that never ends it takes all memory.
+void CallerConnection::LimitBuffer(std::size_t max_header_bytes) {
+  // Requests that wait were read within an earlier limit.
+  this->buffer.max_size(
+      std::max(this->buffer.size(), max_header_bytes + kReadAheadBytes));
+}
+
 // A body that states no length is counted as it arrives.
 // @return no_memory if it exceeds the limit
 asio::awaitable<error_code> CallerConnection::ReadBody(RequestParser& parser,
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -119,6 +119,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   boost::asio::awaitable<bool> WaitForRequest();
+  void LimitBuffer(std::size_t max_header_bytes);
   boost::asio::awaitable<boost::system::error_code> ReadBody(
       RequestParser& parser, RequestBody& body);
   ReadResult RefuseBody(RequestParser& parser, std::uint64_t bytes);
