--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/match.h"
 #include "dragonflyglade/gateway/http_text.h"
 #include "dragonflyglade/gateway/peek_socket.h"
+#include "dragonflyglade/gateway/request_head_size.h"
 
 namespace dragonflyglade::gateway {
 
@@ -32,6 +33,7 @@
 // Read beyond a head in one step. What frames a body (the size and extensions
 // of a chunk, the trailer) may have so much more than a head.
 constexpr std::size_t kReadAheadBytes = 16u << 10;
+constexpr std::size_t kMinReadBytes = 512;
 // How long CloseGracefully waits for the caller to close its end.
 constexpr absl::Duration kCloseTimeout = absl::Milliseconds(500);
 // A caller that has not read a response by then is treated as disconnected.
@@ -55,15 +57,26 @@
          error != http::error::partial_message;
 }
 
-ReceivedRequest MakeReceivedRequest(
-    const http::request_parser<http::string_body>& parser) {
+std::string_view ViewOf(asio::const_buffer bytes) {
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+bool ExpectsContinue(const http::request_parser<http::string_body>& parser) {
+  const auto expect = parser.get()[http::field::expect];
+  return absl::EqualsIgnoreCase({expect.data(), expect.size()}, "100-continue");
+}
+
+// The parser does not keep the fields: they would take as much again for as
+// long as the body is read. The fields of a trailer are dropped with the
+// parser; what frames a request and who sends it is in its head.
+ReceivedRequest TakeHead(http::request_parser<http::string_body>& parser) {
   ReceivedRequest request;
-  request.head =
-      ConvertHead<true>(parser.get().base(), parser.get().keep_alive());
+  request.head = ConvertHead<true>(parser.get().base(), parser.keep_alive());
   request.method = std::string(request.head.method);
   request.path_and_query = std::string(request.head.path_and_query);
   request.head.method = request.method;
   request.head.path_and_query = request.path_and_query;
+  parser.get().clear();
   return request;
 }
 
@@ -72,13 +85,13 @@
 CallerConnection::CallerConnection(asio::io_context& context,
                                    tcp::socket socket,
                                    CallerLimitsProvider limits,
-                                   RequestBodies& bodies,
-                                   CallerBuffers& buffers, Clock clock)
+                                   CallerResources resources, Clock clock)
     : socket(std::move(socket)),
       limits(std::move(limits)),
-      bodies(bodies),
-      buffers(buffers),
+      bodies(resources.bodies),
+      buffers(resources.buffers),
       clock(std::move(clock)),
+      head_hold(resources.heads),
       timer(context, this->clock,
             [this] { return PeekSocket(this->socket) == SocketState::kBytes; }),
       wait_start(this->clock.Now()) {
@@ -156,6 +169,7 @@
 
 asio::awaitable<ReadResult> CallerConnection::Read() {
   this->stream_started = false;
+  this->head_hold.Release();
   const bool readable = co_await this->WaitForRequest();
   if (!readable) co_return CallerDisconnected{};
   const CallerLimits limits = this->limits();
@@ -164,16 +178,17 @@
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   this->LimitBuffer(limits.max_header_bytes);
-  error_code error;
-  co_await http::async_read_header(
-      this->socket, this->buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
+  error_code error = co_await this->ReadHead(parser);
+  if (error == asio::error::no_memory) co_return this->RefuseHead();
   if (error) co_return this->ReadFailure(error);
+  const bool expects_continue = ExpectsContinue(parser);
+  ReceivedRequest request = TakeHead(parser);
   const auto body = std::make_shared<RequestBody>(this->bodies);
   const std::uint64_t length = parser.content_length().value_or(0);
-  if (!body->hold.GrowTo(length)) co_return this->RefuseBody(parser, length);
-  const auto expect = parser.get()[http::field::expect];
-  if (absl::EqualsIgnoreCase({expect.data(), expect.size()}, "100-continue")) {
+  if (!body->hold.GrowTo(length)) {
+    co_return this->RefuseBody(std::move(request), length);
+  }
+  if (expects_continue) {
     const bool written =
         co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n", kWriteTimeout);
     if (!written) co_return CallerDisconnected{};
@@ -182,14 +197,13 @@
   error = co_await this->ReadBody(parser, *body);
   this->timer.Stop();
   if (error == asio::error::no_memory) {
-    co_return this->RefuseBody(parser, parser.get().body().size());
+    co_return this->RefuseBody(std::move(request), parser.get().body().size());
   }
   if (error) co_return this->ReadFailure(error);
   // The timeout may have closed the connection in the same turn of the event
   // loop that read the last bytes. No response could be written then.
   if (!this->end_reason.empty()) co_return CallerDisconnected{};
-  this->BeginRequest(parser.get().keep_alive());
-  ReceivedRequest request = MakeReceivedRequest(parser);
+  this->BeginRequest(parser.keep_alive());
   body->text = std::move(parser.get().body());
   request.body = ShareText(body);
   co_return request;
@@ -203,6 +217,55 @@
       std::max(this->buffer.size(), max_header_bytes + kReadAheadBytes));
 }
 
+// Failure: the parser makes many times their length out of short fields, also
+// of a head that never ends, and a crowd of such callers takes all memory. What
+// the bytes are about to take is therefore counted before the parser sees them.
+// @return no_memory if it exceeds the limit
+asio::awaitable<error_code> CallerConnection::ReadHead(RequestParser& parser) {
+  RequestHeadSize size;
+  size.Add(ViewOf(this->buffer.cdata()));
+  error_code error = http::error::need_more;
+  while (true) {
+    if (!this->head_hold.GrowTo(size.Bytes())) co_return asio::error::no_memory;
+    if (this->buffer.size() > 0) error = this->ParseHead(parser);
+    if (error != http::error::need_more) co_return error;
+    const std::size_t known = this->buffer.size();
+    error = co_await this->ReadMore();
+    if (error == asio::error::eof) {
+      co_return parser.got_some() ? http::error::partial_message
+                                  : http::error::end_of_stream;
+    }
+    if (error) co_return error;
+    size.Add(ViewOf(this->buffer.cdata()).substr(known));
+  }
+}
+
+// @return need_more if the head is not whole yet
+error_code CallerConnection::ParseHead(RequestParser& parser) {
+  error_code error;
+  while (!error && !parser.is_header_done()) {
+    const std::size_t used = parser.put(this->buffer.cdata(), error);
+    this->buffer.consume(used);
+    if (!error && used == 0) error = http::error::need_more;
+  }
+  return error;
+}
+
+// Reads what has arrived, at least a byte.
+asio::awaitable<error_code> CallerConnection::ReadMore() {
+  const std::size_t known = this->buffer.size();
+  const std::size_t wanted =
+      std::max(kMinReadBytes, this->buffer.capacity() - known);
+  const std::size_t allowed = std::min(wanted, this->buffer.max_size() - known);
+  if (allowed == 0) co_return http::error::buffer_overflow;
+  const auto space = this->buffer.prepare(allowed);
+  error_code error;
+  const std::size_t received = co_await this->socket.async_read_some(
+      space, asio::redirect_error(asio::use_awaitable, error));
+  this->buffer.commit(received);
+  co_return error;
+}
+
 // A body that states no length is counted as it arrives.
 // @return no_memory if it exceeds the limit
 asio::awaitable<error_code> CallerConnection::ReadBody(RequestParser& parser,
@@ -219,12 +282,19 @@
   co_return error;
 }
 
-ReadResult CallerConnection::RefuseBody(RequestParser& parser,
+ReadResult CallerConnection::RefuseHead() {
+  this->timer.Stop();
+  if (!this->end_reason.empty()) return CallerDisconnected{};
+  this->BeginRequest(false);
+  return HeadRefused{};
+}
+
+ReadResult CallerConnection::RefuseBody(ReceivedRequest request,
                                         std::uint64_t bytes) {
   this->timer.Stop();
   if (!this->end_reason.empty()) return CallerDisconnected{};
   this->BeginRequest(false);
-  return BodyRefused{MakeReceivedRequest(parser), bytes};
+  return BodyRefused{std::move(request), bytes};
 }
 
 void CallerConnection::BeginRequest(bool keep) {
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -18,7 +18,7 @@
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/messages.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/wire_format.h"
 
@@ -29,9 +29,12 @@
   HttpMessageHead head;
   std::string method;          ///< storage that head.method refers to
   std::string path_and_query;  ///< storage that head.path_and_query refers to
-  std::shared_ptr<const std::string> body;  ///< counted in RequestBodies
+  SharedBody body;             ///< counted in RequestMemory
 };
-/// A request whose body would exceed the limit of RequestBodies. What is left
+/// A head for which there is no memory. It was not read whole, so the
+/// connection closes after the response.
+struct HeadRefused {};
+/// A request whose body would exceed the limit of RequestMemory. What is left
 /// of the body was not read, so the connection closes after the response.
 struct BodyRefused {
   ReceivedRequest request;  ///< without the body
@@ -44,12 +47,19 @@
 };
 /// The caller closed the connection, or a timeout ended it.
 struct CallerDisconnected {};
-using ReadResult = std::variant<ReceivedRequest, BodyRefused, MalformedRequest,
-                                CallerDisconnected>;
+using ReadResult = std::variant<ReceivedRequest, HeadRefused, BodyRefused,
+                                MalformedRequest, CallerDisconnected>;
 
 /// Returns the limits of the current configuration.
 using CallerLimitsProvider = std::function<CallerLimits()>;
 
+/// What the connections of an instance's callers share.
+struct CallerResources {
+  RequestMemory& heads;
+  RequestMemory& bodies;
+  CallerBuffers& buffers;
+};
+
 /// A caller's connection: reads requests, writes responses, and detects that
 /// the caller disconnects while a request is in progress. Runs on one event
 /// loop.
@@ -57,8 +67,8 @@
  public:
   CallerConnection(boost::asio::io_context& context,
                    boost::asio::ip::tcp::socket socket,
-                   CallerLimitsProvider limits, RequestBodies& bodies,
-                   CallerBuffers& buffers, Clock clock);
+                   CallerLimitsProvider limits, CallerResources resources,
+                   Clock clock);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -120,9 +130,14 @@
 
   boost::asio::awaitable<bool> WaitForRequest();
   void LimitBuffer(std::size_t max_header_bytes);
+  boost::asio::awaitable<boost::system::error_code> ReadHead(
+      RequestParser& parser);
+  boost::system::error_code ParseHead(RequestParser& parser);
+  boost::asio::awaitable<boost::system::error_code> ReadMore();
   boost::asio::awaitable<boost::system::error_code> ReadBody(
       RequestParser& parser, RequestBody& body);
-  ReadResult RefuseBody(RequestParser& parser, std::uint64_t bytes);
+  ReadResult RefuseHead();
+  ReadResult RefuseBody(ReceivedRequest request, std::uint64_t bytes);
   void BeginRequest(bool keep);
   void AwaitDisconnect(std::function<void()> on_disconnect);
   boost::asio::awaitable<bool> Write(std::string text, absl::Duration timeout,
@@ -136,9 +151,10 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   const CallerLimitsProvider limits;
-  RequestBodies& bodies;
+  RequestMemory& bodies;
   CallerBuffers& buffers;
   const Clock clock;
+  RequestMemory::Hold head_hold;  ///< of the request that is read or served
   StepTimer timer;
   std::string_view end_reason;  ///< text of static lifetime
   absl::Duration timer_lateness;
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -13,7 +13,6 @@
 #include <vector>
 
 #include "absl/random/random.h"
-#include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/operator/caller_key.h"
 
 namespace dragonflyglade::gateway {
@@ -93,7 +92,10 @@
               this->tasks, this->clock),
       statements(this->fleet, this->channel, this->self.name, this->metrics,
                  this->log, this->clock),
-      request_bodies([this] { return this->settings.request_bodies_bytes; }),
+      request_heads([this] { return this->settings.request_bodies_bytes / 2; },
+                    RequestMemory::kSmallHeadBytes),
+      request_bodies([this] { return this->settings.request_bodies_bytes; },
+                     RequestMemory::kSmallBodyBytes),
       caller_buffers(
           this->context, [this] { return this->settings.caller_buffers; },
           this->clock),
@@ -204,6 +206,9 @@
   this->metrics.AddGauge("request_body_bytes", [this] {
     return static_cast<double>(this->request_bodies.Bytes());
   });
+  this->metrics.AddGauge("request_head_bytes", [this] {
+    return static_cast<double>(this->request_heads.Bytes());
+  });
   this->metrics.AddGauge("prompt_parts_known", [this] {
     return static_cast<double>(this->prompt_caches.Parts());
   });
@@ -315,6 +320,10 @@
   }
 }
 
+CallerResources Gateway::MakeCallerResources() {
+  return {this->request_heads, this->request_bodies, this->caller_buffers};
+}
+
 CallerLimits Gateway::CurrentLimits() const {
   const auto config = this->fleet.Config();
   return config == nullptr ? CallerLimits() : config->limits;
@@ -323,8 +332,8 @@
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
   CallerConnection connection(
       this->context, std::move(socket),
-      [this] { return this->CurrentLimits(); }, this->request_bodies,
-      this->caller_buffers, this->clock);
+      [this] { return this->CurrentLimits(); }, this->MakeCallerResources(),
+      this->clock);
   const int requests = co_await this->ServeRequests(connection);
   this->RecordConnectionEnd(connection, requests);
 }
@@ -363,6 +372,10 @@
 asio::awaitable<void> Gateway::ServeRequest(CallerConnection& connection,
                                             ReadResult read) {
   int error_status = 400;
+  if (std::holds_alternative<HeadRefused>(read)) {
+    co_await this->pipeline.RefuseHead(connection);
+    co_return;
+  }
   auto* refused = std::get_if<BodyRefused>(&read);
   auto* received = refused != nullptr ? &refused->request
                                       : std::get_if<ReceivedRequest>(&read);
@@ -370,6 +383,8 @@
     received->head.method = received->method;
     received->head.path_and_query = received->path_and_query;
     Result<CallerRequest> request = this->wire.decode_request(received->head);
+    // The request has what is needed of it for as long as it is served.
+    received->head = {};
     if (request.Ok() && refused != nullptr) {
       co_await this->pipeline.RefuseBody(std::move(request.Value()),
                                          refused->bytes, connection);
@@ -393,7 +408,7 @@
                                             QueryHandler handler) {
   CallerConnection connection(
       this->context, std::move(socket), [] { return CallerLimits(); },
-      this->request_bodies, this->caller_buffers, this->clock);
+      this->MakeCallerResources(), this->clock);
   while (true) {
     const ReadResult read = co_await connection.Read();
     const auto* received = std::get_if<ReceivedRequest>(&read);
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "dragonflyglade/decision/leader_lease.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
+#include "dragonflyglade/gateway/caller_connection.h"
 #include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/event_loop.h"
@@ -27,7 +28,7 @@
 #include "dragonflyglade/gateway/quota_admission.h"
 #include "dragonflyglade/gateway/registration.h"
 #include "dragonflyglade/gateway/report_aggregator.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/gateway/spend_recorder.h"
 #include "dragonflyglade/gateway/store_client.h"
 #include "dragonflyglade/gateway/store_relay.h"
@@ -111,6 +112,7 @@
   PlainResponse HandleMetrics(std::string_view path) const;
   InstanceRecord MakeInstanceRecord() const;
   CallerLimits CurrentLimits() const;
+  CallerResources MakeCallerResources();
   void AddGauges();
 
   GatewaySettings settings;
@@ -145,7 +147,8 @@
   PromptCaches prompt_caches;
   FleetChannel channel;
   TargetStatements statements;
-  RequestBodies request_bodies;
+  RequestMemory request_heads;
+  RequestMemory request_bodies;
   CallerBuffers caller_buffers;
   TargetPaths paths;
   TunnelServer tunnel_server;
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -9,7 +9,7 @@
 #include "dragonflyglade/decision/failure.h"
 #include "dragonflyglade/decision/quota_windows.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/net/endpoint.h"
 
 namespace dragonflyglade::gateway {
@@ -53,8 +53,9 @@
   double slow_start_overage = 1;
   double slow_start_slack = 0;
   CallerBufferLimits caller_buffers;
-  /// Of all request bodies; see RequestBodies.
-  std::size_t request_bodies_bytes = RequestBodies::kDefaultLimitBytes;
+  /// Of all request bodies; their heads may take half as much beside them. See
+  /// RequestMemory.
+  std::size_t request_bodies_bytes = RequestMemory::kDefaultBodiesBytes;
   /// Whether engines are asked to keep copies of runs; see RunBackups.
   bool run_backups = false;
   /// Whether engines that state how fast they are are chosen by a learnt model;
--- a/dragonflyglade/gateway/http_text.h
+++ b/dragonflyglade/gateway/http_text.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <cstddef>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,8 @@
     head.status = static_cast<int>(header.result_int());
   }
   head.keep_alive = keep_alive;
+  head.fields.reserve(
+      static_cast<std::size_t>(std::distance(header.begin(), header.end())));
   for (const auto& field : header) {
     head.fields.emplace_back(std::string(field.name_string()),
                              std::string(field.value()));
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -46,7 +46,7 @@
                    CrashSuspects& crash_suspects,
                    TargetCrashDetector& crash_detector, TargetPaths& paths,
                    PromptCaches& prompt_caches, CallerBuffers& caller_buffers,
-                   const RequestBodies& request_bodies,
+                   const RequestMemory& request_bodies,
                    const StoreSyncState& sync_state, Metrics& metrics,
                    EventLog& log, Tasks& tasks, Clock clock)
     : context(context),
@@ -388,11 +388,24 @@
                   {{"id", job.request.id},
                    {"body_bytes", body_bytes},
                    {"held_body_bytes", held_bytes}});
+  co_await this->RefuseForMemory(
+      job, "the body exceeds the instance's memory for bodies");
+}
+
+asio::awaitable<void> Pipeline::RefuseHead(CallerConnection& connection) {
+  CallerRequest unread;
+  RequestJob job(std::move(unread), connection);
+  job.started = this->clock.Now();
+  job.config = this->fleet.Config();
+  co_await this->RefuseForMemory(
+      job, "the head exceeds the instance's memory for heads");
+}
+
+asio::awaitable<void> Pipeline::RefuseForMemory(RequestJob& job,
+                                                std::string message) {
   const double spread = absl::Uniform<double>(this->random, 1, kReturnSpread);
-  Refusal refusal =
-      MakeRefusal(RefusalCode::kMemoryFull,
-                  "the body exceeds the instance's memory for bodies",
-                  spread * kRetryAfterMemoryFull);
+  Refusal refusal = MakeRefusal(RefusalCode::kMemoryFull, std::move(message),
+                                spread * kRetryAfterMemoryFull);
   co_await this->Refuse(job, std::move(refusal));
 }
 
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -34,7 +34,7 @@
 #include "dragonflyglade/gateway/model_demand.h"
 #include "dragonflyglade/gateway/prompt_caches.h"
 #include "dragonflyglade/gateway/quota_admission.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/gateway/store_sync_state.h"
 #include "dragonflyglade/gateway/stream_origins.h"
 #include "dragonflyglade/gateway/target_crash_detector.h"
@@ -59,7 +59,7 @@
            StreamOrigins& stream_origins, CrashSuspects& crash_suspects,
            TargetCrashDetector& crash_detector, TargetPaths& paths,
            PromptCaches& prompt_caches, CallerBuffers& caller_buffers,
-           const RequestBodies& request_bodies,
+           const RequestMemory& request_bodies,
            const StoreSyncState& sync_state, Metrics& metrics, EventLog& log,
            Tasks& tasks, Clock clock);
 
@@ -74,6 +74,10 @@
                                           std::uint64_t body_bytes,
                                           CallerConnection& connection);
 
+  /// Refuses a request whose head was not read whole, since this instance has
+  /// no memory for it.
+  boost::asio::awaitable<void> RefuseHead(CallerConnection& connection);
+
   /// Announces that the process ends at this time at the latest. After a short
   /// grace period the pipeline refuses requests whose timeout ends later.
   void BeginShutdown(Instant end);
@@ -163,6 +167,8 @@
   /// Compares the prediction for an answered request with its outcome, and
   /// learns from it.
   void RecordEngineOutcome(const RequestJob& job);
+  std::string TargetRequestHead(const CallerRequest& request,
+                                const ForwardingContext& stamp) const;
   boost::asio::awaitable<NextStep> Attempt(RequestJob& job,
                                            std::shared_ptr<TargetState> target);
   boost::asio::awaitable<NextStep> RelayStream(RequestJob& job,
@@ -232,6 +238,8 @@
   void RecordPauses(const RequestJob& job);
   void AbortStream(RequestJob& job);
   boost::asio::awaitable<void> Refuse(RequestJob& job, Refusal refusal);
+  boost::asio::awaitable<void> RefuseForMemory(RequestJob& job,
+                                               std::string message);
   /// Responds to a request whose response was cut off for lack of memory.
   boost::asio::awaitable<void> EndCutOff(RequestJob& job);
   void RecordOutcome(RequestJob& job, std::string_view outcome, int status);
@@ -249,7 +257,7 @@
   TargetPaths& paths;
   PromptCaches& prompt_caches;
   CallerBuffers& caller_buffers;
-  const RequestBodies& request_bodies;
+  const RequestMemory& request_bodies;
   const StoreSyncState& sync_state;
   Metrics& metrics;
   EventLog& log;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -100,6 +100,16 @@
   return DirectPath{};
 }
 
+std::string Pipeline::TargetRequestHead(const CallerRequest& request,
+                                        const ForwardingContext& stamp) const {
+  const OutgoingHttpRequest call{
+      request.method, request.path_and_query,
+      this->wire.target_request_fields(request, stamp), ""};
+  const std::size_t body_bytes =
+      request.body == nullptr ? 0 : request.body->size();
+  return RequestHeadText(call, request.host, body_bytes);
+}
+
 asio::awaitable<Pipeline::NextStep> Pipeline::Attempt(
     RequestJob& job, std::shared_ptr<TargetState> target) {
   const Instant now = this->clock.Now();
@@ -110,12 +120,7 @@
   job.target_version = target->Record().version;
   job.target_born_ms = target->Record().born_ms;
   job.tried.insert(stamp.target);
-  const OutgoingHttpRequest call{
-      job.request.method, job.request.path_and_query,
-      this->wire.target_request_fields(job.request, stamp), ""};
-  const std::size_t body_bytes =
-      job.request.body == nullptr ? 0 : job.request.body->size();
-  std::string head = RequestHeadText(call, job.request.host, body_bytes);
+  std::string head = this->TargetRequestHead(job.request, stamp);
   this->RecordStreamSent(job);
   const std::string address = target->Record().address;
   const TargetPath path = this->ChoosePath(job, *target);
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -17,7 +17,7 @@
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/messages.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/target_connection.h"
 #include "dragonflyglade/gateway/wire_format.h"
--- a/tests/clients/gateway_process.cc
+++ b/tests/clients/gateway_process.cc
@@ -32,17 +32,6 @@
           {"max_attempts", 1}};
 }
 
-json Config(const json& caller_limits) {
-  json config = {{"version", 1},
-                 {"routes",
-                  {RouteConfig("any", "idempotent"),
-                   RouteConfig("once", "non_idempotent")}},
-                 {"services", {{{"name", "s"}, {"max_connections", 1000}}}},
-                 {"tenants", {{{"name", "t1"}, {"api_keys", {"k1"}}}}}};
-  if (!caller_limits.empty()) config["limits"] = caller_limits;
-  return config;
-}
-
 std::string MakeDirectory() {
   std::string name = std::filesystem::temp_directory_path() / "glade-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) {
@@ -74,19 +63,36 @@
 
 GatewayProcess::GatewayProcess(Options options)
     : target(options.answer), directory(MakeDirectory()) {
-  this->store.Put("op/config", Config(options.caller_limits).dump());
+  this->store.Put("op/config", this->Config(options).dump());
   this->PutTarget();
   int port = FirstTestPort();
   this->first_port = FreePorts(kListeners, port);
   this->WriteSettings(options.limits);
   this->process = std::make_unique<Process>(
       Command(this->directory + "/settings.json", options.descriptors),
-      this->directory + "/log", Process::Output::kLog);
+      this->directory + "/log",
+      options.log_is_read ? Process::Output::kLog : Process::Output::kPipe);
   const bool serves =
       WaitUntil([this] { return StatusOf(this->CallAsOrdinary()) == 200; });
   if (!serves) throw std::runtime_error("the gateway does not serve");
 }
 
+json GatewayProcess::Config(const Options& options) const {
+  json service = {{"name", "s"}, {"max_connections", 1000}};
+  service.update(options.service);
+  json workspace = {{"name", "t1"}, {"api_keys", {"k1"}}};
+  workspace.update(options.quota);
+  json config = {
+      {"version", 1},
+      {"routes",
+       {RouteConfig("any", "idempotent"), RouteConfig("once", "non_idempotent"),
+        RouteConfig("stream", "streaming")}},
+      {"services", {service}},
+      {"tenants", {workspace}}};
+  if (!options.caller_limits.empty()) config["limits"] = options.caller_limits;
+  return config;
+}
+
 GatewayProcess::~GatewayProcess() {
   this->process.reset();
   std::error_code ignored;
--- a/tests/clients/gateway_process.h
+++ b/tests/clients/gateway_process.h
@@ -35,7 +35,12 @@
     nlohmann::json limits = nlohmann::json::object();
     /// The object `limits` of the configuration.
     nlohmann::json caller_limits = nlohmann::json::object();
-    int descriptors = 0;  ///< the process's limit; 0: that of the test
+    /// Further fields of the service that all routes lead to.
+    nlohmann::json service = nlohmann::json::object();
+    /// Further fields of the workspace that has the key "k1".
+    nlohmann::json quota = nlohmann::json::object();
+    int descriptors = 0;      ///< the process's limit; 0: that of the test
+    bool log_is_read = true;  ///< else its output fills a pipe
     PlatformTargetStandIn::Answer answer = SuccessfulResponse;
   };
 
@@ -76,6 +81,7 @@
   void PutTarget();
 
  private:
+  nlohmann::json Config(const Options& options) const;
   void WriteSettings(const nlohmann::json& limits) const;
 
   PlatformStoreStandIn store;
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -14,7 +14,7 @@
 
 #include "absl/synchronization/notification.h"
 #include "dragonflyglade/gateway/gateway.h"
-#include "dragonflyglade/gateway/request_bodies.h"
+#include "dragonflyglade/gateway/request_memory.h"
 #include "platform/wire.h"
 #include "tests/platform/store_stand_in.h"
 #include "tests/platform/target_stand_in.h"
@@ -34,7 +34,7 @@
     gateway::CallerBufferLimits caller_buffers;
     /// Setting `request_bodies_kb`, in bytes.
     std::size_t request_bodies_bytes =
-        gateway::RequestBodies::kDefaultLimitBytes;
+        gateway::RequestMemory::kDefaultBodiesBytes;
     /// Further fields of the service's engines.
     nlohmann::json engine = nlohmann::json::object();
     std::string second_ip = "127.0.0.1";  ///< of the second target
