--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -194,7 +194,11 @@
     if (!written) co_return CallerDisconnected{};
   }
   this->StartTimeout(kBodyTimeout, "body not whole in time");
-  error = co_await this->ReadBody(parser, *body);
+  RequestMemory::Arrival arrival(body->hold, kBodyTimeout, [this] {
+    error_code ignored;
+    this->socket.cancel(ignored);
+  });
+  error = co_await this->ReadBody(parser, *body, arrival);
   this->timer.Stop();
   if (error == asio::error::no_memory) {
     co_return this->RefuseBody(std::move(request), parser.get().body().size());
@@ -267,17 +271,18 @@
 }
 
 // A body that states no length is counted as it arrives.
-// @return no_memory if it exceeds the limit
-asio::awaitable<error_code> CallerConnection::ReadBody(RequestParser& parser,
-                                                       RequestBody& body) {
+// @return no_memory if it exceeds the limit, or others need its room
+asio::awaitable<error_code> CallerConnection::ReadBody(
+    RequestParser& parser, RequestBody& body, RequestMemory::Arrival& arrival) {
   error_code error;
   while (!error && !parser.is_done()) {
     co_await http::async_read_some(
         this->socket, this->buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
-    if (!error && !body.hold.GrowTo(parser.get().body().size())) {
-      error = asio::error::no_memory;
-    }
+    if (arrival.WasEnded()) co_return asio::error::no_memory;
+    const std::size_t received = parser.get().body().size();
+    arrival.Record(received);
+    if (!error && !body.hold.GrowTo(received)) error = asio::error::no_memory;
   }
   co_return error;
 }
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -135,7 +135,8 @@
   boost::system::error_code ParseHead(RequestParser& parser);
   boost::asio::awaitable<boost::system::error_code> ReadMore();
   boost::asio::awaitable<boost::system::error_code> ReadBody(
-      RequestParser& parser, RequestBody& body);
+      RequestParser& parser, RequestBody& body,
+      RequestMemory::Arrival& arrival);
   ReadResult RefuseHead();
   ReadResult RefuseBody(ReceivedRequest request, std::uint64_t bytes);
   void BeginRequest(bool keep);
