--- a/dragonflyglade/gateway/caller_connection.cc
+++ b/dragonflyglade/gateway/caller_connection.cc
@@ -91,6 +91,7 @@
       bodies(resources.bodies),
       buffers(resources.buffers),
       clock(std::move(clock)),
+      entry(resources.connections, [this] { this->Abort("no room"); }),
       head_hold(resources.heads),
       timer(context, this->clock,
             [this] { return PeekSocket(this->socket) == SocketState::kBytes; }),
@@ -157,6 +158,7 @@
 asio::awaitable<bool> CallerConnection::WaitForRequest() {
   this->wait_start = this->clock.Now();
   this->wait_end.reset();
+  this->entry.BeginWait(CallerWait::kRequest);
   if (this->buffer.size() > 0) co_return true;
   this->StartIdleTimeout(this->limits().idle_timeout);
   error_code error;
@@ -168,10 +170,17 @@
 }
 
 asio::awaitable<ReadResult> CallerConnection::Read() {
+  ReadResult result = co_await this->ReadRequest();
+  this->entry.EndWait();
+  co_return result;
+}
+
+asio::awaitable<ReadResult> CallerConnection::ReadRequest() {
   this->stream_started = false;
   this->head_hold.Release();
   const bool readable = co_await this->WaitForRequest();
   if (!readable) co_return CallerDisconnected{};
+  this->entry.BeginWait(CallerWait::kRestOfRequest);
   const CallerLimits limits = this->limits();
   this->StartTimeout(limits.header_timeout, "head not whole in time");
   RequestParser parser;
@@ -193,6 +202,7 @@
         co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n", kWriteTimeout);
     if (!written) co_return CallerDisconnected{};
   }
+  this->entry.BeginWait(CallerWait::kRestOfRequest);
   this->StartTimeout(kBodyTimeout, "body not whole in time");
   RequestMemory::Arrival arrival(body->hold, kBodyTimeout, [this] {
     error_code ignored;
@@ -321,6 +331,7 @@
       this->buffers, text.size() + body.size(),
       [this] { this->Abort("caller reads too slowly"); });
   this->StartTimeout(timeout, "caller takes nothing");
+  this->entry.BeginWait(CallerWait::kResponseIsRead);
   const std::array<asio::const_buffer, 2> both = {
       asio::buffer(text), asio::buffer(body.data(), body.size())};
   const Instant start = this->clock.Now();
@@ -328,6 +339,7 @@
   co_await asio::async_write(this->socket, both,
                              asio::redirect_error(asio::use_awaitable, error));
   this->timer.Stop();
+  this->entry.EndWait();
   this->last_write_time = this->clock.Now() - start;
   if (error) {
     this->disconnected = true;
@@ -404,6 +416,7 @@
   error_code error;
   this->socket.shutdown(tcp::socket::shutdown_send, error);
   this->StartTimeout(kCloseTimeout, "served");
+  this->entry.BeginWait(CallerWait::kRequest);
   std::array<char, 4096> discarded;
   while (!error) {
     co_await this->socket.async_read_some(
--- a/dragonflyglade/gateway/caller_connection.h
+++ b/dragonflyglade/gateway/caller_connection.h
@@ -17,6 +17,7 @@
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
+#include "dragonflyglade/gateway/connection_limit.h"
 #include "dragonflyglade/gateway/messages.h"
 #include "dragonflyglade/gateway/request_memory.h"
 #include "dragonflyglade/gateway/step_timer.h"
@@ -55,6 +56,7 @@
 
 /// What the connections of an instance's callers share.
 struct CallerResources {
+  ConnectionLimit& connections;
   RequestMemory& heads;
   RequestMemory& bodies;
   CallerBuffers& buffers;
@@ -128,6 +130,7 @@
   using RequestParser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  boost::asio::awaitable<ReadResult> ReadRequest();
   boost::asio::awaitable<bool> WaitForRequest();
   void LimitBuffer(std::size_t max_header_bytes);
   boost::asio::awaitable<boost::system::error_code> ReadHead(
@@ -155,6 +158,7 @@
   RequestMemory& bodies;
   CallerBuffers& buffers;
   const Clock clock;
+  ConnectionLimit::Entry entry;
   RequestMemory::Hold head_hold;  ///< of the request that is read or served
   StepTimer timer;
   std::string_view end_reason;  ///< text of static lifetime
--- a/dragonflyglade/gateway/gateway.cc
+++ b/dragonflyglade/gateway/gateway.cc
@@ -99,11 +99,18 @@
       caller_buffers(
           this->context, [this] { return this->settings.caller_buffers; },
           this->clock),
+      connection_plan(
+          PlanConnections(DescriptorLimit(this->settings.descriptors))),
+      caller_connections(this->connection_plan.callers, this->clock),
+      directory_connections(this->connection_plan.directory, this->clock),
+      readiness_connections(this->connection_plan.readiness, this->clock),
+      metrics_connections(this->connection_plan.metrics, this->clock),
       paths(this->context, this->wire, this->fleet, this->channel,
             this->statements, this->self, this->metrics, this->log, this->tasks,
             this->clock),
-      tunnel_server(this->context, this->fleet, this->paths, this->statements,
-                    this->metrics, this->tasks, this->clock),
+      tunnel_server(this->context, this->connection_plan.tunnels, this->fleet,
+                    this->paths, this->statements, this->metrics, this->tasks,
+                    this->clock),
       registration(
           this->context, this->store, this->fleet, this->leader_lease,
           this->paths, this->self,
@@ -197,6 +204,9 @@
   this->metrics.AddGauge("isolated_from_targets", [this] {
     return this->paths.IsolatedSince().has_value() ? 1.0 : 0.0;
   });
+  this->metrics.AddGauge("caller_connections", [this] {
+    return static_cast<double>(this->caller_connections.Open());
+  });
   this->metrics.AddGauge("caller_buffer_bytes", [this] {
     return static_cast<double>(this->caller_buffers.Bytes());
   });
@@ -225,17 +235,16 @@
 
 Status Gateway::Run() {
   if (!this->listeners.BindStatus().Ok()) return this->listeners.BindStatus();
-  this->tasks.SpawnWithRestart("accept callers", [this] {
-    return this->AcceptCallers(this->listeners.callers);
-  });
+  this->tasks.SpawnWithRestart("accept callers",
+                               [this] { return this->AcceptCallers(); });
   this->ServeEndpoint(
-      "readiness", this->listeners.readiness,
+      "readiness", this->listeners.readiness, this->readiness_connections,
       [this](std::string_view path) { return this->HandleReadiness(path); });
   this->ServeEndpoint(
-      "directory", this->listeners.directory,
+      "directory", this->listeners.directory, this->directory_connections,
       [this](std::string_view path) { return this->HandleDirectory(path); });
   this->ServeEndpoint(
-      "metrics", this->listeners.metrics,
+      "metrics", this->listeners.metrics, this->metrics_connections,
       [this](std::string_view path) { return this->HandleMetrics(path); });
   this->tasks.SpawnWithRestart("accept tunnels", [this] {
     return this->tunnel_server.Accept(this->listeners.tunnels);
@@ -285,43 +294,54 @@
 }
 
 void Gateway::ServeEndpoint(std::string_view name, Acceptor& acceptor,
+                            ConnectionLimit& connections,
                             QueryHandler handler) {
-  this->tasks.SpawnWithRestart(name,
-                               [this, &acceptor, handler = std::move(handler)] {
-                                 return this->AcceptQueries(acceptor, handler);
-                               });
+  this->tasks.SpawnWithRestart(
+      name, [this, &acceptor, &connections, handler = std::move(handler)] {
+        return this->AcceptQueries(acceptor, connections, handler);
+      });
 }
 
-asio::awaitable<void> Gateway::AcceptCallers(Acceptor& acceptor) {
+// Failure: a crowd of callers has all descriptors, and there is none for
+// others, nor for connections to the store and to targets.
+asio::awaitable<Gateway::Socket> Gateway::Accept(Acceptor& acceptor,
+                                                 ConnectionLimit& connections) {
   while (true) {
     error_code error;
     Socket socket = co_await acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_await Sleep(this->context, kAcceptRetryDelay);
-      continue;
+    } else if (connections.MakeRoom()) {
+      co_return socket;
+    } else {
+      this->metrics.Count("connections_refused");
     }
+  }
+}
+
+asio::awaitable<void> Gateway::AcceptCallers() {
+  while (true) {
+    Socket socket = co_await this->Accept(this->listeners.callers,
+                                          this->caller_connections);
     this->tasks.Spawn("serve caller", this->ServeCaller(std::move(socket)));
   }
 }
 
 asio::awaitable<void> Gateway::AcceptQueries(Acceptor& acceptor,
+                                             ConnectionLimit& connections,
                                              QueryHandler handler) {
   while (true) {
-    error_code error;
-    Socket socket = co_await acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_await Sleep(this->context, kAcceptRetryDelay);
-      continue;
-    }
-    this->tasks.Spawn("answer questions",
-                      this->ServeQueries(std::move(socket), handler));
+    Socket socket = co_await this->Accept(acceptor, connections);
+    this->tasks.Spawn(
+        "answer questions",
+        this->ServeQueries(std::move(socket), connections, handler));
   }
 }
 
-CallerResources Gateway::MakeCallerResources() {
-  return {this->request_heads, this->request_bodies, this->caller_buffers};
+CallerResources Gateway::MakeCallerResources(ConnectionLimit& connections) {
+  return {connections, this->request_heads, this->request_bodies,
+          this->caller_buffers};
 }
 
 CallerLimits Gateway::CurrentLimits() const {
@@ -332,8 +352,8 @@
 asio::awaitable<void> Gateway::ServeCaller(Socket socket) {
   CallerConnection connection(
       this->context, std::move(socket),
-      [this] { return this->CurrentLimits(); }, this->MakeCallerResources(),
-      this->clock);
+      [this] { return this->CurrentLimits(); },
+      this->MakeCallerResources(this->caller_connections), this->clock);
   const int requests = co_await this->ServeRequests(connection);
   this->RecordConnectionEnd(connection, requests);
 }
@@ -405,10 +425,11 @@
 }
 
 asio::awaitable<void> Gateway::ServeQueries(Socket socket,
+                                            ConnectionLimit& connections,
                                             QueryHandler handler) {
   CallerConnection connection(
       this->context, std::move(socket), [] { return CallerLimits(); },
-      this->MakeCallerResources(), this->clock);
+      this->MakeCallerResources(connections), this->clock);
   while (true) {
     const ReadResult read = co_await connection.Read();
     const auto* received = std::get_if<ReceivedRequest>(&read);
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -12,6 +12,8 @@
 #include "dragonflyglade/gateway/awaitable.h"
 #include "dragonflyglade/gateway/caller_buffers.h"
 #include "dragonflyglade/gateway/caller_connection.h"
+#include "dragonflyglade/gateway/connection_limit.h"
+#include "dragonflyglade/gateway/connection_plan.h"
 #include "dragonflyglade/gateway/crash_suspects.h"
 #include "dragonflyglade/gateway/event_log.h"
 #include "dragonflyglade/gateway/event_loop.h"
@@ -93,17 +95,22 @@
   };
   using QueryHandler = std::function<PlainResponse(std::string_view path)>;
 
-  boost::asio::awaitable<void> AcceptCallers(Acceptor& acceptor);
+  boost::asio::awaitable<void> AcceptCallers();
   void ServeEndpoint(std::string_view name, Acceptor& acceptor,
-                     QueryHandler handler);
+                     ConnectionLimit& connections, QueryHandler handler);
   boost::asio::awaitable<void> AcceptQueries(Acceptor& acceptor,
+                                             ConnectionLimit& connections,
                                              QueryHandler handler);
+  /// Accepts the next connection for which there is room.
+  boost::asio::awaitable<Socket> Accept(Acceptor& acceptor,
+                                        ConnectionLimit& connections);
   boost::asio::awaitable<void> ServeCaller(Socket socket);
   boost::asio::awaitable<int> ServeRequests(CallerConnection& connection);
   boost::asio::awaitable<void> ServeRequest(CallerConnection& connection,
                                             ReadResult read);
   void RecordConnectionEnd(const CallerConnection& connection, int requests);
   boost::asio::awaitable<void> ServeQueries(Socket socket,
+                                            ConnectionLimit& connections,
                                             QueryHandler handler);
   boost::asio::awaitable<void> WaitForSignal();
   boost::asio::awaitable<void> Shutdown();
@@ -112,7 +119,7 @@
   PlainResponse HandleMetrics(std::string_view path) const;
   InstanceRecord MakeInstanceRecord() const;
   CallerLimits CurrentLimits() const;
-  CallerResources MakeCallerResources();
+  CallerResources MakeCallerResources(ConnectionLimit& connections);
   void AddGauges();
 
   GatewaySettings settings;
@@ -150,6 +157,11 @@
   RequestMemory request_heads;
   RequestMemory request_bodies;
   CallerBuffers caller_buffers;
+  const ConnectionPlan connection_plan;
+  ConnectionLimit caller_connections;
+  ConnectionLimit directory_connections;
+  ConnectionLimit readiness_connections;
+  ConnectionLimit metrics_connections;
   TargetPaths paths;
   TunnelServer tunnel_server;
   Registration registration;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -34,6 +34,11 @@
   return {{"type", "number"}, {"minimum", 16}, {"maximum", 1 << 20}};
 }
 
+// Fewer leave no connection for some of the listeners.
+json DescriptorsSchema() {
+  return {{"type", "integer"}, {"minimum", 256}, {"maximum", 1 << 30}};
+}
+
 json NameSchema() { return {{"type", "string"}, {"minLength", 1}}; }
 
 // "ADDRESS:PORT"
@@ -49,9 +54,10 @@
                     {"metrics", AddressSchema()},
                     {"peers", AddressSchema()}},
                    {"callers", "readiness", "directory", "metrics", "peers"});
-  const json machine =
-      ObjectSchema({{"cores", NumberSchema()}, {"link_mbps", NumberSchema()}},
-                   json::array());
+  const json machine = ObjectSchema({{"cores", NumberSchema()},
+                                     {"link_mbps", NumberSchema()},
+                                     {"descriptors", DescriptorsSchema()}},
+                                    json::array());
   const json limits =
       ObjectSchema({{"lease_ttl_ms", NumberSchema()},
                     {"unlisted_lease_ttl_ms", NumberSchema()},
@@ -177,6 +183,9 @@
   const json machine = document.value("machine", json::object());
   ReadNumber(machine, "cores", settings.cores);
   ReadNumber(machine, "link_mbps", settings.link_mbps);
+  if (machine.contains("descriptors")) {
+    settings.descriptors = machine.at("descriptors").get<std::size_t>();
+  }
   ReadLimits(document.value("limits", json::object()), settings);
   return settings;
 }
@@ -194,6 +203,7 @@
   merged.store = settings.store;
   merged.cores = settings.cores;
   merged.link_mbps = settings.link_mbps;
+  merged.descriptors = settings.descriptors;
   settings = std::move(merged);
   const auto differs = [](const Endpoint& one, const Endpoint& other) {
     return one.ToString() != other.ToString();
@@ -201,6 +211,7 @@
   return newer.instance != settings.instance || newer.zone != settings.zone ||
          newer.cores != settings.cores ||
          newer.link_mbps != settings.link_mbps ||
+         newer.descriptors != settings.descriptors ||
          differs(newer.callers, settings.callers) ||
          differs(newer.readiness, settings.readiness) ||
          differs(newer.directory, settings.directory) ||
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYGLADE_GATEWAY_GATEWAY_SETTINGS_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,8 @@
   Endpoint store;           ///< address of the store
   double cores = 1;         ///< CPU cores of this process, may be fractional
   double link_mbps = 1000;  ///< network bandwidth in Mbit/s
+  /// That this process may have open; if not stated, its own limit is asked.
+  std::optional<std::size_t> descriptors;
 
   absl::Duration lease_ttl = absl::Seconds(2);
   /// Lease time of an instance that is not listed for callers. Nothing waits
--- a/dragonflyglade/gateway/tunnel_server.cc
+++ b/dragonflyglade/gateway/tunnel_server.cc
@@ -36,8 +36,6 @@
 constexpr absl::Duration kRequestTimeout = absl::Seconds(1);
 constexpr std::uint32_t kMaxRequestBytes = 4096;
 constexpr std::size_t kReadBytes = 16384;
-// Two file descriptors each.
-constexpr std::size_t kMaxTunnels = 512;
 // An instance asks within milliseconds whether the target closed a tunnel.
 constexpr std::size_t kMaxRememberedEnds = 1000;
 constexpr std::size_t kMaxTunnelIdBytes = 64;
@@ -99,10 +97,12 @@
   StepTimer timer;
 };
 
-TunnelServer::TunnelServer(asio::io_context& context, FleetState& fleet,
-                           TargetPaths& paths, TargetStatements& statements,
-                           Metrics& metrics, Tasks& tasks, Clock clock)
+TunnelServer::TunnelServer(asio::io_context& context, std::size_t most,
+                           FleetState& fleet, TargetPaths& paths,
+                           TargetStatements& statements, Metrics& metrics,
+                           Tasks& tasks, Clock clock)
     : context(context),
+      most(most),
       fleet(fleet),
       paths(paths),
       statements(statements),
@@ -122,10 +122,11 @@
       co_await Sleep(this->context, kAcceptRetryDelay);
       continue;
     }
-    auto tunnel =
-        std::make_shared<Tunnel>(this->context, std::move(socket), this->clock);
     this->tunnels.remove_if(
         [](const std::weak_ptr<Tunnel>& each) { return each.expired(); });
+    if (this->tunnels.size() >= this->most) continue;
+    auto tunnel =
+        std::make_shared<Tunnel>(this->context, std::move(socket), this->clock);
     this->tunnels.push_back(tunnel);
     this->tasks.Spawn("serve tunnel", this->Serve(std::move(tunnel)));
   }
@@ -211,9 +212,7 @@
 
 asio::awaitable<int> TunnelServer::ConnectToTarget(Tunnel& tunnel,
                                                    std::string target_id) {
-  if (this->stopping || this->tunnels.size() > kMaxTunnels) {
-    co_return kUnavailable;
-  }
+  if (this->stopping) co_return kUnavailable;
   const std::shared_ptr<TargetState> target = this->fleet.Target(target_id);
   if (target == nullptr || target->IsLeaving() ||
       this->fleet.IsEvacuated(target->Record().zone)) {
--- a/dragonflyglade/gateway/tunnel_server.h
+++ b/dragonflyglade/gateway/tunnel_server.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <deque>
 #include <list>
 #include <memory>
@@ -33,13 +34,15 @@
 ///
 /// Responses: 404 the target is unknown, leaving or evacuated; 502 it refused
 /// the connection; 429 it wants no requests from this instance, for the time of
-/// the field Retry-After; 503 this instance has no path, is stopping or has too
-/// many tunnels; 504 the target did not answer.
+/// the field Retry-After; 503 this instance has no path or is stopping; 504 the
+/// target did not answer. One tunnel too many is closed without a response.
 class TunnelServer {
  public:
-  TunnelServer(boost::asio::io_context& context, FleetState& fleet,
-               TargetPaths& paths, TargetStatements& statements,
-               Metrics& metrics, Tasks& tasks, Clock clock);
+  /// @param most tunnels at the same time
+  TunnelServer(boost::asio::io_context& context, std::size_t most,
+               FleetState& fleet, TargetPaths& paths,
+               TargetStatements& statements, Metrics& metrics, Tasks& tasks,
+               Clock clock);
 
   /// Accepts tunnels; runs until the process ends.
   boost::asio::awaitable<void> Accept(boost::asio::ip::tcp::acceptor& acceptor);
@@ -78,6 +81,7 @@
   void HandleEnd(const std::shared_ptr<Tunnel>& tunnel, bool instance_ended);
 
   boost::asio::io_context& context;
+  const std::size_t most;
   FleetState& fleet;
   TargetPaths& paths;
   TargetStatements& statements;
