--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -277,7 +277,8 @@
   }
   const ModelName name{job.service->name, job.request.use.model,
                        job.request.use.adapter};
-  this->demand.BeginWait(name);
+  const bool is_demand = job.NeedsServedModel();
+  if (is_demand) this->demand.BeginWait(name);
   Instant now = wait_start;
   while (target == nullptr && now < until && !this->EndsWait(job)) {
     co_await this->fleet.Changed().Wait(
@@ -285,7 +286,7 @@
     now = this->clock.Now();
     target = this->Choose(job);
   }
-  this->demand.EndWait(name);
+  if (is_demand) this->demand.EndWait(name);
   job.target_wait += now - wait_start;
   this->log.Write("request", target != nullptr ? "model found" : "no model",
                   {{"id", job.request.id},
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -116,6 +116,14 @@
     return this->workspace == nullptr ? "" : this->workspace->name;
   }
   bool NeedsModel() const { return !this->request.use.model.empty(); }
+  /// Whether it needs a model and adapter that the service's engines can load.
+  /// Others are no demand: callers may name any, each time another one, and all
+  /// that counts demand would keep their names.
+  bool NeedsServedModel() const {
+    return this->service->engine.has_value() &&
+           this->service->engine->HasModel(this->request.use.model,
+                                           this->request.use.adapter);
+  }
   /// Whether the request may be repeated at another target after a target may
   /// have executed it.
   bool MayReexecute() const {
