--- a/dragonflyglade/gateway/event_log.cc
+++ b/dragonflyglade/gateway/event_log.cc
@@ -21,13 +21,19 @@
 constexpr double kLinesPerSecond = 400;
 constexpr double kLinesBurst = 800;
 
+// Of a text that a caller may have chosen. Lines of callers' whole fields would
+// fill the memory while nobody reads the log.
+constexpr std::size_t kMaxTextBytes = 512;
+
 struct Appender {
   fmt::memory_buffer& out;
 
   void operator()(std::string_view text) const {
     using nlohmann::json;
+    std::string shown(text.substr(0, kMaxTextBytes));
+    if (shown.size() < text.size()) shown += "...";
     const std::string quoted =
-        json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+        json(shown).dump(-1, ' ', false, json::error_handler_t::replace);
     this->out.append(quoted.data(), quoted.data() + quoted.size());
   }
   void operator()(std::int64_t value) const {
--- a/tests/clients/clients-chosen-texts.cc
+++ b/tests/clients/clients-chosen-texts.cc
@@ -53,6 +53,7 @@
 class ChosenTextsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChosenTextsTest);
   CPPUNIT_TEST(KeepsFewOfThem);
+  CPPUNIT_TEST(KeepsFewLinesOfThemForALogThatNobodyReads);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,6 +71,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), faults);
   }
 
+  // Guards against lines that wait to be written and have each text whole.
+  void KeepsFewLinesOfThemForALogThatNobodyReads() {
+    constexpr int kRequestsEach = 6000;
+    GatewayProcess::Options options;
+    options.service = EngineService();
+    options.log_is_read = false;
+    GatewayProcess gateway(std::move(options));
+    this->SendRequests(gateway, TextCases().front(), kRequestsEach);
+    CheckServes("log", gateway, SmallestMachine::kMemoryBytes);
+  }
+
  private:
   void SendRequests(GatewayProcess& gateway, const TextCase& item,
                     int requests) {
