--- a/tests/clients/check_serves.cc
+++ b/tests/platform/clients/check_serves.cc
@@ -1,4 +1,4 @@
-#include "tests/clients/check_serves.h"
+#include "tests/platform/clients/check_serves.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/clients/check_serves.h
+++ b/tests/platform/clients/check_serves.h
@@ -1,10 +1,10 @@
-#ifndef DRAGONFLYGLADE_TESTS_CLIENTS_CHECK_SERVES_H_
-#define DRAGONFLYGLADE_TESTS_CLIENTS_CHECK_SERVES_H_
+#ifndef DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_CHECK_SERVES_H_
+#define DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_CHECK_SERVES_H_
 
 #include <cstddef>
 #include <string>
 
-#include "tests/clients/gateway_process.h"
+#include "tests/platform/clients/gateway_process.h"
 
 namespace dragonflyglade {
 
@@ -22,4 +22,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_CLIENTS_CHECK_SERVES_H_
+#endif  // DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_CHECK_SERVES_H_
--- a/tests/clients/clients-crowds.cc
+++ b/tests/platform/clients/clients-crowds.cc
@@ -6,9 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "tests/clients/check_serves.h"
-#include "tests/clients/gateway_process.h"
 #include "tests/fleet/fleet.h"
+#include "tests/platform/clients/check_serves.h"
+#include "tests/platform/clients/gateway_process.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/clients/clients-endless-framing.cc
+++ b/tests/platform/clients/clients-endless-framing.cc
@@ -8,8 +8,8 @@
 #include <thread>
 #include <vector>
 
-#include "tests/clients/check_serves.h"
-#include "tests/clients/gateway_process.h"
+#include "tests/platform/clients/check_serves.h"
+#include "tests/platform/clients/gateway_process.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/clients/clients-odd-numbers.cc
+++ b/tests/platform/clients/clients-odd-numbers.cc
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "tests/clients/check_serves.h"
-#include "tests/clients/gateway_process.h"
+#include "tests/platform/clients/check_serves.h"
+#include "tests/platform/clients/gateway_process.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/clients/gateway_process.cc
+++ b/tests/platform/clients/gateway_process.cc
@@ -1,4 +1,4 @@
-#include "tests/clients/gateway_process.h"
+#include "tests/platform/clients/gateway_process.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -8,9 +8,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "tests/clients/process_usage.h"
 #include "tests/fleet/fleet.h"
 #include "tests/fleet/free_ports.h"
+#include "tests/platform/clients/process_usage.h"
 
 namespace dragonflyglade {
 namespace {
--- a/tests/clients/gateway_process.h
+++ b/tests/platform/clients/gateway_process.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYGLADE_TESTS_CLIENTS_GATEWAY_PROCESS_H_
-#define DRAGONFLYGLADE_TESTS_CLIENTS_GATEWAY_PROCESS_H_
+#ifndef DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_GATEWAY_PROCESS_H_
+#define DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_GATEWAY_PROCESS_H_
 
 #include <cstddef>
 #include <memory>
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "tests/clients/raw_caller.h"
 #include "tests/fleet/process.h"
+#include "tests/platform/clients/raw_caller.h"
 #include "tests/platform/store_stand_in.h"
 #include "tests/platform/target_stand_in.h"
 
@@ -94,4 +94,4 @@
 
 }  // namespace dragonflyglade
 
-#endif  // DRAGONFLYGLADE_TESTS_CLIENTS_GATEWAY_PROCESS_H_
+#endif  // DRAGONFLYGLADE_TESTS_PLATFORM_CLIENTS_GATEWAY_PROCESS_H_
--- a/tests/clients/process_usage.cc
+++ b/tests/platform/clients/process_usage.cc
@@ -1,4 +1,4 @@
-#include "tests/clients/process_usage.h"
+#include "tests/platform/clients/process_usage.h"
 
 #include <filesystem>
 #include <fstream>
--- a/tests/clients/raw_caller.cc
+++ b/tests/platform/clients/raw_caller.cc
@@ -1,4 +1,4 @@
-#include "tests/clients/raw_caller.h"
+#include "tests/platform/clients/raw_caller.h"
 
 #include <arpa/inet.h>
 #include <linux/sockios.h>
