--- a/dragonflyglade/net/http_server.cc
+++ b/dragonflyglade/net/http_server.cc
@@ -1,10 +1,14 @@
 #include "dragonflyglade/net/http_server.h"
 
 #include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <thread>
 #include <utility>
 
+#include "absl/time/time.h"
+#include "dragonflyglade/net/bounded_stream.h"
 #include "dragonflyglade/net/socket_options.h"
 
 namespace dragonflyglade {
@@ -15,11 +19,41 @@
 constexpr int kReadTimeoutSeconds = 10;
 constexpr int kWriteTimeoutSeconds = 30;
 
+// The library's server, with bounds on what it reads of a request.
+//
+// Failure: the library keeps the lines of a request until they end, and its
+// fields without a limit on their number; a few callers take all memory.
+class BoundedServer : public httplib::Server {
+ private:
+  bool process_and_close_socket(socket_t socket) override {
+    BoundedStream stream(socket, absl::Seconds(this->read_timeout_sec_),
+                         absl::Seconds(this->write_timeout_sec_));
+    const bool served = this->ServeRequests(stream);
+    shutdown(socket, SHUT_RDWR);
+    close(socket);
+    return served;
+  }
+
+  bool ServeRequests(BoundedStream& stream) {
+    bool served = false;
+    for (std::size_t left = this->keep_alive_max_count_; left > 0; --left) {
+      const bool is_stopping = this->svr_sock_ == INVALID_SOCKET;
+      const absl::Duration idle = absl::Seconds(this->keep_alive_timeout_sec_);
+      if (is_stopping || !stream.AwaitRequest(idle)) return served;
+      stream.BeginRequest();
+      bool closed = false;
+      served = this->process_request(stream, left == 1, closed, nullptr);
+      if (!served || closed) return served;
+    }
+    return served;
+  }
+};
+
 }  // namespace
 
 struct HttpServer::Impl {
   Endpoint listen;
-  httplib::Server server;
+  BoundedServer server;
   std::thread thread;
 };
 
