--- a/tests/platform/clients/raw_caller.cc
+++ b/tests/platform/clients/raw_caller.cc
@@ -1,13 +1,13 @@
 #include "tests/platform/clients/raw_caller.h"
 
-#include <arpa/inet.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 
+#include <utility>
+
+#include "tests/fleet/tcp_connect.h"
 #include "tests/platform/target_stand_in.h"
 
 namespace dragonflyglade {
@@ -21,19 +21,7 @@
 }  // namespace
 
 RawCaller::RawCaller(const Endpoint& endpoint)
-    : fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  setsockopt(this->fd, SOL_SOCKET, SO_RCVTIMEO, &kReceiveTimeout,
-             sizeof kReceiveTimeout);
-  setsockopt(this->fd, SOL_SOCKET, SO_SNDTIMEO, &kSendTimeout,
-             sizeof kSendTimeout);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(endpoint.port));
-  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-  const int connected = connect(
-      this->fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  if (connected != 0) this->Close();
-}
+    : fd(ConnectTcp(endpoint, {kReceiveTimeout, kSendTimeout})) {}
 
 RawCaller::~RawCaller() { this->Close(); }
 
--- a/tests/soak/connection.cc
+++ b/tests/soak/connection.cc
@@ -1,15 +1,13 @@
 #include "tests/soak/connection.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 
 #include <cerrno>
 
 #include "absl/strings/match.h"
 #include "absl/time/clock.h"
+#include "tests/fleet/tcp_connect.h"
 
 namespace dragonflyglade::soak {
 namespace {
@@ -48,18 +46,7 @@
 }
 
 Connection::Connection(const Endpoint& endpoint) : last_used(absl::Now()) {
-  this->fd = socket(AF_INET, SOCK_STREAM, 0);
-  setsockopt(this->fd, SOL_SOCKET, SO_RCVTIMEO, &kSocketTimeout,
-             sizeof kSocketTimeout);
-  setsockopt(this->fd, SOL_SOCKET, SO_SNDTIMEO, &kSocketTimeout,
-             sizeof kSocketTimeout);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(endpoint.port));
-  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-  const int connected = connect(
-      this->fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  if (connected != 0) this->Close();
+  this->fd = ConnectTcp(endpoint, {kSocketTimeout, kSocketTimeout});
 }
 
 Connection::~Connection() { this->Close(); }
