--- a/dragonflyglade/gateway/messages.cc
+++ b/dragonflyglade/gateway/messages.cc
@@ -3,16 +3,18 @@
 #include <algorithm>
 
 namespace dragonflyglade::gateway {
+namespace {
 
-bool EngineLimits::HasModel(std::string_view model,
-                            std::string_view adapter) const {
-  const auto found =
-      std::find_if(this->models.begin(), this->models.end(),
-                   [model](const auto& each) { return each.name == model; });
-  if (found == this->models.end()) return false;
-  const std::vector<std::string>& adapters = found->adapters;
-  return adapter.empty() ||
-         std::find(adapters.begin(), adapters.end(), adapter) != adapters.end();
+// Longer names belong to no adapter.
+constexpr std::size_t kMaxAdapterNameBytes = 128;
+
+}  // namespace
+
+bool EngineLimits::MayLoad(std::string_view model,
+                           std::string_view adapter) const {
+  return adapter.size() <= kMaxAdapterNameBytes &&
+         std::any_of(this->models.begin(), this->models.end(),
+                     [model](const auto& each) { return each.name == model; });
 }
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -126,8 +126,9 @@
 
 /// The limits and models that all engines of a service share.
 struct EngineLimits {
-  /// Whether there is such a model, with such an adapter unless that is empty.
-  bool HasModel(std::string_view model, std::string_view adapter) const;
+  /// Whether an engine can be asked to load this model, and this adapter of it
+  /// unless that is empty. Adapters need not be listed.
+  bool MayLoad(std::string_view model, std::string_view adapter) const;
 
   std::vector<ServedModel> models;
   double memory_mb = 0;
--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -247,7 +247,7 @@
 
 asio::awaitable<void> Pipeline::Forward(RequestJob& job) {
   const ModelUse& use = job.request.use;
-  if (job.NeedsServedModel()) {
+  if (job.NeedsLoadableModel()) {
     const double work_ms =
         EngineWorkMs(use.prompt_tokens, job.SharedTokens(), use.output_tokens);
     this->demand.AddRequest({job.service->name, use.model, ""}, work_ms);
--- a/dragonflyglade/gateway/pipeline_choice.cc
+++ b/dragonflyglade/gateway/pipeline_choice.cc
@@ -277,7 +277,7 @@
   }
   const ModelName name{job.service->name, job.request.use.model,
                        job.request.use.adapter};
-  const bool is_demand = job.NeedsServedModel();
+  const bool is_demand = job.NeedsLoadableModel();
   if (is_demand) this->demand.BeginWait(name);
   Instant now = wait_start;
   while (target == nullptr && now < until && !this->EndsWait(job)) {
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -116,13 +116,13 @@
     return this->workspace == nullptr ? "" : this->workspace->name;
   }
   bool NeedsModel() const { return !this->request.use.model.empty(); }
-  /// Whether it needs a model and adapter that the service's engines can load.
+  /// Whether it needs a model and adapter that the service's engines may load.
   /// Others are no demand: callers may name any, each time another one, and all
   /// that counts demand would keep their names.
-  bool NeedsServedModel() const {
+  bool NeedsLoadableModel() const {
     return this->service->engine.has_value() &&
-           this->service->engine->HasModel(this->request.use.model,
-                                           this->request.use.adapter);
+           this->service->engine->MayLoad(this->request.use.model,
+                                          this->request.use.adapter);
   }
   /// Whether the request may be repeated at another target after a target may
   /// have executed it.
--- a/tests/platform/clients/clients-chosen-texts.cc
+++ b/tests/platform/clients/clients-chosen-texts.cc
@@ -86,6 +86,7 @@
   void SendRequests(GatewayProcess& gateway, const TextCase& item,
                     int requests) {
     std::vector<std::thread> threads;
+    threads.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       threads.emplace_back([&gateway, &item, requests, i] {
         RawCaller caller(gateway.At(Listener::kCallers));
--- a/tests/platform/clients/clients-endless-framing.cc
+++ b/tests/platform/clients/clients-endless-framing.cc
@@ -99,6 +99,7 @@
     GatewayProcess gateway;
     const auto crowd = gateway.ConnectCrowd(kCallers, listener);
     std::vector<std::thread> threads;
+    threads.reserve(kCallers);
     for (const auto& caller : crowd) {
       caller->Send(
           gateway.Head("POST", "/any/", key, "Transfer-Encoding: chunked\r\n") +
--- a/tests/platform/clients/clients-serve.cc
+++ b/tests/platform/clients/clients-serve.cc
@@ -57,6 +57,7 @@
       Fleet fleet(options);
       fleet.WaitReady();
       std::vector<std::thread> threads;
+      threads.reserve(kCallers);
       for (int i = 0; i < kCallers; ++i) {
         threads.emplace_back([&] {
           RawCaller caller(fleet.CallerEndpoint(1));
