--- a/tests/platform/clients/clients-odd-numbers.cc
+++ b/tests/platform/clients/clients-odd-numbers.cc
@@ -13,22 +13,22 @@
 namespace {
 
 const std::vector<std::string>& Numbers() {
-  static const std::vector<std::string> numbers = {"",
-                                                   "nan",
-                                                   "-nan",
-                                                   "inf",
-                                                   "-inf",
-                                                   "-1",
-                                                   "0",
-                                                   "1e18",
-                                                   "1e308",
-                                                   "-1e308",
-                                                   "1e-320",
-                                                   "0x10",
-                                                   "9223372036854775808",
-                                                   "18446744073709551616",
-                                                   "abc"};
-  return numbers;
+  static const std::vector<std::string> kNumbers = {"",
+                                                    "nan",
+                                                    "-nan",
+                                                    "inf",
+                                                    "-inf",
+                                                    "-1",
+                                                    "0",
+                                                    "1e18",
+                                                    "1e308",
+                                                    "-1e308",
+                                                    "1e-320",
+                                                    "0x10",
+                                                    "9223372036854775808",
+                                                    "18446744073709551616",
+                                                    "abc"};
+  return kNumbers;
 }
 
 std::vector<std::string> Fields(const std::string& number) {
--- a/tests/platform/clients/gateway_process.cc
+++ b/tests/platform/clients/gateway_process.cc
@@ -136,6 +136,7 @@
 std::vector<std::unique_ptr<RawCaller>> GatewayProcess::ConnectCrowd(
     int callers, Listener listener) const {
   std::vector<std::unique_ptr<RawCaller>> crowd;
+  crowd.reserve(static_cast<std::size_t>(callers));
   for (int i = 0; i < callers; ++i) {
     crowd.push_back(std::make_unique<RawCaller>(this->At(listener)));
   }
--- a/tests/unit/unit-request-memory.cc
+++ b/tests/unit/unit-request-memory.cc
@@ -112,7 +112,7 @@
   // Guards against short fields that count as their text only.
   void EstimatesHeads() {
     for (const HeadSizeCase& item :
-         {HeadSizeCase{"", 0}, HeadSizeCase{"a:\r\na:\r\n", 2 * 64},
+         {HeadSizeCase{"", 0}, HeadSizeCase{"a:\r\na:\r\n", 128},
           HeadSizeCase{std::string(5000, 'x'), 5000}}) {
       RequestHeadSize size;
       size.Add(item.bytes);
