--- a/tests/platform/clients/clients-ambiguous-requests.cc
+++ b/tests/platform/clients/clients-ambiguous-requests.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,12 @@
       faults += this->FindMeanings(item, gateway, before);
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), faults);
+    const auto requests = gateway.Target().Requests();
+    CPPUNIT_ASSERT_MESSAGE(
+        "no case was served at all",
+        std::any_of(requests.begin(), requests.end(), [](const auto& request) {
+          return request.Line() == "POST /any/shown HTTP/1.1";
+        }));
     CheckServes("ambiguous", gateway, SmallestMachine::kMemoryBytes);
   }
 
--- a/tests/platform/clients/clients-odd-numbers.cc
+++ b/tests/platform/clients/clients-odd-numbers.cc
@@ -60,6 +60,7 @@
                        {"slots", 8},
                        {"kv_capacity_tokens", 10'000},
                        {"loads_per_s", 2}}}};
+  options.models = {{{"name", "m"}, {"adapters", nlohmann::json::array()}}};
   options.quota = {{"rate_per_s", 100'000},
                    {"burst", 100'000},
                    {"unit", "token_stream"},
--- a/tests/platform/clients/gateway_process.cc
+++ b/tests/platform/clients/gateway_process.cc
@@ -64,7 +64,7 @@
 GatewayProcess::GatewayProcess(Options options)
     : target(options.answer), directory(MakeDirectory()) {
   this->store.Put("op/config", this->Config(options).dump());
-  this->PutTarget();
+  this->PutTarget(options.models);
   int port = FirstTestPort();
   this->first_port = FreePorts(kListeners, port);
   this->WriteSettings(options.limits);
@@ -118,14 +118,14 @@
   std::ofstream(this->directory + "/settings.json") << settings.dump();
 }
 
-void GatewayProcess::PutTarget() {
+void GatewayProcess::PutTarget(const json& models) {
   this->store.Put("servers/i-1", json{{"service", "s"},
                                       {"address", this->target.Address()},
                                       {"zone", "z"},
                                       {"slots", 1000},
                                       {"state", "ready"},
                                       {"born", 1},
-                                      {"models", json::array()}}
+                                      {"models", models}}
                                      .dump());
 }
 
--- a/tests/platform/clients/gateway_process.h
+++ b/tests/platform/clients/gateway_process.h
@@ -39,6 +39,8 @@
     nlohmann::json service = nlohmann::json::object();
     /// Further fields of the workspace that has the key "k1".
     nlohmann::json quota = nlohmann::json::object();
+    /// That the target holds from the start, as its record lists them.
+    nlohmann::json models = nlohmann::json::array();
     int descriptors = 0;      ///< the process's limit; 0: that of the test
     bool log_is_read = true;  ///< else its output fills a pipe
     PlatformTargetStandIn::Answer answer = SuccessfulResponse;
@@ -77,11 +79,9 @@
   PlatformStoreStandIn& Store() { return this->store; }
   PlatformTargetStandIn& Target() { return this->target; }
 
-  /// Writes the target's record into the store.
-  void PutTarget();
-
  private:
   nlohmann::json Config(const Options& options) const;
+  void PutTarget(const nlohmann::json& models);
   void WriteSettings(const nlohmann::json& limits) const;
 
   PlatformStoreStandIn store;
