--- a/dragonflyglade/gateway/connection_plan.cc
+++ b/dragonflyglade/gateway/connection_plan.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kOperatorDivisor = 64;
 constexpr std::size_t kTunnelsDivisor = 8;
 constexpr std::size_t kMaxTunnels = 512;
+// A listener without any would look as if the process did not run.
+constexpr std::size_t kMinOperatorConnections = 4;
 
 }  // namespace
 
@@ -22,8 +24,9 @@
   ConnectionPlan plan;
   plan.callers = descriptors / kCallersDivisor;
   plan.directory = descriptors / kDirectoryDivisor;
-  plan.readiness = descriptors / kOperatorDivisor;
-  plan.metrics = descriptors / kOperatorDivisor;
+  plan.readiness =
+      std::max(kMinOperatorConnections, descriptors / kOperatorDivisor);
+  plan.metrics = plan.readiness;
   plan.tunnels = std::min(kMaxTunnels, descriptors / kTunnelsDivisor);
   return plan;
 }
--- a/tests/platform/clients/clients-descriptors.cc
+++ b/tests/platform/clients/clients-descriptors.cc
@@ -13,6 +13,9 @@
 
 constexpr int kDescriptors = 256;
 constexpr int kCallers = 400;
+// A request takes one for its caller and one for its target, so that a crowd of
+// callers may have half.
+constexpr int kMostOpen = kDescriptors / 2;
 // The crowd stays for longer than an ordinary caller waits.
 const nlohmann::json kLongTimeouts = {{"idle_timeout_ms", 120'000},
                                       {"header_timeout_ms", 120'000}};
@@ -63,6 +66,11 @@
       const auto crowd = gateway.ConnectCrowd(kCallers, item.listener);
       for (const auto& caller : crowd) caller->Send(item.sends);
       faults += FindFault(item.what, gateway, SmallestMachine::kMemoryBytes);
+      const int open = gateway.OpenDescriptors();
+      if (open > kMostOpen) {
+        faults +=
+            absl::StrCat(item.what, ": ", open, " descriptors are open\n");
+      }
       if (StatusOf(gateway.AskReadiness()) != 200) {
         faults += absl::StrCat(item.what, ": no answer to a readiness check\n");
       }
--- a/tests/unit/unit-connection-limit.cc
+++ b/tests/unit/unit-connection-limit.cc
@@ -84,7 +84,7 @@
   }
 
   void LeavesDescriptorsToOwnConnections() {
-    for (const std::size_t descriptors : {256u, 3075u, 4100u, 10250u}) {
+    for (const std::size_t descriptors : {64u, 256u, 3075u, 4100u, 10250u}) {
       const ConnectionPlan plan = PlanConnections(descriptors);
       const std::size_t accepted = plan.callers + plan.directory +
                                    plan.readiness + plan.metrics +
