gateway: two connections at least for readiness and metrics

With four, 64 descriptors left less than a quarter for own connections: unit-connection-limit failed (LeavesDescriptorsToOwnConnections, 65 of 64). It passes with two.

--- a/dragonflyglade/gateway/connection_plan.cc
+++ b/dragonflyglade/gateway/connection_plan.cc
@@ -16,7 +16,7 @@
 constexpr std::size_t kTunnelsDivisor = 8;
 constexpr std::size_t kMaxTunnels = 512;
 // A listener without any would look as if the process did not run.
-constexpr std::size_t kMinOperatorConnections = 4;
+constexpr std::size_t kMinOperatorConnections = 2;
 
 }  // namespace
 
