--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -213,7 +213,10 @@
   if (engine.loading.has_value()) {
     if (target.HoldsModel(*engine.loading)) {
       this->log.Write("placement", "loaded",
-                      {{"target", engine.id}, {"model", *engine.loading}});
+                      {{"target", engine.id},
+                       {"model", *engine.loading},
+                       {"since_planned_ms", absl::ToInt64Milliseconds(
+                                                now - engine.loading_since)}});
       engine.loading.reset();
     } else if (now > engine.loading_deadline) {
       engine.loading.reset();
@@ -301,6 +304,10 @@
           .emplace(service.name, ModelLoadLimiter(options, this->clock))
           .first->second;
   limiter.OnLeadershipAcquired(service.engine->loads_per_second);
+  this->log.Write("placement", "load limit",
+                  {{"service", service.name},
+                   {"remaining",
+                    limiter.RemainingLoads(service.engine->loads_per_second)}});
   return limiter;
 }
 
--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -47,6 +47,12 @@
   boost::asio::awaitable<void> Run();
 
  private:
+  /// An order without a response, until a report shows what became of it.
+  struct UnansweredOrder {
+    std::string resident_key;  ///< of its model or adapter
+    Instant planned_at;
+  };
+
   /// The leader's state of an engine. Only the leader gives orders.
   struct Engine {
     std::string id;
@@ -59,11 +65,13 @@
     /// ResidentKey of adapters that are being loaded or unloaded.
     std::set<std::string> changing_adapters;
     std::optional<std::string> loading;  ///< model that is being loaded
+    Instant loading_since;               ///< when it was planned
     Instant loading_deadline;            ///< after it, the engine is inspected
     bool is_busy = false;  ///< an order or an inspection is in progress
-    bool needs_inspection = false;   ///< its residency is unknown
-    int failed_inspections = 0;      ///< in a row
-    bool has_planned_order = false;  ///< which the inspection delays
+    std::optional<UnansweredOrder> unanswered;  ///< the last order, if it is
+    bool needs_inspection = false;              ///< its residency is unknown
+    int failed_inspections = 0;                 ///< in a row
+    bool has_planned_order = false;             ///< which the inspection delays
     Instant last_order_ended_at;  ///< when the last order or inspection ended
     /// When an instance's connection was last refused.
     std::optional<Instant> connection_refused_at;
@@ -97,6 +105,7 @@
                           OrderResponse response);
   boost::asio::awaitable<void> InspectEngine(std::shared_ptr<Engine> engine);
   boost::asio::awaitable<void> FetchEngineReport(Engine& engine);
+  void LogUnansweredOrder(Engine& engine, const EngineReport& report);
   bool ApplyEngineReport(Engine& engine, std::string_view body);
   static wire::TargetHoldings HoldingsOf(const Engine& engine);
   std::vector<wire::TargetHoldings> CurrentHoldings() const;
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -58,6 +58,7 @@
   if (is_load && change.adapter.empty()) {
     engine.models[change.model];
     engine.loading = change.model;
+    engine.loading_since = this->clock.Now();
     const auto& served = service.engine->models;
     const auto model = std::find_if(
         served.begin(), served.end(),
@@ -132,16 +133,18 @@
 
 asio::awaitable<void> PlacementController::DeliverOrder(
     Engine& engine, const ResidencyChange& change) {
+  const Instant planned_at = this->clock.Now();
   if (change.kind == ResidencyChange::Kind::kUnload) {
     this->PublishHoldings(engine);
     co_await Sleep(this->context, kUnloadNoticeDelay);
   }
   std::optional<OrderResponse> response;
-  for (int attempt = 0; attempt < kOrderAttempts && !response.has_value();
-       ++attempt) {
+  int attempts = 0;
+  while (attempts < kOrderAttempts && !response.has_value()) {
     // Checked immediately before sending: an instance that is no longer leader
     // must not send orders.
     if (!this->leader_lease.MayIssueOrders()) break;
+    ++attempts;
     response = co_await this->SendOrder(engine, change);
     if (!response.has_value()) co_await Sleep(this->context, kOrderRetryDelay);
   }
@@ -153,11 +156,15 @@
        {"from_store", change.uses_store},
        {"expected", engine.orders_taken},
        {"fence", this->leader_lease.FencingToken()},
+       {"attempts", attempts},
+       {"since_planned_ms",
+        absl::ToInt64Milliseconds(this->clock.Now() - planned_at)},
        {"answer", response.has_value() ? static_cast<int>(*response) : -1}});
   if (response.has_value()) {
     this->ApplyOrderResponse(engine, change, *response);
   } else {
     engine.needs_inspection = true;
+    engine.unanswered = UnansweredOrder{ResidentKeyOf(change), planned_at};
   }
   const bool adapter_load_accepted =
       response == OrderResponse::kAccepted && !change.adapter.empty() &&
@@ -234,6 +241,18 @@
                    {"known", is_known}});
 }
 
+void PlacementController::LogUnansweredOrder(Engine& engine,
+                                             const EngineReport& report) {
+  if (!engine.unanswered.has_value()) return;
+  const absl::Duration age = this->clock.Now() - engine.unanswered->planned_at;
+  this->log.Write("placement", "unanswered order",
+                  {{"target", engine.id},
+                   {"model", engine.unanswered->resident_key},
+                   {"taken", report.orders_taken > engine.orders_taken},
+                   {"since_planned_ms", absl::ToInt64Milliseconds(age)}});
+  engine.unanswered.reset();
+}
+
 bool PlacementController::ApplyEngineReport(Engine& engine,
                                             std::string_view body) {
   const Result<EngineReport> decoded = this->wire.decode_report(body);
@@ -241,6 +260,7 @@
   engine.failed_inspections = 0;
   if (decoded.Value().busy) return false;
   const EngineReport& report = decoded.Value();
+  this->LogUnansweredOrder(engine, report);
   engine.needs_inspection = false;
   engine.orders_taken = report.orders_taken;
   engine.models.clear();
