--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -239,7 +239,7 @@
     *endpoint = {"127.0.0.1", 0};
   }
   settings.store = this->store.Address();
-  settings.leader_handover_delay = absl::Milliseconds(10);
+  settings.leader_handover_delay = this->options.leader_handover_delay;
   settings.retry_share = 1;
   settings.retry_slack = 100;
   settings.caller_buffers = this->options.caller_buffers;
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -38,9 +38,10 @@
     /// Further fields of the service's engines.
     nlohmann::json engine = nlohmann::json::object();
     std::string second_ip = "127.0.0.1";  ///< of the second target
-    bool run_backups = false;             ///< setting of this name
-    bool prompt_cache = false;            ///< setting of this name
-    bool prompt_cache_events = false;     ///< setting of this name
+    absl::Duration leader_handover_delay = absl::Milliseconds(10);
+    bool run_backups = false;          ///< setting of this name
+    bool prompt_cache = false;         ///< setting of this name
+    bool prompt_cache_events = false;  ///< setting of this name
   };
 
   /// The bytes that a caller received until its connection ended.
