--- a/dragonflyglade/gateway/messages.h
+++ b/dragonflyglade/gateway/messages.h
@@ -188,6 +188,13 @@
   std::vector<std::string> adapters;
 };
 
+/// The models whose weights a target caches without serving them. Only loads
+/// change it.
+struct CachedWeights {
+  std::vector<std::string> in_memory;
+  std::vector<std::string> on_disk;
+};
+
 /// A target's record in the store, written by the target.
 struct TargetRecord {
   std::string id;
@@ -201,9 +208,7 @@
   /// How long the target goes on warming up; see SlowStart.
   absl::Duration warm_up_remaining;
   std::vector<ResidentModel> models;
-  /// Models whose weights the target caches without serving them.
-  std::vector<std::string> in_memory;
-  std::vector<std::string> on_disk;
+  CachedWeights cached;
 };
 
 /// An engine's response to a report call.
@@ -212,6 +217,7 @@
   std::int64_t born_ms = 0;       ///< start time of the engine
   bool busy = false;              ///< an order is in progress
   std::vector<ResidentModel> models;
+  CachedWeights cached;
   std::vector<std::string> pending_adapters;  ///< "model/adapter"
 };
 
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -216,13 +216,16 @@
   const Instant now = this->clock.Now();
   const TargetRecord& record = target.Record();
   if (engine.loading.has_value()) {
-    if (target.HoldsModel(*engine.loading)) {
+    const bool listed = target.HoldsModel(*engine.loading);
+    engine.was_listed = engine.was_listed && listed;
+    if (listed && !engine.was_listed) {
       this->log.Write("placement", "loaded",
                       {{"target", engine.id},
                        {"model", *engine.loading},
                        {"since_planned_ms", absl::ToInt64Milliseconds(
                                                 now - engine.loading_since)}});
       engine.loading.reset();
+      engine.cached = record.cached;
     } else if (now > engine.loading_deadline) {
       engine.loading.reset();
       engine.needs_inspection = true;
@@ -376,13 +379,10 @@
         target != nullptr && !target->IsAvoided(this->clock.Now());
     item.limited = target != nullptr && IsSeverelyLimited(*target);
     item.loading = engine->loading.value_or("");
-    // Weights that were cached before the last order may have been evicted for
-    // it.
-    if (target != nullptr &&
-        target->UpdatedAt() > engine->last_order_ended_at) {
-      const TargetRecord& record = target->Record();
-      item.in_memory = {record.in_memory.begin(), record.in_memory.end()};
-      item.on_disk = {record.on_disk.begin(), record.on_disk.end()};
+    if (engine->cached.has_value()) {
+      const auto& [in_memory, on_disk] = *engine->cached;
+      item.in_memory = {in_memory.begin(), in_memory.end()};
+      item.on_disk = {on_disk.begin(), on_disk.end()};
     }
     item.has_open_order = engine->is_busy || engine->loading.has_value() ||
                           !engine->unloading.empty();
--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -81,8 +81,12 @@
     std::set<std::string> changing_adapters;
     std::optional<std::string> loading;  ///< model that is being loaded
     Instant loading_since;               ///< when it was planned
-    Instant loading_deadline;            ///< after it, the engine is inspected
-    bool is_busy = false;  ///< an order or an inspection is in progress
+    /// Whether the target's record lists it since before it was ordered.
+    bool was_listed = false;
+    /// As of after the last load; nothing if that is not known.
+    std::optional<CachedWeights> cached;
+    Instant loading_deadline;  ///< after it, the engine is inspected
+    bool is_busy = false;      ///< an order or an inspection is in progress
     std::optional<UnansweredOrder> unanswered;  ///< the last order, if it is
     bool needs_inspection = false;              ///< its residency is unknown
     int failed_inspections = 0;                 ///< in a row
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -59,6 +59,13 @@
     engine.models[change.model];
     engine.loading = change.model;
     engine.loading_since = this->clock.Now();
+    // Failure: an old record arrives after the order and lists weights that the
+    // load has evicted. Loads from the weight store would be taken for others
+    // and not be limited. The report, or a record that shows the load, is
+    // newer.
+    engine.cached.reset();
+    const std::shared_ptr<TargetState> target = this->fleet.Target(engine.id);
+    engine.was_listed = target != nullptr && target->HoldsModel(change.model);
     const auto& served = service.engine->models;
     const auto model = std::find_if(
         served.begin(), served.end(),
@@ -318,6 +325,7 @@
                                       report.orders_taken);
   }
   engine.needs_inspection = false;
+  if (report.orders_taken >= engine.orders_taken) engine.cached = report.cached;
   engine.orders_taken = report.orders_taken;
   engine.models.clear();
   engine.unloading.clear();
