--- a/dragonflyglade/decision/residency_planner.cc
+++ b/dragonflyglade/decision/residency_planner.cc
@@ -173,12 +173,15 @@
       needy.erase(needy.begin() + static_cast<std::ptrdiff_t>(index));
       continue;
     }
-    if (this->AddCopy(round, *model, false)) continue;
-    const bool fits = this->BestEngineFor(round, *model, true) != nullptr;
-    if (fits && model_loads > 0 && this->AddCopy(round, *model, true)) {
+    if (this->AddCopy(round, *model, WeightSource::kCache)) continue;
+    const bool fits =
+        this->BestEngineFor(round, *model, WeightSource::kStore) != nullptr;
+    if (fits && model_loads > 0 &&
+        this->AddCopy(round, *model, WeightSource::kStore)) {
       model_loads -= 1;
       continue;
     }
+    if (this->AddCopy(round, *model, WeightSource::kCountedLoad)) continue;
     if (!fits && evictions > 0 && this->MakeRoom(round, *model)) {
       evictions -= 1;
     } else if (!fits && moves > 0 && model_loads > 0) {
@@ -203,17 +206,19 @@
          absl::ToDoubleSeconds(loading_time);
 }
 
-// The best engine with enough memory for a new copy, or null. Without
-// from_store only engines that keep the model's weights in memory or on disk.
+// The best engine with enough memory for a new copy, or null.
 EngineResidency* ResidencyPlanner::BestEngineFor(Round& round,
                                                  const DemandedModel& model,
-                                                 bool from_store) {
+                                                 WeightSource source) {
   EngineResidency* best = nullptr;
   double best_cost = 0;
   for (EngineResidency& engine : round.engines) {
     if (!engine.usable || engine.limited || engine.has_open_order) continue;
     if (engine.models.count(model.name) > 0) continue;
-    if (!from_store && !KeepsWeights(engine, model.name)) continue;
+    if (source == WeightSource::kCache && !KeepsWeights(engine, model.name))
+      continue;
+    if (source == WeightSource::kCountedLoad && !engine.load_is_counted)
+      continue;
     if (model.memory_mb > round.FreeMb(engine)) continue;
     double cost = round.EngineLoad(engine) + this->LoadingCost(engine, model);
     // Gaps that no other model fits in are of no use for models in demand.
@@ -227,8 +232,8 @@
 }
 
 bool ResidencyPlanner::AddCopy(Round& round, const DemandedModel& model,
-                               bool from_store) {
-  EngineResidency* best = this->BestEngineFor(round, model, from_store);
+                               WeightSource source) {
+  EngineResidency* best = this->BestEngineFor(round, model, source);
   if (best == nullptr) return false;
   const bool keeps_weights = KeepsWeights(*best, model.name);
   best->models[model.name];
@@ -390,7 +395,8 @@
       from = &engine;
     }
   }
-  if (moved == nullptr || !this->AddCopy(round, *moved, true)) return false;
+  if (moved == nullptr || !this->AddCopy(round, *moved, WeightSource::kStore))
+    return false;
   from->has_open_order = true;
   return true;
 }
--- a/dragonflyglade/decision/residency_planner.h
+++ b/dragonflyglade/decision/residency_planner.h
@@ -57,6 +57,10 @@
   /// Loading them is fast and does not use the weight store.
   std::set<std::string, std::less<>> in_memory;
   std::set<std::string, std::less<>> on_disk;
+  /// Whether the limit on loads from the weight store counts one at this engine
+  /// already, since an earlier order is unanswered and may still be carried
+  /// out. The next order, once accepted, makes that one void.
+  bool load_is_counted = false;
   /// Models and adapters that running requests use, as "model" or
   /// "model/adapter".
   std::set<std::string> in_use;
@@ -145,6 +149,12 @@
  private:
   struct Round;
   struct FreeRoom;
+  /// Which engines a load may use.
+  enum class WeightSource {
+    kCache,        ///< those that keep the model's weights
+    kCountedLoad,  ///< those where a load from the store is counted already
+    kStore,        ///< all
+  };
 
   double AddCopyThreshold(const DemandedModel& model) const;
   double SpareCopyLoadLimit(const DemandedModel& victim) const;
@@ -157,8 +167,8 @@
       const Round& round, absl::Span<const DemandedModel* const> needy) const;
   void PlanModels(Round& round, int model_loads);
   EngineResidency* BestEngineFor(Round& round, const DemandedModel& model,
-                                 bool from_store);
-  bool AddCopy(Round& round, const DemandedModel& model, bool from_store);
+                                 WeightSource source);
+  bool AddCopy(Round& round, const DemandedModel& model, WeightSource source);
   double LoadingCost(const EngineResidency& engine,
                      const DemandedModel& model) const;
   double EvictionCost(const Round& round, const EngineResidency& engine,
--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -384,6 +384,10 @@
       item.in_memory = {in_memory.begin(), in_memory.end()};
       item.on_disk = {on_disk.begin(), on_disk.end()};
     }
+    // An engine that was not inspected since gets no order that could settle
+    // it.
+    item.load_is_counted =
+        !engine->needs_inspection && limiter.IsCounted(NextOrderKey(*engine));
     item.has_open_order = engine->is_busy || engine->loading.has_value() ||
                           !engine->unloading.empty();
     item.unloading = !engine->unloading.empty();
--- a/tests/unit/unit-residency.cc
+++ b/tests/unit/unit-residency.cc
@@ -104,6 +104,11 @@
   return engine;
 }
 
+EngineResidency WithCountedLoad(EngineResidency engine) {
+  engine.load_is_counted = true;
+  return engine;
+}
+
 class ResidencyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResidencyTest);
   CPPUNIT_TEST(PlansChanges);
@@ -127,6 +132,12 @@
          {Engine("e1", {})},
          9,
          "load a at e1"},
+        {"no load may begin, but one at an engine counts already",
+         {Model("a", 0)},
+         {},
+         {Engine("e1", {}), WithCountedLoad(Engine("e2", {}))},
+         0,
+         "load a at e2"},
         {"a busy model gets a copy where there is free memory",
          {Model("a", 0.9), Model("b", 0)},
          {},
