--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -35,6 +35,10 @@
 // usual time: loads slow down in proportion to the number that run at once.
 constexpr int kLoadTimeoutFactor = 4;
 
+// A report lists some models, and the adapters that an engine holds. A leader
+// may read the reports of all engines at once.
+constexpr std::size_t kMaxReportBytes = 256u << 10;
+
 std::string ResidentKeyOf(const ResidencyChange& change) {
   return ResidentKey(change.model, change.adapter);
 }
@@ -95,6 +99,7 @@
   TargetExchange exchange(this->context, target.connections, this->wire,
                           this->clock);
   const Instant deadline = this->clock.Now() + kOrderTimeout;
+  exchange.SetBodyLimit(kMaxReportBytes);
   // Orders take no tunnel: to the engine, each instance is another holder.
   this->paths.Use(DirectPath{}, target, exchange);
   const auto body = std::make_shared<const std::string>(std::move(call.body));
--- a/dragonflyglade/gateway/prompt_cache_reader.cc
+++ b/dragonflyglade/gateway/prompt_cache_reader.cc
@@ -24,6 +24,9 @@
 constexpr absl::Duration kWait = absl::Seconds(1);
 // Beyond the wait, an engine answers within milliseconds.
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(500);
+// Of a list, which is longer than any answer with events. An instance follows
+// several engines.
+constexpr std::size_t kMaxAnswerBytes = 2u << 20;
 constexpr int kStatusOk = 200;
 constexpr int kTooManyRequests = 429;
 
@@ -109,6 +112,7 @@
   std::string head = RequestHeadText(call, record.address, 0);
   TargetExchange exchange(this->context, engine.connections, this->wire,
                           this->clock);
+  exchange.SetBodyLimit(kMaxAnswerBytes);
   this->paths.Use(DirectPath{}, engine, exchange);
   const ExchangeOutcome outcome =
       co_await exchange.Run(record.address, "", std::move(head), nullptr,
--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -35,8 +35,6 @@
 constexpr int kMaxSkippedResponses = 2;
 constexpr std::size_t kReadBytes = 16384;
 constexpr std::size_t kTunnelIdBytes = 8;
-// Responses of services without engines are some kilobytes long.
-constexpr std::size_t kMaxBodyBytes = 16u << 20;
 // Of a response that is not forwarded. It is read for the connection's sake.
 constexpr std::size_t kMaxUnusedBodyBytes = 64u << 10;
 constexpr absl::Duration kUnusedBodyTime = absl::Milliseconds(200);
@@ -343,7 +341,7 @@
     // own response follows.
     if (this->skip_observer) this->skip_observer(this->head);
     std::string dropped;
-    failure = co_await this->ReadBody(dropped, kMaxBodyBytes);
+    failure = co_await this->ReadBody(dropped, this->max_body_bytes);
     if (failure.has_value()) co_return failure;
     if (this->receipt != nullptr) this->receipt->Clear();
   }
@@ -366,7 +364,7 @@
   if (this->receipt == nullptr) co_return;
   const std::uint64_t length = this->parser->content_length().value_or(0);
   co_await this->receipt->AwaitRoom(
-      std::min<std::uint64_t>(length, kMaxBodyBytes));
+      std::min<std::uint64_t>(length, this->max_body_bytes));
 }
 
 // The head has said all. A connection whose response does not end is closed.
@@ -436,7 +434,7 @@
   }
   std::string response_body;
   co_await this->AwaitRoomForBody();
-  failure = co_await this->ReadBody(response_body, kMaxBodyBytes);
+  failure = co_await this->ReadBody(response_body, this->max_body_bytes);
   if (failure.has_value()) co_return *failure;
   const bool ended_by_close = this->parser->get().need_eof();
   this->Finish();
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -166,6 +166,10 @@
   /// @param receipt must outlive Run
   void CountBody(CallerBuffers::Receipt& receipt) { this->receipt = &receipt; }
 
+  /// Limits the size of a complete body that Run reads. To be called before
+  /// Run.
+  void SetBodyLimit(std::size_t bytes) { this->max_body_bytes = bytes; }
+
   /// Limits the time that each following Read waits for bytes.
   void SetSilenceLimit(absl::Duration limit) { this->silence_limit = limit; }
 
@@ -184,6 +188,9 @@
   bool Reused() const { return this->reused; }
 
  private:
+  /// Responses of services without engines are some kilobytes long.
+  static constexpr std::size_t kMaxBodyBytes = 16u << 20;
+
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   struct RequestWrite;
@@ -240,6 +247,7 @@
   Instant deadline;
   std::optional<absl::Duration> stall_timeout;
   std::optional<absl::Duration> silence_limit;
+  std::size_t max_body_bytes = kMaxBodyBytes;
   bool timed_out = false;
   bool silent = false;
   bool no_memory = false;
