--- a/dragonflyglade/gateway/stream_origins.cc
+++ b/dragonflyglade/gateway/stream_origins.cc
@@ -22,6 +22,10 @@
 // With an older view of the store, this instance may not know a target that
 // others send to.
 constexpr absl::Duration kMaxStoreAge = absl::Seconds(2);
+// The store, or a relay, confirms more often than once a second that nothing is
+// newer.
+constexpr absl::Duration kMaxConfirmationWait = absl::Milliseconds(1200);
+constexpr absl::Duration kConfirmationPollInterval = absl::Milliseconds(20);
 
 wire::StreamOrigin ToWire(std::string_view stream, const StreamOrigin& origin,
                           absl::Duration lifetime) {
@@ -103,6 +107,23 @@
          std::min(own_age, this->sync_state.DigestAge()) <= kMaxStoreAge;
 }
 
+// Failure: targets of another version began to serve a moment ago, and streams
+// at them through other instances broke. This instance was cut off or stood
+// still, knows one version only and takes the streams for ones of that. A
+// target is entered before it serves, so what the store had when the caller
+// came names each version at which its stream may have begun.
+asio::awaitable<bool> StreamOrigins::AwaitKnowledgeOf(Instant time) {
+  const auto is_known = [&] {
+    return !this->sync_state.IsBehind() &&
+           this->sync_state.KnowledgeAge() <= this->clock.Now() - time;
+  };
+  const Instant until = this->clock.Now() + kMaxConfirmationWait;
+  while (!is_known() && this->clock.Now() < until) {
+    co_await Sleep(this->context, kConfirmationPollInterval);
+  }
+  co_return is_known();
+}
+
 void StreamOrigins::RecordSent(const StreamQuery& query,
                                const StreamOrigin& origin) {
   if (!IsUsableId(query.stream)) return;
@@ -159,6 +180,12 @@
     co_await this->earlier_versions.AwaitKnown();
     facts.sole_version = this->SoleVersion(query.service, query.lifetime);
     facts.up_to_date = this->IsUpToDate();
+    const bool goes_on_unasked = facts.answers == 0 && facts.up_to_date &&
+                                 facts.sole_version.has_value();
+    if (goes_on_unasked) {
+      facts.up_to_date = co_await this->AwaitKnowledgeOf(start);
+      facts.sole_version = this->SoleVersion(query.service, query.lifetime);
+    }
   }
   const ContinuationDecision decision = DecideContinuation(facts);
   const bool by_sole_version = !facts.origin.has_value() &&
--- a/dragonflyglade/gateway/stream_origins.h
+++ b/dragonflyglade/gateway/stream_origins.h
@@ -84,6 +84,9 @@
   std::optional<SoftwareVersion> SoleVersion(std::string_view service,
                                              absl::Duration lifetime);
   bool IsUpToDate() const;
+  /// Waits until this instance knows all that the store had at a time, for a
+  /// short time at most.
+  boost::asio::awaitable<bool> AwaitKnowledgeOf(Instant time);
   boost::asio::awaitable<ContinuationFacts> Ask(const StreamQuery& query);
   void ReceiveNote(const wire::StreamOriginNote& note);
   void ReceiveQuestion(const wire::StreamOriginQuestion& question);
--- a/tests/platform/platform-versions.cc
+++ b/tests/platform/platform-versions.cc
@@ -179,8 +179,15 @@
     this->restarted.Start();
   }
 
-  Reply TakeUpStream() {
-    return this->restarted.Call("POST", "/resumed/", "k1", TakeUp("before", 2));
+  void SetStorePath(PathState state) { this->restarted.store_path.Set(state); }
+
+  // The instance need not notice.
+  void EnterUnseen(const std::string& version) {
+    this->restarted.PutTarget(version);
+  }
+
+  Reply TakeUpStream(const std::string& stream = "before") {
+    return this->restarted.Call("POST", "/resumed/", "k1", TakeUp(stream, 2));
   }
 
   void Enter(const std::vector<std::string>& versions) {
@@ -219,6 +226,7 @@
   CPPUNIT_TEST(RefusesIfNoTargetOfTheVersionServes);
   CPPUNIT_TEST(GoesOnAnywhereWhileOneVersionServes);
   CPPUNIT_TEST(JoinsNoVersionsAfterAllWereKilled);
+  CPPUNIT_TEST(JoinsNoVersionsIfCutOffForAMoment);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -441,6 +449,31 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), absl::StrJoin(wrong, "\n"));
   }
+
+  // Guards against a stream that goes on at the only version that an instance
+  // knows, while another one has begun to serve that it was not told of yet.
+  void JoinsNoVersionsIfCutOffForAMoment() {
+    struct Case {
+      const char* name;
+      bool is_cut;
+      bool another_version;
+      int status;
+    };
+    const std::vector<Case> cases = {
+        {"one version", false, false, 200},
+        {"another one has just entered", false, true, 503},
+        {"another one has entered unseen", true, true, 503},
+    };
+    for (const Case& item : cases) {
+      VersionsRestart instance(RecordKind::kFresh, {}, {"v1"});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, 200,
+                                   instance.TakeUpStream().status);
+      if (item.is_cut) instance.SetStorePath(PathState::kHangs);
+      if (item.another_version) instance.EnterUnseen("v2");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item.name, item.status,
+                                   instance.TakeUpStream("another").status);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(VersionsTest, "platform-versions");
--- a/tests/platform/restarted_instance.cc
+++ b/tests/platform/restarted_instance.cc
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 RestartedInstance::RestartedInstance(PlatformTargetStandIn::Answer answer)
-    : harness(std::move(answer)) {
+    : harness(std::move(answer)), store_path(this->store.Address().ToString()) {
   this->store.Put("op/config", this->harness.Config(1, "plain").dump());
 }
 
@@ -31,7 +31,7 @@
 
 void RestartedInstance::Start() {
   gateway::GatewaySettings settings = this->harness.Settings("restarted");
-  settings.store = this->store.Address();
+  settings.store = ParseEndpoint(this->store_path.Address()).Value();
   settings.first_start = false;
   this->instance = std::make_unique<gateway::Gateway>(
       settings, [settings] { return settings; }, platform::MakeWireFormat());
--- a/tests/platform/restarted_instance.h
+++ b/tests/platform/restarted_instance.h
@@ -8,6 +8,7 @@
 
 #include "dragonflyglade/gateway/gateway.h"
 #include "tests/platform/gateway_harness.h"
+#include "tests/platform/path_stand_in.h"
 
 namespace dragonflyglade {
 
@@ -38,6 +39,7 @@
 
   GatewayHarness harness;
   PlatformStoreStandIn store;
+  PathStandIn store_path;  ///< from the instance to the store
 
  private:
   int targets = 0;
