--- a/dragonflyglade/gateway/pipeline.cc
+++ b/dragonflyglade/gateway/pipeline.cc
@@ -193,11 +193,7 @@
       std::min(job.request.deadline.value_or(absl::InfiniteDuration()),
                job.route->timeout);
   job.deadline = job.started + limit;
-  if (this->OutlastsShutdown(job)) {
-    return MakeRefusal(RefusalCode::kDraining, "the instance is stopping",
-                       kRetryAtOtherInstance);
-  }
-  return std::nullopt;
+  return this->CheckShutdown(job);
 }
 
 void Pipeline::BeginShutdown(Instant end) {
@@ -214,6 +210,14 @@
   return this->clock.Now() - *this->shutdown_start > kStopGracePeriod;
 }
 
+// A request may have waited for a target, so it is checked again before it is
+// sent. Once a target may have executed it, it goes on.
+std::optional<Refusal> Pipeline::CheckShutdown(const RequestJob& job) const {
+  if (job.executions > 0 || !this->OutlastsShutdown(job)) return std::nullopt;
+  return MakeRefusal(RefusalCode::kDraining, "the instance is stopping",
+                     kRetryAtOtherInstance);
+}
+
 std::optional<Refusal> Pipeline::FindWorkspace(RequestJob& job) {
   if (!job.config->requires_keys || job.route->is_public) return std::nullopt;
   if (job.request.key.empty()) {
@@ -278,7 +282,8 @@
       co_await this->Refuse(job, this->NoTargetRefusal(job));
       co_return;
     }
-    refusal = this->CheckEngines(job);
+    refusal = this->CheckShutdown(job);
+    if (!refusal.has_value()) refusal = this->CheckEngines(job);
     if (!refusal.has_value()) refusal = co_await this->ClaimTrial(job);
     if (refusal.has_value()) {
       co_await this->Refuse(job, std::move(*refusal));
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -118,6 +118,7 @@
   /// Whether a target of the version that began the stream serves.
   bool HasTargetOfStreamVersion(const RequestJob& job) const;
   bool OutlastsShutdown(const RequestJob& job) const;
+  std::optional<Refusal> CheckShutdown(const RequestJob& job) const;
   boost::asio::awaitable<void> Forward(RequestJob& job);
   boost::asio::awaitable<std::shared_ptr<TargetState>> FindTarget(
       RequestJob& job);
--- a/tests/platform/clients/gateway_process.h
+++ b/tests/platform/clients/gateway_process.h
@@ -73,6 +73,9 @@
   std::string AskReadiness();
 
   bool IsRunning() { return this->process->Running(); }
+  void Signal(int signal) { this->process->Signal(signal); }
+  /// Writes the target's record with the models that it holds.
+  void PutTarget(const nlohmann::json& models);
   std::size_t PeakMemory() const;
   int OpenDescriptors() const;
 
@@ -81,7 +84,6 @@
 
  private:
   nlohmann::json Config(const Options& options) const;
-  void PutTarget(const nlohmann::json& models);
   void WriteSettings(const nlohmann::json& limits) const;
 
   PlatformStoreStandIn store;
