--- a/dragonflyglade/decision/model_load_limiter.cc
+++ b/dragonflyglade/decision/model_load_limiter.cc
@@ -30,8 +30,8 @@
 
 bool ModelLoadLimiter::OnLeadership(std::uint64_t token,
                                     double loads_per_second) {
-  if (this->fencing_token == token) return false;
-  this->fencing_token = token;
+  if (this->fence_token == token) return false;
+  this->fence_token = token;
   const int allowed = this->AllowedPerWindow(loads_per_second);
   const int open = ThirdOf(allowed);
   // The latest time at which the previous leader can have sent orders.
--- a/dragonflyglade/decision/model_load_limiter.h
+++ b/dragonflyglade/decision/model_load_limiter.h
@@ -58,10 +58,10 @@
   ModelLoadLimiter(ModelLoadLimiterOptions options, Clock clock);
 
   /// To be called when this instance may give orders as leader, repeatedly.
-  /// @param fencing_token of its lease; a new one means that another instance
+  /// @param fence_token of its lease; a new one means that another instance
   ///     may have been leader
   /// @return whether the token is new
-  bool OnLeadership(std::uint64_t fencing_token, double loads_per_second);
+  bool OnLeadership(std::uint64_t fence_token, double loads_per_second);
 
   /// Counts a load that is about to be ordered.
   void RecordOrdering(const EngineOrderKey& order);
@@ -110,7 +110,7 @@
 
   const ModelLoadLimiterOptions options;
   const Clock clock;
-  std::optional<std::uint64_t> fencing_token;
+  std::optional<std::uint64_t> fence_token;
   std::map<EngineOrderKey, CountedLoad> loads;
   /// The latest times at which loads of earlier leaders can have begun.
   std::vector<Instant> assumed_loads;
