--- a/tests/platform/platform-load-ceiling.cc
+++ b/tests/platform/platform-load-ceiling.cc
@@ -25,6 +25,7 @@
 
 std::vector<std::string> Names(const std::string& prefix, int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) names.push_back(absl::StrCat(prefix, i));
   return names;
 }
@@ -128,6 +129,7 @@
                            [](int) { return LoadingEngines::Treatment{}; });
     Harness harness(OptionsWith(Models(first, kFirstMb)));
     std::vector<json> stale;
+    stale.reserve(kLoads);
     for (int i = 0; i < kLoads; ++i) stale.push_back(engines.Entry(i));
     PutEngines(harness, engines);
     harness.store.Delete("servers/i-1");
