--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -113,7 +113,8 @@
   ModelLoadLimiter& LoadLimiterOf(const ServiceSpec& service);
   double SumOfLoads(int (ModelLoadLimiter::*count)() const) const;
   static EngineOrderKey NextOrderKey(const Engine& engine);
-  void CountOrderResult(const Engine& engine, const ResidencyChange& change,
+  void CountOrderResult(std::string_view service, const EngineOrderKey& order,
+                        const ResidencyChange& change,
                         const OrderResult& result);
   bool ScheduleOrder(const ServiceSpec& service, const ResidencyChange& change);
   boost::asio::awaitable<void> ExecuteOrder(std::shared_ptr<Engine> engine,
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -160,13 +160,13 @@
 
 // An accepted order makes all others with its key void. Any other response is
 // only about the attempt that it answers.
-void PlacementController::CountOrderResult(const Engine& engine,
+void PlacementController::CountOrderResult(std::string_view service,
+                                           const EngineOrderKey& order,
                                            const ResidencyChange& change,
                                            const OrderResult& result) {
-  const auto found = this->load_limiters.find(engine.service);
+  const auto found = this->load_limiters.find(service);
   if (found == this->load_limiters.end()) return;
   ModelLoadLimiter& limiter = found->second;
-  const EngineOrderKey order = NextOrderKey(engine);
   if (result.response == OrderResponse::kAccepted) {
     if (change.uses_store) {
       limiter.RecordBegun(order);
@@ -187,11 +187,13 @@
 // that the engine gets further orders.
 asio::awaitable<void> PlacementController::ExecuteOrder(
     std::shared_ptr<Engine> engine, ResidencyChange change) {
+  const EngineOrderKey order = NextOrderKey(*engine);
   const std::exception_ptr exception =
       co_await CatchException(this->DeliverOrder(*engine, change));
   if (exception) {
     engine->needs_inspection = true;
-    this->CountOrderResult(*engine, change, {0, std::nullopt, true});
+    const OrderResult unknown{.may_be_late = true};
+    this->CountOrderResult(engine->service, order, change, unknown);
   }
   engine->changing_adapters.erase(ResidentKeyOf(change));
   engine->last_order_ended_at = this->clock.Now();
@@ -210,7 +212,7 @@
   }
   const OrderResult result = co_await this->SendUntilAnswered(engine, change);
   const std::optional<OrderResponse> response = result.response;
-  this->CountOrderResult(engine, change, result);
+  this->CountOrderResult(engine.service, NextOrderKey(engine), change, result);
   this->log.Write(
       "placement", "order",
       {{"target", engine.id},
