--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -192,7 +192,8 @@
       co_await CatchException(this->DeliverOrder(*engine, change));
   if (exception) {
     engine->needs_inspection = true;
-    const OrderResult unknown{.may_be_late = true};
+    OrderResult unknown;
+    unknown.may_be_late = true;
     this->CountOrderResult(engine->service, order, change, unknown);
   }
   engine->changing_adapters.erase(ResidentKeyOf(change));
