--- a/dragonflyglade/gateway/placement_controller.cc
+++ b/dragonflyglade/gateway/placement_controller.cc
@@ -217,8 +217,8 @@
   const TargetRecord& record = target.Record();
   if (engine.loading.has_value()) {
     const bool listed = target.HoldsModel(*engine.loading);
-    engine.was_listed = engine.was_listed && listed;
-    if (listed && !engine.was_listed) {
+    engine.listed_before_load = engine.listed_before_load && listed;
+    if (listed && !engine.listed_before_load) {
       this->log.Write("placement", "loaded",
                       {{"target", engine.id},
                        {"model", *engine.loading},
@@ -322,8 +322,7 @@
   return limiter;
 }
 
-double PlacementController::SumOfLoads(int (ModelLoadLimiter::*count)()
-                                           const) const {
+double PlacementController::SumOfLoads(LoadCount count) const {
   int sum = 0;
   for (const auto& [service, limiter] : this->load_limiters) {
     sum += (limiter.*count)();
@@ -384,8 +383,7 @@
       item.in_memory = {in_memory.begin(), in_memory.end()};
       item.on_disk = {on_disk.begin(), on_disk.end()};
     }
-    // An engine that was not inspected since gets no order that could settle
-    // it.
+    // An engine that was not inspected since then gets no order at once.
     item.load_is_counted =
         !engine->needs_inspection && limiter.IsCounted(NextOrderKey(*engine));
     item.has_open_order = engine->is_busy || engine->loading.has_value() ||
--- a/dragonflyglade/gateway/placement_controller.h
+++ b/dragonflyglade/gateway/placement_controller.h
@@ -81,9 +81,10 @@
     std::set<std::string> changing_adapters;
     std::optional<std::string> loading;  ///< model that is being loaded
     Instant loading_since;               ///< when it was planned
-    /// Whether the target's record lists it since before it was ordered.
-    bool was_listed = false;
-    /// As of after the last load; nothing if that is not known.
+    /// Whether the target's record has listed it since before it was ordered,
+    /// so that it does not show the load.
+    bool listed_before_load = false;
+    /// As it was after the last load; nothing if that is not known.
     std::optional<CachedWeights> cached;
     Instant loading_deadline;  ///< after it, the engine is inspected
     bool is_busy = false;      ///< an order or an inspection is in progress
@@ -96,6 +97,8 @@
     std::optional<Instant> connection_refused_at;
   };
 
+  using LoadCount = int (ModelLoadLimiter::*)() const;
+
   void HandleMissingModel(const wire::TargetLack& lack);
   void HandleConnectionRefused(const std::string& target);
   bool IsTerminated(const Engine& engine) const;
@@ -111,7 +114,7 @@
   void InspectSomeEngines(const std::map<ModelName, FleetDemand>& demand);
   void BeginInspection(const std::shared_ptr<Engine>& engine);
   ModelLoadLimiter& LoadLimiterOf(const ServiceSpec& service);
-  double SumOfLoads(int (ModelLoadLimiter::*count)() const) const;
+  double SumOfLoads(LoadCount count) const;
   static EngineOrderKey NextOrderKey(const Engine& engine);
   void CountOrderResult(std::string_view service, const EngineOrderKey& order,
                         const ResidencyChange& change,
--- a/dragonflyglade/gateway/placement_orders.cc
+++ b/dragonflyglade/gateway/placement_orders.cc
@@ -69,7 +69,8 @@
     // newer.
     engine.cached.reset();
     const std::shared_ptr<TargetState> target = this->fleet.Target(engine.id);
-    engine.was_listed = target != nullptr && target->HoldsModel(change.model);
+    engine.listed_before_load =
+        target != nullptr && target->HoldsModel(change.model);
     const auto& served = service.engine->models;
     const auto model = std::find_if(
         served.begin(), served.end(),
--- a/tests/unit/unit-load-ceiling.cc
+++ b/tests/unit/unit-load-ceiling.cc
@@ -66,8 +66,9 @@
     }
     int left = this->limiter->RemainingLoads(kLoadsPerSecond);
     const int count = static_cast<int>(this->engines.size());
+    const int first = this->next_engine;
     for (int turn = 0; turn < count; ++turn) {
-      const int i = (this->next_engine + turn) % count;
+      const int i = (first + turn) % count;
       const bool is_counted = this->limiter->IsCounted(this->Next(i));
       if (this->engines[i].is_ordered || (left == 0 && !is_counted)) continue;
       if (!is_counted) left -= 1;
