--- a/tests/platform/platform-load-ceiling.cc
+++ b/tests/platform/platform-load-ceiling.cc
@@ -149,7 +149,8 @@
     config["services"][0]["engine"]["models"] = models;
     harness.PutConfig(config);
     harness.WaitFor([&] { return engines.LoadsFromStore() >= 2 * kLoads; });
-    CPPUNIT_ASSERT(engines.MostLoadsFromStoreIn(kWindow) <= kCeiling);
+    const int most = engines.MostLoadsFromStoreIn(kWindow);
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(most), most <= kCeiling);
   }
 };
 
--- a/tests/unit/unit-load-ceiling.cc
+++ b/tests/unit/unit-load-ceiling.cc
@@ -24,6 +24,19 @@
   return {absl::StrCat("e", engine), 1, orders_taken};
 }
 
+// Begins loads, each as soon as it is ordered, until no more may begin.
+// @param round part of the orders' keys
+// @return how many began
+int BeginAllAllowed(ModelLoadLimiter& limiter, std::int64_t round) {
+  int begun = 0;
+  while (limiter.RemainingLoads(kLoadsPerSecond) > 0) {
+    limiter.RecordOrdering(Order(begun, round));
+    limiter.RecordBegun(Order(begun, round));
+    begun += 1;
+  }
+  return begun;
+}
+
 // Engines that answer an order some time after they began its load, or not at
 // all and carry it out late, and leaders that order as many loads as they may.
 class LoadingFleet {
@@ -173,13 +186,27 @@
 
 class ModelLoadLimiterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ModelLoadLimiterTest);
+  CPPUNIT_TEST(AllowsHalfOfAWindowAtOnce);
   CPPUNIT_TEST(AllowsPartsOfAWindowAtOnce);
   CPPUNIT_TEST(CountsUntilAWindowAfterTheLatestBegin);
   CPPUNIT_TEST(KeepsTheLimitForOrdersThatBeginLate);
   CPPUNIT_TEST(KeepsTheLimitAcrossLeaders);
+  CPPUNIT_TEST(KeepsTheLimitAcrossShortLeaderships);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void AllowsHalfOfAWindowAtOnce() {
+    ManualClock manual;
+    manual.Advance(absl::Seconds(100));
+    ModelLoadLimiter limiter(kOptions, Clock(&manual));
+    CPPUNIT_ASSERT_EQUAL(6, BeginAllAllowed(limiter, 1));
+    manual.Advance(absl::Milliseconds(2001));
+    CPPUNIT_ASSERT_EQUAL(5, BeginAllAllowed(limiter, 2));
+    manual.Advance(absl::Milliseconds(5001));
+    CPPUNIT_ASSERT(limiter.OnLeadership(2, kLoadsPerSecond));
+    CPPUNIT_ASSERT_EQUAL(5, BeginAllAllowed(limiter, 3));
+  }
+
   void AllowsPartsOfAWindowAtOnce() {
     ManualClock manual;
     manual.Advance(absl::Seconds(100));
@@ -307,6 +334,25 @@
     });
     CPPUNIT_ASSERT(kept);
   }
+
+  // Guards against leaders that follow each other as soon as they may and
+  // overload the weight store together.
+  void KeepsTheLimitAcrossShortLeaderships() {
+    const bool kept = rc::check("no window has more than allowed", [] {
+      LoadingFleet fleet;
+      for (int leader = 0; leader < 4; ++leader) {
+        fleet.ChangeLeader();
+        const int steps = *rc::gen::inRange(1, 80);
+        for (int step = 0; step < steps; ++step) {
+          if (*rc::gen::inRange(0, 2) == 1) fleet.Lead();
+          fleet.Advance();
+        }
+        fleet.Freeze(kOptions.leader_handover_delay);
+      }
+      RC_ASSERT(fleet.MostBegunInAWindow() <= kLoadsPerWindow);
+    });
+    CPPUNIT_ASSERT(kept);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ModelLoadLimiterTest,
