--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::string_view kInstanceKeyPrefix = "dragonflyglade/instances/";
-// Running targets register again within this time after the store recovers.
-constexpr absl::Duration kStoreRecoveryGrace = absl::Seconds(2);
 // Longer than records of running targets are missing.
 constexpr absl::Duration kDepartedLifetime = absl::Minutes(1);
 
@@ -31,8 +29,10 @@
 }  // namespace
 
 FleetState::FleetState(boost::asio::io_context& context, const WireFormat& wire,
-                       Clock clock, EventLog& log)
+                       const StoreAvailability& availability, Clock clock,
+                       EventLog& log)
     : wire(wire),
+      availability(availability),
       clock(std::move(clock)),
       known_since(this->clock.Now()),
       log(log),
@@ -135,7 +135,9 @@
 
 bool FleetState::IsUrgent(const TargetRecord& record) const {
   const std::shared_ptr<TargetState> known = this->Target(record.id);
-  if (known == nullptr) return true;
+  // An entry that is back after an outage: instances that rely on this one's
+  // digests would drop the target when the time to register again is over.
+  if (known == nullptr || known->missing_since.has_value()) return true;
   const TargetRecord& old = known->Record();
   const auto names = [](const TargetRecord& target) {
     std::set<std::string_view> result;
@@ -385,19 +387,15 @@
   this->has_listing = true;
 }
 
-void FleetState::HandleStoreRecovery() {
-  this->recovered_at = this->clock.Now();
-}
-
 void FleetState::DropTarget(std::string_view id, std::string_view why) {
   const std::shared_ptr<TargetState> target = this->Target(id);
   if (target == nullptr) return;
   const Instant now = this->clock.Now();
-  const bool in_grace = this->recovered_at.has_value() &&
-                        now - *this->recovered_at < kStoreRecoveryGrace;
-  this->log.Write("targets", in_grace ? "missing" : "gone",
+  const bool may_be_running =
+      this->availability.MayLackEntries(now) && !target->IsLeaving();
+  this->log.Write("targets", may_be_running ? "missing" : "gone",
                   {{"target", id}, {"why", why}});
-  if (in_grace && !target->IsLeaving()) {
+  if (may_be_running) {
     target->missing_since = now;
     return;
   }
@@ -442,20 +440,18 @@
   return target;
 }
 
-void FleetState::RemoveExpiredTargets() {
-  if (!this->recovered_at.has_value()) return;
-  if (this->clock.Now() - *this->recovered_at < kStoreRecoveryGrace) return;
-  this->recovered_at.reset();
-  std::vector<std::string> expired;
+void FleetState::RemoveMissingTargets() {
+  if (this->availability.MayLackEntries(this->clock.Now())) return;
+  std::vector<std::string> missing;
   for (const auto& [id, target] : this->targets) {
-    if (target->missing_since.has_value()) expired.push_back(id);
+    if (target->missing_since.has_value()) missing.push_back(id);
   }
-  for (const std::string& id : expired) {
+  for (const std::string& id : missing) {
     this->log.Write("targets", "gone",
                     {{"target", id}, {"why", "not back in the store"}});
     this->RemoveTarget(id);
   }
-  if (!expired.empty()) this->changed.Notify();
+  if (!missing.empty()) this->changed.Notify();
 }
 
 absl::Span<const std::shared_ptr<TargetState>> FleetState::Targets(
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -15,6 +15,7 @@
 #include "absl/types/span.h"
 #include "dragonflyglade/decision/clock.h"
 #include "dragonflyglade/decision/instance_choice.h"
+#include "dragonflyglade/decision/store_availability.h"
 #include "dragonflyglade/gateway/async_condition.h"
 #include "dragonflyglade/gateway/crash_record.h"
 #include "dragonflyglade/gateway/event_log.h"
@@ -43,8 +44,10 @@
 /// leader. Each key changes only to a newer revision. Used by one event loop.
 class FleetState {
  public:
+  /// @param availability tells whether a target whose entry is removed may be
+  ///   running: entries expire while the store is unavailable
   FleetState(boost::asio::io_context& context, const WireFormat& wire,
-             Clock clock, EventLog& log);
+             const StoreAvailability& availability, Clock clock, EventLog& log);
 
   /// Applies a key that was read or changed. A revision that is not newer than
   /// the last one applied to the key has no effect.
@@ -74,13 +77,9 @@
   /// Whether a listing was applied since the start of the process.
   bool HasListing() const { return this->has_listing; }
 
-  /// Begins a grace period after the store was unreachable and responds again.
-  /// Targets whose entries are removed during it are kept until it ends: leases
-  /// expire while the store is unavailable, and running targets register again.
-  void HandleStoreRecovery();
-
-  /// Removes the targets that are still missing after the grace period.
-  void RemoveExpiredTargets();
+  /// Removes the targets whose entries are missing, once running ones would
+  /// have registered again or it is known that the store was available.
+  void RemoveMissingTargets();
 
   /// The configuration in effect; null until one is known.
   std::shared_ptr<const GatewayConfig> Config() const { return this->config; }
@@ -229,6 +228,7 @@
   bool HasPrefix(std::string_view key, std::string_view prefix) const;
 
   const WireFormat& wire;
+  const StoreAvailability& availability;
   const Clock clock;
   Instant known_since;  ///< from when on the targets are known
   EventLog& log;
@@ -260,7 +260,6 @@
   bool has_listing = false;  ///< whether a listing was applied
   std::optional<LeaderRecord> leader;
   std::uint64_t leader_revision = 0;
-  std::optional<Instant> recovered_at;
   std::uint64_t urgent_revision = 0;
   RecentChanges recent;
 };
--- a/dragonflyglade/gateway/gateway.h
+++ b/dragonflyglade/gateway/gateway.h
@@ -136,6 +136,7 @@
   EventLog log;
   Tasks tasks;
   LoopLagMonitor loop_watch;
+  StoreAvailability store_availability;
   FleetState fleet;
   ModelDemand demand;
   QuotaParticipants quota_owners;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -70,6 +70,7 @@
                     {"quota_slack", NumberSchema()},
                     {"retry_share", NumberSchema()},
                     {"retry_slack", NumberSchema()},
+                    {"target_heartbeat_ms", NumberSchema()},
                     {"load_window_s", NumberSchema()},
                     {"load_overage", NumberSchema()},
                     {"slow_start_overage", NumberSchema()},
@@ -144,6 +145,7 @@
   ReadNumber(limits, "quota_slack", settings.quota_allowance.slack);
   ReadNumber(limits, "retry_share", settings.retry_share);
   ReadNumber(limits, "retry_slack", settings.retry_slack);
+  ReadTime(limits, "target_heartbeat_ms", ms, settings.target_heartbeat);
   ReadTime(limits, "load_window_s", s, settings.load_window);
   ReadNumber(limits, "load_overage", settings.load_overage);
   ReadNumber(limits, "slow_start_overage", settings.slow_start_overage);
--- a/dragonflyglade/gateway/gateway_settings.h
+++ b/dragonflyglade/gateway/gateway_settings.h
@@ -50,6 +50,9 @@
   double retry_share = 0.1;  ///< retries per request
   double retry_slack = 10;   ///< further retries per window, in the whole fleet
   /// Window in which loads from the weight storage are counted.
+  /// Interval at which targets renew their entries in the store. Read at the
+  /// start only.
+  absl::Duration target_heartbeat = absl::Milliseconds(1200);
   absl::Duration load_window = absl::Seconds(5);
   double load_overage = 1;  ///< factor on the loads that a window permits
   /// Of the requests to a target that warms up; see SlowStartLimit.
--- a/dragonflyglade/gateway/store_relay.cc
+++ b/dragonflyglade/gateway/store_relay.cc
@@ -152,22 +152,43 @@
 // date, and serve by an old configuration although the store is in reach. The
 // time from its own request on includes all of the way, with no other
 // instance's clock.
-Instant StoreRelay::ConfirmationTime(const wire::StoreDigest& digest) const {
-  if (!digest.__isset.echo) return -absl::InfiniteDuration();
+std::optional<Instant> StoreRelay::EarliestSendTime(
+    const wire::StoreDigest& digest) const {
+  if (!digest.__isset.echo) return std::nullopt;
   const Instant sent_at =
       absl::Milliseconds(digest.echo.sent_ms + digest.echo.held_ms);
-  return std::min(this->clock.Now(), sent_at) -
-         absl::Milliseconds(digest.age_ms);
+  return std::min(this->clock.Now(), sent_at);
+}
+
+// How long the digest was on its way is known within bounds only. The uptime
+// begins at the latest and ends at the earliest possible time, so that it does
+// not cover part of an outage.
+void StoreRelay::RecordUptime(const wire::StoreDigest& digest,
+                              Instant confirmed_at) {
+  StoreUptime uptime{confirmed_at, confirmed_at};
+  const std::optional<Instant> sent_at = this->EarliestSendTime(digest);
+  if (!sent_at.has_value()) return;
+  if (digest.__isset.uptime) {
+    uptime.through = *sent_at - absl::Milliseconds(digest.uptime.through_ms);
+    uptime.since =
+        std::min(this->clock.Now() - absl::Milliseconds(digest.uptime.since_ms),
+                 uptime.through);
+  }
+  this->sync_state.RecordUptime(uptime);
+  this->fleet.RemoveMissingTargets();
 }
 
 void StoreRelay::ReceiveDigest(const wire::StoreDigest& digest) {
   RelayDigest relay_digest;
   relay_digest.urgent_revision =
       static_cast<std::uint64_t>(digest.urgent_revision);
-  relay_digest.confirmed_at = this->ConfirmationTime(digest);
+  relay_digest.confirmed_at =
+      this->EarliestSendTime(digest).value_or(-absl::InfiniteDuration()) -
+      absl::Milliseconds(digest.age_ms);
   relay_digest.changes_through =
       static_cast<std::uint64_t>(digest.changes_through);
   relay_digest.lacks_history = digest.lacks_history;
+  this->RecordUptime(digest, relay_digest.confirmed_at);
   if (!digest.changes.empty()) {
     const auto changes = UnpackChanges(digest.changes);
     if (!changes.has_value()) {
@@ -262,6 +283,14 @@
                                             this->sync_state.ConfirmedAt());
   digest.changes = std::move(changes);
   digest.address = this->self.peer_address;
+  const auto& uptime = this->sync_state.Availability().Uptime();
+  if (uptime.has_value()) {
+    const Instant now = this->clock.Now();
+    wire::StoreUptime ages;
+    ages.since_ms = absl::ToInt64Milliseconds(now - uptime->since);
+    ages.through_ms = absl::ToInt64Milliseconds(now - uptime->through);
+    digest.__set_uptime(ages);
+  }
   return digest;
 }
 
@@ -326,7 +355,30 @@
   if (this->sync_state.ReadsFail() && digest_age > query_after) {
     this->QueryNeighbors();
   }
+  // An instance that lost all its links believes in an outage of the store.
+  // Digests say so if others saw none, but a relay gets none unasked.
+  if (this->sync_state.Availability().MayLackEntries(this->clock.Now())) {
+    this->QueryNextNeighbors();
+  }
+  this->fleet.RemoveMissingTargets();
   this->LogChanges();
+  this->LogOutage();
+}
+
+void StoreRelay::LogOutage() {
+  const std::optional<StoreOutage> outage =
+      this->sync_state.Availability().LastOutage();
+  std::optional<Instant> end;
+  if (outage.has_value()) end = outage->end;
+  if (end == this->logged_outage_end) return;
+  this->logged_outage_end = end;
+  if (!outage.has_value()) {
+    this->log.Write("store", "responded to others throughout", {});
+    return;
+  }
+  this->log.Write("store", "outage",
+                  {{"lasted_ms", outage->end - outage->begin},
+                   {"ended_ms_ago", this->clock.Now() - outage->end}});
 }
 
 void StoreRelay::LogChanges() {
@@ -369,7 +421,10 @@
 // the store themselves, and any of them may be up to date.
 void StoreRelay::QueryNeighbors() {
   if (!this->freshest_source.empty()) this->Query(this->freshest_source);
-  if (this->sync_state.HasLiveRelay()) return;
+  if (!this->sync_state.HasLiveRelay()) this->QueryNextNeighbors();
+}
+
+void StoreRelay::QueryNextNeighbors() {
   for (std::size_t i = 0; i < kNeighborsPerQuery; ++i) {
     const std::optional<std::string> address = this->neighbors.NextAddress();
     if (address.has_value()) this->Query(*address);
--- a/dragonflyglade/gateway/store_relay.h
+++ b/dragonflyglade/gateway/store_relay.h
@@ -131,17 +131,21 @@
     RequestTime query;
   };
 
-  Instant ConfirmationTime(const wire::StoreDigest& digest) const;
+  std::optional<Instant> EarliestSendTime(
+      const wire::StoreDigest& digest) const;
+  void RecordUptime(const wire::StoreDigest& digest, Instant confirmed_at);
   const PackedDigestChanges* PackedChangesSince(std::uint64_t known);
   wire::ExistingKeys ExistingKeys() const;
   std::optional<wire::LargeChange> DescribeIfLarge(const StoreEvent& event);
   void ReceivePart(const wire::ChangePart& part);
   void QueryNextRelay();
   void QueryNeighbors();
+  void QueryNextNeighbors();
   void Query(const std::string& address);
   bool IsRelay() const;
   bool ReliesOnNeighbor() const;
   void LogChanges();
+  void LogOutage();
 
   boost::asio::io_context& context;
   FleetState& fleet;
@@ -164,6 +168,8 @@
   /// Address of the instance whose digest was the newest when it arrived.
   std::string freshest_source;
   bool had_live_relay = false;  ///< as last logged
+  /// The end of the outage of the store that was logged last.
+  std::optional<Instant> logged_outage_end;
   /// Since when this instance lacks urgent changes, if that was logged.
   std::optional<Instant> logged_behind_since;
 };
--- a/dragonflyglade/gateway/store_sync_state.cc
+++ b/dragonflyglade/gateway/store_sync_state.cc
@@ -11,9 +11,6 @@
 // time of the datagram and of a read by this instance, a change still takes
 // effect within two seconds.
 constexpr absl::Duration kDigestMaxAge = absl::Milliseconds(1500);
-// The store responds to each relay at least once a second; a longer gap between
-// confirmations means that it was unavailable.
-constexpr absl::Duration kMaxConfirmationGap = absl::Milliseconds(1500);
 // Digests arrive at least every half second, and the next one contains at least
 // some of the missing changes. If the second one does not, each datagram is
 // lost.
@@ -27,8 +24,14 @@
 
 }  // namespace
 
-StoreSyncState::StoreSyncState(boost::asio::io_context& context, Clock clock)
-    : clock(std::move(clock)), changed(context) {}
+StoreSyncState::StoreSyncState(boost::asio::io_context& context,
+                               StoreAvailability& availability, Clock clock)
+    : availability(availability), clock(std::move(clock)), changed(context) {}
+
+void StoreSyncState::RecordResponse() {
+  const Instant now = this->clock.Now();
+  this->availability.RecordUptime({now, now});
+}
 
 void StoreSyncState::RecordRead(std::uint64_t revision, std::uint64_t urgent) {
   const bool is_new = urgent > this->urgent_revision;
@@ -53,9 +56,6 @@
       this->announced.push_back({digest.urgent_revision, this->clock.Now()});
     }
   }
-  if (digest.confirmed_at - this->relay_confirmed_at > kMaxConfirmationGap) {
-    this->store_up_since = digest.confirmed_at;
-  }
   // Digests of several relays arrive, and their confirmations differ in age.
   this->relay_confirmed_at =
       std::max(this->relay_confirmed_at, digest.confirmed_at);
@@ -97,6 +97,10 @@
   return this->DigestAge() < kDigestMaxAge;
 }
 
+absl::Duration StoreSyncState::RelayTimeLeft() const {
+  return std::max(kDigestMaxAge - this->DigestAge(), absl::ZeroDuration());
+}
+
 bool StoreSyncState::MustReadStore() const {
   if (this->announced.empty()) return false;
   // A relay that was restarted: to wait for it would only make this instance
@@ -109,9 +113,4 @@
              kMaxTimeWithoutProgress;
 }
 
-absl::Duration StoreSyncState::StoreUptime() const {
-  if (!this->HasLiveRelay()) return absl::ZeroDuration();
-  return this->clock.Now() - this->store_up_since;
-}
-
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/store_sync_state.h
+++ b/dragonflyglade/gateway/store_sync_state.h
@@ -7,6 +7,7 @@
 #include <functional>
 
 #include "dragonflyglade/decision/clock.h"
+#include "dragonflyglade/decision/store_availability.h"
 #include "dragonflyglade/gateway/async_condition.h"
 
 namespace dragonflyglade::gateway {
@@ -30,7 +31,21 @@
 /// and by the digests of relay instances. Used by one event loop.
 class StoreSyncState {
  public:
-  StoreSyncState(boost::asio::io_context& context, Clock clock);
+  /// @param availability gets the evidence of own reads and of digests
+  StoreSyncState(boost::asio::io_context& context,
+                 StoreAvailability& availability, Clock clock);
+
+  /// Records that the store responded to a call of this instance. To be called
+  /// before the changes in the response are applied.
+  void RecordResponse();
+
+  /// Records when the store responded to others. To be called before the
+  /// changes that they send are applied.
+  void RecordUptime(const StoreUptime& uptime) {
+    this->availability.RecordUptime(uptime);
+  }
+
+  const StoreAvailability& Availability() const { return this->availability; }
 
   /// Records that this instance has read all changes through a revision.
   /// @param urgent the newest revision with an urgent change
@@ -89,9 +104,9 @@
   /// it must read the store.
   bool MustReadStore() const;
 
-  /// For how long the store has responded to the relays without a gap; zero if
-  /// no relay is live.
-  absl::Duration StoreUptime() const;
+  /// For how much longer the newest digest makes its sender a live relay,
+  /// unless another one arrives; zero if no relay is live.
+  absl::Duration RelayTimeLeft() const;
 
   /// The age of the newest digest, counted from the store's response to its
   /// sender; infinite if there is none.
@@ -109,6 +124,7 @@
 
   void UpdateLag();
 
+  StoreAvailability& availability;
   const Clock clock;
   std::uint64_t urgent_revision = 0;
   std::uint64_t read_through = 0;
@@ -118,7 +134,6 @@
 
   std::uint64_t relay_urgent_revision = 0;  ///< by digests
   Instant relay_confirmed_at = -absl::InfiniteDuration();
-  Instant store_up_since;
   Instant current_at = -absl::InfiniteDuration();  ///< see KnowledgeAge
   /// The announced revisions that this instance lacks, oldest first.
   std::deque<Announcement> announced;
--- a/dragonflyglade/gateway/store_watcher.cc
+++ b/dragonflyglade/gateway/store_watcher.cc
@@ -19,6 +19,9 @@
 // For a relay: other instances rely on its digests, which are as old as the
 // store's last response to it.
 constexpr absl::Duration kRelayWatchDuration = absl::Milliseconds(600);
+// For the first watch after a time without own reads. Its response is to come
+// at once, as the digests before it are as old as they may be.
+constexpr absl::Duration kFirstWatchDuration = absl::Milliseconds(1);
 // Pauses after changes, so that one call returns what many targets write at
 // about the same time, and after failed calls. The pause per instance limits
 // all instances together to some hundred calls a second when no relay is live
@@ -32,8 +35,6 @@
 constexpr absl::Duration kRelayCheckInterval = absl::Milliseconds(250);
 // For one page of some hundred entries.
 constexpr absl::Duration kListTimeout = absl::Seconds(1);
-// Running targets register again within two seconds after the store recovers.
-constexpr absl::Duration kReregistrationTime = absl::Milliseconds(2500);
 
 // One watch covers targets, configuration and this program's own keys, since
 // the store counts each call that waits.
@@ -69,7 +70,7 @@
     bool history_kept = true;
     while (history_kept) {
       history_kept = co_await this->Watch();
-      this->fleet.RemoveExpiredTargets();
+      this->fleet.RemoveMissingTargets();
     }
     this->log.Write("store", "listing all keys again",
                     {{"revision", this->revision},
@@ -117,12 +118,16 @@
          !this->fleet.IsRelayInstance(this->self);
 }
 
-asio::awaitable<void> StoreWatcher::WaitWhileRelayLive() {
+asio::awaitable<bool> StoreWatcher::WaitWhileRelayLive() {
+  bool waited = false;
   while (this->ReliesOnRelay() && !this->sync_state.MustReadStore()) {
-    co_await this->sync_state.Changed().Wait(kRelayCheckInterval);
-    // Targets whose grace period ends while nothing is read.
-    this->fleet.RemoveExpiredTargets();
+    co_await this->sync_state.Changed().Wait(
+        std::min(kRelayCheckInterval, this->sync_state.RelayTimeLeft()));
+    // Targets that are still missing while nothing is read.
+    this->fleet.RemoveMissingTargets();
+    waited = true;
   }
+  co_return waited;
 }
 
 absl::Duration StoreWatcher::PauseBetweenReads() const {
@@ -142,15 +147,19 @@
   this->details_incomplete = true;
 }
 
+absl::Duration StoreWatcher::WatchDuration(bool relied_on_relay) const {
+  if (relied_on_relay) return kFirstWatchDuration;
+  if (this->fleet.IsRelayInstance(this->self)) return kRelayWatchDuration;
+  return kWatchDuration;
+}
+
 asio::awaitable<bool> StoreWatcher::Watch() {
-  co_await this->WaitWhileRelayLive();
+  const bool relied_on_relay = co_await this->WaitWhileRelayLive();
   if (this->details_incomplete && this->fleet.IsRelayInstance(this->self)) {
     co_return false;
   }
   this->SkipRelayedChanges();
-  const absl::Duration wait = this->fleet.IsRelayInstance(this->self)
-                                  ? kRelayWatchDuration
-                                  : kWatchDuration;
+  const absl::Duration wait = this->WatchDuration(relied_on_relay);
   StoreCall call = StoreWatch{kAllKeysPrefix, this->revision, wait};
   const StoreResponse response =
       co_await this->store.Call(std::move(call), wait + kResponseTimeout);
@@ -180,26 +189,18 @@
 }
 
 void StoreWatcher::HandleStoreResponse() {
-  if (!this->unreachable_since.has_value()) return;
+  this->sync_state.RecordResponse();
+  if (!this->failing_since.has_value()) return;
   this->log.Write("store", "regained",
-                  {{"away_ms", this->clock.Now() - *this->unreachable_since},
+                  {{"since_lost_ms", this->clock.Now() - *this->failing_since},
                    {"revision", this->revision}});
-  this->unreachable_since.reset();
-  if (!this->StoreStayedAvailable()) this->fleet.HandleStoreRecovery();
-}
-
-// Entries of running targets expire only while the store is unavailable to all.
-// If it failed for this instance only and responded to the relays throughout,
-// targets whose entries are missing have left, and a grace period would send
-// requests to them.
-bool StoreWatcher::StoreStayedAvailable() const {
-  return this->sync_state.StoreUptime() > kReregistrationTime;
+  this->failing_since.reset();
 }
 
 asio::awaitable<void> StoreWatcher::HandleStoreFailure(std::string_view why) {
   this->sync_state.RecordReadFailure();
-  if (!this->unreachable_since.has_value()) {
-    this->unreachable_since = this->clock.Now();
+  if (!this->failing_since.has_value()) {
+    this->failing_since = this->clock.Now();
     this->log.Write("store", "lost",
                     {{"why", why}, {"revision", this->revision}});
   }
--- a/dragonflyglade/gateway/store_watcher.h
+++ b/dragonflyglade/gateway/store_watcher.h
@@ -35,8 +35,9 @@
   /// Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
-  /// Whether the store responded to the last call.
-  bool IsStoreReachable() const { return !this->unreachable_since.has_value(); }
+  /// Whether the store responded to the last call. An instance that relies on a
+  /// relay makes none.
+  bool IsStoreReachable() const { return !this->failing_since.has_value(); }
   /// The revision of the fleet state. Changes that are not urgent may be
   /// missing from it.
   std::uint64_t Revision() const { return this->revision; }
@@ -44,11 +45,12 @@
  private:
   boost::asio::awaitable<bool> List();
   boost::asio::awaitable<bool> Watch();
-  boost::asio::awaitable<void> WaitWhileRelayLive();
+  /// @return whether a relay was live
+  boost::asio::awaitable<bool> WaitWhileRelayLive();
   bool ReliesOnRelay() const;
   void SkipRelayedChanges();
   absl::Duration PauseBetweenReads() const;
-  bool StoreStayedAvailable() const;
+  absl::Duration WatchDuration(bool relied_on_relay) const;
   void HandleStoreResponse();
   boost::asio::awaitable<void> HandleStoreFailure(std::string_view why);
 
@@ -62,7 +64,9 @@
   std::uint64_t revision = 0;
   /// Whether changes up to the revision that are not urgent were skipped.
   bool details_incomplete = false;
-  std::optional<Instant> unreachable_since;
+  /// Since when this instance's own calls fail. It says nothing about the
+  /// store's availability to others; see StoreAvailability.
+  std::optional<Instant> failing_since;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -198,6 +198,15 @@
   2: i64 held_ms
 }
 
+/** The latest time in which the store responded without a long gap, to the
+    sender or to instances that told the sender. */
+struct StoreUptime {
+  /** How long ago it began. */
+  1: i64 since_ms
+  /** The age of the last response. */
+  2: i64 through_ms
+}
+
 /** The keys of the store that exist. */
 struct ExistingKeys {
   /** The lower half of each key's XXH64 hash. */
@@ -236,6 +245,8 @@
       receiver named, but the latest of each key that exists. The receiver
       removes the others. */
   10: optional ExistingKeys existing
+  /** Not set if the sender knows of no response. */
+  11: optional StoreUptime uptime
 }
 
 /** Asks a relay instance for the state of the store. */
--- a/tests/platform/platform-evacuation.cc
+++ b/tests/platform/platform-evacuation.cc
@@ -171,7 +171,9 @@
     boost::asio::io_context context;
     const WireFormat wire = platform::MakeWireFormat();
     EventLog log{"i1", Clock(&this->clock)};
-    FleetState fleet{this->context, this->wire, Clock(&this->clock), this->log};
+    StoreAvailability availability{absl::Milliseconds(1200)};
+    FleetState fleet{this->context, this->wire, this->availability,
+                     Clock(&this->clock), this->log};
   };
 };
 
--- a/tests/platform/platform-follower.cc
+++ b/tests/platform/platform-follower.cc
@@ -54,14 +54,19 @@
     const Instant deadline = this->clock.Now() + timeout;
     while (!condition() && this->clock.Now() < deadline) {
       if (this->leader_is_live) {
-        this->sync_state.ApplyDigest(
-            {0, this->digest_through, this->clock.Now()});
+        const Instant now = this->clock.Now();
+        this->sync_state.RecordUptime({now, now});
+        this->sync_state.ApplyDigest({0, this->digest_through, now});
       }
       this->context.run_for(std::chrono::milliseconds(20));
     }
     return condition();
   }
 
+  void Wait(absl::Duration time) {
+    this->RunUntil([] { return false; }, time);
+  }
+
   bool Knows(const std::string& id) const {
     return this->fleet.Target(id) != nullptr;
   }
@@ -72,8 +77,10 @@
   const Clock clock{SteadyClock()};
   Metrics metrics;
   gateway::EventLog log{"follower", this->clock};
-  FleetState fleet{this->context, this->wire, this->clock, this->log};
-  StoreSyncState sync_state{this->context, this->clock};
+  StoreAvailability availability{absl::Milliseconds(1200)};
+  FleetState fleet{this->context, this->wire, this->availability, this->clock,
+                   this->log};
+  StoreSyncState sync_state{this->context, this->availability, this->clock};
   gateway::StoreClient client{this->context, this->store.Address(), this->wire,
                               this->metrics, this->clock};
   StoreWatcher watcher;
@@ -85,21 +92,24 @@
 
 class PlatformWatcherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformWatcherTest);
-  CPPUNIT_TEST(RemovesAMissingTargetWhileARelayIsLive);
+  CPPUNIT_TEST(KeepsATargetForAShortTimeAfterAnOutage);
   CPPUNIT_TEST(ListsAgainOnlyWhenItBecomesARelay);
+  CPPUNIT_TEST(DropsATargetThatLeftAfterItsOwnLinkWasDown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Failure: requests are sent to a target that has left, until 3.5 s after its
-  // entry was removed. The store recovers after it was unavailable to all, and
-  // a missing target is kept for two seconds, since running ones register
-  // again. The leader's digests contain all changes, so that the instance does
-  // not read the store; the grace period must end nevertheless.
-  void RemovesAMissingTargetWhileARelayIsLive() {
+  // Guards against refusals while running targets register again after an
+  // outage, if a relay sees its end first, and against requests to a target
+  // that has left, if the digests contain all changes so that nothing is read.
+  void KeepsATargetForAShortTimeAfterAnOutage() {
     WatcherHarness harness;
     CPPUNIT_ASSERT(harness.RunUntil([&] { return harness.Knows("i-1"); },
                                     absl::Seconds(10)));
-    harness.fleet.HandleStoreRecovery();
+    harness.store.RejectReads(true);
+    harness.leader_is_live = false;
+    harness.Wait(absl::Seconds(5));
+    harness.leader_is_live = true;
+    harness.Wait(absl::Milliseconds(300));
     constexpr std::uint64_t kLater = 1000;
     harness.fleet.ApplyDeleted("servers/i-1", kLater);
     CPPUNIT_ASSERT(harness.Knows("i-1"));
@@ -107,6 +117,29 @@
                                     absl::Seconds(4)));
   }
 
+  // Guards against requests to a target whose entry is gone, at an instance
+  // that alone was cut off from the store some time before its leader was lost.
+  void DropsATargetThatLeftAfterItsOwnLinkWasDown() {
+    // Requests may reach a target for so long after the store has removed it.
+    constexpr absl::Duration kDrainTime = absl::Seconds(2);
+    WatcherHarness harness;
+    harness.leader_is_live = false;
+    CPPUNIT_ASSERT(harness.RunUntil([&] { return harness.Knows("i-1"); },
+                                    absl::Seconds(10)));
+    harness.store.RejectReads(true);
+    CPPUNIT_ASSERT(
+        harness.RunUntil([&] { return !harness.watcher.IsStoreReachable(); },
+                         absl::Seconds(10)));
+    harness.leader_is_live = true;
+    harness.Wait(absl::Seconds(4));
+    harness.store.RejectReads(false);
+    harness.leader_is_live = false;
+    harness.Wait(absl::Milliseconds(1300));
+    harness.store.Delete("servers/i-1");
+    CPPUNIT_ASSERT(
+        harness.RunUntil([&] { return !harness.Knows("i-1"); }, kDrainTime));
+  }
+
   // Failure: a relay lists the whole store every second. An instance that
   // relies on a relay skips changes that are not urgent, and lists the store
   // once when it becomes a relay itself. From then on it reads all changes, and
--- a/tests/unit/relay_fleet.h
+++ b/tests/unit/relay_fleet.h
@@ -21,6 +21,7 @@
 
 inline constexpr const char* kTestConfigKey = "configuration";
 inline constexpr double kTestLinkMbps = 200;
+inline constexpr absl::Duration kTestHeartbeat = absl::Milliseconds(1200);
 
 /// Bytes that cannot be compressed.
 inline std::string RandomBytes(std::size_t bytes, unsigned seed) {
@@ -46,6 +47,13 @@
     config.version = text.size();
     return config;
   };
+  wire.decode_target = [](std::string_view key,
+                          std::string_view) -> Result<TargetRecord> {
+    TargetRecord record;
+    record.id = std::string(key.substr(key.find('/') + 1));
+    record.service = "service";
+    return record;
+  };
   return wire;
 }
 
@@ -55,8 +63,9 @@
  public:
   struct Instance {
     Instance(RelayFleet& fleet, const std::string& name)
-        : state(fleet.context, fleet.wire, fleet.clock, fleet.log),
-          sync_state(fleet.context, fleet.clock),
+        : state(fleet.context, fleet.wire, availability, fleet.clock,
+                fleet.log),
+          sync_state(fleet.context, availability, fleet.clock),
           relay(fleet.context, state, sync_state, Record(name), kTestLinkMbps,
                 fleet.metrics, fleet.log, fleet.clock) {
       this->relay.OnSend(
@@ -64,6 +73,7 @@
             fleet.sent.push_back({message, to});
           });
     }
+    StoreAvailability availability{kTestHeartbeat};
     FleetState state;
     StoreSyncState sync_state;
     StoreRelay relay;
@@ -97,6 +107,7 @@
                  std::uint64_t revision) {
     Instance& reader = *this->instances[instance];
     reader.state.ApplyListing({}, 0);
+    reader.sync_state.RecordResponse();
     for (const StoreItem& item : items) reader.state.Apply(item);
     reader.sync_state.RecordRead(revision, reader.state.UrgentRevision());
   }
--- a/tests/unit/unit-store-news.cc
+++ b/tests/unit/unit-store-news.cc
@@ -37,12 +37,12 @@
   std::uint64_t known_through;
 };
 
+constexpr absl::Duration kHeartbeat = absl::Milliseconds(1200);
 constexpr absl::Duration kStepTime = absl::Milliseconds(200);
 
 class StoreSyncStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreSyncStateTest);
   CPPUNIT_TEST(ReadsTheStoreOnlyIfDigestsLackChanges);
-  CPPUNIT_TEST(MeasuresTheUptimeOfTheStore);
   CPPUNIT_TEST_SUITE_END();
 
   // Failure: instances receive a change of the store up to ten seconds late.
@@ -119,7 +119,8 @@
     for (const Case& item : cases) {
       ManualClock clock;
       boost::asio::io_context context;
-      StoreSyncState sync_state(context, Clock(&clock));
+      StoreAvailability availability(kHeartbeat);
+      StoreSyncState sync_state(context, availability, Clock(&clock));
       for (const Step& step : item.steps) {
         clock.Advance(step.after);
         if (step.read > 0) sync_state.RecordRead(step.read, step.read);
@@ -136,26 +137,6 @@
                                    sync_state.KnownThrough());
     }
   }
-
-  // Failure: an instance goes on sending requests to targets that have left. If
-  // the store rejects this instance alone, missing targets have left; only if
-  // the store is unavailable to all may their entries merely have expired. The
-  // store's uptime as seen by the relays tells the two apart.
-  void MeasuresTheUptimeOfTheStore() {
-    ManualClock clock;
-    boost::asio::io_context context;
-    StoreSyncState sync_state(context, Clock(&clock));
-    CPPUNIT_ASSERT(sync_state.StoreUptime() == absl::ZeroDuration());
-    for (int i = 0; i < 10; ++i) {
-      clock.Advance(absl::Milliseconds(500));
-      sync_state.ApplyDigest({1, 1, clock.Now()});
-    }
-    CPPUNIT_ASSERT(sync_state.StoreUptime() == absl::Milliseconds(4500));
-    clock.Advance(absl::Seconds(2));
-    CPPUNIT_ASSERT(sync_state.StoreUptime() == absl::ZeroDuration());
-    sync_state.ApplyDigest({1, 1, clock.Now()});
-    CPPUNIT_ASSERT(sync_state.StoreUptime() == absl::ZeroDuration());
-  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreSyncStateTest, "unit-store-news");
