--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -17,6 +17,7 @@
 #include "dragonflyglade/gateway/peek_socket.h"
 #include "dragonflyglade/gateway/target_socket.h"
 #include "dragonflyglade/gateway/tunnel_query.h"
+#include "dragonflyglade/net/connection_end.h"
 #include "dragonflyglade/operator/caller_key.h"
 
 namespace dragonflyglade::gateway {
@@ -265,12 +266,21 @@
   co_return std::nullopt;
 }
 
+// Called when the end was just read: the target may reset the connection later,
+// when more of a long request arrives.
+void TargetExchange::RecordEndOfBody() {
+  if (!this->parser->is_done() || !this->parser->get().need_eof()) return;
+  if (this->ended_in_order.has_value()) return;
+  const bool sent_all = this->write->done && !this->write->error;
+  this->ended_in_order = EndedInOrder(this->connection->socket, sent_all);
+}
+
 // The response's end is the end of the connection. If the other instance's
-// process is killed, the connection ends in the same way.
+// process is killed, the connection ends as if the target had closed it.
 asio::awaitable<bool> TargetExchange::EndsWithoutProof() {
-  if (!this->tunnel.has_value() || !this->parser->get().need_eof()) {
-    co_return false;
-  }
+  if (!this->parser->get().need_eof()) co_return false;
+  if (!this->ended_in_order.value_or(false)) co_return true;
+  if (!this->tunnel.has_value()) co_return false;
   const bool closed_by_target = co_await DidTargetCloseTunnel(
       this->context, this->connection->tunnel_peer, this->connection->tunnel_id,
       this->clock);
@@ -389,6 +399,7 @@
     co_await http::async_read_some(
         this->connection->socket, this->connection->buffer, *this->parser,
         asio::redirect_error(asio::use_awaitable, error));
+    this->RecordEndOfBody();
     body.append(chunk.data(), chunk.size() - buffer.size);
     if (this->receipt != nullptr) this->receipt->Resize(body.size());
     if (error && error != http::error::need_buffer) {
@@ -461,6 +472,7 @@
   co_await http::async_read_some(
       this->connection->socket, this->connection->buffer, *this->parser,
       asio::redirect_error(asio::use_awaitable, error));
+  this->RecordEndOfBody();
   this->StopSilenceLimit();
   const std::size_t bytes_read = this->read_buffer.size() - buffer.size;
   if (bytes_read > 0) {
--- a/dragonflyglade/gateway/target_exchange.h
+++ b/dragonflyglade/gateway/target_exchange.h
@@ -208,6 +208,7 @@
       std::string_view address, Instant deadline);
   boost::asio::awaitable<std::optional<NotSent>> EstablishTunnel(
       Instant deadline);
+  void RecordEndOfBody();
   boost::asio::awaitable<bool> EndsWithoutProof();
   void StartWriting(std::string head, SharedBody body);
   boost::asio::awaitable<std::optional<OutcomeUnknown>> ReadHead(
@@ -256,6 +257,8 @@
   int earlier_exchanges = 0;  ///< on the connection
   /// The response does not have the id that the request has.
   bool is_unnamed = false;
+  /// Set when the end of a body was read that ends with its connection.
+  std::optional<bool> ended_in_order;
 };
 
 }  // namespace dragonflyglade::gateway
--- a/dragonflyglade/gateway/tunnel_server.cc
+++ b/dragonflyglade/gateway/tunnel_server.cc
@@ -23,6 +23,7 @@
 #include "dragonflyglade/gateway/step_timer.h"
 #include "dragonflyglade/gateway/target_socket.h"
 #include "dragonflyglade/gateway/tunnel_query.h"
+#include "dragonflyglade/net/connection_end.h"
 
 namespace dragonflyglade::gateway {
 
@@ -94,6 +95,7 @@
   std::string target_id;
   HeaderFields refusal_fields;   ///< of the response if there is no tunnel
   bool awaits_response = false;  ///< the last bytes went to the target
+  bool sends_to_target = false;  ///< a write to the target has not ended
   StepTimer timer;
 };
 
@@ -257,10 +259,12 @@
     }
     tunnel->last_bytes = this->clock.Now();
     tunnel->awaits_response = to_target;
+    tunnel->sends_to_target |= to_target;
     co_await asio::async_write(
         to, asio::buffer(bytes.data(), count),
         asio::redirect_error(asio::use_awaitable, error));
     if (error) break;
+    if (to_target) tunnel->sends_to_target = false;
   }
   tunnel->Reset();
 }
@@ -275,6 +279,12 @@
     tunnel->Close();
     return;
   }
+  // Failure: a target resets the connection while it is sent a long request.
+  // The write takes the error, and a cut response looks whole to the caller.
+  if (!EndedInOrder(tunnel->target, !tunnel->sends_to_target)) {
+    tunnel->Reset();
+    return;
+  }
   // Before the instance can see the end and ask.
   this->RecordClosedByTarget(tunnel->id);
   error_code ignored;
--- a/dragonflyglade/net/http_call.cc
+++ b/dragonflyglade/net/http_call.cc
@@ -24,6 +24,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
+#include "dragonflyglade/net/connection_end.h"
 #include "dragonflyglade/net/socket_options.h"
 
 namespace dragonflyglade {
@@ -102,7 +103,8 @@
                                    const OnData& on_data);
   asio::awaitable<error_code> Connect();
   asio::awaitable<error_code> ReadHead(Parser& parser);
-  asio::awaitable<Status> ReadBody(Parser& parser, const OnData& on_data);
+  asio::awaitable<Status> ReadBody(Parser& parser, const OnData& on_data,
+                                   bool sent_all);
   Failure FailureFor(const error_code& error, Errc code) const;
 
   const Endpoint endpoint;
@@ -157,9 +159,11 @@
 }
 
 // The body is whole when its framing says so. What ends a chunked body is its
-// last chunk, and nothing else.
+// last chunk, and nothing else; what ends one without framing is the end of the
+// connection, if it is no reset.
 asio::awaitable<Status> HttpCall::Impl::ReadBody(Parser& parser,
-                                                 const OnData& on_data) {
+                                                 const OnData& on_data,
+                                                 bool sent_all) {
   std::array<char, kReadBytes> bytes;
   while (!parser.is_done()) {
     auto& body = parser.get().body();
@@ -172,6 +176,12 @@
     co_await http::async_read_some(
         this->stream, this->buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
+    const bool is_cut = parser.is_done() && parser.get().need_eof() &&
+                        !EndedInOrder(this->stream.socket(), sent_all);
+    if (is_cut) {
+      co_return this->FailureFor(asio::error::connection_reset,
+                                 Errc::kTruncated);
+    }
     const std::size_t count = bytes.size() - body.size;
     const bool goes_on =
         count == 0 || on_data(std::string_view(bytes.data(), count));
@@ -212,7 +222,7 @@
   if (this->cancelled || !on_head(ToHead(parser->get().base()))) {
     co_return MakeFailure(Errc::kCancelled, "call", this->peer, "stopped");
   }
-  co_return co_await this->ReadBody(*parser, on_data);
+  co_return co_await this->ReadBody(*parser, on_data, !write_error);
 }
 
 HttpCall::HttpCall(Endpoint endpoint, HttpOptions options,
--- a/tests/platform/path_stand_in.cc
+++ b/tests/platform/path_stand_in.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/synchronization/notification.h"
+#include "dragonflyglade/net/connection_end.h"
 
 namespace dragonflyglade {
 
@@ -34,6 +35,15 @@
 struct PathStandIn::Connection {
   explicit Connection(Socket accepted)
       : near(std::move(accepted)), far(this->near.get_executor()) {}
+
+  void Reset() {
+    for (Socket* socket : {&this->near, &this->far}) {
+      error_code ignored;
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
   Socket near;
   Socket far;
   std::array<char, 16384> from_near{};
@@ -115,22 +125,37 @@
                        Socket& to) {
   auto& bytes =
       &from == &connection->near ? connection->from_near : connection->from_far;
-  from.async_read_some(asio::buffer(bytes),
-                       [this, connection, &from, &to, &bytes](
-                           const error_code& error, std::size_t count) {
-                         error_code ignored;
-                         if (this->state == PathState::kHangs) {
-                           if (!error) this->Pump(connection, from, to);
-                           return;
-                         }
-                         if (count > 0)
-                           asio::write(to, asio::buffer(bytes, count), ignored);
-                         if (error) {
-                           to.shutdown(Socket::shutdown_send, ignored);
-                           return;
-                         }
-                         this->Pump(connection, from, to);
-                       });
+  from.async_read_some(
+      asio::buffer(bytes), [this, connection, &from, &to, &bytes](
+                               const error_code& error, std::size_t count) {
+        if (this->state == PathState::kHangs) {
+          if (!error) this->Pump(connection, from, to);
+          return;
+        }
+        if (error) {
+          HandleEnd(*connection, from, to);
+          return;
+        }
+        asio::async_write(to, asio::buffer(bytes, count),
+                          [this, connection, &from, &to](
+                              const error_code& failure, std::size_t) {
+                            if (failure) {
+                              connection->Reset();
+                              return;
+                            }
+                            this->Pump(connection, from, to);
+                          });
+      });
+}
+
+// A path passes on how a connection ended, also if a write took the error.
+void PathStandIn::HandleEnd(Connection& connection, Socket& from, Socket& to) {
+  if (EndOfConnection(from) != ConnectionEnd::kOrderly) {
+    connection.Reset();
+    return;
+  }
+  error_code ignored;
+  to.shutdown(Socket::shutdown_send, ignored);
 }
 
 void PathStandIn::Apply(PathState state) {
@@ -156,13 +181,7 @@
 }
 
 void PathStandIn::ResetConnections() {
-  for (const auto& connection : this->connections) {
-    for (Socket* socket : {&connection->near, &connection->far}) {
-      error_code ignored;
-      socket->set_option(asio::socket_base::linger(true, 0), ignored);
-      socket->close(ignored);
-    }
-  }
+  for (const auto& connection : this->connections) connection->Reset();
   this->connections.clear();
 }
 
--- a/tests/platform/path_stand_in.h
+++ b/tests/platform/path_stand_in.h
@@ -50,6 +50,7 @@
   void Accept();
   void Forward(Socket accepted);
   void Pump(std::shared_ptr<Connection> connection, Socket& from, Socket& to);
+  static void HandleEnd(Connection& connection, Socket& from, Socket& to);
   void Apply(PathState state);
   void DropNewConnections();
   void ResetConnections();
--- a/tests/platform/platform-cut-responses.cc
+++ b/tests/platform/platform-cut-responses.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <atomic>
 #include <optional>
 #include <string>
 #include <vector>
@@ -101,6 +102,39 @@
   CutResponse next ABSL_GUARDED_BY(mutex);
 };
 
+/// Answers with a part of a body and a reset, once Cut was called.
+class UploadTarget {
+ public:
+  Script Answer(const RawRequest& request) const {
+    if (!this->cuts || request.IsInspection()) {
+      return SuccessfulResponse(request);
+    }
+    return AnswerInPart(request);
+  }
+
+  void Cut() { this->cuts = true; }
+
+ private:
+  // The path and the pause come with the request.
+  static Script AnswerInPart(const RawRequest& request) {
+    const bool is_stream = request.Line().find("/cut/") != std::string::npos;
+    const std::string pause = request.Field("X-Test-Pause-Ms");
+    Script script;
+    script.bytes = absl::StrCat(
+        "HTTP/1.1 200 OK\r\nX-Dragonflyglade-Attempt-Id: ",
+        request.Field("X-Dragonflyglade-Attempt-Id"), "\r\n", kSigned,
+        is_stream ? "Content-Type: text/event-stream\r\n" : "",
+        "Connection: close\r\n\r\nid: 1\ndata: a\n\n");
+    script.extra = "id: 2\ndata: b\n\n";
+    script.extra_pause =
+        absl::Milliseconds(pause.empty() ? 0 : std::stoi(pause));
+    script.reset = true;
+    return script;
+  }
+
+  std::atomic<bool> cuts = false;
+};
+
 // @param step between the lengths
 std::vector<CutResponse> CutResponses(const std::string& id, std::size_t step) {
   std::vector<CutResponse> cuts;
@@ -119,6 +153,10 @@
   CPPUNIT_TEST(ReachNoCallerAsWhole);
   CPPUNIT_TEST(ReachNoCallerAsWholeOverATunnel);
   CPPUNIT_TEST(AreNoResultOfACall);
+  CPPUNIT_TEST(ResetDuringAnUploadReachNoCallerAsWhole);
+  CPPUNIT_TEST(ResetDuringAnUploadReachNoCallerAsWholeOverATunnel);
+  CPPUNIT_TEST(ResetDuringAnUploadAreNoResultOfACall);
+  CPPUNIT_TEST(AreWholeIfClosedDuringAnUpload);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,7 +197,110 @@
     }
   }
 
+  // Guards against a part of an answer that looks whole, since the write of the
+  // request took the error of the reset.
+  void ResetDuringAnUploadReachNoCallerAsWhole() {
+    UploadTarget target;
+    GatewayHarness harness(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    target.Cut();
+    harness.first.AnswerAtHeads();
+    for (const Upload& upload : kUploads) {
+      CheckUpload(harness, upload);
+    }
+  }
+
+  // Guards against the same where another instance's write took the error.
+  void ResetDuringAnUploadReachNoCallerAsWholeOverATunnel() {
+    UploadTarget target;
+    TwoInstances pair(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    pair.Isolate();
+    target.Cut();
+    pair.target_one.AnswerAtHeads();
+    pair.target_two.AnswerAtHeads();
+    for (const Upload& upload : kUploads) {
+      CheckUpload(pair.harness, upload);
+    }
+  }
+
+  // Guards against the same of an engine or service.
+  void ResetDuringAnUploadAreNoResultOfACall() {
+    UploadTarget target;
+    target.Cut();
+    PlatformTargetStandIn stand_in(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    stand_in.AnswerAtHeads();
+    const Endpoint endpoint = ParseEndpoint(stand_in.Address()).Value();
+    for (int i = 0; i < kUploadRepeats; ++i) {
+      HttpRequest request;
+      request.method = "POST";
+      request.body = std::string(kLongUpload, 'u');
+      HttpCall call(endpoint, HttpOptions(), "service");
+      CPPUNIT_ASSERT(!call.Run(request).Ok());
+    }
+  }
+
+  // Guards against the refusal of answers that are whole: a target that does
+  // not need the rest of the request closes its side in order.
+  void AreWholeIfClosedDuringAnUpload() {
+    GatewayHarness harness([](const RawRequest& request) {
+      Script script;
+      script.bytes = absl::StrCat(
+          HeadOf(kForms[4], request.Field("X-Dragonflyglade-Attempt-Id")),
+          "done");
+      script.half_close = true;
+      return request.IsInspection() ? SuccessfulResponse(request) : script;
+    });
+    harness.first.AnswerAtHeads();
+    const Reply reply =
+        harness.Send(UploadText(harness, {"/once/", kLongUpload, {}}));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.text, 200, reply.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), reply.Body());
+  }
+
  private:
+  /// An upload whose target resets the connection after part of its answer.
+  struct Upload {
+    const char* path;
+    std::size_t bytes;
+    absl::Duration reset_after;
+  };
+
+  static constexpr std::size_t kLongUpload = 3'000'000;
+  static constexpr int kUploadRepeats = 5;
+  static inline const std::vector<Upload> kUploads = [] {
+    std::vector<Upload> uploads;
+    for (const char* path : {"/once/", "/any/", "/cut/"}) {
+      for (const std::size_t bytes : {std::size_t{0}, kLongUpload}) {
+        for (const int pause_ms : {0, 30}) {
+          uploads.push_back({path, bytes, absl::Milliseconds(pause_ms)});
+        }
+      }
+    }
+    return uploads;
+  }();
+
+  static std::string UploadText(GatewayHarness& harness, const Upload& upload) {
+    return harness.Text(
+               "POST", upload.path, "k1",
+               absl::StrCat(
+                   "Content-Length: ", upload.bytes, "\r\nX-Test-Pause-Ms: ",
+                   absl::ToInt64Milliseconds(upload.reset_after), "\r\n")) +
+           std::string(upload.bytes, 'u');
+  }
+
+  static void CheckUpload(GatewayHarness& harness, const Upload& upload) {
+    for (int i = 0; i < kUploadRepeats; ++i) {
+      const Reply reply = harness.Send(UploadText(harness, upload));
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(upload.path, ", ", upload.bytes, " bytes, reset after ",
+                       absl::FormatDuration(upload.reset_after), ": ",
+                       reply.text),
+          reply.status != 200 || !reply.ended_whole);
+    }
+  }
+
   static void CheckCuts(GatewayHarness& harness, CuttingTarget& target,
                         std::size_t step) {
     for (const CutResponse& cut : CutResponses(kLongestId, step)) {
--- a/tests/platform/target_stand_in.cc
+++ b/tests/platform/target_stand_in.cc
@@ -37,32 +37,50 @@
   return {ResponseBytes(request, "200 OK", "done", kSigned)};
 }
 
-bool ReadRawRequest(tcp::socket& socket, std::string& buffer,
-                    RawRequest& request) {
-  const auto receive_more = [&] {
-    char chunk[4096];
-    error_code error;
-    const std::size_t received =
-        socket.read_some(boost::asio::buffer(chunk), error);
-    buffer.append(chunk, received);
-    return !error;
-  };
+namespace {
+
+// Appends received bytes to the buffer.
+bool ReceiveMore(tcp::socket& socket, std::string& buffer) {
+  char chunk[4096];
+  error_code error;
+  const std::size_t received =
+      socket.read_some(boost::asio::buffer(chunk), error);
+  buffer.append(chunk, received);
+  return !error;
+}
+
+}  // namespace
+
+bool ReadRawHead(tcp::socket& socket, std::string& buffer,
+                 RawRequest& request) {
   while (buffer.find("\r\n\r\n") == std::string::npos) {
-    if (!receive_more()) return false;
+    if (!ReceiveMore(socket, buffer)) return false;
   }
   const std::size_t end = buffer.find("\r\n\r\n") + 4;
   request.head = buffer.substr(0, end);
+  request.body.clear();
   buffer.erase(0, end);
+  return true;
+}
+
+bool ReadRawBody(tcp::socket& socket, std::string& buffer,
+                 RawRequest& request) {
   const std::string length = request.Field("Content-Length");
   const std::size_t size = length.empty() ? 0 : std::stoul(length);
   while (buffer.size() < size) {
-    if (!receive_more()) return false;
+    if (!ReceiveMore(socket, buffer)) return false;
   }
   request.body = buffer.substr(0, size);
   buffer.erase(0, size);
   return true;
 }
 
+bool ReadRawRequest(tcp::socket& socket, std::string& buffer,
+                    RawRequest& request) {
+  return ReadRawHead(socket, buffer, request) &&
+         ReadRawBody(socket, buffer, request);
+}
+
 PlatformTargetStandIn::PlatformTargetStandIn(Answer answer,
                                              const std::string& ip)
     : acceptor(this->context,
@@ -107,7 +125,10 @@
   std::string buffer;
   std::string late;
   RawRequest request;
-  while (ReadRawRequest(*socket, buffer, request)) {
+  while (ReadRawHead(*socket, buffer, request)) {
+    if (!this->answers_at_heads && !ReadRawBody(*socket, buffer, request)) {
+      return;
+    }
     const Script script = this->ScriptFor(request);
     error_code error;
     boost::asio::write(*socket, boost::asio::buffer(late + script.bytes),
@@ -129,7 +150,8 @@
       this->Crash();
       return;
     }
-    if (script.hang || !script.endless.empty()) {
+    if (script.half_close) shutdown(socket->native_handle(), SHUT_WR);
+    if (script.half_close || script.hang || !script.endless.empty()) {
       char byte = 0;
       if (!error) socket->read_some(boost::asio::buffer(&byte, 1), error);
       report_end();
--- a/tests/platform/target_stand_in.h
+++ b/tests/platform/target_stand_in.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYGLADE_TESTS_PLATFORM_TARGET_STAND_IN_H_
 #define DRAGONFLYGLADE_TESTS_PLATFORM_TARGET_STAND_IN_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
@@ -42,6 +43,8 @@
     bool hang = false;   ///< after the bytes, wait until the client closes
     bool crash = false;  ///< after the bytes, end as a killed process does
     bool reset = false;  ///< reset the connection after the bytes
+    /// After the bytes, close the sending side only, until the client closes.
+    bool half_close = false;
     /// Sent before the response to the next request on the connection.
     std::string late = "";
     /// Sent some time after the bytes, before the next request is read.
@@ -63,6 +66,10 @@
 
   std::string Address() const;
 
+  /// From now on answers each request when its head has arrived, and reads no
+  /// bodies. Its scripts must end the connection.
+  void AnswerAtHeads() { this->answers_at_heads = true; }
+
   /// Answers one coming request by this function in place of the default.
   /// Repeated calls queue up, one function for each request.
   void EnqueueAnswer(Answer answer);
@@ -85,6 +92,7 @@
   boost::asio::io_context context;
   boost::asio::ip::tcp::acceptor acceptor;
   const Answer default_answer;
+  std::atomic<bool> answers_at_heads = false;
   mutable absl::Mutex mutex;
   std::deque<Answer> queued_answers ABSL_GUARDED_BY(mutex);
   std::vector<RawRequest> requests ABSL_GUARDED_BY(mutex);
@@ -107,9 +115,15 @@
 /// The response of a healthy target: signed, with the body "done".
 PlatformTargetStandIn::Script SuccessfulResponse(const RawRequest& request);
 
-/// Reads one HTTP request, with a Content-Length body or none.
+/// Reads the head of an HTTP request.
 /// @param buffer bytes received beyond the previous request
-/// @return false if the connection ended before the request was complete
+/// @return false if the connection ended before the head was complete
+bool ReadRawHead(boost::asio::ip::tcp::socket& socket, std::string& buffer,
+                 RawRequest& request);
+/// Reads the rest of the request, with a Content-Length body or none.
+bool ReadRawBody(boost::asio::ip::tcp::socket& socket, std::string& buffer,
+                 RawRequest& request);
+/// Reads one HTTP request.
 bool ReadRawRequest(boost::asio::ip::tcp::socket& socket, std::string& buffer,
                     RawRequest& request);
 
