--- a/dragonflyglade/gateway/target_exchange.cc
+++ b/dragonflyglade/gateway/target_exchange.cc
@@ -18,6 +18,7 @@
 #include "dragonflyglade/gateway/target_socket.h"
 #include "dragonflyglade/gateway/tunnel_query.h"
 #include "dragonflyglade/net/connection_end.h"
+#include "dragonflyglade/net/http_status.h"
 #include "dragonflyglade/operator/caller_key.h"
 
 namespace dragonflyglade::gateway {
@@ -325,6 +326,9 @@
   if (IsJoinedHead(this->parser->get().base())) {
     co_return OutcomeUnknown{"two heads in one"};
   }
+  if (!IsAnswerStatus(this->parser->get().result_int())) {
+    co_return OutcomeUnknown{"the status is none of an answer"};
+  }
   this->head = this->wire.decode_response_head(ConvertHead<false>(
       this->parser->get().base(), this->parser->keep_alive()));
   if (this->head_observer) this->head_observer(this->head);
--- a/dragonflyglade/net/http_call.cc
+++ b/dragonflyglade/net/http_call.cc
@@ -25,6 +25,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "dragonflyglade/net/connection_end.h"
+#include "dragonflyglade/net/http_status.h"
 #include "dragonflyglade/net/socket_options.h"
 
 namespace dragonflyglade {
@@ -218,6 +219,10 @@
       co_return this->FailureFor(write_error ? write_error : error,
                                  Errc::kConnectionLost);
     }
+    if (!IsAnswerStatus(parser->get().result_int())) {
+      co_return MakeFailure(Errc::kMalformedResponse, "read response",
+                            this->peer, "the status is none of an answer");
+    }
   } while (parser->get().result_int() < kFirstFinalStatus);
   if (this->cancelled || !on_head(ToHead(parser->get().base()))) {
     co_return MakeFailure(Errc::kCancelled, "call", this->peer, "stopped");
