--- a/dragonflyglade/caller/completion_request.cc
+++ b/dragonflyglade/caller/completion_request.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dragonflyglade/caller/paths.h"
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/decision/rendezvous.h"
 
 namespace dragonflyglade {
@@ -16,7 +17,6 @@
 constexpr double kBytesPerToken = 4.0;
 constexpr std::size_t kPrefixBytes = 256;
 constexpr std::int64_t kMaxOutputTokens = 1'000'000;
-constexpr int kMaxJsonDepth = 64;
 
 Refusal BadRequest(std::string message) {
   return Refusal{RefusalCode::kBadRequest, std::move(message)};
@@ -27,19 +27,6 @@
                  fmt::format("there is no model '{}' here", name)};
 }
 
-// Parses JSON of limited depth. A body that consists of brackets only would
-// overflow the stack of code that walks the parsed tree recursively; normal
-// requests are a few levels deep.
-json ParseWithDepthLimit(std::string_view body) {
-  bool too_deep = false;
-  const auto callback = [&](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > kMaxJsonDepth;
-    return !too_deep;
-  };
-  json document = json::parse(body, callback, false);
-  return too_deep ? json(json::value_t::discarded) : document;
-}
-
 // The text of the prompt, or of all messages one after the other.
 std::variant<std::string, Refusal> ParsePrompt(const json& document,
                                                bool is_chat) {
@@ -94,7 +81,7 @@
 std::variant<CompletionRequest, Refusal> ParseCompletion(
     std::string_view path, std::string_view body, const Catalog& catalog,
     std::string_view workspace, RequestClass request_class) {
-  const json document = ParseWithDepthLimit(body);
+  const json document = ParseJsonOrDiscard(body);
   if (!document.is_object()) return BadRequest("body: expected a JSON object");
   const auto name = document.find("model");
   if (name == document.end() || !name->is_string()) {
--- a/dragonflyglade/caller/completion_runner.cc
+++ b/dragonflyglade/caller/completion_runner.cc
@@ -12,6 +12,7 @@
 #include "dragonflyglade/caller/paths.h"
 #include "dragonflyglade/caller/reservation.h"
 #include "dragonflyglade/caller/sse.h"
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/net/log.h"
 
 namespace dragonflyglade {
@@ -387,7 +388,7 @@
     if (std::holds_alternative<StreamDone>(part)) break;
     if (const auto* data = std::get_if<StreamData>(&part)) {
       if (data->text == kStreamEndMarker) continue;
-      last = json::parse(data->text, nullptr, false);
+      last = ParseJsonOrDiscard(data->text);
       if (!last.is_object()) {
         job.stream->Cancel();
         return Refusal{RefusalCode::kAnswerTruncated,
--- a/dragonflyglade/decision/claim.cc
+++ b/dragonflyglade/decision/claim.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
+#include "dragonflyglade/decision/json_text.h"
 
 namespace dragonflyglade {
 namespace {
@@ -62,7 +63,7 @@
 }
 
 Result<Claim> ParseClaim(std::string_view text) {
-  const json document = json::parse(text, nullptr, false);
+  const json document = ParseJsonOrDiscard(text);
   const auto malformed = [](std::string_view detail) {
     return MakeFailure(Errc::kMalformedResponse, "decode claim", "kv", detail);
   };
--- a/dragonflyglade/decision/target_ledger.cc
+++ b/dragonflyglade/decision/target_ledger.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "dragonflyglade/decision/json_text.h"
+
 namespace dragonflyglade {
 namespace {
 
@@ -292,7 +294,7 @@
 }
 
 Result<TargetLedger> DecodeLedger(std::string_view text) {
-  const json document = json::parse(text, nullptr, false);
+  const json document = ParseJsonOrDiscard(text);
   try {
     TargetLedger ledger;
     ledger.target = document.at("target");
--- a/dragonflyglade/gateway/crash_record.cc
+++ b/dragonflyglade/gateway/crash_record.cc
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 
+#include "dragonflyglade/decision/json_text.h"
+
 namespace dragonflyglade::gateway {
 
 using nlohmann::json;
@@ -41,7 +43,7 @@
 CrashRecord DecodeCrashRecord(std::string_view text) {
   CrashRecord record;
   try {
-    const json document = json::parse(text);
+    const json document = ParseJson(text);
     record.by = document.value("by", "");
     record.since =
         absl::FromUnixMillis(document.value("since_ms", std::int64_t{0}));
--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -160,11 +160,12 @@
 bool FleetState::ApplyTarget(const StoreItem& item) {
   Result<TargetRecord> decoded = this->wire.decode_target(item.key, item.value);
   if (!decoded.Ok()) {
-    const std::string id = item.key.substr(this->wire.targets_prefix.size());
-    this->DropTarget(id, "unreadable entry");
+    this->LeaveOut(item.key.substr(this->wire.targets_prefix.size()),
+                   decoded.Error().ToString(), item.revision);
     return true;
   }
   TargetRecord record = std::move(decoded.Value());
+  this->left_out.erase(record.id);
   const bool urgent = this->IsUrgent(record);
   this->log.Write("targets", record.leaving ? "leaving" : "entry",
                   {{"target", record.id},
@@ -191,6 +192,18 @@
   return urgent;
 }
 
+// Another writer's entry names no target to use. It may be written again and
+// again; the log tells of each reason once.
+void FleetState::LeaveOut(const std::string& id, std::string why,
+                          std::uint64_t revision) {
+  this->RemoveTarget(id);
+  std::string& logged = this->left_out[id];
+  if (logged == why) return;
+  logged = std::move(why);
+  this->log.Write("targets", "left out",
+                  {{"target", id}, {"why", logged}, {"revision", revision}});
+}
+
 void FleetState::ApplyInstance(const StoreItem& item) {
   Result<InstanceRecord> decoded = DecodeInstanceRecord(item.value);
   if (!decoded.Ok()) return;
@@ -342,8 +355,9 @@
   removed.revision = revision;
   this->AddUrgentChange({std::move(removed), true});
   if (this->HasPrefix(key, this->wire.targets_prefix)) {
-    this->DropTarget(key.substr(this->wire.targets_prefix.size()),
-                     "entry removed");
+    const std::string_view id = key.substr(this->wire.targets_prefix.size());
+    this->left_out.erase(std::string(id));
+    this->DropTarget(id, "entry removed");
   }
   const std::optional<Suspect> suspect = SuspectOfKey(key);
   if (suspect.has_value()) this->RemoveCrashRecord(*suspect, revision);
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -209,6 +209,7 @@
   void RemoveCrashRecord(const Suspect& suspect, std::uint64_t revision);
   ServedVersions& VersionsOf(std::string_view service);
   void RecordVersion(const TargetRecord& record);
+  void LeaveOut(const std::string& id, std::string why, std::uint64_t revision);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   void KeepDeparted(std::shared_ptr<TargetState> target);
@@ -238,6 +239,8 @@
   std::map<std::string, std::shared_ptr<TargetState>, std::less<>> targets;
   std::map<std::string, std::vector<std::shared_ptr<TargetState>>, std::less<>>
       by_service;
+  /// Why entries that name no target to use are left out, by id.
+  std::map<std::string, std::string> left_out;
   /// A target whose record was removed.
   struct DepartedTarget {
     std::shared_ptr<TargetState> state;
--- a/dragonflyglade/gateway/gateway_settings.cc
+++ b/dragonflyglade/gateway/gateway_settings.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/operator/schema_check.h"
 
 namespace dragonflyglade::gateway {
@@ -165,7 +166,7 @@
 }  // namespace
 
 Result<GatewaySettings> ParseGatewaySettings(std::string_view text) {
-  const json document = json::parse(text, nullptr, false);
+  const json document = ParseJsonOrDiscard(text);
   if (document.is_discarded()) return InvalidSettings("not JSON");
   const auto problems = CheckSchema(SettingsSchema(), document);
   if (!problems.empty()) return InvalidSettings(Describe(problems));
--- a/dragonflyglade/gateway/instance_record.cc
+++ b/dragonflyglade/gateway/instance_record.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "dragonflyglade/decision/json_text.h"
+
 namespace dragonflyglade::gateway {
 
 using nlohmann::json;
@@ -18,7 +20,7 @@
 
 Result<InstanceRecord> DecodeInstanceRecord(std::string_view text) {
   try {
-    const json document = json::parse(text);
+    const json document = ParseJson(text);
     InstanceRecord record;
     record.name = document.at("name").get<std::string>();
     record.zone = document.at("zone").get<std::string>();
--- a/dragonflyglade/gateway/spend_record.cc
+++ b/dragonflyglade/gateway/spend_record.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/gateway/deflate.h"
 
 namespace dragonflyglade::gateway {
@@ -73,7 +74,7 @@
                        "the spend record cannot be decompressed");
   }
   try {
-    const json document = json::parse(*text);
+    const json document = ParseJson(*text);
     SpendRecord record;
     record.written =
         absl::FromUnixMillis(document.at("written_ms").get<std::int64_t>());
--- a/dragonflyglade/gateway/version_record.cc
+++ b/dragonflyglade/gateway/version_record.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
+
 namespace dragonflyglade::gateway {
 
 using nlohmann::json;
@@ -20,7 +22,7 @@
 
 Result<VersionRecord> DecodeVersionRecord(std::string_view text) {
   try {
-    const json document = json::parse(text);
+    const json document = ParseJson(text);
     VersionRecord record;
     for (const auto& [service, item] : document.items()) {
       SingleVersion single;
--- a/dragonflyglade/instance/settings.cc
+++ b/dragonflyglade/instance/settings.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/instance/settings_schema.h"
 #include "dragonflyglade/operator/schema_check.h"
 
@@ -180,7 +181,7 @@
 }
 
 Result<Settings> ParseSettings(std::string_view text) {
-  const json document = json::parse(text, nullptr, false);
+  const json document = ParseJsonOrDiscard(text);
   if (document.is_discarded()) return Invalid("expected JSON");
   const std::vector<SchemaProblem> problems =
       CheckSchema(SettingsSchema(), document);
--- a/dragonflyglade/operator/audit_trail.cc
+++ b/dragonflyglade/operator/audit_trail.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "absl/time/clock.h"
+#include "dragonflyglade/decision/json_text.h"
 
 namespace dragonflyglade {
 namespace {
@@ -40,7 +41,7 @@
   std::vector<AuditEntry> entries;
   try {
     for (const KvEntry& segment : range.Value().entries) {
-      for (const json& item : json::parse(segment.value)) {
+      for (const json& item : ParseJson(segment.value)) {
         entries.push_back(DecodeAuditEntry(item));
       }
     }
--- a/dragonflyglade/operator/config_editor.cc
+++ b/dragonflyglade/operator/config_editor.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "dragonflyglade/decision/json_text.h"
 
 namespace dragonflyglade {
 namespace {
@@ -72,7 +73,7 @@
 }  // namespace
 
 Result<std::vector<RecordDraft>> ParseDrafts(std::string_view text) {
-  json document = json::parse(text, nullptr, false);
+  json document = ParseJsonOrDiscard(text);
   if (document.is_discarded()) return InvalidDraft("expected JSON");
   if (!document.is_array()) document = json::array({document});
   if (document.empty()) return InvalidDraft("expected at least one record");
@@ -259,7 +260,7 @@
   const Result<std::vector<KvEntry>> stored = this->Get("key", id);
   if (!stored.Ok()) return stored.Error();
   const KvEntry& entry = stored.Value().front();
-  json value = json::parse(entry.value, nullptr, false);
+  json value = ParseJsonOrDiscard(entry.value);
   if (!value.is_object()) {
     return MakeFailure(Errc::kInvalidRecord, "withdraw", kConfigurationPeer,
                        entry.key + " is not a key record");
--- a/dragonflyglade/operator/records.cc
+++ b/dragonflyglade/operator/records.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/operator/record_schemas.h"
 #include "dragonflyglade/operator/schema_check.h"
 
@@ -218,7 +219,7 @@
                     "v{}",
                     key.schema, key.kind, newest));
   }
-  const json document = json::parse(value, nullptr, false);
+  const json document = ParseJsonOrDiscard(value);
   if (document.is_discarded()) return InvalidRecord("read record", "not JSON");
   const std::vector<SchemaProblem> problems = CheckSchema(*schema, document);
   if (!problems.empty())
--- a/dragonflyglade/operator/status_server.cc
+++ b/dragonflyglade/operator/status_server.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/net/http_call.h"
 #include "dragonflyglade/net/http_server.h"
 
@@ -47,7 +48,7 @@
   request.path = "/status";
   const Result<HttpResponse> reply = call.Run(request);
   if (!reply.Ok()) return reply.Error();
-  const json document = json::parse(reply.Value().body, nullptr, false);
+  const json document = ParseJsonOrDiscard(reply.Value().body);
   if (document.is_object()) return document;
   return MakeFailure(Errc::kMalformedResponse, "read status",
                      "instance " + instance.ToString(), "not a JSON object");
--- a/dragonflyglade/store/discovery_client.cc
+++ b/dragonflyglade/store/discovery_client.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/net/http_call.h"
 
 namespace dragonflyglade {
@@ -64,7 +65,7 @@
   const Result<std::string> text = this->Get("/instances");
   if (!text.Ok()) return text.Error();
   try {
-    const json document = json::parse(text.Value());
+    const json document = ParseJson(text.Value());
     InstanceList list;
     list.version = document.at("version").get<std::int64_t>();
     for (const json& item : document.at("instances")) {
@@ -81,7 +82,7 @@
   const Result<std::string> text = this->Get("/targets");
   if (!text.Ok()) return text.Error();
   try {
-    const json document = json::parse(text.Value());
+    const json document = ParseJson(text.Value());
     DiscoveredTargets list;
     list.version = document.at("version").get<std::int64_t>();
     for (const json& item : document.at("targets")) {
--- a/dragonflyglade/store/kv_client.cc
+++ b/dragonflyglade/store/kv_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/net/http_call.h"
 #include "dragonflyglade/store/kv_codec.h"
 
@@ -18,7 +19,7 @@
                     Decode decode) -> Result<decltype(decode(json()))> {
   if (!text.Ok()) return text.Error();
   try {
-    return decode(json::parse(text.Value()));
+    return decode(ParseJson(text.Value()));
   } catch (const json::exception& error) {
     return MakeFailure(Errc::kMalformedResponse, step, kServicePeer,
                        error.what());
@@ -155,7 +156,7 @@
   std::string stream_error;
   const auto on_line = [&](const std::string& line) {
     try {
-      const json result = json::parse(line).at("result");
+      const json result = ParseJson(line).at("result");
       const std::int64_t revision =
           DecodeNumber(result.at("header"), "revision");
       const std::vector<KvEvent> events = DecodeEvents(result);
--- a/dragonflyglade/target/engine_client.cc
+++ b/dragonflyglade/target/engine_client.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dragonflyglade/decision/json_text.h"
+
 namespace dragonflyglade {
 namespace {
 
@@ -108,7 +110,7 @@
       this->Run(request, this->options.report_timeout);
   if (!reply.Ok()) return reply.Error();
   try {
-    return DecodeReport(json::parse(reply.Value().body));
+    return DecodeReport(ParseJson(reply.Value().body));
   } catch (const json::exception& error) {
     return MakeFailure(Errc::kMalformedResponse, "read load report", this->peer,
                        error.what());
@@ -124,7 +126,8 @@
   if (!reply.Ok()) return reply.Error();
   try {
     std::vector<CacheEvent> events;
-    for (const json& item : json::parse(reply.Value().body).at("events")) {
+    const json document = ParseJson(reply.Value().body);
+    for (const json& item : document.at("events")) {
       events.push_back(CacheEvent{item.at("sequence"), item.at("prefix"),
                                   item.value("stored", true)});
     }
@@ -150,7 +153,7 @@
                        reply.Error().ToString());
   }
   try {
-    const json document = json::parse(reply.Value().body);
+    const json document = ParseJson(reply.Value().body);
     OrderResult result;
     result.done = reply.Value().head.status == kHttpOk;
     result.boot_id = document.value("boot_id", std::string());
--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -69,6 +69,7 @@
       second(this->options.answer, this->options.second_ip) {
   this->store.Put("op/config", this->Config(1, "plain").dump());
   this->PutTarget("i-1", this->first, "ready");
+  if (this->options.before_start) this->options.before_start(this->store);
   this->reread = this->Settings();
   this->gateway = std::make_unique<Gateway>(
       this->Settings(), [this] { return this->reread; }, this->options.wire);
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -37,6 +37,9 @@
         gateway::RequestMemory::kDefaultBodiesBytes;
     /// Further fields of the service's engines.
     nlohmann::json engine = nlohmann::json::object();
+    /// Called before the gateway starts, once the store has its records. May be
+    /// empty.
+    std::function<void(PlatformStoreStandIn&)> before_start;
     std::string second_ip = "127.0.0.1";  ///< of the second target
     absl::Duration leader_handover_delay = absl::Milliseconds(10);
     bool run_backups = false;          ///< setting of this name
--- a/tests/platform/platform-codecs.cc
+++ b/tests/platform/platform-codecs.cc
@@ -193,9 +193,10 @@
     };
     for (const VersionCase& item : cases) {
       const Result<TargetRecord> target = DecodeTarget(
-          "servers/i-1", absl::StrCat(R"({"service": "s", "address": "a",
+          "servers/i-1",
+          absl::StrCat(R"({"service": "s", "address": "127.0.0.1:80",
               "slots": 1, "state": "ready", )",
-                                      item.field, "}"));
+                       item.field, "}"));
       CPPUNIT_ASSERT_MESSAGE(item.field, target.Ok());
       CPPUNIT_ASSERT_MESSAGE(item.field,
                              target.Value().version == item.expected);
@@ -219,9 +220,10 @@
     };
     for (const WarmUpCase& item : cases) {
       const Result<TargetRecord> target = DecodeTarget(
-          "servers/i-1", absl::StrCat(R"({"service": "s", "address": "a",
+          "servers/i-1",
+          absl::StrCat(R"({"service": "s", "address": "127.0.0.1:80",
               "slots": 1, "state": "ready", )",
-                                      item.field, "}"));
+                       item.field, "}"));
       CPPUNIT_ASSERT_MESSAGE(item.field, target.Ok());
       CPPUNIT_ASSERT_MESSAGE(item.field,
                              target.Value().warm_up_remaining == item.expected);
@@ -244,18 +246,31 @@
   void RejectsMalformedTargets() {
     const std::vector<MalformedCase> cases = {
         {"bytes that are not UTF-8", std::string("\xff\x00\x7f", 3)},
-        {"no service", R"({"address": "a", "slots": 1, "state": "ready"})"},
+        {"no service",
+         R"({"address": "127.0.0.1:80", "slots": 1, "state": "ready"})"},
         {"slots of another type",
-         R"({"service": "s", "address": "a", "slots": "1",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": "1",
              "state": "ready"})"},
         {"an unknown state",
-         R"({"service": "s", "address": "a", "slots": 1, "state": "new"})"},
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 1, "state": "new"})"},
         {"models of another type",
-         R"({"service": "s", "address": "a", "slots": 1, "state": "ready",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 1, "state": "ready",
              "models": 5})"},
         {"a list in place of an object", "[1]"},
+        {"no slots",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 0,
+             "state": "ready"})"},
+        {"more slots than a process can have",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 1e300,
+             "state": "ready"})"},
+        {"a port out of range",
+         R"({"service": "s", "address": "127.0.0.1:65536", "slots": 1,
+             "state": "ready"})"},
+        {"a start that is no whole number",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 1,
+             "state": "ready", "born": 1e300})"},
         {"a warm-up time of another type",
-         R"({"service": "s", "address": "a", "slots": 1, "state": "ready",
+         R"({"service": "s", "address": "127.0.0.1:80", "slots": 1, "state": "ready",
              "cold_remaining_ms": "3000"})"},
     };
     for (const MalformedCase& item : cases) {
@@ -797,6 +812,7 @@
     CPPUNIT_ASSERT(report.busy);
     CPPUNIT_ASSERT_EQUAL(std::string("m/a3"), report.pending_adapters[0]);
     CPPUNIT_ASSERT(!DecodeReport("{}").Ok());
+    CPPUNIT_ASSERT(!DecodeReport(R"({"sequence": 1e300})").Ok());
   }
 
   // Failure: an adapter name with bytes that are not UTF-8, which callers may
