--- a/tests/unit/unit-store-news.cc
+++ b/tests/unit/unit-store-news.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,7 @@
 class StoreSyncStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreSyncStateTest);
   CPPUNIT_TEST(ReadsTheStoreOnlyIfDigestsLackChanges);
+  CPPUNIT_TEST(MeasuresTheUptimeOfTheStore);
   CPPUNIT_TEST_SUITE_END();
 
   // Failure: instances receive a change of the store up to ten seconds late.
@@ -137,6 +139,31 @@
                                    sync_state.KnownThrough());
     }
   }
+
+  // Guards against an uptime that covers an outage, or ends while the store
+  // responds to relays only.
+  void MeasuresTheUptimeOfTheStore() {
+    ManualClock clock;
+    boost::asio::io_context context;
+    StoreAvailability availability(kHeartbeat);
+    StoreSyncState sync_state(context, availability, Clock(&clock));
+    const auto uptime = [&] {
+      const std::optional<StoreUptime>& known =
+          sync_state.Availability().Uptime();
+      CPPUNIT_ASSERT(known.has_value());
+      return known->through - known->since;
+    };
+    CPPUNIT_ASSERT(!sync_state.Availability().Uptime().has_value());
+    for (int i = 0; i < 10; ++i) {
+      clock.Advance(absl::Milliseconds(500));
+      sync_state.RecordUptime({clock.Now(), clock.Now()});
+    }
+    CPPUNIT_ASSERT(uptime() == absl::Milliseconds(4500));
+    clock.Advance(3 * kHeartbeat);
+    CPPUNIT_ASSERT(uptime() == absl::Milliseconds(4500));
+    sync_state.RecordResponse();
+    CPPUNIT_ASSERT(uptime() == absl::ZeroDuration());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreSyncStateTest, "unit-store-news");
