--- a/tests/platform/platform-odd-entries.cc
+++ b/tests/platform/platform-odd-entries.cc
@@ -145,7 +145,8 @@
     GatewayHarness harness;
     harness.AddSecond();
     const std::size_t before = harness.second.Requests().size();
-    harness.store.Put("servers/i-2", EntryWith({"address", R"("127.0.0.1:99999")"}));
+    harness.store.Put("servers/i-2",
+                      EntryWith({"address", R"("127.0.0.1:99999")"}));
     harness.WaitFor([&] { return !Knows(harness, "servers/i-2"); });
     const std::size_t after = harness.second.Requests().size();
     CPPUNIT_ASSERT(after >= before);
