--- a/dragonflyglade/decision/json_text.cc
+++ b/dragonflyglade/decision/json_text.cc
@@ -45,6 +45,13 @@
   return json::parse(text, nullptr, false);
 }
 
+json ParseJsonPruned(std::string_view text) {
+  if (!IsTooDeep(text)) return json::parse(text);
+  return json::parse(text, [](int depth, json::parse_event_t, const json&) {
+    return depth < kMaxJsonDepth;
+  });
+}
+
 std::int64_t WholeNumber(const json& value, std::int64_t min,
                          std::int64_t max) {
   if (!value.is_number()) throw JsonValueError("expected a number");
--- a/dragonflyglade/decision/json_text.h
+++ b/dragonflyglade/decision/json_text.h
@@ -7,8 +7,8 @@
 
 namespace dragonflyglade {
 
-/// Arrays and objects inside of one another, at most. No format that is read
-/// has a tenth of it.
+/// Arrays and objects inside of one another, at most. The formats that are read
+/// have a few levels.
 inline constexpr int kMaxJsonDepth = 64;
 
 /// Thrown for text that is nested too deeply, or a number that is out of range.
@@ -30,6 +30,10 @@
 /// @return a discarded value if it is no JSON or nested too deeply
 nlohmann::json ParseJsonOrDiscard(std::string_view text);
 
+/// As ParseJson for a document of many writers: leaves out what is nested too
+/// deeply, so that it does not keep the rest from being read.
+nlohmann::json ParseJsonPruned(std::string_view text);
+
 /// The whole number that a value holds.
 /// @throws nlohmann::json::exception for another type, a fraction, or a number
 ///   outside of the range
--- a/dragonflyglade/store/discovery_client.cc
+++ b/dragonflyglade/store/discovery_client.cc
@@ -1,41 +1,15 @@
 #include "dragonflyglade/store/discovery_client.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
 
-#include "dragonflyglade/decision/json_text.h"
 #include "dragonflyglade/net/http_call.h"
+#include "dragonflyglade/net/log.h"
 
 namespace dragonflyglade {
 namespace {
 
-using nlohmann::json;
-
 constexpr const char* kDiscoveryPeer = "platform discovery";
 constexpr int kHttpOk = 200;
-constexpr const char* kLeavingState = "leaving";
-
-ListedInstance DecodeInstance(const json& item) {
-  ListedInstance listed;
-  listed.info.name = item.at("name").get<std::string>();
-  listed.info.address = item.at("address").get<std::string>();
-  listed.info.peer_port = item.at("peer_port").get<int>();
-  listed.info.caller_port = item.at("caller_port").get<int>();
-  listed.info.zone = item.at("zone").get<std::string>();
-  listed.leaving = item.value("state", std::string()) == kLeavingState;
-  return listed;
-}
-
-ListedTarget DecodeTarget(const json& item) {
-  ListedTarget listed;
-  listed.name = item.at("name").get<std::string>();
-  listed.address = item.at("address").get<std::string>();
-  listed.port = item.at("port").get<int>();
-  listed.zone = item.at("zone").get<std::string>();
-  listed.pool = item.at("pool").get<std::string>();
-  listed.leaving = item.value("state", std::string()) == kLeavingState;
-  return listed;
-}
 
 }  // namespace
 
@@ -61,38 +35,34 @@
   return std::move(reply.Value().body);
 }
 
+// An entry stays in the list for long; the log tells of it once.
+void DiscoveryClient::LogLeftOut(const std::set<std::string>& now,
+                                 std::set<std::string>& logged) const {
+  absl::MutexLock lock(&this->mutex);
+  for (const std::string& entry : now) {
+    if (logged.count(entry) > 0) continue;
+    LogFor(LogPart::kStore).warn("Left out of the list: {}.", entry);
+  }
+  logged = now;
+}
+
 Result<InstanceList> DiscoveryClient::FetchInstances() const {
   const Result<std::string> text = this->Get("/instances");
   if (!text.Ok()) return text.Error();
-  try {
-    const json document = ParseJson(text.Value());
-    InstanceList list;
-    list.version = document.at("version").get<std::int64_t>();
-    for (const json& item : document.at("instances")) {
-      list.instances.push_back(DecodeInstance(item));
-    }
-    return list;
-  } catch (const json::exception& error) {
-    return MakeFailure(Errc::kMalformedResponse, "read instances",
-                       kDiscoveryPeer, error.what());
-  }
+  Result<DecodedList<InstanceList>> decoded = DecodeInstanceList(text.Value());
+  if (!decoded.Ok()) return decoded.Error();
+  this->LogLeftOut(decoded.Value().left_out, this->logged_instances);
+  return std::move(decoded.Value().list);
 }
 
 Result<DiscoveredTargets> DiscoveryClient::FetchTargets() const {
   const Result<std::string> text = this->Get("/targets");
   if (!text.Ok()) return text.Error();
-  try {
-    const json document = ParseJson(text.Value());
-    DiscoveredTargets list;
-    list.version = document.at("version").get<std::int64_t>();
-    for (const json& item : document.at("targets")) {
-      list.targets.push_back(DecodeTarget(item));
-    }
-    return list;
-  } catch (const json::exception& error) {
-    return MakeFailure(Errc::kMalformedResponse, "read targets", kDiscoveryPeer,
-                       error.what());
-  }
+  Result<DecodedList<DiscoveredTargets>> decoded =
+      DecodeTargetList(text.Value());
+  if (!decoded.Ok()) return decoded.Error();
+  this->LogLeftOut(decoded.Value().left_out, this->logged_targets);
+  return std::move(decoded.Value().list);
 }
 
 }  // namespace dragonflyglade
--- a/dragonflyglade/store/discovery_client.h
+++ b/dragonflyglade/store/discovery_client.h
@@ -1,29 +1,23 @@
 #ifndef DRAGONFLYGLADE_STORE_DISCOVERY_CLIENT_H_
 #define DRAGONFLYGLADE_STORE_DISCOVERY_CLIENT_H_
 
-#include <cstdint>
+#include <set>
 #include <string>
-#include <vector>
 
+#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "dragonflyglade/decision/failure.h"
-#include "dragonflyglade/decision/membership.h"
-#include "dragonflyglade/decision/target_registry.h"
 #include "dragonflyglade/net/endpoint.h"
+#include "dragonflyglade/store/discovery_codec.h"
 
 namespace dragonflyglade {
 
-/// A version of the platform's list of targets.
-struct DiscoveredTargets {
-  std::int64_t version = 0;
-  std::vector<ListedTarget> targets;
-};
-
 /// Client of the platform's service discovery, which lists the instances and
 /// targets that are live or leaving.
 ///
 /// Both lists are JSON over HTTP: {"version": N, "instances": [...]} and
 /// {"version": N, "targets": [...]}, where the version only grows.
+/// Entries that cannot be used are left out, and logged once. Thread-safe.
 /// Errors: kUnavailable, kMalformedResponse.
 class DiscoveryClient {
  public:
@@ -34,9 +28,14 @@
 
  private:
   Result<std::string> Get(const std::string& path) const;
+  void LogLeftOut(const std::set<std::string>& now,
+                  std::set<std::string>& logged) const;
 
   const Endpoint endpoint;
   const absl::Duration timeout;
+  mutable absl::Mutex mutex;
+  mutable std::set<std::string> logged_instances ABSL_GUARDED_BY(mutex);
+  mutable std::set<std::string> logged_targets ABSL_GUARDED_BY(mutex);
 };
 
 }  // namespace dragonflyglade
--- a/tests/unit/unit-json-text.cc
+++ b/tests/unit/unit-json-text.cc
@@ -61,7 +61,7 @@
           item.name, item.accepted,
           !ParseJsonOrDiscard(item.text).is_discarded());
       if (item.accepted) {
-        ParseJson(item.text);
+        CPPUNIT_ASSERT(ParseJson(item.text) == ParseJsonPruned(item.text));
       } else {
         CPPUNIT_ASSERT_THROW_MESSAGE(item.name, ParseJson(item.text),
                                      json::exception);
