--- a/dragonflyglade/gateway/fleet_state.cc
+++ b/dragonflyglade/gateway/fleet_state.cc
@@ -160,9 +160,8 @@
 bool FleetState::ApplyTarget(const StoreItem& item) {
   Result<TargetRecord> decoded = this->wire.decode_target(item.key, item.value);
   if (!decoded.Ok()) {
-    this->LeaveOut(item.key.substr(this->wire.targets_prefix.size()),
-                   decoded.Error().ToString(), item.revision);
-    return true;
+    return this->LeaveOut(item.key.substr(this->wire.targets_prefix.size()),
+                          decoded.Error().ToString(), item.revision);
   }
   TargetRecord record = std::move(decoded.Value());
   this->left_out.erase(record.id);
@@ -193,15 +192,16 @@
 }
 
 // Another writer's entry names no target to use. It may be written again and
-// again; the log tells of each reason once.
-void FleetState::LeaveOut(const std::string& id, std::string why,
+// again; the log and the other instances hear of each reason once.
+bool FleetState::LeaveOut(const std::string& id, std::string why,
                           std::uint64_t revision) {
   this->RemoveTarget(id);
   std::string& logged = this->left_out[id];
-  if (logged == why) return;
+  if (logged == why) return false;
   logged = std::move(why);
   this->log.Write("targets", "left out",
                   {{"target", id}, {"why", logged}, {"revision", revision}});
+  return true;
 }
 
 void FleetState::ApplyInstance(const StoreItem& item) {
--- a/dragonflyglade/gateway/fleet_state.h
+++ b/dragonflyglade/gateway/fleet_state.h
@@ -209,7 +209,8 @@
   void RemoveCrashRecord(const Suspect& suspect, std::uint64_t revision);
   ServedVersions& VersionsOf(std::string_view service);
   void RecordVersion(const TargetRecord& record);
-  void LeaveOut(const std::string& id, std::string why, std::uint64_t revision);
+  /// @return whether anything is new about the entry
+  bool LeaveOut(const std::string& id, std::string why, std::uint64_t revision);
   void DropTarget(std::string_view id, std::string_view why);
   void RemoveTarget(std::string_view id);
   void KeepDeparted(std::shared_ptr<TargetState> target);
