--- a/dragonflyglade/decision/store_availability.cc
+++ b/dragonflyglade/decision/store_availability.cc
@@ -7,7 +7,10 @@
 
 // An entry expires after three heartbeats of silence, and the last one before
 // an outage may be one interval old when it begins.
-constexpr int kHeartbeatsToExpiry = 2;
+constexpr int kHeartbeatsOfShortestOutage = 2;
+// An instance whose relay ends has no response for this long, though the store
+// is sound: a relay's digest counts for a while, and a read follows.
+constexpr absl::Duration kLongestSoundGap = absl::Seconds(2);
 // Running targets register again within two seconds after the store recovers.
 // The rest is the time in which their entries arrive here.
 constexpr absl::Duration kReregistrationTime = absl::Milliseconds(2500);
@@ -15,7 +18,8 @@
 }  // namespace
 
 StoreAvailability::StoreAvailability(absl::Duration heartbeat)
-    : shortest_outage(kHeartbeatsToExpiry * heartbeat) {}
+    : shortest_outage(std::max(kHeartbeatsOfShortestOutage * heartbeat,
+                               kLongestSoundGap)) {}
 
 void StoreAvailability::RecordUptime(StoreUptime seen) {
   if (seen.since > seen.through) return;
--- a/tests/platform/platform-follower.cc
+++ b/tests/platform/platform-follower.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -95,6 +96,7 @@
   CPPUNIT_TEST(KeepsATargetForAShortTimeAfterAnOutage);
   CPPUNIT_TEST(ListsAgainOnlyWhenItBecomesARelay);
   CPPUNIT_TEST(DropsATargetThatLeftAfterItsOwnLinkWasDown);
+  CPPUNIT_TEST(ReadsAtOnceWhenItsRelayIsLost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +119,25 @@
                                     absl::Seconds(4)));
   }
 
+  // Guards against an outage that each change of the leader seems to be: nobody
+  // has had a response for as long as the store's silence may be in an outage.
+  void ReadsAtOnceWhenItsRelayIsLost() {
+    constexpr absl::Duration kLongestGap = absl::Seconds(2);
+    WatcherHarness harness;
+    CPPUNIT_ASSERT(harness.RunUntil([&] { return harness.Knows("i-1"); },
+                                    absl::Seconds(10)));
+    harness.Wait(absl::Seconds(1));
+    harness.leader_is_live = false;
+    absl::Duration longest;
+    harness.RunUntil(
+        [&] {
+          longest = std::max(longest, harness.sync_state.KnowledgeAge());
+          return false;
+        },
+        absl::Seconds(4));
+    CPPUNIT_ASSERT(longest < kLongestGap);
+  }
+
   // Guards against requests to a target whose entry is gone, at an instance
   // that alone was cut off from the store some time before its leader was lost.
   void DropsATargetThatLeftAfterItsOwnLinkWasDown() {
--- a/tests/unit/unit-store-availability.cc
+++ b/tests/unit/unit-store-availability.cc
@@ -33,11 +33,18 @@
 constexpr int kSubject = 0;
 constexpr int kLeader = 1;
 
-/// What is cut off from kCutBegin to kCutEnd.
+/// What is cut off from kCutBegin on.
 struct Cut {
-  bool own_link = false;   ///< of the subject, to the store
-  bool own_peers = false;  ///< of the subject, to the other instances
-  bool store = false;      ///< the store, for all
+  bool own_link = false;             ///< of the subject, to the store
+  bool own_peers = false;            ///< of the subject, to the other instances
+  bool store = false;                ///< the store, for all; until kCutEnd
+  absl::Duration own_end = kCutEnd;  ///< of the subject's cuts
+
+  std::string Name() const {
+    return absl::StrCat("own link: ", this->own_link,
+                        ", peers: ", this->own_peers, ", store: ", this->store,
+                        ", until ", absl::FormatDuration(this->own_end));
+  }
 };
 
 /// A change of the target's entry.
@@ -92,19 +99,21 @@
   bool IsDue(absl::Duration interval) const {
     return absl::Trunc(this->Now(), interval) == this->Now();
   }
-  bool IsCut() const {
-    return this->Now() > kCutBegin && this->Now() <= kCutEnd;
+  bool IsCutUntil(absl::Duration end) const {
+    return this->Now() > kCutBegin && this->Now() <= end;
   }
   bool IsAlive(int instance) const {
     return instance != this->leader || !this->leader_dies.has_value() ||
            this->Now() < *this->leader_dies;
   }
   bool ReachesStore(int instance) const {
-    if (!this->IsCut()) return true;
-    return !this->cut.store && !(this->cut.own_link && instance == kSubject);
+    if (this->cut.store && this->IsCutUntil(kCutEnd)) return false;
+    return !(this->cut.own_link && instance == kSubject &&
+             this->IsCutUntil(this->cut.own_end));
   }
   bool ReachesPeers(int instance) const {
-    return !(this->IsCut() && this->cut.own_peers && instance == kSubject);
+    return !(this->cut.own_peers && instance == kSubject &&
+             this->IsCutUntil(this->cut.own_end));
   }
 
   void Write(StoreItem item) {
@@ -201,6 +210,7 @@
 class StoreAvailabilityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreAvailabilityTest);
   CPPUNIT_TEST(FindsOutagesByAllEvidence);
+  CPPUNIT_TEST(TakesNoChangeOfRelayForAnOutage);
   CPPUNIT_TEST(DropsTargetsThatLeftWhileOnlyItsLinkWasDown);
   CPPUNIT_TEST(KeepsTargetsWhoseEntriesExpiredInAnOutage);
   CPPUNIT_TEST_SUITE_END();
@@ -261,44 +271,58 @@
     }
   }
 
+  // Guards against an outage at each change of the leader where targets renew
+  // their entries often, or where the setting is zero.
+  void TakesNoChangeOfRelayForAnOutage() {
+    for (const absl::Duration heartbeat :
+         {absl::ZeroDuration(), Seconds(0.3), Seconds(1.2), Seconds(5)}) {
+      StoreAvailability availability(heartbeat);
+      availability.RecordUptime({Seconds(1), Seconds(3)});
+      availability.RecordUptime({Seconds(4.9), Seconds(4.9)});
+      CPPUNIT_ASSERT_MESSAGE(absl::FormatDuration(heartbeat),
+                             !availability.LastOutage().has_value());
+    }
+  }
+
   // Guards against requests to targets whose entries are gone, after an
   // instance alone was cut off from the store and then lost its leader.
   void DropsTargetsThatLeftWhileOnlyItsLinkWasDown() {
     const std::vector<std::optional<absl::Duration>> leader_deaths = {
         std::nullopt, Seconds(5.8), Seconds(8), Seconds(11.2), Seconds(14)};
     const std::vector<absl::Duration> removals = {
-        Seconds(5.9),  Seconds(8.5), Seconds(11.1), Seconds(14.5),
-        Seconds(15.4), Seconds(16),  Seconds(18)};
-    for (const bool peers_too : {false, true}) {
+        Seconds(5.9),  Seconds(8.5),  Seconds(11.1), Seconds(11.4),
+        Seconds(14.5), Seconds(15.4), Seconds(16),   Seconds(18)};
+    for (const Cut& cut :
+         {Cut{true, false, false}, Cut{true, true, false},
+          // The subject reads the store before it checks its relays.
+          Cut{true, true, false, kCutEnd + Seconds(0.3)}}) {
       for (const int leader : {kLeader, kSubject}) {
         for (const auto& dies : leader_deaths) {
           if (leader == kSubject && dies.has_value()) continue;
           for (const absl::Duration removed_at : removals) {
-            StoreFleet fleet({true, peers_too, false}, leader, dies,
-                             {{removed_at, false}});
+            StoreFleet fleet(cut, leader, dies, {{removed_at, false}});
             this->CheckLatestRemoval(
-                fleet, removed_at,
-                absl::StrCat(
-                    "peers too: ", peers_too, ", leader: ", leader,
-                    ", dies: ", absl::FormatDuration(dies.value_or(kEnd)),
-                    ", removed: ", absl::FormatDuration(removed_at)));
+                fleet, cut, removed_at,
+                absl::StrCat(cut.Name(), ", leader: ", leader, ", dies: ",
+                             absl::FormatDuration(dies.value_or(kEnd)),
+                             ", removed: ", absl::FormatDuration(removed_at)));
           }
         }
       }
     }
   }
 
-  void CheckLatestRemoval(StoreFleet& fleet, absl::Duration removed_at,
-                          const std::string& name) {
+  void CheckLatestRemoval(StoreFleet& fleet, const Cut& cut,
+                          absl::Duration removed_at, const std::string& name) {
     absl::Duration last_known;
     while (fleet.Now() < kEnd) {
       fleet.Advance();
       if (fleet.SubjectKnowsTarget()) last_known = fleet.Now();
     }
     const bool removed_around_cut =
-        removed_at >= kCutBegin - kMaxTimeKnown && removed_at <= kCutEnd;
+        removed_at >= kCutBegin - kMaxTimeKnown && removed_at <= cut.own_end;
     const absl::Duration bound = removed_around_cut
-                                     ? kCutEnd + kLinkRecovery
+                                     ? cut.own_end + kLinkRecovery
                                      : removed_at + kMaxTimeKnown;
     CPPUNIT_ASSERT_MESSAGE(
         absl::StrCat(name, ", known until ", absl::FormatDuration(last_known)),
@@ -311,22 +335,24 @@
     const std::vector<std::optional<absl::Duration>> leader_deaths = {
         std::nullopt, Seconds(5.8), Seconds(8), Seconds(11.2), Seconds(14)};
     const absl::Duration expired_at = kCutEnd - kStep;
-    for (const bool own_link_too : {false, true}) {
+    for (const Cut& cut : {Cut{false, false, true}, Cut{true, true, true},
+                           // A relay sees the end of the outage first.
+                           Cut{true, false, true, kCutEnd + kReregistration},
+                           Cut{true, true, true, kCutEnd + kReregistration}}) {
       for (const int leader : {kLeader, kSubject}) {
         for (const auto& dies : leader_deaths) {
           if (leader == kSubject && dies.has_value()) continue;
           for (const bool comes_back : {false, true}) {
             std::vector<EntryChange> changes = {{expired_at, false}};
-            if (comes_back)
+            if (comes_back) {
               changes.push_back({kCutEnd + kReregistration, true});
-            StoreFleet fleet({own_link_too, own_link_too, true}, leader, dies,
-                             changes);
+            }
+            StoreFleet fleet(cut, leader, dies, changes);
             this->CheckKnownTime(
                 fleet, comes_back,
-                absl::StrCat(
-                    "link too: ", own_link_too, ", leader: ", leader,
-                    ", dies: ", absl::FormatDuration(dies.value_or(kEnd)),
-                    ", comes back: ", comes_back));
+                absl::StrCat(cut.Name(), ", leader: ", leader, ", dies: ",
+                             absl::FormatDuration(dies.value_or(kEnd)),
+                             ", comes back: ", comes_back));
           }
         }
       }
