--- a/tests/platform/gateway_harness.cc
+++ b/tests/platform/gateway_harness.cc
@@ -147,12 +147,20 @@
 }
 
 GatewayHarness::Reply GatewayHarness::SendTo(const Endpoint& endpoint,
-                                             const std::string& text) {
+                                             const std::string& text,
+                                             const std::string& later) {
   const auto socket = this->Connect(endpoint);
   error_code error;
   boost::asio::write(*socket, boost::asio::buffer(text), error);
   Reply reply;
   char buffer[4096];
+  if (!later.empty()) {
+    reply.text.append(buffer,
+                      socket->read_some(boost::asio::buffer(buffer), error));
+    // A peer may answer and end the connection before it has read all.
+    error_code ignored;
+    boost::asio::write(*socket, boost::asio::buffer(later), ignored);
+  }
   while (!error) {
     reply.text.append(buffer,
                       socket->read_some(boost::asio::buffer(buffer), error));
--- a/tests/platform/gateway_harness.h
+++ b/tests/platform/gateway_harness.h
@@ -84,7 +84,9 @@
              const std::string& key = "k1", const std::string& more = "");
   Reply CallModel(const std::string& model);
   Reply Send(const std::string& text);
-  Reply SendTo(const Endpoint& endpoint, const std::string& text);
+  /// @param later sent once the first bytes have arrived; may be empty
+  Reply SendTo(const Endpoint& endpoint, const std::string& text,
+               const std::string& later = "");
   Reply Ask(const Endpoint& endpoint, const std::string& path);
 
   /// Formats a request with a new id and Connection: close.
--- a/tests/platform/platform-cut-responses.cc
+++ b/tests/platform/platform-cut-responses.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "dragonflyglade/gateway/tunnel_query.h"
 #include "dragonflyglade/net/http_call.h"
 #include "tests/platform/two_instances.h"
 
@@ -157,6 +158,7 @@
   CPPUNIT_TEST(ResetDuringAnUploadReachNoCallerAsWholeOverATunnel);
   CPPUNIT_TEST(ResetDuringAnUploadAreNoResultOfACall);
   CPPUNIT_TEST(AreWholeIfClosedDuringAnUpload);
+  CPPUNIT_TEST(AreNotVouchedForByTheInstanceThatForwards);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -259,6 +261,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("done"), reply.Body());
   }
 
+  // Guards against an instance that forwards and says of a connection which was
+  // reset during an upload that the target closed it.
+  void AreNotVouchedForByTheInstanceThatForwards() {
+    UploadTarget target;
+    TwoInstances pair(
+        [&](const RawRequest& request) { return target.Answer(request); });
+    target.Cut();
+    pair.target_one.AnswerAtHeads();
+    const Endpoint peer = pair.second->Settings().peers;
+    for (int i = 0; i < kUploadRepeats; ++i) {
+      const std::string id = absl::StrCat("tunnel-", i);
+      const Reply cut = pair.harness.SendTo(
+          peer,
+          absl::StrCat("CONNECT i-1 HTTP/1.1\r\nHost: i-1\r\n",
+                       gateway::kTunnelIdField, ": ", id, "\r\n",
+                       gateway::kTunnelInstanceField, ": one\r\n\r\n"),
+          UploadText(pair.harness, {"/once/", kLongUpload, {}}));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(cut.text, 200, cut.status);
+      const Reply end = pair.harness.Ask(peer, gateway::TunnelEndPath(id));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(cut.text, 404, end.status);
+    }
+  }
+
  private:
   /// An upload whose target resets the connection after part of its answer.
   struct Upload {
