--- a/dragonflyglade/decision/crash_account.cc
+++ b/dragonflyglade/decision/crash_account.cc
@@ -13,9 +13,9 @@
 constexpr absl::Duration kCrashLifetime = absl::Hours(24);
 // Targets of a failed domain end within this time of one another.
 constexpr absl::Duration kSameCauseTime = absl::Milliseconds(120);
-// A request that lost a target is sent to the next one later than this, since
-// the target is examined first.
-constexpr absl::Duration kSameMomentTime = absl::Milliseconds(10);
+// A request that two targets are known to have ended under is held back, so
+// that without a failure this many have it only if its callers sent it at once.
+constexpr std::ptrdiff_t kLeastOfFailure = 3;
 constexpr std::size_t kMaxRecentCrashes = 1000;
 
 }  // namespace
@@ -23,8 +23,13 @@
 CrashAccount::CrashAccount(Clock clock) : clock(std::move(clock)) {}
 
 bool CrashAccount::FellTogether(absl::Span<const Crash> crashes) {
-  return crashes.size() > 1 &&
-         crashes.back().at - crashes.front().at < kSameMomentTime;
+  const auto count = [&](SentAs sent_as) {
+    return std::count_if(
+        crashes.begin(), crashes.end(),
+        [&](const Crash& known) { return known.sent_as == sent_as; });
+  };
+  return count(SentAs::kUnsuspected) >= kLeastOfFailure &&
+         count(SentAs::kTrial) == 0;
 }
 
 CrashAccount::Rank CrashAccount::RankOf(const Suspect& suspect,
@@ -59,13 +64,18 @@
 }
 
 void CrashAccount::RecordCrash(const Suspect& suspect, const TargetCrash& crash,
-                               Instant at) {
+                               Instant at, SentAs sent_as) {
   const Instant now = this->clock.Now();
   Crashes crashes = this->CrashesOf(suspect);
   const auto is_same = [&](const Crash& known) {
     return known.crash.IsSameProcess(crash);
   };
-  if (std::any_of(crashes.begin(), crashes.end(), is_same)) return;
+  const auto same = std::find_if(crashes.begin(), crashes.end(), is_same);
+  if (same != crashes.end()) {
+    same->sent_as = std::max(same->sent_as, sent_as);
+    this->Replace(suspect, std::move(crashes));
+    return;
+  }
   const auto is_old = [&](const Crash& known) {
     return now - known.at > kCrashLifetime;
   };
@@ -75,7 +85,7 @@
   const auto later =
       std::find_if(crashes.begin(), crashes.end(),
                    [&](const Crash& known) { return known.at > at; });
-  crashes.insert(later, {crash, at});
+  crashes.insert(later, {crash, at, sent_as});
   if (this->by_suspect.count(suspect) == 0) this->ForgetOld();
   this->Replace(suspect, std::move(crashes));
 }
--- a/dragonflyglade/decision/crash_account.h
+++ b/dragonflyglade/decision/crash_account.h
@@ -34,6 +34,14 @@
   }
 };
 
+/// What the instance that sent a request to a target knew of it. If a target
+/// had it several times, the last of these that fits.
+enum class SentAs {
+  kRepeat,       ///< a crash under it
+  kUnsuspected,  ///< no crash under it
+  kTrial,        ///< that it is held back: it was sent to show that it is sound
+};
+
 /// A target's process that ended while it ran requests.
 struct TargetCrash {
   std::string target;        ///< id
@@ -59,19 +67,20 @@
   struct Crash {
     TargetCrash crash;
     Instant at;
+    SentAs sent_as = SentAs::kRepeat;
   };
 
   explicit CrashAccount(Clock clock);
 
-  /// Whether all of these crashes, the oldest first, were at the same moment,
-  /// so that none of them can come from a repeat after another one.
+  /// Whether these crashes may be one failure: too many targets had the request
+  /// before its senders knew of any, and no trial ended one.
   static bool FellTogether(absl::Span<const Crash> crashes);
 
   /// Records that a target crashed when it may have been about to answer on the
   /// suspect. Repeated records of one crash count once.
   void RecordCrash(const Suspect& suspect, const TargetCrash& crash);
-  void RecordCrash(const Suspect& suspect, const TargetCrash& crash,
-                   Instant at);
+  void RecordCrash(const Suspect& suspect, const TargetCrash& crash, Instant at,
+                   SentAs sent_as = SentAs::kRepeat);
 
   /// Records that a target of the version answered on the suspect.
   void RecordSurvival(const Suspect& suspect, const SoftwareVersion& version,
--- a/dragonflyglade/gateway/crash_judge.cc
+++ b/dragonflyglade/gateway/crash_judge.cc
@@ -52,9 +52,9 @@
 }
 
 void CrashJudge::RecordCrash(const Suspect& suspect, const TargetCrash& crash,
-                             Instant at) {
+                             Instant at, SentAs sent_as) {
   this->recent.Record(crash);
-  this->account.RecordCrash(suspect, crash, at);
+  this->account.RecordCrash(suspect, crash, at, sent_as);
 }
 
 void CrashJudge::RecordSurvival(absl::Span<const PromptPart> parts,
--- a/dragonflyglade/gateway/crash_judge.h
+++ b/dragonflyglade/gateway/crash_judge.h
@@ -51,8 +51,8 @@
   /// Records a crash, whatever the target ran.
   void RecordCrash(const TargetCrash& crash) { this->recent.Record(crash); }
   /// Records that a target crashed when it ran the suspect.
-  void RecordCrash(const Suspect& suspect, const TargetCrash& crash,
-                   Instant at);
+  void RecordCrash(const Suspect& suspect, const TargetCrash& crash, Instant at,
+                   SentAs sent_as = SentAs::kRepeat);
 
   /// Records that a target of the version answered on the parts.
   void RecordSurvival(absl::Span<const PromptPart> parts,
--- a/dragonflyglade/gateway/crash_messages.cc
+++ b/dragonflyglade/gateway/crash_messages.cc
@@ -17,6 +17,30 @@
   return std::nullopt;
 }
 
+wire::SentAs::type ToWire(SentAs sent_as) {
+  switch (sent_as) {
+    case SentAs::kUnsuspected:
+      return wire::SentAs::UNSUSPECTED;
+    case SentAs::kRepeat:
+      return wire::SentAs::REPEAT;
+    case SentAs::kTrial:
+      return wire::SentAs::TRIAL;
+  }
+  return wire::SentAs::REPEAT;
+}
+
+SentAs FromWire(wire::SentAs::type sent_as) {
+  switch (sent_as) {
+    case wire::SentAs::UNSUSPECTED:
+      return SentAs::kUnsuspected;
+    case wire::SentAs::REPEAT:
+      return SentAs::kRepeat;
+    case wire::SentAs::TRIAL:
+      return SentAs::kTrial;
+  }
+  return SentAs::kRepeat;
+}
+
 wire::TargetCrash ToWire(const TargetCrash& crash) {
   wire::TargetCrash encoded;
   encoded.target = crash.target;
--- a/dragonflyglade/gateway/crash_messages.h
+++ b/dragonflyglade/gateway/crash_messages.h
@@ -15,6 +15,9 @@
 /// @return nothing for a kind of a later version of this program
 std::optional<SuspectKind> FromWire(wire::SuspectKind::type kind);
 
+wire::SentAs::type ToWire(SentAs sent_as);
+SentAs FromWire(wire::SentAs::type sent_as);
+
 wire::TargetCrash ToWire(const TargetCrash& crash);
 TargetCrash FromWire(const wire::TargetCrash& encoded);
 
--- a/dragonflyglade/gateway/crash_reports.cc
+++ b/dragonflyglade/gateway/crash_reports.cc
@@ -80,10 +80,13 @@
 
 // Each of the owners may have missed one of the crashes, so all are heard.
 asio::awaitable<std::set<std::string>> CrashReports::ReportRequests(
-    TargetCrash crash, std::set<std::string> digests) {
+    TargetCrash crash, std::map<std::string, SentAs> requests) {
   const Instant now = this->clock.Now();
-  for (const std::string& digest : digests) {
-    this->judge.RecordCrash({SuspectKind::kRequest, digest}, crash, now);
+  std::set<std::string> digests;
+  for (const auto& [digest, sent_as] : requests) {
+    this->judge.RecordCrash({SuspectKind::kRequest, digest}, crash, now,
+                            sent_as);
+    digests.insert(digest);
   }
   const std::int64_t number = ++this->last_number;
   const auto report = std::make_shared<Unanswered>(this->context);
@@ -92,6 +95,9 @@
   for (auto& [owner, note] : report->notes) {
     note.__set_reply_to(this->self.peer_address);
     note.__set_number(number);
+    for (const std::string& digest : note.suspects) {
+      note.sent_as.push_back(ToWire(requests.at(digest)));
+    }
   }
   // What this instance knows as an owner is in its account already.
   const auto own = report->notes.find(this->self.name);
@@ -134,7 +140,9 @@
     if (!IsUsable(suspect)) continue;
     const bool is_part = *kind == SuspectKind::kPart;
     if (is_part && this->refused.Find(suspect) != nullptr) continue;
-    this->judge.RecordCrash(suspect, crash, this->clock.Now());
+    const SentAs sent_as =
+        i < note.sent_as.size() ? FromWire(note.sent_as[i]) : SentAs::kRepeat;
+    this->judge.RecordCrash(suspect, crash, this->clock.Now(), sent_as);
     if (this->judge.CountOf(suspect) < kCrashesToSuspect) continue;
     const int rank = i < note.owner_ranks.size() ? note.owner_ranks[i] : 0;
     this->judge.JudgeLater(suspect,
@@ -159,6 +167,7 @@
       crash.suspect = id;
       crash.crash = ToWire(known.crash);
       crash.age_ms = absl::ToInt64Milliseconds(now - known.at);
+      crash.sent_as = ToWire(known.sent_as);
       reply.crashes.push_back(std::move(crash));
     }
     for (const TargetCrash& other : this->judge.CrashesAround(suspect)) {
@@ -177,9 +186,9 @@
   if (note == found->second->notes.end()) return;
   const Instant now = this->clock.Now();
   for (const wire::SuspectCrash& known : reply.crashes) {
-    this->judge.RecordCrash({SuspectKind::kRequest, known.suspect},
-                            FromWire(known.crash),
-                            now - absl::Milliseconds(known.age_ms));
+    this->judge.RecordCrash(
+        {SuspectKind::kRequest, known.suspect}, FromWire(known.crash),
+        now - absl::Milliseconds(known.age_ms), FromWire(known.sent_as));
   }
   for (const wire::TargetCrash& crash : reply.all_crashes) {
     this->judge.RecordCrash(FromWire(crash));
--- a/dragonflyglade/gateway/crash_reports.h
+++ b/dragonflyglade/gateway/crash_reports.h
@@ -41,11 +41,11 @@
 
   /// Reports a target that crashed while it ran the requests. Returns when
   /// their owners have answered, after some hundredths of a second at most.
-  /// @param digests of the requests
-  /// @return those that must not be sent again: several targets have crashed
-  ///     under them, or no owner answered
+  /// @param requests by their digests, how they were sent to the target
+  /// @return the digests of those that must not be sent again: several targets
+  ///     have crashed under them, or no owner answered
   boost::asio::awaitable<std::set<std::string>> ReportRequests(
-      TargetCrash crash, std::set<std::string> digests);
+      TargetCrash crash, std::map<std::string, SentAs> requests);
 
   /// Applies or answers another instance's message.
   void Receive(const wire::FleetMessage& message);
--- a/dragonflyglade/gateway/pipeline.h
+++ b/dragonflyglade/gateway/pipeline.h
@@ -223,6 +223,7 @@
   /// Whether a request that waits for a target must end its wait.
   bool EndsWait(const RequestJob& job) const;
   void RecordEndedExchange(const RequestJob& job, bool may_be_complete);
+  SentAs HowToSend(const RequestJob& job) const;
   boost::asio::awaitable<void> AwaitCrashVerdict(RequestJob& job);
   /// Whether time and number of attempts allow another one.
   bool HasAttemptLeft(const RequestJob& job) const;
--- a/dragonflyglade/gateway/pipeline_attempt.cc
+++ b/dragonflyglade/gateway/pipeline_attempt.cc
@@ -139,6 +139,7 @@
   job.exchange = &exchange;
   job.receipt = &receipt;
   job.attempt_started = now;
+  job.sent_as = this->HowToSend(job);
   job.attempt_first_output.reset();
   job.survival_recorded = false;
   job.may_crash_next = false;
--- a/dragonflyglade/gateway/pipeline_suspects.cc
+++ b/dragonflyglade/gateway/pipeline_suspects.cc
@@ -25,6 +25,7 @@
   EndedExchange exchange;
   exchange.request_id = job.request.id;
   exchange.digest = job.digest;
+  exchange.sent_as = job.sent_as;
   exchange.shared_parts.assign(job.SharedParts().begin(),
                                job.SharedParts().end());
   exchange.was_beginning = job.IsBeginning(this->clock.Now());
@@ -32,6 +33,13 @@
   this->crash_detector.RecordEnded(job.TargetProcess(), std::move(exchange));
 }
 
+SentAs Pipeline::HowToSend(const RequestJob& job) const {
+  if (job.is_trial) return SentAs::kTrial;
+  const std::size_t crashes =
+      this->crash_suspects.judge.CountOf({SuspectKind::kRequest, job.digest});
+  return crashes > 0 ? SentAs::kRepeat : SentAs::kUnsuspected;
+}
+
 // The caller may send the request again as soon as it has a response: by then,
 // other instances know what this one does.
 asio::awaitable<void> Pipeline::AwaitCrashVerdict(RequestJob& job) {
--- a/dragonflyglade/gateway/request_job.h
+++ b/dragonflyglade/gateway/request_job.h
@@ -71,6 +71,7 @@
   CallerBuffers::Receipt* receipt = nullptr;  ///< of the current attempt
   EventSplitter events;
   Instant attempt_started;
+  SentAs sent_as = SentAs::kUnsuspected;  ///< of the current attempt
   /// It was sent over a path of this instance while that counted as lost.
   bool tried_lost_path = false;
   bool uses_own_path = true;  ///< the current attempt, not through a tunnel
--- a/dragonflyglade/gateway/target_crash_detector.cc
+++ b/dragonflyglade/gateway/target_crash_detector.cc
@@ -1,5 +1,7 @@
 #include "dragonflyglade/gateway/target_crash_detector.h"
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -112,8 +114,11 @@
   std::set<std::string> parts;
   std::vector<std::string> beginning;
   std::set<std::string> digests;
+  std::map<std::string, SentAs> requests;
   for (const EndedExchange& exchange : examination.ended) {
     digests.insert(exchange.digest);
+    SentAs& sent_as = requests[exchange.digest];
+    sent_as = std::max(sent_as, exchange.sent_as);
     if (!exchange.was_beginning) continue;
     beginning.push_back(exchange.request_id);
     for (const PromptPart& part : exchange.shared_parts) parts.insert(part.id);
@@ -131,9 +136,10 @@
     this->channel.ReportConnectionRefused(crash.target);
     target.RecordResult(TargetResult::kUnreachable, this->clock.Now());
   }
-  examination.withheld = digests;  // until their owners have answered
+  // Until their owners have answered.
+  examination.withheld = std::move(digests);
   examination.withheld = co_await this->crash_suspects.reports.ReportRequests(
-      crash, std::move(digests));
+      crash, std::move(requests));
 }
 
 int TargetCrashDetector::HandleLives(const TargetCrash& process,
--- a/dragonflyglade/gateway/target_crash_detector.h
+++ b/dragonflyglade/gateway/target_crash_detector.h
@@ -29,6 +29,7 @@
 struct EndedExchange {
   std::string request_id;
   std::string digest;  ///< of the request, see DigestOf
+  SentAs sent_as = SentAs::kRepeat;
   std::vector<PromptPart> shared_parts;
   /// Whether the target may have been beginning its answer.
   bool was_beginning = false;
--- a/dragonflyglade/peer/fleet.thrift
+++ b/dragonflyglade/peer/fleet.thrift
@@ -392,6 +392,16 @@
   REQUEST = 1
 }
 
+/** What the instance that sent a request to a target knew of it. */
+enum SentAs {
+  /** A crash under it. */
+  REPEAT = 0
+  /** No crash under it. */
+  UNSUSPECTED = 1
+  /** That it is held back: it was sent to show that it is sound. */
+  TRIAL = 2
+}
+
 /** Tells an owner that a target crashed when it may have begun to answer
     requests with the parts, or while it ran the requests. */
 struct CrashNote {
@@ -403,6 +413,8 @@
   /** Where to send what is known of the suspects, with the number. */
   5: optional string reply_to
   6: optional i64 number
+  /** Of each request; empty for parts. */
+  7: list<SentAs> sent_as
 }
 
 /** A crash of a suspect. */
@@ -410,6 +422,7 @@
   1: string suspect
   2: TargetCrash crash
   3: i64 age_ms
+  4: SentAs sent_as = SentAs.REPEAT
 }
 
 /** The reply of an owner to a note. */
--- a/tests/platform/platform-crashing-requests.cc
+++ b/tests/platform/platform-crashing-requests.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(EndsThreeTargetsOverTime);
   CPPUNIT_TEST(ServesASoundRequestThatLostTwoTargets);
   CPPUNIT_TEST(ServesASoundRequestThatLostManyTargetsAtOnce);
+  CPPUNIT_TEST(ServesASoundRequestThatLostManyTargetsInTurn);
   CPPUNIT_TEST(KnowsTheRequestAfterARestart);
   CPPUNIT_TEST(KnowsTheRequestWhileTheStoreIsAway);
   CPPUNIT_TEST(RefusesARequestThatAnOperatorNamed);
@@ -192,13 +193,25 @@
   // Guards against a sound request of many callers that is refused for good,
   // since all targets lost power while they had it in progress.
   void ServesASoundRequestThatLostManyTargetsAtOnce() {
+    this->CheckServedAfterPowerLoss(absl::ZeroDuration());
+  }
+
+  // Guards against the same where the targets end one after the other.
+  void ServesASoundRequestThatLostManyTargetsInTurn() {
+    this->CheckServedAfterPowerLoss(absl::Milliseconds(30));
+  }
+
+  // @param pause between the ends of two targets
+  void CheckServedAfterPowerLoss(absl::Duration pause) {
     constexpr int kCallers = 8;
     absl::Notification power_loss;
-    CrashingFleet fleet([&power_loss](const RawRequest& request) {
+    std::atomic<int> turn = 0;
+    CrashingFleet fleet([&](const RawRequest& request) {
       if (!IsBad(request) || power_loss.HasBeenNotified()) {
         return SuccessfulResponse(request);
       }
       power_loss.WaitForNotification();
+      absl::SleepFor(turn++ * pause);
       return EndAtOnce(request);
     });
     const auto call = [&fleet](int instance) {
--- a/tests/unit/unit-crash-account.cc
+++ b/tests/unit/unit-crash-account.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(KeepsSuspectsAmongPartsThatNeverRepeat);
   CPPUNIT_TEST(RemembersAnswersByVersion);
   CPPUNIT_TEST(CountsEachCrashOfARequest);
+  CPPUNIT_TEST(TellsRepeatsFromOneFailure);
   CPPUNIT_TEST(TellsRequestsFromOtherCauses);
   CPPUNIT_TEST(TriesAHeldRequestOnce);
   CPPUNIT_TEST(RemembersAnsweredRequests);
@@ -188,6 +189,44 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, crashes.Count(Part("r")));
   }
 
+  // Guards against a sound request that is refused for good, since targets that
+  // had it in progress ended one after the other, and against a guilty one that
+  // is tried again and again.
+  void TellsRepeatsFromOneFailure() {
+    struct Case {
+      std::string name;
+      std::vector<SentAs> crashes;
+      bool fell_together;
+    };
+    const SentAs first = SentAs::kUnsuspected;
+    const SentAs repeat = SentAs::kRepeat;
+    const SentAs trial = SentAs::kTrial;
+    const std::vector<Case> cases = {
+        {"callers at once", {first, first, first}, true},
+        {"and retries", {first, first, repeat, first, repeat}, true},
+        {"two callers, and a retry", {first, first, repeat}, false},
+        {"a caller that returns", {first, repeat, repeat}, false},
+        {"a trial", {first, first, trial}, false},
+        {"a trial after a failure", {first, first, first, first, trial}, false},
+        {"none", {}, false},
+    };
+    for (const Case& item : cases) {
+      ManualClock clock;
+      CrashAccount account{Clock(&clock)};
+      for (std::size_t i = 0; i < item.crashes.size(); ++i) {
+        // One instance of those that tell of it may not have known more.
+        for (const SentAs sent_as : {repeat, item.crashes[i]}) {
+          account.RecordCrash(Request("r"), CrashOf(absl::StrCat("t", i)),
+                              clock.Now(), sent_as);
+          clock.Advance(absl::Milliseconds(30));
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          item.name, item.fell_together,
+          CrashAccount::FellTogether(account.CrashesOf(Request("r"))));
+    }
+  }
+
   // Guards against a sound request that is refused since two targets ended
   // under it in a failure of many, and against a fourth target.
   void TellsRequestsFromOtherCauses() {
