--- a/dragonflyglade/decision/crash_account.h
+++ b/dragonflyglade/decision/crash_account.h
@@ -72,8 +72,9 @@
 
   explicit CrashAccount(Clock clock);
 
-  /// Whether these crashes may be one failure: too many targets had the request
-  /// before its senders knew of any, and no trial ended one.
+  /// Whether these crashes may be one failure: three targets or more had the
+  /// request before its senders knew of a crash under it, and no trial ended
+  /// one.
   static bool FellTogether(absl::Span<const Crash> crashes);
 
   /// Records that a target crashed when it may have been about to answer on the
