--- a/dragonflyglade/decision/crash_account.cc
+++ b/dragonflyglade/decision/crash_account.cc
@@ -81,7 +81,11 @@
   };
   crashes.erase(std::remove_if(crashes.begin(), crashes.end(), is_old),
                 crashes.end());
-  if (crashes.size() >= kMaxCrashesPerSuspect) return;
+  if (crashes.size() >= kMaxCrashesPerSuspect) {
+    // The crash of a trial decides alone, so it is never the one left out.
+    if (sent_as != SentAs::kTrial) return;
+    crashes.pop_back();
+  }
   const auto later =
       std::find_if(crashes.begin(), crashes.end(),
                    [&](const Crash& known) { return known.at > at; });
--- a/tests/unit/unit-crash-account.cc
+++ b/tests/unit/unit-crash-account.cc
@@ -201,6 +201,8 @@
     const SentAs first = SentAs::kUnsuspected;
     const SentAs repeat = SentAs::kRepeat;
     const SentAs trial = SentAs::kTrial;
+    std::vector<SentAs> many_and_trial(40, first);
+    many_and_trial.push_back(trial);
     const std::vector<Case> cases = {
         {"callers at once", {first, first, first}, true},
         {"and retries", {first, first, repeat, first, repeat}, true},
@@ -208,6 +210,7 @@
         {"a caller that returns", {first, repeat, repeat}, false},
         {"a trial", {first, first, trial}, false},
         {"a trial after a failure", {first, first, first, first, trial}, false},
+        {"a trial after a failure of many", many_and_trial, false},
         {"none", {}, false},
     };
     for (const Case& item : cases) {
